Skeleton: toolchain, folders' interfaces, test runner with known-red list

The interfaces of each folder (Types.ts) are settled before the parts are written, so that the parts can go on side by side.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,104 @@
+// Lint rules: type-checked TypeScript rules, and the arrows between the folders of src/.
+import tseslint from "typescript-eslint";
+
+/** For each folder of src/, the folders that it may import from. */
+const allowedImports = {
+    common: [],
+    telemetry: ["common"],
+    supervise: ["common", "telemetry"],
+    peer: ["common", "telemetry"],
+    config: ["common", "telemetry", "peer", "replication"],
+    replication: ["common", "telemetry", "peer"],
+    membership: ["common", "telemetry", "peer", "config"],
+    endpoints: ["common", "telemetry", "peer", "config", "membership"],
+    records: ["common", "telemetry", "peer", "config", "replication"],
+    routing: ["common", "telemetry", "config", "endpoints"],
+    pipeline: ["common", "telemetry", "config", "endpoints", "records", "routing"],
+    entry: [
+        "common",
+        "telemetry",
+        "config",
+        "endpoints",
+        "membership",
+        "records",
+        "replication",
+        "pipeline",
+        "supervise",
+    ],
+    daemon: [
+        "common",
+        "telemetry",
+        "supervise",
+        "peer",
+        "config",
+        "replication",
+        "membership",
+        "endpoints",
+        "records",
+        "routing",
+        "pipeline",
+        "entry",
+    ],
+    cli: ["common", "telemetry", "config", "daemon", "entry", "supervise"],
+};
+
+const folders = Object.keys(allowedImports);
+
+const arrows = folders.map(folder => ({
+    files: [`src/${folder}/**/*.ts`],
+    ignores: ["**/*.test.ts"],
+    rules: {
+        "no-restricted-imports": ["error", {
+            patterns: [{
+                group: folders
+                    .filter(other => other !== folder && !allowedImports[folder].includes(other))
+                    .map(other => `**/${other}/**`)
+                    .concat(["**/testing/**", "**/standin/**"]).filter(p => folder !== "cli" || !p.includes("standin")),
+                message: `src/${folder} may not import from this folder (see docs/DESIGN.md, layout).`,
+            }],
+        }],
+    },
+}));
+
+export default tseslint.config(
+    { ignores: ["out/**", "node_modules/**", "*.mjs"] },
+    ...tseslint.configs.recommendedTypeChecked,
+    {
+        languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+        rules: {
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"] },
+                { selector: "enumMember", format: ["PascalCase"] },
+                { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+                { selector: "memberLike", modifiers: ["private"], format: ["camelCase"], leadingUnderscore: "forbid" },
+                { selector: "function", format: ["camelCase"] },
+            ],
+            "@typescript-eslint/no-floating-promises": ["error", {
+                allowForKnownSafeCalls: [
+                    { from: "package", name: ["test", "it", "describe", "suite"], package: "node:test" },
+                ],
+            }],
+            "@typescript-eslint/require-await": "off",
+            "@typescript-eslint/restrict-template-expressions": "off",
+            "curly": "error",
+            "eqeqeq": "error",
+            "prefer-const": "error",
+            "one-var": ["error", { const: "never" }],
+            "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
+            "max-lines-per-function": ["error", { max: 60, skipBlankLines: true, skipComments: true }],
+            "no-throw-literal": "off",
+        },
+    },
+    {
+        files: ["**/*.test.ts", "testing/**", "test/**", "proof/**", "bench/**"],
+        rules: {
+            "max-lines-per-function": "off",
+            "@typescript-eslint/no-non-null-assertion": "off",
+            "@typescript-eslint/no-unsafe-assignment": "off",
+            "@typescript-eslint/no-unsafe-member-access": "off",
+        },
+    },
+    ...arrows,
+);
--- /dev/null
+++ b/scripts/runTests.ts
@@ -0,0 +1,69 @@
+/**
+ * Runs every compiled test file below out/ (or the files named as arguments) and gives one verdict:
+ * tests listed in KNOWN-RED.txt are passed over and printed; any other failure, and a stale entry, fails the run.
+ */
+import { readdirSync, readFileSync } from "node:fs";
+import { relative, resolve } from "node:path";
+import { Readable } from "node:stream";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+import { judgeRun, parseKnownRed, type TestVerdict } from "./KnownRed.js";
+
+const root = resolve(import.meta.dirname, "../..");
+const compiled = resolve(root, "out");
+/** Bound on one test file, in milliseconds. */
+const fileTimeoutMs = 300_000;
+
+function testFiles(): string[] {
+    const named = process.argv.slice(2);
+    const all = readdirSync(compiled, { recursive: true, encoding: "utf8" })
+        .filter(file => file.endsWith(".test.js"))
+        .sort();
+    const chosen = named.length === 0 ? all : all.filter(file => named.some(name => file.includes(name)));
+    return chosen.map(file => resolve(compiled, file));
+}
+
+async function runAll(files: string[]): Promise<TestVerdict[]> {
+    const verdicts: TestVerdict[] = [];
+    const paths = new Map<string, string[]>();
+    const pathOf = (file: string | undefined): string[] => {
+        const path = paths.get(file ?? "") ?? [];
+        paths.set(file ?? "", path);
+        return path;
+    };
+    const stream = run({ files, concurrency: 4, timeout: fileTimeoutMs });
+    stream.on("test:start", data => {
+        const path = pathOf(data.file);
+        path.length = data.nesting;
+        path[data.nesting] = data.name;
+    });
+    const finish = (data: { name: string; nesting: number; file?: string; }, passed: boolean) => {
+        const names = [...pathOf(data.file).slice(0, data.nesting), data.name];
+        const file = data.file === undefined ? "" : relative(compiled, data.file).replace(/\.js$/, ".ts");
+        verdicts.push({ name: [file, ...names].join(" > "), passed });
+    };
+    stream.on("test:pass", data => finish(data, true));
+    stream.on("test:fail", data => finish(data, false));
+    const report = Readable.from(stream.compose(new spec()) as AsyncIterable<string>);
+    for await (const text of report) {
+        process.stdout.write(String(text));
+    }
+    return verdicts;
+}
+
+const files = testFiles();
+const verdicts = await runAll(files);
+const known = parseKnownRed(readFileSync(resolve(root, "KNOWN-RED.txt"), "utf8"));
+const verdict = judgeRun(verdicts, process.argv.length > 2 ? [] : known);
+for (const entry of verdict.passedOver) {
+    console.log(`KNOWN RED, passed over: ${entry.test} | ${entry.command} | ${entry.seen} | issue ${entry.issue}`);
+}
+for (const name of verdict.failures) {
+    console.log(`FAILED: ${name}`);
+}
+for (const line of verdict.stale) {
+    console.log(`STALE ENTRY IN KNOWN-RED.txt: ${line}`);
+}
+const failedCount = verdict.failures.length + verdict.stale.length;
+console.log(`${verdicts.filter(one => one.passed).length} passed, ${failedCount} failed`);
+process.exitCode = failedCount > 0 || verdicts.length === 0 ? 1 : 0;
--- /dev/null
+++ b/src/common/SystemClock.ts
@@ -0,0 +1,34 @@
+/** The clock of the machine. */
+import { performance } from "node:perf_hooks";
+import type { Clock, Disposable } from "./Types.js";
+
+export class SystemClock implements Clock {
+    public nowMs(): number {
+        return performance.now();
+    }
+
+    public wallMs(): number {
+        return Date.now();
+    }
+
+    public setTimer(delayMs: number, callback: () => void): Disposable {
+        const timer = setTimeout(callback, delayMs);
+        return { dispose: () => clearTimeout(timer) };
+    }
+
+    public sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            if (signal?.aborted) {
+                resolve();
+                return;
+            }
+            const finish = () => {
+                clearTimeout(timer);
+                signal?.removeEventListener("abort", finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, delayMs);
+            signal?.addEventListener("abort", finish);
+        });
+    }
+}
--- /dev/null
+++ b/src/config/Schema.ts
@@ -0,0 +1,170 @@
+/**
+ * Schema of the settings: the shape that base file and overlay have once merged. Unknown keys are errors.
+ * Times are in milliseconds and sizes in bytes, as the names say. The section `daemon` belongs to one process
+ * and never to a committed document.
+ */
+import { z } from "zod";
+import type { DataCentreId, EndpointId, HostId, ModelId, PipelineId, StageId, WorkspaceId } from "../common/Types.js";
+
+const idText = z.string().regex(
+    /^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/,
+    "must be 1 to 128 letters, digits, '.', '_', ':' or '-', and start with a letter or digit",
+);
+
+function brandedId<T>() {
+    return idText as unknown as z.ZodType<T, string>;
+}
+
+/** An address of the form "127.0.0.1:8080": IP numbers only, since nothing is looked up by name. */
+const address = z.string().regex(
+    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
+    "must be IP number and port, such as 127.0.0.1:8080",
+);
+const milliseconds = z.number().int().min(1).max(86_400_000);
+const count = z.number().int().min(0).max(1_000_000);
+
+const host = z.strictObject({
+    dataCentre: brandedId<DataCentreId>(),
+    /** Where callers and the balancer connect. */
+    callerAddress: address,
+    /** Where peers and operators connect. */
+    peerAddress: address,
+    /** Whether the host keeps replicas of the durable state. */
+    control: z.enum(["voter", "learner", "none"]).default("none"),
+});
+
+const endpoint = z.strictObject({
+    dataCentre: brandedId<DataCentreId>(),
+    address,
+    kind: z.enum(["engine", "encoder", "retriever", "reranker", "service"]),
+    pool: idText,
+    models: z.array(brandedId<ModelId>()).default([]),
+    /** Calls in flight that a cold endpoint can bear. */
+    coldLimit: z.number().int().min(1).max(10_000).default(1),
+    /** Calls in flight that a warm endpoint can bear. */
+    warmLimit: z.number().int().min(1).max(10_000),
+    reportsLoad: z.boolean().default(true),
+    /** Whether the endpoint refuses an order with an old fencing number. */
+    checksFencing: z.boolean().default(false),
+});
+
+const stage = z.strictObject({
+    name: brandedId<StageId>(),
+    pool: idText,
+    model: brandedId<ModelId>().optional(),
+    /** A stage that is not idempotent runs at most once for a request. */
+    idempotent: z.boolean().default(true),
+    /** Whether the last stage's output is passed on as it arrives. */
+    stream: z.boolean().default(false),
+    hedge: z.boolean().default(false),
+});
+
+const pipeline = z.strictObject({
+    deadlineMs: milliseconds,
+    /** 0 goes first; 2 is for overnight jobs. */
+    priority: z.union([z.literal(0), z.literal(1), z.literal(2)]).default(1),
+    stages: z.array(stage).min(1).max(12),
+});
+
+const workspace = z.strictObject({
+    /** Share of the capacity while it is scarce. */
+    weight: z.number().min(0.01).max(1000).default(1),
+    /** Requests that may wait or run at once on one host. */
+    maxInFlight: z.number().int().min(1).max(100_000).default(1000),
+});
+
+const timing = z.strictObject({
+    /** Lifetime of slot leases; also bounds how long a cut-off host goes on sending. */
+    slotLeaseMs: milliseconds.default(2000),
+    /** Bound on how far two monotonic clocks drift apart within one lease. */
+    clockDriftMs: milliseconds.default(50),
+    heartbeatMs: milliseconds.default(250),
+    /** Silence after which a host counts as unreachable. */
+    unreachableMs: milliseconds.default(1200),
+    /** Bound on the first byte of a reply, and on gaps within it. */
+    firstByteMs: milliseconds.default(30_000),
+    gapMs: milliseconds.default(5000),
+    connectMs: milliseconds.default(1000),
+    /** How long a stopping daemon goes on serving for the balancer's lag. */
+    balancerLagMs: milliseconds.default(2000),
+    /** How long a planned stop may take in all. */
+    stopGraceMs: milliseconds.default(30_000),
+    peerTimeoutMs: milliseconds.default(1000),
+    electionMs: milliseconds.default(1000),
+    groupHeartbeatMs: milliseconds.default(150),
+    /** How long outcomes of claims and results of jobs are kept. */
+    claimRetentionMs: z.number().int().min(1000).default(86_400_000),
+    jobRetentionMs: z.number().int().min(1000).default(604_800_000),
+    jobLeaseMs: milliseconds.default(3000),
+});
+
+const limits = z.strictObject({
+    bodyBytes: z.number().int().min(1).max(1_073_741_824).default(1_048_576),
+    /** Requests that may wait for a slot on one host. */
+    queuedRequests: z.number().int().min(1).max(1_000_000).default(2000),
+    /** Retries and hedges as a share of first calls. */
+    retryShare: z.number().min(0).max(1).default(0.2),
+    claimsPerWorkspace: z.number().int().min(1).max(10_000_000).default(100_000),
+    jobsPerWorkspace: z.number().int().min(1).max(1_000_000).default(10_000),
+});
+
+const platform = z.strictObject({
+    hostListAddress: address.optional(),
+    weightStoreAddress: address.optional(),
+    /** Bytes that the weight store gives out in a second, over all engines of a data centre. */
+    weightStoreBytesPerSecond: z.number().int().min(1).default(1_000_000_000),
+});
+
+/** Settings of one process; they come from its own files and are not replicated. */
+const daemon = z.strictObject({
+    host: brandedId<HostId>(),
+    /** Folder for durable state; needed by voters and learners. */
+    dataDir: z.string().min(1).optional(),
+    /** File with the key that operators send; without it the operators' API is closed. */
+    operatorKeyFile: z.string().min(1).optional(),
+    /** File with the key that hosts send to each other. */
+    peerKeyFile: z.string().min(1).optional(),
+    logFile: z.string().min(1).optional(),
+    /** Addresses to dial instead of the configured ones, by host or endpoint; for relays in tests. */
+    dial: z.record(idText, address).default({}),
+});
+
+export const settingsSchema = z.strictObject({
+    name: idText,
+    dataCentres: z.record(idText, z.strictObject({ region: idText })),
+    hosts: z.record(idText, host),
+    endpoints: z.record(idText, endpoint),
+    models: z.record(idText, z.strictObject({ bytes: z.number().int().min(1), version: idText })).default({}),
+    pipelines: z.record(idText, pipeline),
+    workspaces: z.record(idText, workspace),
+    platform: platform.default({ weightStoreBytesPerSecond: 1_000_000_000 }),
+    timing: timing.prefault({}),
+    limits: limits.prefault({}),
+    daemon: daemon.optional(),
+});
+
+type RawSettings = z.infer<typeof settingsSchema>;
+export type HostSettings = z.infer<typeof host>;
+export type EndpointSettings = z.infer<typeof endpoint>;
+export type StageSettings = z.infer<typeof stage>;
+export type PipelineSettings = z.infer<typeof pipeline>;
+export type WorkspaceSettings = z.infer<typeof workspace>;
+export type TimingSettings = z.infer<typeof timing>;
+export type LimitSettings = z.infer<typeof limits>;
+export type DaemonSettings = z.infer<typeof daemon>;
+
+/** Checked settings. The records' keys are ids of the named kind. */
+export interface Settings
+    extends
+        Omit<RawSettings, "dataCentres" | "hosts" | "endpoints" | "models" | "pipelines" | "workspaces" | "daemon"> {
+    readonly dataCentres: Readonly<Record<DataCentreId, { readonly region: string; }>>;
+    readonly hosts: Readonly<Record<HostId, HostSettings>>;
+    readonly endpoints: Readonly<Record<EndpointId, EndpointSettings>>;
+    readonly models: Readonly<Record<ModelId, { readonly bytes: number; readonly version: string; }>>;
+    readonly pipelines: Readonly<Record<PipelineId, PipelineSettings>>;
+    readonly workspaces: Readonly<Record<WorkspaceId, WorkspaceSettings>>;
+    readonly daemon?: DaemonSettings | undefined;
+}
+
+/** Bounds a count in a document; shared by the overlay checks. */
+export const countSchema = count;
--- /dev/null
+++ b/src/config/Types.ts
@@ -0,0 +1,108 @@
+/**
+ * Configuration: one base document and one small overlay for each site (a data centre's name), merged and checked;
+ * committed versions are in force everywhere. The schema itself is in Schema.ts, from which `Settings` is inferred.
+ */
+import type { Either } from "purify-ts";
+import type { ChangeId, DataCentreId, EndpointId, Event, HostId } from "../common/Types.js";
+import type { Settings } from "./Schema.js";
+
+/** One fault of a document, with where it is. */
+export interface ConfigIssue {
+    readonly file: string;
+    /** Line in the file, from 1; 0 where the fault has no line (a merged result). */
+    readonly line: number;
+    /** Path of the faulty value, such as "pipelines.profile.stages[0].kind". */
+    readonly path: string;
+    readonly message: string;
+}
+
+export interface ConfigError {
+    readonly kind: "invalid-config";
+    readonly issues: readonly ConfigIssue[];
+}
+
+/** Settings in force on a host: a committed version merged for the host's data centre. */
+export interface ConfigView {
+    /** Rises with each committed change; 0 is never in force. */
+    readonly version: number;
+    readonly settings: Settings;
+    /** Data centres that operators have taken out. */
+    readonly outDataCentres: ReadonlySet<DataCentreId>;
+    /** Endpoints that operators have marked as leaving. */
+    readonly leavingEndpoints: ReadonlySet<EndpointId>;
+}
+
+/** Where the rest of a daemon reads its configuration. Versions only rise. */
+export interface ConfigSource {
+    /** Undefined until a committed configuration is known; the host then takes no work. */
+    current(): ConfigView | undefined;
+    readonly onChange: Event<ConfigView>;
+}
+
+/** "base" or the name of a site. */
+export type DocumentName = string;
+
+/** Commands of operators; each carries an id so that it can be sent again. */
+export type ConfigChange =
+    | {
+        readonly kind: "put-document";
+        readonly id: ChangeId;
+        readonly document: DocumentName;
+        /** The version of this document that the change builds on; 0 for a new document. */
+        readonly baseVersion: number;
+        /** YAML text. */
+        readonly text: string;
+    }
+    | {
+        readonly kind: "set-data-centre";
+        readonly id: ChangeId;
+        readonly dataCentre: DataCentreId;
+        readonly out: boolean;
+    }
+    | {
+        readonly kind: "set-endpoint";
+        readonly id: ChangeId;
+        readonly endpoint: EndpointId;
+        readonly leaving: boolean;
+    };
+
+export type ConfigChangeResult =
+    | { readonly kind: "accepted"; readonly version: number; readonly documentVersion: number; }
+    | {
+        readonly kind: "conflict";
+        readonly documentVersion: number;
+        readonly winner: { readonly id: ChangeId; readonly text: string; };
+    }
+    | { readonly kind: "invalid"; readonly issues: readonly ConfigIssue[]; };
+
+export type ConfigChangeError =
+    /** Not accepted and never will be. */
+    | { readonly kind: "not-accepted"; readonly message: string; }
+    /** May have been accepted; sending the same change id again tells. */
+    | { readonly kind: "unknown"; readonly message: string; };
+
+/** Changes the configuration, through the config group, from any host. */
+export interface ConfigWriter {
+    change(change: ConfigChange, timeoutMs: number): Promise<Either<ConfigChangeError, ConfigChangeResult>>;
+}
+
+/** A lease of the config group: an exclusive right with a fencing number that rises with each new holder. */
+export interface Lease {
+    readonly name: string;
+    readonly holder: HostId;
+    /** Fencing number, or owner epoch. */
+    readonly epoch: number;
+    /** On the holder's monotonic clock, counted from when the request was sent. */
+    readonly expiresAtMs: number;
+}
+
+export type LeaseError =
+    | { readonly kind: "held"; readonly holder: HostId; readonly epoch: number; }
+    | { readonly kind: "unreachable"; readonly message: string; };
+
+/** Leases held in the config group, such as "owner/<data centre>/<endpoint>" and "orders/<data centre>". */
+export interface LeaseService {
+    /** Acquires or renews. The same holder keeps its epoch while it renews in time. */
+    acquire(name: string, durationMs: number, timeoutMs: number): Promise<Either<LeaseError, Lease>>;
+    release(name: string): Promise<void>;
+}
--- /dev/null
+++ b/src/entry/Types.ts
@@ -0,0 +1,29 @@
+/** HTTP API for callers, operators and the balancer. */
+
+/** Whether the balancer should send callers to this host. */
+export type Readiness =
+    | { readonly ready: true; }
+    | { readonly ready: false; readonly reason: "starting" | "no-config" | "data-centre-out" | "stopping"; };
+
+export interface ReadinessSource {
+    readiness(): Readiness;
+}
+
+/** An operator's route, registered by the daemon; paths start with /v1/operator/. */
+export interface OperatorRoute {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    handle(req: OperatorRequest): Promise<OperatorReply>;
+}
+
+export interface OperatorRequest {
+    readonly query: URLSearchParams;
+    /** Parsed JSON body; undefined for GET. */
+    readonly body: unknown;
+    readonly signal: AbortSignal;
+}
+
+export interface OperatorReply {
+    readonly status: number;
+    readonly body: unknown;
+}
--- /dev/null
+++ b/src/peer/Types.ts
@@ -0,0 +1,49 @@
+/**
+ * Calls between fireflykeel's own processes. A method is a typed token with a schema for its input; a folder
+ * registers its handlers with a {@link PeerRegistry} and calls other hosts through a {@link PeerTransport}.
+ * Payloads are JSON values. The real transport is tRPC over node:http; tests use testing/FakeNetwork.
+ */
+import type { Either } from "purify-ts";
+import type { z } from "zod";
+import type { HostId } from "../common/Types.js";
+
+/** A method that a host offers to its peers. `name` has the form "folder.verb". */
+export interface PeerMethod<Req, Res> {
+    readonly name: string;
+    readonly input: z.ZodType<Req>;
+    /** Never set; carries the result's type. */
+    readonly result?: Res;
+}
+
+export type PeerError =
+    /** No connection could be made, so that the request was not delivered. */
+    | { readonly kind: "unreachable"; readonly message: string; }
+    /** The connection broke or timed out; the request may have been carried out. */
+    | { readonly kind: "no-reply"; readonly message: string; }
+    /** The peer refused the request: unknown method, bad input, bad key. */
+    | { readonly kind: "rejected"; readonly message: string; };
+
+export interface PeerCallOptions {
+    readonly timeoutMs: number;
+    readonly signal?: AbortSignal;
+}
+
+export interface PeerTransport {
+    call<Req, Res>(
+        to: HostId,
+        method: PeerMethod<Req, Res>,
+        req: Req,
+        options: PeerCallOptions,
+    ): Promise<Either<PeerError, Res>>;
+}
+
+export type PeerHandler<Req, Res> = (req: Req, from: HostId) => Promise<Res>;
+
+export interface PeerRegistry {
+    /** Registers a handler. All handlers are registered before the server starts. */
+    handle<Req, Res>(method: PeerMethod<Req, Res>, handler: PeerHandler<Req, Res>): void;
+}
+
+export function definePeerMethod<Req, Res>(name: string, input: z.ZodType<Req>): PeerMethod<Req, Res> {
+    return { name, input };
+}
--- /dev/null
+++ b/src/replication/Types.ts
@@ -0,0 +1,86 @@
+/**
+ * A replicated log: leader election with pre-vote and check-quorum, leader lease, snapshots, one-at-a-time
+ * membership change. Several groups run in one process. Commands are JSON values; a state machine applies them.
+ */
+import type { Either } from "purify-ts";
+import type { Event, HostId } from "../common/Types.js";
+
+/** A JSON value: what commands, results and snapshots are made of. */
+export type Json = null | boolean | number | string | readonly Json[] | { readonly [key: string]: Json; };
+
+/** The deterministic part of a group. It is called from one task, in log order, once for each entry. */
+export interface StateMachine {
+    /** Applies a committed command and gives the result that its proposer receives. Never throws for bad input. */
+    apply(command: Json, index: number): Json;
+    snapshot(): Json;
+    restore(snapshot: Json): void;
+}
+
+export type ProposeError =
+    /** The command was not accepted and never will be: safe to propose again. */
+    | { readonly kind: "not-accepted"; readonly message: string; readonly leader: HostId | undefined; }
+    /** The command may or may not be committed: the proposer finds out by reading or by proposing the same id again. */
+    | { readonly kind: "unknown"; readonly message: string; };
+
+export type ReadError = { readonly kind: "no-quorum"; readonly message: string; };
+
+export type GroupRole = "leader" | "follower" | "candidate" | "learner" | "stopped";
+
+export interface GroupMembers {
+    readonly voters: readonly HostId[];
+    readonly learners: readonly HostId[];
+}
+
+export interface GroupStatus {
+    readonly group: string;
+    readonly role: GroupRole;
+    readonly term: number;
+    readonly leader: HostId | undefined;
+    readonly commitIndex: number;
+    readonly appliedIndex: number;
+    readonly lastIndex: number;
+    readonly snapshotIndex: number;
+    readonly members: GroupMembers;
+    /** True when this host, as leader, has heard from a quorum within the lease time. */
+    readonly hasQuorum: boolean;
+    /** Why the host stopped taking part (a full disk, a failed sync); undefined while it takes part. */
+    readonly fault: string | undefined;
+}
+
+export type MemberChange =
+    | { readonly kind: "add"; readonly host: HostId; }
+    | { readonly kind: "remove"; readonly host: HostId; }
+    | { readonly kind: "replace"; readonly host: HostId; readonly by: HostId; };
+
+export interface ReplicatedLog {
+    readonly group: string;
+    /** Proposes on this host or forwards to the leader; resolves with the state machine's result once committed. */
+    propose(command: Json, timeoutMs: number): Promise<Either<ProposeError, Json>>;
+    /** Resolves when all entries committed before the call are applied on this host (linearizable read). */
+    readBarrier(timeoutMs: number): Promise<Either<ReadError, number>>;
+    changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>>;
+    status(): GroupStatus;
+    /** Fires after entries have been applied, with the new applied index. */
+    readonly onApplied: Event<number>;
+    readonly onRoleChange: Event<GroupStatus>;
+}
+
+export type DiskError = { readonly kind: "full" | "failed"; readonly message: string; };
+
+/** The few operations on files that storage needs; real one over node:fs, a fake one with faults in tests. */
+export interface Disk {
+    read(path: string): Promise<Either<DiskError, Uint8Array | undefined>>;
+    list(dir: string): Promise<Either<DiskError, readonly string[]>>;
+    makeDir(dir: string): Promise<Either<DiskError, void>>;
+    /** Appends without syncing; the file is made when missing. */
+    append(path: string, data: Uint8Array): Promise<Either<DiskError, void>>;
+    /** Replaces the content of a file without syncing. */
+    write(path: string, data: Uint8Array): Promise<Either<DiskError, void>>;
+    truncate(path: string, length: number): Promise<Either<DiskError, void>>;
+    /** Makes a file's content durable. */
+    sync(path: string): Promise<Either<DiskError, void>>;
+    /** Makes names in a directory durable. */
+    syncDir(dir: string): Promise<Either<DiskError, void>>;
+    rename(from: string, to: string): Promise<Either<DiskError, void>>;
+    remove(path: string): Promise<Either<DiskError, void>>;
+}
--- /dev/null
+++ b/src/telemetry/Events.ts
@@ -0,0 +1,34 @@
+/**
+ * Numbers of the log events. Each folder has a block of one hundred; docs/EVENTS.md has a row for each, and
+ * Events.test.ts holds the two against each other. A number, once given, is never used for another event.
+ */
+export enum EventId {
+    // 1xx: process
+    ProcessStarted = 100,
+    ProcessStopping = 101,
+    ProcessStopped = 102,
+    InvariantBroken = 103,
+    ServiceFailed = 104,
+    ServiceRestarted = 105,
+    StopLeftWork = 106,
+    SecondSignal = 107,
+    // 2xx: peer
+    PeerConnectionSilent = 200,
+    PeerRejected = 201,
+    // 3xx: config
+    ConfigInForce = 300,
+    ConfigFileDiffers = 301,
+    // 4xx: replication
+    // 5xx: membership
+    // 6xx: endpoints
+    // 7xx: records
+    // 8xx: pipeline and routing
+    RequestStarted = 800,
+    RequestEnded = 801,
+    StageStarted = 802,
+    StageEnded = 803,
+    // 9xx: entry
+    RequestRefused = 900,
+    ReadinessChanged = 901,
+    OperatorAction = 902,
+}
--- /dev/null
+++ b/src/telemetry/Types.ts
@@ -0,0 +1,34 @@
+/** Numbered events for logs, hybrid logical clock stamps and metrics. */
+import type { EventId } from "./Events.js";
+
+/** A stamp of the hybrid logical clock: wall milliseconds, a counter for ties, and the host. Sorts as text. */
+export type HlcStamp = string;
+
+export type EventFields = Readonly<Record<string, unknown>>;
+
+/** Writes numbered events as JSON lines. */
+export interface EventLog {
+    event(id: EventId, fields?: EventFields): void;
+    /** A log that adds the given fields to each event. */
+    with(fields: EventFields): EventLog;
+}
+
+/** Merges the clocks of processes: a stamp made after another was observed sorts after it. */
+export interface HybridClock {
+    stamp(): HlcStamp;
+    observe(stamp: HlcStamp): void;
+}
+
+export type Labels = Readonly<Record<string, string>>;
+
+/** Counters, gauges and latency histograms (milliseconds). */
+export interface Metrics {
+    count(name: string, labels?: Labels, by?: number): void;
+    gauge(name: string, value: number, labels?: Labels): void;
+    /** Records a latency in milliseconds. */
+    latency(name: string, valueMs: number, labels?: Labels): void;
+    /** The latency at a percentile in [0, 100]; undefined before the first record. */
+    percentileMs(name: string, percentile: number, labels?: Labels): number | undefined;
+    /** The text exposition format of Prometheus. */
+    render(): Promise<string>;
+}
--- /dev/null
+++ b/testing/FakeClock.ts
@@ -0,0 +1,50 @@
+/** A clock that tests move by hand, over @sinonjs/fake-timers. Several hosts may share one, each with its own offset. */
+import { type Clock as FakeTimers, createClock } from "@sinonjs/fake-timers";
+import type { Clock, Disposable } from "../src/common/Types.js";
+
+export class FakeClock implements Clock {
+    private readonly timers: FakeTimers;
+
+    public constructor(timers?: FakeTimers, private readonly offsetMs: number = 0) {
+        this.timers = timers ?? createClock(1_000_000);
+    }
+
+    /** A clock that moves together with this one and reads `offsetMs` more. */
+    public shifted(offsetMs: number): FakeClock {
+        return new FakeClock(this.timers, this.offsetMs + offsetMs);
+    }
+
+    public nowMs(): number {
+        return this.timers.now + this.offsetMs;
+    }
+
+    public wallMs(): number {
+        return this.timers.now + this.offsetMs;
+    }
+
+    public setTimer(delayMs: number, callback: () => void): Disposable {
+        const id = this.timers.setTimeout(callback, delayMs);
+        return { dispose: () => this.timers.clearTimeout(id) };
+    }
+
+    public sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            if (signal?.aborted) {
+                resolve();
+                return;
+            }
+            const finish = () => {
+                timer.dispose();
+                signal?.removeEventListener("abort", finish);
+                resolve();
+            };
+            const timer = this.setTimer(delayMs, finish);
+            signal?.addEventListener("abort", finish);
+        });
+    }
+
+    /** Lets time pass, and lets every promise that it resolves run on. */
+    public async advance(ms: number): Promise<void> {
+        await this.timers.tickAsync(ms);
+    }
+}
--- /dev/null
+++ b/testing/FakeNetwork.ts
@@ -0,0 +1,169 @@
+/**
+ * An in-memory {@link PeerTransport} between hosts of one process, with faults: delay, loss of requests or replies,
+ * doubled requests, cuts in one or both directions, and frozen hosts. All choices come from one seeded generator.
+ */
+import { Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import type { Clock, HostId } from "../src/common/Types.js";
+import type {
+    PeerCallOptions,
+    PeerError,
+    PeerHandler,
+    PeerMethod,
+    PeerRegistry,
+    PeerTransport,
+} from "../src/peer/Types.js";
+
+export interface NetworkFaults {
+    /** Delay of one way, uniform in [min, max]. */
+    minDelayMs: number;
+    maxDelayMs: number;
+    /** Chances in [0, 1]. */
+    loseRequest: number;
+    loseReply: number;
+    doubleRequest: number;
+}
+
+interface Node {
+    readonly handlers: Map<string, PeerHandler<unknown, unknown>>;
+    up: boolean;
+}
+
+export class FakeNetwork {
+    public readonly faults: NetworkFaults = {
+        minDelayMs: 0,
+        maxDelayMs: 0,
+        loseRequest: 0,
+        loseReply: 0,
+        doubleRequest: 0,
+    };
+    private readonly nodes = new Map<HostId, Node>();
+    private readonly cuts = new Set<string>();
+    private readonly random: SeededRandom;
+    /** Calls delivered, by method; a measure of message cost. */
+    public readonly delivered = new Map<string, number>();
+
+    public constructor(private readonly clock: Clock, seed: number = 1) {
+        this.random = new SeededRandom(seed);
+    }
+
+    /** Starts a host afresh; handlers of its former self are gone. */
+    public addHost(host: HostId): PeerRegistry & PeerTransport {
+        const node: Node = { handlers: new Map(), up: true };
+        this.nodes.set(host, node);
+        return {
+            handle: (method, handler) => {
+                node.handlers.set(method.name, handler as PeerHandler<unknown, unknown>);
+            },
+            call: (to, method, req, options) => this.call(host, node, to, method, req, options),
+        };
+    }
+
+    /** The process is gone: connections to it are refused, and what it still sends is dropped. */
+    public kill(host: HostId): void {
+        const node = this.nodes.get(host);
+        if (node !== undefined) {
+            node.up = false;
+        }
+    }
+
+    /** Silently drops what `from` sends to `to`; the other direction stays unless cut as well. */
+    public cutOneWay(from: HostId, to: HostId): void {
+        this.cuts.add(`${from}>${to}`);
+    }
+
+    public cut(a: HostId, b: HostId): void {
+        this.cutOneWay(a, b);
+        this.cutOneWay(b, a);
+    }
+
+    public isolate(host: HostId): void {
+        for (const other of this.nodes.keys()) {
+            if (other !== host) {
+                this.cut(host, other);
+            }
+        }
+    }
+
+    public heal(): void {
+        this.cuts.clear();
+    }
+
+    private async call<Req, Res>(
+        from: HostId,
+        sender: Node,
+        to: HostId,
+        method: PeerMethod<Req, Res>,
+        req: Req,
+        options: PeerCallOptions,
+    ): Promise<Either<PeerError, Res>> {
+        return new Promise(resolve => {
+            const finish = (result: Either<PeerError, Res>) => {
+                timer.dispose();
+                options.signal?.removeEventListener("abort", aborted);
+                resolve(result);
+            };
+            const aborted = () => finish(Left({ kind: "no-reply", message: "aborted" }));
+            const timer = this.clock.setTimer(
+                options.timeoutMs,
+                () => finish(Left({ kind: "no-reply", message: `no reply within ${options.timeoutMs} ms` })),
+            );
+            options.signal?.addEventListener("abort", aborted);
+            if (!sender.up) {
+                return;
+            }
+            if (this.nodes.get(to)?.up !== true && !this.cuts.has(`${from}>${to}`)) {
+                finish(Left({ kind: "unreachable", message: "connection refused" }));
+                return;
+            }
+            void this.deliver(from, sender, to, method, req, finish);
+            if (this.random.next() < this.faults.doubleRequest) {
+                void this.deliver(from, sender, to, method, req, () => undefined);
+            }
+        });
+    }
+
+    private async deliver<Req, Res>(
+        from: HostId,
+        sender: Node,
+        to: HostId,
+        method: PeerMethod<Req, Res>,
+        req: Req,
+        finish: (result: Either<PeerError, Res>) => void,
+    ): Promise<void> {
+        if (this.random.next() < this.faults.loseRequest) {
+            return;
+        }
+        const copy = JSON.parse(JSON.stringify(req ?? null)) as unknown;
+        await this.delay();
+        const node = this.nodes.get(to);
+        if (node?.up !== true || this.cuts.has(`${from}>${to}`)) {
+            return;
+        }
+        const handler = node.handlers.get(method.name);
+        const input = method.input.safeParse(copy);
+        if (handler === undefined || !input.success) {
+            finish(Left({ kind: "rejected", message: `${method.name}: unknown method or bad input` }));
+            return;
+        }
+        this.delivered.set(method.name, (this.delivered.get(method.name) ?? 0) + 1);
+        const result = await handler(input.data, from);
+        const reply = result === undefined ? undefined : JSON.parse(JSON.stringify(result)) as unknown;
+        if (this.random.next() < this.faults.loseReply) {
+            return;
+        }
+        await this.delay();
+        if (node.up && sender.up && !this.cuts.has(`${to}>${from}`)) {
+            finish(Right(reply as Res));
+        }
+    }
+
+    private async delay(): Promise<void> {
+        const { minDelayMs, maxDelayMs } = this.faults;
+        const delayMs = minDelayMs + this.random.next() * (maxDelayMs - minDelayMs);
+        if (delayMs > 0) {
+            await this.clock.sleep(delayMs);
+        }
+    }
+}
