--- /dev/null
+++ b/src/replication/Founder.ts
@@ -0,0 +1,48 @@
+/**
+ * Founds a group: the first of the initial voters, once all of them have answered that they run on empty disks,
+ * writes down their replica ids as the group's members. A host whose disk was emptied later can't found the group
+ * a second time, since the others have joined it.
+ */
+import type { PeerTransport } from "../peer/Types.js";
+import type { GroupMethods, IdentifyReply } from "./Messages.js";
+import type { Replica } from "./Replica.js";
+import type { GroupMembers, Member } from "./Types.js";
+
+export class Founder {
+    public constructor(
+        private readonly replica: Replica,
+        private readonly initialMembers: GroupMembers,
+        private readonly methods: GroupMethods,
+        private readonly transport: PeerTransport,
+        private readonly timeoutMs: number,
+    ) {}
+
+    /** Tries once; true when the group is founded. */
+    public async tryFound(): Promise<boolean> {
+        const { replica } = this;
+        const voters = [...this.initialMembers.voters].sort();
+        if (voters[0] !== replica.self) {
+            return false;
+        }
+        const members: Member[] = [];
+        for (const host of voters) {
+            const replicaId = host === replica.self ? replica.replicaId : await this.emptyReplicaOf(host);
+            if (replicaId === undefined) {
+                return false;
+            }
+            members.push({ host, replica: replicaId, role: "voter" });
+        }
+        const learners = this.initialMembers.learners.map((host): Member => ({
+            host,
+            replica: undefined,
+            role: "learner",
+        }));
+        return replica.exclusive(async () => !replica.joined && await replica.found([...members, ...learners]));
+    }
+
+    private async emptyReplicaOf(host: Member["host"]): Promise<string | undefined> {
+        const reply = await this.transport.call(host, this.methods.identify, {}, { timeoutMs: this.timeoutMs });
+        const answer = reply.map<IdentifyReply | undefined>(one => one).orDefault(undefined);
+        return answer?.joined === false ? answer.replica : undefined;
+    }
+}
--- /dev/null
+++ b/src/replication/Frame.ts
@@ -0,0 +1,64 @@
+/**
+ * Framing of records on disk. A frame is a header (payload length, checksum of the payload, checksum of the header),
+ * the payload, and one trailer byte that is never zero.
+ *
+ * The frame tells an unfinished write from damage. An unfinished last write leaves a file that is too short for its
+ * last frame, or that ends in zeros; such a tail was never acknowledged and is cut. Any other bad frame was whole
+ * once, and may have been acknowledged: it is damage.
+ */
+import { crc32 } from "node:zlib";
+import { type Either, Left, Right } from "purify-ts";
+
+const headerBytes = 12;
+const trailerBytes = 1;
+const trailer = 0xA5;
+
+export interface FrameDamage {
+    readonly offset: number;
+    readonly message: string;
+}
+
+export interface ParsedFrames {
+    readonly payloads: readonly Uint8Array[];
+    /** Length of the whole frames; bytes beyond it belong to an unfinished write. */
+    readonly wholeBytes: number;
+}
+
+export function encodeFrame(payload: Uint8Array): Uint8Array {
+    const frame = Buffer.alloc(headerBytes + payload.length + trailerBytes);
+    frame.writeUInt32LE(payload.length, 0);
+    frame.writeUInt32LE(crc32(payload), 4);
+    frame.writeUInt32LE(crc32(frame.subarray(0, 8)), 8);
+    frame.set(payload, headerBytes);
+    frame[frame.length - 1] = trailer;
+    return frame;
+}
+
+/** Splits a file into payloads; fails at the first frame that was whole once and is not any more. */
+export function parseFrames(file: Uint8Array): Either<FrameDamage, ParsedFrames> {
+    const data = Buffer.from(file.buffer, file.byteOffset, file.byteLength);
+    const endsInZero = data.length > 0 && data[data.length - 1] === 0;
+    const payloads: Uint8Array[] = [];
+    let offset = 0;
+    while (data.length - offset >= headerBytes) {
+        const headerIsWhole = crc32(data.subarray(offset, offset + 8)) === data.readUInt32LE(offset + 8);
+        if (!headerIsWhole) {
+            return endsInZero
+                ? Right({ payloads, wholeBytes: offset })
+                : Left({ offset, message: "bad header checksum" });
+        }
+        const length = data.readUInt32LE(offset);
+        const end = offset + headerBytes + length + trailerBytes;
+        if (end > data.length) {
+            return Right({ payloads, wholeBytes: offset });
+        }
+        const payload = data.subarray(offset + headerBytes, end - trailerBytes);
+        if (crc32(payload) !== data.readUInt32LE(offset + 4) || data[end - 1] !== trailer) {
+            const unfinished = endsInZero && end === data.length;
+            return unfinished ? Right({ payloads, wholeBytes: offset }) : Left({ offset, message: "bad checksum" });
+        }
+        payloads.push(payload);
+        offset = end;
+    }
+    return Right({ payloads, wholeBytes: offset });
+}
--- /dev/null
+++ b/src/replication/GroupStorage.ts
@@ -0,0 +1,290 @@
+/**
+ * Files of one group below its folder: `identity` (replica id), `vote` (term and vote), `snapshot-N`, and one log
+ * file `log-G`, whose first record names the index that it starts after. Every file but the log is written aside,
+ * synced and renamed; the log is appended to, and written anew at each start and each compaction, so that what a
+ * start has read is durable whatever an earlier failing sync left behind.
+ */
+import { decode, encode } from "cborg";
+import { type Either, Left, Right } from "purify-ts";
+import type { HostId } from "../common/Types.js";
+import { encodeFrame, parseFrames } from "./Frame.js";
+import type { Disk, DiskError, GroupSnapshot, LogEntry, Member, StorageError } from "./Types.js";
+
+export interface StoredLog {
+    readonly index: number;
+    readonly term: number;
+    readonly members: readonly Member[];
+    readonly entries: readonly LogEntry[];
+    /** Highest index that was known to be committed. */
+    readonly commitIndex: number;
+}
+
+export interface StoredVote {
+    readonly term: number;
+    readonly votedFor: HostId | undefined;
+}
+
+export interface StoredState {
+    readonly replica: string;
+    readonly vote: StoredVote;
+    readonly snapshot: GroupSnapshot | undefined;
+    readonly log: StoredLog;
+}
+
+/** A record of the log file: its start, or entries that replace all from `first` on. */
+type LogRecord =
+    | { readonly kind: "start"; readonly index: number; readonly term: number; readonly members: readonly Member[]; }
+    | {
+        readonly kind: "entries";
+        readonly first: number;
+        readonly entries: readonly LogEntry[];
+        readonly commit: number;
+    };
+
+const logName = /^log-(\d+)$/;
+const snapshotName = /^snapshot-(\d+)$/;
+const entriesPerRecord = 256;
+
+const encodeOptions = { ignoreUndefinedProperties: true };
+
+function frameOf(value: unknown): Uint8Array {
+    return encodeFrame(encode(value, encodeOptions));
+}
+
+export class GroupStorage {
+    private generation = 0;
+
+    public constructor(private readonly disk: Disk, private readonly dir: string) {}
+
+    /** Reads what is there; `makeReplica` gives the id of a disk that is used for the first time. */
+    public async open(makeReplica: () => string): Promise<Either<StorageError, StoredState>> {
+        const made = await this.disk.makeDir(this.dir);
+        const listed = made.isLeft() ? made : await this.disk.list(this.dir);
+        if (listed.isLeft()) {
+            return listed;
+        }
+        const names = listed.unsafeCoerce();
+        const identity = await this.readValue<{ replica: string; }>("identity");
+        if (identity.isLeft()) {
+            return identity;
+        }
+        const known = identity.unsafeCoerce();
+        if (known !== undefined) {
+            return this.readState(known.replica, names);
+        }
+        if (names.some(name => name === "vote" || snapshotName.test(name))) {
+            return Left(this.damaged("identity", 0, "the file is missing although the folder has been used"));
+        }
+        return this.start(makeReplica());
+    }
+
+    /** Durable when it resolves: a vote and a term are told to others only afterwards. */
+    public async saveVote(vote: StoredVote): Promise<Either<StorageError, void>> {
+        return this.replaceFile("vote", frameOf(vote));
+    }
+
+    /** Appends entries in place of all from `first` on. They may be acknowledged once it resolves with `sync`. */
+    public async append(
+        first: number,
+        entries: readonly LogEntry[],
+        commit: number,
+        sync: boolean,
+    ): Promise<Either<StorageError, void>> {
+        const record: LogRecord = { kind: "entries", first, entries, commit };
+        const path = this.path(`log-${this.generation}`);
+        const appended = await this.disk.append(path, frameOf(record));
+        return appended.isLeft() || !sync ? appended : this.disk.sync(path);
+    }
+
+    /** Makes a snapshot durable. The log must be rewritten afterwards, and then {@link removeOld} called. */
+    public async saveSnapshot(snapshot: GroupSnapshot): Promise<Either<StorageError, void>> {
+        return this.replaceFile(`snapshot-${snapshot.index}`, frameOf(snapshot));
+    }
+
+    /** Writes the log anew as the next generation. */
+    public async rewriteLog(log: StoredLog): Promise<Either<StorageError, void>> {
+        const start: LogRecord = { kind: "start", index: log.index, term: log.term, members: log.members };
+        const frames = [frameOf(start)];
+        for (let done = 0; done < log.entries.length; done += entriesPerRecord) {
+            const entries = log.entries.slice(done, done + entriesPerRecord);
+            const first = log.index + 1 + done;
+            const commit = Math.min(log.commitIndex, first + entries.length - 1);
+            frames.push(frameOf({ kind: "entries", first, entries, commit } satisfies LogRecord));
+        }
+        const next = this.generation + 1;
+        const written = await this.replaceFile(`log-${next}`, Buffer.concat(frames));
+        if (written.isRight()) {
+            this.generation = next;
+        }
+        return written;
+    }
+
+    /** Removes the files that newer ones have replaced. */
+    public async removeOld(snapshotIndex: number): Promise<Either<StorageError, void>> {
+        const listed = await this.disk.list(this.dir);
+        if (listed.isLeft()) {
+            return listed;
+        }
+        for (const name of listed.unsafeCoerce()) {
+            const log = logName.exec(name)?.[1];
+            const snapshot = snapshotName.exec(name)?.[1];
+            const isOldLog = log !== undefined && Number(log) < this.generation;
+            const isOldSnapshot = snapshot !== undefined && Number(snapshot) < snapshotIndex;
+            if (isOldLog || isOldSnapshot || name.endsWith(".tmp")) {
+                const removed = await this.disk.remove(this.path(name));
+                if (removed.isLeft()) {
+                    return removed;
+                }
+            }
+        }
+        return Right(undefined);
+    }
+
+    /** The first start on an empty disk. The identity is written last: without it the disk counts as empty. */
+    private async start(replica: string): Promise<Either<StorageError, StoredState>> {
+        const log: StoredLog = { index: 0, term: 0, members: [], entries: [], commitIndex: 0 };
+        const rewritten = await this.rewriteLog(log);
+        const saved = rewritten.isLeft() ? rewritten : await this.replaceFile("identity", frameOf({ replica }));
+        return saved.map(() => ({ replica, vote: { term: 0, votedFor: undefined }, snapshot: undefined, log }));
+    }
+
+    private async readState(replica: string, names: readonly string[]): Promise<Either<StorageError, StoredState>> {
+        const vote = await this.readValue<StoredVote>("vote");
+        if (vote.isLeft()) {
+            return vote;
+        }
+        const snapshotIndex = highest(names, snapshotName);
+        const snapshot = snapshotIndex === undefined
+            ? Right(undefined)
+            : await this.readValue<GroupSnapshot>(`snapshot-${snapshotIndex}`);
+        if (snapshot.isLeft()) {
+            return snapshot;
+        }
+        const log = await this.readLog(highest(names, logName));
+        if (log.isLeft()) {
+            return log;
+        }
+        return this.join(
+            replica,
+            vote.unsafeCoerce(),
+            snapshot.unsafeCoerce(),
+            log.unsafeCoerce(),
+        );
+    }
+
+    /** Fits vote, snapshot and log together, and refuses a folder from which one of them is missing. */
+    private async join(
+        replica: string,
+        vote: StoredVote | undefined,
+        snapshot: GroupSnapshot | undefined,
+        stored: StoredLog,
+    ): Promise<Either<StorageError, StoredState>> {
+        if (stored.index > (snapshot?.index ?? 0)) {
+            return Left(
+                this.damaged("snapshot", 0, `the log starts after ${stored.index}, and no snapshot reaches it`),
+            );
+        }
+        const log = snapshot === undefined ? stored : fitToSnapshot(stored, snapshot);
+        const lastTerm = log.entries.at(-1)?.term ?? log.term;
+        if ((vote?.term ?? 0) < lastTerm) {
+            return Left(this.damaged("vote", 0, `the file is missing or older than the log (term ${lastTerm})`));
+        }
+        const rewritten = await this.rewriteLog(log);
+        const cleaned = rewritten.isLeft() ? rewritten : await this.removeOld(snapshot?.index ?? 0);
+        return cleaned.map(() => ({ replica, vote: vote ?? { term: 0, votedFor: undefined }, snapshot, log }));
+    }
+
+    private async readLog(generation: number | undefined): Promise<Either<StorageError, StoredLog>> {
+        if (generation === undefined) {
+            return Left(this.damaged("log", 0, "no log file although the folder has been used"));
+        }
+        this.generation = generation;
+        const name = `log-${generation}`;
+        const data = await this.disk.read(this.path(name));
+        if (data.isLeft()) {
+            return data;
+        }
+        const frames = parseFrames(data.unsafeCoerce());
+        if (frames.isLeft()) {
+            const damage = frames.unsafeCoerce();
+            return Left(this.damaged(name, damage.offset, damage.message));
+        }
+        const payloads = frames.unsafeCoerce().payloads;
+        return this.replay(name, payloads.map(payload => decode(payload) as LogRecord));
+    }
+
+    private replay(name: string, records: readonly LogRecord[]): Either<StorageError, StoredLog> {
+        const start = records[0];
+        if (start?.kind !== "start") {
+            return Left(this.damaged(name, 0, "the log does not begin with its start record"));
+        }
+        const entries: LogEntry[] = [];
+        let commitIndex = start.index;
+        for (const record of records) {
+            if (record.kind === "start") {
+                continue;
+            }
+            const kept = record.first - start.index - 1;
+            if (kept < 0 || kept > entries.length) {
+                return Left(this.damaged(name, 0, `a record of entry ${record.first} leaves a gap`));
+            }
+            entries.length = kept;
+            entries.push(...record.entries);
+            commitIndex = Math.max(commitIndex, record.commit);
+        }
+        if (commitIndex > start.index + entries.length) {
+            return Left(this.damaged(name, 0, `entry ${commitIndex} was committed and is missing`));
+        }
+        return Right({ index: start.index, term: start.term, members: start.members, entries, commitIndex });
+    }
+
+    private async readValue<T>(name: string): Promise<Either<StorageError, T | undefined>> {
+        const data = await this.disk.read(this.path(name));
+        if (data.isLeft()) {
+            return data;
+        }
+        const bytes = data.unsafeCoerce();
+        if (bytes === undefined) {
+            return Right(undefined);
+        }
+        const frames = parseFrames(bytes);
+        const payload = frames.map(parsed => parsed.payloads[0]).orDefault(undefined);
+        if (payload === undefined) {
+            return Left(this.damaged(name, 0, "bad checksum, or the file is short"));
+        }
+        return Right(decode(payload) as T);
+    }
+
+    /** Writes a file aside, syncs it, renames it and syncs the directory. */
+    private async replaceFile(name: string, data: Uint8Array): Promise<Either<StorageError, void>> {
+        const path = this.path(name);
+        const aside = `${path}.tmp`;
+        const written = await this.disk.write(aside, data);
+        const synced = written.isLeft() ? written : await this.disk.sync(aside);
+        const renamed = synced.isLeft() ? synced : await this.disk.rename(aside, path);
+        return renamed.isLeft() ? renamed : this.disk.syncDir(this.dir);
+    }
+
+    private damaged(name: string, offset: number, message: string): StorageError {
+        return { kind: "damaged", file: this.path(name), offset, message };
+    }
+
+    private path(name: string): string {
+        return `${this.dir}/${name}`;
+    }
+}
+
+function highest(names: readonly string[], pattern: RegExp): number | undefined {
+    const numbers = names.map(name => pattern.exec(name)?.[1]).filter(text => text !== undefined).map(Number);
+    return numbers.length === 0 ? undefined : Math.max(...numbers);
+}
+
+/** A snapshot that came from the leader may be newer than the log, or replace a part of it that was never committed. */
+function fitToSnapshot(log: StoredLog, snapshot: GroupSnapshot): StoredLog {
+    const term = snapshot.index === log.index ? log.term : log.entries[snapshot.index - log.index - 1]?.term;
+    if (term === snapshot.term) {
+        return { ...log, commitIndex: Math.max(log.commitIndex, snapshot.index) };
+    }
+    const { index, members } = snapshot;
+    return { index, term: snapshot.term, members, entries: [], commitIndex: index };
+}
--- /dev/null
+++ b/src/replication/MemberChanger.ts
@@ -0,0 +1,155 @@
+/**
+ * Membership changes, made by the leader one member at a time: a new host is a learner until it has caught up, and
+ * each step waits until the one before it is committed. A change that was cut short is sent again and goes on.
+ */
+import PQueue from "p-queue";
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock, HostId } from "../common/Types.js";
+import type { Leadership } from "./Leadership.js";
+import type { Replica } from "./Replica.js";
+import type { GroupMembers, GroupTiming, Member, MemberChange, ProposeError } from "./Types.js";
+
+type StepResult = Either<ProposeError, void>;
+
+export class MemberChanger {
+    private readonly queue = new PQueue({ concurrency: 1 });
+
+    public constructor(
+        private readonly replica: Replica,
+        private readonly leadership: Leadership,
+        private readonly clock: Clock,
+        private readonly timing: GroupTiming,
+    ) {}
+
+    public async change(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>> {
+        const deadlineMs = this.clock.nowMs() + timeoutMs;
+        const done = await this.queue.add(() => this.makeChange(change, deadlineMs));
+        return done.map(() => membersOf(this.replica.log.members));
+    }
+
+    private async makeChange(change: MemberChange, deadlineMs: number): Promise<StepResult> {
+        switch (change.kind) {
+            case "add":
+                return this.add(change.host, deadlineMs);
+            case "remove":
+                return this.remove(change.host, deadlineMs);
+            case "replace": {
+                if (change.host === change.by) {
+                    return this.renew(change.host, deadlineMs);
+                }
+                const added = await this.add(change.by, deadlineMs);
+                return added.isLeft() ? added : this.remove(change.host, deadlineMs);
+            }
+        }
+    }
+
+    private async add(host: HostId, deadlineMs: number): Promise<StepResult> {
+        const known = this.find(host);
+        if (known?.role === "voter") {
+            return Right(undefined);
+        }
+        if (known === undefined) {
+            const learner: Member = { host, replica: undefined, role: "learner" };
+            const added = await this.setMembers(members => [...members, learner], deadlineMs);
+            if (added.isLeft()) {
+                return added;
+            }
+        }
+        const replica = await this.waitForCatchUp(host, deadlineMs);
+        if (replica === undefined) {
+            const message = `${host} is a learner and has not caught up yet; send the change again to go on`;
+            return Left({ kind: "unknown", message });
+        }
+        const voter: Member = { host, replica, role: "voter" };
+        return this.setMembers(members => members.map(one => one.host === host ? voter : one), deadlineMs);
+    }
+
+    private async remove(host: HostId, deadlineMs: number): Promise<StepResult> {
+        if (this.find(host) === undefined) {
+            return Right(undefined);
+        }
+        return this.setMembers(members => members.filter(one => one.host !== host), deadlineMs);
+    }
+
+    /** Takes the vote from a host whose disk was emptied, and gives it to the replica that runs there now. */
+    private async renew(host: HostId, deadlineMs: number): Promise<StepResult> {
+        const known = this.find(host);
+        const current = this.leadership.follower(host)?.replicaId;
+        if (known?.role === "voter" && current !== undefined && known.replica === current) {
+            return Right(undefined);
+        }
+        if (known?.role === "voter") {
+            const learner: Member = { host, replica: undefined, role: "learner" };
+            const demoted = await this.setMembers(
+                members => members.map(one => one.host === host ? learner : one),
+                deadlineMs,
+            );
+            if (demoted.isLeft()) {
+                return demoted;
+            }
+        }
+        return this.add(host, deadlineMs);
+    }
+
+    /** The replica of a learner that holds all committed entries; undefined when it does not in time. */
+    private async waitForCatchUp(host: HostId, deadlineMs: number): Promise<string | undefined> {
+        while (this.leadership.isLeading && this.clock.nowMs() < deadlineMs) {
+            const follower = this.leadership.follower(host);
+            const isCaughtUp = follower !== undefined && follower.matchIndex >= this.replica.commitIndex;
+            if (isCaughtUp && this.isInContact(host)) {
+                return follower.replicaId;
+            }
+            await this.clock.sleep(this.timing.heartbeatMs / 2);
+        }
+        return undefined;
+    }
+
+    /** Commits new members, after those before are committed. */
+    private async setMembers(
+        makeNext: (members: readonly Member[]) => readonly Member[],
+        deadlineMs: number,
+    ): Promise<StepResult> {
+        const { replica, leadership, clock } = this;
+        while (!leadership.isSettled || replica.commitIndex < replica.log.membersIndex) {
+            if (!leadership.isLeading || clock.nowMs() >= deadlineMs) {
+                return Left({ kind: "not-accepted", message: "an earlier change is not committed", leader: undefined });
+            }
+            await replica.changed.wait(deadlineMs - clock.nowMs());
+        }
+        const next = makeNext(replica.log.members);
+        const refusal = this.refusalOf(next);
+        if (refusal !== undefined) {
+            return Left({ kind: "not-accepted", message: refusal, leader: replica.leader });
+        }
+        const timeoutMs = Math.max(1, deadlineMs - clock.nowMs());
+        const proposed = await leadership.propose({ kind: "members", members: next }, timeoutMs);
+        return proposed.map(() => undefined);
+    }
+
+    /** Why members must not be set: they would have no quorum. */
+    private refusalOf(next: readonly Member[]): string | undefined {
+        const voters = next.filter(member => member.role === "voter");
+        const present = voters.filter(member => this.isInContact(member.host));
+        if (present.length <= voters.length / 2) {
+            return `only ${present.length} of the ${voters.length} voters that would be left can be reached`;
+        }
+        return undefined;
+    }
+
+    private isInContact(host: HostId): boolean {
+        const contactMs = this.leadership.follower(host)?.contactMs;
+        const isRecent = contactMs !== undefined && this.clock.nowMs() - contactMs < this.timing.electionMs;
+        return host === this.replica.self || isRecent;
+    }
+
+    private find(host: HostId): Member | undefined {
+        return this.replica.log.members.find(member => member.host === host);
+    }
+}
+
+export function membersOf(members: readonly Member[]): GroupMembers {
+    return {
+        voters: members.filter(member => member.role === "voter").map(member => member.host),
+        learners: members.filter(member => member.role === "learner").map(member => member.host),
+    };
+}
--- /dev/null
+++ b/src/replication/Messages.ts
@@ -0,0 +1,160 @@
+/**
+ * Messages between the hosts of a group. Every group has its own methods, named after it, so that several groups
+ * share one registry.
+ */
+import { z } from "zod";
+import type { HostId } from "../common/Types.js";
+import { definePeerMethod } from "../peer/Types.js";
+import type { GroupMembers, GroupStatus, Json, LogEntry, Member } from "./Types.js";
+
+const hostId = z.string() as unknown as z.ZodType<HostId>;
+const json = z.unknown() as unknown as z.ZodType<Json>;
+const index = z.number().int().min(0);
+
+const member = z.object({
+    host: hostId,
+    replica: z.string().optional(),
+    role: z.enum(["voter", "learner"]),
+}) as unknown as z.ZodType<Member>;
+
+const entry = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("command"), term: index, command: json }),
+    z.object({ kind: z.literal("noop"), term: index }),
+    z.object({ kind: z.literal("members"), term: index, members: z.array(member) }),
+]) as unknown as z.ZodType<LogEntry>;
+
+const voteRequest = z.object({
+    candidate: hostId,
+    /** The replica that the candidate counts as this voter; another one must not vote. */
+    replica: z.string(),
+    term: index,
+    lastIndex: index,
+    lastTerm: index,
+    /** Asks whether a vote would be given, without changing any term. */
+    preVote: z.boolean(),
+    /** The leader itself has asked the candidate to take over. */
+    handover: z.boolean(),
+});
+
+const appendRequest = z.object({
+    leader: hostId,
+    /** The replica that the leader expects; undefined for a learner that has not answered yet. */
+    replica: z.string().optional(),
+    term: index,
+    prevIndex: index,
+    prevTerm: index,
+    entries: z.array(entry).readonly(),
+    commit: index,
+});
+
+const snapshotRequest = z.object({
+    leader: hostId,
+    replica: z.string().optional(),
+    term: index,
+    index,
+    snapshotTerm: index,
+    members: z.array(member).readonly(),
+    /** Offset of this part in the snapshot's JSON text, in characters. */
+    offset: index,
+    text: z.string(),
+    isLast: z.boolean(),
+});
+
+const proposeRequest = z.object({
+    /** Names the proposal, so that a message delivered twice appends one entry. */
+    proposal: z.string(),
+    command: json,
+    timeoutMs: z.number(),
+});
+
+const memberChange = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("add"), host: hostId }),
+    z.object({ kind: z.literal("remove"), host: hostId }),
+    z.object({ kind: z.literal("replace"), host: hostId, by: hostId }),
+]);
+
+const membersRequest = z.object({ change: memberChange, timeoutMs: z.number() });
+const emptyRequest = z.object({});
+const readRequest = z.object({ timeoutMs: z.number() });
+
+export type VoteRequest = z.infer<typeof voteRequest>;
+export type AppendRequest = z.infer<typeof appendRequest>;
+export type SnapshotRequest = z.infer<typeof snapshotRequest>;
+export type ProposeRequest = z.infer<typeof proposeRequest>;
+export type MembersRequest = z.infer<typeof membersRequest>;
+export type ReadRequest = z.infer<typeof readRequest>;
+
+export interface IdentifyReply {
+    /** Undefined while the host's replica is not running. */
+    readonly replica: string | undefined;
+    /** True once the replica has taken part in a group. */
+    readonly joined: boolean;
+}
+
+export interface VoteReply {
+    readonly granted: boolean;
+    readonly term: number;
+    readonly replica: string;
+}
+
+/** The answer to an append or to a part of a snapshot. */
+export type FollowReply =
+    | { readonly kind: "matched"; readonly term: number; readonly replica: string; }
+    /** The log does not hold the previous entry; the leader goes on from `nextIndex`. */
+    | { readonly kind: "mismatch"; readonly term: number; readonly replica: string; readonly nextIndex: number; }
+    | { readonly kind: "stale-term"; readonly term: number; readonly replica: string; }
+    /** The leader expects another replica than the one that runs on this host. */
+    | { readonly kind: "other-replica"; readonly term: number; readonly replica: string; }
+    | { readonly kind: "out-of-service"; readonly message: string; };
+
+/** A reply of a host that may not be the leader. */
+export type LeaderReply<T> =
+    | { readonly kind: "done"; readonly value: T; }
+    /** Nothing was done; `leader` is where to go, if known. */
+    | { readonly kind: "not-leader"; readonly leader?: HostId | undefined; };
+
+export type ProposeReply =
+    | { readonly kind: "committed"; readonly result: Json; }
+    | { readonly kind: "not-accepted"; readonly message: string; }
+    | { readonly kind: "unknown"; readonly message: string; };
+
+export type MembersReply =
+    | { readonly kind: "changed"; readonly members: GroupMembers; }
+    | { readonly kind: "not-accepted"; readonly message: string; }
+    | { readonly kind: "unknown"; readonly message: string; };
+
+export type ReadReply =
+    | { readonly kind: "read"; readonly index: number; }
+    | { readonly kind: "no-quorum"; readonly message: string; };
+
+/** The methods of one group. */
+export class GroupMethods {
+    public readonly identify;
+    public readonly vote;
+    public readonly append;
+    public readonly snapshot;
+    public readonly takeOver;
+    public readonly propose;
+    public readonly read;
+    public readonly changeMembers;
+    public readonly status;
+
+    public constructor(group: string) {
+        const name = (verb: string) => `replication.${verb}-${group}`;
+        this.identify = definePeerMethod<z.infer<typeof emptyRequest>, IdentifyReply>(name("identify"), emptyRequest);
+        this.vote = definePeerMethod<VoteRequest, VoteReply>(name("vote"), voteRequest);
+        this.append = definePeerMethod<AppendRequest, FollowReply>(name("append"), appendRequest);
+        this.snapshot = definePeerMethod<SnapshotRequest, FollowReply>(name("snapshot"), snapshotRequest);
+        this.takeOver = definePeerMethod<z.infer<typeof emptyRequest>, Record<string, never>>(
+            name("take-over"),
+            emptyRequest,
+        );
+        this.propose = definePeerMethod<ProposeRequest, LeaderReply<ProposeReply>>(name("propose"), proposeRequest);
+        this.read = definePeerMethod<ReadRequest, LeaderReply<ReadReply>>(name("read"), readRequest);
+        this.changeMembers = definePeerMethod<MembersRequest, LeaderReply<MembersReply>>(
+            name("change-members"),
+            membersRequest,
+        );
+        this.status = definePeerMethod<z.infer<typeof emptyRequest>, GroupStatus>(name("status"), emptyRequest);
+    }
+}
--- /dev/null
+++ b/src/replication/RaftLog.ts
@@ -0,0 +1,338 @@
+/**
+ * A replica of a group, as a service of the daemon: it opens the disk, follows or leads, and opens the disk again
+ * after a fault. See docs/design/replication.md for what was weighed.
+ */
+import { type Either, Left } from "purify-ts";
+import type { Clock, Event, HostId, Random } from "../common/Types.js";
+import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import { Elections } from "./Elections.js";
+import { Follower } from "./Follower.js";
+import { Forwarder } from "./Forwarder.js";
+import { Founder } from "./Founder.js";
+import { GroupStorage } from "./GroupStorage.js";
+import { LeaderClient } from "./LeaderClient.js";
+import { Leadership } from "./Leadership.js";
+import { MemberChanger, membersOf } from "./MemberChanger.js";
+import { GroupMethods } from "./Messages.js";
+import { type CompactionLimits, Replica } from "./Replica.js";
+import { ReplicaServer } from "./ReplicaServer.js";
+import type {
+    Disk,
+    GroupMembers,
+    GroupStatus,
+    GroupTiming,
+    Json,
+    MemberChange,
+    ProposeError,
+    ReadError,
+    ReplicatedLog,
+    StateMachine,
+    StorageError,
+} from "./Types.js";
+
+const replicaIdChars = 24;
+const defaultCompaction: CompactionLimits = { compactEntries: 4096, keepEntries: 1024 };
+
+export interface RaftLogOptions {
+    readonly group: string;
+    readonly self: HostId;
+    /** Members of a group that is started for the first time; the log's own members count afterwards. */
+    readonly initialMembers: GroupMembers;
+    readonly transport: PeerTransport;
+    readonly registry: PeerRegistry;
+    readonly disk: Disk;
+    /** Folder of this group alone. */
+    readonly dir: string;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: EventLog;
+    readonly stateMachine: StateMachine;
+    readonly timing: GroupTiming;
+    readonly compaction?: CompactionLimits;
+}
+
+export class RaftLog implements ReplicatedLog {
+    public readonly group: string;
+    public readonly name: string;
+    public readonly onApplied: Event<number>;
+    public readonly onRoleChange: Event<GroupStatus>;
+    private readonly replica: Replica;
+    private readonly methods: GroupMethods;
+    private readonly elections: Elections;
+    private readonly founder: Founder;
+    private readonly client: LeaderClient;
+    private readonly forwarder: Forwarder;
+    private readonly log: EventLog;
+    private leadership: Leadership | undefined;
+    private changer: MemberChanger | undefined;
+    /** The leader has asked this host to take over. */
+    private isAskedToLead = false;
+
+    public constructor(private readonly options: RaftLogOptions) {
+        const { group, self, transport, clock, random, timing } = options;
+        this.group = group;
+        this.name = `replica of ${group}`;
+        this.log = options.log.with({ group });
+        this.methods = new GroupMethods(group);
+        const storage = new GroupStorage(options.disk, options.dir);
+        const { stateMachine, compaction = defaultCompaction } = options;
+        this.replica = new Replica(self, storage, stateMachine, compaction, clock);
+        const hasLease = () => this.leadership?.hasLease ?? false;
+        this.elections = new Elections(this.replica, this.methods, transport, clock, timing, hasLease);
+        this.founder = new Founder(
+            this.replica,
+            options.initialMembers,
+            this.methods,
+            transport,
+            timing.electionMs,
+        );
+        this.client = this.makeClient();
+        this.forwarder = new Forwarder(this.client, this.methods, random);
+        this.onApplied = this.replica.applied.event;
+        this.onRoleChange = listener => this.replica.roleChanged.event(() => listener(this.status()));
+        this.serve();
+    }
+
+    /** Takes part in the group until the signal is aborted. */
+    public async run(signal: AbortSignal): Promise<void> {
+        const { clock, timing } = this.options;
+        while (!signal.aborted) {
+            const opened = await this.open();
+            if (opened.isRight()) {
+                await this.takePart(signal);
+            }
+            const fault = this.replica.fault;
+            if (signal.aborted || fault === undefined) {
+                continue;
+            }
+            this.log.event(EventId.ReplicaOutOfService, { ...fault });
+            if (fault.kind === "damaged") {
+                await aborted(signal);
+            }
+            await clock.sleep(timing.electionMs, signal);
+        }
+        this.replica.setRole("stopped", undefined);
+        this.replica.waiters.loseAll("the host stops");
+    }
+
+    /** Hands leadership to another voter before a planned stop. */
+    public async drain(graceMs: number): Promise<{ unfinished: number; what: string; }> {
+        const { clock, timing, transport } = this.options;
+        const deadlineMs = clock.nowMs() + graceMs;
+        const successor = this.leadership?.bestSuccessor();
+        if (successor === undefined) {
+            return { unfinished: 0, what: this.name };
+        }
+        this.leadership?.beginHandover();
+        while (this.leadership?.isLeading === true && clock.nowMs() < deadlineMs) {
+            const matched = this.leadership.follower(successor)?.matchIndex ?? 0;
+            if (matched >= this.replica.log.lastIndex) {
+                await transport.call(successor, this.methods.takeOver, {}, { timeoutMs: timing.electionMs });
+            }
+            await this.replica.changed.wait(timing.heartbeatMs);
+        }
+        this.leadership?.cancelHandover();
+        return { unfinished: 0, what: this.name };
+    }
+
+    public async propose(command: Json, timeoutMs: number): Promise<Either<ProposeError, Json>> {
+        return this.atLeader(
+            timeoutMs,
+            (leadership, remainingMs) => leadership.propose({ kind: "command", command }, remainingMs),
+            remainingMs => this.forwarder.propose(command, remainingMs),
+        );
+    }
+
+    public async readBarrier(timeoutMs: number): Promise<Either<ReadError, number>> {
+        const { clock } = this.options;
+        const deadlineMs = clock.nowMs() + timeoutMs;
+        const index = await (this.leading()?.confirmRead(timeoutMs) ?? this.forwarder.read(timeoutMs));
+        while (index.isRight() && this.replica.appliedIndex < index.orDefault(0)) {
+            if (clock.nowMs() >= deadlineMs) {
+                return Left({ kind: "no-quorum", message: "this host has not received all committed entries" });
+            }
+            await this.replica.changed.wait(deadlineMs - clock.nowMs());
+        }
+        return index;
+    }
+
+    public async changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>> {
+        return this.atLeader(
+            timeoutMs,
+            async (_, remainingMs) => await this.changer?.change(change, remainingMs) ?? notLeading(),
+            remainingMs => this.forwarder.changeMembers(change, remainingMs),
+        );
+    }
+
+    public status(): GroupStatus {
+        const { replica } = this;
+        return {
+            group: this.group,
+            role: replica.role,
+            term: replica.term,
+            leader: replica.leader,
+            commitIndex: replica.commitIndex,
+            appliedIndex: replica.appliedIndex,
+            lastIndex: replica.log.lastIndex,
+            snapshotIndex: replica.snapshot?.index ?? 0,
+            members: membersOf(replica.log.members),
+            hasQuorum: this.leadership?.hasLease ?? false,
+            fault: replica.fault === undefined ? undefined : describe(replica.fault),
+        };
+    }
+
+    private async open(): Promise<Either<StorageError, void>> {
+        const { replica } = this;
+        const { random, clock } = this.options;
+        const opened = await replica.exclusive(() => replica.open(() => random.hex(replicaIdChars)));
+        opened.ifLeft(error => replica.fail(error));
+        replica.heardLeaderMs = clock.nowMs();
+        if (opened.isRight()) {
+            this.log.event(EventId.ReplicaOpened, { lastIndex: replica.log.lastIndex, term: replica.term });
+        }
+        return opened;
+    }
+
+    private async takePart(signal: AbortSignal): Promise<void> {
+        const { replica } = this;
+        while (!signal.aborted && replica.fault === undefined) {
+            if (!replica.joined) {
+                await this.foundOrWait(signal);
+                continue;
+            }
+            const handover = await this.waitForSilence(signal);
+            if (signal.aborted || replica.ownMember?.role !== "voter") {
+                continue;
+            }
+            if (await this.elections.campaign(handover, signal)) {
+                await this.lead(signal);
+            }
+        }
+    }
+
+    private async foundOrWait(signal: AbortSignal): Promise<void> {
+        const { timing } = this.options;
+        if (!await this.founder.tryFound()) {
+            await this.replica.changed.wait(timing.heartbeatMs, signal);
+            return;
+        }
+        this.log.event(EventId.GroupFounded, { members: this.replica.log.members });
+        this.isAskedToLead = true;
+    }
+
+    /** Waits until no leader has been heard for a while; true when the leader has asked this host to take over. */
+    private async waitForSilence(signal: AbortSignal): Promise<boolean> {
+        const { clock, timing, random } = this.options;
+        const { replica } = this;
+        const startMs = clock.nowMs();
+        const retryMs = timing.electionMs * (0.3 + 0.7 * random.next());
+        const silenceMs = timing.electionMs * (1 + random.next());
+        while (!signal.aborted && replica.fault === undefined && !this.isAskedToLead) {
+            const heardMs = Math.max(replica.heardLeaderMs, replica.gaveVoteMs);
+            const waitMs = Math.max(startMs + retryMs, heardMs + silenceMs) - clock.nowMs();
+            if (waitMs <= 0) {
+                return false;
+            }
+            await replica.changed.wait(waitMs, signal);
+        }
+        const isAsked = this.isAskedToLead;
+        this.isAskedToLead = false;
+        return isAsked;
+    }
+
+    private async lead(signal: AbortSignal): Promise<void> {
+        const { replica, methods } = this;
+        const { transport, clock, timing } = this.options;
+        const term = replica.term;
+        this.log.event(EventId.LeaderElected, { term, lastIndex: replica.log.lastIndex });
+        const leadership = new Leadership({ term, replica, methods, transport, clock, timing });
+        this.leadership = leadership;
+        this.changer = new MemberChanger(replica, leadership, clock, timing);
+        await leadership.run(signal);
+        this.leadership = undefined;
+        this.changer = undefined;
+        this.log.event(EventId.LeaderSteppedDown, { term });
+    }
+
+    private leading(): Leadership | undefined {
+        return this.leadership?.isLeading === true ? this.leadership : undefined;
+    }
+
+    /** Does something on the leader: here, or through the host that leads. */
+    private async atLeader<T>(
+        timeoutMs: number,
+        here: (leadership: Leadership, remainingMs: number) => Promise<Either<ProposeError, T>>,
+        there: (remainingMs: number) => Promise<Either<ProposeError, T>>,
+    ): Promise<Either<ProposeError, T>> {
+        const { clock } = this.options;
+        const deadlineMs = clock.nowMs() + timeoutMs;
+        let result: Either<ProposeError, T> = notLeading();
+        while (clock.nowMs() < deadlineMs) {
+            const leadership = this.leading();
+            const remainingMs = deadlineMs - clock.nowMs();
+            this.client.hint(this.replica.leader);
+            result = await (leadership === undefined ? there(remainingMs) : here(leadership, remainingMs));
+            const mayGoOn = result.caseOf({ Left: error => error.kind === "not-accepted", Right: () => false });
+            if (!mayGoOn || leadership?.isLeading === true) {
+                return result;
+            }
+        }
+        return result;
+    }
+
+    private makeClient(): LeaderClient {
+        const { self, transport, clock, timing } = this.options;
+        return new LeaderClient({
+            self,
+            transport,
+            clock,
+            hosts: () => this.possibleLeaders(),
+            pauseMs: timing.heartbeatMs,
+            leadsSelf: () => this.leading() !== undefined,
+        });
+    }
+
+    private possibleLeaders(): readonly HostId[] {
+        const { voters } = this.replica;
+        return voters.length > 0 ? voters.map(member => member.host) : this.options.initialMembers.voters;
+    }
+
+    private serve(): void {
+        const { replica, methods, elections } = this;
+        const { registry, clock } = this.options;
+        const server = new ReplicaServer({
+            replica,
+            elections,
+            follower: new Follower(replica, clock),
+            leading: () => this.leading(),
+            changer: () => this.changer,
+            status: () => this.status(),
+            takeOver: () => {
+                this.isAskedToLead = true;
+                replica.changed.notify();
+            },
+        });
+        server.register(methods, registry);
+    }
+}
+
+/** Resolves once the signal is aborted. */
+function aborted(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+        if (signal.aborted) {
+            resolve();
+            return;
+        }
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+}
+
+function notLeading(): Either<ProposeError, never> {
+    return Left({ kind: "not-accepted", message: "no leader is known", leader: undefined });
+}
+
+function describe(fault: StorageError): string {
+    return fault.kind === "damaged" ? `${fault.file} at ${fault.offset}: ${fault.message}` : fault.message;
+}
--- /dev/null
+++ b/src/replication/RemoteLog.ts
@@ -0,0 +1,65 @@
+/**
+ * A group as a host without a replica sees it: proposals, reads and membership changes go to the leader. Results of
+ * commands come with the commit; there is no local state machine to read from.
+ */
+import type { Either } from "purify-ts";
+import type { Clock, HostId, Random } from "../common/Types.js";
+import type { PeerTransport } from "../peer/Types.js";
+import { Forwarder } from "./Forwarder.js";
+import { LeaderClient } from "./LeaderClient.js";
+import { GroupMethods } from "./Messages.js";
+import type { GroupMembers, GroupStatus, Json, MemberChange, ProposeError, ReadError } from "./Types.js";
+
+const pauseMs = 100;
+const statusTimeoutMs = 1000;
+
+export interface RemoteLogOptions {
+    readonly group: string;
+    readonly self: HostId;
+    /** Hosts that may hold replicas of the group. */
+    readonly hosts: () => readonly HostId[];
+    readonly transport: PeerTransport;
+    readonly clock: Clock;
+    readonly random: Random;
+}
+
+export class RemoteLog {
+    public readonly group: string;
+    private readonly methods: GroupMethods;
+    private readonly forwarder: Forwarder;
+
+    public constructor(private readonly options: RemoteLogOptions) {
+        const { group, self, hosts, transport, clock, random } = options;
+        this.group = group;
+        this.methods = new GroupMethods(group);
+        const client = new LeaderClient({ self, transport, clock, hosts, pauseMs });
+        this.forwarder = new Forwarder(client, this.methods, random);
+    }
+
+    /** Errors: "not-accepted" only when no host has taken the command; "unknown" when an answer was lost. */
+    public propose(command: Json, timeoutMs: number): Promise<Either<ProposeError, Json>> {
+        return this.forwarder.propose(command, timeoutMs);
+    }
+
+    /** The index up to which all entries were committed when the call was made. */
+    public readIndex(timeoutMs: number): Promise<Either<ReadError, number>> {
+        return this.forwarder.read(timeoutMs);
+    }
+
+    public changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>> {
+        return this.forwarder.changeMembers(change, timeoutMs);
+    }
+
+    /** The status of each host of the group that answers. */
+    public async statuses(): Promise<ReadonlyMap<HostId, GroupStatus>> {
+        const statuses = new Map<HostId, GroupStatus>();
+        const { hosts, transport } = this.options;
+        await Promise.all(
+            hosts().map(async host => {
+                const reply = await transport.call(host, this.methods.status, {}, { timeoutMs: statusTimeoutMs });
+                reply.ifRight(status => statuses.set(host, status));
+            }),
+        );
+        return statuses;
+    }
+}
--- /dev/null
+++ b/src/replication/Replica.ts
@@ -0,0 +1,301 @@
+/**
+ * State of one replica: term and vote, log, commit and applied index, and the state machine. Changes of what is
+ * durable run one at a time through {@link Replica.exclusive}; each is on disk before anybody is told of it.
+ */
+import PQueue from "p-queue";
+import type { Either } from "purify-ts";
+import { Emitter } from "../common/Emitter.js";
+import { invariant } from "../common/Invariant.js";
+import type { Clock, HostId } from "../common/Types.js";
+import { EntryLog } from "./EntryLog.js";
+import type { GroupStorage, StoredState, StoredVote } from "./GroupStorage.js";
+import { Notifier } from "./Notifier.js";
+import type { GroupRole, GroupSnapshot, LogEntry, Member, StateMachine, StorageError } from "./Types.js";
+import { Waiters } from "./Waiters.js";
+
+/** Entries after which the log is compacted, and how many of them stay for followers that lag. */
+export interface CompactionLimits {
+    readonly compactEntries: number;
+    readonly keepEntries: number;
+}
+
+export class Replica {
+    public readonly log = new EntryLog();
+    public readonly waiters = new Waiters();
+    /** Wakes whoever waits for a change of role, term, commit index or fault. */
+    public readonly changed: Notifier;
+    public readonly applied = new Emitter<number>();
+    public readonly roleChanged = new Emitter<void>();
+    /** Id of this replica's disk; undefined before it has been opened. */
+    public replicaId: string | undefined;
+    public leader: HostId | undefined;
+    /** When a leader was last heard, on the local clock; no vote is given for an election time from then. */
+    public heardLeaderMs = 0;
+    /** When this host last gave its vote to another, on the local clock. */
+    public gaveVoteMs = 0;
+    private currentRole: GroupRole = "stopped";
+    private vote: StoredVote = { term: 0, votedFor: undefined };
+    private committed = 0;
+    private appliedTo = 0;
+    private latestSnapshot: GroupSnapshot | undefined;
+    private recordedCommit = 0;
+    private storageFault: StorageError | undefined;
+    private readonly queue = new PQueue({ concurrency: 1 });
+
+    public constructor(
+        public readonly self: HostId,
+        private readonly storage: GroupStorage,
+        private readonly stateMachine: StateMachine,
+        private readonly limits: CompactionLimits,
+        clock: Clock,
+    ) {
+        this.changed = new Notifier(clock);
+    }
+
+    public get role(): GroupRole {
+        return this.currentRole;
+    }
+
+    public get term(): number {
+        return this.vote.term;
+    }
+
+    public get votedFor(): HostId | undefined {
+        return this.vote.votedFor;
+    }
+
+    public get commitIndex(): number {
+        return this.committed;
+    }
+
+    public get appliedIndex(): number {
+        return this.appliedTo;
+    }
+
+    public get snapshot(): GroupSnapshot | undefined {
+        return this.latestSnapshot;
+    }
+
+    public get fault(): StorageError | undefined {
+        return this.storageFault;
+    }
+
+    /** True once this replica has taken part in a group. */
+    public get joined(): boolean {
+        return this.vote.term > 0 || this.log.members.length > 0;
+    }
+
+    public get ownMember(): Member | undefined {
+        return this.log.members.find(member => member.host === this.self && this.isOwn(member));
+    }
+
+    /** Voters that count, by the newest members in the log. */
+    public get voters(): readonly Member[] {
+        return this.log.members.filter(member => member.role === "voter");
+    }
+
+    /** Runs one change of the durable state at a time. */
+    public exclusive<T>(task: () => Promise<T>): Promise<T> {
+        return this.queue.add(task);
+    }
+
+    /** Reads the disk, and takes up from there. Entries that this process has applied stay applied. */
+    public async open(makeReplica: () => string): Promise<Either<StorageError, void>> {
+        const opened = await this.storage.open(makeReplica);
+        return opened.map(stored => this.adopt(stored));
+    }
+
+    public setRole(role: GroupRole, leader: HostId | undefined): void {
+        const isChange = role !== this.currentRole || leader !== this.leader;
+        this.currentRole = role;
+        this.leader = leader;
+        if (isChange) {
+            this.roleChanged.fire();
+            this.changed.notify();
+        }
+    }
+
+    /** The role of a replica that does not lead. */
+    public followRole(): GroupRole {
+        return this.ownMember?.role === "voter" ? "follower" : "learner";
+    }
+
+    /** Goes to a term and vote, durably; false when the disk failed. Called within {@link exclusive}. */
+    public async saveVote(vote: StoredVote): Promise<boolean> {
+        invariant(vote.term >= this.vote.term, "a term never falls", { from: this.vote.term, to: vote.term });
+        invariant(
+            vote.term > this.vote.term || this.vote.votedFor === undefined || this.vote.votedFor === vote.votedFor,
+            "one vote in a term",
+            { term: vote.term },
+        );
+        if (vote.term === this.vote.term && vote.votedFor === this.vote.votedFor) {
+            return true;
+        }
+        const isNewTerm = vote.term > this.vote.term;
+        const saved = await this.storage.saveVote(vote);
+        if (saved.isLeft()) {
+            this.fail(saved.extract());
+            return false;
+        }
+        this.vote = vote;
+        if (isNewTerm) {
+            this.setRole(this.followRole(), undefined);
+        }
+        this.changed.notify();
+        return true;
+    }
+
+    /** Puts entries into the log; they are durable when it resolves with true. Called within {@link exclusive}. */
+    public async appendEntries(first: number, entries: readonly LogEntry[]): Promise<boolean> {
+        invariant(first > this.committed, "a committed entry is never replaced", { first, committed: this.committed });
+        this.log.put(first, entries);
+        this.changed.notify();
+        const appended = await this.storage.append(first, entries, this.committed, true);
+        if (appended.isLeft()) {
+            this.fail(appended.extract());
+            return false;
+        }
+        this.recordedCommit = this.committed;
+        return true;
+    }
+
+    /** Commits up to an index and applies what that adds. */
+    public commitTo(index: number): void {
+        invariant(index <= this.log.lastIndex, "only entries of the log are committed", { index });
+        if (index <= this.committed) {
+            return;
+        }
+        this.committed = index;
+        this.applyCommitted();
+        this.changed.notify();
+    }
+
+    /** Notes the commit index on disk without a sync, so that a restart knows it. Called within {@link exclusive}. */
+    public async recordCommit(): Promise<void> {
+        if (this.recordedCommit >= this.committed || this.storageFault !== undefined) {
+            return;
+        }
+        this.recordedCommit = this.committed;
+        const appended = await this.storage.append(this.log.lastIndex + 1, [], this.committed, false);
+        appended.ifLeft(error => this.fail(error));
+    }
+
+    /** Sets the members that a new group starts with, durably. Called within {@link exclusive}. */
+    public async found(members: readonly Member[]): Promise<boolean> {
+        invariant(!this.joined, "only a replica that belongs to no group founds one");
+        const log = { index: 0, term: 0, members, entries: [], commitIndex: 0 };
+        const written = await this.storage.rewriteLog(log);
+        if (written.isLeft()) {
+            this.fail(written.extract());
+            return false;
+        }
+        this.log.reset(0, 0, members);
+        return true;
+    }
+
+    /** Takes up a leader's snapshot, durably; false when the disk failed. Called within {@link exclusive}. */
+    public async installSnapshot(snapshot: GroupSnapshot): Promise<boolean> {
+        if (snapshot.index <= this.committed) {
+            return true;
+        }
+        const { index, term, members } = snapshot;
+        const saved = await this.storage.saveSnapshot(snapshot);
+        const log = { index, term, members, entries: [], commitIndex: index };
+        const rewritten = saved.isLeft() ? saved : await this.storage.rewriteLog(log);
+        if (rewritten.isLeft()) {
+            this.fail(rewritten.extract());
+            return false;
+        }
+        this.log.reset(index, term, members);
+        this.latestSnapshot = snapshot;
+        this.committed = index;
+        this.recordedCommit = index;
+        this.restoreFrom(snapshot);
+        this.changed.notify();
+        await this.storage.removeOld(index);
+        return true;
+    }
+
+    /** Replaces the front of a long log by a snapshot. Called within {@link exclusive}. */
+    public async compact(): Promise<void> {
+        const start = this.latestSnapshot?.index ?? 0;
+        if (this.appliedTo - start < this.limits.compactEntries || this.appliedTo > this.log.lastIndex) {
+            return;
+        }
+        const index = this.appliedTo;
+        const term = this.log.termAt(index);
+        invariant(term !== undefined, "the applied entry is in the log", { index });
+        const members = this.log.membersAt(index);
+        const snapshot = { index, term, members, state: this.stateMachine.snapshot() };
+        const saved = await this.storage.saveSnapshot(snapshot);
+        if (saved.isRight()) {
+            this.log.dropUpTo(Math.min(index - this.limits.keepEntries, index));
+            this.latestSnapshot = snapshot;
+        }
+        const rewritten = saved.isLeft() ? saved : await this.storage.rewriteLog(this.logToStore());
+        const removed = rewritten.isLeft() ? rewritten : await this.storage.removeOld(index);
+        removed.ifLeft(error => this.fail(error));
+    }
+
+    /** Stops taking part: what was not on disk is not acknowledged. */
+    public fail(error: StorageError): void {
+        this.storageFault = error;
+        this.setRole("stopped", undefined);
+        this.waiters.loseAll(`the disk failed: ${error.message}`);
+        this.changed.notify();
+    }
+
+    private isOwn(member: Member): boolean {
+        return member.role === "learner" || member.replica === this.replicaId;
+    }
+
+    private logToStore() {
+        const { baseIndex: index, baseTerm: term, baseMembers: members, lastIndex } = this.log;
+        const entries = this.log.slice(index + 1, lastIndex - index);
+        return { index, term, members, entries, commitIndex: this.committed };
+    }
+
+    private adopt(stored: StoredState): void {
+        const { log, snapshot } = stored;
+        this.replicaId = stored.replica;
+        this.vote = stored.vote;
+        this.log.reset(log.index, log.term, log.members);
+        if (log.entries.length > 0) {
+            this.log.put(log.index + 1, log.entries);
+        }
+        this.latestSnapshot = snapshot;
+        this.committed = log.commitIndex;
+        this.recordedCommit = log.commitIndex;
+        this.storageFault = undefined;
+        if (snapshot !== undefined) {
+            this.restoreFrom(snapshot);
+        }
+        this.applyCommitted();
+        this.setRole(this.followRole(), undefined);
+    }
+
+    private restoreFrom(snapshot: GroupSnapshot): void {
+        if (snapshot.index <= this.appliedTo) {
+            return;
+        }
+        this.stateMachine.restore(snapshot.state);
+        this.appliedTo = snapshot.index;
+        this.waiters.skipped(snapshot.index);
+        this.applied.fire(this.appliedTo);
+    }
+
+    private applyCommitted(): void {
+        const before = this.appliedTo;
+        while (this.appliedTo < this.committed) {
+            const index = this.appliedTo + 1;
+            const entry = this.log.at(index);
+            invariant(entry !== undefined, "every committed entry is there to be applied", { index });
+            const result = entry.kind === "command" ? this.stateMachine.apply(entry.command, index) : null;
+            this.appliedTo = index;
+            this.waiters.applied(index, entry.term, result);
+        }
+        if (this.appliedTo > before) {
+            this.applied.fire(this.appliedTo);
+        }
+    }
+}
--- /dev/null
+++ b/src/replication/ReplicaServer.ts
@@ -0,0 +1,120 @@
+/** Handlers of a replica for the messages of its group. */
+import type { HostId } from "../common/Types.js";
+import type { PeerRegistry } from "../peer/Types.js";
+import type { Elections } from "./Elections.js";
+import type { Follower } from "./Follower.js";
+import type { Leadership } from "./Leadership.js";
+import type { MemberChanger } from "./MemberChanger.js";
+import type {
+    GroupMethods,
+    LeaderReply,
+    MembersReply,
+    MembersRequest,
+    ProposeReply,
+    ProposeRequest,
+    ReadReply,
+    ReadRequest,
+} from "./Messages.js";
+import type { Replica } from "./Replica.js";
+import type { GroupStatus } from "./Types.js";
+
+/** Proposals whose replies are kept for a message that is delivered again. */
+const keptProposals = 4096;
+
+export interface ReplicaServerOptions {
+    readonly replica: Replica;
+    readonly elections: Elections;
+    readonly follower: Follower;
+    /** Undefined while this host does not lead. */
+    readonly leading: () => Leadership | undefined;
+    readonly changer: () => MemberChanger | undefined;
+    readonly status: () => GroupStatus;
+    readonly takeOver: () => void;
+}
+
+export class ReplicaServer {
+    private readonly proposals = new Map<string, Promise<LeaderReply<ProposeReply>>>();
+
+    public constructor(private readonly options: ReplicaServerOptions) {}
+
+    public register(methods: GroupMethods, registry: PeerRegistry): void {
+        const { replica, elections, follower } = this.options;
+        registry.handle(methods.identify, async () => {
+            const isOpen = replica.fault === undefined ? replica.replicaId : undefined;
+            return { replica: isOpen, joined: replica.joined };
+        });
+        registry.handle(methods.vote, req => elections.answer(req));
+        registry.handle(methods.append, req => follower.append(req));
+        registry.handle(methods.snapshot, req => follower.snapshotPart(req));
+        registry.handle(methods.propose, req => this.propose(req));
+        registry.handle(methods.read, req => this.read(req));
+        registry.handle(methods.changeMembers, req => this.changeMembers(req));
+        registry.handle(methods.status, async () => this.options.status());
+        registry.handle(methods.takeOver, async (_, from) => this.takeOver(from));
+    }
+
+    /** One entry for each proposal, however often its message is delivered. */
+    private propose(req: ProposeRequest): Promise<LeaderReply<ProposeReply>> {
+        const known = this.proposals.get(req.proposal);
+        if (known !== undefined) {
+            return known;
+        }
+        const leadership = this.options.leading();
+        if (leadership === undefined) {
+            return Promise.resolve(this.notLeader());
+        }
+        const reply = leadership.propose({ kind: "command", command: req.command }, req.timeoutMs)
+            .then((end): LeaderReply<ProposeReply> => ({
+                kind: "done",
+                value: end.caseOf<ProposeReply>({
+                    Left: error => ({ kind: error.kind, message: error.message }),
+                    Right: result => ({ kind: "committed", result }),
+                }),
+            }));
+        this.keep(req.proposal, reply);
+        return reply;
+    }
+
+    private async read(req: ReadRequest): Promise<LeaderReply<ReadReply>> {
+        const index = await this.options.leading()?.confirmRead(req.timeoutMs);
+        if (index === undefined) {
+            return this.notLeader();
+        }
+        const value = index.caseOf<ReadReply>({
+            Left: error => ({ kind: "no-quorum", message: error.message }),
+            Right: at => ({ kind: "read", index: at }),
+        });
+        return { kind: "done", value };
+    }
+
+    private async changeMembers(req: MembersRequest): Promise<LeaderReply<MembersReply>> {
+        const end = await this.options.changer()?.change(req.change, req.timeoutMs);
+        if (end === undefined) {
+            return this.notLeader();
+        }
+        const value = end.caseOf<MembersReply>({
+            Left: error => ({ kind: error.kind, message: error.message }),
+            Right: members => ({ kind: "changed", members }),
+        });
+        return { kind: "done", value };
+    }
+
+    private async takeOver(from: HostId): Promise<Record<string, never>> {
+        if (from === this.options.replica.leader) {
+            this.options.takeOver();
+        }
+        return {};
+    }
+
+    private notLeader(): LeaderReply<never> {
+        return { kind: "not-leader", leader: this.options.replica.leader };
+    }
+
+    private keep(proposal: string, reply: Promise<LeaderReply<ProposeReply>>): void {
+        this.proposals.set(proposal, reply);
+        const oldest = this.proposals.keys().next().value;
+        if (this.proposals.size > keptProposals && oldest !== undefined) {
+            this.proposals.delete(oldest);
+        }
+    }
+}
--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -84,3 +84,38 @@
     rename(from: string, to: string): Promise<Either<DiskError, void>>;
     remove(path: string): Promise<Either<DiskError, void>>;
 }
+
+/** One host of a group. A voter counts only under the replica id that its disk carries. */
+export interface Member {
+    readonly host: HostId;
+    /** Made at the first start on an empty disk; undefined for a learner that has not answered yet. */
+    readonly replica: string | undefined;
+    readonly role: "voter" | "learner";
+}
+
+export type LogEntry =
+    | { readonly kind: "command"; readonly term: number; readonly command: Json; }
+    /** The first entry of a leader's term. */
+    | { readonly kind: "noop"; readonly term: number; }
+    /** In effect from the moment it is in the log. */
+    | { readonly kind: "members"; readonly term: number; readonly members: readonly Member[]; };
+
+export interface GroupSnapshot {
+    readonly index: number;
+    readonly term: number;
+    readonly members: readonly Member[];
+    readonly state: Json;
+}
+
+export interface GroupTiming {
+    /** Silence of the leader after which a voter campaigns; the timer is random between this and twice this. */
+    readonly electionMs: number;
+    readonly heartbeatMs: number;
+    /** Bound on how far two monotonic clocks drift apart within one election time. */
+    readonly clockDriftMs: number;
+}
+
+/** Files of a group that can't be used, or a disk that fails. */
+export type StorageError =
+    | DiskError
+    | { readonly kind: "damaged"; readonly file: string; readonly offset: number; readonly message: string; };
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -19,6 +19,11 @@
     ConfigInForce = 300,
     ConfigFileDiffers = 301,
     // 4xx: replication
+    ReplicaOpened = 400,
+    GroupFounded = 401,
+    LeaderElected = 402,
+    LeaderSteppedDown = 403,
+    ReplicaOutOfService = 404,
     // 5xx: membership
     // 6xx: endpoints
     // 7xx: records
