Telemetry, peer transport and supervisor

Event log (JSON lines through tslog) with hybrid logical clock stamps, metrics (prom-client, hdr-histogram-js), and peer calls by tRPC over node:http. The transport tells a call that was never delivered from one that may have been, and stops using connections after a time-out, since one of them may have gone silent. The supervisor restarts services with growing delay and drains them in reverse order on a planned stop.

--- /dev/null
+++ b/src/peer/HttpFetch.ts
@@ -0,0 +1,89 @@
+/**
+ * A small `fetch` over node:http with a keep-alive agent, as tRPC's link wants one. It tells a request that was
+ * never delivered from one that may have been, which the built-in fetch does not.
+ */
+import * as http from "node:http";
+
+/** A request failed; `delivered` is false only when no connection was made, `refused` is true after a 401. */
+export class HttpFetchError extends Error {
+    public constructor(message: string, public readonly delivered: boolean, public readonly refused: boolean = false) {
+        super(message);
+        this.name = "HttpFetchError";
+    }
+}
+
+interface FetchInit {
+    readonly method?: string | undefined;
+    readonly headers?: unknown;
+    readonly body?: unknown;
+    readonly signal?: AbortSignal | null | undefined;
+}
+
+interface FetchResponse {
+    readonly ok: boolean;
+    readonly status: number;
+    json(): Promise<unknown>;
+    text(): Promise<string>;
+}
+
+/** Observes the headers of a response, for example for clock stamps. */
+export type HeaderObserver = (headers: http.IncomingHttpHeaders) => void;
+
+/** Sends one request; rejects with {@link HttpFetchError}, since that is what tRPC's link expects. */
+export function httpFetch(
+    agent: http.Agent,
+    url: string,
+    init: FetchInit,
+    onHeaders: HeaderObserver,
+): Promise<FetchResponse> {
+    return new Promise((resolve, reject) => {
+        let connected = false;
+        const signal = init.signal ?? undefined;
+        const req = http.request(url, {
+            agent,
+            method: init.method ?? "GET",
+            headers: init.headers as http.OutgoingHttpHeaders,
+        });
+        const abort = () => req.destroy(new Error("aborted"));
+        const fail = (err: Error) => {
+            signal?.removeEventListener("abort", abort);
+            reject(new HttpFetchError(err.message, connected));
+        };
+        req.on("socket", socket => {
+            connected = !socket.connecting;
+            socket.once("connect", () => {
+                connected = true;
+            });
+        });
+        req.on("error", fail);
+        req.on("response", res => {
+            onHeaders(res.headers);
+            const chunks: Buffer[] = [];
+            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            res.on("error", fail);
+            res.on("end", () => {
+                signal?.removeEventListener("abort", abort);
+                if (res.statusCode === 401) {
+                    reject(new HttpFetchError("the peer refused the key", true, true));
+                    return;
+                }
+                resolve(responseOf(res.statusCode ?? 0, Buffer.concat(chunks).toString("utf8")));
+            });
+        });
+        if (signal?.aborted) {
+            abort();
+            return;
+        }
+        signal?.addEventListener("abort", abort);
+        req.end(typeof init.body === "string" ? init.body : undefined);
+    });
+}
+
+function responseOf(status: number, text: string): FetchResponse {
+    return {
+        ok: status >= 200 && status < 300,
+        status,
+        json: async () => JSON.parse(text) as unknown,
+        text: async () => text,
+    };
+}
--- /dev/null
+++ b/src/peer/TrpcPeerServer.ts
@@ -0,0 +1,100 @@
+/**
+ * The receiving end of peer calls: a tRPC router made of the registered methods, served over node:http below
+ * `/peer/`. A call with a wrong key gets 401 and nothing else.
+ */
+import { initTRPC } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import type * as http from "node:http";
+import { parseHostId } from "../common/Ids.js";
+import { InvariantError } from "../common/Invariant.js";
+import type { HostId } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, HybridClock } from "../telemetry/Types.js";
+import { keyHeader, keyMatches } from "./Keys.js";
+import type { PeerHandler, PeerMethod, PeerRegistry } from "./Types.js";
+
+/** Path under which peers are served. */
+export const peerPath = "/peer/";
+/** Header with the sending host's id. */
+export const hostHeader = "fireflykeel-host";
+/** Header with a stamp of the hybrid logical clock. */
+export const clockHeader = "fireflykeel-hlc";
+/** Bound on the body of a peer call. */
+const maxBodyBytes = 16 * 1024 * 1024;
+
+export interface PeerServerOptions {
+    readonly key: string;
+    readonly clock: HybridClock;
+    readonly log: EventLog;
+    /** Called with a broken invariant from a handler. */
+    readonly onFatal: (err: InvariantError) => void;
+}
+
+interface PeerContext {
+    readonly from: HostId;
+}
+
+interface Registration {
+    readonly method: PeerMethod<unknown, unknown>;
+    readonly handler: PeerHandler<unknown, unknown>;
+}
+
+type RequestListener = (req: http.IncomingMessage, res: http.ServerResponse) => void;
+
+export class TrpcPeerServer implements PeerRegistry {
+    private readonly registrations = new Map<string, Registration>();
+
+    public constructor(private readonly options: PeerServerOptions) {}
+
+    public handle<Req, Res>(method: PeerMethod<Req, Res>, handler: PeerHandler<Req, Res>): void {
+        this.registrations.set(method.name, {
+            method: method,
+            handler: handler as PeerHandler<unknown, unknown>,
+        });
+    }
+
+    /** Builds the listener for requests below {@link peerPath}; call it once all methods are registered. */
+    public listener(): RequestListener {
+        const serve = createHTTPHandler({
+            router: this.buildRouter(),
+            basePath: peerPath,
+            maxBodySize: maxBodyBytes,
+            createContext: ({ req }) => ({ from: parseHostId(headerText(req, hostHeader)).orDefault("?" as HostId) }),
+            onError: ({ error }) => {
+                if (error.cause instanceof InvariantError) {
+                    this.options.onFatal(error.cause);
+                }
+            },
+        });
+        return (req, res) => {
+            if (!keyMatches(this.options.key, req.headers[keyHeader])) {
+                this.options.log.event(EventId.PeerRejected, {
+                    peer: headerText(req, hostHeader),
+                    message: "wrong key",
+                });
+                req.resume();
+                res.writeHead(401).end();
+                return;
+            }
+            this.options.clock.observe(headerText(req, clockHeader));
+            res.setHeader(clockHeader, this.options.clock.stamp());
+            void serve(req, res);
+        };
+    }
+
+    private buildRouter() {
+        const trpc = initTRPC.context<PeerContext>().create();
+        const procedures = [...this.registrations.values()].map(({ method, handler }) => {
+            const procedure = trpc.procedure
+                .input(method.input)
+                .mutation(async ({ input, ctx }) => handler(input, ctx.from));
+            return [method.name, procedure] as const;
+        });
+        return trpc.router(Object.fromEntries(procedures));
+    }
+}
+
+function headerText(req: http.IncomingMessage, name: string): string {
+    const value = req.headers[name];
+    return typeof value === "string" ? value : "";
+}
--- /dev/null
+++ b/src/peer/TrpcPeerTransport.ts
@@ -0,0 +1,152 @@
+/**
+ * The sending end of peer calls, by tRPC over node:http with one keep-alive agent for each peer. After a call
+ * that timed out, no further call uses the agent: one of its connections may have gone silent for good.
+ */
+import { createTRPCUntypedClient, httpLink, TRPCClientError, type TRPCUntypedClient } from "@trpc/client";
+import type { AnyTRPCRouter } from "@trpc/server";
+import * as http from "node:http";
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock, Disposable, HostId } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, HybridClock } from "../telemetry/Types.js";
+import { httpFetch, HttpFetchError } from "./HttpFetch.js";
+import { keyHeader } from "./Keys.js";
+import { clockHeader, hostHeader, peerPath } from "./TrpcPeerServer.js";
+import type { PeerCallOptions, PeerError, PeerMethod, PeerTransport } from "./Types.js";
+
+/** Connections kept to one peer. */
+const maxSocketsPerPeer = 16;
+
+export interface PeerTransportOptions {
+    readonly self: HostId;
+    readonly key: string;
+    /** Gives the address to dial, "ip:port"; undefined for a host that is not configured. */
+    readonly addressOf: (host: HostId) => string | undefined;
+    readonly clock: Clock;
+    readonly hybridClock: HybridClock;
+    readonly log: EventLog;
+}
+
+class PeerLink implements Disposable {
+    public readonly client: TRPCUntypedClient<AnyTRPCRouter>;
+    private readonly agent = new http.Agent({ keepAlive: true, maxSockets: maxSocketsPerPeer });
+
+    public constructor(public readonly address: string, options: PeerTransportOptions) {
+        this.client = createTRPCUntypedClient<AnyTRPCRouter>({
+            links: [httpLink({
+                url: `http://${address}${peerPath}`,
+                headers: () => ({
+                    [keyHeader]: options.key,
+                    [hostHeader]: options.self,
+                    [clockHeader]: options.hybridClock.stamp(),
+                }),
+                fetch: (url, init) =>
+                    httpFetch(this.agent, String(url), init ?? {}, headers => {
+                        const stamp = headers[clockHeader];
+                        options.hybridClock.observe(typeof stamp === "string" ? stamp : "");
+                    }),
+            })],
+        });
+    }
+
+    /** Closes idle connections; calls in flight go on until their own time-out. */
+    public retire(): void {
+        for (const sockets of Object.values(this.agent.freeSockets)) {
+            for (const socket of sockets ?? []) {
+                socket.destroy();
+            }
+        }
+    }
+
+    public dispose(): void {
+        this.agent.destroy();
+    }
+}
+
+export class TrpcPeerTransport implements PeerTransport, Disposable {
+    private readonly links = new Map<HostId, PeerLink>();
+
+    public constructor(private readonly options: PeerTransportOptions) {}
+
+    public async call<Req, Res>(
+        to: HostId,
+        method: PeerMethod<Req, Res>,
+        req: Req,
+        callOptions: PeerCallOptions,
+    ): Promise<Either<PeerError, Res>> {
+        const link = this.linkTo(to);
+        if (link === undefined) {
+            return Left({ kind: "unreachable", message: `host "${to}" has no address` });
+        }
+        const abort = new AbortController();
+        const onAbort = () => abort.abort();
+        let timedOut = false;
+        const timer = this.options.clock.setTimer(callOptions.timeoutMs, () => {
+            timedOut = true;
+            abort.abort();
+        });
+        callOptions.signal?.addEventListener("abort", onAbort);
+        try {
+            return Right(await link.client.mutation(method.name, req, { signal: abort.signal }) as Res);
+        }
+        catch (err) {
+            if (timedOut) {
+                this.drop(to, link, method.name);
+            }
+            return Left(peerErrorOf(err));
+        }
+        finally {
+            timer.dispose();
+            callOptions.signal?.removeEventListener("abort", onAbort);
+        }
+    }
+
+    public dispose(): void {
+        for (const link of this.links.values()) {
+            link.dispose();
+        }
+        this.links.clear();
+    }
+
+    private linkTo(host: HostId): PeerLink | undefined {
+        const address = this.options.addressOf(host);
+        const known = this.links.get(host);
+        if (known !== undefined && known.address === address) {
+            return known;
+        }
+        known?.dispose();
+        this.links.delete(host);
+        if (address === undefined) {
+            return undefined;
+        }
+        const link = new PeerLink(address, this.options);
+        this.links.set(host, link);
+        return link;
+    }
+
+    private drop(host: HostId, link: PeerLink, method: string): void {
+        if (this.links.get(host) !== link) {
+            return;
+        }
+        this.options.log.event(EventId.PeerConnectionSilent, { peer: host, method });
+        this.links.delete(host);
+        link.retire();
+    }
+}
+
+function peerErrorOf(err: unknown): PeerError {
+    const cause = err instanceof TRPCClientError ? err.cause : undefined;
+    if (cause instanceof HttpFetchError && !cause.delivered) {
+        return { kind: "unreachable", message: cause.message };
+    }
+    if (cause instanceof HttpFetchError && cause.refused) {
+        return { kind: "rejected", message: cause.message };
+    }
+    const message = err instanceof Error ? err.message : String(err);
+    const data = err instanceof TRPCClientError ? err.data as { readonly httpStatus?: number; } | undefined : undefined;
+    const status = data?.httpStatus;
+    if (status !== undefined && status >= 400 && status < 500) {
+        return { kind: "rejected", message };
+    }
+    return { kind: "no-reply", message };
+}
--- /dev/null
+++ b/src/supervise/Supervisor.ts
@@ -0,0 +1,98 @@
+/**
+ * Runs services: starts them in order, restarts one that ends before its time with growing delay, and on a planned
+ * stop drains all of them in reverse order before it aborts any. A broken invariant is never restarted: it stops the process.
+ */
+import { InvariantError } from "../common/Invariant.js";
+import type { Clock } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { DrainReport, Service } from "./Types.js";
+
+const firstRestartDelayMs = 100;
+const maxRestartDelayMs = 10_000;
+/** A service that ran this long starts again with the first delay. */
+const stableRunMs = 30_000;
+
+export interface SupervisorOptions {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly onFatal: (err: InvariantError) => void;
+}
+
+interface RunningService {
+    readonly service: Service;
+    readonly abort: AbortController;
+    readonly ended: Promise<void>;
+}
+
+export class Supervisor {
+    private readonly running: RunningService[] = [];
+
+    public constructor(private readonly options: SupervisorOptions) {}
+
+    /** Starts a service; it runs until the supervisor stops. */
+    public start(service: Service): void {
+        const abort = new AbortController();
+        this.running.push({ service, abort, ended: this.keepRunning(service, abort.signal) });
+    }
+
+    /**
+     * Drains every service in reverse order of start within the grace time, then aborts them in the same order.
+     * Gives what was left unfinished.
+     */
+    public async stop(graceMs: number): Promise<readonly DrainReport[]> {
+        const deadlineMs = this.options.clock.nowMs() + graceMs;
+        const left: DrainReport[] = [];
+        const inReverse = [...this.running].reverse();
+        for (const { service } of inReverse) {
+            const remainingMs = Math.max(0, deadlineMs - this.options.clock.nowMs());
+            const report = await service.drain?.(remainingMs);
+            if (report !== undefined && report.unfinished > 0) {
+                this.options.log.event(EventId.StopLeftWork, { service: service.name, ...report });
+                left.push(report);
+            }
+        }
+        await this.abortAll();
+        return left;
+    }
+
+    /** Ends every service at once, without draining. */
+    public async abortAll(): Promise<void> {
+        for (const { abort, ended } of [...this.running].reverse()) {
+            abort.abort();
+            await ended;
+        }
+        this.running.length = 0;
+    }
+
+    private async keepRunning(service: Service, signal: AbortSignal): Promise<void> {
+        let delayMs = firstRestartDelayMs;
+        while (!signal.aborted) {
+            const startedMs = this.options.clock.nowMs();
+            const message = await this.runOnce(service, signal);
+            if (signal.aborted) {
+                return;
+            }
+            if (this.options.clock.nowMs() - startedMs >= stableRunMs) {
+                delayMs = firstRestartDelayMs;
+            }
+            this.options.log.event(EventId.ServiceFailed, { service: service.name, message });
+            await this.options.clock.sleep(delayMs, signal);
+            this.options.log.event(EventId.ServiceRestarted, { service: service.name, delayMs });
+            delayMs = Math.min(maxRestartDelayMs, delayMs * 2);
+        }
+    }
+
+    private async runOnce(service: Service, signal: AbortSignal): Promise<string> {
+        try {
+            await service.run(signal);
+            return "ended early";
+        }
+        catch (err) {
+            if (err instanceof InvariantError) {
+                this.options.onFatal(err);
+            }
+            return err instanceof Error ? err.stack ?? err.message : String(err);
+        }
+    }
+}
--- /dev/null
+++ b/src/telemetry/JsonEventLog.ts
@@ -0,0 +1,51 @@
+/** Event log that writes one JSON object a line through tslog: stamp, host, event number, event name, fields. */
+import { Logger } from "tslog";
+import type { HostId } from "../common/Types.js";
+import { EventId } from "./Events.js";
+import type { EventFields, EventLog, HybridClock } from "./Types.js";
+
+/** Receives one finished line, without its end of line. */
+export type LineSink = (line: string) => void;
+
+interface EventRecord extends EventFields {
+    readonly hlc: string;
+    readonly host: string;
+    readonly event: number;
+    readonly name: string;
+}
+
+export class JsonEventLog implements EventLog {
+    private readonly logger: Logger<EventRecord>;
+
+    public constructor(
+        private readonly host: HostId,
+        private readonly clock: HybridClock,
+        private readonly sink: LineSink,
+        private readonly fields: EventFields = {},
+    ) {
+        this.logger = new Logger<EventRecord>({
+            type: "hidden",
+            hideLogPositionForProduction: true,
+            argumentsArrayName: "records",
+        });
+        this.logger.attachTransport(logged => {
+            const [record] = (logged as unknown as { readonly records: readonly EventRecord[]; }).records;
+            this.sink(JSON.stringify(record));
+        });
+    }
+
+    public event(id: EventId, fields: EventFields = {}): void {
+        this.logger.info({
+            ...this.fields,
+            ...fields,
+            hlc: this.clock.stamp(),
+            host: this.host,
+            event: id,
+            name: EventId[id],
+        });
+    }
+
+    public with(fields: EventFields): EventLog {
+        return new JsonEventLog(this.host, this.clock, this.sink, { ...this.fields, ...fields });
+    }
+}
--- /dev/null
+++ b/src/telemetry/MetricsRegistry.ts
@@ -0,0 +1,110 @@
+/**
+ * Metrics of one daemon: counters and gauges by prom-client, latencies by hdr-histogram-js. Latencies are shown as
+ * summaries with fixed percentiles, since the histograms keep more precision than exposition buckets would.
+ */
+import * as hdr from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+import type { Labels, Metrics } from "./Types.js";
+
+const shownPercentiles: readonly number[] = [50, 90, 99, 99.9];
+/** Latencies are recorded in units of 0.01 ms. */
+const unitsPerMs = 100;
+const prefix = "fireflykeel_";
+
+interface LatencySeries {
+    readonly labels: Labels;
+    readonly histogram: hdr.Histogram;
+    sumMs: number;
+}
+
+export class MetricsRegistry implements Metrics {
+    private readonly registry = new Registry();
+    private readonly counters = new Map<string, Counter>();
+    private readonly gauges = new Map<string, Gauge>();
+    private readonly latencies = new Map<string, Map<string, LatencySeries>>();
+
+    public count(name: string, labels: Labels = {}, by: number = 1): void {
+        const counter = this.counters.get(name) ?? this.addCounter(name, Object.keys(labels));
+        counter.inc(labels, by);
+    }
+
+    public gauge(name: string, value: number, labels: Labels = {}): void {
+        const gauge = this.gauges.get(name) ?? this.addGauge(name, Object.keys(labels));
+        gauge.set(labels, value);
+    }
+
+    public latency(name: string, valueMs: number, labels: Labels = {}): void {
+        const series = this.series(name, labels);
+        series.histogram.recordValue(Math.max(0, Math.round(valueMs * unitsPerMs)));
+        series.sumMs += valueMs;
+    }
+
+    public percentileMs(name: string, percentile: number, labels: Labels = {}): number | undefined {
+        const series = this.latencies.get(name)?.get(labelText(labels));
+        if (series === undefined || series.histogram.totalCount === 0) {
+            return undefined;
+        }
+        return series.histogram.getValueAtPercentile(percentile) / unitsPerMs;
+    }
+
+    public async render(): Promise<string> {
+        const lines = [await this.registry.metrics()];
+        for (const [name, byLabels] of this.latencies) {
+            lines.push(`# TYPE ${prefix}${name}_ms summary\n`);
+            for (const series of byLabels.values()) {
+                lines.push(renderSeries(`${prefix}${name}_ms`, series));
+            }
+        }
+        return lines.join("");
+    }
+
+    private series(name: string, labels: Labels): LatencySeries {
+        const byLabels = this.latencies.get(name) ?? new Map<string, LatencySeries>();
+        this.latencies.set(name, byLabels);
+        const key = labelText(labels);
+        const series = byLabels.get(key) ?? {
+            labels,
+            histogram: hdr.build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: 2 }),
+            sumMs: 0,
+        };
+        byLabels.set(key, series);
+        return series;
+    }
+
+    private addCounter(name: string, labelNames: string[]): Counter {
+        const counter = new Counter({
+            name: `${prefix}${name}_total`,
+            help: name,
+            labelNames,
+            registers: [this.registry],
+        });
+        this.counters.set(name, counter);
+        return counter;
+    }
+
+    private addGauge(name: string, labelNames: string[]): Gauge {
+        const gauge = new Gauge({ name: `${prefix}${name}`, help: name, labelNames, registers: [this.registry] });
+        this.gauges.set(name, gauge);
+        return gauge;
+    }
+}
+
+function labelText(labels: Labels): string {
+    return Object.entries(labels)
+        .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
+        .sort()
+        .join(",");
+}
+
+function renderSeries(name: string, series: LatencySeries): string {
+    const labels = labelText(series.labels);
+    const separator = labels === "" ? "" : ",";
+    const quantiles = shownPercentiles.map(percentile => {
+        const valueMs = series.histogram.getValueAtPercentile(percentile) / unitsPerMs;
+        return `${name}{${labels}${separator}quantile="${percentile / 100}"} ${valueMs}\n`;
+    });
+    const braces = labels === "" ? "" : `{${labels}}`;
+    const sum = `${name}_sum${braces} ${series.sumMs}\n`;
+    const total = `${name}_count${braces} ${series.histogram.totalCount}\n`;
+    return quantiles.join("") + sum + total;
+}
