--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,6 +17,7 @@
     entry: [
         "common",
         "telemetry",
+        "peer",
         "config",
         "endpoints",
         "membership",
--- /dev/null
+++ b/src/entry/CallerApi.ts
@@ -0,0 +1,155 @@
+/**
+ * The callers' API: `POST /v1/pipelines/{name}` for a whole answer or a stream, and `/v1/jobs` for long work.
+ * Each refusal says whether the request ran. A caller that goes away cancels its request.
+ */
+import type * as http from "node:http";
+import type { Failure, Outcome } from "../common/Outcome.js";
+import type { Clock, RequestId } from "../common/Types.js";
+import type { ConfigSource, ConfigView } from "../config/Types.js";
+import type { PipelineAnswer, PipelineRequest, PipelineRunner } from "../pipeline/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { AnswerStream, digestOf } from "./AnswerStream.js";
+import { bodyRefusal, checkTarget, pipelineRequest, refusal } from "./CallerRequest.js";
+import { failureBody, failureHeaders, outcomeHeader, requestHeader, statusOf } from "./HttpStatus.js";
+import type { JobApi } from "./JobApi.js";
+import { readJsonBody } from "./RequestBody.js";
+import { writeJson } from "./WriteJson.js";
+
+const pipelinePath = "/v1/pipelines/";
+const jobPath = "/v1/jobs";
+/** When a caller that met a host without configuration may come back. */
+const notReadyRetryMs = 1000;
+
+export interface CallerApiOptions {
+    readonly config: ConfigSource;
+    readonly runner: PipelineRunner;
+    readonly jobs: JobApi;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    /** Makes an id that no other request has, on any host. */
+    readonly nextRequestId: () => RequestId;
+}
+
+export class CallerApi {
+    public constructor(private readonly options: CallerApiOptions) {}
+
+    /** Serves one request; resolves when its reply has been handed to the socket. */
+    public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+        const arrivedMs = this.options.clock.nowMs();
+        const id = this.options.nextRequestId();
+        const view = this.options.config.current();
+        if (view === undefined) {
+            this.refuse(
+                res,
+                id,
+                refusal("not-ready", "no configuration is in force on this host yet", notReadyRetryMs),
+            );
+            return;
+        }
+        const path = new URL(req.url ?? "/", "http://host").pathname;
+        if (path === jobPath || path.startsWith(`${jobPath}/`)) {
+            await this.options.jobs.handle(req, res, id, path.slice(jobPath.length + 1), view);
+            return;
+        }
+        if (!path.startsWith(pipelinePath) || req.method !== "POST") {
+            this.refuse(res, id, refusal("not-found", `there is no ${req.method ?? ""} ${path}`));
+            return;
+        }
+        await this.servePipeline(req, res, id, path.slice(pipelinePath.length), view, arrivedMs);
+    }
+
+    private async servePipeline(
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+        id: RequestId,
+        name: string,
+        view: ConfigView,
+        arrivedMs: number,
+    ): Promise<void> {
+        const target = checkTarget(view.settings, name, req.headers);
+        const body = await readJsonBody(req, view.settings.limits.bodyBytes);
+        const checked = target.chain(known =>
+            body.mapLeft(bodyRefusal).chain(input => pipelineRequest(id, known, input, req.headers, arrivedMs))
+        );
+        await checked.caseOf({
+            Left: async failure => this.refuse(res, id, failure),
+            Right: pipelineReq => this.run(req, res, pipelineReq),
+        });
+    }
+
+    private async run(req: http.IncomingMessage, res: http.ServerResponse, request: PipelineRequest): Promise<void> {
+        const abort = new AbortController();
+        res.on("close", () => abort.abort());
+        const wantsStream = req.headers.accept?.includes("text/event-stream") === true;
+        const stream = wantsStream ? new AnswerStream(res, request.id) : undefined;
+        const outcome = await this.options.runner.run(request, abort.signal, stream);
+        this.record(request, outcome);
+        if (stream !== undefined) {
+            this.endStream(res, stream, request.id, outcome);
+            return;
+        }
+        if (outcome.kind !== "answered") {
+            this.writeFailure(res, request.id, outcome);
+            return;
+        }
+        const { output } = outcome.answer;
+        const body = {
+            request: request.id,
+            outcome: "answered",
+            output,
+            length: output.length,
+            digest: digestOf(output),
+        };
+        writeJson(res, 200, { [outcomeHeader]: "answered", [requestHeader]: request.id }, body);
+    }
+
+    private endStream(
+        res: http.ServerResponse,
+        stream: AnswerStream,
+        id: RequestId,
+        outcome: Outcome<PipelineAnswer>,
+    ): void {
+        if (outcome.kind === "answered") {
+            if (!stream.finish(outcome.answer.output)) {
+                const message = "the answer does not continue the output that was sent";
+                stream.fail({
+                    kind: "failed",
+                    reason: "stage-failed",
+                    message,
+                    repeat: "safe",
+                    retryAfterMs: undefined,
+                });
+            }
+            return;
+        }
+        if (stream.hasStarted) {
+            stream.fail(outcome);
+            return;
+        }
+        this.writeFailure(res, id, outcome);
+    }
+
+    private refuse(res: http.ServerResponse, id: RequestId, failure: Failure): void {
+        this.options.log.event(EventId.RequestRefused, {
+            request: id,
+            status: statusOf(failure),
+            reason: failure.reason,
+        });
+        this.writeFailure(res, id, failure);
+    }
+
+    private writeFailure(res: http.ServerResponse, id: RequestId, failure: Failure): void {
+        writeJson(res, statusOf(failure), failureHeaders(id, failure), failureBody(id, failure));
+    }
+
+    private record(request: PipelineRequest, outcome: Outcome<PipelineAnswer>): void {
+        const inTime = this.options.clock.nowMs() <= request.deadlineMs;
+        const labels = { pipeline: request.pipeline, workspace: request.workspace };
+        this.options.metrics.count("requests", { ...labels, outcome: outcome.kind });
+        if (outcome.kind === "answered" && inTime) {
+            this.options.metrics.count("requests_in_time", labels);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/CallerRequest.ts
@@ -0,0 +1,121 @@
+/** Checks a caller's HTTP request against the configuration in force and turns it into a pipeline request. */
+import type * as http from "node:http";
+import { type Either, Left, Right } from "purify-ts";
+import { parsePipelineId, parseWorkspaceId } from "../common/Ids.js";
+import { DispatchLedger, type Failure, failureFor, type FailureReason } from "../common/Outcome.js";
+import type { PipelineId, RequestId, WorkspaceId } from "../common/Types.js";
+import type { PipelineSettings, Settings } from "../config/Schema.js";
+import type { PipelineRequest } from "../pipeline/Types.js";
+import type { BodyError } from "./RequestBody.js";
+
+export const workspaceHeader = "fireflykeel-workspace";
+export const deadlineHeader = "fireflykeel-deadline-ms";
+export const idempotencyHeader = "idempotency-key";
+
+const maxIdempotencyKeyLength = 255;
+/** A caller's deadline may exceed the pipeline's own by this factor at most. */
+const maxDeadlineFactor = 10;
+
+/** A refusal before anything of the request was run; the fresh ledger is its proof. */
+export function refusal(reason: FailureReason, message: string, retryAfterMs?: number): Failure {
+    return failureFor(new DispatchLedger(), reason, message, retryAfterMs);
+}
+
+export function bodyRefusal(err: BodyError): Failure {
+    switch (err.kind) {
+        case "too-large":
+            return refusal("body-too-large", `the body is larger than ${err.limitBytes} bytes`);
+        case "not-json":
+            return refusal("invalid-request", `the body is not JSON: ${err.message}`);
+        case "incomplete":
+            return refusal("cancelled", "the body ended before its declared length");
+    }
+}
+
+/** A request whose names are known to the configuration. */
+export interface CheckedTarget {
+    readonly workspace: WorkspaceId;
+    readonly pipeline: PipelineId;
+    readonly pipelineSettings: PipelineSettings;
+    readonly idempotencyKey: string | undefined;
+}
+
+/** Checks workspace, pipeline and idempotency key. */
+export function checkTarget(
+    settings: Settings,
+    pipelineText: string,
+    headers: http.IncomingHttpHeaders,
+): Either<Failure, CheckedTarget> {
+    return checkWorkspace(settings, headers).chain(workspace => {
+        const pipeline = parsePipelineId(pipelineText).toMaybe().extractNullable();
+        const pipelineSettings = pipeline === null ? undefined : settings.pipelines[pipeline];
+        if (pipeline === null || pipelineSettings === undefined) {
+            return Left(refusal("not-found", `there is no pipeline "${pipelineText}"`));
+        }
+        return checkKey(headers[idempotencyHeader]).map(idempotencyKey => ({
+            workspace,
+            pipeline,
+            pipelineSettings,
+            idempotencyKey,
+        }));
+    });
+}
+
+export function checkWorkspace(settings: Settings, headers: http.IncomingHttpHeaders): Either<Failure, WorkspaceId> {
+    const text = headers[workspaceHeader];
+    if (typeof text !== "string") {
+        return Left(refusal("invalid-request", `the header ${workspaceHeader} is missing`));
+    }
+    const workspace = parseWorkspaceId(text).toMaybe().extractNullable();
+    if (workspace === null || settings.workspaces[workspace] === undefined) {
+        return Left(refusal("not-found", `there is no workspace "${text}"`));
+    }
+    return Right(workspace);
+}
+
+function checkKey(key: string | string[] | undefined): Either<Failure, string | undefined> {
+    if (key === undefined) {
+        return Right(undefined);
+    }
+    if (typeof key !== "string" || key === "" || key.length > maxIdempotencyKeyLength) {
+        const message = `the header ${idempotencyHeader} must hold 1 to ${maxIdempotencyKeyLength} characters`;
+        return Left(refusal("invalid-request", message));
+    }
+    return Right(key);
+}
+
+/** Builds the pipeline request; the deadline counts from `arrivedMs` on the local monotonic clock. */
+export function pipelineRequest(
+    id: RequestId,
+    target: CheckedTarget,
+    input: unknown,
+    headers: http.IncomingHttpHeaders,
+    arrivedMs: number,
+): Either<Failure, PipelineRequest> {
+    const { workspace, pipeline, pipelineSettings, idempotencyKey } = target;
+    const unsafe = pipelineSettings.stages.some(stage => !stage.idempotent);
+    if (unsafe && idempotencyKey === undefined) {
+        const message = `pipeline "${pipeline}" has a stage that must not be repeated and needs ${idempotencyHeader}`;
+        return Left(refusal("idempotency-key-missing", message));
+    }
+    return deadlineMs(headers[deadlineHeader], pipelineSettings.deadlineMs).map(budgetMs => ({
+        id,
+        workspace,
+        pipeline,
+        input,
+        idempotencyKey,
+        deadlineMs: arrivedMs + budgetMs,
+        priority: pipelineSettings.priority,
+    }));
+}
+
+function deadlineMs(header: string | string[] | undefined, defaultMs: number): Either<Failure, number> {
+    if (header === undefined) {
+        return Right(defaultMs);
+    }
+    const value = Number(header);
+    if (typeof header !== "string" || !Number.isInteger(value) || value < 1) {
+        return Left(refusal("invalid-request", `the header ${deadlineHeader} must be a whole number of milliseconds`));
+    }
+    return Right(Math.min(value, defaultMs * maxDeadlineFactor));
+}
--- /dev/null
+++ b/src/entry/CallerServer.ts
@@ -0,0 +1,114 @@
+/**
+ * HTTP server for callers and the balancer. On a planned stop it tells the balancer first, goes on serving for the
+ * balancer's lag, and then ends when the last request has been answered.
+ */
+import * as http from "node:http";
+import { InvariantError } from "../common/Invariant.js";
+import type { Clock } from "../common/Types.js";
+import type { DrainReport, Service } from "../supervise/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { CallerApi } from "./CallerApi.js";
+import type { ReadinessSource } from "./Types.js";
+import { writeJson } from "./WriteJson.js";
+
+/** How often a drain looks whether the last request has ended. */
+const drainPollMs = 10;
+
+export interface CallerServerOptions {
+    /** "ip:port". */
+    readonly address: string;
+    readonly api: CallerApi;
+    readonly readiness: ReadinessSource;
+    readonly balancerLagMs: () => number;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly onFatal: (err: InvariantError) => void;
+}
+
+export class CallerServer implements Service {
+    public readonly name = "caller-server";
+    private readonly server: http.Server;
+    private activeCount = 0;
+    private stopping = false;
+
+    public constructor(private readonly options: CallerServerOptions) {
+        this.server = http.createServer((req, res) => void this.serve(req, res));
+        this.server.requestTimeout = 0;
+    }
+
+    /** Requests that have not been answered yet. */
+    public get active(): number {
+        return this.activeCount;
+    }
+
+    public async run(signal: AbortSignal): Promise<void> {
+        await listen(this.server, this.options.address);
+        await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+        this.server.closeAllConnections();
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
+    /** Serves through the balancer's lag, then waits for requests in progress. Readiness is already off by then. */
+    public async drain(graceMs: number): Promise<DrainReport> {
+        const deadlineMs = this.options.clock.nowMs() + graceMs;
+        await this.options.clock.sleep(Math.min(graceMs, this.options.balancerLagMs()));
+        this.stopping = true;
+        this.server.closeIdleConnections();
+        while (this.activeCount > 0 && this.options.clock.nowMs() < deadlineMs) {
+            await this.options.clock.sleep(drainPollMs);
+        }
+        return { unfinished: this.activeCount, what: "requests" };
+    }
+
+    private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+        if (this.stopping) {
+            res.setHeader("connection", "close");
+        }
+        const path = req.url ?? "/";
+        if (path === "/v1/ready" || path === "/v1/live") {
+            this.serveHealth(path, res);
+            return;
+        }
+        this.activeCount += 1;
+        try {
+            await this.options.api.handle(req, res);
+        }
+        catch (err) {
+            this.failed(err, res);
+        }
+        finally {
+            this.activeCount -= 1;
+        }
+    }
+
+    private serveHealth(path: string, res: http.ServerResponse): void {
+        const readiness = this.options.readiness.readiness();
+        const status = path === "/v1/live" || readiness.ready ? 200 : 503;
+        writeJson(res, status, {}, path === "/v1/live" ? { live: true } : readiness);
+    }
+
+    private failed(err: unknown, res: http.ServerResponse): void {
+        if (err instanceof InvariantError) {
+            this.options.onFatal(err);
+        }
+        else {
+            this.options.log.event(EventId.ServiceFailed, { service: this.name, message: String(err) });
+        }
+        res.destroy();
+    }
+}
+
+/** Starts listening on "ip:port". Rejects when the address can't be had. */
+export function listen(server: http.Server, address: string): Promise<void> {
+    const split = address.lastIndexOf(":");
+    const ip = address.slice(0, split).replace(/^\[|\]$/g, "");
+    const port = Number(address.slice(split + 1));
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, ip, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+}
--- /dev/null
+++ b/src/entry/HttpStatus.ts
@@ -0,0 +1,72 @@
+/** The HTTP status and body of each way in which a request can fail. */
+import type { Failure, FailureReason } from "../common/Outcome.js";
+import type { RequestId } from "../common/Types.js";
+
+/** Header that tells callers how the request ended: answered, not-run, failed or unknown. */
+export const outcomeHeader = "Fireflykeel-Outcome";
+/** Header with the id that this host gave to the request. */
+export const requestHeader = "Fireflykeel-Request";
+
+const statusByReason: Readonly<Record<FailureReason, number>> = {
+    "invalid-request": 400,
+    "idempotency-key-missing": 400,
+    "unauthorized": 401,
+    "not-found": 404,
+    "body-too-large": 413,
+    "key-reused": 422,
+    "quarantined": 422,
+    "overloaded": 429,
+    "cancelled": 499,
+    "stage-failed": 502,
+    "no-endpoint": 503,
+    "no-quorum": 503,
+    "not-ready": 503,
+    "deadline-too-short": 504,
+    "deadline-exceeded": 504,
+    "result-lost": 504,
+};
+
+export interface FailureBody {
+    readonly request: string;
+    readonly outcome: "not-run" | "failed" | "unknown";
+    readonly reason: FailureReason;
+    readonly message: string;
+    /** Whether the same request may be sent again without running a call twice that must not be repeated. */
+    readonly repeat: "safe" | "unsafe";
+    readonly retryAfterMs?: number;
+}
+
+export function statusOf(failure: Failure): number {
+    return statusByReason[failure.reason];
+}
+
+export function failureBody(request: RequestId, failure: Failure): FailureBody {
+    const retryAfterMs = failure.kind === "unknown" ? undefined : failure.retryAfterMs;
+    return {
+        request,
+        outcome: failure.kind,
+        reason: failure.reason,
+        message: failure.message,
+        repeat: repeatOf(failure),
+        ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    };
+}
+
+export function failureHeaders(request: RequestId, failure: Failure): Record<string, string> {
+    const headers: Record<string, string> = { [outcomeHeader]: failure.kind, [requestHeader]: request };
+    if (failure.kind !== "unknown" && failure.retryAfterMs !== undefined) {
+        headers["Retry-After"] = String(Math.max(1, Math.ceil(failure.retryAfterMs / 1000)));
+    }
+    return headers;
+}
+
+function repeatOf(failure: Failure): "safe" | "unsafe" {
+    switch (failure.kind) {
+        case "not-run":
+            return "safe";
+        case "failed":
+            return failure.repeat;
+        case "unknown":
+            return "unsafe";
+    }
+}
--- /dev/null
+++ b/src/entry/JobApi.ts
@@ -0,0 +1,185 @@
+/**
+ * The callers' API for jobs: `POST /v1/jobs` {pipeline, input}, `GET /v1/jobs/{id}`, `POST /v1/jobs/{id}/cancel` and
+ * `GET /v1/jobs/{id}/events`. Accepted means committed. With an Idempotency-Key the same job is found again.
+ */
+import { createHash } from "node:crypto";
+import type * as http from "node:http";
+import { z } from "zod";
+import { parseJobId } from "../common/Ids.js";
+import type { Failure } from "../common/Outcome.js";
+import type { Clock, JobId, RequestId, WorkspaceId } from "../common/Types.js";
+import type { ConfigView } from "../config/Types.js";
+import type { JobRecord, Jobs, RecordsError } from "../records/Types.js";
+import { bodyRefusal, checkTarget, checkWorkspace, refusal } from "./CallerRequest.js";
+import { failureBody, failureHeaders, outcomeHeader, requestHeader, statusOf } from "./HttpStatus.js";
+import { readJsonBody } from "./RequestBody.js";
+import { writeJson } from "./WriteJson.js";
+
+const submissionSchema = z.strictObject({ pipeline: z.string(), input: z.unknown() });
+/** Bound on one access to the records group. */
+const recordsTimeoutMs = 3000;
+/** When a caller may come back after the records group could not be reached. */
+const recordsRetryMs = 2000;
+/** How often an event stream looks at a job that changed elsewhere. */
+const eventPollMs = 500;
+
+const endStates: ReadonlySet<string> = new Set(["answered", "failed", "cancelled", "unknown"]);
+
+export class JobApi {
+    public constructor(private readonly jobs: Jobs, private readonly clock: Clock) {}
+
+    /** Serves one request below /v1/jobs; `rest` is the path after it. */
+    public async handle(
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+        id: RequestId,
+        rest: string,
+        view: ConfigView,
+    ): Promise<void> {
+        const fail = (failure: Failure) =>
+            writeJson(res, statusOf(failure), failureHeaders(id, failure), failureBody(id, failure));
+        if (rest === "" && req.method === "POST") {
+            await this.submit(req, res, id, view, fail);
+            return;
+        }
+        const workspace = checkWorkspace(view.settings, req.headers);
+        const [idText = "", verb] = rest.split("/");
+        const job = parseJobId(idText).toMaybe().extractNullable();
+        if (job === null || workspace.isLeft()) {
+            fail(workspace.isLeft() ? workspace.extract() : refusal("not-found", `no job "${idText}"`));
+            return;
+        }
+        await this.serveJob(req, res, id, job, workspace.unsafeCoerce(), verb, fail);
+    }
+
+    private async serveJob(
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+        id: RequestId,
+        job: JobId,
+        workspace: WorkspaceId,
+        verb: string | undefined,
+        fail: (failure: Failure) => void,
+    ): Promise<void> {
+        const found = await this.jobs.get(job, recordsTimeoutMs);
+        const record = found.toMaybe().extractNullable() ?? undefined;
+        if (found.isLeft()) {
+            fail(recordsFailure(found.extract()));
+        }
+        else if (record === undefined || record.workspace !== workspace) {
+            fail(refusal("not-found", `workspace "${workspace}" has no job "${job}"`));
+        }
+        else if (verb === undefined && req.method === "GET") {
+            writeJob(res, 200, id, record);
+        }
+        else if (verb === "events" && req.method === "GET") {
+            await this.streamEvents(res, id, record);
+        }
+        else if (verb === "cancel" && req.method === "POST") {
+            const cancelled = await this.jobs.cancel(job, recordsTimeoutMs);
+            cancelled.caseOf({
+                Left: err => fail(recordsFailure(err)),
+                Right: after => writeJob(res, 200, id, after ?? record),
+            });
+        }
+        else {
+            fail(refusal("not-found", `there is no ${req.method ?? ""} for a job's "${verb ?? ""}"`));
+        }
+    }
+
+    private async submit(
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+        id: RequestId,
+        view: ConfigView,
+        fail: (failure: Failure) => void,
+    ): Promise<void> {
+        const body = await readJsonBody(req, view.settings.limits.bodyBytes);
+        if (body.isLeft()) {
+            fail(bodyRefusal(body.swap().unsafeCoerce()));
+            return;
+        }
+        const submission = submissionSchema.safeParse(body.unsafeCoerce());
+        if (!submission.success) {
+            fail(refusal("invalid-request", `the body must be {pipeline, input}: ${submission.error.message}`));
+            return;
+        }
+        const { pipeline, input } = submission.data;
+        const target = checkTarget(view.settings, pipeline, req.headers);
+        if (target.isLeft()) {
+            fail(target.swap().unsafeCoerce());
+            return;
+        }
+        const { workspace, pipeline: pipelineId, idempotencyKey } = target.unsafeCoerce();
+        const job = { id: jobIdFor(workspace, idempotencyKey ?? id), workspace, pipeline: pipelineId, input };
+        const submitted = await this.jobs.submit(job, recordsTimeoutMs);
+        submitted.caseOf({
+            Left: err => fail(recordsFailure(err)),
+            Right: record => {
+                if (record.pipeline !== pipelineId || JSON.stringify(record.input) !== JSON.stringify(input)) {
+                    fail(refusal("key-reused", "the Idempotency-Key was used for another job"));
+                    return;
+                }
+                writeJob(res, 202, id, record);
+            },
+        });
+    }
+
+    private async streamEvents(res: http.ServerResponse, id: RequestId, first: JobRecord): Promise<void> {
+        const abort = new AbortController();
+        res.on("close", () => abort.abort());
+        res.writeHead(200, { "content-type": "text/event-stream", [requestHeader]: id });
+        let record: JobRecord | undefined = first;
+        let shown = "";
+        while (!abort.signal.aborted && record !== undefined) {
+            const text = JSON.stringify(jobBody(record));
+            if (text !== shown) {
+                res.write(`event: job\ndata: ${text}\n\n`);
+                shown = text;
+            }
+            if (endStates.has(record.state)) {
+                break;
+            }
+            await this.clock.sleep(eventPollMs, abort.signal);
+            const latest = await this.jobs.get(record.id, recordsTimeoutMs);
+            record = latest.isRight() ? latest.unsafeCoerce() : record;
+        }
+        res.end();
+    }
+}
+
+/** The id of a job is a digest of workspace and key, so that a resend finds the same job. */
+function jobIdFor(workspace: WorkspaceId, key: string): JobId {
+    const digest = createHash("sha256").update(JSON.stringify([workspace, key])).digest("hex").slice(0, 32);
+    return parseJobId(`job-${digest}`).unsafeCoerce();
+}
+
+function jobBody(record: JobRecord) {
+    return {
+        job: record.id,
+        pipeline: record.pipeline,
+        state: record.state,
+        stagesDone: Object.keys(record.stages),
+        ...(record.answer === undefined ? {} : { output: record.answer }),
+        ...(record.message === undefined ? {} : { message: record.message }),
+    };
+}
+
+function writeJob(res: http.ServerResponse, status: number, id: RequestId, record: JobRecord): void {
+    writeJson(res, status, { [outcomeHeader]: record.state, [requestHeader]: id }, jobBody(record));
+}
+
+function recordsFailure(err: RecordsError): Failure {
+    switch (err.kind) {
+        case "not-recorded":
+            return refusal("no-quorum", err.message, recordsRetryMs);
+        case "full":
+            return refusal("overloaded", err.message, err.retryAfterMs);
+        case "unknown":
+            return {
+                kind: "unknown",
+                reason: "result-lost",
+                message: `${err.message}; send it again with the same key`,
+            };
+    }
+}
--- /dev/null
+++ b/src/entry/OperatorApi.ts
@@ -0,0 +1,65 @@
+/** The operators' API below /v1/operator/. A missing or wrong key gets 401 and nothing else. */
+import type * as http from "node:http";
+import { keyHeader, keyMatches } from "../peer/Keys.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { readJsonBody } from "./RequestBody.js";
+import type { OperatorRoute } from "./Types.js";
+import { writeJson } from "./WriteJson.js";
+
+export const operatorPath = "/v1/operator/";
+const maxBodyBytes = 4 * 1024 * 1024;
+
+export class OperatorApi {
+    private readonly routes = new Map<string, OperatorRoute>();
+
+    public constructor(
+        /** Undefined closes the API. */
+        private readonly key: string | undefined,
+        private readonly metrics: Metrics,
+        private readonly log: EventLog,
+    ) {}
+
+    public add(route: OperatorRoute): void {
+        this.routes.set(`${route.method} ${route.path}`, route);
+    }
+
+    public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+        if (this.key === undefined || !keyMatches(this.key, req.headers[keyHeader])) {
+            req.resume();
+            res.writeHead(401).end();
+            return;
+        }
+        const url = new URL(req.url ?? "/", "http://host");
+        if (url.pathname === "/metrics") {
+            res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(await this.metrics.render());
+            return;
+        }
+        const route = this.routes.get(`${req.method ?? ""} ${url.pathname}`);
+        if (route === undefined) {
+            writeJson(res, 404, {}, { error: `there is no ${req.method ?? ""} ${url.pathname}` });
+            return;
+        }
+        await this.call(route, url, req, res);
+    }
+
+    private async call(
+        route: OperatorRoute,
+        url: URL,
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+    ): Promise<void> {
+        const body = route.method === "GET" ? undefined : await readJsonBody(req, maxBodyBytes);
+        if (body?.isLeft() === true) {
+            writeJson(res, 400, {}, { error: `bad body: ${body.swap().unsafeCoerce().kind}` });
+            return;
+        }
+        const abort = new AbortController();
+        res.on("close", () => abort.abort());
+        const reply = await route.handle({ query: url.searchParams, body: body?.unsafeCoerce(), signal: abort.signal });
+        if (route.method === "POST") {
+            this.log.event(EventId.OperatorAction, { path: route.path, status: reply.status });
+        }
+        writeJson(res, reply.status, {}, reply.body);
+    }
+}
