--- a/src/entry/CallerServer.test.ts
+++ b/src/entry/CallerServer.test.ts
@@ -88,21 +88,26 @@
 }
 
 const w1 = { "fireflykeel-workspace": "w1" };
-const refusals: { name: string; path?: string; headers?: http.OutgoingHttpHeaders; body?: string; status: number; }[] =
-    [
-        { name: "no workspace", headers: {}, status: 400 },
-        { name: "an unknown workspace", headers: { "fireflykeel-workspace": "w9" }, status: 404 },
-        { name: "an unknown pipeline", path: "/v1/pipelines/nothing", status: 404 },
-        { name: "an unknown path", path: "/v2", status: 404 },
-        { name: "a body that is no JSON", body: "{", status: 400 },
-        { name: "a body that is no UTF-8", body: Buffer.from([0x22, 0xFF, 0x22]), status: 400 },
-        { name: "an over-long body", body: JSON.stringify("x".repeat(1_100_000)), status: 413 },
-        { name: "a deadline that is no number", headers: { ...w1, "fireflykeel-deadline-ms": "soon" }, status: 400 },
-        { name: "a deadline of zero", headers: { ...w1, "fireflykeel-deadline-ms": "0" }, status: 400 },
-        { name: "an empty idempotency key", headers: { ...w1, "idempotency-key": "" }, status: 400 },
-        { name: "a hold without a key", path: "/v1/pipelines/hold", status: 400 },
-        { name: "a job without a pipeline", path: "/v1/jobs", body: "{}", status: 400 },
-    ];
+const refusals: {
+    name: string;
+    path?: string;
+    headers?: http.OutgoingHttpHeaders;
+    body?: string | Buffer;
+    status: number;
+}[] = [
+    { name: "no workspace", headers: {}, status: 400 },
+    { name: "an unknown workspace", headers: { "fireflykeel-workspace": "w9" }, status: 404 },
+    { name: "an unknown pipeline", path: "/v1/pipelines/nothing", status: 404 },
+    { name: "an unknown path", path: "/v2", status: 404 },
+    { name: "a body that is no JSON", body: "{", status: 400 },
+    { name: "a body that is no UTF-8", body: Buffer.from([0x22, 0xFF, 0x22]), status: 400 },
+    { name: "an over-long body", body: JSON.stringify("x".repeat(1_100_000)), status: 413 },
+    { name: "a deadline that is no number", headers: { ...w1, "fireflykeel-deadline-ms": "soon" }, status: 400 },
+    { name: "a deadline of zero", headers: { ...w1, "fireflykeel-deadline-ms": "0" }, status: 400 },
+    { name: "an empty idempotency key", headers: { ...w1, "idempotency-key": "" }, status: 400 },
+    { name: "a hold without a key", path: "/v1/pipelines/hold", status: 400 },
+    { name: "a job without a pipeline", path: "/v1/jobs", body: "{}", status: 400 },
+];
 
 test("refusals before the run say that nothing was run", async t => {
     const site = await startSite(async () => assert.fail("must not run"));
