Name the prompt of a stage call and the hashes of its cache blocks

Cause: Wire.ts speaks of block hashes, but nothing said how they are made, so that engines and the prefix index could not agree. Conclusion: one function for both sides.

--- /dev/null
+++ b/src/endpoints/Prompt.ts
@@ -0,0 +1,28 @@
+/**
+ * What an engine prefills for a stage call, and the blocks in which its cache keeps it. Engines name blocks by these
+ * hashes in their cache events, so that a host can tell which part of a prompt an engine holds.
+ */
+import { createHash } from "node:crypto";
+import type { StageBody } from "./Types.js";
+import { cacheBlockChars } from "./Wire.js";
+
+/** Characters of a block's hash. */
+const hashChars = 16;
+
+/** The prompt of a stage call: the request's input first, so that requests over the same text share a prefix. */
+export function promptOf(body: StageBody): string {
+    const input = typeof body.input === "string" ? body.input : JSON.stringify(body.input ?? "");
+    return [input, ...Object.values(body.previous)].join("\n");
+}
+
+/** Hashes of the prompt's whole blocks, in order; each covers the prompt up to its block's end. */
+export function blockHashes(prompt: string): readonly string[] {
+    const hashes: string[] = [];
+    let before = "";
+    for (let end = cacheBlockChars; end <= prompt.length; end += cacheBlockChars) {
+        const block = prompt.slice(end - cacheBlockChars, end);
+        before = createHash("sha256").update(before).update(block).digest("hex").slice(0, hashChars);
+        hashes.push(before);
+    }
+    return hashes;
+}
