--- a/standin/HttpHost.ts
+++ b/standin/HttpHost.ts
@@ -50,11 +50,13 @@
         }
     }
 
-    /** From now on the open connections carry nothing more; they stay open. */
-    public silenceAll(): void {
+    /** From now on the open connections, but for `except`, carry nothing more; they stay open. */
+    public silenceAll(except: Socket | null): void {
         for (const socket of this.sockets) {
-            this.silenced.add(socket);
-            socket.pause();
+            if (socket !== except) {
+                this.silenced.add(socket);
+                socket.pause();
+            }
         }
     }
 
--- /dev/null
+++ b/standin/LoadHistory.ts
@@ -0,0 +1,37 @@
+/** Load reports that lag: what is reported is the load of some time ago. */
+import type { Clock } from "../src/common/Types.js";
+import type { LoadReportMessage } from "../src/endpoints/Wire.js";
+
+export type LoadSample = Pick<LoadReportMessage, "state" | "running" | "waiting">;
+
+export class LoadHistory {
+    private samples: { readonly atMs: number; readonly sample: LoadSample; }[] = [];
+
+    public constructor(private readonly clock: Clock, private readonly lagMs: number) {}
+
+    public record(sample: LoadSample): void {
+        this.samples.push({ atMs: this.clock.nowMs(), sample });
+        this.prune();
+    }
+
+    /** The newest sample that is old enough; undefined when none is. */
+    public reported(): LoadSample | undefined {
+        this.prune();
+        const [first] = this.samples;
+        return first !== undefined && first.atMs <= this.clock.nowMs() - this.lagMs ? first.sample : undefined;
+    }
+
+    public clear(): void {
+        this.samples = [];
+    }
+
+    /** Drops the samples before the newest one that is old enough. */
+    private prune(): void {
+        const oldEnoughMs = this.clock.nowMs() - this.lagMs;
+        const newer = this.samples.findIndex(one => one.atMs > oldEnoughMs);
+        const keepFrom = (newer === -1 ? this.samples.length : newer) - 1;
+        if (keepFrom > 0) {
+            this.samples.splice(0, keepFrom);
+        }
+    }
+}
--- /dev/null
+++ b/standin/StandInPlatform.ts
@@ -0,0 +1,101 @@
+/**
+ * A fake of the platform: `GET /v1/hosts` is its list of live and leaving hosts and endpoints, which lags, and
+ * `GET /v1/weights/{model}` is the weight store, which gives out a limited number of bytes a second over all readers.
+ * `POST /v1/control` {states, lagMs} changes the list.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import { SystemClock } from "../src/common/SystemClock.js";
+import type { Clock } from "../src/common/Types.js";
+import { HttpHost, sendJson } from "./HttpHost.js";
+
+type ListedState = "live" | "leaving" | "gone";
+
+const platformControlSchema = z.strictObject({
+    states: z.record(z.string(), z.enum(["live", "leaving", "gone"])).optional(),
+    lagMs: z.number().min(0).optional(),
+});
+
+export interface PlatformOptions {
+    /** Hosts and endpoints that are live at the start. */
+    readonly ids: readonly string[];
+    /** How old the list is; default 1000. */
+    readonly lagMs?: number;
+    readonly weightBytes: Readonly<Record<string, number>>;
+    readonly weightBytesPerSecond: number;
+    readonly clock?: Clock;
+}
+
+interface ListVersion {
+    readonly atMs: number;
+    readonly states: ReadonlyMap<string, ListedState>;
+}
+
+const defaultListLagMs = 1000;
+
+export class StandInPlatform {
+    private readonly http = new HttpHost((req, res, body) => this.route(req, res, body));
+    private readonly clock: Clock;
+    private versions: ListVersion[];
+    private lagMs: number;
+    private weightsFreeAtMs = 0;
+
+    public constructor(private readonly options: PlatformOptions) {
+        this.clock = options.clock ?? new SystemClock();
+        this.lagMs = options.lagMs ?? defaultListLagMs;
+        const states = new Map<string, ListedState>(options.ids.map(id => [id, "live"]));
+        this.versions = [{ atMs: Number.NEGATIVE_INFINITY, states }];
+    }
+
+    public start(address: string): Promise<void> {
+        return this.http.listen(address);
+    }
+
+    public stop(): Promise<void> {
+        return this.http.close();
+    }
+
+    /** Changes what the list will say once its lag has passed. */
+    public setStates(changed: Readonly<Record<string, ListedState>>): void {
+        const latest = this.versions.at(-1)?.states ?? [];
+        this.versions.push({ atMs: this.clock.nowMs(), states: new Map([...latest, ...Object.entries(changed)]) });
+    }
+
+    private async route(req: IncomingMessage, res: ServerResponse, body: unknown): Promise<void> {
+        const url = new URL(req.url ?? "/", "http://platform");
+        if (req.method === "GET" && url.pathname === "/v1/hosts") {
+            return sendJson(res, 200, { entries: this.list() });
+        }
+        if (req.method === "GET" && url.pathname.startsWith("/v1/weights/")) {
+            return this.giveWeights(decodeURIComponent(url.pathname.slice("/v1/weights/".length)), res);
+        }
+        const control = platformControlSchema.safeParse(body);
+        if (req.method === "POST" && url.pathname === "/v1/control" && control.success) {
+            this.lagMs = control.data.lagMs ?? this.lagMs;
+            this.setStates(control.data.states ?? {});
+            return sendJson(res, 200, {});
+        }
+        sendJson(res, 404, { message: "no such path" });
+    }
+
+    private list(): { id: string; state: ListedState; }[] {
+        const oldEnoughMs = this.clock.nowMs() - this.lagMs;
+        const shown = this.versions.findLastIndex(version => version.atMs <= oldEnoughMs);
+        this.versions.splice(0, Math.max(0, shown));
+        const states = this.versions[0]?.states ?? new Map<string, ListedState>();
+        return [...states].filter(([, state]) => state !== "gone").map(([id, state]) => ({ id, state }));
+    }
+
+    /** Readers queue for the store's rate; the bytes themselves are not sent, only the time that they take passes. */
+    private async giveWeights(model: string, res: ServerResponse): Promise<void> {
+        const bytes = this.options.weightBytes[model];
+        if (bytes === undefined) {
+            return sendJson(res, 404, { message: "no such model" });
+        }
+        const nowMs = this.clock.nowMs();
+        const neededMs = (bytes / this.options.weightBytesPerSecond) * 1000;
+        this.weightsFreeAtMs = Math.max(this.weightsFreeAtMs, nowMs) + neededMs;
+        await this.clock.sleep(this.weightsFreeAtMs - nowMs);
+        sendJson(res, 200, { model, bytes });
+    }
+}
