--- /dev/null
+++ b/src/config/Document.ts
@@ -0,0 +1,134 @@
+/** One YAML document with the line of each of its values, so that a fault can be shown where it stands. */
+import { type Either, Left, Right } from "purify-ts";
+import { type Document, isMap, isScalar, isSeq, LineCounter, parseAllDocuments } from "yaml";
+import { type DocumentPath, isDocumentMap } from "./Merge.js";
+import type { ConfigError, ConfigIssue } from "./Types.js";
+
+/** Bound on the text of a document, in characters. */
+const maxDocumentChars = 4 * 1024 * 1024;
+/** Bound on how many values aliases may stand for, so that a small text can't grow without bounds. */
+const maxAliasCount = 100;
+
+export interface ParsedDocument {
+    readonly file: string;
+    /** The document as a plain value; always a map. */
+    readonly value: unknown;
+    /** The line of a path, or of the nearest value above that is there. */
+    lineOf(path: DocumentPath): number;
+    /** How many steps of the path the document has. */
+    depthOf(path: DocumentPath): number;
+    /** Whether the value at the path, if there is one, can come from this document only: it is here, or in a list here. */
+    decides(path: DocumentPath): boolean;
+}
+
+/** Reads one document. `file` only labels the faults. */
+export function parseDocument(file: string, text: string): Either<ConfigError, ParsedDocument> {
+    if (text.length > maxDocumentChars) {
+        return Left(
+            configError([{ file, line: 0, path: "", message: `is longer than ${maxDocumentChars} characters` }]),
+        );
+    }
+    const lines = new LineCounter();
+    const documents = parseAllDocuments(text, { lineCounter: lines, prettyErrors: false, uniqueKeys: true });
+    const [first, second] = Array.isArray(documents) ? documents : [];
+    if (first === undefined) {
+        return Left(configError([{ file, line: 1, path: "", message: "is empty" }]));
+    }
+    const faults = [...first.errors, ...first.warnings].map(fault => ({
+        file,
+        line: lines.linePos(fault.pos[0]).line,
+        path: "",
+        message: fault.message,
+    }));
+    if (second !== undefined) {
+        const line = lines.linePos(second.range?.[0] ?? 0).line;
+        faults.push({ file, line, path: "", message: "holds more than one document" });
+    }
+    if (faults.length > 0) {
+        return Left(configError(faults));
+    }
+    return plainValue(first).caseOf<Either<ConfigError, ParsedDocument>>({
+        Left: message => Left(configError([{ file, line: 1, path: "", message }])),
+        Right: value => Right(new LinedDocument(file, value, first, lines)),
+    });
+}
+
+function plainValue(document: Document): Either<string, unknown> {
+    try {
+        const value: unknown = document.toJS({ maxAliasCount });
+        return isDocumentMap(value) ? Right(value) : Left("must be a map of settings");
+    }
+    catch (err) {
+        return Left(err instanceof Error ? err.message : String(err));
+    }
+}
+
+export function configError(issues: readonly ConfigIssue[]): ConfigError {
+    return { kind: "invalid-config", issues };
+}
+
+/** Writes a path as "pipelines.profile.stages[0].pool". */
+export function formatPath(path: DocumentPath): string {
+    return path.map(step => typeof step === "number" ? `[${step}]` : `.${step}`).join("").replace(/^\./, "");
+}
+
+interface Location {
+    readonly offset: number;
+    readonly depth: number;
+    /** Whether the path leads through a list. */
+    readonly inList: boolean;
+}
+
+class LinedDocument implements ParsedDocument {
+    public constructor(
+        public readonly file: string,
+        public readonly value: unknown,
+        private readonly document: Document,
+        private readonly lines: LineCounter,
+    ) {}
+
+    public lineOf(path: DocumentPath): number {
+        return this.lines.linePos(this.locate(path).offset).line;
+    }
+
+    public depthOf(path: DocumentPath): number {
+        return this.locate(path).depth;
+    }
+
+    public decides(path: DocumentPath): boolean {
+        const { depth, inList } = this.locate(path);
+        return inList || depth === path.length;
+    }
+
+    private locate(path: DocumentPath): Location {
+        let node: unknown = this.document.contents;
+        let offset = this.document.contents?.range?.[0] ?? 0;
+        let inList = false;
+        for (const [depth, step] of path.entries()) {
+            inList ||= isSeq(node);
+            const next = childOf(node, step);
+            if (next === undefined) {
+                return { offset, depth, inList };
+            }
+            node = next.node;
+            offset = next.offset ?? offset;
+        }
+        return { offset, depth: path.length, inList };
+    }
+}
+
+function childOf(
+    node: unknown,
+    step: string | number,
+): { readonly node: unknown; readonly offset: number | undefined; } | undefined {
+    if (isMap(node)) {
+        const pair = node.items.find(item => isScalar(item.key) && String(item.key.value) === String(step));
+        const key = isScalar(pair?.key) ? pair.key : undefined;
+        return pair === undefined ? undefined : { node: pair.value, offset: key?.range?.[0] };
+    }
+    if (isSeq(node) && typeof step === "number" && step < node.items.length) {
+        const item = node.items[step] as { range?: [number, number, number]; } | undefined;
+        return { node: item, offset: item?.range?.[0] };
+    }
+    return undefined;
+}
