--- a/src/config/Document.ts
+++ b/src/config/Document.ts
@@ -1,6 +1,6 @@
 /** One YAML document with the line of each of its values, so that a fault can be shown where it stands. */
 import { type Either, Left, Right } from "purify-ts";
-import { type Document, isMap, isScalar, isSeq, LineCounter, parseAllDocuments } from "yaml";
+import { type Alias, type Document, isMap, isScalar, isSeq, LineCounter, parseAllDocuments, visit } from "yaml";
 import { type DocumentPath, isDocumentMap } from "./Merge.js";
 import type { ConfigError, ConfigIssue } from "./Types.js";
 
@@ -44,6 +44,14 @@
         const line = lines.linePos(second.range?.[0] ?? 0).line;
         faults.push({ file, line, path: "", message: "holds more than one document" });
     }
+    faults.push(
+        ...unresolvedAliases(first).map(alias => ({
+            file,
+            line: lines.linePos(alias.range?.[0] ?? 0).line,
+            path: "",
+            message: `alias "${alias.source}" has no anchor before it`,
+        })),
+    );
     if (faults.length > 0) {
         return Left(configError(faults));
     }
@@ -53,6 +61,18 @@
     });
 }
 
+function unresolvedAliases(document: Document): Alias[] {
+    const found: Alias[] = [];
+    visit(document, {
+        Alias: (_key, alias) => {
+            if (alias.resolve(document) === undefined) {
+                found.push(alias);
+            }
+        },
+    });
+    return found;
+}
+
 function plainValue(document: Document): Either<string, unknown> {
     try {
         const value: unknown = document.toJS({ maxAliasCount });
