Membership, slot owners and holders

Cause: hosts need to know each other, and need slots before they send calls. Change: heartbeats that count a host as alive only while its own heartbeats are answered; owners that lend slots by duration; holders that renew in one message for each owner; hand-over of endpoints. PeerError tells a refused connection from one that could not be made, since only the first shows that a process has ended.

--- /dev/null
+++ b/src/endpoints/EndpointTable.ts
@@ -0,0 +1,101 @@
+/** What this host knows of all endpoints: the configuration, and what owners have answered to this host. */
+import { DisposableStore } from "../common/DisposableStore.js";
+import { Emitter } from "../common/Emitter.js";
+import type { Clock, DataCentreId, Disposable, EndpointId, Event } from "../common/Types.js";
+import type { ConfigSource, ConfigView } from "../config/Types.js";
+import type { PlatformList } from "../membership/Types.js";
+import type { HeldEndpoint } from "./HeldEndpoint.js";
+import type { EndpointDirectory, EndpointState, EndpointView } from "./Types.js";
+
+/** Where the table reads what this host holds. */
+export interface HeldSource {
+    peek(endpoint: EndpointId): HeldEndpoint | undefined;
+    readonly onChange: Event<EndpointId>;
+}
+
+export interface EndpointTableOptions {
+    readonly dataCentre: DataCentreId;
+    readonly config: ConfigSource;
+    readonly held: HeldSource;
+    readonly clock: Clock;
+    readonly platform?: PlatformList | undefined;
+}
+
+export class EndpointTable implements EndpointDirectory, Disposable {
+    private readonly changes = new Emitter<EndpointId>();
+    private readonly subscriptions = new DisposableStore();
+
+    public readonly onChange: Event<EndpointId> = this.changes.event;
+
+    public constructor(private readonly options: EndpointTableOptions) {
+        this.subscriptions.add(this.changes);
+        this.subscriptions.add(options.held.onChange(id => this.changes.fire(id)));
+        this.subscriptions.add(options.config.onChange(view => this.fireAll(view)));
+    }
+
+    public dispose(): void {
+        this.subscriptions.dispose();
+    }
+
+    public get(id: EndpointId): EndpointView | undefined {
+        const { config, held: source, clock } = this.options;
+        const view = config.current();
+        const settings = view?.settings.endpoints[id];
+        if (view === undefined || settings === undefined) {
+            return undefined;
+        }
+        const held = source.peek(id);
+        const reported = held?.reported;
+        return {
+            id,
+            dataCentre: settings.dataCentre,
+            kind: settings.kind,
+            pool: settings.pool,
+            models: settings.models,
+            state: this.stateOf(id, view, held),
+            limit: held?.limit ?? settings.coldLimit,
+            ownInFlight: held?.inUse ?? 0,
+            credits: held?.credits ?? 0,
+            reported: reported === undefined
+                ? undefined
+                : { running: reported.running, waiting: reported.waiting, ageMs: clock.nowMs() - reported.atMs },
+            recentMs: held?.recentMs,
+        };
+    }
+
+    public inPool(pool: string): readonly EndpointView[] {
+        const endpoints = this.options.config.current()?.settings.endpoints ?? {};
+        const views: EndpointView[] = [];
+        for (const [id, settings] of Object.entries(endpoints)) {
+            const view = settings.pool === pool ? this.get(id as EndpointId) : undefined;
+            if (view !== undefined && view.state !== "leaving" && view.state !== "out") {
+                views.push(view);
+            }
+        }
+        const isLocal = (view: EndpointView) => view.dataCentre === this.options.dataCentre;
+        return [...views.filter(isLocal), ...views.filter(view => !isLocal(view))];
+    }
+
+    private stateOf(id: EndpointId, view: ConfigView, held: HeldEndpoint | undefined): EndpointState {
+        const dataCentre = view.settings.endpoints[id]?.dataCentre;
+        if (dataCentre !== undefined && view.outDataCentres.has(dataCentre)) {
+            return "out";
+        }
+        const listed = this.options.platform?.latest()?.find(entry => entry.id === id);
+        if (view.leavingEndpoints.has(id) || listed?.state === "leaving") {
+            return "leaving";
+        }
+        if (held === undefined) {
+            return "cold";
+        }
+        const isClosing = held.state === "leaving" || held.state === "out";
+        // An old word of the owner is no reason to avoid the endpoint for ever.
+        return isClosing && !held.isClosed ? "cold" : held.state;
+    }
+
+    private fireAll(view: ConfigView): void {
+        for (const id of Object.keys(view.settings.endpoints)) {
+            this.changes.fire(id as EndpointId);
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoints/HandOver.ts
@@ -0,0 +1,74 @@
+/** The message by which a stopping owner passes an endpoint to its next owner; times go as durations. */
+import { z } from "zod";
+import type { EndpointId } from "../common/Types.js";
+import { definePeerMethod, type PeerMethod } from "../peer/Types.js";
+import type { HealthRecord } from "./EndpointHealth.js";
+import type { OwnedEndpoint } from "./OwnedEndpoint.js";
+import type { HolderRecord } from "./SlotLedger.js";
+import type { HolderIdentity } from "./Types.js";
+
+const recordSchema = z.object({
+    holder: z.object({ host: z.string(), incarnation: z.number() }),
+    seq: z.number().int(),
+    grantNo: z.number().int(),
+    counted: z.number().int(),
+    allowed: z.number().int(),
+    inUse: z.number().int(),
+    want: z.number().int(),
+    waiting: z.number().int(),
+    priority: z.number().int(),
+    deadlineInMs: z.number(),
+    expiresInMs: z.number(),
+    callsEndInMs: z.number(),
+});
+
+const handOverSchema = z.object({
+    endpoint: z.string(),
+    health: z.object({ state: z.string(), limit: z.number(), incarnation: z.string().optional() }),
+    orphans: z.number().int(),
+    records: z.array(recordSchema),
+});
+
+type HandOverRecord = Omit<z.infer<typeof recordSchema>, "holder"> & { readonly holder: HolderIdentity; };
+
+export interface HandOver {
+    readonly endpoint: EndpointId;
+    readonly health: HealthRecord;
+    /** Slots counted although no holder vouches for them. */
+    readonly orphans: number;
+    readonly records: readonly HandOverRecord[];
+}
+
+/** Answered with true once the receiver owns the endpoint. */
+export const handOver: PeerMethod<HandOver, boolean> = definePeerMethod(
+    "endpoints.hand-over",
+    handOverSchema as unknown as z.ZodType<HandOver>,
+);
+
+export function packHandOver(endpoint: OwnedEndpoint, nowMs: number): HandOver {
+    const records = endpoint.ledger.holders.map(record => ({
+        holder: record.holder,
+        seq: record.seq,
+        grantNo: record.grantNo,
+        counted: record.counted,
+        allowed: record.allowed,
+        inUse: record.inUse,
+        want: record.want,
+        waiting: record.waiting,
+        priority: record.priority,
+        deadlineInMs: record.deadlineMs - nowMs,
+        expiresInMs: record.expiresAtMs - nowMs,
+        callsEndInMs: record.callsEndMs - nowMs,
+    }));
+    return { endpoint: endpoint.id, health: endpoint.health.record(), orphans: endpoint.ledger.orphaned, records };
+}
+
+export function unpackRecords(message: HandOver, nowMs: number): HolderRecord[] {
+    return message.records.map(({ deadlineInMs, expiresInMs, callsEndInMs, ...rest }) => ({
+        ...rest,
+        deadlineMs: nowMs + deadlineInMs,
+        expiresAtMs: nowMs + expiresInMs,
+        callsEndMs: nowMs + callsEndInMs,
+        recalled: false,
+    }));
+}
--- /dev/null
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -0,0 +1,154 @@
+/**
+ * One endpoint on the host that owns it: its health, the account of its slots, and the wait that a take-over needs
+ * before anything beyond the holders' claims may be given out.
+ */
+import { invariant } from "../common/Invariant.js";
+import type { Clock, EndpointId } from "../common/Types.js";
+import type { EndpointSettings, TimingSettings } from "../config/Schema.js";
+import { EndpointHealth } from "./EndpointHealth.js";
+import type { Ownership } from "./OwnerAuthority.js";
+import { type HolderRecord, SlotLedger, type SlotTerms } from "./SlotLedger.js";
+import type { SlotEntry } from "./SlotMessages.js";
+import type { EndpointState, HolderIdentity } from "./Types.js";
+import type { LoadReportMessage } from "./Wire.js";
+
+/** Bound on the lag of load reports. */
+export const reportLagMs = 2000;
+
+/** What surrounds an endpoint at the moment of a decision. */
+export interface EndpointContext {
+    readonly settings: EndpointSettings;
+    readonly timing: TimingSettings;
+    readonly ownership: Ownership;
+    /** "leaving" or "out" by operators or the platform; undefined when neither. */
+    readonly closed: "leaving" | "out" | undefined;
+    /** No call on the endpoint lasts longer, by the deadlines of the pipelines that use it. */
+    readonly callBoundMs: number;
+    /** True when a host that could have had calls on the endpoint is neither alive nor stopped as planned. */
+    readonly hostsMissing: boolean;
+}
+
+export class OwnedEndpoint {
+    public readonly health: EndpointHealth;
+    public readonly ledger: SlotLedger;
+    private key = "none";
+    private share: (limit: number) => number = () => 0;
+    private formerShare: (limit: number) => number = () => 0;
+    /** Former owners' grants may be live until then. */
+    private openAtMs = Number.POSITIVE_INFINITY;
+    private settled = false;
+
+    public constructor(
+        public readonly id: EndpointId,
+        private readonly clock: Clock,
+        settings: EndpointSettings,
+    ) {
+        this.health = new EndpointHealth(clock, settings);
+        this.ledger = new SlotLedger(clock);
+    }
+
+    /** True once the take-over wait is over and calls of unknown holders are accounted for. */
+    public get isOpen(): boolean {
+        return this.settled;
+    }
+
+    public state(context: EndpointContext): EndpointState {
+        return context.closed ?? this.health.state;
+    }
+
+    /** Calls in flight that the endpoint can bear over all hosts; 0 when it takes no new work. */
+    public limit(context: EndpointContext): number {
+        return context.closed === undefined ? this.health.limit : 0;
+    }
+
+    /** Takes in a holder's message and what it tells of the endpoint. */
+    public exchange(holder: HolderIdentity, entry: SlotEntry, context: EndpointContext): HolderRecord | undefined {
+        const isNew = entry.seq > this.ledger.lastSeq(holder);
+        if (isNew && entry.evidence !== undefined && this.health.learn(entry.evidence)) {
+            this.ledger.endpointRestarted();
+        }
+        return this.ledger.exchange(holder, entry, this.terms(context));
+    }
+
+    /** Gives out free slots; returns the holders that are allowed another number. */
+    public distribute(context: EndpointContext): HolderRecord[] {
+        const terms = this.terms(context);
+        const usedBefore = this.ledger.used;
+        const changed = this.ledger.distribute(terms);
+        invariant(
+            context.closed === undefined || this.ledger.used <= usedBefore,
+            "no slot is given out for an endpoint that is leaving or out",
+            { endpoint: this.id, closed: context.closed },
+        );
+        return changed;
+    }
+
+    public learnReport(report: LoadReportMessage, context: EndpointContext): void {
+        if (this.health.learnReport(report)) {
+            this.ledger.endpointRestarted();
+        }
+        const calls = report.running + report.waiting;
+        this.ledger.learnReport(calls, reportLagMs);
+        const lagMs = context.hostsMissing ? reportLagMs : 0;
+        if (!this.settled && this.clock.nowMs() >= this.openAtMs + lagMs) {
+            this.ledger.addUnknown(Math.max(0, calls - this.ledger.inUse), context.callBoundMs);
+            this.settled = true;
+        }
+    }
+
+    /** Goes on exactly where a former owner has stopped, without a wait. */
+    public adopt(records: readonly HolderRecord[], orphans: number, context: EndpointContext): void {
+        const unseen = records.filter(record => this.ledger.lastSeq(record.holder) < record.seq);
+        this.ledger.adopt(unseen, orphans, context.callBoundMs);
+        this.key = context.ownership.key;
+        this.share = context.ownership.share;
+        this.openAtMs = this.clock.nowMs();
+        this.settled = true;
+    }
+
+    /** The terms in force now, after a change of ownership if there was one. */
+    public terms(context: EndpointContext): SlotTerms {
+        this.health.setLimits(context.settings);
+        this.followOwnership(context);
+        this.settleUnreported(context);
+        const limit = this.limit(context);
+        const full = this.share(limit);
+        const inForce = this.settled ? full : Math.min(full, this.formerShare(limit));
+        return {
+            limit: inForce,
+            leaseMs: context.timing.slotLeaseMs,
+            driftMs: context.timing.clockDriftMs,
+            claimsOnly: !this.settled && inForce === 0,
+            claimLimit: full,
+        };
+    }
+
+    private followOwnership(context: EndpointContext): void {
+        const { ownership, timing } = context;
+        if (ownership.key === this.key) {
+            this.share = ownership.share;
+            return;
+        }
+        const wasSure = this.key === "none" || this.key.startsWith("certain");
+        const isSure = ownership.key.startsWith("certain");
+        this.formerShare = this.settled ? this.share : () => 0;
+        this.share = ownership.share;
+        this.key = ownership.key;
+        // A host with another view gives up its part only once it has noticed.
+        const noticeMs = wasSure && isSure ? 0 : timing.unreachableMs + 2 * timing.heartbeatMs;
+        this.openAtMs = this.clock.nowMs() + noticeMs + timing.slotLeaseMs + timing.clockDriftMs;
+        this.settled = false;
+    }
+
+    /** Without reports, only time shows that the calls of missing hosts have ended. */
+    private settleUnreported(context: EndpointContext): void {
+        const nowMs = this.clock.nowMs();
+        const reportOverdue = nowMs >= this.openAtMs + context.callBoundMs;
+        if (this.settled || nowMs < this.openAtMs || (context.settings.reportsLoad && !reportOverdue)) {
+            return;
+        }
+        if (!context.hostsMissing || reportOverdue) {
+            this.settled = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoints/Rendezvous.ts
@@ -0,0 +1,39 @@
+/**
+ * Rendezvous hashing: each pair of endpoint and host has a weight, and the host with the highest weight comes first.
+ * A host that goes or comes moves only its own endpoints.
+ */
+import type { EndpointId, HostId } from "../common/Types.js";
+
+const fnvOffset = 0x811C9DC5;
+const fnvPrime = 0x01000193;
+
+function weight(endpoint: string, host: string): number {
+    let hash = fnvOffset;
+    const text = `${endpoint}|${host}`;
+    for (let index = 0; index < text.length; index += 1) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
+    }
+    hash = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B);
+    hash = Math.imul(hash ^ (hash >>> 13), 0xC2B2AE35);
+    return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** Hosts in rendezvous order for an endpoint, first choice first. */
+export function rankHosts(endpoint: EndpointId, hosts: readonly HostId[]): HostId[] {
+    const weighed = hosts.map(host => ({ host, weight: weight(endpoint, host) }));
+    weighed.sort((a, b) => b.weight - a.weight || (a.host < b.host ? -1 : 1));
+    return weighed.map(one => one.host);
+}
+
+/**
+ * The part of a limit that `self` may use without asking anybody: the limit divided by the configured hosts, rounded
+ * down, the remainder going to the first hosts in rendezvous order. The parts of all hosts add up to the limit.
+ */
+export function staticPart(endpoint: EndpointId, limit: number, hosts: readonly HostId[], self: HostId): number {
+    const place = rankHosts(endpoint, hosts).indexOf(self);
+    if (place < 0) {
+        return 0;
+    }
+    const whole = Math.floor(limit / hosts.length);
+    return whole + (place < limit - whole * hosts.length ? 1 : 0);
+}
--- /dev/null
+++ b/src/endpoints/SlotOwner.ts
@@ -0,0 +1,282 @@
+/**
+ * The owner's side of slots: answers holders' messages for the endpoints that this host owns, pushes changed numbers
+ * to holders that wait, reads load reports, and hands its endpoints over when the host stops.
+ */
+import type { Clock, EndpointId, HostId } from "../common/Types.js";
+import type { ConfigSource, ConfigView } from "../config/Types.js";
+import type { Membership, PlatformList } from "../membership/Types.js";
+import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import { type HandOver, handOver, packHandOver, unpackRecords } from "./HandOver.js";
+import { type EndpointContext, OwnedEndpoint } from "./OwnedEndpoint.js";
+import type { OwnerAuthority } from "./OwnerAuthority.js";
+import type { HolderRecord } from "./SlotLedger.js";
+import {
+    type SlotAnswer,
+    type SlotEntry,
+    type SlotExchange,
+    slotExchange,
+    type SlotExchangeReply,
+    type SlotPush,
+    slotPush,
+} from "./SlotMessages.js";
+import type { EndpointState, HolderIdentity, LoadSource } from "./Types.js";
+
+/** Between two looks at expired leases and freed slots. */
+const tickMs = 100;
+/** Between two load reports of an endpoint. */
+const reportEveryMs = 1000;
+/** Bound on call time for pools that no pipeline uses. */
+const defaultCallBoundMs = 30_000;
+
+export interface SlotOwnerOptions {
+    readonly membership: Membership;
+    readonly authority: OwnerAuthority;
+    readonly config: ConfigSource;
+    readonly registry: PeerRegistry;
+    readonly transport: PeerTransport;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly loads: LoadSource;
+    readonly platform?: PlatformList | undefined;
+}
+
+/** What an owner knows of one of its endpoints, for status pages and tests. */
+export interface OwnedView {
+    readonly endpoint: EndpointId;
+    readonly state: EndpointState;
+    readonly limit: number;
+    /** Upper bound of slots in use over all hosts. */
+    readonly used: number;
+    readonly open: boolean;
+}
+
+export class SlotOwner {
+    public readonly name = "slot-owner";
+    private readonly owned = new Map<EndpointId, OwnedEndpoint>();
+    private readonly handedOver = new Map<EndpointId, HostId>();
+    private readonly states = new Map<EndpointId, EndpointState>();
+    private readonly reportAtMs = new Map<EndpointId, number>();
+    /** Receives pushes for this host itself. */
+    private selfPush: ((push: SlotPush) => void) | undefined;
+
+    public constructor(private readonly options: SlotOwnerOptions) {
+        options.registry.handle(slotExchange, async (req, from) => {
+            return req.holder.host === from ? this.exchange(req) : { answers: [] };
+        });
+        options.registry.handle(handOver, async req => this.takeOver(req));
+    }
+
+    /** Connects the holder of this host, which is reached without the network. */
+    public connectSelf(listener: (push: SlotPush) => void): void {
+        this.selfPush = listener;
+    }
+
+    public view(): readonly OwnedView[] {
+        const views: OwnedView[] = [];
+        for (const endpoint of this.owned.values()) {
+            const context = this.context(endpoint.id);
+            if (context !== undefined) {
+                const { limit } = endpoint.terms(context);
+                const state = endpoint.state(context);
+                views.push({ endpoint: endpoint.id, state, limit, used: endpoint.ledger.used, open: endpoint.isOpen });
+            }
+        }
+        return views;
+    }
+
+    /** Answers a holder's message. */
+    public exchange(req: SlotExchange): SlotExchangeReply {
+        const answers = req.entries.map(entry => this.answer(req.holder, entry));
+        return { answers: answers.filter(answer => answer !== undefined) };
+    }
+
+    public async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.followConfig();
+            for (const endpoint of this.owned.values()) {
+                this.look(endpoint, signal);
+            }
+            await this.options.clock.sleep(tickMs, signal);
+        }
+    }
+
+    /** Hands every owned endpoint to its next owner, so that nothing waits for a lease to run out. */
+    public async drain(graceMs: number): Promise<{ readonly unfinished: number; readonly what: string; }> {
+        const { membership, clock, config } = this.options;
+        membership.announceLeaving();
+        const heartbeatMs = config.current()?.settings.timing.heartbeatMs ?? 0;
+        await clock.sleep(Math.min(graceMs, 2 * heartbeatMs));
+        const left = await Promise.all([...this.owned.values()].map(endpoint => this.handOverOne(endpoint)));
+        const unfinished = left.filter(done => !done).length;
+        return { unfinished, what: "endpoints not handed over" };
+    }
+
+    private answer(holder: HolderIdentity, entry: SlotEntry): SlotAnswer | undefined {
+        const id = entry.endpoint;
+        const successor = this.handedOver.get(id);
+        const context = this.context(id);
+        if (successor !== undefined || context?.ownership.isOwn !== true) {
+            return { kind: "not-owner", endpoint: id, owner: successor ?? context?.ownership.owner };
+        }
+        const endpoint = this.open(id, context);
+        const record = endpoint.exchange(holder, entry, context);
+        if (record === undefined) {
+            return undefined;
+        }
+        this.pushAll(endpoint, context, record);
+        this.noteState(endpoint, context);
+        const report = endpoint.health.latestReport;
+        return {
+            kind: "granted",
+            endpoint: id,
+            seq: record.seq,
+            grantNo: record.grantNo,
+            granted: record.allowed,
+            leaseMs: context.timing.slotLeaseMs,
+            state: endpoint.state(context),
+            limit: endpoint.limit(context),
+            scarce: endpoint.ledger.scarce,
+            reported: report === undefined
+                ? undefined
+                : { running: report.message.running, waiting: report.message.waiting, ageMs: report.ageMs },
+        };
+    }
+
+    private open(id: EndpointId, context: EndpointContext): OwnedEndpoint {
+        const known = this.owned.get(id);
+        if (known !== undefined) {
+            return known;
+        }
+        const endpoint = new OwnedEndpoint(id, this.options.clock, context.settings);
+        this.owned.set(id, endpoint);
+        this.options.log.event(EventId.EndpointOwned, { endpoint: id, ownership: context.ownership.key });
+        return endpoint;
+    }
+
+    /** Owns what falls to this host, and forgets what does not any more. */
+    private followConfig(): void {
+        const endpoints = this.options.config.current()?.settings.endpoints ?? {};
+        for (const id of Object.keys(endpoints) as EndpointId[]) {
+            const context = this.context(id);
+            if (context?.ownership.isOwn === true && !this.handedOver.has(id)) {
+                this.open(id, context);
+            }
+            else if (this.owned.delete(id)) {
+                this.options.log.event(EventId.EndpointReleased, { endpoint: id, owner: context?.ownership.owner });
+            }
+        }
+    }
+
+    private look(endpoint: OwnedEndpoint, signal: AbortSignal): void {
+        const context = this.context(endpoint.id);
+        if (context === undefined) {
+            return;
+        }
+        this.pushAll(endpoint, context, undefined);
+        this.noteState(endpoint, context);
+        const nowMs = this.options.clock.nowMs();
+        if (context.settings.reportsLoad && (this.reportAtMs.get(endpoint.id) ?? 0) <= nowMs) {
+            this.reportAtMs.set(endpoint.id, nowMs + reportEveryMs);
+            void this.readReport(endpoint, signal);
+        }
+    }
+
+    private async readReport(endpoint: OwnedEndpoint, signal: AbortSignal): Promise<void> {
+        const report = await this.options.loads.fetch(endpoint.id, signal);
+        const context = this.context(endpoint.id);
+        if (report !== undefined && context !== undefined && this.owned.get(endpoint.id) === endpoint) {
+            endpoint.learnReport(report, context);
+        }
+    }
+
+    private noteState(endpoint: OwnedEndpoint, context: EndpointContext): void {
+        const state = endpoint.state(context);
+        if (this.states.get(endpoint.id) !== state) {
+            this.states.set(endpoint.id, state);
+            const limit = endpoint.limit(context);
+            this.options.log.event(EventId.EndpointStateChanged, { endpoint: endpoint.id, state, limit });
+        }
+    }
+
+    private pushAll(endpoint: OwnedEndpoint, context: EndpointContext, answered: HolderRecord | undefined): void {
+        for (const record of endpoint.distribute(context)) {
+            if (record === answered) {
+                continue;
+            }
+            const { host, incarnation } = record.holder;
+            const { seq, grantNo, allowed } = record;
+            const push = { endpoint: endpoint.id, seq, grantNo, granted: allowed, incarnation };
+            if (host === this.options.membership.self) {
+                this.selfPush?.(push);
+            }
+            else {
+                void this.options.transport.call(host, slotPush, push, { timeoutMs: context.timing.peerTimeoutMs });
+            }
+        }
+    }
+
+    private async handOverOne(endpoint: OwnedEndpoint): Promise<boolean> {
+        const context = this.context(endpoint.id);
+        const next = context?.ownership.owner;
+        if (context === undefined || next === undefined || next === this.options.membership.self) {
+            return endpoint.ledger.used === 0;
+        }
+        this.handedOver.set(endpoint.id, next);
+        this.owned.delete(endpoint.id);
+        const message = packHandOver(endpoint, this.options.clock.nowMs());
+        const options = { timeoutMs: context.timing.peerTimeoutMs };
+        const reply = await this.options.transport.call(next, handOver, message, options);
+        const accepted = reply.caseOf({ Left: () => false, Right: accepted => accepted });
+        this.options.log.event(EventId.EndpointHandedOver, { endpoint: endpoint.id, to: next, accepted });
+        return accepted;
+    }
+
+    private takeOver(req: HandOver): boolean {
+        const context = this.context(req.endpoint);
+        if (context?.ownership.isOwn !== true) {
+            return false;
+        }
+        const endpoint = this.open(req.endpoint, context);
+        endpoint.health.restore(req.health);
+        endpoint.adopt(unpackRecords(req, this.options.clock.nowMs()), req.orphans, context);
+        return true;
+    }
+
+    private context(id: EndpointId): EndpointContext | undefined {
+        const view = this.options.config.current();
+        const settings = view?.settings.endpoints[id];
+        if (view === undefined || settings === undefined) {
+            return undefined;
+        }
+        const local = this.options.membership.view().local;
+        return {
+            settings,
+            timing: view.settings.timing,
+            ownership: this.options.authority.ownership(id),
+            closed: this.closedReason(id, view),
+            callBoundMs: callBound(view, settings.pool),
+            hostsMissing: local.some(one =>
+                one.incarnation > 0 && (one.state === "dead" || one.state === "unreachable")
+            ),
+        };
+    }
+
+    private closedReason(id: EndpointId, view: ConfigView): "leaving" | "out" | undefined {
+        const dataCentre = view.settings.endpoints[id]?.dataCentre;
+        if (dataCentre !== undefined && view.outDataCentres.has(dataCentre)) {
+            return "out";
+        }
+        const listed = this.options.platform?.latest()?.find(entry => entry.id === id);
+        return view.leavingEndpoints.has(id) || listed?.state === "leaving" ? "leaving" : undefined;
+    }
+}
+
+/** The longest deadline of the pipelines that use a pool. */
+function callBound(view: ConfigView, pool: string): number {
+    const deadlines = Object.values(view.settings.pipelines)
+        .filter(pipeline => pipeline.stages.some(stage => stage.pool === pool))
+        .map(pipeline => pipeline.deadlineMs);
+    return deadlines.length === 0 ? defaultCallBoundMs : Math.max(...deadlines);
+}
--- a/src/endpoints/Types.ts
+++ b/src/endpoints/Types.ts
@@ -15,6 +15,7 @@
     StageId,
     WorkspaceId,
 } from "../common/Types.js";
+import type { LoadReportMessage } from "./Wire.js";
 
 export type EndpointKind = "engine" | "encoder" | "retriever" | "reranker" | "service";
 
@@ -72,7 +73,22 @@
     | { readonly kind: "no-slot"; readonly endpoint: EndpointId; readonly retryAfterMs: number; }
     | { readonly kind: "owner-unreachable"; readonly endpoint: EndpointId; };
 
-export type CallEnd = "succeeded" | "overloaded" | "failed" | "lost" | "cancelled" | "never-sent";
+export type CallEnd =
+    | "succeeded"
+    /** The endpoint refused the call as full, as cold, or as leaving. */
+    | "overloaded"
+    | "cold"
+    | "leaving"
+    /** The endpoint ran the call and said that it failed. */
+    | "failed"
+    /** The connection fell silent. */
+    | "lost"
+    /** The connection was reset or closed in mid-call. */
+    | "crashed"
+    | "cancelled"
+    | "never-sent"
+    /** No connection could be made. */
+    | "refused";
 
 /** A granted slot. It is released exactly once. */
 export interface Slot {
@@ -181,3 +197,8 @@
     readonly host: HostId;
     readonly incarnation: number;
 }
+
+/** Reads the load report of an endpoint; undefined when it gave none. */
+export interface LoadSource {
+    fetch(endpoint: EndpointId, signal: AbortSignal): Promise<LoadReportMessage | undefined>;
+}
--- /dev/null
+++ b/src/membership/HeartbeatMembership.ts
@@ -0,0 +1,286 @@
+/**
+ * Heartbeats between the hosts of a data centre, one task for each peer, and one task for each other data centre that
+ * asks one of its hosts for a summary. A host is alive only while its own heartbeats are answered, so that two hosts
+ * with a one-way cut between them agree that they can't reach each other.
+ */
+import { z } from "zod";
+import { Emitter } from "../common/Emitter.js";
+import type { Clock, DataCentreId, Event, HostId, Incarnation } from "../common/Types.js";
+import type { TimingSettings } from "../config/Schema.js";
+import type { ConfigSource } from "../config/Types.js";
+import {
+    definePeerMethod,
+    type PeerError,
+    type PeerMethod,
+    type PeerRegistry,
+    type PeerTransport,
+} from "../peer/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import { type HeartbeatFacts, PeerHost } from "./PeerHost.js";
+import type { HostView, Membership, MembershipView, PlatformList } from "./Types.js";
+
+/** A host that is off the platform's list and silent for this many times `unreachableMs` is dead. */
+const goneFactor = 10;
+/** Between two summaries of another data centre, in heartbeats. */
+const summaryEveryHeartbeats = 8;
+/** Between two looks at the configured hosts, in heartbeats. */
+const hostsEveryHeartbeats = 1;
+
+const factsSchema = z.object({
+    incarnation: z.number(),
+    leaving: z.boolean(),
+    seesYou: z.boolean(),
+    accountsForAll: z.boolean(),
+});
+
+interface Summary {
+    readonly aliveHosts: number;
+}
+
+const heartbeat: PeerMethod<HeartbeatFacts, HeartbeatFacts> = definePeerMethod(
+    "membership.heartbeat",
+    factsSchema as unknown as z.ZodType<HeartbeatFacts>,
+);
+const summary: PeerMethod<Record<string, never>, Summary> = definePeerMethod("membership.summary", z.object({}));
+
+export interface HeartbeatMembershipOptions {
+    readonly self: HostId;
+    readonly dataCentre: DataCentreId;
+    readonly incarnation: Incarnation;
+    readonly transport: PeerTransport;
+    readonly registry: PeerRegistry;
+    readonly config: ConfigSource;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly platform?: PlatformList | undefined;
+}
+
+export class HeartbeatMembership implements Membership {
+    public readonly name = "membership";
+    public readonly self: HostId;
+    public readonly dataCentre: DataCentreId;
+    public readonly incarnation: Incarnation;
+    private readonly peers = new Map<HostId, PeerHost>();
+    private readonly remote = new Map<DataCentreId, { reachable: boolean; aliveHosts: number; }>();
+    private readonly changes = new Emitter<MembershipView>();
+    private leaving = false;
+    private wasCertain = false;
+
+    public readonly onChange: Event<MembershipView> = this.changes.event;
+
+    public constructor(private readonly options: HeartbeatMembershipOptions) {
+        this.self = options.self;
+        this.dataCentre = options.dataCentre;
+        this.incarnation = options.incarnation;
+        options.registry.handle(heartbeat, async (facts, from) => this.answerHeartbeat(facts, from));
+        options.registry.handle(summary, async () => ({
+            aliveHosts: this.view().local.filter(one => one.state === "alive").length,
+        }));
+    }
+
+    public view(): MembershipView {
+        return { local: this.localView(), certain: this.isCertain(), remote: this.remote };
+    }
+
+    public announceLeaving(): void {
+        this.leaving = true;
+        this.judgeAll();
+        this.changes.fire(this.view());
+    }
+
+    public async run(signal: AbortSignal): Promise<void> {
+        const tasks = new Map<string, { readonly stop: AbortController; readonly done: Promise<void>; }>();
+        while (!signal.aborted) {
+            const wanted = this.wantedTasks();
+            for (const [key, start] of wanted) {
+                if (!tasks.has(key)) {
+                    const stop = new AbortController();
+                    tasks.set(key, { stop, done: start(AbortSignal.any([signal, stop.signal])) });
+                }
+            }
+            for (const [key, task] of tasks) {
+                if (!wanted.has(key)) {
+                    task.stop.abort();
+                    tasks.delete(key);
+                }
+            }
+            this.judgeAll();
+            await this.options.clock.sleep(this.timing.heartbeatMs * hostsEveryHeartbeats, signal);
+        }
+        await Promise.all([...tasks.values()].map(task => task.done));
+    }
+
+    private get timing(): Pick<TimingSettings, "heartbeatMs" | "unreachableMs" | "peerTimeoutMs"> {
+        return this.options.config.current()?.settings.timing
+            ?? { heartbeatMs: 250, unreachableMs: 1200, peerTimeoutMs: 1000 };
+    }
+
+    private localView(): HostView[] {
+        const nowMs = this.options.clock.nowMs();
+        const own: HostView = {
+            host: this.self,
+            dataCentre: this.dataCentre,
+            state: this.leaving ? "leaving" : "alive",
+            incarnation: this.incarnation,
+            sinceMs: nowMs,
+        };
+        const others = [...this.peers.values()].map(peer => ({
+            host: peer.host,
+            dataCentre: this.dataCentre,
+            state: peer.state,
+            incarnation: peer.incarnation,
+            sinceMs: peer.sinceMs,
+        }));
+        return [own, ...others].sort((a, b) => (a.host < b.host ? -1 : 1));
+    }
+
+    /** Every configured peer is known to be up or dead, and those that are up reach this host as well. */
+    private accountsForAll(): boolean {
+        const configured = this.hostsOf(this.dataCentre).filter(host => host !== this.self);
+        return this.options.config.current() !== undefined && configured.every(host => {
+            const peer = this.peers.get(host);
+            return peer !== undefined && (peer.state === "dead" || peer.isMutual);
+        });
+    }
+
+    private isCertain(): boolean {
+        return this.accountsForAll() && [...this.peers.values()].every(peer => !peer.isUp || peer.accountsForAll);
+    }
+
+    private hostsOf(dataCentre: DataCentreId): HostId[] {
+        const hosts = this.options.config.current()?.settings.hosts ?? {};
+        return Object.entries(hosts)
+            .filter(([, host]) => host.dataCentre === dataCentre)
+            .map(([id]) => id as HostId)
+            .sort();
+    }
+
+    private wantedTasks(): Map<string, (signal: AbortSignal) => Promise<void>> {
+        const wanted = new Map<string, (signal: AbortSignal) => Promise<void>>();
+        const local = this.hostsOf(this.dataCentre).filter(host => host !== this.self);
+        for (const host of local) {
+            wanted.set(`host/${host}`, signal => this.runPeer(host, signal));
+        }
+        for (const host of [...this.peers.keys()].filter(known => !local.includes(known))) {
+            this.peers.delete(host);
+        }
+        const dataCentres = Object.keys(this.options.config.current()?.settings.dataCentres ?? {}) as DataCentreId[];
+        for (const dataCentre of dataCentres.filter(one => one !== this.dataCentre)) {
+            wanted.set(`data-centre/${dataCentre}`, signal => this.runSummary(dataCentre, signal));
+        }
+        return wanted;
+    }
+
+    private peer(host: HostId): PeerHost {
+        const peer = this.peers.get(host) ?? new PeerHost(host, this.options.clock.nowMs());
+        this.peers.set(host, peer);
+        return peer;
+    }
+
+    /** Sends heartbeats to one peer. A heartbeat that hangs does not hold up the next one for long. */
+    private async runPeer(host: HostId, signal: AbortSignal): Promise<void> {
+        const { clock, transport } = this.options;
+        const peer = this.peer(host);
+        while (!signal.aborted) {
+            const sentAtMs = clock.nowMs();
+            const { heartbeatMs, unreachableMs, peerTimeoutMs } = this.timing;
+            const timeoutMs = Math.min(peerTimeoutMs, unreachableMs / 2);
+            const reply = await transport.call(host, heartbeat, this.factsFor(peer), { timeoutMs, signal });
+            reply.caseOf({
+                Left: error => this.noteFailure(peer, error),
+                Right: facts => this.noteAnswer(peer, facts, sentAtMs),
+            });
+            this.judgeAll();
+            await clock.sleep(Math.max(1, heartbeatMs - (clock.nowMs() - sentAtMs)), signal);
+        }
+    }
+
+    private async runSummary(dataCentre: DataCentreId, signal: AbortSignal): Promise<void> {
+        const { clock, transport } = this.options;
+        let turn = 0;
+        while (!signal.aborted) {
+            const { heartbeatMs, peerTimeoutMs } = this.timing;
+            const hosts = this.hostsOf(dataCentre);
+            let found: Summary | undefined;
+            for (let tried = 0; tried < hosts.length && found === undefined && !signal.aborted; tried += 1) {
+                const host = hosts[turn % hosts.length];
+                if (host !== undefined) {
+                    const reply = await transport.call(host, summary, {}, { timeoutMs: peerTimeoutMs, signal });
+                    found = reply.caseOf({ Left: () => undefined, Right: value => value });
+                }
+                turn += found === undefined ? 1 : 0;
+            }
+            this.noteSummary(dataCentre, found);
+            await clock.sleep(heartbeatMs * summaryEveryHeartbeats, signal);
+        }
+    }
+
+    private noteSummary(dataCentre: DataCentreId, found: Summary | undefined): void {
+        const former = this.remote.get(dataCentre);
+        const next = { reachable: found !== undefined, aliveHosts: found?.aliveHosts ?? 0 };
+        this.remote.set(dataCentre, next);
+        if (former?.reachable !== next.reachable || former.aliveHosts !== next.aliveHosts) {
+            this.changes.fire(this.view());
+        }
+    }
+
+    private factsFor(peer: PeerHost): HeartbeatFacts {
+        return {
+            incarnation: this.incarnation,
+            leaving: this.leaving,
+            seesYou: peer.isUp,
+            accountsForAll: this.accountsForAll(),
+        };
+    }
+
+    private answerHeartbeat(facts: HeartbeatFacts, from: HostId): HeartbeatFacts {
+        const peer = this.peers.get(from);
+        if (peer !== undefined && facts.incarnation > peer.incarnation && peer.incarnation > 0) {
+            this.noteAnswer(peer, facts, Number.NEGATIVE_INFINITY);
+            this.judgeAll();
+        }
+        return this.factsFor(peer ?? new PeerHost(from, 0));
+    }
+
+    private noteAnswer(peer: PeerHost, facts: HeartbeatFacts, sentAtMs: number): void {
+        if (peer.answered(facts, sentAtMs)) {
+            this.options.log.event(EventId.HostRestarted, { host: peer.host, incarnation: facts.incarnation });
+        }
+    }
+
+    private noteFailure(peer: PeerHost, error: PeerError): void {
+        if (error.kind === "unreachable" && error.refused === true) {
+            peer.refused();
+        }
+    }
+
+    private judgeAll(): void {
+        const nowMs = this.options.clock.nowMs();
+        const { unreachableMs } = this.timing;
+        let changed = false;
+        for (const peer of this.peers.values()) {
+            if (peer.judge(nowMs, unreachableMs, this.isGone(peer, nowMs, unreachableMs))) {
+                changed = true;
+                this.options.log.event(EventId.HostStateChanged, { host: peer.host, state: peer.state });
+            }
+        }
+        const certain = this.isCertain();
+        if (certain !== this.wasCertain) {
+            this.wasCertain = certain;
+            changed = true;
+            this.options.log.event(EventId.ViewCertaintyChanged, { certain });
+        }
+        if (changed) {
+            this.changes.fire(this.view());
+        }
+    }
+
+    /** The platform's list lags, so that it counts only after a long silence. */
+    private isGone(peer: PeerHost, nowMs: number, unreachableMs: number): boolean {
+        const list = this.options.platform?.latest();
+        const silentMs = nowMs - peer.sinceMs;
+        return list !== undefined && peer.state === "unreachable" && silentMs >= goneFactor * unreachableMs
+            && !list.some(entry => entry.id === peer.host);
+    }
+}
--- a/src/peer/Types.ts
+++ b/src/peer/Types.ts
@@ -17,7 +17,12 @@
 
 export type PeerError =
     /** No connection could be made, so that the request was not delivered. */
-    | { readonly kind: "unreachable"; readonly message: string; }
+    | {
+        readonly kind: "unreachable";
+        readonly message: string;
+        /** True when the peer's machine refused the connection, so that no process listens there. */
+        readonly refused?: boolean;
+    }
     /** The connection broke or timed out; the request may have been carried out. */
     | { readonly kind: "no-reply"; readonly message: string; }
     /** The peer refused the request: unknown method, bad input, bad key. */
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -20,7 +20,19 @@
     ConfigFileDiffers = 301,
     // 4xx: replication
     // 5xx: membership
+    HostStateChanged = 500,
+    HostRestarted = 501,
+    ViewCertaintyChanged = 502,
     // 6xx: endpoints
+    EndpointOwned = 600,
+    EndpointReleased = 601,
+    EndpointHandedOver = 602,
+    EndpointStateChanged = 603,
+    SlotLeaseExpired = 604,
+    OwnerEpochHeld = 605,
+    OwnerEpochLost = 606,
+    EngineOrdered = 607,
+    EngineOrderFailed = 608,
     // 7xx: records
     // 8xx: pipeline and routing
     RequestStarted = 800,
--- a/testing/FakeNetwork.ts
+++ b/testing/FakeNetwork.ts
@@ -114,7 +114,7 @@
                 return;
             }
             if (this.nodes.get(to)?.up !== true && !this.cuts.has(`${from}>${to}`)) {
-                finish(Left({ kind: "unreachable", message: "connection refused" }));
+                finish(Left({ kind: "unreachable", message: "connection refused", refused: true }));
                 return;
             }
             void this.deliver(from, sender, to, method, req, finish);
