Stage calls over HTTP with live slots and checked replies

Cause: pipelines need to call endpoints, and a refusal that says "not run" must be true. Peer errors tell refused connections. StageCall.resumeFrom carries the received prefix, so that a resumed stream's digest can be checked.

--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -101,7 +101,7 @@
         const unseen = records.filter(record => this.ledger.lastSeq(record.holder) < record.seq);
         this.ledger.adopt(unseen, orphans, context.callBoundMs);
         this.key = context.ownership.key;
-        this.share = context.ownership.share;
+        this.share = limit => context.ownership.share(limit);
         this.openAtMs = this.clock.nowMs();
         this.settled = true;
     }
@@ -126,13 +126,13 @@
     private followOwnership(context: EndpointContext): void {
         const { ownership, timing } = context;
         if (ownership.key === this.key) {
-            this.share = ownership.share;
+            this.share = limit => ownership.share(limit);
             return;
         }
         const wasSure = this.key === "none" || this.key.startsWith("certain");
         const isSure = ownership.key.startsWith("certain");
         this.formerShare = this.settled ? this.share : () => 0;
-        this.share = ownership.share;
+        this.share = limit => ownership.share(limit);
         this.key = ownership.key;
         // A host with another view gives up its part only once it has noticed.
         const noticeMs = wasSure && isSure ? 0 : timing.unreachableMs + 2 * timing.heartbeatMs;
--- /dev/null
+++ b/src/endpoints/ReplyReader.ts
@@ -0,0 +1,173 @@
+/**
+ * Reads the reply of one stage call and lets through only what is whole and names the call: echo of request, stage and
+ * attempt, contiguous offsets, declared length, digest, and the end marker of a stream.
+ */
+import { createHash } from "node:crypto";
+import { StringDecoder } from "node:string_decoder";
+import { type Either, Left, Right } from "purify-ts";
+import type { z } from "zod";
+import type { StageCall, StageUsage } from "./Types.js";
+import { endEventSchema, outputEventSchema, stageReplySchema } from "./Wire.js";
+
+/** A reply that must not be used. */
+export interface ReplyFault {
+    readonly kind: "bad-reply";
+    readonly message: string;
+}
+
+export interface WholeOutput {
+    readonly output: string;
+    readonly usage: StageUsage;
+    readonly incarnation: string;
+}
+
+/** Bound on one event of a stream, in characters. */
+const maxEventChars = 4_194_304;
+
+function fault(message: string): ReplyFault {
+    return { kind: "bad-reply", message };
+}
+
+function digestOf(output: string): string {
+    return createHash("sha256").update(output, "utf8").digest("hex");
+}
+
+function parse<T>(schema: z.ZodType<T>, text: string): Either<ReplyFault, T> {
+    try {
+        const parsed = schema.safeParse(JSON.parse(text));
+        return parsed.success ? Right(parsed.data) : Left(fault(`malformed reply: ${parsed.error.message}`));
+    }
+    catch {
+        return Left(fault("the reply is not JSON"));
+    }
+}
+
+interface Echo {
+    readonly request: string;
+    readonly stage: string;
+    readonly attempt: number;
+}
+
+function checkEcho(call: StageCall, echo: Echo): ReplyFault | undefined {
+    const matches = echo.request === call.request && echo.stage === call.stage && echo.attempt === call.attempt;
+    return matches ? undefined : fault(`the reply names ${echo.request}/${echo.stage}/${echo.attempt}`);
+}
+
+function checkWhole(output: string, declared: { readonly length: number; readonly digest: string; }) {
+    if (output.length !== declared.length) {
+        return fault(`${output.length} characters of ${declared.length}`);
+    }
+    return digestOf(output) === declared.digest ? undefined : fault("the digest differs");
+}
+
+/** Checks a whole JSON reply. */
+export function readWholeReply(call: StageCall, text: string): Either<ReplyFault, WholeOutput> {
+    return parse(stageReplySchema, text).chain(reply => {
+        const bad = checkEcho(call, reply) ?? checkWhole(reply.output, reply);
+        const { output, usage, incarnation } = reply;
+        return bad === undefined ? Right({ output, usage, incarnation }) : Left(bad);
+    });
+}
+
+/** Reads server-sent events as they arrive. */
+export class EventStreamReader {
+    private readonly decoder = new StringDecoder("utf8");
+    private buffer = "";
+    private text: string;
+    private ended: WholeOutput | undefined;
+    private endpointIncarnation: string | undefined;
+
+    public constructor(
+        private readonly call: StageCall,
+        private readonly onOutput: ((offset: number, text: string) => void) | undefined,
+    ) {
+        this.text = call.resumeFrom?.received ?? "";
+    }
+
+    /** Output received so far, all of it checked to be this call's and contiguous. */
+    public get received(): string {
+        return this.text;
+    }
+
+    /** The whole output, once the end event has come. */
+    public get whole(): WholeOutput | undefined {
+        return this.ended;
+    }
+
+    public get incarnation(): string | undefined {
+        return this.endpointIncarnation;
+    }
+
+    /** Takes in bytes of the stream. */
+    public write(chunk: Buffer): ReplyFault | undefined {
+        this.buffer += this.decoder.write(chunk).replaceAll("\r\n", "\n");
+        for (let end = this.buffer.indexOf("\n\n"); end >= 0; end = this.buffer.indexOf("\n\n")) {
+            const block = this.buffer.slice(0, end);
+            this.buffer = this.buffer.slice(end + 2);
+            const bad = this.takeBlock(block);
+            if (bad !== undefined) {
+                return bad;
+            }
+        }
+        return this.buffer.length > maxEventChars ? fault("an event is too long") : undefined;
+    }
+
+    private takeBlock(block: string): ReplyFault | undefined {
+        const lines = block.split("\n");
+        const valueOf = (name: string) =>
+            lines.filter(line => line.startsWith(`${name}:`)).map(line => line.slice(name.length + 1).trimStart());
+        const data = valueOf("data").join("\n");
+        switch (valueOf("event")[0]) {
+            case "output":
+                return this.takeOutput(data);
+            case "end":
+                return this.takeEnd(data);
+            default:
+                // Comments and events of later versions.
+                return undefined;
+        }
+    }
+
+    private takeOutput(data: string): ReplyFault | undefined {
+        return parse(outputEventSchema, data).caseOf({
+            Left: bad => bad,
+            Right: event => {
+                const bad = checkEcho(this.call, event) ?? this.checkIncarnation(event.incarnation);
+                if (bad !== undefined) {
+                    return bad;
+                }
+                if (event.offset < this.text.length) {
+                    const known = this.text.slice(event.offset, event.offset + event.text.length);
+                    return known === event.text ? undefined : fault("repeated output differs");
+                }
+                if (event.offset > this.text.length || this.ended !== undefined) {
+                    return fault(`output at ${event.offset}, expected ${this.text.length}`);
+                }
+                this.text += event.text;
+                this.onOutput?.(event.offset, event.text);
+                return undefined;
+            },
+        });
+    }
+
+    private takeEnd(data: string): ReplyFault | undefined {
+        return parse(endEventSchema, data).caseOf({
+            Left: bad => bad,
+            Right: event => {
+                const bad = checkEcho(this.call, event)
+                    ?? this.checkIncarnation(event.incarnation)
+                    ?? checkWhole(this.text, event);
+                if (bad === undefined) {
+                    this.ended = { output: this.text, usage: event.usage, incarnation: event.incarnation };
+                }
+                return bad;
+            },
+        });
+    }
+
+    private checkIncarnation(incarnation: string): ReplyFault | undefined {
+        const changed = this.endpointIncarnation !== undefined && this.endpointIncarnation !== incarnation;
+        this.endpointIncarnation = incarnation;
+        return changed ? fault("the stream comes from two processes") : undefined;
+    }
+}
--- /dev/null
+++ b/src/endpoints/RequestText.ts
@@ -0,0 +1,78 @@
+/** Small requests to endpoints beside stage calls: cancels, load reports, orders. The reply is short text. */
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock, EndpointId } from "../common/Types.js";
+import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
+
+/** Bound on a reply, in bytes. */
+const maxReplyBytes = 1_048_576;
+
+export interface TextRequest {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: string;
+    /** True for a connection of its own. */
+    readonly fresh: boolean;
+    /** Bound on the whole exchange after connecting. */
+    readonly timeoutMs: number;
+    readonly clock: Clock;
+    readonly signal: AbortSignal;
+}
+
+export interface TextReply {
+    readonly status: number;
+    readonly text: string;
+}
+
+/** "broken": the request was written and no whole reply came. */
+export type TextError = ConnectError | { readonly kind: "broken"; readonly message: string; };
+
+export async function requestText(
+    connections: EndpointConnections,
+    endpoint: EndpointId,
+    options: TextRequest,
+): Promise<Either<TextError, TextReply>> {
+    const { method, path, fresh, signal } = options;
+    const body = options.body ?? "";
+    const headers = body === ""
+        ? {}
+        : { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
+    const ready = await connections.connect(endpoint, { method, path, fresh, signal, headers });
+    if (ready.isLeft()) {
+        return Left(ready.extract());
+    }
+    const { req } = ready.unsafeCoerce();
+    return new Promise(resolve => {
+        const finish = (result: Either<TextError, TextReply>) => {
+            timer.dispose();
+            signal.removeEventListener("abort", aborted);
+            if (result.isLeft()) {
+                req.destroy();
+            }
+            resolve(result);
+        };
+        const broken = (message: string) => finish(Left({ kind: "broken", message }));
+        const aborted = () => broken("aborted");
+        const timer = options.clock.setTimer(options.timeoutMs, () => broken(`no reply in ${options.timeoutMs} ms`));
+        signal.addEventListener("abort", aborted);
+        req.on("error", err => broken(err.message));
+        req.on("response", res => {
+            const chunks: Buffer[] = [];
+            let bytes = 0;
+            res.on("data", (chunk: Buffer) => {
+                bytes += chunk.length;
+                chunks.push(chunk);
+                if (bytes > maxReplyBytes) {
+                    broken("the reply is too long");
+                }
+            });
+            res.on("error", err => broken(err.message));
+            res.on("close", () => broken("the reply was cut short"));
+            res.on("end", () => {
+                if (res.complete) {
+                    finish(Right({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") }));
+                }
+            });
+        });
+        req.end(body);
+    });
+}
--- /dev/null
+++ b/src/endpoints/StageExchange.ts
@@ -0,0 +1,177 @@
+/**
+ * The part of a stage call that happens on a connected socket: the request is written, and the reply is read under
+ * bounds on the first byte and on gaps, which are independent of the request's deadline.
+ */
+import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Clock, Disposable } from "../common/Types.js";
+import { EventStreamReader, readWholeReply, type WholeOutput } from "./ReplyReader.js";
+import type { StageCall, StageCallError } from "./Types.js";
+import { refusalSchema } from "./Wire.js";
+
+/** Bound on a whole reply, in bytes. */
+const maxReplyBytes = 67_108_864;
+const statusOk = 200;
+const statusFailed = 422;
+const statusRefused = 503;
+
+export interface ExchangeBounds {
+    readonly firstByteMs: number;
+    readonly gapMs: number;
+    /** On the local monotonic clock. */
+    readonly deadlineMs: number;
+}
+
+export interface ExchangeOptions {
+    readonly call: StageCall;
+    readonly req: ClientRequest;
+    readonly reused: boolean;
+    readonly body: string;
+    readonly bounds: ExchangeBounds;
+    readonly clock: Clock;
+    readonly signal: AbortSignal;
+    readonly onOutput: ((offset: number, text: string) => void) | undefined;
+}
+
+export interface ExchangeEnd {
+    readonly result: { readonly whole: WholeOutput; } | { readonly error: StageCallError; };
+    readonly firstByteMs: number | undefined;
+    readonly incarnation: string | undefined;
+    /** True when the connection gave nothing for too long. */
+    readonly silent: boolean;
+}
+
+export class StageExchange {
+    private readonly reader: EventStreamReader;
+    private readonly sentAtMs: number;
+    private firstByteMs: number | undefined;
+    private quietTimer: Disposable | undefined;
+    private readonly deadlineTimer: Disposable;
+    private finished = false;
+    private resolve: (end: ExchangeEnd) => void = () => undefined;
+
+    public constructor(private readonly options: ExchangeOptions) {
+        this.reader = new EventStreamReader(options.call, options.onOutput);
+        this.sentAtMs = options.clock.nowMs();
+        const leftMs = Math.max(0, options.bounds.deadlineMs - this.sentAtMs);
+        this.deadlineTimer = options.clock.setTimer(
+            leftMs,
+            () => this.fail(this.lost("the deadline has passed", false)),
+        );
+    }
+
+    /** Writes the request and reads the reply. */
+    public run(): Promise<ExchangeEnd> {
+        const { req, signal, body, bounds } = this.options;
+        return new Promise(resolve => {
+            this.resolve = resolve;
+            signal.addEventListener("abort", this.onAbort);
+            req.on("error", err => this.broken(err.message));
+            req.on("close", () => this.broken("the connection was closed"));
+            req.on("response", res => this.read(res));
+            this.expectWithin(bounds.firstByteMs);
+            req.end(body);
+        });
+    }
+
+    private readonly onAbort = () => this.fail({ kind: "cancelled", message: "cancelled" });
+
+    private read(res: IncomingMessage): void {
+        const streams = res.headers["content-type"]?.startsWith("text/event-stream") === true;
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        res.on("data", (chunk: Buffer) => {
+            this.firstByteMs ??= this.options.clock.nowMs() - this.sentAtMs;
+            this.expectWithin(this.options.bounds.gapMs);
+            bytes += chunk.length;
+            if (!streams) {
+                chunks.push(chunk);
+            }
+            const bad = streams ? this.reader.write(chunk) : undefined;
+            if (bad !== undefined || bytes > maxReplyBytes) {
+                this.fail(bad ?? { kind: "bad-reply", message: "the reply is too long" });
+            }
+        });
+        res.on("error", err => this.broken(err.message));
+        res.on("close", () => this.broken("the reply was cut short"));
+        res.on("end", () => {
+            if (res.complete) {
+                this.end(res.statusCode ?? 0, streams, Buffer.concat(chunks).toString("utf8"));
+            }
+        });
+    }
+
+    private end(status: number, streams: boolean, text: string): void {
+        if (status === statusOk && streams) {
+            const { whole } = this.reader;
+            return whole === undefined
+                ? this.fail(this.lost("the stream ended without its end event", false))
+                : this.finish({ whole });
+        }
+        if (status === statusOk) {
+            return readWholeReply(this.options.call, text).caseOf({
+                Left: bad => this.fail(bad),
+                Right: whole => this.finish({ whole }),
+            });
+        }
+        this.fail(errorOf(status, text));
+    }
+
+    private lost(message: string, crashed: boolean): StageCallError {
+        return { kind: "lost", message, crashed, received: this.reader.received };
+    }
+
+    /** A reset on a reused connection before any byte may just be the endpoint closing an idle connection. */
+    private broken(message: string): void {
+        const maybeIdle = this.options.reused && this.firstByteMs === undefined;
+        this.fail(this.lost(message, !maybeIdle));
+    }
+
+    private expectWithin(boundMs: number): void {
+        this.quietTimer?.dispose();
+        if (!this.finished) {
+            this.quietTimer = this.options.clock.setTimer(boundMs, () => {
+                this.finish({ error: this.lost(`nothing came for ${boundMs} ms`, false) }, true);
+            });
+        }
+    }
+
+    private fail(error: StageCallError): void {
+        this.finish({ error });
+    }
+
+    private finish(result: ExchangeEnd["result"], silent: boolean = false): void {
+        if (this.finished) {
+            return;
+        }
+        this.finished = true;
+        this.quietTimer?.dispose();
+        this.deadlineTimer.dispose();
+        this.options.signal.removeEventListener("abort", this.onAbort);
+        if ("error" in result && result.error.kind !== "refused" && result.error.kind !== "stage-error") {
+            this.options.req.destroy();
+        }
+        const incarnation = "whole" in result ? result.whole.incarnation : this.reader.incarnation;
+        this.resolve({ result, firstByteMs: this.firstByteMs, incarnation, silent });
+    }
+}
+
+function errorOf(status: number, text: string): StageCallError {
+    const refusal = parseRefusal(text);
+    if (status === statusRefused && refusal !== undefined) {
+        return { kind: "refused", message: refusal.message, state: refusal.state };
+    }
+    if (status === statusFailed && refusal !== undefined) {
+        return { kind: "stage-error", message: refusal.message };
+    }
+    return { kind: "bad-reply", message: `status ${status}` };
+}
+
+function parseRefusal(text: string) {
+    try {
+        const parsed = refusalSchema.safeParse(JSON.parse(text));
+        return parsed.success ? parsed.data : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -4,9 +4,17 @@
  */
 import * as http from "node:http";
 
-/** A request failed; `delivered` is false only when no connection was made, `refused` is true after a 401. */
+/**
+ * A request failed; `delivered` is false only when no connection was made, `refused` is true after a 401, and
+ * `notListening` when the connection was refused, so that no process listens there.
+ */
 export class HttpFetchError extends Error {
-    public constructor(message: string, public readonly delivered: boolean, public readonly refused: boolean = false) {
+    public constructor(
+        message: string,
+        public readonly delivered: boolean,
+        public readonly refused: boolean = false,
+        public readonly notListening: boolean = false,
+    ) {
         super(message);
         this.name = "HttpFetchError";
     }
@@ -45,9 +53,9 @@
             headers: init.headers as http.OutgoingHttpHeaders,
         });
         const abort = () => req.destroy(new Error("aborted"));
-        const fail = (err: Error) => {
+        const fail = (err: NodeJS.ErrnoException) => {
             signal?.removeEventListener("abort", abort);
-            reject(new HttpFetchError(err.message, connected));
+            reject(new HttpFetchError(err.message, connected, false, !connected && err.code === "ECONNREFUSED"));
         };
         req.on("socket", socket => {
             connected = !socket.connecting;
--- a/src/peer/TrpcPeerTransport.ts
+++ b/src/peer/TrpcPeerTransport.ts
@@ -137,7 +137,7 @@
 function peerErrorOf(err: unknown): PeerError {
     const cause = err instanceof TRPCClientError ? err.cause : undefined;
     if (cause instanceof HttpFetchError && !cause.delivered) {
-        return { kind: "unreachable", message: cause.message };
+        return { kind: "unreachable", message: cause.message, refused: cause.notListening };
     }
     if (cause instanceof HttpFetchError && cause.refused) {
         return { kind: "rejected", message: cause.message };
