Records over a replicated log: claims, jobs, crash marks

Cause: non-idempotent calls, long jobs and requests that crash endpoints need state that outlives a host, and hosts without a replica can only propose.

The state reads no clock: leases go by beats that an observer has seen unchanged for a lease on its own clock, retention by group time carried in the commands. Each try has a ticket that is closed once decided, so that a command that is late or doubled does nothing. testing/FakeLog loses, delays, doubles and refuses proposals, and holds two replicas against each other.

--- /dev/null
+++ b/src/records/ClaimTable.ts
@@ -0,0 +1,188 @@
+/**
+ * Claims of calls that may run at most once. A key has one claim, and a claim has one ticket: whoever holds the ticket
+ * is the only sender. The claim goes away when that sender gives it up unsent, or when its outcome has been kept for
+ * the retention time.
+ */
+import { invariant } from "../common/Invariant.js";
+import type { RequestId } from "../common/Types.js";
+import { type BodyOf, type ClaimReply, type CommonReply, type KeyText, type SessionId } from "./Commands.js";
+import { sessionText, type Ticket, ticketText } from "./Commands.js";
+import { ExpiryQueue } from "./ExpiryQueue.js";
+import type { SessionTable } from "./SessionTable.js";
+import type { RecordedOutcome } from "./Types.js";
+
+interface ClaimRecord {
+    readonly key: KeyText;
+    readonly digest: string;
+    readonly request: string;
+    readonly ticket: Ticket;
+    readonly retentionMs: number;
+    /** Undefined while the claim runs. */
+    readonly outcome: RecordedOutcome | undefined;
+    /** True when the sender itself recorded the outcome, false when it was given up for lost. */
+    readonly bySender: boolean;
+    /** Group time at which an ended claim is forgotten, in milliseconds. */
+    readonly forgetAtMs: number;
+}
+
+export interface ClaimTableSnapshot {
+    readonly claims: readonly ClaimRecord[];
+    readonly ended: ReturnType<ExpiryQueue<KeyText>["snapshot"]>;
+}
+
+const lostMessage = "the host that sent the call was lost before it recorded the outcome";
+
+export class ClaimTable {
+    private readonly claims = new Map<string, Map<string, ClaimRecord>>();
+    private readonly running = new Map<string, ClaimRecord>();
+    private readonly ended = new ExpiryQueue<KeyText>();
+
+    public constructor(private readonly sessions: SessionTable) {}
+
+    /** Claims a key. Any other reply than "claimed" closes the ticket, so that a repeated command can't claim later. */
+    public claim(body: BodyOf<"claim">, nowMs: number): ClaimReply | CommonReply {
+        const reply = this.tryClaim(body, nowMs);
+        if (reply.kind !== "claimed") {
+            this.sessions.close(body.ticket);
+        }
+        return reply;
+    }
+
+    public look(key: KeyText): ClaimReply {
+        const known = this.find(key);
+        return known === undefined ? { kind: "none" } : this.describe(known);
+    }
+
+    /** Records the sender's outcome. It also takes the place of an outcome that was only given up for lost. */
+    public finish(body: BodyOf<"finish">, nowMs: number): CommonReply {
+        const known = this.find(body.key);
+        if (known === undefined || ticketText(known.ticket) !== ticketText(body.ticket)) {
+            return { kind: "refused", message: "the claim is not held" };
+        }
+        this.sessions.close(body.ticket);
+        if (!known.bySender) {
+            this.end({ ...known, retentionMs: body.retentionMs }, body.outcome, true, nowMs);
+        }
+        return { kind: "done" };
+    }
+
+    /** Gives a claim up whose call was never sent. Closes the ticket also when its claim is still on the way. */
+    public release(body: BodyOf<"release">): CommonReply {
+        this.sessions.close(body.ticket);
+        const known = this.find(body.key);
+        if (known === undefined || ticketText(known.ticket) !== ticketText(body.ticket)) {
+            return { kind: "done" };
+        }
+        if (known.bySender) {
+            return { kind: "refused", message: "the claim's outcome was recorded" };
+        }
+        this.remove(known);
+        return { kind: "done" };
+    }
+
+    /** Records for every running claim of a session that its outcome is unknown. */
+    public endSession(session: SessionId, nowMs: number): void {
+        const name = sessionText(session);
+        for (const claim of [...this.running.values()]) {
+            if (sessionText(claim.ticket.session) === name) {
+                this.end(claim, { kind: "unknown", message: lostMessage }, false, nowMs);
+            }
+        }
+    }
+
+    /** Forgets claims whose retention is over, at most `most` of them. */
+    public sweep(nowMs: number, most: number): void {
+        for (let taken = 0; taken < most; taken++) {
+            const key = this.ended.takeDue(nowMs);
+            if (key === undefined) {
+                return;
+            }
+            const known = this.find(key);
+            if (known?.outcome !== undefined && known.forgetAtMs <= nowMs) {
+                this.remove(known);
+            }
+        }
+    }
+
+    public count(workspace: string): number {
+        return this.claims.get(workspace)?.size ?? 0;
+    }
+
+    public snapshot(): ClaimTableSnapshot {
+        const claims = [...this.claims.values()].flatMap(one => [...one.values()]);
+        return { claims, ended: this.ended.snapshot() };
+    }
+
+    public restore(snapshot: ClaimTableSnapshot): void {
+        this.claims.clear();
+        this.running.clear();
+        this.ended.restore(snapshot.ended);
+        for (const claim of snapshot.claims) {
+            this.put(claim);
+        }
+    }
+
+    private tryClaim(body: BodyOf<"claim">, nowMs: number): ClaimReply | CommonReply {
+        const known = this.find(body.key);
+        if (known === undefined) {
+            return this.insert(body, nowMs);
+        }
+        if (ticketText(known.ticket) === ticketText(body.ticket) && known.outcome === undefined) {
+            return { kind: "claimed" };
+        }
+        return known.digest === body.digest ? this.describe(known) : { kind: "key-reused" };
+    }
+
+    private insert(body: BodyOf<"claim">, nowMs: number): ClaimReply | CommonReply {
+        if (!this.sessions.isOpen(body.ticket)) {
+            return { kind: "ticket-closed" };
+        }
+        if (this.count(body.key.workspace) >= body.limit) {
+            const retryAfterMs = Math.max(fullRetryMs, (this.ended.nextMs ?? nowMs) - nowMs);
+            return { kind: "full", retryAfterMs };
+        }
+        const { key, digest, request, ticket, retentionMs } = body;
+        invariant(this.find(key) === undefined, "a claim has at most one sender", { key, ticket });
+        this.put({ key, digest, request, ticket, retentionMs, outcome: undefined, bySender: false, forgetAtMs: 0 });
+        return { kind: "claimed" };
+    }
+
+    private end(claim: ClaimRecord, outcome: RecordedOutcome, bySender: boolean, nowMs: number): void {
+        invariant(!claim.bySender, "a sender's outcome is recorded once", { key: claim.key });
+        const forgetAtMs = nowMs + claim.retentionMs;
+        this.put({ ...claim, outcome, bySender, forgetAtMs });
+        this.ended.add(claim.key, forgetAtMs);
+    }
+
+    private describe(claim: ClaimRecord): ClaimReply {
+        if (claim.outcome !== undefined) {
+            return { kind: "recorded", outcome: claim.outcome };
+        }
+        const holder = this.sessions.beatOf(claim.ticket.session);
+        return { kind: "running", request: claim.request as RequestId, holder };
+    }
+
+    private find(key: KeyText): ClaimRecord | undefined {
+        return this.claims.get(key.workspace)?.get(key.key);
+    }
+
+    private put(claim: ClaimRecord): void {
+        const { workspace, key } = claim.key;
+        const ofWorkspace = this.claims.get(workspace) ?? new Map<string, ClaimRecord>();
+        this.claims.set(workspace, ofWorkspace.set(key, claim));
+        if (claim.outcome === undefined) {
+            this.running.set(ticketText(claim.ticket), claim);
+        }
+        else {
+            this.running.delete(ticketText(claim.ticket));
+        }
+    }
+
+    private remove(claim: ClaimRecord): void {
+        this.claims.get(claim.key.workspace)?.delete(claim.key.key);
+        this.running.delete(ticketText(claim.ticket));
+    }
+}
+
+/** The least that a caller is asked to wait when a workspace is full, in milliseconds. */
+const fullRetryMs = 1000;
--- /dev/null
+++ b/src/records/HeldJob.ts
@@ -0,0 +1,132 @@
+/**
+ * The lease of one job on this host. It lives while the host's session does and the group names the job among those
+ * that the session holds.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import { invariant } from "../common/Invariant.js";
+import type { Clock, Disposable } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { RecordsBody } from "./Commands.js";
+import type { RecordsClient } from "./RecordsClient.js";
+import type { JobLease, JobRecord, RecordsError } from "./Types.js";
+
+/** What a lease needs of {@link ReplicatedJobs}. */
+export interface LeaseOwner {
+    /** Called once, when the lease is over. */
+    leaseEnded(lease: HeldJob): void;
+    readonly jobRetentionMs: number;
+}
+
+export class HeldJob implements JobLease {
+    private readonly abort = new AbortController();
+    private readonly journalled = new Map<string, string>();
+    private ended = false;
+    private expiry: Disposable | undefined;
+
+    public constructor(
+        private readonly client: RecordsClient,
+        private readonly clock: Clock,
+        private readonly events: EventLog,
+        private readonly owner: LeaseOwner,
+        public readonly job: JobRecord,
+        /** Place in the log of the command that took the job. */
+        public readonly takenAt: number,
+    ) {
+        for (const [stage, output] of Object.entries(job.stages)) {
+            this.journalled.set(stage, output);
+        }
+        client.hold();
+        this.watchExpiry();
+    }
+
+    public get live(): boolean {
+        return !this.ended && this.clock.nowMs() < this.client.liveUntilMs;
+    }
+
+    public get signal(): AbortSignal {
+        return this.abort.signal;
+    }
+
+    public async journal(stage: string, output: string): Promise<Either<RecordsError, void>> {
+        invariant(!this.journalled.has(stage), "a stage result is journalled once", { job: this.job.id, stage });
+        this.journalled.set(stage, output);
+        const { id, run } = this.job;
+        const result = await this.command({ kind: "journal", id, run, stage, output });
+        this.events.event(EventId.JobJournalled, { job: id, run, stage, recorded: result.isRight() });
+        return result;
+    }
+
+    public async finish(state: "answered" | "failed" | "unknown", text: string): Promise<Either<RecordsError, void>> {
+        const { id, run } = this.job;
+        const retentionMs = this.owner.jobRetentionMs;
+        const result = await this.command({ kind: "end-job", id, run, state, text, retentionMs });
+        this.events.event(EventId.JobEnded, { job: id, run, state, recorded: result.isRight() });
+        if (result.isRight()) {
+            this.end();
+        }
+        return result;
+    }
+
+    public async handBack(): Promise<void> {
+        const { id, run } = this.job;
+        const body = { kind: "hand-back", id, run } as const;
+        this.lose("handed back");
+        const sent = await this.client.send(body, handBackMs);
+        sent.ifLeft(() => this.client.settle(body));
+    }
+
+    /** Ends the lease because the group or this host's clock says so; whatever runs for the job is aborted. */
+    public lose(reason: string): void {
+        if (this.ended) {
+            return;
+        }
+        this.events.event(EventId.JobLeaseLost, { job: this.job.id, run: this.job.run, reason });
+        this.end();
+        this.abort.abort();
+    }
+
+    private end(): void {
+        if (!this.ended) {
+            this.ended = true;
+            this.expiry?.dispose();
+            this.client.drop();
+            this.owner.leaseEnded(this);
+        }
+    }
+
+    /** Sends a command of this run for as long as the lease lives. */
+    private async command(body: RecordsBody): Promise<Either<RecordsError, void>> {
+        let unanswered = false;
+        while (this.live) {
+            const sent = await this.client.send(body, Math.max(1, this.client.liveUntilMs - this.clock.nowMs()));
+            if (sent.isRight()) {
+                const { reply } = sent.extract() as { reply: { kind: string; message?: string; }; };
+                return reply.kind === "refused" ? this.refused(reply.message ?? "") : Right(undefined);
+            }
+            unanswered = unanswered || (sent.extract() as RecordsError).kind === "unknown";
+        }
+        return Left({ kind: unanswered ? "unknown" : "not-recorded", message: "the job's lease was lost" });
+    }
+
+    private refused(message: string): Either<RecordsError, void> {
+        this.lose(message);
+        return Left({ kind: "not-recorded", message });
+    }
+
+    /** Aborts the job when the session was not renewed in time. */
+    private watchExpiry(): void {
+        if (this.ended) {
+            return;
+        }
+        const leftMs = this.client.liveUntilMs - this.clock.nowMs();
+        if (leftMs <= 0) {
+            this.lose("not renewed in time");
+            return;
+        }
+        this.expiry = this.clock.setTimer(leftMs, () => this.watchExpiry());
+    }
+}
+
+/** How long a hand-back waits for its commit before it goes on in the background, in milliseconds. */
+const handBackMs = 1000;
--- /dev/null
+++ b/src/records/JobTable.ts
@@ -0,0 +1,306 @@
+/**
+ * Jobs, their journals and who runs them. Each time a job is taken its run number rises, and a command that names an
+ * older run changes nothing; so a runner that lost its lease without noticing can't write into the job.
+ */
+import { invariant } from "../common/Invariant.js";
+import type { JobId } from "../common/Types.js";
+import { asHost, asIds, type BodyOf, type CommonReply, type HolderBeat, type JobReply } from "./Commands.js";
+import { type SessionId, sessionText, type Ticket, ticketText } from "./Commands.js";
+import { ExpiryQueue } from "./ExpiryQueue.js";
+import type { SessionTable } from "./SessionTable.js";
+import type { JobRecord, JobState } from "./Types.js";
+
+interface StoredJob {
+    readonly id: string;
+    readonly workspace: string;
+    readonly pipeline: string;
+    readonly input: unknown;
+    readonly state: JobState;
+    readonly stages: Readonly<Record<string, string>>;
+    /** The ticket with which the job was taken; undefined unless it runs. */
+    readonly ticket: Ticket | undefined;
+    readonly run: number;
+    readonly answer: string | undefined;
+    readonly message: string | undefined;
+    /** Group time at which an ended job is forgotten, in milliseconds. */
+    readonly forgetAtMs: number;
+}
+
+export interface JobTableSnapshot {
+    readonly jobs: readonly StoredJob[];
+    readonly queued: readonly string[];
+    readonly ended: ReturnType<ExpiryQueue<string>["snapshot"]>;
+}
+
+export class JobTable {
+    private readonly jobs = new Map<string, StoredJob>();
+    private readonly running = new Map<string, StoredJob>();
+    /** Ids of queued jobs, the longest waiting first. */
+    private readonly queued = new Set<string>();
+    private readonly counts = new Map<string, number>();
+    private readonly ended = new ExpiryQueue<string>();
+
+    public constructor(private readonly sessions: SessionTable) {}
+
+    public submit(body: BodyOf<"submit">, nowMs: number): JobReply | CommonReply {
+        const known = this.jobs.get(body.id);
+        if (known !== undefined) {
+            return sameContent(known, body)
+                ? this.reply(known)
+                : { kind: "refused", message: "the job id was used with other content" };
+        }
+        if ((this.counts.get(body.workspace) ?? 0) >= body.limit) {
+            return { kind: "full", retryAfterMs: Math.max(fullRetryMs, (this.ended.nextMs ?? nowMs) - nowMs) };
+        }
+        const job = newJob(body);
+        this.put(job);
+        this.queued.add(job.id);
+        this.counts.set(job.workspace, (this.counts.get(job.workspace) ?? 0) + 1);
+        return this.reply(job);
+    }
+
+    /** Gives a queued job to a ticket, and closes the ticket. Chosen is, of the workspace with the fewest running jobs, the longest waiting one. */
+    public take(ticket: Ticket): JobReply | CommonReply {
+        const taken = this.takenWith(ticket);
+        if (taken !== undefined) {
+            return this.reply(taken);
+        }
+        if (!this.sessions.isOpen(ticket)) {
+            return { kind: "ticket-closed" };
+        }
+        this.sessions.close(ticket);
+        const next = this.nextQueued();
+        if (next === undefined) {
+            return this.reply(undefined);
+        }
+        invariant(!this.running.has(next.id), "a job has at most one runner", { job: next.id });
+        const job: StoredJob = { ...next, state: "running", run: next.run + 1, ticket };
+        this.queued.delete(job.id);
+        this.put(job);
+        return this.reply(job);
+    }
+
+    /** Undoes a take whose reply was lost, and closes its ticket. */
+    public giveBack(ticket: Ticket): CommonReply {
+        this.sessions.close(ticket);
+        const taken = this.takenWith(ticket);
+        if (taken !== undefined) {
+            this.requeue(taken);
+        }
+        return { kind: "done" };
+    }
+
+    /** Records a stage result. A stage has one result for ever. */
+    public journal(body: BodyOf<"journal">): CommonReply {
+        const job = this.running.get(body.id);
+        if (job === undefined || job.run !== body.run) {
+            return { kind: "refused", message: "the job's lease is not held" };
+        }
+        const known = job.stages[body.stage];
+        if (known !== undefined) {
+            return known === body.output
+                ? { kind: "done" }
+                : { kind: "refused", message: "the stage has another result already" };
+        }
+        this.put({ ...job, stages: { ...job.stages, [body.stage]: body.output } });
+        return { kind: "done" };
+    }
+
+    public endJob(body: BodyOf<"end-job">, nowMs: number): CommonReply {
+        const job = this.jobs.get(body.id);
+        if (job?.state === body.state && job.run === body.run) {
+            return { kind: "done" };
+        }
+        if (job === undefined || job.state !== "running" || job.run !== body.run) {
+            return { kind: "refused", message: "the job's lease is not held" };
+        }
+        const answered = body.state === "answered";
+        const text = { answer: answered ? body.text : undefined, message: answered ? undefined : body.text };
+        this.end({ ...job, ...text, state: body.state }, nowMs + body.retentionMs);
+        return { kind: "done" };
+    }
+
+    public handBack(id: string, run: number): CommonReply {
+        const job = this.running.get(id);
+        if (job?.run === run) {
+            this.requeue(job);
+        }
+        return { kind: "done" };
+    }
+
+    public cancel(body: BodyOf<"cancel">, nowMs: number): JobReply {
+        const job = this.jobs.get(body.id);
+        if (job?.state === "queued" || job?.state === "running") {
+            this.queued.delete(job.id);
+            this.end({ ...job, state: "cancelled" }, nowMs + body.retentionMs);
+        }
+        return this.get(body.id);
+    }
+
+    public get(id: string): JobReply {
+        return this.reply(this.jobs.get(id));
+    }
+
+    /** Lists jobs, the latest first and at most {@link listLimit}, without their inputs and outputs. */
+    public list(workspace: string | undefined): JobReply {
+        const all = [...this.jobs.values()].filter(job => workspace === undefined || job.workspace === workspace);
+        const jobs = all.reverse().slice(0, listLimit).map(job => ({
+            ...toRecord(job),
+            input: null,
+            stages: {},
+            answer: undefined,
+        }));
+        return { kind: "jobs", jobs };
+    }
+
+    public heldBy(session: SessionId): JobReply {
+        const name = sessionText(session);
+        const jobs = [...this.running.values()]
+            .filter(job => job.ticket !== undefined && sessionText(job.ticket.session) === name)
+            .map(job => ({ id: job.id as JobId, run: job.run }));
+        return { kind: "held", jobs };
+    }
+
+    /** Puts every job of a session back into the queue. */
+    public endSession(session: SessionId): void {
+        const name = sessionText(session);
+        for (const job of [...this.running.values()]) {
+            if (job.ticket !== undefined && sessionText(job.ticket.session) === name) {
+                this.requeue(job);
+            }
+        }
+    }
+
+    /** Sessions that hold jobs. */
+    public holders(): readonly HolderBeat[] {
+        const sessions = new Map<string, SessionId>();
+        for (const { ticket } of this.running.values()) {
+            if (ticket !== undefined) {
+                sessions.set(sessionText(ticket.session), ticket.session);
+            }
+        }
+        return [...sessions.values()].map(session => this.sessions.beatOf(session));
+    }
+
+    public get hasQueued(): boolean {
+        return this.queued.size > 0;
+    }
+
+    /** Forgets jobs whose retention is over, at most `most` of them. */
+    public sweep(nowMs: number, most: number): void {
+        for (let taken = 0; taken < most; taken++) {
+            const id = this.ended.takeDue(nowMs);
+            if (id === undefined) {
+                return;
+            }
+            const job = this.jobs.get(id);
+            if (job !== undefined) {
+                this.jobs.delete(id);
+                this.counts.set(job.workspace, (this.counts.get(job.workspace) ?? 1) - 1);
+            }
+        }
+    }
+
+    public snapshot(): JobTableSnapshot {
+        return { jobs: [...this.jobs.values()], queued: [...this.queued], ended: this.ended.snapshot() };
+    }
+
+    public restore(snapshot: JobTableSnapshot): void {
+        this.jobs.clear();
+        this.running.clear();
+        this.counts.clear();
+        this.queued.clear();
+        for (const job of snapshot.jobs) {
+            this.put(job);
+            this.counts.set(job.workspace, (this.counts.get(job.workspace) ?? 0) + 1);
+        }
+        for (const id of snapshot.queued) {
+            this.queued.add(id);
+        }
+        this.ended.restore(snapshot.ended);
+    }
+
+    private nextQueued(): StoredJob | undefined {
+        const running = new Map<string, number>();
+        for (const job of this.running.values()) {
+            running.set(job.workspace, (running.get(job.workspace) ?? 0) + 1);
+        }
+        let best: StoredJob | undefined;
+        for (const id of this.queued) {
+            const job = this.jobs.get(id);
+            const load = job === undefined ? 0 : running.get(job.workspace) ?? 0;
+            if (job !== undefined && (best === undefined || load < (running.get(best.workspace) ?? 0))) {
+                best = job;
+            }
+            if (best !== undefined && (running.get(best.workspace) ?? 0) === 0) {
+                break;
+            }
+        }
+        return best;
+    }
+
+    private takenWith(ticket: Ticket): StoredJob | undefined {
+        const name = ticketText(ticket);
+        return [...this.running.values()].find(job => job.ticket !== undefined && ticketText(job.ticket) === name);
+    }
+
+    private requeue(job: StoredJob): void {
+        this.put({ ...job, state: "queued", ticket: undefined });
+        this.queued.add(job.id);
+    }
+
+    private end(job: StoredJob, forgetAtMs: number): void {
+        this.put({ ...job, ticket: undefined, forgetAtMs });
+        this.ended.add(job.id, forgetAtMs);
+    }
+
+    private put(job: StoredJob): void {
+        const before = this.jobs.get(job.id);
+        for (const [stage, output] of Object.entries(before?.stages ?? {})) {
+            invariant(job.stages[stage] === output, "a stage result is journalled once", { job: job.id, stage });
+        }
+        this.jobs.set(job.id, job);
+        if (job.state === "running") {
+            this.running.set(job.id, job);
+        }
+        else {
+            this.running.delete(job.id);
+        }
+    }
+
+    private reply(job: StoredJob | undefined): JobReply {
+        return { kind: "job", job: job === undefined ? undefined : toRecord(job), holders: this.holders() };
+    }
+}
+
+function newJob(body: BodyOf<"submit">): StoredJob {
+    return {
+        id: body.id,
+        workspace: body.workspace,
+        pipeline: body.pipeline,
+        input: body.input,
+        state: "queued",
+        stages: {},
+        ticket: undefined,
+        run: 0,
+        answer: undefined,
+        message: undefined,
+        forgetAtMs: 0,
+    };
+}
+
+function sameContent(job: StoredJob, body: BodyOf<"submit">): boolean {
+    return job.workspace === body.workspace && job.pipeline === body.pipeline
+        && JSON.stringify(job.input) === JSON.stringify(body.input);
+}
+
+function toRecord(job: StoredJob): JobRecord {
+    const { input, state, stages, run, answer, message } = job;
+    const runner = job.ticket === undefined ? undefined : asHost(job.ticket.session);
+    return { ...asIds(job), input, state, stages, runner, run, answer, message };
+}
+
+/** Jobs in one listing. */
+const listLimit = 1000;
+/** The least that a caller is asked to wait when a workspace is full, in milliseconds. */
+const fullRetryMs = 1000;
--- /dev/null
+++ b/src/records/ReplicatedQuarantine.test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type RecordsHost, RecordsHosts } from "../../testing/RecordsHosts.js";
+
+type Report = "shared" | "alone" | "innocent" | "pardon";
+
+const histories: { reports: Report[]; state: "clear" | "suspect" | "quarantined"; }[] = [
+    { reports: ["shared"], state: "suspect" },
+    { reports: ["alone"], state: "suspect" },
+    { reports: ["shared", "shared"], state: "suspect" },
+    { reports: ["shared", "alone"], state: "quarantined" },
+    { reports: ["alone", "alone"], state: "quarantined" },
+    { reports: ["shared", "innocent"], state: "clear" },
+    { reports: ["shared", "innocent", "alone"], state: "suspect" },
+    { reports: ["shared", "alone", "innocent"], state: "quarantined" },
+    { reports: ["shared", "alone", "pardon"], state: "clear" },
+];
+
+async function report(site: RecordsHosts, host: RecordsHost, what: Report, fingerprint: string): Promise<void> {
+    const { quarantine } = host;
+    const sent = what === "innocent"
+        ? quarantine.reportInnocent(fingerprint)
+        : what === "pardon"
+        ? quarantine.pardon(fingerprint, 1000)
+        : quarantine.reportCrash(fingerprint, what === "alone");
+    assert.ok((await site.until(sent)).isRight());
+}
+
+function stateOn(host: RecordsHost, fingerprint: string): string {
+    const { quarantine } = host;
+    return quarantine.isQuarantined(fingerprint)
+        ? "quarantined"
+        : quarantine.isSuspect(fingerprint)
+        ? "suspect"
+        : "clear";
+}
+
+for (const { reports, state } of histories) {
+    test(`${reports.join(", ")} leaves the request ${state} on every host`, async () => {
+        const site = new RecordsHosts();
+        const hosts = [site.start("a"), site.start("b", true), site.start("c")];
+        for (const [turn, what] of reports.entries()) {
+            await report(site, hosts[turn % 2]!, what, "f");
+            await site.clock.advance(2500);
+        }
+        assert.deepEqual(hosts.map(host => stateOn(host, "f")), [state, state, state]);
+        assert.deepEqual(hosts.map(host => stateOn(host, "g")), ["clear", "clear", "clear"]);
+        site.group.checkReplicas();
+        site.stop();
+    });
+}
+
+test("one crash whose report is repeated counts once", async () => {
+    const site = new RecordsHosts();
+    const a = site.start("a");
+    await site.clock.advance(100);
+    site.group.script.push("doubled", "lost-answer", "doubled");
+    await report(site, a, "alone", "f");
+    await site.clock.advance(5000);
+    assert.equal(stateOn(a, "f"), "suspect");
+    assert.deepEqual(a.quarantine.list().map(mark => mark.crashes), [1]);
+    site.stop();
+});
+
+test("a crash is known on its own host at once and reported when the group is there again", async () => {
+    const site = new RecordsHosts();
+    const [a, b] = [site.start("a"), site.start("b")];
+    site.group.hasQuorum = false;
+    const reported = a.quarantine.reportCrash("f", false);
+    assert.equal(stateOn(a, "f"), "suspect");
+    assert.ok((await site.until(reported)).isLeft());
+    site.group.heal();
+    await site.clock.advance(6000);
+    assert.equal(stateOn(b, "f"), "suspect");
+    site.stop();
+});
--- /dev/null
+++ b/src/records/ReplicatedQuarantine.ts
@@ -0,0 +1,136 @@
+/**
+ * Quarantine over the records group. Every host keeps a copy of the marks: it asks for changes when the result of any
+ * command names a newer version, and from time to time when it has sent none.
+ */
+import { type Either, Right } from "purify-ts";
+import type { Clock } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { BodyOf, CrashMark, MarksReply, Ticket } from "./Commands.js";
+import type { RecordsClient } from "./RecordsClient.js";
+import type { Fingerprint, Quarantine, RecordsError } from "./Types.js";
+
+export class ReplicatedQuarantine implements Quarantine {
+    public readonly name = "quarantine";
+    private readonly marks = new Map<Fingerprint, CrashMark>();
+    private version = 0;
+    private wake: (() => void) | undefined;
+
+    public constructor(
+        private readonly client: RecordsClient,
+        private readonly clock: Clock,
+        private readonly events: EventLog,
+    ) {
+        client.onResult(result => {
+            if (result.marksVersion > this.version) {
+                this.wake?.();
+            }
+        });
+    }
+
+    public isQuarantined(fingerprint: Fingerprint): boolean {
+        return this.marks.get(fingerprint)?.state === "quarantined";
+    }
+
+    public isSuspect(fingerprint: Fingerprint): boolean {
+        return this.marks.get(fingerprint)?.state === "suspect";
+    }
+
+    /** All marks that this host knows, for operators. */
+    public list(): readonly CrashMark[] {
+        return [...this.marks.values()].filter(mark => mark.state !== "clear");
+    }
+
+    public async reportCrash(fingerprint: Fingerprint, alone: boolean): Promise<Either<RecordsError, void>> {
+        this.markLocally(fingerprint, alone);
+        const ticket = this.reportId();
+        return this.report({ kind: "crash", ticket, fingerprint, alone, retentionMs: quarantineRetentionMs });
+    }
+
+    public async reportInnocent(fingerprint: Fingerprint): Promise<Either<RecordsError, void>> {
+        const ticket = this.reportId();
+        return this.report({ kind: "innocent", ticket, fingerprint });
+    }
+
+    /** Lets a request run again, on an operator's order. */
+    public async pardon(fingerprint: Fingerprint, timeoutMs: number): Promise<Either<RecordsError, void>> {
+        const sent = await this.client.send({ kind: "pardon", fingerprint }, timeoutMs);
+        await this.refresh();
+        return sent.map(() => undefined);
+    }
+
+    /** Keeps the copy fresh until the signal is aborted. */
+    public async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.refresh();
+            const woken = new AbortController();
+            const stop = () => woken.abort();
+            this.wake = stop;
+            signal.addEventListener("abort", stop);
+            await this.clock.sleep(refreshMs, woken.signal);
+            signal.removeEventListener("abort", stop);
+        }
+    }
+
+    /** Asks for the marks that have changed. */
+    public async refresh(): Promise<void> {
+        const reply = await this.client.query({ kind: "marks", since: this.version }, reportMs);
+        reply.ifRight(one => {
+            if (one.kind === "marks" && one.version > this.version) {
+                this.learn(one);
+            }
+        });
+    }
+
+    private learn(reply: MarksReply): void {
+        if (reply.reset) {
+            this.marks.clear();
+        }
+        for (const mark of reply.marks) {
+            if (mark.state === "clear") {
+                this.marks.delete(mark.fingerprint);
+            }
+            else {
+                this.marks.set(mark.fingerprint, mark);
+            }
+        }
+        this.version = reply.version;
+        this.events.event(EventId.MarksRefreshed, { version: this.version, marks: this.marks.size });
+    }
+
+    private async report(body: BodyOf<"crash" | "innocent">): Promise<Either<RecordsError, void>> {
+        const sent = await this.client.send(body, reportMs);
+        this.events.event(EventId.CrashReported, {
+            fingerprint: body.fingerprint,
+            report: body.kind,
+            recorded: sent.isRight(),
+        });
+        if (sent.isLeft()) {
+            this.client.settle(body);
+            return sent.map(() => undefined);
+        }
+        await this.refresh();
+        return Right(undefined);
+    }
+
+    /** Names a report, so that it counts once however often it is sent. */
+    private reportId(): Ticket {
+        const ticket = this.client.openTicket();
+        this.client.closeTicket(ticket);
+        return ticket;
+    }
+
+    /** Holds on this host at once, also while the group can't be reached. */
+    private markLocally(fingerprint: Fingerprint, alone: boolean): void {
+        const known = this.marks.get(fingerprint);
+        const state = known?.state === "quarantined" || (known !== undefined && alone) ? "quarantined" : "suspect";
+        this.marks.set(fingerprint, { fingerprint, state, crashes: (known?.crashes ?? 0) + 1, version: this.version });
+    }
+}
+
+/** How long a report waits for its commit before it goes on in the background, in milliseconds. */
+const reportMs = 1000;
+/** The copy of the marks is refreshed at least this often, in milliseconds. */
+const refreshMs = 2000;
+/** How long a mark is kept after the last crash, in milliseconds. */
+const quarantineRetentionMs = 86_400_000;
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -34,6 +34,18 @@
     EngineOrdered = 607,
     EngineOrderFailed = 608,
     // 7xx: records
+    RecordsSessionEnded = 700,
+    RecordsSessionExpired = 701,
+    ClaimMade = 702,
+    ClaimEnded = 703,
+    ClaimReleased = 704,
+    ClaimUnanswered = 705,
+    JobTaken = 710,
+    JobJournalled = 711,
+    JobEnded = 712,
+    JobLeaseLost = 713,
+    CrashReported = 720,
+    MarksRefreshed = 721,
     // 8xx: pipeline and routing
     RequestStarted = 800,
     RequestEnded = 801,
