Records: watch sessions from the replica, follow the group's latest session

Cause: a host with a replica asked the group for work every 50 ms while any job ran, and a host that restarted with a lower incarnation (its wall clock had gone back) would have been refused for ever.

Change: a replica is asked first whether a job waits, and shows the holders' beats; a reply to an ended session names the host's latest one, after which the client starts its next. GroupTime and SessionWatch are classes of their own.

--- a/src/records/ClaimTable.ts
+++ b/src/records/ClaimTable.ts
@@ -142,7 +142,6 @@
             return { kind: "full", retryAfterMs };
         }
         const { key, digest, request, ticket, retentionMs } = body;
-        invariant(this.find(key) === undefined, "a claim has at most one sender", { key, ticket });
         this.put({ key, digest, request, ticket, retentionMs, outcome: undefined, bySender: false, forgetAtMs: 0 });
         return { kind: "claimed" };
     }
@@ -168,6 +167,12 @@
 
     private put(claim: ClaimRecord): void {
         const { workspace, key } = claim.key;
+        const holder = this.find(claim.key)?.ticket;
+        invariant(
+            holder === undefined || ticketText(holder) === ticketText(claim.ticket),
+            "a claim has at most one sender",
+            { workspace, key },
+        );
         const ofWorkspace = this.claims.get(workspace) ?? new Map<string, ClaimRecord>();
         this.claims.set(workspace, ofWorkspace.set(key, claim));
         if (claim.outcome === undefined) {
--- a/src/records/Commands.ts
+++ b/src/records/Commands.ts
@@ -182,8 +182,10 @@
     readonly nowMs: number;
     /** Version of the crash marks, so that caches know when to refresh. */
     readonly marksVersion: number;
-    /** False when the sender's session was ended. */
-    readonly live: boolean;
+    /** Jobs that wait for a runner. */
+    readonly queuedJobs: number;
+    /** The sender's latest session, when the one that it named has ended; undefined while that one lives. */
+    readonly endedBy: SessionId | undefined;
     readonly reply: RecordsReply;
 }
 
--- a/src/records/HeldClaim.ts
+++ b/src/records/HeldClaim.ts
@@ -18,7 +18,7 @@
         private readonly ticket: Ticket,
         private readonly retentionMs: number,
     ) {
-        client.hold();
+        client.hold("claim");
     }
 
     public async finish(outcome: RecordedOutcome, timeoutMs: number): Promise<Either<RecordsError, void>> {
@@ -45,7 +45,7 @@
         }
         this.settled = true;
         const sent = await this.client.send(body, timeoutMs);
-        this.client.drop();
+        this.client.drop("claim");
         return sent.caseOf<Either<RecordsError, void>>({
             Left: error => {
                 this.client.settle(body);
--- a/src/records/HeldJob.ts
+++ b/src/records/HeldJob.ts
@@ -36,7 +36,7 @@
         for (const [stage, output] of Object.entries(job.stages)) {
             this.journalled.set(stage, output);
         }
-        client.hold();
+        client.hold("job");
         this.watchExpiry();
     }
 
@@ -90,7 +90,7 @@
         if (!this.ended) {
             this.ended = true;
             this.expiry?.dispose();
-            this.client.drop();
+            this.client.drop("job");
             this.owner.leaseEnded(this);
         }
     }
--- a/src/records/JobTable.ts
+++ b/src/records/JobTable.ts
@@ -182,8 +182,8 @@
         return [...sessions.values()].map(session => this.sessions.beatOf(session));
     }
 
-    public get hasQueued(): boolean {
-        return this.queued.size > 0;
+    public get queuedCount(): number {
+        return this.queued.size;
     }
 
     /** Forgets jobs whose retention is over, at most `most` of them. */
@@ -259,6 +259,7 @@
         for (const [stage, output] of Object.entries(before?.stages ?? {})) {
             invariant(job.stages[stage] === output, "a stage result is journalled once", { job: job.id, stage });
         }
+        invariant(job.run >= (before?.run ?? 0), "a job's run number never falls", { job: job.id });
         this.jobs.set(job.id, job);
         if (job.state === "running") {
             this.running.set(job.id, job);
--- a/src/records/RecordsClient.ts
+++ b/src/records/RecordsClient.ts
@@ -7,12 +7,14 @@
 import { Emitter } from "../common/Emitter.js";
 import { invariant } from "../common/Invariant.js";
 import type { Clock, Event, HostId, Incarnation } from "../common/Types.js";
-import type { ReplicatedLog } from "../replication/Types.js";
+import type { ProposeError, ReplicatedLog } from "../replication/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { HolderBeat, RecordsBody, RecordsCommand, RecordsReply, RecordsResult, SessionId } from "./Commands.js";
 import { sessionText, type Ticket, toJson } from "./Commands.js";
+import { GroupTime } from "./GroupTime.js";
 import type { QueryBody, RecordsState } from "./RecordsState.js";
+import { SessionWatch } from "./SessionWatch.js";
 import type { RecordsError } from "./Types.js";
 
 export interface RecordsClientOptions {
@@ -32,19 +34,21 @@
 }
 
 /** What the client needs of the local replica. */
-export type RecordsReplica = Pick<RecordsState, "query" | "hasWork" | "marksVersion">;
+export type RecordsReplica = Pick<RecordsState, "query" | "queuedJobs" | "marksVersion" | "jobHolders">;
+
+/** What a host holds in its session: a job's holder has to hear of each renewal, a claim's has not. */
+export type HoldKind = "claim" | "job";
 
 export class RecordsClient {
     public readonly name = "records";
-    private epoch = 1;
+    private current: SessionId;
     private nextSeq = 1;
     private readonly openSeqs = new Set<number>();
-    /** A group time that this host has seen, and when by its own clock. */
-    private seen: { readonly nowMs: number; readonly atMs: number; } | undefined;
     private heardAtMs = Number.NEGATIVE_INFINITY;
-    private holds = 0;
+    private readonly holds: Record<HoldKind, number> = { claim: 0, job: 0 };
     private readonly settling = new Set<RecordsBody>();
-    private readonly beats = new Map<string, { beat: number; sinceMs: number; }>();
+    private readonly time: GroupTime;
+    private readonly watched: SessionWatch;
     private readonly resultEmitter = new Emitter<RecordsResult>();
     private readonly sessionEmitter = new Emitter<SessionId>();
     private readonly renewEmitter = new Emitter<SentReply>();
@@ -54,8 +58,13 @@
         private readonly clock: Clock,
         private readonly events: EventLog,
         private readonly options: RecordsClientOptions,
-        private readonly replica?: RecordsReplica,
-    ) {}
+        /** The state machine that this host's member of the group applies to; undefined where there is none. */
+        public readonly replica?: RecordsReplica,
+    ) {
+        this.current = { host: options.host, incarnation: options.incarnation, epoch: 1 };
+        this.time = new GroupTime(clock);
+        this.watched = new SessionWatch(clock);
+    }
 
     /** Fires with the result of every command. */
     public readonly onResult: Event<RecordsResult> = this.resultEmitter.event;
@@ -65,7 +74,7 @@
     public readonly onRenewed: Event<SentReply> = this.renewEmitter.event;
 
     public get session(): SessionId {
-        return { host: this.options.host, incarnation: this.options.incarnation, epoch: this.epoch };
+        return this.current;
     }
 
     /** Until when the session is surely alive, on the local monotonic clock. */
@@ -73,19 +82,16 @@
         return this.heardAtMs + this.options.leaseMs * (1 - driftShare);
     }
 
-    public get replicaHasWork(): boolean {
-        return this.replica?.hasWork ?? true;
-    }
-
-    public get hasReplica(): boolean {
-        return this.replica !== undefined;
-    }
-
     /** Fires when entries were applied on this host. */
     public get onApplied(): Event<number> {
         return this.log.onApplied;
     }
 
+    /** Commands that wait to be settled. */
+    public get unsettled(): number {
+        return this.settling.size;
+    }
+
     /** Opens a ticket: a number that names one try for ever. It is closed with {@link closeTicket}. */
     public openTicket(): Ticket {
         const seq = this.nextSeq++;
@@ -95,19 +101,19 @@
 
     /** Declares a ticket decided. */
     public closeTicket(ticket: Ticket): void {
-        if (sessionText(ticket.session) === sessionText(this.session)) {
+        if (this.isCurrent(ticket.session)) {
             this.openSeqs.delete(ticket.seq);
         }
     }
 
     /** Keeps the session alive until {@link drop} is called as often. */
-    public hold(): void {
-        this.holds += 1;
+    public hold(kind: HoldKind): void {
+        this.holds[kind] += 1;
     }
 
-    public drop(): void {
-        this.holds -= 1;
-        invariant(this.holds >= 0, "a hold is dropped once");
+    public drop(kind: HoldKind): void {
+        this.holds[kind] -= 1;
+        invariant(this.holds[kind] >= 0, "a hold is dropped once", { kind });
     }
 
     /**
@@ -120,13 +126,14 @@
         let message = "no time was left";
         for (let leftMs = timeoutMs; leftMs > 0; leftMs = untilMs - this.clock.nowMs()) {
             const sentAtMs = this.clock.nowMs();
-            const command = toJson(this.envelope(body));
-            const result = await this.log.propose(command, Math.min(leftMs, attemptMs));
+            const command = this.envelope(body);
+            const result = await this.log.propose(toJson(command), Math.min(leftMs, attemptMs));
             if (result.isRight()) {
-                const { reply, index } = this.received(result.extract() as unknown as RecordsResult, sentAtMs, command);
+                const { reply, index } = result.extract() as unknown as RecordsResult;
+                this.received(result.extract() as unknown as RecordsResult, sentAtMs, command.session);
                 return Right({ reply, index, repeated: unanswered });
             }
-            const error = result.extract() as { kind: string; message: string; };
+            const error = result.extract() as ProposeError;
             unanswered = unanswered || error.kind === "unknown";
             message = error.message;
             await this.clock.sleep(Math.min(retryMs, Math.max(0, untilMs - this.clock.nowMs())));
@@ -136,10 +143,10 @@
 
     /** Asks without changing anything: the local replica after a read barrier, else the log. */
     public async query(body: QueryBody, timeoutMs: number): Promise<Either<RecordsError, RecordsReply>> {
-        if (this.replica === undefined) {
+        const replica = this.replica;
+        if (replica === undefined) {
             return (await this.send(body, timeoutMs)).map(sent => sent.reply);
         }
-        const replica = this.replica;
         const barrier = await this.log.readBarrier(timeoutMs);
         return barrier
             .map(() => replica.query(body))
@@ -151,35 +158,20 @@
         this.settling.add(body);
     }
 
-    /** Commands that wait to be settled. */
-    public get unsettled(): number {
-        return this.settling.size;
-    }
-
     /**
      * Notes a beat of another session, and asks for its end when it has not changed for a whole lease on this host's
      * clock. Resolves with true when the session was ended.
      */
     public async watch(holder: HolderBeat, timeoutMs: number): Promise<boolean> {
-        const name = sessionText(holder.session);
-        if (name === sessionText(this.session)) {
-            return false;
-        }
-        const nowMs = this.clock.nowMs();
-        const known = this.beats.get(name);
-        if (known === undefined || known.beat !== holder.beat) {
-            this.beats.set(name, { beat: holder.beat, sinceMs: nowMs });
-            this.boundBeats();
-            return false;
-        }
-        if (nowMs - known.sinceMs < this.options.leaseMs * (1 + driftShare)) {
+        const leaseMs = this.options.leaseMs * (1 + driftShare);
+        if (this.isCurrent(holder.session) || this.watched.note(holder) < leaseMs) {
             return false;
         }
         const sent = await this.send({ kind: "expire", session: holder.session, beat: holder.beat }, timeoutMs);
         const ended = sent.map(one => one.reply.kind === "done").orDefault(false);
         if (ended) {
-            this.beats.delete(name);
-            this.events.event(EventId.RecordsSessionExpired, { session: name, beat: holder.beat });
+            const session = sessionText(holder.session);
+            this.events.event(EventId.RecordsSessionExpired, { session, beat: holder.beat });
         }
         return ended;
     }
@@ -188,85 +180,76 @@
     public async run(signal: AbortSignal): Promise<void> {
         const renewMs = this.options.leaseMs / renewalsPerLease;
         while (!signal.aborted) {
-            for (const body of [...this.settling]) {
-                const sent = await this.send(body, renewMs);
-                if (sent.isLeft()) {
-                    break;
-                }
-                this.settling.delete(body);
-                this.settled(body);
-            }
-            if (this.holds > 0) {
+            await this.settleWaiting(renewMs);
+            if (this.holds.job > 0 || (this.holds.claim > 0 && this.clock.nowMs() - this.heardAtMs > renewMs / 2)) {
                 await this.renew(renewMs);
             }
             await this.clock.sleep(this.settling.size > 0 ? retryMs : renewMs, signal);
         }
     }
 
-    /** Starts a new session when the given one, which the group has ended, is still the current one. */
-    private sessionEnded(session: SessionId): void {
-        if (sessionText(session) !== sessionText(this.session)) {
-            return;
+    /** Waits until everything is settled, or the grace time is over. */
+    public async drain(graceMs: number): Promise<{ readonly unfinished: number; readonly what: string; }> {
+        const untilMs = this.clock.nowMs() + graceMs;
+        while (this.settling.size > 0 && this.clock.nowMs() < untilMs) {
+            await this.clock.sleep(retryMs);
+        }
+        return { unfinished: this.settling.size, what: "records that were not settled" };
+    }
+
+    private async settleWaiting(timeoutMs: number): Promise<void> {
+        for (const body of [...this.settling]) {
+            const sent = await this.send(body, timeoutMs);
+            if (sent.isLeft()) {
+                return;
+            }
+            this.settling.delete(body);
+            if (body.kind === "release" || body.kind === "return") {
+                this.closeTicket(body.ticket);
+            }
         }
-        this.epoch += 1;
-        this.openSeqs.clear();
-        this.heardAtMs = Number.NEGATIVE_INFINITY;
-        this.events.event(EventId.RecordsSessionEnded, { session: sessionText(session) });
-        this.sessionEmitter.fire(session);
     }
 
     private async renew(timeoutMs: number): Promise<void> {
         const session = this.session;
         const sent = await this.send({ kind: "renew" }, timeoutMs);
         sent.ifRight(renewed => {
-            if (sessionText(session) === sessionText(this.session)) {
+            if (this.isCurrent(session)) {
                 this.renewEmitter.fire(renewed);
             }
         });
     }
 
-    private settled(body: RecordsBody): void {
-        if (body.kind === "release" || body.kind === "return") {
-            this.closeTicket(body.ticket);
-        }
-    }
-
     private envelope(body: RecordsBody): RecordsCommand {
         const floor = Math.min(this.nextSeq, ...this.openSeqs);
-        const { nowMs, atMs } = this.seen ?? { nowMs: 0, atMs: this.clock.nowMs() };
-        const clock = { seenMs: nowMs, elapsedMs: this.clock.nowMs() - atMs };
-        return { session: this.session, floor, clock, body };
+        return { session: this.session, floor, clock: this.time.reading(), body };
     }
 
-    private received(result: RecordsResult, sentAtMs: number, command: unknown): RecordsResult {
-        const { session } = command as RecordsCommand;
-        this.see(result.nowMs);
-        if (!result.live) {
-            this.sessionEnded(session);
-        }
-        else if (sessionText(session) === sessionText(this.session)) {
-            this.heardAtMs = Math.max(this.heardAtMs, sentAtMs);
+    private received(result: RecordsResult, sentAtMs: number, session: SessionId): void {
+        this.time.see(result.nowMs);
+        if (this.isCurrent(session)) {
+            if (result.endedBy === undefined) {
+                this.heardAtMs = Math.max(this.heardAtMs, sentAtMs);
+            }
+            else {
+                this.startSession(result.endedBy);
+            }
         }
         this.resultEmitter.fire(result);
-        return result;
     }
 
-    /**
-     * Notes a group time. An earlier reading stays when, with the time passed since, it gives more: a reading loses
-     * the way of its answer, and readings taken from one another would add these losses up.
-     */
-    private see(nowMs: number): void {
-        const atMs = this.clock.nowMs();
-        if (this.seen === undefined || nowMs > this.seen.nowMs + (atMs - this.seen.atMs)) {
-            this.seen = { nowMs, atMs };
-        }
+    /** Starts a session after the one that the group knows as this host's latest. */
+    private startSession(latest: SessionId): void {
+        const ended = this.current;
+        this.current = { ...latest, epoch: latest.epoch + 1 };
+        this.openSeqs.clear();
+        this.heardAtMs = Number.NEGATIVE_INFINITY;
+        this.events.event(EventId.RecordsSessionEnded, { session: sessionText(ended) });
+        this.sessionEmitter.fire(ended);
     }
 
-    private boundBeats(): void {
-        const oldest = this.beats.keys().next();
-        if (this.beats.size > watchedSessions && oldest.done !== true) {
-            this.beats.delete(oldest.value);
-        }
+    private isCurrent(session: SessionId): boolean {
+        return sessionText(session) === sessionText(this.current);
     }
 }
 
@@ -277,5 +260,3 @@
 /** Pause between attempts, in milliseconds. */
 const retryMs = 50;
 const renewalsPerLease = 4;
-/** Sessions whose beats are remembered at most. */
-const watchedSessions = 1024;
--- a/src/records/RecordsState.ts
+++ b/src/records/RecordsState.ts
@@ -8,7 +8,7 @@
 import type { Json, StateMachine } from "../replication/Types.js";
 import { ClaimTable, type ClaimTableSnapshot } from "./ClaimTable.js";
 import { commandSchema, type RecordsBody, type RecordsCommand, type RecordsReply, toJson } from "./Commands.js";
-import type { RecordsResult, SessionId } from "./Commands.js";
+import type { HolderBeat, RecordsResult, SessionId } from "./Commands.js";
 import { CrashMarks, type CrashMarksSnapshot } from "./CrashMarks.js";
 import { JobTable, type JobTableSnapshot } from "./JobTable.js";
 import { SessionTable, type SessionTableSnapshot } from "./SessionTable.js";
@@ -34,7 +34,7 @@
     public apply(command: Json, index: number): Json {
         const parsed = commandSchema.safeParse(command);
         if (!parsed.success) {
-            return this.result({ kind: "refused", message: "malformed command" }, index, true);
+            return this.result({ kind: "refused", message: "malformed command" }, index);
         }
         const { session, floor, clock } = parsed.data;
         this.nowMs = Math.max(this.nowMs, clock.seenMs + clock.elapsedMs);
@@ -46,7 +46,7 @@
         this.jobs.sweep(this.nowMs, sweepLimit);
         this.marks.sweep(this.nowMs, sweepLimit);
         const reply = this.run(parsed.data);
-        return this.result(reply, index, this.sessions.isLive(session));
+        return this.result(reply, index, this.sessions.endedBy(session));
     }
 
     /** Answers a query from this replica, as of the entries applied here. */
@@ -59,9 +59,14 @@
         return this.marks.version;
     }
 
-    /** True when a job waits for a runner or a session holds one, so that asking for a job may give something. */
-    public get hasWork(): boolean {
-        return this.jobs.hasQueued || this.jobs.holders().length > 0;
+    /** Jobs that wait for a runner. */
+    public get queuedJobs(): number {
+        return this.jobs.queuedCount;
+    }
+
+    /** Sessions that hold jobs. */
+    public get jobHolders(): readonly HolderBeat[] {
+        return this.jobs.holders();
     }
 
     public snapshot(): Json {
@@ -160,9 +165,9 @@
         this.jobs.endSession(session);
     }
 
-    private result(reply: RecordsReply, index: number, live: boolean): Json {
-        const { nowMs } = this;
-        const result: RecordsResult = { index, nowMs, marksVersion: this.marks.version, live, reply };
+    private result(reply: RecordsReply, index: number, endedBy?: SessionId): Json {
+        const { nowMs, marksVersion, queuedJobs } = this;
+        const result: RecordsResult = { index, nowMs, marksVersion, queuedJobs, endedBy, reply };
         return toJson(result);
     }
 }
--- a/src/records/ReplicatedJobs.ts
+++ b/src/records/ReplicatedJobs.ts
@@ -93,15 +93,14 @@
 
     public async take(timeoutMs: number): Promise<JobLease | undefined> {
         const untilMs = this.clock.nowMs() + timeoutMs;
+        let pauseMs = firstPollMs;
         for (let leftMs = timeoutMs; leftMs > 0; leftMs = untilMs - this.clock.nowMs()) {
-            if (this.client.replicaHasWork) {
-                const lease = await this.tryTake(leftMs);
-                if (lease !== undefined) {
-                    return lease;
-                }
+            const lease = await this.look(leftMs);
+            if (lease !== undefined) {
+                return lease;
             }
-            const pauseMs = this.client.hasReplica ? replicaPollMs : remotePollMs;
-            await this.clock.sleep(Math.min(pauseMs, Math.max(0, untilMs - this.clock.nowMs())));
+            await this.pause(Math.min(pauseMs, Math.max(0, untilMs - this.clock.nowMs())));
+            pauseMs = Math.min(pauseMs * 2, this.client.replica === undefined ? mostRemotePollMs : mostPollMs);
         }
         return undefined;
     }
@@ -113,6 +112,28 @@
         this.changeEmitter.fire(lease.job.id);
     }
 
+    /** Asks for a job; a replica is asked first whether there is any. */
+    private async look(timeoutMs: number): Promise<JobLease | undefined> {
+        const { replica } = this.client;
+        if (replica?.queuedJobs === 0) {
+            await this.watch(replica.jobHolders, timeoutMs);
+            return undefined;
+        }
+        return this.tryTake(timeoutMs);
+    }
+
+    /** Waits, but only until this host hears of a queued job. */
+    private async pause(pauseMs: number): Promise<void> {
+        const woken = new AbortController();
+        const listener = this.client.onResult(result => {
+            if (result.queuedJobs > 0) {
+                woken.abort();
+            }
+        });
+        await this.clock.sleep(pauseMs, woken.signal);
+        listener.dispose();
+    }
+
     private async tryTake(timeoutMs: number): Promise<JobLease | undefined> {
         const ticket = this.client.openTicket();
         this.takesOpen += 1;
@@ -187,6 +208,7 @@
     return Left({ kind: "not-recorded", message });
 }
 
-/** Pauses between two questions for work, in milliseconds: of the own replica, and of the group. */
-const replicaPollMs = 50;
-const remotePollMs = 400;
+/** Pauses between two questions for work, in milliseconds: at first, of the own replica, and of the group. */
+const firstPollMs = 50;
+const mostPollMs = 200;
+const mostRemotePollMs = 2000;
--- a/src/records/ReplicatedQuarantine.ts
+++ b/src/records/ReplicatedQuarantine.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
-import type { BodyOf, CrashMark, MarksReply, Ticket } from "./Commands.js";
+import type { BodyOf, CrashMark, RecordsReply, Ticket } from "./Commands.js";
 import type { RecordsClient } from "./RecordsClient.js";
 import type { Fingerprint, Quarantine, RecordsError } from "./Types.js";
 
@@ -26,6 +26,11 @@
                 this.wake?.();
             }
         });
+        client.onApplied(() => {
+            if ((client.replica?.marksVersion ?? 0) > this.version) {
+                this.refreshFromReplica();
+            }
+        });
     }
 
     public isQuarantined(fingerprint: Fingerprint): boolean {
@@ -74,15 +79,23 @@
 
     /** Asks for the marks that have changed. */
     public async refresh(): Promise<void> {
+        if (this.client.replica !== undefined) {
+            this.refreshFromReplica();
+            return;
+        }
         const reply = await this.client.query({ kind: "marks", since: this.version }, reportMs);
-        reply.ifRight(one => {
-            if (one.kind === "marks" && one.version > this.version) {
-                this.learn(one);
-            }
-        });
+        reply.ifRight(one => this.learn(one));
+    }
+
+    private refreshFromReplica(): void {
+        const reply = this.client.replica?.query({ kind: "marks", since: this.version });
+        this.learn(reply ?? { kind: "done" });
     }
 
-    private learn(reply: MarksReply): void {
+    private learn(reply: RecordsReply): void {
+        if (reply.kind !== "marks" || reply.version <= this.version) {
+            return;
+        }
         if (reply.reset) {
             this.marks.clear();
         }
--- a/src/records/SessionTable.ts
+++ b/src/records/SessionTable.ts
@@ -46,6 +46,11 @@
         return known !== undefined && !known.ended && compareSessions(session, known.session) === 0;
     }
 
+    /** The host's latest session, when the given one is not live; undefined while it is. */
+    public endedBy(session: SessionId): SessionId | undefined {
+        return this.isLive(session) ? undefined : this.byHost.get(session.host)?.session;
+    }
+
     /** Ends a session that has not been heard of since the beat; false when it has. */
     public expire(session: SessionId, beat: number): boolean {
         const known = this.byHost.get(session.host);
