--- a/standin/StandInEndpoint.ts
+++ b/standin/StandInEndpoint.ts
@@ -7,24 +7,15 @@
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { Clock } from "../src/common/Types.js";
-import { blockHashes, promptOf } from "../src/endpoints/Prompt.js";
-import type { StageUsage } from "../src/endpoints/Types.js";
-import {
-    cacheBlockChars,
-    charsPerToken,
-    orderSchema,
-    type RefusalMessage,
-    type StageCallMessage,
-    stageCallSchema,
-} from "../src/endpoints/Wire.js";
+import { orderSchema, type RefusalMessage, type StageCallMessage, stageCallSchema } from "../src/endpoints/Wire.js";
 import { Batch } from "./Batch.js";
-import { newCounters, speedOf } from "./Defaults.js";
+import { newCounters } from "./Defaults.js";
 import { EngineOrders } from "./EngineOrders.js";
-import { expectedOutput, inputDigest } from "./ExpectedOutput.js";
 import { HttpHost, sendJson } from "./HttpHost.js";
 import { LoadHistory } from "./LoadHistory.js";
 import { PrefixCache } from "./PrefixCache.js";
-import { type Echo, EventStream, type ReplyContent, ReplyFaults, sendWhole } from "./Reply.js";
+import { ReplyFaults } from "./Reply.js";
+import { type RunningCall, StageWork } from "./StageWork.js";
 import { type ControlMessage, controlSchema, type StandInCounters, type StandInOptions } from "./Types.js";
 import { Warmth } from "./Warmth.js";
 
@@ -34,15 +25,6 @@
 const defaultRestartMs = 400;
 const defaultCacheBlocks = 400;
 const defaultCacheGapShare = 0.05;
-/** How much longer a chunk takes in a full batch than alone. */
-const fullBatchFactor = 0.5;
-
-interface Call {
-    readonly message: StageCallMessage;
-    readonly abort: AbortController;
-    readonly receivedMs: number;
-}
-
 export class StandInEndpoint {
     public readonly counters: StandInCounters = newCounters();
     private readonly clock: Clock;
@@ -53,17 +35,14 @@
     private readonly cache: PrefixCache;
     private readonly load: LoadHistory;
     private readonly orders: EngineOrders;
-    private readonly faults: ReplyFaults;
-    private readonly calls = new Map<string, Call>();
+    private readonly work: StageWork;
+    private readonly calls = new Map<string, RunningCall>();
     private address = "";
     private starts = 0;
     private startedMs = 0;
     private stopped = false;
     private down = false;
     private leavingSinceMs: number | undefined;
-    private slowBy = 1;
-    private crashOnText = "";
-    private failShare = 0;
 
     public constructor(private readonly options: StandInOptions) {
         this.clock = options.clock ?? new SystemClock();
@@ -79,7 +58,9 @@
         );
         this.load = new LoadHistory(this.clock, options.loadLagMs ?? defaultLoadLagMs);
         this.orders = new EngineOrders(options.models, options.checksFencing, options.weightStore, this.counters);
-        this.faults = new ReplyFaults(this.clock);
+        const { clock, random, http, batch, warmth, cache } = this;
+        const replyFaults = new ReplyFaults(clock);
+        this.work = new StageWork(options, { clock, random, http, batch, warmth, cache, replyFaults }, this.counters);
     }
 
     /** Listens on an address such as "127.0.0.1:8080". */
@@ -207,10 +188,7 @@
     }
 
     private applyControl(control: ControlMessage, res: ServerResponse): void {
-        this.slowBy = control.slowBy ?? this.slowBy;
-        this.crashOnText = control.crashOnText ?? this.crashOnText;
-        this.failShare = control.failShare ?? this.failShare;
-        this.faults.apply(control);
+        this.work.apply(control);
         if (control.leaving !== undefined) {
             this.leavingSinceMs = control.leaving ? this.clock.nowMs() : undefined;
         }
@@ -239,7 +217,8 @@
             this.counters.refused += 1;
             return sendJson(res, 503, refusal);
         }
-        const call: Call = { message: parsed.data, abort: new AbortController(), receivedMs: this.clock.nowMs() };
+        const { incarnation } = this;
+        const call: RunningCall = { message: parsed.data, abort: new AbortController(), incarnation };
         this.calls.set(callKey(call.message), call);
         // A plain service goes on with what it has begun; the others stop when their caller is gone.
         if (this.options.kind !== "service") {
@@ -274,7 +253,7 @@
         return undefined;
     }
 
-    private async runInBatch(call: Call, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    private async runInBatch(call: RunningCall, req: IncomingMessage, res: ServerResponse): Promise<void> {
         const admission = this.batch.enter(call.message.priority, call.abort.signal);
         this.recordLoad();
         if (!await admission) {
@@ -282,121 +261,17 @@
             this.recordLoad();
             return;
         }
-        await this.run(call, req, res);
+        const end = await this.work.run(call, req, res);
         this.batch.leave();
-        this.recordLoad();
-    }
-
-    private async run(call: Call, req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const { message, abort } = call;
-        const startMs = this.clock.nowMs();
-        const start = this.starts;
-        this.countRun(message);
-        const text = JSON.stringify([message.input, message.previous]);
-        if (this.crashOnText !== "" && text.includes(this.crashOnText)) {
-            await this.clock.sleep(speedOf(this.options).baseMs, abort.signal);
-            return this.crash();
-        }
-        const body = { input: message.input, previous: message.previous };
-        const prompt = promptOf(body);
-        const cachedTokens = await this.prefill(prompt, abort.signal);
-        const output = expectedOutput(message.stage, body);
-        const promptTokens = Math.ceil(prompt.length / charsPerToken);
-        const usageOf = (): StageUsage => ({
-            promptTokens,
-            cachedTokens,
-            outputTokens: Math.ceil((output.length - (message.resume?.offset ?? 0)) / charsPerToken),
-            busyMs: Math.round((this.clock.nowMs() - startMs) * 100) / 100,
-        });
-        const done = await this.reply(call, req, res, output, usageOf);
-        if (done && start === this.starts && !this.down) {
+        if (end === "completed" && call.incarnation === this.incarnation && !this.down) {
             this.warmth.recordCompleted();
             this.counters.completed += 1;
         }
-        this.countUsage(usageOf());
-    }
-
-    /** Spends the time of the prompt that is not cached, and gives the tokens that were. */
-    private async prefill(prompt: string, signal: AbortSignal): Promise<number> {
-        const speed = speedOf(this.options);
-        if (this.options.kind !== "engine") {
-            await this.clock.sleep(speed.baseMs * this.slowness(), signal);
-            return 0;
-        }
-        const hashes = blockHashes(prompt);
-        const cachedChars = this.cache.match(hashes) * cacheBlockChars;
-        const freshTokens = (prompt.length - cachedChars) / charsPerToken;
-        await this.clock.sleep((speed.baseMs + freshTokens * speed.prefillMsPerToken) * this.slowness(), signal);
-        if (!signal.aborted) {
-            this.cache.store(hashes);
-        }
-        return cachedChars / charsPerToken;
-    }
-
-    /** Replies as the caller asked; false when the call was cancelled or failed. */
-    private async reply(
-        call: Call,
-        req: IncomingMessage,
-        res: ServerResponse,
-        output: string,
-        usageOf: () => StageUsage,
-    ): Promise<boolean> {
-        const { message, abort } = call;
-        const spoiling = this.faults.next();
-        const { request, stage, attempt } = message;
-        const echo: Echo = { request, stage, attempt, incarnation: this.incarnation };
-        const content: ReplyContent = spoiling.swap ? await this.faults.exchange({ echo, output }) : { echo, output };
-        await this.clock.sleep(spoiling.lateMs, abort.signal);
-        if (this.random.next() < this.failShare) {
-            this.counters.failed += 1;
-            this.write(res, () => sendJson(res, 422, { state: "other", message: "the stage failed" }));
-            return false;
-        }
-        const streams = req.headers.accept?.includes("text/event-stream") === true;
-        const stream = streams && this.canWrite(res, abort) ? new EventStream(res, content, spoiling) : undefined;
-        const { chunkChars, chunkMs } = speedOf(this.options);
-        const from = message.resume?.offset ?? 0;
-        for (let offset = from; offset < content.output.length && !abort.signal.aborted; offset += chunkChars) {
-            await this.clock.sleep(chunkMs * this.slowness(), abort.signal);
-            this.write(res, () => stream?.output(offset, content.output.slice(offset, offset + chunkChars)));
-        }
-        if (abort.signal.aborted) {
-            this.counters.cancelled += 1;
-            res.destroy();
-            return false;
-        }
-        this.write(res, () => streams ? stream?.end(usageOf()) : sendWhole(res, content, usageOf(), spoiling));
-        return true;
-    }
-
-    private canWrite(res: ServerResponse, abort?: AbortController): boolean {
-        return !res.destroyed && !this.http.isSilent(res) && abort?.signal.aborted !== true;
-    }
-
-    private write(res: ServerResponse, action: () => void): void {
-        if (this.canWrite(res)) {
-            action();
+        this.recordLoad();
+        if (end === "crash") {
+            await this.crash();
         }
     }
-
-    private slowness(): number {
-        const cold = this.warmth.state === "warm" ? 1 : speedOf(this.options).coldFactor;
-        return this.slowBy * cold * (1 + fullBatchFactor * (this.batch.running - 1) / this.options.warmLimit);
-    }
-
-    private countRun(message: StageCallMessage): void {
-        const { runsByRequest, runsByInput } = this.counters;
-        const digest = inputDigest(message.stage, message.input);
-        runsByRequest[message.request] = (runsByRequest[message.request] ?? 0) + 1;
-        runsByInput[digest] = (runsByInput[digest] ?? 0) + 1;
-    }
-
-    private countUsage(usage: StageUsage): void {
-        this.counters.busyMs += usage.busyMs;
-        this.counters.promptTokens += usage.promptTokens;
-        this.counters.cachedTokens += usage.cachedTokens;
-        this.counters.outputTokens += usage.outputTokens;
-    }
 }
 
 function callKey(call: { readonly request: string; readonly stage: string; readonly attempt: number; }): string {
