Time line of events over all processes

Cause: each process has its own log, so that what happened to a request could not be read in one place. Change: `timeline LOG...` merges the logs by stamp, filters by request, host, endpoint and event, and prints text, JSON lines or one HTML page. Torn lines are named and left out.

--- /dev/null
+++ b/src/cli/TimelineCommand.ts
@@ -0,0 +1,63 @@
+/** `fireflykeel timeline LOG...`: prints one time line of the events of all processes. */
+import { Command, Option } from "commander";
+import { writeFileSync } from "node:fs";
+import { readTimeline } from "./Timeline.js";
+import { renderTimeline, type TimelineFormat } from "./TimelineView.js";
+
+interface TimelineOptions {
+    readonly request: readonly string[];
+    readonly host: readonly string[];
+    readonly endpoint: readonly string[];
+    readonly event: readonly string[];
+    readonly format: TimelineFormat;
+    readonly output?: string;
+}
+
+/** Exit code for a log that can't be read. */
+const unreadableExit = 1;
+
+export function timelineCommand(): Command {
+    const several = (flags: string, description: string) => new Option(flags, description).default([], "any");
+    return new Command("timeline")
+        .description("print one time line of the events of all processes, merged by hybrid logical clock")
+        .argument("<log...>", "logs of daemons, one JSON object a line")
+        .addOption(several("-r, --request <id...>", "only events of these requests"))
+        .addOption(several("-H, --host <id...>", "only events of these hosts"))
+        .addOption(several("-e, --endpoint <id...>", "only events of these endpoints"))
+        .addOption(several("-E, --event <event...>", "only these events, by number or name"))
+        .addOption(
+            new Option("-f, --format <format>", "form of the time line").choices(["text", "json", "html"]).default(
+                "text",
+            ),
+        )
+        .option("-o, --output <file>", "write to a file in place of the standard output")
+        .action(runTimeline);
+}
+
+async function runTimeline(logs: readonly string[], options: TimelineOptions): Promise<void> {
+    const filter = {
+        requests: options.request,
+        hosts: options.host,
+        endpoints: options.endpoint,
+        events: options.event,
+    };
+    const read = await readTimeline(logs, filter);
+    read.caseOf({
+        Left: err => {
+            process.stderr.write(`${err.file}: ${err.message}\n`);
+            process.exitCode = unreadableExit;
+        },
+        Right: timeline => {
+            const text = renderTimeline(timeline, options.format);
+            if (options.output === undefined) {
+                process.stdout.write(text);
+            }
+            else {
+                writeFileSync(options.output, text);
+            }
+            for (const { file, line } of timeline.unreadable) {
+                process.stderr.write(`${file}:${line}: not an event, left out\n`);
+            }
+        },
+    });
+}
