--- /dev/null
+++ b/bin/fireflykeel.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+/** The command line of fireflykeel; see src/cli/Program.ts. */
+import { runProgram } from "../src/cli/Program.js";
+
+process.exitCode = await runProgram(process.argv, {
+    out: text => process.stdout.write(`${text}\n`),
+    err: text => process.stderr.write(`${text}\n`),
+});
--- /dev/null
+++ b/src/cli/ConfigCommands.ts
@@ -0,0 +1,148 @@
+/** `fireflykeel config check|render|apply|show|log|status` and `fireflykeel dc out|in`. */
+import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { basename } from "node:path";
+import type { Command } from "commander";
+import { Either } from "purify-ts";
+import { stringify } from "yaml";
+import { checkDocuments, loadSettings } from "../config/Loader.js";
+import type { ConfigError } from "../config/Types.js";
+import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
+import { type CommandContext, ExitCode } from "./Types.js";
+
+export function addConfigCommands(program: Command, context: CommandContext): void {
+    const config = program.command("config").description("configuration: base file and one overlay for each site");
+    addFileCommands(config, context);
+    addGroupCommands(config, context);
+    const dc = program.command("dc").description("take a data centre out of service and bring it back");
+    for (const [verb, out] of [["out", true], ["in", false]] as const) {
+        withOperatorOptions(dc.command(`${verb} <data-centre>`))
+            .description(out ? "no new work goes to the data centre" : "the data centre takes work again")
+            .option("--id <change>", "id of the change, to send it again after a lost answer")
+            .action(async (dataCentre: string, options: OperatorOptions & { readonly id?: string; }) => {
+                const client = operatorClient(options, context);
+                const id = changeId(options.id, context);
+                if (client !== undefined) {
+                    const change = { kind: "set-data-centre", id, dataCentre, out };
+                    printReply(await client.post("/v1/operator/config/change", change), context);
+                }
+            });
+    }
+}
+
+function addFileCommands(config: Command, context: CommandContext): void {
+    config.command("check <base> [overlays...]")
+        .description("check a base file, and each overlay merged over it; an overlay's file name is its site")
+        .action((base: string, overlays: string[]) => {
+            const checked = checkFiles(base, overlays);
+            checked.caseOf({
+                Left: err => printIssues(err, context),
+                Right: sites => context.output.out(`valid: ${sites.length} data centres`),
+            });
+        });
+    config.command("render <base> [overlays...]")
+        .description("print the settings that the base and these overlays make")
+        .action((base: string, overlays: string[]) => {
+            loadSettings(base, overlays).caseOf({
+                Left: err => printIssues(err, context),
+                Right: settings => context.output.out(stringify(settings).trimEnd()),
+            });
+        });
+}
+
+function addGroupCommands(config: Command, context: CommandContext): void {
+    interface ApplyOptions extends OperatorOptions {
+        readonly document: string;
+        readonly baseVersion: string;
+        readonly id?: string;
+        readonly wait?: boolean;
+    }
+    withOperatorOptions(config.command("apply <file>"))
+        .description("commit a document; safe to send again with the same --id")
+        .requiredOption("--document <name>", "base, or the name of a site")
+        .requiredOption("--base-version <n>", "version of the document that the change builds on; 0 for a new one")
+        .option("--id <change>", "id of the change, to send it again after a lost answer")
+        .option("--wait", "return when the change is in force on all live hosts")
+        .action(async (file: string, options: ApplyOptions) => {
+            const client = operatorClient(options, context);
+            const text = readText(file, context);
+            if (client === undefined || text === undefined) {
+                return;
+            }
+            const change = {
+                kind: "put-document",
+                id: changeId(options.id, context),
+                document: options.document,
+                baseVersion: Number(options.baseVersion),
+                text,
+            };
+            const path = options.wait === true ? "/v1/operator/config/change?wait=true" : "/v1/operator/config/change";
+            printReply(await client.post(path, change), context);
+        });
+    withOperatorOptions(config.command("show"))
+        .description("print the committed documents, or the settings in force for a site")
+        .option("--site <name>", "the site whose merged settings to print")
+        .action(async (options: OperatorOptions & { readonly site?: string; }) => {
+            const query = options.site === undefined ? "" : `?site=${encodeURIComponent(options.site)}`;
+            printReply(await getFrom(`/v1/operator/config/show${query}`, options, context), context);
+        });
+    for (const [verb, text] of [["log", "print the latest changes"], ["status", "print the version on each host"]]) {
+        withOperatorOptions(config.command(verb ?? "").description(text ?? "")).action(async (options: OperatorOptions) =>
+            printReply(await getFrom(`/v1/operator/config/${verb ?? ""}`, options, context), context)
+        );
+    }
+}
+
+async function getFrom(path: string, options: OperatorOptions, context: CommandContext) {
+    const client = operatorClient(options, context);
+    return client === undefined
+        ? Either.of<never, { status: number; body: unknown; }>({ status: 400, body: "no host was named" })
+        : client.get(path);
+}
+
+/** The operator's own id, or a new one that is printed first, so that a lost answer can be followed up. */
+function changeId(given: string | undefined, context: CommandContext): string {
+    if (given !== undefined) {
+        return given;
+    }
+    const id = `change-${randomUUID()}`;
+    context.output.err(`change id: ${id}`);
+    return id;
+}
+
+function readText(file: string, context: CommandContext): string | undefined {
+    return Either.encase(() => readFileSync(file, "utf8")).caseOf<string | undefined>({
+        Left: err => {
+            context.output.err(`${file} can't be read: ${err.message}`);
+            context.setExit(ExitCode.Failed);
+            return undefined;
+        },
+        Right: text => text,
+    });
+}
+
+/** Checks the documents as they would be committed. Gives the names of the data centres. */
+function checkFiles(base: string, overlays: readonly string[]): Either<ConfigError, readonly string[]> {
+    const read = (file: string): Either<ConfigError, string> =>
+        Either.encase(() => readFileSync(file, "utf8")).mapLeft(err => ({
+            kind: "invalid-config",
+            issues: [{ file, line: 0, path: "", message: `can't be read: ${err.message}` }],
+        }));
+    const siteOf = (file: string) => basename(file).replace(/\.ya?ml$/, "");
+    const files = new Map([["base", base], ...overlays.map(file => [siteOf(file), file] as const)]);
+    const texts = Either.sequence(overlays.map(file => read(file).map(text => [siteOf(file), text] as const)));
+    return read(base)
+        .chain(text => texts.chain(entries => checkDocuments(text, Object.fromEntries(entries))))
+        .map(sites => Object.keys(sites))
+        .mapLeft(err => ({
+            ...err,
+            issues: err.issues.map(issue => ({ ...issue, file: files.get(issue.file) ?? issue.file })),
+        }));
+}
+
+function printIssues(err: ConfigError, context: CommandContext): void {
+    for (const issue of err.issues) {
+        context.output.err(`${issue.file}:${issue.line}: ${issue.path}: ${issue.message}`);
+    }
+    context.setExit(ExitCode.Failed);
+}
--- /dev/null
+++ b/src/cli/Program.ts
@@ -0,0 +1,62 @@
+/** The command line: builds the commander program, and maps its failures to exit codes. */
+import { Command, CommanderError } from "commander";
+import { addConfigCommands } from "./ConfigCommands.js";
+import { addControlCommands } from "./ControlCommands.js";
+import { addDaemonCommands } from "./DaemonCommands.js";
+import { addJobCommands } from "./JobCommands.js";
+import { addTimelineCommand } from "./TimelineCommand.js";
+import { type CommandContext, ExitCode, type Output } from "./Types.js";
+
+const exitHelp = `
+Exit codes: 0 done; 1 the answer is no (invalid, conflict, not found); 2 the command line is wrong;
+3 no host or no quorum, nothing was changed; 4 may or may not have been accepted; 5 a stop left work unfinished.`;
+
+/** Runs one command line and gives its exit code. */
+export async function runProgram(argv: readonly string[], output: Output): Promise<number> {
+    let exitCode: number = ExitCode.Ok;
+    const context: CommandContext = {
+        output,
+        setExit: code => {
+            exitCode = code;
+        },
+    };
+    const program = buildProgram(context);
+    try {
+        await program.parseAsync([...argv]);
+        return exitCode;
+    }
+    catch (err) {
+        if (err instanceof CommanderError) {
+            return err.exitCode === 0 ? ExitCode.Ok : ExitCode.Usage;
+        }
+        throw err;
+    }
+}
+
+function buildProgram(context: CommandContext): Command {
+    const program = new Command("fireflykeel")
+        .description("Serves multi-stage model pipelines under one deadline.")
+        .addHelpText("after", exitHelp)
+        .exitOverride()
+        .configureOutput({
+            writeOut: text => context.output.out(text.trimEnd()),
+            writeErr: text => context.output.err(text.trimEnd()),
+        });
+    addDaemonCommands(program, context);
+    addConfigCommands(program, context);
+    addControlCommands(program, context);
+    addJobCommands(program, context);
+    addTimelineCommand(program, context);
+    for (const command of program.commands) {
+        inherit(program, command);
+    }
+    return program;
+}
+
+/** Sub-commands behave like the program: help text with exit codes, and no exit of the process. */
+function inherit(parent: Command, command: Command): void {
+    command.copyInheritedSettings(parent).addHelpText("after", exitHelp);
+    for (const child of command.commands) {
+        inherit(command, child);
+    }
+}
--- /dev/null
+++ b/src/daemon/ControlPart.ts
@@ -0,0 +1,140 @@
+/**
+ * The durable state as one host sees it: replicas of the config group and the records group on hosts with a data
+ * folder, clients of both elsewhere.
+ */
+import { join } from "node:path";
+import type { HostId } from "../common/Types.js";
+import { ConfigClient } from "../config/ConfigClient.js";
+import { ConfigGroup } from "../config/ConfigGroup.js";
+import { ConfigState } from "../config/ConfigState.js";
+import { checkDocuments } from "../config/Loader.js";
+import type { ConfigSource, ConfigWriter, LeaseService } from "../config/Types.js";
+import { RecordsClient } from "../records/RecordsClient.js";
+import { RecordsState } from "../records/RecordsState.js";
+import { NodeDisk } from "../replication/NodeDisk.js";
+import { RaftLog } from "../replication/RaftLog.js";
+import { RemoteLog } from "../replication/RemoteLog.js";
+import type { GroupMembers, StateMachine } from "../replication/Types.js";
+import type { Service } from "../supervise/Types.js";
+import type { DaemonBase } from "./Types.js";
+
+const configGroup = "config";
+const recordsGroup = "records";
+
+export interface ControlPart {
+    readonly config: ConfigSource & ConfigWriter & LeaseService;
+    readonly records: RecordsClient;
+    /** Replicas of this host; none on a host without a data folder. */
+    readonly replicas: readonly RaftLog[];
+    readonly remotes: readonly RemoteLog[];
+    /** In order of start. */
+    readonly services: readonly Service[];
+}
+
+export function buildControl(base: DaemonBase, seeds: Readonly<Record<string, string>>): ControlPart {
+    const { control } = hostSettings(base);
+    const { dataDir } = base.settings.daemon;
+    return control === "none" || dataDir === undefined ? buildRemote(base) : buildReplicas(base, dataDir, seeds);
+}
+
+function buildReplicas(base: DaemonBase, dataDir: string, seeds: Readonly<Record<string, string>>): ControlPart {
+    const configState = new ConfigState();
+    const configLog = buildReplica(base, dataDir, configGroup, configState);
+    const config = new ConfigGroup({
+        self: base.host,
+        site: base.dataCentre,
+        raft: configLog,
+        state: configState,
+        checker: checkDocuments,
+        transport: base.transport,
+        registry: base.registry,
+        clock: base.clock,
+        random: base.random,
+        log: base.log,
+        clockDriftMs: base.settings.timing.clockDriftMs,
+        seeds,
+    });
+    const recordsState = new RecordsState();
+    const recordsLog = buildReplica(base, dataDir, recordsGroup, recordsState);
+    const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base), recordsState);
+    return {
+        config,
+        records,
+        replicas: [configLog, recordsLog],
+        remotes: [],
+        services: [configLog, recordsLog, config, records],
+    };
+}
+
+function buildReplica(base: DaemonBase, dataDir: string, group: string, stateMachine: StateMachine): RaftLog {
+    const { electionMs, groupHeartbeatMs, clockDriftMs } = base.settings.timing;
+    return new RaftLog({
+        group,
+        self: base.host,
+        initialMembers: initialMembers(base),
+        transport: base.transport,
+        registry: base.registry,
+        disk: new NodeDisk(),
+        dir: join(dataDir, group),
+        clock: base.clock,
+        random: base.random,
+        log: base.log,
+        stateMachine,
+        timing: { electionMs, heartbeatMs: groupHeartbeatMs, clockDriftMs },
+    });
+}
+
+function buildRemote(base: DaemonBase): ControlPart {
+    const controlHosts = () => hostsWhere(base, host => host.control !== "none");
+    const remote = (group: string) =>
+        new RemoteLog({
+            group,
+            self: base.host,
+            hosts: controlHosts,
+            transport: base.transport,
+            clock: base.clock,
+            random: base.random,
+        });
+    const config = new ConfigClient({
+        self: base.host,
+        site: base.dataCentre,
+        controlHosts,
+        peers: () => hostsWhere(base, host => host.dataCentre === base.dataCentre),
+        checker: checkDocuments,
+        transport: base.transport,
+        registry: base.registry,
+        clock: base.clock,
+        random: base.random,
+        log: base.log,
+    });
+    const recordsLog = remote(recordsGroup);
+    const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base));
+    return { config, records, replicas: [], remotes: [remote(configGroup), recordsLog], services: [config, records] };
+}
+
+function sessionOptions(base: DaemonBase) {
+    return { host: base.host, incarnation: base.incarnation, leaseMs: base.settings.timing.jobLeaseMs };
+}
+
+function initialMembers(base: DaemonBase): GroupMembers {
+    return {
+        voters: hostsWhere(base, host => host.control === "voter"),
+        learners: hostsWhere(base, host => host.control === "learner"),
+    };
+}
+
+function hostSettings(base: DaemonBase) {
+    return base.settings.hosts[base.host] ?? { control: "none", dataCentre: base.dataCentre };
+}
+
+/** Hosts that fit, those of this data centre first. */
+function hostsWhere(
+    base: DaemonBase,
+    fits: (host: { readonly control: string; readonly dataCentre: string; }) => boolean,
+): readonly HostId[] {
+    const entries = Object.entries(base.settings.hosts).filter(([, host]) => fits(host));
+    const isNear = (dataCentre: string) => dataCentre === base.dataCentre ? 0 : 1;
+    return entries
+        .sort(([, a], [, b]) => isNear(a.dataCentre) - isNear(b.dataCentre))
+        .map(([id]) => id as HostId);
+}
--- /dev/null
+++ b/src/daemon/PeerServer.ts
@@ -0,0 +1,51 @@
+/** HTTP server for peers and operators, on the host's peer address. */
+import * as http from "node:http";
+import { InvariantError } from "../common/Invariant.js";
+import { listen } from "../entry/CallerServer.js";
+import type { OperatorApi } from "../entry/OperatorApi.js";
+import { peerPath, type TrpcPeerServer } from "../peer/TrpcPeerServer.js";
+import type { Service } from "../supervise/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+
+/** Idle connections of peers are kept this long, in milliseconds. */
+const keepAliveMs = 30_000;
+
+export interface PeerServerServices {
+    /** "ip:port". */
+    readonly address: string;
+    readonly peers: TrpcPeerServer;
+    readonly operators: OperatorApi;
+    readonly log: EventLog;
+    readonly onFatal: (err: InvariantError) => void;
+}
+
+export class PeerServer implements Service {
+    public readonly name = "peer-server";
+
+    public constructor(private readonly services: PeerServerServices) {}
+
+    public async run(signal: AbortSignal): Promise<void> {
+        const servePeer = this.services.peers.listener();
+        const server = http.createServer((req, res) => {
+            if (req.url?.startsWith(peerPath) === true) {
+                servePeer(req, res);
+                return;
+            }
+            this.services.operators.handle(req, res).catch((err: unknown) => this.failed(err, res));
+        });
+        server.keepAliveTimeout = keepAliveMs;
+        await listen(server, this.services.address);
+        await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+        server.closeAllConnections();
+        await new Promise<void>(resolve => server.close(() => resolve()));
+    }
+
+    private failed(err: unknown, res: http.ServerResponse): void {
+        if (err instanceof InvariantError) {
+            this.services.onFatal(err);
+        }
+        this.services.log.event(EventId.ServiceFailed, { service: this.name, message: String(err) });
+        res.destroy();
+    }
+}
--- /dev/null
+++ b/src/daemon/StatusRoute.ts
@@ -0,0 +1,38 @@
+/** Operators' route for what a host knows: configuration, members, endpoints, groups, work in progress. */
+import type { ConfigSource } from "../config/Types.js";
+import type { OperatorRoute } from "../entry/Types.js";
+import type { ControlPart } from "./ControlPart.js";
+import type { DaemonBase } from "./Types.js";
+import type { WorkPart } from "./WorkPart.js";
+
+export function statusRoute(
+    base: DaemonBase,
+    config: ConfigSource,
+    control: ControlPart,
+    work: WorkPart,
+): OperatorRoute {
+    return {
+        method: "GET",
+        path: "/v1/operator/status",
+        handle: async () => {
+            const view = config.current();
+            const endpointIds = Object.keys(view?.settings.endpoints ?? {}) as (keyof typeof endpointsOf)[];
+            const endpointsOf = view?.settings.endpoints ?? {};
+            return {
+                status: 200,
+                body: {
+                    host: base.host,
+                    dataCentre: base.dataCentre,
+                    incarnation: base.incarnation,
+                    configVersion: view?.version ?? 0,
+                    outDataCentres: [...view?.outDataCentres ?? []],
+                    inFlight: work.runner.inFlight,
+                    hosts: work.membership.view().local,
+                    groups: control.replicas.map(replica => replica.status()),
+                    endpoints: endpointIds.map(id => work.directory.get(id)),
+                    owned: work.owner.view(),
+                },
+            };
+        },
+    };
+}
