--- /dev/null
+++ b/src/routing/BlockPrefixIndex.ts
@@ -0,0 +1,118 @@
+/**
+ * Which blocks of prompts each engine is expected to hold: learnt from own calls and from the engine's cache events.
+ * Events come late and with gaps; a gap lowers the trust in what is known of that engine until later events renew it.
+ */
+import type { EndpointId } from "../common/Types.js";
+import { blockHashes } from "../endpoints/Prompt.js";
+import { cacheBlockChars, charsPerToken } from "../endpoints/Wire.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { CacheEvent, PrefixIndex } from "./Types.js";
+
+/** Blocks remembered of one engine. */
+const defaultMaxBlocks = 20_000;
+const trustAfterGap = 0.5;
+/** Trust regained by each event that follows its predecessor. */
+const trustPerEvent = 0.02;
+const leastTrust = 0.1;
+
+interface EngineCache {
+    /** Hashes, least recently used first. */
+    readonly blocks: Set<string>;
+    lastSequence: number | undefined;
+    trust: number;
+}
+
+export class BlockPrefixIndex implements PrefixIndex {
+    private readonly engines = new Map<EndpointId, EngineCache>();
+
+    public constructor(private readonly log: EventLog, private readonly maxBlocks: number = defaultMaxBlocks) {}
+
+    public cachedTokens(endpoint: EndpointId, prompt: string): number {
+        const engine = this.engines.get(endpoint);
+        if (engine === undefined) {
+            return 0;
+        }
+        let blocks = 0;
+        for (const hash of blockHashes(prompt)) {
+            if (!engine.blocks.has(hash)) {
+                break;
+            }
+            blocks += 1;
+        }
+        return blocks * cacheBlockChars / charsPerToken * engine.trust;
+    }
+
+    public recordPrompt(endpoint: EndpointId, prompt: string): void {
+        this.store(this.engine(endpoint), blockHashes(prompt));
+    }
+
+    public recordEvents(endpoint: EndpointId, events: readonly CacheEvent[]): void {
+        const engine = this.engine(endpoint);
+        for (const event of events) {
+            if (engine.lastSequence !== undefined && event.sequence <= engine.lastSequence) {
+                continue;
+            }
+            this.judgeSequence(endpoint, engine, event.sequence);
+            this.apply(engine, event);
+        }
+    }
+
+    public forget(endpoint: EndpointId): void {
+        this.engines.delete(endpoint);
+    }
+
+    /** Trust in what is known of an engine, in [0, 1]. */
+    public trust(endpoint: EndpointId): number {
+        return this.engines.get(endpoint)?.trust ?? 1;
+    }
+
+    private judgeSequence(endpoint: EndpointId, engine: EngineCache, sequence: number): void {
+        const last = engine.lastSequence;
+        if (last !== undefined && sequence > last + 1) {
+            engine.trust = Math.max(leastTrust, engine.trust * trustAfterGap);
+            this.log.event(EventId.PrefixIndexGap, { endpoint, after: last, sequence });
+        }
+        else {
+            engine.trust = Math.min(1, engine.trust + trustPerEvent);
+        }
+        engine.lastSequence = sequence;
+    }
+
+    private apply(engine: EngineCache, event: CacheEvent): void {
+        switch (event.kind) {
+            case "stored":
+                this.store(engine, event.blocks);
+                break;
+            case "evicted":
+                event.blocks.forEach(block => engine.blocks.delete(block));
+                break;
+            case "cleared":
+                engine.blocks.clear();
+                engine.trust = 1;
+                break;
+        }
+    }
+
+    private store(engine: EngineCache, hashes: readonly string[]): void {
+        for (const hash of hashes) {
+            engine.blocks.delete(hash);
+            engine.blocks.add(hash);
+        }
+        for (const hash of engine.blocks) {
+            if (engine.blocks.size <= this.maxBlocks) {
+                break;
+            }
+            engine.blocks.delete(hash);
+        }
+    }
+
+    private engine(endpoint: EndpointId): EngineCache {
+        let engine = this.engines.get(endpoint);
+        if (engine === undefined) {
+            engine = { blocks: new Set(), lastSequence: undefined, trust: 1 };
+            this.engines.set(endpoint, engine);
+        }
+        return engine;
+    }
+}
