Run requests through their stages under one deadline

Cause: a request had no runner. Change: StagedPipelineRunner runs the stages in order: turns by a p-queue per pool (priority, fair share of workspaces, deadline), slots by the router's order, retries of idempotent stages on another endpoint within a retry budget, hedges, resume of broken streams, claims for stages that may not be repeated, early refusal by recent latencies, suspects of crashes run alone. Outcomes come from the request's dispatch ledger only. Slot requests of the endpoints' types get an optional exclusive flag, for suspects, and resumeFrom carries the received prefix, so that a client can check the digest of the whole output. The ledger learns of earlier runs of a job, after which "not run" can't be proven.

--- a/src/common/Outcome.ts
+++ b/src/common/Outcome.ts
@@ -112,6 +112,12 @@
         }
     }
 
+    /** Records that another run of the same job may have sent idempotent calls; "not run" can't be proven any more. */
+    public markEarlierRun(): void {
+        this.sentCount += 1;
+    }
+
+    /** Bars every later call. Whoever seals has aborted the calls that were not sent yet. */
     public seal(): void {
         this.sealed = true;
     }
--- a/src/endpoints/Types.ts
+++ b/src/endpoints/Types.ts
@@ -65,6 +65,8 @@
     /** On the local monotonic clock; a request not granted by then is refused. */
     readonly deadlineMs: number;
     readonly signal?: AbortSignal;
+    /** Asks for a slot while no other call, of any host, is in flight on the endpoint; for calls suspected of crashes. */
+    readonly exclusive?: boolean;
 }
 
 export type SlotError =
@@ -79,6 +81,8 @@
     readonly endpoint: EndpointId;
     /** A call may be started until then, on the local monotonic clock. A running call keeps its slot alive. */
     readonly expiresAtMs: number;
+    /** True when the owner keeps every other call off the endpoint while this slot is held. */
+    readonly exclusive?: boolean;
     /** Checks that the slot is live and marks it as carrying a call; false when the lease ran out meanwhile. */
     begin(): boolean;
     release(end: CallEnd, evidence?: CallEvidence): void;
@@ -110,7 +114,15 @@
     /** The request's input and the outputs of the stages before. */
     readonly body: StageBody;
     /** Output already received of a broken stream: the endpoint goes on from there. */
-    readonly resumeFrom: { readonly attempt: number; readonly offset: number; } | undefined;
+    readonly resumeFrom:
+        | {
+            readonly attempt: number;
+            /** Length of `received`. */
+            readonly offset: number;
+            /** The checked prefix; the reply's output is the whole output, this prefix included. */
+            readonly received: string;
+        }
+        | undefined;
     /** On the local monotonic clock. */
     readonly deadlineMs: number;
 }
--- /dev/null
+++ b/src/pipeline/HedgedAttempt.ts
@@ -0,0 +1,107 @@
+/**
+ * One attempt at an idempotent stage, with a second call to another endpoint when the first is slower than most. The
+ * first whole reply wins and the other call is cancelled. Hedges come out of the retry budget.
+ */
+import type { EndpointId } from "../common/Types.js";
+import type { StageSettings } from "../config/Schema.js";
+import { EventId } from "../telemetry/Events.js";
+import type { IdempotentStageParts } from "./IdempotentStage.js";
+import type { RequestContext } from "./RequestContext.js";
+import type { AttemptOptions, AttemptResult } from "./StageCaller.js";
+import type { StreamRelay } from "./StreamRelay.js";
+
+/** A call slower than this percentile of recent ones is hedged. */
+const hedgePercentile = 95;
+
+interface StartedCall {
+    readonly controller: AbortController;
+    readonly result: Promise<AttemptResult>;
+}
+
+export class HedgedAttempt {
+    private readonly calls: StartedCall[] = [];
+    private firstEndpoint: EndpointId | undefined;
+
+    public constructor(
+        private readonly parts: IdempotentStageParts,
+        private readonly ctx: RequestContext,
+        private readonly stage: StageSettings,
+        private readonly relay: StreamRelay,
+        private readonly options: AttemptOptions,
+    ) {}
+
+    public async run(): Promise<AttemptResult> {
+        const cancelAll = () => this.calls.forEach(call => call.controller.abort());
+        this.options.signal.addEventListener("abort", cancelAll, { once: true });
+        try {
+            return await this.race();
+        }
+        finally {
+            this.options.signal.removeEventListener("abort", cancelAll);
+            cancelAll();
+        }
+    }
+
+    private async race(): Promise<AttemptResult> {
+        const first = this.start(this.options);
+        const hedgeAfterMs = this.hedgeAfterMs();
+        if (hedgeAfterMs === undefined) {
+            return first.result;
+        }
+        const early = await this.within(first, hedgeAfterMs);
+        if (early !== undefined) {
+            return early;
+        }
+        if (this.firstEndpoint === undefined || this.relay.length > 0 || !this.parts.budget.tryTake()) {
+            return first.result;
+        }
+        const { services } = this.parts;
+        services.log.event(EventId.HedgeSent, { request: this.ctx.req.id, stage: this.stage.name });
+        const avoid = new Set([...this.options.avoid, this.firstEndpoint]);
+        const second = this.start({ ...this.options, kind: "hedge", avoid });
+        return this.firstSuccess(first, second);
+    }
+
+    private hedgeAfterMs(): number | undefined {
+        if (!this.stage.hedge || this.options.alone || this.options.resumeFrom !== undefined) {
+            return undefined;
+        }
+        return this.parts.estimator.callMs(this.ctx, this.stage, hedgePercentile);
+    }
+
+    private start(options: AttemptOptions): StartedCall {
+        const controller = new AbortController();
+        if (this.options.signal.aborted) {
+            controller.abort();
+        }
+        const source = this.relay.open();
+        const result = this.parts.caller.attempt(this.ctx, this.stage, {
+            ...options,
+            signal: controller.signal,
+            onOutput: (offset, text) => source.onOutput(offset, text),
+            onEndpoint: endpoint => {
+                this.firstEndpoint ??= endpoint;
+            },
+        }).finally(() => source.release());
+        const call = { controller, result };
+        this.calls.push(call);
+        return call;
+    }
+
+    /** The call's result, or undefined when it takes longer. */
+    private async within(call: StartedCall, delayMs: number): Promise<AttemptResult | undefined> {
+        const waiting = new AbortController();
+        const slow = this.parts.services.clock.sleep(delayMs, waiting.signal).then(() => undefined);
+        const result = await Promise.race([call.result, slow]);
+        waiting.abort();
+        return result;
+    }
+
+    private async firstSuccess(first: StartedCall, second: StartedCall): Promise<AttemptResult> {
+        const [result, other] = await Promise.race([
+            first.result.then(one => [one, second] as const),
+            second.result.then(one => [one, first] as const),
+        ]);
+        return result.isRight() ? result : other.result;
+    }
+}
--- /dev/null
+++ b/src/pipeline/RequestContext.ts
@@ -0,0 +1,99 @@
+/** What one request carries through its stages: settings in force at its start, outputs, attempts and costs. */
+import { invariant } from "../common/Invariant.js";
+import type { DispatchLedger } from "../common/Outcome.js";
+import type { PipelineSettings, StageSettings } from "../config/Schema.js";
+import type { ConfigView } from "../config/Types.js";
+import { promptOf } from "../endpoints/Prompt.js";
+import type { StageBody } from "../endpoints/Types.js";
+import type { Fingerprint } from "../records/Types.js";
+import { CostTally } from "./CostTally.js";
+import { fingerprintOf } from "./Digests.js";
+import type { OutputListener, PipelineRequest } from "./Types.js";
+
+export interface RequestContextOptions {
+    readonly req: PipelineRequest;
+    readonly settings: PipelineSettings;
+    readonly view: ConfigView;
+    /** Aborted when the caller gives up, or when the job's lease is lost. */
+    readonly signal: AbortSignal;
+    readonly listener: OutputListener | undefined;
+    readonly ledger: DispatchLedger;
+    /** Number of the first attempt of each stage, less one. */
+    readonly attemptBase?: number;
+    /** Checked before each call; false once a job's lease is lost. */
+    readonly maySend?: () => boolean;
+}
+
+export class RequestContext {
+    public readonly req: PipelineRequest;
+    public readonly settings: PipelineSettings;
+    public readonly view: ConfigView;
+    public readonly signal: AbortSignal;
+    public readonly listener: OutputListener | undefined;
+    public readonly maySend: () => boolean;
+    public readonly ledger: DispatchLedger;
+    public readonly costs = new CostTally();
+    public readonly fingerprint: Fingerprint;
+    /** Outputs of the stages that have ended, by stage. */
+    public readonly outputs: Record<string, string> = {};
+    private readonly attemptBase: number;
+    private readonly attempts = new Map<string, number>();
+    private readonly used = new Map<string, number>();
+
+    public constructor(options: RequestContextOptions) {
+        this.req = options.req;
+        this.settings = options.settings;
+        this.view = options.view;
+        this.signal = options.signal;
+        this.listener = options.listener;
+        this.ledger = options.ledger;
+        this.maySend = options.maySend ?? (() => true);
+        this.attemptBase = options.attemptBase ?? 0;
+        this.fingerprint = fingerprintOf(options.req);
+    }
+
+    public get weight(): number {
+        return this.view.settings.workspaces[this.req.workspace]?.weight ?? 1;
+    }
+
+    public get body(): StageBody {
+        return { input: this.req.input, previous: { ...this.outputs } };
+    }
+
+    /** The text that an engine would have to prefill for the next stage. */
+    public get prompt(): string {
+        return promptOf(this.body);
+    }
+
+    public isLastStage(stage: StageSettings): boolean {
+        return this.settings.stages[this.settings.stages.length - 1] === stage;
+    }
+
+    /** The number of a new attempt at a stage; no two calls of a request's stage have the same. */
+    public nextAttempt(stage: string): number {
+        const attempt = (this.attempts.get(stage) ?? this.attemptBase) + 1;
+        this.attempts.set(stage, attempt);
+        return attempt;
+    }
+
+    /** Takes a stage's output into the request; a stage has one output, from an attempt that was made. */
+    public useOutput(stage: string, attempt: number, output: string): void {
+        invariant(!this.used.has(stage), "one result is used for a stage", { request: this.req.id, stage, attempt });
+        invariant(
+            attempt > this.attemptBase && attempt <= (this.attempts.get(stage) ?? 0),
+            "a used result belongs to an attempt of its request and stage",
+            { request: this.req.id, stage, attempt },
+        );
+        this.used.set(stage, attempt);
+        this.outputs[stage] = output;
+    }
+
+    /** Takes over an output that a record holds. */
+    public adoptOutput(stage: string, output: string): void {
+        invariant(this.outputs[stage] === undefined, "one result is used for a stage", {
+            request: this.req.id,
+            stage,
+        });
+        this.outputs[stage] = output;
+    }
+}
--- /dev/null
+++ b/src/pipeline/StageCaller.ts
@@ -0,0 +1,222 @@
+/**
+ * Makes one call of a stage: waits for a turn in the pool's queue, finds a slot, sends the call and books what it cost.
+ * A call that is given up is aborted and not waited for; its turn ends when its client has returned.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import type { EndpointId } from "../common/Types.js";
+import type { StageSettings } from "../config/Schema.js";
+import type { Slot, StageCall, StageCallError, StageReply } from "../endpoints/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { RequestContext } from "./RequestContext.js";
+import { type FoundSlot, type NoSlot, SlotFinder } from "./SlotFinder.js";
+import type { StageEstimator } from "./StageEstimator.js";
+import type { StageQueues, Turn, TurnError } from "./StageQueues.js";
+import type { SuspectWatch } from "./SuspectWatch.js";
+import { raceAbort, TimedSignal } from "./TimedSignal.js";
+import type { PipelineServices } from "./Types.js";
+
+const queueFullRetryAfterMs = 500;
+
+export interface AttemptOptions {
+    readonly kind: "first" | "retry" | "hedge";
+    readonly avoid: ReadonlySet<EndpointId>;
+    readonly resumeFrom: StageCall["resumeFrom"];
+    readonly alone: boolean;
+    /** Aborting it cancels the call. */
+    readonly signal: AbortSignal;
+    /** Bound on the call itself, on the local monotonic clock. */
+    readonly callDeadlineMs: number;
+    readonly onOutput?: (offset: number, text: string) => void;
+    /** Told of the endpoint just before the call is handed to the client. */
+    readonly onEndpoint?: (endpoint: EndpointId) => void;
+}
+
+export type AttemptError =
+    | NoSlot
+    | {
+        readonly kind: "call-failed";
+        readonly error: StageCallError;
+        readonly endpoint: EndpointId;
+        readonly attempt: number;
+        /** True when the call had its endpoint to itself. */
+        readonly alone: boolean;
+    };
+
+export interface AttemptSuccess {
+    readonly reply: StageReply;
+    readonly attempt: number;
+    readonly endpoint: EndpointId;
+}
+
+export type AttemptResult = Either<AttemptError, AttemptSuccess>;
+
+/** What a call has in hand when it is sent. */
+interface Held {
+    readonly turn: Turn;
+    /** When the turn was given, on the local monotonic clock. */
+    readonly turnAtMs: number;
+    readonly found: FoundSlot;
+}
+
+const givenUp: AttemptError = { kind: "no-slot", reason: "aborted", message: "given up", retryAfterMs: 0 };
+
+export class StageCaller {
+    private readonly finder: SlotFinder;
+
+    public constructor(
+        private readonly services: PipelineServices,
+        private readonly queues: StageQueues,
+        private readonly estimator: StageEstimator,
+        private readonly suspects: SuspectWatch,
+    ) {
+        this.finder = new SlotFinder(services);
+    }
+
+    public async attempt(ctx: RequestContext, stage: StageSettings, options: AttemptOptions): Promise<AttemptResult> {
+        const { clock } = this.services;
+        const startByMs = this.estimator.latestStartMs(ctx, stage);
+        const waiting = new TimedSignal(clock, options.signal, startByMs);
+        const taken = await this.queues.turn(this.estimator.turnRequest(ctx, stage), waiting.signal);
+        waiting.dispose();
+        if (taken.isLeft()) {
+            return Left(this.turnFailure(taken.extract(), waiting, ctx, stage));
+        }
+        const turn = taken.extract() as Turn;
+        const turnAtMs = clock.nowMs();
+        const found = await this.finder.find({
+            stage,
+            prompt: ctx.prompt,
+            priority: ctx.req.priority,
+            avoid: options.avoid,
+            startByMs,
+            alone: options.alone,
+            signal: options.signal,
+        });
+        if (found.isLeft()) {
+            turn.end();
+            return Left(found.extract());
+        }
+        return this.send(ctx, stage, options, { turn, turnAtMs, found: found.extract() as FoundSlot });
+    }
+
+    private async send(
+        ctx: RequestContext,
+        stage: StageSettings,
+        options: AttemptOptions,
+        held: Held,
+    ): Promise<AttemptResult> {
+        const { turn, found } = held;
+        if (options.signal.aborted || ctx.ledger.isSealed || !ctx.maySend()) {
+            found.slot.release("never-sent");
+            found.done();
+            turn.end();
+            return Left(givenUp);
+        }
+        options.onEndpoint?.(found.choice.endpoint.id);
+        const ended = this.callClient(ctx, stage, options, held).finally(() => {
+            found.done();
+            turn.end();
+        });
+        return raceAbort<AttemptResult>(ended, options.signal, () => Left(givenUp));
+    }
+
+    private async callClient(
+        ctx: RequestContext,
+        stage: StageSettings,
+        options: AttemptOptions,
+        held: Held,
+    ): Promise<AttemptResult> {
+        const { clock, client, router } = this.services;
+        const found = held.found;
+        const call = this.callOf(ctx, stage, options);
+        const prompt = ctx.prompt;
+        const startedMs = clock.nowMs();
+        ctx.costs.recordCall(stage.name, options.kind);
+        const result = await client.call(call, found.slot, ctx.ledger, options.signal, options.onOutput);
+        const endedMs = clock.nowMs();
+        const elapsedMs = endedMs - startedMs;
+        const endpoint = found.choice.endpoint.id;
+        if (result.isLeft()) {
+            const error = result.extract();
+            this.bookFailure(ctx, stage, call, found.slot, error, elapsedMs);
+            await this.reportCrash(ctx, error, found);
+            return Left({ kind: "call-failed", error, endpoint, attempt: call.attempt, alone: found.alone });
+        }
+        const reply = result.extract() as StageReply;
+        router.learn(endpoint, prompt);
+        this.estimator.recordSuccess(ctx, stage, elapsedMs, endedMs - held.turnAtMs);
+        if (options.signal.aborted) {
+            ctx.costs.recordWasted(stage.name, reply.usage.busyMs);
+        }
+        return Right({ reply, attempt: call.attempt, endpoint });
+    }
+
+    private callOf(ctx: RequestContext, stage: StageSettings, options: AttemptOptions): StageCall {
+        return {
+            request: ctx.req.id,
+            workspace: ctx.req.workspace,
+            pipeline: ctx.req.pipeline,
+            stage: stage.name,
+            attempt: ctx.nextAttempt(stage.name),
+            idempotent: stage.idempotent,
+            priority: ctx.req.priority,
+            model: stage.model,
+            body: ctx.body,
+            resumeFrom: options.resumeFrom,
+            deadlineMs: options.callDeadlineMs,
+        };
+    }
+
+    private bookFailure(
+        ctx: RequestContext,
+        stage: StageSettings,
+        call: StageCall,
+        slot: Slot,
+        error: StageCallError,
+        elapsedMs: number,
+    ): void {
+        if (error.kind !== "never-sent" && error.kind !== "refused") {
+            ctx.costs.recordWasted(stage.name, elapsedMs);
+        }
+        this.services.log.event(EventId.StageCallFailed, {
+            request: ctx.req.id,
+            stage: stage.name,
+            attempt: call.attempt,
+            endpoint: slot.endpoint,
+            kind: error.kind,
+            message: error.message,
+            elapsedMs,
+        });
+    }
+
+    /** Records a crash before anything else is decided, so that a resend finds it. */
+    private async reportCrash(ctx: RequestContext, error: StageCallError, found: FoundSlot): Promise<void> {
+        if (error.kind !== "lost" || !error.crashed) {
+            return;
+        }
+        this.services.log.event(EventId.EndpointCrashSeen, {
+            request: ctx.req.id,
+            endpoint: found.slot.endpoint,
+            alone: found.alone,
+        });
+        await this.suspects.crashed(ctx.fingerprint, found.alone);
+    }
+
+    private turnFailure(
+        error: TurnError,
+        waiting: TimedSignal,
+        ctx: RequestContext,
+        stage: StageSettings,
+    ): AttemptError {
+        if (error === "aborted" && !waiting.timedOut) {
+            return givenUp;
+        }
+        const need = this.estimator.need(ctx, ctx.settings.stages.indexOf(stage));
+        return {
+            kind: "no-slot",
+            reason: "overloaded",
+            message: error === "queue-full" ? "too many calls wait" : `pool ${stage.pool} is too busy for the deadline`,
+            retryAfterMs: Math.max(queueFullRetryAfterMs, Math.ceil(need.waitMs)),
+        };
+    }
+}
--- /dev/null
+++ b/src/pipeline/StagedPipelineRunner.ts
@@ -0,0 +1,301 @@
+/**
+ * Runs requests and jobs: each stage in order under one deadline, refused early where the deadline can't be met, with
+ * one outcome that says no more than the request's ledger can prove.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import { DisposableStore } from "../common/DisposableStore.js";
+import { invariant } from "../common/Invariant.js";
+import { DispatchLedger, type Failure, failureFor, type Outcome } from "../common/Outcome.js";
+import type { Disposable, RequestId } from "../common/Types.js";
+import type { StageSettings } from "../config/Schema.js";
+import type { JobLease, RecordsError } from "../records/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import { Admission } from "./Admission.js";
+import { cancelled } from "./Failures.js";
+import { IdempotentStage } from "./IdempotentStage.js";
+import { LatencyBook } from "./LatencyBook.js";
+import { OnceStage } from "./OnceStage.js";
+import { RequestContext } from "./RequestContext.js";
+import { ShareRetryBudget } from "./ShareRetryBudget.js";
+import { StageCaller } from "./StageCaller.js";
+import { StageEstimator } from "./StageEstimator.js";
+import { StageQueues } from "./StageQueues.js";
+import { SuspectWatch } from "./SuspectWatch.js";
+import type {
+    OutputListener,
+    PipelineAnswer,
+    PipelineRequest,
+    PipelineRunner,
+    PipelineServices,
+    RetryBudget,
+} from "./Types.js";
+
+const notReadyRetryAfterMs = 1000;
+const defaultMaxWaiting = 2000;
+const defaultRetryShare = 0.2;
+/** Attempts of a job's stage on one run of the job; a later run's numbers start after them. */
+const attemptsPerRun = 10_000;
+const jobRetryMs = 1000;
+
+type Journal = (stage: string, output: string) => Promise<Either<RecordsError, void>>;
+
+export class StagedPipelineRunner implements PipelineRunner, Disposable {
+    private readonly store = new DisposableStore();
+    private readonly suspects: SuspectWatch;
+    private readonly estimator: StageEstimator;
+    private readonly admission: Admission;
+    private readonly idempotentStage: IdempotentStage;
+    private readonly onceStage: OnceStage;
+    private running = 0;
+
+    public constructor(private readonly services: PipelineServices, budget?: RetryBudget) {
+        const limits = () => services.config.current()?.settings.limits;
+        const queues = new StageQueues(services.directory, () => limits()?.queuedRequests ?? defaultMaxWaiting);
+        this.store.add(queues);
+        this.suspects = new SuspectWatch(services.quarantine);
+        this.estimator = new StageEstimator(new LatencyBook(services.clock), queues, services.clock);
+        this.admission = new Admission(services, this.estimator);
+        const caller = new StageCaller(services, queues, this.estimator, this.suspects);
+        this.idempotentStage = new IdempotentStage({
+            services,
+            caller,
+            estimator: this.estimator,
+            budget: budget ?? new ShareRetryBudget(() => limits()?.retryShare ?? defaultRetryShare),
+            suspects: this.suspects,
+        });
+        this.onceStage = new OnceStage(services, caller, this.estimator);
+    }
+
+    /** Requests running and waiting, and sent calls whose outcome is still to be recorded. */
+    public get inFlight(): number {
+        return this.running + this.onceStage.detachedCalls;
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    public async run(
+        req: PipelineRequest,
+        signal: AbortSignal,
+        listener?: OutputListener,
+    ): Promise<Outcome<PipelineAnswer>> {
+        const prepared = this.prepare(req, signal, listener);
+        if (prepared.isLeft()) {
+            return prepared.extract();
+        }
+        const ctx = prepared.extract() as RequestContext;
+        const refused = this.refuseKnown(ctx) ?? this.admission.enter(ctx);
+        if (refused !== undefined) {
+            return refused;
+        }
+        this.running += 1;
+        try {
+            return await this.runStages(ctx, undefined);
+        }
+        finally {
+            this.running -= 1;
+            this.admission.leave(ctx);
+        }
+    }
+
+    public async runJob(lease: JobLease, deadlineMs: number): Promise<Outcome<PipelineAnswer>> {
+        const job = lease.job;
+        const req: PipelineRequest = {
+            id: job.id as string as RequestId,
+            workspace: job.workspace,
+            pipeline: job.pipeline,
+            input: job.input,
+            idempotencyKey: `job\n${job.id}`,
+            deadlineMs,
+            priority: 2,
+        };
+        const prepared = this.prepare(req, lease.signal, undefined, lease);
+        if (prepared.isLeft()) {
+            return prepared.extract();
+        }
+        const ctx = prepared.extract() as RequestContext;
+        this.running += 1;
+        try {
+            return this.refuseKnown(ctx) ?? await this.runStages(ctx, (stage, output) => lease.journal(stage, output));
+        }
+        finally {
+            this.running -= 1;
+        }
+    }
+
+    private prepare(
+        req: PipelineRequest,
+        signal: AbortSignal,
+        listener: OutputListener | undefined,
+        lease?: JobLease,
+    ): Either<Failure, RequestContext> {
+        const view = this.services.config.current();
+        const ledger = new DispatchLedger();
+        if (lease !== undefined) {
+            // An earlier run of the job may have sent calls that its journal does not show.
+            ledger.markEarlierRun();
+        }
+        if (view === undefined) {
+            const message = "no configuration is in force yet";
+            return Left(failureFor(ledger, "not-ready", message, notReadyRetryAfterMs));
+        }
+        const settings = view.settings.pipelines[req.pipeline];
+        if (settings === undefined || view.settings.workspaces[req.workspace] === undefined) {
+            const what = settings === undefined ? `pipeline ${req.pipeline}` : `workspace ${req.workspace}`;
+            return Left(failureFor(ledger, "not-found", `there is no ${what}`));
+        }
+        const ctx = new RequestContext({
+            req,
+            settings,
+            view,
+            signal,
+            listener,
+            ledger,
+            ...(lease === undefined ? {} : {
+                attemptBase: lease.job.run * attemptsPerRun,
+                maySend: () => lease.live,
+            }),
+        });
+        if (lease !== undefined) {
+            this.adoptJournal(ctx, lease);
+        }
+        return Right(ctx);
+    }
+
+    private adoptJournal(ctx: RequestContext, lease: JobLease): void {
+        for (const [stage, output] of Object.entries(lease.job.stages)) {
+            ctx.adoptOutput(stage, output);
+        }
+    }
+
+    private refuseKnown(ctx: RequestContext): Failure | undefined {
+        if (this.suspects.isQuarantined(ctx.fingerprint)) {
+            return failureFor(ctx.ledger, "quarantined", "the request has crashed the endpoints that ran it");
+        }
+        const needsKey = ctx.settings.stages.some(stage => !stage.idempotent);
+        if (needsKey && ctx.req.idempotencyKey === undefined) {
+            const message = `pipeline ${ctx.req.pipeline} may not be repeated; send an Idempotency-Key`;
+            return failureFor(ctx.ledger, "idempotency-key-missing", message);
+        }
+        return undefined;
+    }
+
+    private async runStages(ctx: RequestContext, journal: Journal | undefined): Promise<Outcome<PipelineAnswer>> {
+        const { clock, log, metrics } = this.services;
+        const startedMs = clock.nowMs();
+        const labels = { workspace: ctx.req.workspace, pipeline: ctx.req.pipeline };
+        log.event(EventId.RequestStarted, { request: ctx.req.id, ...labels });
+        const failure = await this.runEachStage(ctx, journal);
+        ctx.ledger.seal();
+        const kind = failure?.kind ?? "answered";
+        metrics.count("requests_ended", { ...labels, kind });
+        metrics.latency("request_ms", clock.nowMs() - startedMs, labels);
+        log.event(EventId.RequestEnded, { request: ctx.req.id, kind, reason: failure?.reason });
+        return failure ?? { kind: "answered", answer: this.answerOf(ctx) };
+    }
+
+    private answerOf(ctx: RequestContext): PipelineAnswer {
+        for (const stage of ctx.settings.stages) {
+            invariant(ctx.outputs[stage.name] !== undefined, "an answer has the output of each stage", {
+                request: ctx.req.id,
+                stage: stage.name,
+            });
+        }
+        const last = ctx.settings.stages[ctx.settings.stages.length - 1];
+        return { output: ctx.outputs[last?.name ?? ""] ?? "", stages: ctx.costs.stages() };
+    }
+
+    private async runEachStage(ctx: RequestContext, journal: Journal | undefined): Promise<Failure | undefined> {
+        for (const [index, stage] of ctx.settings.stages.entries()) {
+            if (ctx.outputs[stage.name] !== undefined) {
+                continue;
+            }
+            const ended = journal === undefined
+                ? await this.runStage(ctx, index, stage)
+                : await this.runJobStage(ctx, index, stage, journal);
+            if (ended.isLeft()) {
+                return ended.extract();
+            }
+        }
+        return undefined;
+    }
+
+    private async runStage(
+        ctx: RequestContext,
+        index: number,
+        stage: StageSettings,
+    ): Promise<Either<Failure, string>> {
+        const { clock, log, metrics } = this.services;
+        const refused = ctx.signal.aborted ? cancelled(ctx) : this.admission.check(ctx, index);
+        if (refused !== undefined) {
+            return Left(refused);
+        }
+        const startedMs = clock.nowMs();
+        log.event(EventId.StageStarted, { request: ctx.req.id, stage: stage.name });
+        const ended = await this.admission.during(
+            ctx,
+            index,
+            () => stage.idempotent ? this.idempotentStage.run(ctx, stage) : this.onceStage.run(ctx, stage),
+        );
+        const durationMs = clock.nowMs() - startedMs;
+        ctx.costs.recordDuration(stage.name, durationMs);
+        metrics.latency("stage_ms", durationMs, { pipeline: ctx.req.pipeline, stage: stage.name });
+        log.event(EventId.StageEnded, {
+            request: ctx.req.id,
+            stage: stage.name,
+            answered: ended.isRight(),
+            durationMs,
+        });
+        return ended;
+    }
+
+    /** Runs a job's stage, waiting out refusals while the deadline allows, and journals its result. */
+    private async runJobStage(
+        ctx: RequestContext,
+        index: number,
+        stage: StageSettings,
+        journal: Journal,
+    ): Promise<Either<Failure, string>> {
+        const { clock } = this.services;
+        while (true) {
+            const ended = await this.runStage(ctx, index, stage);
+            if (ended.isRight()) {
+                return this.journalled(ctx, stage, ended.extract(), journal);
+            }
+            const failure = ended.extract() as Failure;
+            if (!this.mayWaitOut(failure)) {
+                return ended;
+            }
+            const waitMs = failure.kind === "failed" ? failure.retryAfterMs ?? jobRetryMs : jobRetryMs;
+            if (clock.nowMs() + waitMs >= ctx.req.deadlineMs) {
+                return ended;
+            }
+            await clock.sleep(waitMs, ctx.signal);
+        }
+    }
+
+    private mayWaitOut(failure: Failure): boolean {
+        return failure.kind === "failed"
+            && failure.retryAfterMs !== undefined
+            && ["overloaded", "no-endpoint", "no-quorum", "deadline-too-short", "stage-failed"].includes(
+                failure.reason,
+            );
+    }
+
+    private async journalled(
+        ctx: RequestContext,
+        stage: StageSettings,
+        output: string,
+        journal: Journal,
+    ): Promise<Either<Failure, string>> {
+        const recorded = await journal(stage.name, output);
+        if (recorded.isRight()) {
+            return Right(output);
+        }
+        const message = `the result of stage ${stage.name} could not be journalled: ${
+            (recorded.extract() as RecordsError).message
+        }`;
+        return Left(failureFor(ctx.ledger, "no-quorum", message, jobRetryMs));
+    }
+}
--- a/src/pipeline/Types.ts
+++ b/src/pipeline/Types.ts
@@ -1,8 +1,11 @@
 /** Runs one request through its stages under one deadline. */
 import type { Outcome } from "../common/Outcome.js";
-import type { PipelineId, RequestId, WorkspaceId } from "../common/Types.js";
-import type { Priority, StageUsage } from "../endpoints/Types.js";
-import type { JobLease } from "../records/Types.js";
+import type { Clock, PipelineId, Random, RequestId, WorkspaceId } from "../common/Types.js";
+import type { ConfigSource } from "../config/Types.js";
+import type { EndpointDirectory, Priority, SlotHolder, StageClient, StageUsage } from "../endpoints/Types.js";
+import type { Claims, JobLease, Quarantine } from "../records/Types.js";
+import type { Router } from "../routing/Types.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 
 export interface PipelineRequest {
     readonly id: RequestId;
@@ -55,3 +58,18 @@
     /** Takes one retry out of the budget; false when there is none. */
     tryTake(): boolean;
 }
+
+/** What a runner works with. */
+export interface PipelineServices {
+    readonly config: ConfigSource;
+    readonly router: Router;
+    readonly directory: EndpointDirectory;
+    readonly slots: SlotHolder;
+    readonly client: StageClient;
+    readonly claims: Claims;
+    readonly quarantine: Quarantine;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    readonly random: Random;
+}
--- a/standin/ExpectedOutput.ts
+++ b/standin/ExpectedOutput.ts
@@ -10,7 +10,9 @@
 const leastChars = 300;
 const spreadChars = 400;
 
-const words = "the old grey cat sleeps near a warm stove while rain falls and quiet readers turn another page".split(" ");
+const words = "the old grey cat sleeps near a warm stove while rain falls and quiet readers turn another page".split(
+    " ",
+);
 
 /** Digest of an input that does not depend on the order of keys; counters of runs are kept under it. */
 export function inputDigest(stage: string, input: unknown): string {
