--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -5,7 +5,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import type { EndpointId } from "../common/Types.js";
 import type { StageSettings } from "../config/Schema.js";
-import type { Slot, StageCall, StageCallError, StageReply } from "../endpoints/Types.js";
+import type { StageCall, StageCallError, StageReply } from "../endpoints/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { RequestContext } from "./RequestContext.js";
 import { type FoundSlot, type NoSlot, SlotFinder } from "./SlotFinder.js";
@@ -126,23 +126,32 @@
         options: AttemptOptions,
         held: Held,
     ): Promise<AttemptResult> {
-        const { clock, client, router } = this.services;
+        const { clock, client, log, router } = this.services;
         const found = held.found;
         const call = this.callOf(ctx, stage, options);
         const prompt = ctx.prompt;
         const startedMs = clock.nowMs();
         ctx.costs.recordCall(stage.name, options.kind);
+        const fields = { request: ctx.req.id, stage: stage.name, attempt: call.attempt, endpoint: found.slot.endpoint };
+        log.event(EventId.StageStarted, fields);
         const result = await client.call(call, found.slot, ctx.ledger, options.signal, options.onOutput);
         const endedMs = clock.nowMs();
         const elapsedMs = endedMs - startedMs;
         const endpoint = found.choice.endpoint.id;
         if (result.isLeft()) {
             const error = result.extract();
-            this.bookFailure(ctx, stage, call, found.slot, error, elapsedMs);
+            log.event(EventId.StageEnded, {
+                ...fields,
+                end: error.kind,
+                message: error.message,
+                durationMs: elapsedMs,
+            });
+            this.bookFailure(ctx, stage, error, elapsedMs);
             await this.reportCrash(ctx, error, found);
             return Left({ kind: "call-failed", error, endpoint, attempt: call.attempt, alone: found.alone });
         }
         const reply = result.extract() as StageReply;
+        log.event(EventId.StageEnded, { ...fields, end: "succeeded", durationMs: elapsedMs });
         router.learn(endpoint, prompt);
         this.estimator.recordSuccess(ctx, stage, elapsedMs, endedMs - held.turnAtMs);
         if (options.signal.aborted) {
@@ -167,26 +176,10 @@
         };
     }
 
-    private bookFailure(
-        ctx: RequestContext,
-        stage: StageSettings,
-        call: StageCall,
-        slot: Slot,
-        error: StageCallError,
-        elapsedMs: number,
-    ): void {
+    private bookFailure(ctx: RequestContext, stage: StageSettings, error: StageCallError, elapsedMs: number): void {
         if (error.kind !== "never-sent" && error.kind !== "refused") {
             ctx.costs.recordWasted(stage.name, elapsedMs);
         }
-        this.services.log.event(EventId.StageCallFailed, {
-            request: ctx.req.id,
-            stage: stage.name,
-            attempt: call.attempt,
-            endpoint: slot.endpoint,
-            kind: error.kind,
-            message: error.message,
-            elapsedMs,
-        });
     }
 
     /** Records a crash before anything else is decided, so that a resend finds it. */
--- a/src/pipeline/StagedPipelineRunner.ts
+++ b/src/pipeline/StagedPipelineRunner.ts
@@ -190,8 +190,9 @@
         ctx.ledger.seal();
         const kind = failure?.kind ?? "answered";
         metrics.count("requests_ended", { ...labels, kind });
-        metrics.latency("request_ms", clock.nowMs() - startedMs, labels);
-        log.event(EventId.RequestEnded, { request: ctx.req.id, kind, reason: failure?.reason });
+        const durationMs = clock.nowMs() - startedMs;
+        metrics.latency("request_ms", durationMs, labels);
+        log.event(EventId.RequestEnded, { request: ctx.req.id, outcome: kind, reason: failure?.reason, durationMs });
         return failure ?? { kind: "answered", answer: this.answerOf(ctx) };
     }
 
@@ -226,13 +227,12 @@
         index: number,
         stage: StageSettings,
     ): Promise<Either<Failure, string>> {
-        const { clock, log, metrics } = this.services;
+        const { clock, metrics } = this.services;
         const refused = ctx.signal.aborted ? cancelled(ctx) : this.admission.check(ctx, index);
         if (refused !== undefined) {
             return Left(refused);
         }
         const startedMs = clock.nowMs();
-        log.event(EventId.StageStarted, { request: ctx.req.id, stage: stage.name });
         const ended = await this.admission.during(
             ctx,
             index,
@@ -241,12 +241,6 @@
         const durationMs = clock.nowMs() - startedMs;
         ctx.costs.recordDuration(stage.name, durationMs);
         metrics.latency("stage_ms", durationMs, { pipeline: ctx.req.pipeline, stage: stage.name });
-        log.event(EventId.StageEnded, {
-            request: ctx.req.id,
-            stage: stage.name,
-            answered: ended.isRight(),
-            durationMs,
-        });
         return ended;
     }
 
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -20,14 +20,25 @@
     ConfigFileDiffers = 301,
     // 4xx: replication
     // 5xx: membership
+    HostStateChanged = 500,
+    HostRestarted = 501,
+    ViewCertaintyChanged = 502,
     // 6xx: endpoints
+    EndpointOwned = 600,
+    EndpointReleased = 601,
+    EndpointHandedOver = 602,
+    EndpointStateChanged = 603,
+    SlotLeaseExpired = 604,
+    OwnerEpochHeld = 605,
+    OwnerEpochLost = 606,
+    EngineOrdered = 607,
+    EngineOrderFailed = 608,
     // 7xx: records
     // 8xx: pipeline and routing
     RequestStarted = 800,
     RequestEnded = 801,
     StageStarted = 802,
     StageEnded = 803,
-    StageCallFailed = 804,
     RequestShed = 805,
     EndpointCrashSeen = 806,
     HedgeSent = 807,
