--- a/src/pipeline/HedgedAttempt.ts
+++ b/src/pipeline/HedgedAttempt.ts
@@ -78,7 +78,7 @@
         const result = this.parts.caller.attempt(this.ctx, this.stage, {
             ...options,
             signal: controller.signal,
-            onOutput: (offset, text) => source.onOutput(offset, text),
+            ...(this.relay.passesOn ? { onOutput: (offset, text) => source.onOutput(offset, text) } : {}),
             onEndpoint: endpoint => {
                 this.firstEndpoint ??= endpoint;
             },
--- a/src/pipeline/StreamRelay.ts
+++ b/src/pipeline/StreamRelay.ts
@@ -18,6 +18,11 @@
 
     public constructor(private readonly listener: OutputListener | undefined) {}
 
+    /** True when somebody listens. */
+    public get passesOn(): boolean {
+        return this.listener !== undefined;
+    }
+
     /** Characters passed on. */
     public get length(): number {
         return this.text.length;
