--- /dev/null
+++ b/src/daemon/CallerClient.ts
@@ -0,0 +1,95 @@
+/** A caller of the site, for the demonstration and the tests: sends one request and checks that the answer is whole. */
+import * as http from "node:http";
+import { Either, Left, Right } from "purify-ts";
+import { digestOf } from "../entry/AnswerStream.js";
+
+export interface CallerCall {
+    /** "ip:port" of an entry host. */
+    readonly address: string;
+    readonly pipeline: string;
+    readonly workspace: string;
+    readonly input: unknown;
+    readonly idempotencyKey?: string;
+    readonly deadlineMs?: number;
+    /** Bound on the whole call, in milliseconds. */
+    readonly timeoutMs: number;
+}
+
+export interface CallerAnswer {
+    readonly status: number;
+    /** Outcome that the host named: answered, not-run, failed or unknown. */
+    readonly outcome: string;
+    readonly output: string | undefined;
+    readonly message: string;
+    readonly retryAfterMs: number | undefined;
+}
+
+export type CallerError =
+    /** No connection was made. */
+    | { readonly kind: "unreachable"; readonly message: string; }
+    /** The connection broke before the reply was whole. */
+    | { readonly kind: "broken"; readonly message: string; };
+
+interface ReplyBody {
+    readonly output?: string;
+    readonly length?: number;
+    readonly digest?: string;
+    readonly message?: string;
+    readonly retryAfterMs?: number;
+}
+
+/** Sends the call. An answer whose length or digest does not match counts as broken. */
+export function callPipeline(call: CallerCall): Promise<Either<CallerError, CallerAnswer>> {
+    return new Promise(resolve => {
+        let connected = false;
+        const body = Buffer.from(JSON.stringify(call.input));
+        const req = http.request(`http://${call.address}/v1/pipelines/${call.pipeline}`, {
+            method: "POST",
+            agent: false,
+            timeout: call.timeoutMs,
+            headers: headersOf(call, body.length),
+        });
+        const fail = (err: Error) =>
+            resolve(Left({ kind: connected ? "broken" : "unreachable", message: err.message }));
+        req.on("socket", socket => socket.once("connect", () => connected = true));
+        req.on("timeout", () => req.destroy(new Error(`no reply within ${call.timeoutMs} ms`)));
+        req.on("error", fail);
+        req.on("response", res => {
+            const chunks: Buffer[] = [];
+            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            res.on("error", fail);
+            res.on("aborted", () => fail(new Error("the reply was cut")));
+            res.on("end", () => resolve(answerOf(res, Buffer.concat(chunks).toString("utf8"))));
+        });
+        req.end(body);
+    });
+}
+
+function headersOf(call: CallerCall, length: number): http.OutgoingHttpHeaders {
+    return {
+        "content-type": "application/json",
+        "content-length": length,
+        "fireflykeel-workspace": call.workspace,
+        ...(call.idempotencyKey === undefined ? {} : { "idempotency-key": call.idempotencyKey }),
+        ...(call.deadlineMs === undefined ? {} : { "fireflykeel-deadline-ms": call.deadlineMs }),
+    };
+}
+
+function answerOf(res: http.IncomingMessage, text: string): Either<CallerError, CallerAnswer> {
+    const parsed = Either.encase(() => JSON.parse(text) as ReplyBody);
+    if (parsed.isLeft()) {
+        return Left({ kind: "broken", message: "the reply is not JSON" });
+    }
+    const body = parsed.unsafeCoerce();
+    const outcome = String(res.headers["fireflykeel-outcome"] ?? "");
+    if (outcome === "answered" && (body.output?.length !== body.length || digestOf(body.output ?? "") !== body.digest)) {
+        return Left({ kind: "broken", message: "the answer is not whole" });
+    }
+    return Right({
+        status: res.statusCode ?? 0,
+        outcome,
+        output: body.output,
+        message: body.message ?? "",
+        retryAfterMs: body.retryAfterMs,
+    });
+}
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -45,6 +45,10 @@
     private readonly supervisor: Supervisor;
     private requestCount = 0;
     private stopped: Promise<readonly DrainReport[]> | undefined;
+    private resolveStopped: (left: readonly DrainReport[]) => void = () => undefined;
+
+    /** Resolves once a planned stop has ended, whoever asked for it. */
+    public readonly whenStopped = new Promise<readonly DrainReport[]>(resolve => this.resolveStopped = resolve);
 
     public constructor(private readonly options: DaemonOptions) {
         const { settings, keys, sink } = options;
@@ -123,6 +127,7 @@
         const left = await this.supervisor.stop(graceMs);
         this.transport.dispose();
         log.event(EventId.ProcessStopped, { unfinished: left.reduce((sum, report) => sum + report.unfinished, 0) });
+        this.resolveStopped(left);
         return left;
     }
 
--- /dev/null
+++ b/src/daemon/Demo.ts
@@ -0,0 +1,121 @@
+/**
+ * `fireflykeel demo`: a small site in one process, stand-in endpoints that start cold, and a few dozen requests of
+ * both users' pipelines. Ends with a check of every answer and tables of attainment and of cost by stage.
+ */
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import PQueue from "p-queue";
+import { runStandIns } from "../../standin/main.js";
+import { expectedAnswer } from "../../standin/ExpectedOutput.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import { SystemClock } from "../common/SystemClock.js";
+import type { PipelineId } from "../common/Types.js";
+import { loadSettings } from "../config/Loader.js";
+import type { Settings } from "../config/Schema.js";
+import { callPipeline } from "./CallerClient.js";
+import { attainmentTable, costTable, type DemoResult } from "./DemoTables.js";
+import { LocalSite } from "./LocalSite.js";
+
+const siteFile = new URL("../../../examples/demo/base.yaml", import.meta.url);
+const pipelines = ["profile", "hold", "summary", "question"] as const;
+const workspaceOf = { profile: "shelters", hold: "families", summary: "readers", question: "groups" } as const;
+/** Requests that are under way at once. */
+const concurrency = 6;
+const callTimeoutMs = 30_000;
+const progressEvery = 8;
+
+type Print = (text: string) => void;
+
+/** Runs the demonstration; true when every request was answered whole, with its own answer. */
+export async function runDemo(requests: number, seed: number, print: Print): Promise<boolean> {
+    const text = readFileSync(siteFile, "utf8");
+    const loaded = loadSettings(siteFile.pathname, []);
+    if (loaded.isLeft()) {
+        loaded.swap().unsafeCoerce().issues.forEach(issue => print(`${issue.file}:${issue.line}: ${issue.message}`));
+        return false;
+    }
+    const settings = loaded.unsafeCoerce();
+    const dir = mkdtempSync(join(tmpdir(), "fireflykeel-demo-"));
+    const standIns = await runStandIns(settings, { seed });
+    const logLines: string[] = [];
+    const random = new SeededRandom(seed);
+    const site = new LocalSite({
+        settings,
+        documents: { base: text },
+        keys: { peerKey: random.hex(32), operatorKey: random.hex(32) },
+        dir,
+        sink: line => logLines.push(line),
+        onFatal: err => print(`broken invariant: ${err.message}`),
+    });
+    try {
+        print(`starting ${Object.keys(settings.hosts).length} hosts and ${Object.keys(settings.endpoints).length} endpoints`);
+        await site.start();
+        print("a committed configuration is in force on every host");
+        const results = await sendAll(settings, requests, random, print);
+        print(attainmentTable(results));
+        print(costTable(logLines));
+        return summarise(results, print);
+    }
+    finally {
+        await site.abort();
+        standIns.dispose();
+        rmSync(dir, { recursive: true, force: true });
+    }
+}
+
+async function sendAll(
+    settings: Settings,
+    requests: number,
+    random: SeededRandom,
+    print: Print,
+): Promise<readonly DemoResult[]> {
+    const queue = new PQueue({ concurrency });
+    const addresses = Object.values(settings.hosts).map(host => host.callerAddress);
+    const results: DemoResult[] = [];
+    const send = async (index: number) => {
+        const address = addresses[random.below(addresses.length)] ?? "";
+        results.push(await sendOne(settings, index, address));
+        if (results.length % progressEvery === 0) {
+            print(`${results.length} of ${requests} requests have ended`);
+        }
+    };
+    await queue.addAll(Array.from({ length: requests }, (_, index) => () => send(index)));
+    return results;
+}
+
+async function sendOne(settings: Settings, index: number, address: string): Promise<DemoResult> {
+    const clock = new SystemClock();
+    const pipeline = pipelines[index % pipelines.length] ?? "profile";
+    const input = { subject: `${pipeline} ${index}`, note: "found near the harbour, friendly, needs a quiet home" };
+    const startedMs = clock.nowMs();
+    const reply = await callPipeline({
+        address,
+        pipeline,
+        workspace: workspaceOf[pipeline],
+        input,
+        timeoutMs: callTimeoutMs,
+        ...(pipeline === "hold" ? { idempotencyKey: `hold-${index}` } : {}),
+    });
+    const settingsOfPipeline = settings.pipelines[pipeline as PipelineId];
+    const expected = expectedAnswer((settingsOfPipeline?.stages ?? []).map(stage => stage.name), input);
+    const durationMs = clock.nowMs() - startedMs;
+    return reply.caseOf<DemoResult>({
+        Left: err => ({ pipeline, outcome: `${err.kind}: ${err.message}`, isOwnAnswer: false, inTime: false, durationMs }),
+        Right: answer => ({
+            pipeline,
+            outcome: answer.outcome === "answered" ? "answered" : `${answer.outcome}: ${answer.message}`,
+            isOwnAnswer: answer.output === expected,
+            inTime: durationMs <= (settingsOfPipeline?.deadlineMs ?? 0),
+            durationMs,
+        }),
+    });
+}
+
+function summarise(results: readonly DemoResult[], print: Print): boolean {
+    const bad = results.filter(result => result.outcome !== "answered" || !result.isOwnAnswer);
+    bad.forEach(result => print(`not served: ${result.pipeline}: ${result.outcome}`));
+    const whole = results.length - bad.length;
+    print(`answers checked: ${whole} of ${results.length} are whole and the caller's own`);
+    return bad.length === 0;
+}
--- /dev/null
+++ b/src/daemon/DemoTables.ts
@@ -0,0 +1,59 @@
+/** The tables that end a demonstration: attainment by pipeline, and cost by stage from the events of the log. */
+import { EventId } from "../telemetry/Events.js";
+
+export interface DemoResult {
+    readonly pipeline: string;
+    /** "answered", or what happened instead. */
+    readonly outcome: string;
+    readonly isOwnAnswer: boolean;
+    readonly inTime: boolean;
+    readonly durationMs: number;
+}
+
+interface StageRow {
+    calls: number;
+    totalMs: number;
+}
+
+export function attainmentTable(results: readonly DemoResult[]): string {
+    const rows = [...new Set(results.map(result => result.pipeline))].map(pipeline => {
+        const own = results.filter(result => result.pipeline === pipeline);
+        const attained = own.filter(result => result.outcome === "answered" && result.isOwnAnswer && result.inTime);
+        const sorted = own.map(result => result.durationMs).sort((a, b) => a - b);
+        const median = sorted[Math.floor(sorted.length / 2)] ?? 0;
+        const slowest = sorted[sorted.length - 1] ?? 0;
+        const share = (100 * attained.length) / own.length;
+        return [pipeline, String(own.length), `${share.toFixed(1)} %`, median.toFixed(0), slowest.toFixed(0)];
+    });
+    return formatTable(["pipeline", "requests", "attained", "median ms", "slowest ms"], rows);
+}
+
+/** Builds the table from the log's stage events. */
+export function costTable(logLines: readonly string[]): string {
+    const stages = new Map<string, StageRow>();
+    for (const line of logLines) {
+        const record = JSON.parse(line) as { event: number; stage?: string; durationMs?: number; };
+        if (record.event === EventId.StageEnded && record.stage !== undefined) {
+            const row = stages.get(record.stage) ?? { calls: 0, totalMs: 0 };
+            row.calls += 1;
+            row.totalMs += record.durationMs ?? 0;
+            stages.set(record.stage, row);
+        }
+    }
+    const rows = [...stages].map(([stage, row]) => [
+        stage,
+        String(row.calls),
+        (row.totalMs / row.calls).toFixed(0),
+        row.totalMs.toFixed(0),
+    ]);
+    return formatTable(["stage", "runs", "mean ms", "total ms"], rows);
+}
+
+function formatTable(head: readonly string[], rows: readonly (readonly string[])[]): string {
+    const all = [head, ...rows];
+    const widths = head.map((_, column) => Math.max(...all.map(row => (row[column] ?? "").length)));
+    const line = (row: readonly string[]) =>
+        row.map((cell, column) => column === 0 ? cell.padEnd(widths[column] ?? 0) : cell.padStart(widths[column] ?? 0))
+            .join("  ");
+    return `\n${all.map(line).join("\n")}\n`;
+}
--- /dev/null
+++ b/src/daemon/Serve.ts
@@ -0,0 +1,105 @@
+/** Runs one daemon until a signal, for `fireflykeel serve`. */
+import { createWriteStream, readFileSync, type WriteStream } from "node:fs";
+import { Either } from "purify-ts";
+import type { InvariantError } from "../common/Invariant.js";
+import type { DataCentreId } from "../common/Types.js";
+import type { DaemonSettings, Settings } from "../config/Schema.js";
+import { Daemon } from "./Daemon.js";
+import { readKeys } from "./Keys.js";
+
+export type ServeResult = "stopped" | "work-left" | "invalid";
+
+/** Exit code after a broken invariant. */
+const brokenInvariantExit = 70;
+/** Exit code after a second signal. */
+const secondSignalExit = 6;
+
+/** Serves until SIGTERM or SIGINT. A second signal ends the process at once, and says so. */
+export async function serveUntilSignal(
+    settings: Settings,
+    baseFile: string,
+    overlayFiles: readonly string[],
+    printError: (text: string) => void,
+): Promise<ServeResult> {
+    const { daemon } = settings;
+    const problem = daemonProblem(settings);
+    if (daemon === undefined || problem !== undefined) {
+        printError(problem ?? "the settings have no section daemon");
+        return "invalid";
+    }
+    const keys = readKeys(daemon);
+    if (keys.isLeft()) {
+        printError(keys.swap().unsafeCoerce().message);
+        return "invalid";
+    }
+    const log = openLog(daemon);
+    const running = new Daemon({
+        settings: { ...settings, daemon },
+        seeds: readSeeds(baseFile, overlayFiles, settings.hosts[daemon.host]?.dataCentre),
+        keys: keys.unsafeCoerce(),
+        sink: line => log.write(`${line}\n`),
+        onFatal: err => stopOnBrokenInvariant(err, printError),
+    });
+    return runDaemon(running, printError);
+}
+
+async function runDaemon(daemon: Daemon, printError: (text: string) => void): Promise<ServeResult> {
+    const abort = new AbortController();
+    const firstSignal = new Promise<string>(resolve => {
+        const onSignal = (signal: NodeJS.Signals) => {
+            if (abort.signal.aborted) {
+                printError(`second signal (${signal}): ending at once, work in progress is cut`);
+                process.exit(secondSignalExit);
+            }
+            abort.abort();
+            resolve(signal);
+        };
+        process.on("SIGTERM", onSignal);
+        process.on("SIGINT", onSignal);
+    });
+    void daemon.start(abort.signal);
+    const left = await Promise.race([firstSignal.then(signal => daemon.stop(signal)), daemon.whenStopped]);
+    for (const report of left) {
+        printError(`left unfinished: ${report.unfinished} ${report.what}`);
+    }
+    return left.length > 0 ? "work-left" : "stopped";
+}
+
+/** What keeps these settings from being served by one process; undefined when nothing does. */
+function daemonProblem(settings: Settings): string | undefined {
+    const { daemon } = settings;
+    if (daemon?.host === undefined) {
+        return "name the host that this process is, by --host or by daemon.host";
+    }
+    const host = settings.hosts[daemon.host];
+    if (host === undefined) {
+        return `there is no host "${daemon.host}" in the settings`;
+    }
+    if (host.control !== "none" && daemon.dataDir === undefined) {
+        return `host "${daemon.host}" keeps durable state and needs --data-dir or daemon.dataDir`;
+    }
+    return undefined;
+}
+
+function openLog(daemon: DaemonSettings): Pick<WriteStream, "write"> | NodeJS.WriteStream {
+    return daemon.logFile === undefined ? process.stdout : createWriteStream(daemon.logFile, { flags: "a" });
+}
+
+/** Texts of the base and of the overlay that is named like the data centre, without sections of the process. */
+function readSeeds(
+    baseFile: string,
+    overlayFiles: readonly string[],
+    dataCentre: DataCentreId | undefined,
+): Readonly<Record<string, string>> {
+    const base = Either.encase(() => readFileSync(baseFile, "utf8")).orDefault("");
+    const overlay = overlayFiles.find(file => new RegExp(`(^|/)${dataCentre ?? ""}\\.ya?ml$`).test(file));
+    if (overlay === undefined || dataCentre === undefined) {
+        return { base };
+    }
+    return { base, [dataCentre]: Either.encase(() => readFileSync(overlay, "utf8")).orDefault("") };
+}
+
+function stopOnBrokenInvariant(err: InvariantError, printError: (text: string) => void): void {
+    printError(err.message);
+    process.exit(brokenInvariantExit);
+}
--- a/src/daemon/WorkPart.ts
+++ b/src/daemon/WorkPart.ts
@@ -68,7 +68,7 @@
     const quarantine = new ReplicatedQuarantine(control.records, clock, log);
     const runner = new StagedPipelineRunner({
         config,
-        router: new CostRouter({ directory, prefixes: new BlockPrefixIndex(), dataCentre }),
+        router: new CostRouter({ directory, prefixes: new BlockPrefixIndex(log), dataCentre }),
         directory,
         slots: holder,
         client: new HttpStageClient({ config, clock, connections }),
--- a/src/records/RecordsClient.ts
+++ b/src/records/RecordsClient.ts
@@ -33,6 +33,9 @@
     readonly repeated: boolean;
 }
 
+/** What the client needs of the group's log. */
+export type RecordsLog = Pick<ReplicatedLog, "propose" | "readBarrier" | "onApplied">;
+
 /** What the client needs of the local replica. */
 export type RecordsReplica = Pick<RecordsState, "query" | "queuedJobs" | "marksVersion" | "jobHolders">;
 
@@ -54,7 +57,7 @@
     private readonly renewEmitter = new Emitter<SentReply>();
 
     public constructor(
-        private readonly log: ReplicatedLog,
+        private readonly log: RecordsLog,
         private readonly clock: Clock,
         private readonly events: EventLog,
         private readonly options: RecordsClientOptions,
