--- /dev/null
+++ b/src/config/ConfigClient.ts
@@ -0,0 +1,192 @@
+/**
+ * The configuration on a host without a replica: it asks the control host of its data centre, or else another
+ * control host or a peer, waits there for the next version, and passes on what it has to peers that ask.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock, DataCentreId, HostId, Random } from "../common/Types.js";
+import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
+import { LeaderClient } from "../replication/LeaderClient.js";
+import type { EventLog } from "../telemetry/Types.js";
+import { ConfigDistribution } from "./ConfigDistribution.js";
+import { changeMethod, type ChangeReply, pullMethod, type PullReply } from "./ConfigMessages.js";
+import { LeaseServiceClient } from "./LeaseServiceClient.js";
+import type {
+    CommittedConfig,
+    CommittedDocument,
+    ConfigChange,
+    ConfigChangeError,
+    ConfigChangeResult,
+    ConfigSource,
+    ConfigView,
+    ConfigWriter,
+    DocumentChecker,
+    DocumentName,
+    Lease,
+    LeaseError,
+    LeaseService,
+} from "./Types.js";
+import { ViewPublisher } from "./ViewPublisher.js";
+
+/** How long a request waits at the control host for a newer version. */
+const waitMs = 2000;
+const replyMarginMs = 500;
+const retryMs = 250;
+const maxRetryMs = 2000;
+/** Time at a start in which only a state that a quorum has confirmed is taken. */
+const confirmWindowMs = 3000;
+const changeTryMs = 3000;
+const leaderPauseMs = 100;
+
+export interface ConfigClientOptions {
+    readonly self: HostId;
+    readonly site: DataCentreId;
+    /** Control hosts, those of this data centre first. */
+    readonly controlHosts: () => readonly HostId[];
+    /** Other hosts of this data centre. */
+    readonly peers: () => readonly HostId[];
+    readonly checker: DocumentChecker;
+    readonly transport: PeerTransport;
+    readonly registry: PeerRegistry;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: EventLog;
+}
+
+export class ConfigClient implements ConfigSource, ConfigWriter, LeaseService {
+    public readonly name = "config client";
+    public readonly onChange: ConfigSource["onChange"];
+    private readonly views: ViewPublisher;
+    private readonly distribution: ConfigDistribution;
+    private readonly leases: LeaseServiceClient;
+    private documents: Readonly<Record<DocumentName, CommittedDocument>> = {};
+    private held: CommittedConfig | undefined;
+    /** True while a control host that follows its leader is the source; peers that rely on peers are not current. */
+    private isCurrent = false;
+
+    public constructor(private readonly options: ConfigClientOptions) {
+        const { self, site, checker, transport, clock, random, log } = options;
+        this.views = new ViewPublisher(site, checker, log);
+        this.onChange = this.views.onChange;
+        this.distribution = new ConfigDistribution({
+            committed: () => this.held,
+            isCurrent: () => this.isCurrent,
+            confirm: async () => false,
+        }, clock);
+        this.distribution.register(options.registry);
+        const hosts = options.controlHosts;
+        const leader = new LeaderClient({ self, transport, clock, hosts, pauseMs: leaderPauseMs });
+        this.leases = new LeaseServiceClient(self, clock, leader, random);
+    }
+
+    public current(): ConfigView | undefined {
+        return this.views.current();
+    }
+
+    public acquire(name: string, durationMs: number, timeoutMs: number): Promise<Either<LeaseError, Lease>> {
+        return this.leases.acquire(name, durationMs, timeoutMs);
+    }
+
+    public release(name: string): Promise<void> {
+        return this.leases.release(name);
+    }
+
+    /** Sends the change to one control host after the other; its id makes that safe. */
+    public async change(
+        change: ConfigChange,
+        timeoutMs: number,
+    ): Promise<Either<ConfigChangeError, ConfigChangeResult>> {
+        const { clock, transport, controlHosts } = this.options;
+        const deadlineMs = clock.nowMs() + timeoutMs;
+        let mayBeAccepted = false;
+        let message = "no control host is known";
+        while (clock.nowMs() < deadlineMs) {
+            for (const host of controlHosts()) {
+                const tryMs = Math.min(changeTryMs, deadlineMs - clock.nowMs());
+                if (tryMs <= 0) {
+                    break;
+                }
+                const req = { change, timeoutMs: tryMs };
+                const reply = await transport.call(host, changeMethod, req, { timeoutMs: tryMs });
+                const answer = reply.map<ChangeReply | undefined>(one => one).orDefault(undefined);
+                if (answer?.kind === "answered") {
+                    return Right(answer.result);
+                }
+                message = reply.caseOf({ Left: error => `${host}: ${error.message}`, Right: () => messageOf(answer) });
+                const isLost = reply.caseOf({ Left: error => error.kind === "no-reply", Right: () => false });
+                mayBeAccepted ||= isLost || answer?.kind === "unknown";
+            }
+            await clock.sleep(Math.min(retryMs, Math.max(0, deadlineMs - clock.nowMs())));
+        }
+        return Left({ kind: mayBeAccepted ? "unknown" : "not-accepted", message });
+    }
+
+    /** Follows the committed configuration until the signal is aborted. */
+    public async run(signal: AbortSignal): Promise<void> {
+        const { clock } = this.options;
+        const confirmUntilMs = clock.nowMs() + confirmWindowMs;
+        let turn = 0;
+        let pauseMs = retryMs;
+        while (!signal.aborted) {
+            const sources = this.sources();
+            const source = sources[turn % Math.max(1, sources.length)];
+            const mustConfirm = this.held === undefined && clock.nowMs() < confirmUntilMs;
+            const reply = source === undefined ? undefined : await this.pull(source, mustConfirm, signal);
+            const isUsable = reply?.config !== undefined && (!mustConfirm || reply.isConfirmed);
+            if (isUsable && reply?.config !== undefined) {
+                this.take(reply.config);
+            }
+            const isSourceCurrent = reply?.isCurrent ?? false;
+            this.isCurrent = isSourceCurrent && this.options.controlHosts().some(host => host === source);
+            if (isSourceCurrent && (isUsable || !mustConfirm)) {
+                pauseMs = retryMs;
+                continue;
+            }
+            turn += 1;
+            if (turn % Math.max(1, sources.length) === 0) {
+                await clock.sleep(pauseMs, signal);
+                pauseMs = Math.min(maxRetryMs, pauseMs * 2);
+            }
+        }
+    }
+
+    private sources(): readonly HostId[] {
+        const { self, controlHosts, peers } = this.options;
+        return [...new Set([...controlHosts(), ...peers()])].filter(host => host !== self);
+    }
+
+    private async pull(source: HostId, confirm: boolean, signal: AbortSignal): Promise<PullReply | undefined> {
+        const { self: host, site, transport } = this.options;
+        const documents = Object.fromEntries(
+            Object.entries(this.documents).map(([name, document]) => [name, document.version]),
+        );
+        const req = {
+            host,
+            site,
+            inForce: this.views.version,
+            held: this.held?.version ?? 0,
+            documents,
+            waitMs,
+            confirm,
+        };
+        const reply = await transport.call(source, pullMethod, req, { timeoutMs: waitMs + replyMarginMs, signal });
+        return reply.map<PullReply | undefined>(one => one).orDefault(undefined);
+    }
+
+    /** Joins what came with the documents that this host holds already. Older versions are passed over. */
+    private take(part: CommittedConfig): void {
+        if (part.version <= (this.held?.version ?? 0)) {
+            return;
+        }
+        const newer = Object.entries(part.documents).filter(([name, document]) =>
+            document.version > (this.documents[name]?.version ?? 0)
+        );
+        this.documents = { ...this.documents, ...Object.fromEntries(newer) };
+        this.held = { ...part, documents: this.documents };
+        this.views.publish(this.held);
+        this.distribution.notify();
+    }
+}
+
+function messageOf(answer: ChangeReply | undefined): string {
+    return answer === undefined || answer.kind === "answered" ? "" : answer.message;
+}
--- /dev/null
+++ b/src/config/ConfigMessages.ts
@@ -0,0 +1,116 @@
+/** Messages about configuration and leases between hosts. */
+import { z } from "zod";
+import type { ChangeId, DataCentreId, EndpointId, HostId } from "../common/Types.js";
+import { definePeerMethod } from "../peer/Types.js";
+import type { LeaderReply } from "../replication/Messages.js";
+import type {
+    CommittedConfig,
+    ConfigChange,
+    ConfigChangeError,
+    ConfigChangeResult,
+    ConfigLogEntry,
+    HostReport,
+} from "./Types.js";
+
+const hostId = z.string() as unknown as z.ZodType<HostId>;
+const changeId = z.string() as unknown as z.ZodType<ChangeId>;
+const version = z.number().int().min(0);
+const durationMs = z.number().min(1).max(3_600_000);
+
+/** A change as it travels and as the operators' API takes it. */
+export const configChangeSchema: z.ZodType<ConfigChange> = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal("put-document"),
+        id: changeId,
+        document: z.string().min(1).max(128),
+        baseVersion: version,
+        text: z.string().max(1_048_576),
+    }),
+    z.object({
+        kind: z.literal("set-data-centre"),
+        id: changeId,
+        dataCentre: z.string() as unknown as z.ZodType<DataCentreId>,
+        out: z.boolean(),
+    }),
+    z.object({
+        kind: z.literal("set-endpoint"),
+        id: changeId,
+        endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+        leaving: z.boolean(),
+    }),
+]);
+
+const changeRequest = z.object({ change: configChangeSchema, timeoutMs: z.number() });
+
+const pullRequest = z.object({
+    host: hostId,
+    site: z.string(),
+    /** The version in force on the asking host; 0 before the first. */
+    inForce: version,
+    /** The newest version that it holds, in force or not. */
+    held: version,
+    /** Versions of the documents that it holds. */
+    documents: z.record(z.string(), version),
+    /** How long to wait for a newer version, in milliseconds. */
+    waitMs: z.number().min(0).max(60_000),
+    /** Asks for a state that is confirmed by a quorum, if one can be reached. */
+    confirm: z.boolean(),
+});
+
+const leaseRequest = z.object({
+    name: z.string().min(1).max(256),
+    holder: hostId,
+    instance: z.string(),
+    durationMs,
+    timeoutMs: z.number(),
+});
+const releaseRequest = z.object({ name: z.string(), epoch: version, timeoutMs: z.number() });
+const empty = z.object({});
+const readRequest = z.object({ timeoutMs: z.number() });
+
+export type ChangeRequest = z.infer<typeof changeRequest>;
+export type PullRequest = z.infer<typeof pullRequest>;
+export type LeaseRequest = z.infer<typeof leaseRequest>;
+export type ReleaseRequest = z.infer<typeof releaseRequest>;
+
+export type ChangeReply =
+    | { readonly kind: "answered"; readonly result: ConfigChangeResult; }
+    | ConfigChangeError;
+
+export interface PullReply {
+    /** Version of the answering host; 0 while it has none. */
+    readonly version: number;
+    /** False while the answering host can't tell whether its version is the newest. */
+    readonly isCurrent: boolean;
+    /** True when a quorum confirmed the version after the request came. */
+    readonly isConfirmed: boolean;
+    /** Set when the version is newer; holds only documents that the asking host lacks. */
+    readonly config?: CommittedConfig | undefined;
+}
+
+export type LeaseReply =
+    | { readonly kind: "granted"; readonly epoch: number; }
+    | { readonly kind: "held"; readonly holder: HostId; readonly epoch: number; }
+    | { readonly kind: "unreachable"; readonly message: string; };
+
+/** The committed configuration as the leader knows it. */
+export type ConfigReadReply =
+    | {
+        readonly kind: "read";
+        readonly config: CommittedConfig;
+        readonly history: readonly ConfigLogEntry[];
+    }
+    | { readonly kind: "failed"; readonly message: string; };
+
+export const changeMethod = definePeerMethod<ChangeRequest, ChangeReply>("config.change", changeRequest);
+export const pullMethod = definePeerMethod<PullRequest, PullReply>("config.pull", pullRequest);
+export const readMethod = definePeerMethod<{ timeoutMs: number; }, ConfigReadReply>(
+    "config.read",
+    readRequest,
+);
+export const reportsMethod = definePeerMethod<z.infer<typeof empty>, readonly HostReport[]>("config.reports", empty);
+export const leaseMethod = definePeerMethod<LeaseRequest, LeaderReply<LeaseReply>>("config.lease", leaseRequest);
+export const releaseMethod = definePeerMethod<ReleaseRequest, LeaderReply<{ readonly kind: "released"; }>>(
+    "config.release",
+    releaseRequest,
+);
--- /dev/null
+++ b/src/config/ConfigState.ts
@@ -0,0 +1,223 @@
+/**
+ * The state machine of the config group: documents, data centres taken out, endpoints that leave, answers of the
+ * last changes, and leases. It is deterministic: documents are checked by the proposer, and a command whose check is
+ * older than the documents is sent back, so that replicas of different program versions can't disagree.
+ */
+import { invariant } from "../common/Invariant.js";
+import type { ChangeId, DataCentreId, EndpointId, HostId } from "../common/Types.js";
+import type { Json, StateMachine } from "../replication/Types.js";
+import { AnswerWindow, digestOf, type StoredAnswer } from "./AnswerWindow.js";
+import type {
+    ChangeCommand,
+    ChangeCommandResult,
+    ConfigCommand,
+    SeedCommand,
+    SeedCommandResult,
+} from "./ConfigCommands.js";
+import { LeaseRecords, type LeaseSnapshot } from "./LeaseRecords.js";
+import type {
+    CommittedConfig,
+    CommittedDocument,
+    ConfigChange,
+    ConfigChangeResult,
+    ConfigLogEntry,
+    DocumentName,
+} from "./Types.js";
+
+/** Accepted changes that `config log` shows. */
+const maxHistory = 200;
+
+interface ConfigSnapshot {
+    readonly version: number;
+    readonly documentsVersion: number;
+    readonly documents: Readonly<Record<DocumentName, CommittedDocument>>;
+    readonly outDataCentres: readonly DataCentreId[];
+    readonly leavingEndpoints: readonly EndpointId[];
+    readonly answers: readonly StoredAnswer[];
+    readonly history: readonly ConfigLogEntry[];
+    readonly leases: LeaseSnapshot;
+}
+
+export class ConfigState implements StateMachine {
+    public readonly leases = new LeaseRecords();
+    private readonly answers = new AnswerWindow();
+    private version = 0;
+    private documentsVersionNumber = 0;
+    private documents = new Map<DocumentName, CommittedDocument>();
+    private outDataCentres = new Set<DataCentreId>();
+    private leavingEndpoints = new Set<EndpointId>();
+    private historyEntries: ConfigLogEntry[] = [];
+
+    /** Rises with each change of a document. */
+    public get documentsVersion(): number {
+        return this.documentsVersionNumber;
+    }
+
+    /** Accepted changes, the newest last. */
+    public get history(): readonly ConfigLogEntry[] {
+        return this.historyEntries;
+    }
+
+    public committed(): CommittedConfig {
+        return {
+            version: this.version,
+            documents: Object.fromEntries(this.documents),
+            outDataCentres: [...this.outDataCentres],
+            leavingEndpoints: [...this.leavingEndpoints],
+        };
+    }
+
+    /** The answer that a change got when it was first sent; undefined for a new one. */
+    public answerOf(change: ConfigChange): ConfigChangeResult | { readonly kind: "id-reused"; } | undefined {
+        const known = this.answers.find(change.id);
+        if (known === undefined) {
+            return undefined;
+        }
+        return known.digest === digestOf(change) ? known.result : { kind: "id-reused" };
+    }
+
+    public apply(command: Json): Json {
+        const result = this.applyCommand(command as unknown as ConfigCommand);
+        return result as Json;
+    }
+
+    public snapshot(): Json {
+        const snapshot: ConfigSnapshot = {
+            ...this.committed(),
+            documentsVersion: this.documentsVersionNumber,
+            answers: this.answers.list(),
+            history: this.historyEntries,
+            leases: this.leases.snapshot(),
+        };
+        return snapshot as unknown as Json;
+    }
+
+    public restore(json: Json): void {
+        const snapshot = json as unknown as ConfigSnapshot;
+        invariant(snapshot.version >= this.version, "the configuration's version never falls", {
+            from: this.version,
+            to: snapshot.version,
+        });
+        this.version = snapshot.version;
+        this.documentsVersionNumber = snapshot.documentsVersion;
+        this.documents = new Map(Object.entries(snapshot.documents));
+        this.outDataCentres = new Set(snapshot.outDataCentres);
+        this.leavingEndpoints = new Set(snapshot.leavingEndpoints);
+        this.answers.restore(snapshot.answers);
+        this.historyEntries = [...snapshot.history];
+        this.leases.restore(snapshot.leases);
+    }
+
+    private applyCommand(command: ConfigCommand): unknown {
+        switch (command.kind) {
+            case "change":
+                return this.applyChange(command);
+            case "seed":
+                return this.applySeed(command);
+            case "grant-lease":
+                return this.leases.grant(command);
+            case "extend-lease":
+                return this.leases.extend(command) ?? null;
+            case "release-lease":
+                this.leases.release(command);
+                return null;
+            default:
+                return null;
+        }
+    }
+
+    private applyChange(command: ChangeCommand): ChangeCommandResult {
+        const { change, host } = command;
+        const known = this.answerOf(change);
+        if (known !== undefined) {
+            return known;
+        }
+        const result = this.decide(command);
+        if (result.kind === "accepted" || result.kind === "conflict") {
+            this.answers.add(change, result);
+        }
+        if (result.kind === "accepted" && result.version === this.version + 1) {
+            this.accept(change.id, host, summaryOf(change));
+        }
+        return result;
+    }
+
+    private decide(command: ChangeCommand): ChangeCommandResult {
+        const { change } = command;
+        const version = this.version + 1;
+        if (change.kind === "put-document") {
+            return this.decideDocument(change, command.checkedWith);
+        }
+        if (change.kind === "set-data-centre") {
+            setMembership(this.outDataCentres, change.dataCentre, change.out);
+        }
+        else {
+            setMembership(this.leavingEndpoints, change.endpoint, change.leaving);
+        }
+        return { kind: "accepted", version, documentVersion: 0 };
+    }
+
+    private decideDocument(
+        change: Extract<ConfigChange, { kind: "put-document"; }>,
+        checkedWith: number,
+    ): ChangeCommandResult {
+        const held = this.documents.get(change.document);
+        const heldVersion = held?.version ?? 0;
+        if (held !== undefined && heldVersion === change.baseVersion + 1 && held.text === change.text) {
+            return { kind: "accepted", version: this.version, documentVersion: heldVersion };
+        }
+        if (heldVersion !== change.baseVersion) {
+            const winner = { id: held?.changeId ?? change.id, text: held?.text ?? "" };
+            return { kind: "conflict", documentVersion: heldVersion, winner };
+        }
+        if (checkedWith !== this.documentsVersionNumber) {
+            return { kind: "recheck" };
+        }
+        this.putDocument(change.document, change.id, change.text);
+        return { kind: "accepted", version: this.version + 1, documentVersion: heldVersion + 1 };
+    }
+
+    private applySeed(command: SeedCommand): SeedCommandResult {
+        if (command.checkedWith !== this.documentsVersionNumber) {
+            return { kind: "recheck" };
+        }
+        const missing = Object.entries(command.documents).filter(([name]) => !this.documents.has(name));
+        for (const [name, text] of missing) {
+            this.putDocument(name, command.id, text);
+            this.accept(command.id, command.host, `first ${name}, from the files of ${command.host}`);
+        }
+        return { kind: "seeded", documents: missing.map(([name]) => name) };
+    }
+
+    private putDocument(name: DocumentName, changeId: ChangeId, text: string): void {
+        const version = (this.documents.get(name)?.version ?? 0) + 1;
+        this.documents.set(name, { version, changeId, text });
+        this.documentsVersionNumber += 1;
+    }
+
+    private accept(id: ChangeId, host: HostId, summary: string): void {
+        this.version += 1;
+        this.historyEntries.push({ version: this.version, id, host, summary });
+        this.historyEntries.splice(0, Math.max(0, this.historyEntries.length - maxHistory));
+    }
+}
+
+function setMembership<T>(set: Set<T>, item: T, isIn: boolean): void {
+    if (isIn) {
+        set.add(item);
+    }
+    else {
+        set.delete(item);
+    }
+}
+
+function summaryOf(change: ConfigChange): string {
+    switch (change.kind) {
+        case "put-document":
+            return `${change.document} version ${change.baseVersion + 1}`;
+        case "set-data-centre":
+            return `data centre ${change.dataCentre} ${change.out ? "out" : "in"}`;
+        case "set-endpoint":
+            return `endpoint ${change.endpoint} ${change.leaving ? "leaving" : "back"}`;
+    }
+}
--- a/src/config/Types.ts
+++ b/src/config/Types.ts
@@ -106,3 +106,43 @@
     acquire(name: string, durationMs: number, timeoutMs: number): Promise<Either<LeaseError, Lease>>;
     release(name: string): Promise<void>;
 }
+
+/** Merges and checks documents: the settings of each site, or what is wrong with them. */
+export type DocumentChecker = (
+    base: string,
+    overlays: Readonly<Record<DocumentName, string>>,
+) => Either<ConfigError, Readonly<Record<string, Settings>>>;
+
+/** Name of the base document. */
+export const baseDocument: DocumentName = "base";
+
+/** A committed document. */
+export interface CommittedDocument {
+    /** Rises with each accepted change of this document. */
+    readonly version: number;
+    readonly changeId: ChangeId;
+    readonly text: string;
+}
+
+/** What a host needs of the committed configuration to build its view. */
+export interface CommittedConfig {
+    readonly version: number;
+    readonly documents: Readonly<Record<DocumentName, CommittedDocument>>;
+    readonly outDataCentres: readonly DataCentreId[];
+    readonly leavingEndpoints: readonly EndpointId[];
+}
+
+/** One accepted change, as `config log` shows it. */
+export interface ConfigLogEntry {
+    readonly version: number;
+    readonly id: ChangeId;
+    readonly host: HostId;
+    readonly summary: string;
+}
+
+/** Version in force on a host, by its last report. */
+export interface HostReport {
+    readonly host: HostId;
+    readonly version: number;
+    readonly ageMs: number;
+}
--- a/src/replication/GroupStorage.ts
+++ b/src/replication/GroupStorage.ts
@@ -8,7 +8,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import type { HostId } from "../common/Types.js";
 import { encodeFrame, parseFrames } from "./Frame.js";
-import type { Disk, DiskError, GroupSnapshot, LogEntry, Member, StorageError } from "./Types.js";
+import type { Disk, GroupSnapshot, LogEntry, Member, StorageError } from "./Types.js";
 
 export interface StoredLog {
     readonly index: number;
@@ -200,14 +200,12 @@
         }
         this.generation = generation;
         const name = `log-${generation}`;
-        const data = await this.disk.read(this.path(name));
-        if (data.isLeft()) {
-            return data;
-        }
-        const frames = parseFrames(data.unsafeCoerce());
+        const read = await this.disk.read(this.path(name));
+        const frames = read.chain(data =>
+            parseFrames(data ?? new Uint8Array()).mapLeft(damage => this.damaged(name, damage.offset, damage.message))
+        );
         if (frames.isLeft()) {
-            const damage = frames.unsafeCoerce();
-            return Left(this.damaged(name, damage.offset, damage.message));
+            return frames;
         }
         const payloads = frames.unsafeCoerce().payloads;
         return this.replay(name, payloads.map(payload => decode(payload) as LogRecord));
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -203,6 +203,9 @@
                 continue;
             }
             const handover = await this.waitForSilence(signal);
+            if (!handover) {
+                replica.setRole(replica.followRole(), undefined);
+            }
             if (signal.aborted || replica.ownMember?.role !== "voter") {
                 continue;
             }
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -18,6 +18,8 @@
     // 3xx: config
     ConfigInForce = 300,
     ConfigFileDiffers = 301,
+    ConfigUnusable = 302,
+    ConfigSeedInvalid = 303,
     // 4xx: replication
     ReplicaOpened = 400,
     GroupFounded = 401,
