The whole path in one process: fireflykeel demo

Daemons with replicas of both groups, owners and holders of slots, the pipeline runner and the callers' API serve both users' pipelines through stand-ins that start cold. In the first run 3 of 48 requests were refused as not run: the owners of a site that has just started wait out possible leases of their predecessors (2 s), and the requests came before. The peer client added a listener for each call on a reused connection; it no longer does.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,7 +40,7 @@
         "pipeline",
         "entry",
     ],
-    cli: ["common", "telemetry", "config", "daemon", "entry", "supervise"],
+    cli: ["common", "peer", "telemetry", "config", "daemon", "entry", "supervise"],
 };
 
 const folders = Object.keys(allowedImports);
--- a/src/cli/DaemonCommands.ts
+++ b/src/cli/DaemonCommands.ts
@@ -21,7 +21,7 @@
         .option("--requests <n>", "requests to send", "48")
         .option("--seed <n>", "seed of the arrivals", "1")
         .action(async (options: { readonly requests: string; readonly seed: string; }) => {
-            const { runDemo } = await import("../daemon/Demo.js");
+            const { runDemo } = await import("./Demo.js");
             const good = await runDemo(Number(options.requests), Number(options.seed), context.output.out);
             context.setExit(good ? ExitCode.Ok : ExitCode.Failed);
         });
--- a/src/daemon/DemoTables.ts
+++ b/src/cli/DemoTables.ts
@@ -33,7 +33,7 @@
     const stages = new Map<string, StageRow>();
     for (const line of logLines) {
         const record = JSON.parse(line) as { event: number; stage?: string; durationMs?: number; };
-        if (record.event === EventId.StageEnded && record.stage !== undefined) {
+        if (record.event === Number(EventId.StageEnded) && record.stage !== undefined) {
             const row = stages.get(record.stage) ?? { calls: 0, totalMs: 0 };
             row.calls += 1;
             row.totalMs += record.durationMs ?? 0;
--- a/src/cli/Types.ts
+++ b/src/cli/Types.ts
@@ -2,8 +2,8 @@
 
 /** Where a command writes its lines. */
 export interface Output {
-    out(text: string): void;
-    err(text: string): void;
+    readonly out: (text: string) => void;
+    readonly err: (text: string) => void;
 }
 
 /** Exit codes; every command's help names them. */
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -30,8 +30,10 @@
 import type { DaemonBase, DaemonOptions } from "./Types.js";
 import { buildWork, type WorkPart } from "./WorkPart.js";
 
-/** How often a start looks whether a committed configuration is there. */
+/** How often a start looks whether this host can serve. */
 const startPollMs = 20;
+/** A start waits this long at most for the slots of the endpoints that this host owns. */
+const maxOwnerWaitMs = 6000;
 
 export class Daemon {
     private readonly base: DaemonBase;
@@ -100,10 +102,25 @@
         while (this.config.current() === undefined && signal?.aborted !== true && this.stopped === undefined) {
             await clock.sleep(startPollMs, signal);
         }
+        await this.waitForOwnedEndpoints(signal);
         this.readiness.markStarted();
         log.event(EventId.ProcessStarted, { incarnation, dataCentre });
     }
 
+    /** Waits until the peers are known and every endpoint that this host owns may be given out. */
+    private async waitForOwnedEndpoints(signal: AbortSignal | undefined): Promise<void> {
+        const { clock, settings } = this.base;
+        const settledMs = clock.nowMs() + 2 * settings.timing.heartbeatMs;
+        const untilMs = clock.nowMs() + maxOwnerWaitMs;
+        const isSettled = () =>
+            clock.nowMs() >= settledMs
+            && this.work.membership.view().certain
+            && this.work.owner.view().every(endpoint => endpoint.open);
+        while (!isSettled() && clock.nowMs() < untilMs && signal?.aborted !== true && this.stopped === undefined) {
+            await clock.sleep(startPollMs, signal);
+        }
+    }
+
     /**
      * Stops as planned: tells the balancer and the peers, goes on serving through the balancer's lag, ends or hands
      * over what runs, and exits. Gives what the grace time left unfinished. A second call gives the same.
--- a/src/daemon/StatusRoute.ts
+++ b/src/daemon/StatusRoute.ts
@@ -1,4 +1,5 @@
 /** Operators' route for what a host knows: configuration, members, endpoints, groups, work in progress. */
+import type { EndpointId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
 import type { OperatorRoute } from "../entry/Types.js";
 import type { ControlPart } from "./ControlPart.js";
@@ -16,8 +17,7 @@
         path: "/v1/operator/status",
         handle: async () => {
             const view = config.current();
-            const endpointIds = Object.keys(view?.settings.endpoints ?? {}) as (keyof typeof endpointsOf)[];
-            const endpointsOf = view?.settings.endpoints ?? {};
+            const endpointIds = Object.keys(view?.settings.endpoints ?? {}) as EndpointId[];
             return {
                 status: 200,
                 body: {
--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -59,9 +59,11 @@
         };
         req.on("socket", socket => {
             connected = !socket.connecting;
-            socket.once("connect", () => {
-                connected = true;
-            });
+            if (!connected) {
+                socket.once("connect", () => {
+                    connected = true;
+                });
+            }
         });
         req.on("error", fail);
         req.on("response", res => {
