Let RemoteLog stand where a replicated log is expected

Cause: hosts without a replica give their clients the same interface. Change: RemoteLog implements ReplicatedLog; its status says that the host has no part in the group.

--- a/src/replication/RemoteLog.ts
+++ b/src/replication/RemoteLog.ts
@@ -3,12 +3,13 @@
  * commands come with the commit; there is no local state machine to read from.
  */
 import type { Either } from "purify-ts";
+import { Emitter } from "../common/Emitter.js";
 import type { Clock, HostId, Random } from "../common/Types.js";
 import type { PeerTransport } from "../peer/Types.js";
 import { Forwarder } from "./Forwarder.js";
 import { LeaderClient } from "./LeaderClient.js";
 import { GroupMethods } from "./Messages.js";
-import type { GroupMembers, GroupStatus, Json, MemberChange, ProposeError, ReadError } from "./Types.js";
+import type { GroupMembers, GroupStatus, Json, MemberChange, ProposeError, ReadError, ReplicatedLog } from "./Types.js";
 
 const pauseMs = 100;
 const statusTimeoutMs = 1000;
@@ -23,8 +24,12 @@
     readonly random: Random;
 }
 
-export class RemoteLog {
+export class RemoteLog implements ReplicatedLog {
     public readonly group: string;
+    /** Never fires: this host applies nothing. */
+    public readonly onApplied: ReplicatedLog["onApplied"] = new Emitter<number>().event;
+    /** Never fires: this host has no role. */
+    public readonly onRoleChange: ReplicatedLog["onRoleChange"] = new Emitter<GroupStatus>().event;
     private readonly methods: GroupMethods;
     private readonly forwarder: Forwarder;
 
@@ -41,8 +46,11 @@
         return this.forwarder.propose(command, timeoutMs);
     }
 
-    /** The index up to which all entries were committed when the call was made. */
-    public readIndex(timeoutMs: number): Promise<Either<ReadError, number>> {
+    /**
+     * The index up to which all entries were committed when the call was made. It proves that a quorum can be
+     * reached; nothing is applied on this host.
+     */
+    public readBarrier(timeoutMs: number): Promise<Either<ReadError, number>> {
         return this.forwarder.read(timeoutMs);
     }
 
@@ -50,6 +58,23 @@
         return this.forwarder.changeMembers(change, timeoutMs);
     }
 
+    /** This host's part in the group, which is none. */
+    public status(): GroupStatus {
+        return {
+            group: this.group,
+            role: "stopped",
+            term: 0,
+            leader: undefined,
+            commitIndex: 0,
+            appliedIndex: 0,
+            lastIndex: 0,
+            snapshotIndex: 0,
+            members: { voters: this.options.hosts(), learners: [] },
+            hasQuorum: false,
+            fault: undefined,
+        };
+    }
+
     /** The status of each host of the group that answers. */
     public async statuses(): Promise<ReadonlyMap<HostId, GroupStatus>> {
         const statuses = new Map<HostId, GroupStatus>();
