Test the replicated log with random faults

Cause: promises have to hold under any mix of crashes, torn writes, partitions and full disks. Change: a seeded random run checks agreement at each step, and every proposer's answer at the end. It found that an unsynced tail of several frames, torn with zeros, was taken for damage; the frame reader now cuts it.

--- a/src/replication/Frame.ts
+++ b/src/replication/Frame.ts
@@ -2,9 +2,9 @@
  * Framing of records on disk. A frame is a header (payload length, checksum of the payload, checksum of the header),
  * the payload, and one trailer byte that is never zero.
  *
- * The frame tells an unfinished write from damage. An unfinished last write leaves a file that is too short for its
- * last frame, or that ends in zeros; such a tail was never acknowledged and is cut. Any other bad frame was whole
- * once, and may have been acknowledged: it is damage.
+ * The frame tells an unfinished write from damage. An unfinished write leaves a file that is too short for its last
+ * frame, or that holds nothing but zeros from somewhere within a frame on; such a tail was never acknowledged and is
+ * cut. Any other bad frame was whole once, and may have been acknowledged: it is damage.
  */
 import { crc32 } from "node:zlib";
 import { type Either, Left, Right } from "purify-ts";
@@ -37,13 +37,13 @@
 /** Splits a file into payloads; fails at the first frame that was whole once and is not any more. */
 export function parseFrames(file: Uint8Array): Either<FrameDamage, ParsedFrames> {
     const data = Buffer.from(file.buffer, file.byteOffset, file.byteLength);
-    const endsInZero = data.length > 0 && data[data.length - 1] === 0;
+    const zerosFrom = startOfTrailingZeros(data);
     const payloads: Uint8Array[] = [];
     let offset = 0;
     while (data.length - offset >= headerBytes) {
         const headerIsWhole = crc32(data.subarray(offset, offset + 8)) === data.readUInt32LE(offset + 8);
         if (!headerIsWhole) {
-            return endsInZero
+            return zerosFrom < offset + headerBytes
                 ? Right({ payloads, wholeBytes: offset })
                 : Left({ offset, message: "bad header checksum" });
         }
@@ -54,11 +54,21 @@
         }
         const payload = data.subarray(offset + headerBytes, end - trailerBytes);
         if (crc32(payload) !== data.readUInt32LE(offset + 4) || data[end - 1] !== trailer) {
-            const unfinished = endsInZero && end === data.length;
-            return unfinished ? Right({ payloads, wholeBytes: offset }) : Left({ offset, message: "bad checksum" });
+            return zerosFrom < end
+                ? Right({ payloads, wholeBytes: offset })
+                : Left({ offset, message: "bad checksum" });
         }
         payloads.push(payload);
         offset = end;
     }
     return Right({ payloads, wholeBytes: offset });
 }
+
+/** Where the zeros begin that an unfinished write has left at the end of a file; the file's length without them. */
+function startOfTrailingZeros(data: Uint8Array): number {
+    let start = data.length;
+    while (start > 0 && data[start - 1] === 0) {
+        start -= 1;
+    }
+    return start;
+}
--- /dev/null
+++ b/src/replication/RaftChaos.test.ts
@@ -0,0 +1,159 @@
+/** Long random runs: crashes, torn writes, partitions, lost, doubled and late messages, full disks. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ListMachine, RaftCluster } from "../../testing/RaftCluster.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import { EventId } from "../telemetry/Events.js";
+import type { ProposeError } from "./Types.js";
+
+const steps = 120;
+/** Seeds 1 to this; a longer run sets CHAOS_RUNS. */
+const runs = Number(process.env["CHAOS_RUNS"] ?? "12");
+
+interface Proposal {
+    readonly item: number;
+    end: "open" | "committed" | ProposeError["kind"];
+}
+
+class ChaosRun {
+    public readonly cluster: RaftCluster<ListMachine>;
+    public readonly proposals: Proposal[] = [];
+    private readonly random: SeededRandom;
+
+    public constructor(seed: number) {
+        this.random = new SeededRandom(seed);
+        this.cluster = new RaftCluster({
+            seed,
+            voters: ["a", "b", "c"],
+            makeMachine: () => new ListMachine(),
+            compaction: { compactEntries: 20, keepEntries: 5 },
+        });
+    }
+
+    public async run(): Promise<void> {
+        await this.cluster.leader();
+        Object.assign(this.cluster.network.faults, {
+            maxDelayMs: 40,
+            loseRequest: 0.03,
+            loseReply: 0.03,
+            doubleRequest: 0.05,
+        });
+        for (let step = 0; step < steps; step++) {
+            this.propose();
+            this.disturb();
+            await this.cluster.clock.advance(this.random.below(400));
+            this.checkAgreement();
+        }
+        await this.recover();
+    }
+
+    private propose(): void {
+        const hosts = this.cluster.up();
+        const host = hosts[this.random.below(hosts.length)];
+        const proposal: Proposal = { item: this.proposals.length, end: "open" };
+        if (host === undefined) {
+            return;
+        }
+        this.proposals.push(proposal);
+        void host.raft.propose(proposal.item, 500 + this.random.below(1500)).then(result => {
+            proposal.end = result.caseOf({ Left: error => error.kind, Right: () => "committed" });
+        });
+    }
+
+    private disturb(): void {
+        const { cluster, random } = this;
+        const names = ["a", "b", "c"];
+        const name = names[random.below(3)]!;
+        const other = names[random.below(3)]!;
+        const host = cluster.host(name);
+        switch (random.below(18)) {
+            case 0:
+                cluster.network.isolate(host.id);
+                break;
+            case 1:
+                cluster.network.cutOneWay(host.id, cluster.host(other).id);
+                break;
+            case 2:
+            case 3:
+            case 4:
+            case 13:
+            case 14:
+            case 15:
+                cluster.network.heal();
+                break;
+            case 5:
+                cluster.restart(name, { kind: "keep", bytes: random.below(60), zeros: random.below(2) === 0 });
+                break;
+            case 6:
+                if (host.isUp && cluster.up().length === 3) {
+                    host.disk = cluster.crash(name);
+                }
+                break;
+            case 7:
+            case 8:
+                cluster.hosts.forEach(one => one.isUp || cluster.start(one.id, one.disk));
+                break;
+            case 9:
+                host.disk.isFull = true;
+                break;
+            case 10:
+                host.disk.failSync = true;
+                break;
+            case 11:
+            case 12:
+                cluster.hosts.forEach(one => Object.assign(one.disk, { isFull: false, failSync: false }));
+                break;
+        }
+    }
+
+    /** What any two hosts have applied is equal as far as both go. */
+    private checkAgreement(): void {
+        const lists = [...this.cluster.hosts.values()].map(host => host.machine.items);
+        const longest = lists.reduce((a, b) => b.length > a.length ? b : a);
+        for (const list of lists) {
+            assert.deepEqual(list, longest.slice(0, list.length));
+        }
+    }
+
+    private async recover(): Promise<void> {
+        const { cluster } = this;
+        Object.assign(cluster.network.faults, { loseRequest: 0, loseReply: 0, doubleRequest: 0 });
+        cluster.network.heal();
+        cluster.hosts.forEach(one => Object.assign(one.disk, { isFull: false, failSync: false }));
+        cluster.hosts.forEach(one => one.isUp || cluster.start(one.id, one.disk));
+        const leader = await cluster.leader(20_000);
+        await cluster.settle(leader.raft.propose("end", 5000));
+        await cluster.clock.advance(3000);
+        const items = leader.machine.items;
+        for (const host of cluster.up()) {
+            const faults = cluster.log.events.filter(event => event.id === EventId.ReplicaOutOfService).slice(-3);
+            assert.deepEqual(host.machine.items, items, `${host.id}: ${JSON.stringify([host.raft.status(), faults])}`);
+        }
+        this.checkAnswers(new Set(items));
+        assert.equal(new Set(items).size, items.length, "nothing is applied twice");
+        await cluster.stopAll();
+    }
+
+    /** Every answer that a proposer got was true. */
+    private checkAnswers(items: ReadonlySet<unknown>): void {
+        for (const { item, end } of this.proposals) {
+            assert.notEqual(end, "open", `proposal ${item} was never answered`);
+            if (end === "committed") {
+                assert.ok(items.has(item), `proposal ${item} was acknowledged and is lost`);
+            }
+            if (end === "not-accepted") {
+                assert.ok(!items.has(item), `proposal ${item} was called not accepted and is there`);
+            }
+        }
+    }
+}
+
+for (let seed = 1; seed <= runs; seed++) {
+    test(`a random run keeps every promise, seed ${seed}`, async t => {
+        const run = new ChaosRun(seed);
+        await run.run();
+        const committed = run.proposals.filter(proposal => proposal.end === "committed").length;
+        assert.ok(committed > steps / 10, `${committed} of ${run.proposals.length} were committed`);
+        t.diagnostic(`${committed} of ${run.proposals.length} proposals were committed`);
+    });
+}
