Tests of slots, stage calls and membership, and what they found

The tests found: a share rounded down left slots unused; an owner without a share still renewed leases; recalls during a take-over took what holders had claimed; a new owner knew nothing of an endpoint's warmth and fell back to its cold limit; a stopping owner dropped its accounts before it had passed them on. Change: shares are rounded up; an answer says on how many of the slots in use a call may still begin; no recalls before a take-over is over; holders pass on what the former owner said of the endpoint; accounts are offered to the next owner until it takes them. Tests over a fake network and clock with fake endpoints that count calls in flight. Conclusion: the limit holds over lost, doubled, late and reordered messages, dead owners and holders, and cuts.

--- a/src/endpoints/EndpointHealth.ts
+++ b/src/endpoints/EndpointHealth.ts
@@ -94,9 +94,16 @@
         return { state: this.state, limit: this.level, incarnation: this.incarnation };
     }
 
+    /** True once calls have told of troubles or of a process. */
+    public get hasEvidence(): boolean {
+        return this.incarnation !== undefined || this.current === "suspect";
+    }
+
     /** Goes on from what the former owner knew. */
     public restore(record: HealthRecord): void {
-        this.incarnation = record.incarnation;
+        this.incarnation ??= record.incarnation;
+        this.current = "cold";
+        this.level = this.limits.coldLimit;
         if (record.state === "warming" || record.state === "warm") {
             this.current = record.state;
             this.level = Math.min(record.limit, this.limits.warmLimit);
@@ -226,7 +233,9 @@
     private endProbing(): void {
         this.probePauseMs = firstProbePauseMs;
         this.current = "warming";
-        this.level = Math.max(this.limits.coldLimit, Math.floor(this.formerLevel / 2));
+        // An endpoint that names no process may be another one.
+        const former = this.incarnation === undefined ? 0 : this.formerLevel;
+        this.level = Math.max(this.limits.coldLimit, Math.floor(former / 2));
         this.formerLevel = 0;
     }
 
--- a/src/endpoints/HeldEndpoint.ts
+++ b/src/endpoints/HeldEndpoint.ts
@@ -39,6 +39,11 @@
     private seq = 0;
     private grantNo = -1;
     private allowed = 0;
+    /** Slots on which a call may begin, by the owner's latest word. */
+    private covered = 0;
+    /** Slots on which a call has begun. */
+    private begun = 0;
+    private tellsBelief = false;
     /** What the owner counts for this host at most. */
     private ceiling = 0;
     private leaseUntilMs = Number.NEGATIVE_INFINITY;
@@ -123,6 +128,9 @@
         this.allowed = Math.max(kept, 0);
         const held = Math.max(this.using, this.allowed);
         const first = this.waiters[0]?.req;
+        const believed = this.tellsBelief && this.stateAtMs > Number.NEGATIVE_INFINITY
+            ? { believed: { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs } }
+            : {};
         this.seq += 1;
         this.grantNo = -1;
         this.ceiling = held;
@@ -143,6 +151,7 @@
             deadlineInMs: first === undefined ? 0 : first.deadlineMs - nowMs,
             callBoundMs: this.sentCallsEndMs - nowMs,
             evidence: this.sentEvidence,
+            ...believed,
         };
     }
 
@@ -161,6 +170,8 @@
         this.reported = reported === undefined
             ? undefined
             : { running: reported.running, waiting: reported.waiting, atMs: this.clock.nowMs() - reported.ageMs };
+        this.tellsBelief = false;
+        this.covered = answer.covered;
         this.allow(answer.grantNo, answer.granted);
         if (this.isClosed) {
             this.failWaiters({ kind: "closed", endpoint: this.id, state: this.state });
@@ -188,6 +199,7 @@
     public follow(owner: HostId | undefined): void {
         if (this.owner !== owner) {
             this.owner = owner;
+            this.tellsBelief = true;
             this.dirty = this.using > 0 || this.waiters.length > 0;
         }
     }
@@ -215,6 +227,7 @@
             this.grantNo = grantNo;
             this.allowed = granted;
             this.ceiling = Math.max(this.ceiling, granted);
+            this.covered = Math.max(this.covered, granted);
         }
         this.serve();
     }
@@ -272,11 +285,22 @@
             ceiling: this.ceiling,
         });
         return new HeldSlot(this.id, this.leaseUntilMs, {
-            mayBegin: () => this.isLive() && !this.isClosed,
-            end: (end, evidence) => this.release(end, evidence),
+            begin: () => this.begin(),
+            end: (end, evidence, begun) => {
+                this.begun -= begun ? 1 : 0;
+                this.release(end, evidence);
+            },
         });
     }
 
+    private begin(): boolean {
+        if (!this.isLive() || this.isClosed || this.begun >= this.covered) {
+            return false;
+        }
+        this.begun += 1;
+        return true;
+    }
+
     private release(end: CallEnd, evidence: CallEvidence | undefined): void {
         this.using -= 1;
         this.usedAtMs = this.clock.nowMs();
@@ -320,11 +344,12 @@
 const scarceLimit = 4;
 
 interface SlotHooks {
-    mayBegin(): boolean;
-    end(end: CallEnd, evidence: CallEvidence | undefined): void;
+    begin(): boolean;
+    end(end: CallEnd, evidence: CallEvidence | undefined, begun: boolean): void;
 }
 
 class HeldSlot implements Slot {
+    private begun = false;
     private released = false;
 
     public constructor(
@@ -334,14 +359,15 @@
     ) {}
 
     public begin(): boolean {
-        invariant(!this.released, "no call begins on a released slot", { endpoint: this.endpoint });
-        return this.hooks.mayBegin();
+        invariant(!this.released && !this.begun, "a slot carries one call", { endpoint: this.endpoint });
+        this.begun = this.hooks.begin();
+        return this.begun;
     }
 
     public release(end: CallEnd, evidence?: CallEvidence): void {
         invariant(!this.released, "a slot is released exactly once", { endpoint: this.endpoint });
         this.released = true;
-        this.hooks.end(end, evidence);
+        this.hooks.end(end, evidence, this.begun);
     }
 }
 
@@ -361,9 +387,6 @@
             evidence[end] += 1;
             break;
         case "failed":
-            // The endpoint ran the call; that the stage failed says nothing against its warmth.
-            evidence.succeeded += 1;
-            break;
         case "cancelled":
         case "never-sent":
             break;
--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -6,7 +6,7 @@
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { EndpointSettings, TimingSettings } from "../config/Schema.js";
 import { EndpointHealth } from "./EndpointHealth.js";
-import type { Ownership } from "./OwnerAuthority.js";
+import { type Ownership, soleKey } from "./OwnerAuthority.js";
 import { type HolderRecord, SlotLedger, type SlotTerms } from "./SlotLedger.js";
 import type { SlotEntry } from "./SlotMessages.js";
 import type { EndpointState, HolderIdentity } from "./Types.js";
@@ -37,6 +37,7 @@
     /** Former owners' grants may be live until then. */
     private openAtMs = Number.POSITIVE_INFINITY;
     private settled = false;
+    private believedAtMs = Number.NEGATIVE_INFINITY;
 
     public constructor(
         public readonly id: EndpointId,
@@ -52,6 +53,11 @@
         return this.settled;
     }
 
+    /** True when no other host gave out slots beside this one. */
+    public get isSole(): boolean {
+        return this.key.startsWith(soleKey);
+    }
+
     public state(context: EndpointContext): EndpointState {
         return context.closed ?? this.health.state;
     }
@@ -67,6 +73,9 @@
         if (isNew && entry.evidence !== undefined && this.health.learn(entry.evidence)) {
             this.ledger.endpointRestarted();
         }
+        if (isNew && entry.believed !== undefined && !this.settled) {
+            this.believe(entry.believed);
+        }
         return this.ledger.exchange(holder, entry, this.terms(context));
     }
 
@@ -106,6 +115,15 @@
         this.settled = true;
     }
 
+    /** Until this owner has evidence of its own, the freshest word of the former owner counts. */
+    private believe(believed: NonNullable<SlotEntry["believed"]>): void {
+        const heardAtMs = this.clock.nowMs() - believed.ageMs;
+        if (heardAtMs > this.believedAtMs && !this.health.hasEvidence) {
+            this.believedAtMs = heardAtMs;
+            this.health.restore({ state: believed.state, limit: believed.limit, incarnation: undefined });
+        }
+    }
+
     /** The terms in force now, after a change of ownership if there was one. */
     public terms(context: EndpointContext): SlotTerms {
         this.health.setLimits(context.settings);
@@ -129,8 +147,8 @@
             this.share = limit => ownership.share(limit);
             return;
         }
-        const wasSure = this.key === "none" || this.key.startsWith("certain");
-        const isSure = ownership.key.startsWith("certain");
+        const wasSure = this.key === "none" || this.isSole;
+        const isSure = ownership.key.startsWith(soleKey);
         this.formerShare = this.settled ? this.share : () => 0;
         this.share = limit => ownership.share(limit);
         this.key = ownership.key;
--- a/src/endpoints/OwnerAuthority.ts
+++ b/src/endpoints/OwnerAuthority.ts
@@ -22,6 +22,9 @@
     current(): OwnerEpoch | undefined;
 }
 
+/** Start of the keys under which one host gives out all of a limit. */
+export const soleKey = "certain/";
+
 export interface Ownership {
     /** Host that grants most of the endpoint's slots, as far as this host knows. */
     readonly owner: HostId | undefined;
@@ -85,7 +88,7 @@
         const hosts = alive.length > 0 ? alive : leaving;
         const owner = rankHosts(endpoint, hosts)[0];
         const isOwn = owner === this.membership.self;
-        return { owner, isOwn, key: `certain/${owner}`, share: limit => (isOwn ? limit : 0) };
+        return { owner, isOwn, key: `${soleKey}${owner}`, share: limit => (isOwn ? limit : 0) };
     }
 
     private epochOwner(endpoint: EndpointId, configured: readonly HostId[], epoch: OwnerEpoch): Ownership {
--- a/src/endpoints/SlotLedger.ts
+++ b/src/endpoints/SlotLedger.ts
@@ -27,6 +27,8 @@
     counted: number;
     /** What the holder was last told. */
     allowed: number;
+    /** Slots, of those in use, on which a call may still begin; fewer than in use when the limit has fallen. */
+    covered: number;
     inUse: number;
     want: number;
     waiting: number;
@@ -116,6 +118,9 @@
         const record = this.renew(holder, entry, terms);
         record.allowed = this.allowance(record, terms, known);
         record.counted = Math.max(record.counted, record.allowed);
+        const bound = terms.claimsOnly ? terms.claimLimit : terms.limit;
+        const left = Math.max(0, bound - (this.used - record.counted));
+        record.covered = Math.max(record.allowed, Math.min(record.inUse, left));
         return record;
     }
 
@@ -123,9 +128,10 @@
     public distribute(terms: SlotTerms): GrantChange[] {
         this.expire();
         const changed = new Set<HolderRecord>();
-        if (!terms.claimsOnly) {
-            this.giveOut(terms, changed);
+        if (terms.claimsOnly) {
+            return [];
         }
+        this.giveOut(terms, changed);
         if (this.scarce && this.used >= terms.limit) {
             this.recall(terms.limit, changed);
         }
@@ -186,6 +192,7 @@
             grantNo: 0,
             counted: Math.max(entry.held, entry.inUse),
             allowed: 0,
+            covered: 0,
             inUse: entry.inUse,
             want: entry.want,
             waiting: entry.waiting,
@@ -227,7 +234,7 @@
     /** While others wait, a holder keeps what it needs, up to an equal part of the limit. */
     private fairShare(record: HolderRecord, limit: number): number {
         const needy = this.holders.filter(one => one.inUse + one.waiting > 0).length;
-        const part = Math.max(1, Math.floor(limit / Math.max(1, needy)));
+        const part = Math.max(1, Math.ceil(limit / Math.max(1, needy)));
         return Math.min(record.inUse + record.waiting, part);
     }
 
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -43,6 +43,12 @@
     /** No call of this holder runs longer than this, counted from now. */
     callBoundMs: z.number(),
     evidence: evidenceSchema.optional(),
+    /** What the former owner said of the endpoint; sent with the first message to another owner. */
+    believed: z.object({
+        state: z.enum(["cold", "warming", "warm", "suspect", "leaving", "out"]),
+        limit: z.number().int(),
+        ageMs: z.number(),
+    }).optional(),
 });
 
 const holderSchema = z.object({ host: z.string(), incarnation: z.number() });
@@ -74,6 +80,8 @@
         readonly grantNo: number;
         /** Slots allowed in all, those in use included. */
         readonly granted: number;
+        /** Of the slots in use, those on which a call may still begin. */
+        readonly covered: number;
         /** Counted by the holder from when it sent the request. */
         readonly leaseMs: number;
         readonly state: EndpointState;
--- a/src/endpoints/SlotOwner.ts
+++ b/src/endpoints/SlotOwner.ts
@@ -27,6 +27,8 @@
 const tickMs = 100;
 /** Between two load reports of an endpoint. */
 const reportEveryMs = 1000;
+/** How long the next owner is offered an account; after that it has waited out the leases by itself. */
+const handOverWithinMs = 3000;
 /** Bound on call time for pools that no pipeline uses. */
 const defaultCallBoundMs = 30_000;
 
@@ -55,7 +57,8 @@
 export class SlotOwner {
     public readonly name = "slot-owner";
     private readonly owned = new Map<EndpointId, OwnedEndpoint>();
-    private readonly handedOver = new Map<EndpointId, HostId>();
+    /** Endpoints that another host owns now and whose account it has not taken over yet. */
+    private readonly departing = new Map<EndpointId, OwnedEndpoint>();
     private readonly states = new Map<EndpointId, EndpointState>();
     private readonly reportAtMs = new Map<EndpointId, number>();
     /** Receives pushes for this host itself. */
@@ -77,7 +80,7 @@
         const views: OwnedView[] = [];
         for (const endpoint of this.owned.values()) {
             const context = this.context(endpoint.id);
-            if (context !== undefined) {
+            if (context?.ownership.isOwn === true) {
                 const { limit } = endpoint.terms(context);
                 const state = endpoint.state(context);
                 views.push({ endpoint: endpoint.id, state, limit, used: endpoint.ledger.used, open: endpoint.isOpen });
@@ -104,21 +107,21 @@
 
     /** Hands every owned endpoint to its next owner, so that nothing waits for a lease to run out. */
     public async drain(graceMs: number): Promise<{ readonly unfinished: number; readonly what: string; }> {
-        const { membership, clock, config } = this.options;
+        const { membership, clock } = this.options;
         membership.announceLeaving();
-        const heartbeatMs = config.current()?.settings.timing.heartbeatMs ?? 0;
-        await clock.sleep(Math.min(graceMs, 2 * heartbeatMs));
-        const left = await Promise.all([...this.owned.values()].map(endpoint => this.handOverOne(endpoint)));
-        const unfinished = left.filter(done => !done).length;
-        return { unfinished, what: "endpoints not handed over" };
+        const untilMs = clock.nowMs() + graceMs;
+        this.followConfig();
+        while (this.departing.size > 0 && clock.nowMs() < untilMs) {
+            await clock.sleep(tickMs);
+        }
+        return { unfinished: this.departing.size, what: "endpoints not handed over" };
     }
 
     private answer(holder: HolderIdentity, entry: SlotEntry): SlotAnswer | undefined {
         const id = entry.endpoint;
-        const successor = this.handedOver.get(id);
         const context = this.context(id);
-        if (successor !== undefined || context?.ownership.isOwn !== true) {
-            return { kind: "not-owner", endpoint: id, owner: successor ?? context?.ownership.owner };
+        if (context?.ownership.isOwn !== true) {
+            return { kind: "not-owner", endpoint: id, owner: context?.ownership.owner };
         }
         const endpoint = this.open(id, context);
         const record = endpoint.exchange(holder, entry, context);
@@ -134,6 +137,7 @@
             seq: record.seq,
             grantNo: record.grantNo,
             granted: record.allowed,
+            covered: record.covered,
             leaseMs: context.timing.slotLeaseMs,
             state: endpoint.state(context),
             limit: endpoint.limit(context),
@@ -145,8 +149,10 @@
     }
 
     private open(id: EndpointId, context: EndpointContext): OwnedEndpoint {
-        const known = this.owned.get(id);
+        const known = this.owned.get(id) ?? this.departing.get(id);
+        this.departing.delete(id);
         if (known !== undefined) {
+            this.owned.set(id, known);
             return known;
         }
         const endpoint = new OwnedEndpoint(id, this.options.clock, context.settings);
@@ -160,15 +166,29 @@
         const endpoints = this.options.config.current()?.settings.endpoints ?? {};
         for (const id of Object.keys(endpoints) as EndpointId[]) {
             const context = this.context(id);
-            if (context?.ownership.isOwn === true && !this.handedOver.has(id)) {
+            if (context?.ownership.isOwn === true) {
                 this.open(id, context);
             }
-            else if (this.owned.delete(id)) {
-                this.options.log.event(EventId.EndpointReleased, { endpoint: id, owner: context?.ownership.owner });
+            else {
+                this.release(id, context?.ownership.owner);
             }
         }
     }
 
+    /** Gives nothing out any more, and passes the account on if there is a new owner. */
+    private release(id: EndpointId, owner: HostId | undefined): void {
+        const endpoint = this.owned.get(id);
+        if (endpoint === undefined) {
+            return;
+        }
+        this.owned.delete(id);
+        this.options.log.event(EventId.EndpointReleased, { endpoint: id, owner });
+        if (owner !== undefined && endpoint.isOpen && endpoint.isSole) {
+            this.departing.set(id, endpoint);
+            void this.handOver(endpoint, owner);
+        }
+    }
+
     private look(endpoint: OwnedEndpoint, signal: AbortSignal): void {
         const context = this.context(endpoint.id);
         if (context === undefined) {
@@ -217,20 +237,24 @@
         }
     }
 
-    private async handOverOne(endpoint: OwnedEndpoint): Promise<boolean> {
-        const context = this.context(endpoint.id);
-        const next = context?.ownership.owner;
-        if (context === undefined || next === undefined || next === this.options.membership.self) {
-            return endpoint.ledger.used === 0;
+    /** Offers the account until the new owner, whose view may lag, takes it. */
+    private async handOver(endpoint: OwnedEndpoint, owner: HostId): Promise<void> {
+        const { clock, transport, log, config } = this.options;
+        const timeoutMs = config.current()?.settings.timing.peerTimeoutMs ?? 1;
+        const untilMs = clock.nowMs() + handOverWithinMs;
+        while (this.departing.get(endpoint.id) === endpoint && clock.nowMs() < untilMs) {
+            const message = packHandOver(endpoint, clock.nowMs());
+            const reply = await transport.call(owner, handOver, message, { timeoutMs });
+            const accepted = reply.caseOf({ Left: () => false, Right: value => value });
+            if (accepted) {
+                log.event(EventId.EndpointHandedOver, { endpoint: endpoint.id, to: owner, accepted });
+                break;
+            }
+            await clock.sleep(tickMs);
+        }
+        if (this.departing.get(endpoint.id) === endpoint) {
+            this.departing.delete(endpoint.id);
         }
-        this.handedOver.set(endpoint.id, next);
-        this.owned.delete(endpoint.id);
-        const message = packHandOver(endpoint, this.options.clock.nowMs());
-        const options = { timeoutMs: context.timing.peerTimeoutMs };
-        const reply = await this.options.transport.call(next, handOver, message, options);
-        const accepted = reply.caseOf({ Left: () => false, Right: accepted => accepted });
-        this.options.log.event(EventId.EndpointHandedOver, { endpoint: endpoint.id, to: next, accepted });
-        return accepted;
     }
 
     private takeOver(req: HandOver): boolean {
--- /dev/null
+++ b/src/endpoints/Slots.test.ts
@@ -0,0 +1,312 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type CallResult, type SiteHost, SlotSite } from "../../testing/SlotSite.js";
+import { testSettings, testView } from "../../testing/TestSettings.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import type { EndpointId, HostId } from "../common/Types.js";
+
+const writer = "north-writer" as EndpointId;
+/** Long enough for heartbeats, the take-over wait and a load report. */
+const settleMs = 8000;
+
+async function startedSite(settings = testSettings(), dataCentre: string | undefined = "north"): Promise<SlotSite> {
+    const site = new SlotSite({ settings });
+    site.startAll(dataCentre);
+    await site.clock.advance(settleMs);
+    return site;
+}
+
+/** Settings with one data centre of `hosts` hosts and one engine. */
+function smallSettings(hosts: number, engine: Record<string, unknown> = {}, more: Record<string, unknown> = {}) {
+    const entries = Array.from({ length: hosts }, (_, index) => [`north-${index + 1}`, {
+        dataCentre: "north",
+        callerAddress: `127.0.0.1:${20_001 + index}`,
+        peerAddress: `127.0.0.1:${21_001 + index}`,
+    }]);
+    return testSettings({
+        hosts: Object.fromEntries(entries) as unknown,
+        endpoints: {
+            [writer]: {
+                dataCentre: "north",
+                address: "127.0.0.1:22003",
+                kind: "engine",
+                pool: "writer",
+                models: ["m1"],
+                coldLimit: 1,
+                warmLimit: 8,
+                ...engine,
+            },
+        },
+        ...more,
+    });
+}
+
+/** Keeps `calls` calls going on each host until stopped; collects the results. */
+function drive(hosts: readonly SiteHost[], endpoint: EndpointId, calls: number, durationMs: number, seed = 7) {
+    const results: CallResult[] = [];
+    const random = new SeededRandom(seed);
+    let going = true;
+    for (const host of hosts) {
+        for (let index = 0; index < calls; index += 1) {
+            void (async () => {
+                while (going && !host.stopped) {
+                    const result = await host.call(endpoint, durationMs * (0.5 + random.next()));
+                    results.push(result);
+                    if (result.end !== "succeeded") {
+                        await host.clock.sleep(50);
+                    }
+                }
+            })();
+        }
+    }
+    return { results, stop: () => going = false };
+}
+
+function count(results: readonly CallResult[], end: CallResult["end"]): number {
+    return results.filter(result => result.end === end).length;
+}
+
+test("a cold endpoint gets one call at a time from all hosts, then warms up to its whole limit", async () => {
+    const site = await startedSite(smallSettings(4));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(10_000);
+    const endpoint = site.endpoint(writer);
+    assert.equal(endpoint.overloads, 0);
+    assert.equal(endpoint.maxInFlight, 8);
+    assert.ok(count(load.results, "succeeded") > 300, `${count(load.results, "succeeded")} calls`);
+    load.stop();
+    site.stopAll();
+});
+
+test("hosts of another data centre use the same limit through the same owner", async () => {
+    const site = await startedSite(testSettings(), undefined);
+    const load = drive(site.live, writer, 3, 100);
+    await site.clock.advance(8000);
+    assert.equal(site.endpoint(writer).overloads, 0);
+    for (const host of site.live) {
+        assert.ok((host.holder.peek(writer)?.recentMs ?? 0) > 0, `${host.id} got slots`);
+    }
+    load.stop();
+    site.stopAll();
+});
+
+const faultCases = [
+    { name: "messages lost", faults: { loseRequest: 0.2, loseReply: 0.2 } },
+    { name: "messages doubled", faults: { doubleRequest: 0.5 } },
+    { name: "messages late and reordered", faults: { maxDelayMs: 400 } },
+    { name: "all of it", faults: { loseRequest: 0.1, loseReply: 0.1, doubleRequest: 0.3, maxDelayMs: 200 } },
+];
+
+for (const { name, faults } of faultCases) {
+    for (const seed of [11, 12, 13]) {
+        test(`the limit holds with ${name}, seed ${seed}`, async () => {
+            const site = new SlotSite({ settings: smallSettings(3), seed });
+            site.startAll();
+            await site.clock.advance(settleMs);
+            Object.assign(site.network.faults, faults);
+            const load = drive(site.live, writer, 3, 80, seed);
+            for (let round = 0; round < 6; round += 1) {
+                await site.clock.advance(2500);
+            }
+            assert.equal(site.endpoint(writer).overloads, 0);
+            assert.ok(count(load.results, "succeeded") > 50, `${count(load.results, "succeeded")} calls`);
+            load.stop();
+            site.stopAll();
+        });
+    }
+}
+
+test("when the owner dies, holders go on with what they hold, and nothing exceeds the limit", async () => {
+    const site = await startedSite(smallSettings(3));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(6000);
+    const owner = site.ownerOf(writer)!;
+    site.kill(owner.id);
+    const before = count(load.results, "succeeded");
+    await site.clock.advance(1500);
+    assert.ok(count(load.results, "succeeded") > before, "credits outlive their owner");
+    await site.clock.advance(6000);
+    const resumed = count(load.results, "succeeded");
+    await site.clock.advance(2000);
+    assert.ok(count(load.results, "succeeded") > resumed + 50, "the new owner gives out slots");
+    assert.equal(site.endpoint(writer).overloads, 0);
+    assert.notEqual(site.ownerOf(writer)!.id, owner.id);
+    load.stop();
+    site.stopAll();
+});
+
+test("slots of a dead holder count until its calls must have ended", async () => {
+    const site = await startedSite(smallSettings(2, { warmLimit: 6, coldLimit: 6, reportsLoad: false }));
+    const owner = site.ownerOf(writer)!;
+    const other = site.live.find(host => host !== owner)!;
+    for (let index = 0; index < 4; index += 1) {
+        void other.call(writer, 9000, 10_000);
+    }
+    await site.clock.advance(100);
+    assert.equal(site.endpoint(writer).inFlight, 4);
+    site.kill(other.id);
+    const load = drive([owner], writer, 6, 50);
+    await site.clock.advance(8000);
+    const { maxInFlight } = site.endpoint(writer);
+    assert.ok(maxInFlight === 5 || maxInFlight === 6, `${maxInFlight} calls in flight`);
+    await site.clock.advance(12_000);
+    assert.equal(owner.owner.view()[0]?.used, 6, "all slots are free again once no call can be left");
+    load.stop();
+    site.stopAll();
+});
+
+test("an endpoint's own report frees a dead holder's slots", async () => {
+    const site = await startedSite(smallSettings(2, { warmLimit: 4, coldLimit: 4 }));
+    const owner = site.ownerOf(writer)!;
+    const other = site.live.find(host => host !== owner)!;
+    for (let index = 0; index < 4; index += 1) {
+        void other.call(writer, 500, 60_000);
+    }
+    await site.clock.advance(100);
+    site.kill(other.id);
+    await site.clock.advance(7000);
+    const result = await Promise.all([owner.call(writer, 10, 500), site.clock.advance(1000)]);
+    assert.equal(result[0].end, "succeeded", "long before the 60 s that the calls could have lasted");
+    site.stopAll();
+});
+
+test("a holder paused beyond its lease sends nothing on its old slot", async () => {
+    const site = await startedSite(smallSettings(2));
+    const owner = site.ownerOf(writer)!;
+    const other = site.live.find(host => host !== owner)!;
+    const result = other.call(writer, 100, 10_000, 1, async () => {
+        site.network.isolate(other.id);
+        await site.clock.sleep(4000);
+    });
+    await site.clock.advance(6000);
+    assert.equal((await result).end, "lease-lost");
+    assert.equal(site.endpoint(writer).completed, 0);
+    site.stopAll();
+});
+
+test("two hosts that can't see each other share a cold endpoint's single slot by their static parts", async () => {
+    const site = await startedSite(smallSettings(2));
+    site.network.cut("north-1" as HostId, "north-2" as HostId);
+    const load = drive(site.live, writer, 3, 100);
+    await site.clock.advance(15_000);
+    const endpoint = site.endpoint(writer);
+    assert.equal(endpoint.overloads, 0);
+    assert.ok(endpoint.completed > 20, `${endpoint.completed} calls`);
+    site.network.heal();
+    await site.clock.advance(15_000);
+    assert.equal(endpoint.overloads, 0);
+    assert.ok(site.live.every(host => host.membership.view().certain));
+    load.stop();
+    site.stopAll();
+});
+
+test("a one-way cut leads both hosts to their static parts", async () => {
+    const site = await startedSite(smallSettings(2));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(5000);
+    site.network.cutOneWay("north-1" as HostId, "north-2" as HostId);
+    await site.clock.advance(6000);
+    const ownerships = site.live.map(host => host.authority.ownership(writer).key);
+    assert.deepEqual(ownerships, ["static", "static"]);
+    assert.equal(site.endpoint(writer).overloads, 0);
+    load.stop();
+    site.stopAll();
+});
+
+test("an endpoint that restarts in mid-lease starts cold again without being flooded", async () => {
+    const site = await startedSite(smallSettings(3));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(6000);
+    const endpoint = site.endpoint(writer);
+    endpoint.refusesConnections = true;
+    endpoint.restart();
+    await site.clock.advance(400);
+    endpoint.refusesConnections = false;
+    await site.clock.advance(8000);
+    assert.equal(endpoint.overloads, 0);
+    assert.equal(endpoint.maxInFlight, 8);
+    load.stop();
+    site.stopAll();
+});
+
+const closings = [
+    {
+        name: "its data centre is taken out",
+        view: { outDataCentres: new Set(["north"]) as never },
+        state: "out",
+    },
+    { name: "an operator marks it as leaving", view: { leavingEndpoints: new Set([writer]) }, state: "leaving" },
+];
+
+for (const { name, view, state } of closings) {
+    test(`nothing new is sent a lease time after ${name}, also by a host that knows nothing of it`, async () => {
+        const site = await startedSite(smallSettings(3));
+        const load = drive(site.live, writer, 4, 100);
+        await site.clock.advance(5000);
+        const owner = site.ownerOf(writer)!;
+        owner.config.set({ ...testView(site.settings, 2), ...view });
+        const atMs = site.clock.nowMs();
+        await site.clock.advance(6000);
+        const lateMs = site.endpoint(writer).lastCallAtMs - atMs;
+        assert.ok(lateMs <= 2100, `the last call came ${lateMs} ms after`);
+        const other = site.live.find(host => host !== owner)!;
+        assert.equal(other.holder.peek(writer)?.state, state);
+        assert.ok(count(load.results, "closed") > 0);
+        load.stop();
+        site.stopAll();
+    });
+}
+
+test("a host cut off from the owner before the order stops within its lease", async () => {
+    const site = await startedSite(smallSettings(3));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(5000);
+    const owner = site.ownerOf(writer)!;
+    const other = site.live.find(host => host !== owner)!;
+    site.network.isolate(other.id);
+    const atMs = site.clock.nowMs();
+    for (const host of site.live.filter(one => one !== other)) {
+        host.config.set({ ...testView(site.settings, 2), leavingEndpoints: new Set([writer]) });
+    }
+    await site.clock.advance(3000);
+    const last = site.endpoint(writer).lastCallAtMs - atMs;
+    assert.ok(last <= 2100, `the last call came ${last} ms after`);
+    load.stop();
+    site.stopAll();
+});
+
+test("a stopping owner hands over its endpoints, and calls go on without a gap", async () => {
+    const site = await startedSite(smallSettings(3));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(6000);
+    const owner = site.ownerOf(writer)!;
+    const drained = owner.owner.drain(5000);
+    await site.clock.advance(1000);
+    assert.deepEqual(await drained, { unfinished: 0, what: "endpoints not handed over" });
+    const before = site.endpoint(writer).completed;
+    await site.clock.advance(1000);
+    assert.ok(site.endpoint(writer).completed > before + 40, "the next owner goes on at once at the same limit");
+    assert.equal(site.endpoint(writer).overloads, 0);
+    load.stop();
+    site.stopAll();
+});
+
+test("scarce slots go by priority, then by deadline", async () => {
+    const site = await startedSite(smallSettings(3));
+    const owner = site.ownerOf(writer)!;
+    const order: string[] = [];
+    const asking = (host: SiteHost, name: string, patienceMs: number, priority: 0 | 1 | 2) =>
+        host.call(writer, 50, patienceMs, priority).then(result => order.push(`${name} ${result.end}`));
+    const [first, second, third] = site.live as [SiteHost, SiteHost, SiteHost];
+    const running = owner.call(writer, 300, 5000, 2);
+    await site.clock.advance(100);
+    const waiting = [
+        asking(first, "overnight", 4000, 2),
+        asking(second, "later", 4000, 0),
+        asking(third, "sooner", 3000, 0),
+    ];
+    await site.clock.advance(3000);
+    await Promise.all([running, ...waiting]);
+    assert.deepEqual(order, ["sooner succeeded", "later succeeded", "overnight succeeded"]);
+    site.stopAll();
+});
