--- a/src/records/ClaimTable.ts
+++ b/src/records/ClaimTable.ts
@@ -10,6 +10,7 @@
 import { ExpiryQueue } from "./ExpiryQueue.js";
 import type { SessionTable } from "./SessionTable.js";
 import type { RecordedOutcome } from "./Types.js";
+import { WorkspaceUsage } from "./WorkspaceUsage.js";
 
 interface ClaimRecord {
     readonly key: KeyText;
@@ -35,6 +36,7 @@
 export class ClaimTable {
     private readonly claims = new Map<string, Map<string, ClaimRecord>>();
     private readonly running = new Map<string, ClaimRecord>();
+    private readonly usage = new WorkspaceUsage();
     private readonly ended = new ExpiryQueue<KeyText>();
 
     public constructor(private readonly sessions: SessionTable) {}
@@ -104,10 +106,6 @@
         }
     }
 
-    public count(workspace: string): number {
-        return this.claims.get(workspace)?.size ?? 0;
-    }
-
     public snapshot(): ClaimTableSnapshot {
         const claims = [...this.claims.values()].flatMap(one => [...one.values()]);
         return { claims, ended: this.ended.snapshot() };
@@ -116,6 +114,7 @@
     public restore(snapshot: ClaimTableSnapshot): void {
         this.claims.clear();
         this.running.clear();
+        this.usage.clear();
         this.ended.restore(snapshot.ended);
         for (const claim of snapshot.claims) {
             this.put(claim);
@@ -137,7 +136,7 @@
         if (!this.sessions.isOpen(body.ticket)) {
             return { kind: "ticket-closed" };
         }
-        if (this.count(body.key.workspace) >= body.limit) {
+        if (this.usage.isFull(body.key.workspace, body)) {
             const retryAfterMs = Math.max(fullRetryMs, (this.ended.nextMs ?? nowMs) - nowMs);
             return { kind: "full", retryAfterMs };
         }
@@ -167,14 +166,15 @@
 
     private put(claim: ClaimRecord): void {
         const { workspace, key } = claim.key;
-        const holder = this.find(claim.key)?.ticket;
+        const before = this.find(claim.key);
         invariant(
-            holder === undefined || ticketText(holder) === ticketText(claim.ticket),
+            before === undefined || ticketText(before.ticket) === ticketText(claim.ticket),
             "a claim has at most one sender",
             { workspace, key },
         );
         const ofWorkspace = this.claims.get(workspace) ?? new Map<string, ClaimRecord>();
         this.claims.set(workspace, ofWorkspace.set(key, claim));
+        this.usage.add(workspace, before === undefined ? 1 : 0, sizeOf(claim) - sizeOf(before));
         if (claim.outcome === undefined) {
             this.running.set(ticketText(claim.ticket), claim);
         }
@@ -185,9 +185,19 @@
 
     private remove(claim: ClaimRecord): void {
         this.claims.get(claim.key.workspace)?.delete(claim.key.key);
+        this.usage.add(claim.key.workspace, -1, -sizeOf(claim));
         this.running.delete(ticketText(claim.ticket));
     }
 }
 
+function sizeOf(claim: ClaimRecord | undefined): number {
+    if (claim === undefined) {
+        return 0;
+    }
+    const { outcome } = claim;
+    const text = outcome === undefined ? "" : outcome.kind === "answered" ? outcome.answer : outcome.message;
+    return claim.key.key.length + claim.digest.length + text.length;
+}
+
 /** The least that a caller is asked to wait when a workspace is full, in milliseconds. */
 const fullRetryMs = 1000;
--- a/src/records/Commands.ts
+++ b/src/records/Commands.ts
@@ -25,7 +25,7 @@
     z.object({ kind: z.literal("unknown"), message: z.string() }),
 ]);
 
-const limitsSchema = { limit: sequence, retentionMs: durationMs };
+const limitsSchema = { limit: sequence, sizeLimit: sequence, retentionMs: durationMs };
 
 const claimBody = z.object({
     kind: z.literal("claim"),
--- a/src/records/JobTable.ts
+++ b/src/records/JobTable.ts
@@ -4,27 +4,12 @@
  */
 import { invariant } from "../common/Invariant.js";
 import type { JobId } from "../common/Types.js";
-import { asHost, asIds, type BodyOf, type CommonReply, type HolderBeat, type JobReply } from "./Commands.js";
+import type { BodyOf, CommonReply, HolderBeat, JobReply } from "./Commands.js";
 import { type SessionId, sessionText, type Ticket, ticketText } from "./Commands.js";
 import { ExpiryQueue } from "./ExpiryQueue.js";
 import type { SessionTable } from "./SessionTable.js";
-import type { JobRecord, JobState } from "./Types.js";
-
-interface StoredJob {
-    readonly id: string;
-    readonly workspace: string;
-    readonly pipeline: string;
-    readonly input: unknown;
-    readonly state: JobState;
-    readonly stages: Readonly<Record<string, string>>;
-    /** The ticket with which the job was taken; undefined unless it runs. */
-    readonly ticket: Ticket | undefined;
-    readonly run: number;
-    readonly answer: string | undefined;
-    readonly message: string | undefined;
-    /** Group time at which an ended job is forgotten, in milliseconds. */
-    readonly forgetAtMs: number;
-}
+import { newJob, sameContent, sizeOf, type StoredJob, toRecord } from "./StoredJob.js";
+import { WorkspaceUsage } from "./WorkspaceUsage.js";
 
 export interface JobTableSnapshot {
     readonly jobs: readonly StoredJob[];
@@ -37,7 +22,7 @@
     private readonly running = new Map<string, StoredJob>();
     /** Ids of queued jobs, the longest waiting first. */
     private readonly queued = new Set<string>();
-    private readonly counts = new Map<string, number>();
+    private readonly usage = new WorkspaceUsage();
     private readonly ended = new ExpiryQueue<string>();
 
     public constructor(private readonly sessions: SessionTable) {}
@@ -49,13 +34,12 @@
                 ? this.reply(known)
                 : { kind: "refused", message: "the job id was used with other content" };
         }
-        if ((this.counts.get(body.workspace) ?? 0) >= body.limit) {
+        if (this.usage.isFull(body.workspace, body)) {
             return { kind: "full", retryAfterMs: Math.max(fullRetryMs, (this.ended.nextMs ?? nowMs) - nowMs) };
         }
         const job = newJob(body);
         this.put(job);
         this.queued.add(job.id);
-        this.counts.set(job.workspace, (this.counts.get(job.workspace) ?? 0) + 1);
         return this.reply(job);
     }
 
@@ -196,7 +180,7 @@
             const job = this.jobs.get(id);
             if (job !== undefined) {
                 this.jobs.delete(id);
-                this.counts.set(job.workspace, (this.counts.get(job.workspace) ?? 1) - 1);
+                this.usage.add(job.workspace, -1, -sizeOf(job));
             }
         }
     }
@@ -208,11 +192,10 @@
     public restore(snapshot: JobTableSnapshot): void {
         this.jobs.clear();
         this.running.clear();
-        this.counts.clear();
+        this.usage.clear();
         this.queued.clear();
         for (const job of snapshot.jobs) {
             this.put(job);
-            this.counts.set(job.workspace, (this.counts.get(job.workspace) ?? 0) + 1);
         }
         for (const id of snapshot.queued) {
             this.queued.add(id);
@@ -261,6 +244,7 @@
         }
         invariant(job.run >= (before?.run ?? 0), "a job's run number never falls", { job: job.id });
         this.jobs.set(job.id, job);
+        this.usage.add(job.workspace, before === undefined ? 1 : 0, sizeOf(job) - sizeOf(before));
         if (job.state === "running") {
             this.running.set(job.id, job);
         }
@@ -274,33 +258,6 @@
     }
 }
 
-function newJob(body: BodyOf<"submit">): StoredJob {
-    return {
-        id: body.id,
-        workspace: body.workspace,
-        pipeline: body.pipeline,
-        input: body.input,
-        state: "queued",
-        stages: {},
-        ticket: undefined,
-        run: 0,
-        answer: undefined,
-        message: undefined,
-        forgetAtMs: 0,
-    };
-}
-
-function sameContent(job: StoredJob, body: BodyOf<"submit">): boolean {
-    return job.workspace === body.workspace && job.pipeline === body.pipeline
-        && JSON.stringify(job.input) === JSON.stringify(body.input);
-}
-
-function toRecord(job: StoredJob): JobRecord {
-    const { input, state, stages, run, answer, message } = job;
-    const runner = job.ticket === undefined ? undefined : asHost(job.ticket.session);
-    return { ...asIds(job), input, state, stages, runner, run, answer, message };
-}
-
 /** Jobs in one listing. */
 const listLimit = 1000;
 /** The least that a caller is asked to wait when a workspace is full, in milliseconds. */
--- a/src/records/ReplicatedClaims.ts
+++ b/src/records/ReplicatedClaims.ts
@@ -84,7 +84,7 @@
     ): Promise<Either<RecordsError, SentReply>> {
         const { claimsPerWorkspace: limit, claimRetentionMs: retentionMs } = this.limits();
         const sent = await this.client.send(
-            { kind: "claim", ticket, key, digest, request, limit, retentionMs },
+            { kind: "claim", ticket, key, digest, request, limit, sizeLimit: claimSizeLimit, retentionMs },
             timeoutMs,
         );
         sent.ifLeft(error => {
@@ -149,6 +149,8 @@
     }
 }
 
+/** Characters that the claims of a workspace may take, outcomes included. */
+const claimSizeLimit = 32_000_000;
 /** Tickets tried for one claim when the session ends meanwhile. */
 const mostTickets = 3;
 /** Pauses between two looks at a claim that runs elsewhere, in milliseconds. */
--- a/src/records/ReplicatedJobs.ts
+++ b/src/records/ReplicatedJobs.ts
@@ -52,7 +52,7 @@
         const { jobsPerWorkspace: limit, jobRetentionMs: retentionMs } = this.limits();
         const { id, workspace, pipeline, input } = job;
         const sent = await this.client.send(
-            { kind: "submit", id, workspace, pipeline, input, limit, retentionMs },
+            { kind: "submit", id, workspace, pipeline, input, limit, sizeLimit: jobSizeLimit, retentionMs },
             timeoutMs,
         );
         return sent.chain(({ reply }) => {
@@ -208,6 +208,8 @@
     return Left({ kind: "not-recorded", message });
 }
 
+/** Characters that the jobs of a workspace may take, inputs and outputs included. */
+const jobSizeLimit = 64_000_000;
 /** Pauses between two questions for work, in milliseconds: at first, of the own replica, and of the group. */
 const firstPollMs = 50;
 const mostPollMs = 200;
