--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -18,7 +18,14 @@
     // 3xx: config
     ConfigInForce = 300,
     ConfigFileDiffers = 301,
+    ConfigUnusable = 302,
+    ConfigSeedInvalid = 303,
     // 4xx: replication
+    ReplicaOpened = 400,
+    GroupFounded = 401,
+    LeaderElected = 402,
+    LeaderSteppedDown = 403,
+    ReplicaOutOfService = 404,
     // 5xx: membership
     HostStateChanged = 500,
     HostRestarted = 501,
@@ -51,6 +58,15 @@
     RequestEnded = 801,
     StageStarted = 802,
     StageEnded = 803,
+    RequestShed = 805,
+    EndpointCrashSeen = 806,
+    HedgeSent = 807,
+    StreamResumed = 808,
+    RetryBudgetEmpty = 809,
+    ClaimOutcomeNotRecorded = 810,
+    StreamJoinFailed = 811,
+    PrefixIndexGap = 812,
+    CacheMoved = 813,
     // 9xx: entry
     RequestRefused = 900,
     ReadinessChanged = 901,
