Check joins of resumed streams, and convict no innocent of a crash

Cause: tests of broken streams and of a crashing request among ten innocent ones found two faults. A stream that went on with other output was noticed only after that output had been passed on. A request that started on an endpoint in the moment it crashed was taken for the one that crashed it. Change: a resumed stream repeats 32 characters, which have to agree before anything is passed on.

--- a/src/pipeline/IdempotentStage.ts
+++ b/src/pipeline/IdempotentStage.ts
@@ -25,6 +25,8 @@
 /** Wait before another attempt after an endpoint has refused one. */
 const refusedBackoffMs = 20;
 const slowStageRetryAfterMs = 1000;
+/** Characters that a resumed stream repeats, so that the join can be checked before anything is passed on. */
+export const joinOverlapChars = 32;
 
 export interface IdempotentStageParts {
     readonly services: PipelineServices;
@@ -40,6 +42,10 @@
     resumes: number;
     stageErrors: number;
     readonly avoid: Set<EndpointId>;
+    /** Length of the longest checked prefix that a broken call has left. */
+    reached: number;
+    /** The prefix that the next call goes on from; empty where it starts afresh. */
+    received: string;
     resumeFrom: StageCall["resumeFrom"];
 }
 
@@ -70,6 +76,8 @@
             resumes: 0,
             stageErrors: 0,
             avoid: new Set(),
+            reached: 0,
+            received: "",
             resumeFrom: undefined,
         };
         this.parts.budget.recordCall();
@@ -127,8 +135,7 @@
         success: AttemptSuccess,
     ): Either<Failure, string> | undefined {
         const { output, usage } = success.reply;
-        const received = progress.resumeFrom?.received ?? "";
-        if (output.startsWith(received) && relay.finish(output)) {
+        if (output.startsWith(progress.received) && relay.finish(output)) {
             ctx.useOutput(stage.name, success.attempt, output);
             ctx.costs.recordUsed(stage.name, usage);
             return Right(output);
@@ -187,21 +194,28 @@
         progress: Progress,
         error: Extract<AttemptError, { kind: "call-failed"; }>,
     ): boolean {
-        const before = progress.resumeFrom?.received ?? "";
         if (error.error.kind === "refused" || error.error.kind === "never-sent") {
             return false;
         }
         if (error.error.kind !== "lost") {
-            progress.resumeFrom = undefined;
+            this.startAfresh(progress);
             return false;
         }
-        const received = error.error.received;
-        if (received.length <= before.length || !received.startsWith(before) || progress.resumes >= maxResumes) {
+        const { received } = error.error;
+        const goesOn = received.length > progress.reached && received.startsWith(progress.received);
+        if (!goesOn || progress.resumes >= maxResumes) {
             return false;
         }
         progress.resumes += 1;
         progress.attempts = Math.min(progress.attempts, 1);
-        progress.resumeFrom = { attempt: error.attempt, offset: received.length, received };
+        progress.reached = received.length;
+        const repeated = received.slice(0, Math.max(0, received.length - joinOverlapChars));
+        if (repeated.length === 0) {
+            this.startAfresh(progress);
+            return true;
+        }
+        progress.received = received;
+        progress.resumeFrom = { attempt: error.attempt, offset: repeated.length, received: repeated };
         this.parts.services.log.event(EventId.StreamResumed, {
             request: ctx.req.id,
             stage: stage.name,
@@ -210,4 +224,9 @@
         });
         return true;
     }
+
+    private startAfresh(progress: Progress): void {
+        progress.received = "";
+        progress.resumeFrom = undefined;
+    }
 }
--- a/src/pipeline/SlotFinder.ts
+++ b/src/pipeline/SlotFinder.ts
@@ -7,6 +7,7 @@
 import type { StageSettings } from "../config/Schema.js";
 import type { EndpointDirectory, Priority, Slot, SlotError, SlotHolder } from "../endpoints/Types.js";
 import type { RouteChoice, Router } from "../routing/Types.js";
+import { EndpointReserve } from "./EndpointReserve.js";
 
 /** Endpoints asked for a slot in one round. */
 const maxChoices = 3;
@@ -14,6 +15,9 @@
 const noEndpointPatienceMs = 300;
 const noEndpointPollMs = 100;
 const noEndpointRetryAfterMs = 1000;
+/** Wait for an endpoint that a suspect may have to itself. */
+const alonePollMs = 20;
+const drainPollMs = 5;
 const unreachableOwnerRetryAfterMs = 200;
 
 export interface SlotSearch {
@@ -55,10 +59,16 @@
 const aborted: NoSlot = { kind: "no-slot", reason: "aborted", message: "given up", retryAfterMs: 0 };
 
 export class SlotFinder {
-    /** Endpoints on which a suspect of this host runs alone. */
-    private readonly reserved = new Set<EndpointId>();
+    private readonly reserve: EndpointReserve;
 
-    public constructor(private readonly services: SlotFinderServices) {}
+    public constructor(private readonly services: SlotFinderServices) {
+        this.reserve = new EndpointReserve(services.clock);
+    }
+
+    /** Records how a call of this host ended. */
+    public noteEnd(endpoint: EndpointId, whole: boolean): void {
+        this.reserve.noteEnd(endpoint, whole);
+    }
 
     /** Looks for a slot until there is one, or until waiting on is no use. */
     public async find(search: SlotSearch): Promise<Either<NoSlot, FoundSlot>> {
@@ -105,45 +115,64 @@
     ): Promise<Either<SlotError, FoundSlot>> {
         const { clock, slots } = this.services;
         const id = choice.endpoint.id;
-        const nowMs = clock.nowMs();
         if (search.alone) {
-            this.reserved.add(id);
+            this.reserve.reserve(id);
+            await this.untilDrained(id, search);
         }
         const done = () => {
             if (search.alone) {
-                this.reserved.delete(id);
+                this.reserve.free(id);
             }
         };
+        const nowMs = clock.nowMs();
         const granted = await slots.acquire(id, {
             priority: search.priority,
             deadlineMs: nowMs + (search.startByMs - nowMs) / choicesLeft,
             signal: search.signal,
             ...(search.alone ? { exclusive: true } : {}),
         });
-        if (granted.isLeft()) {
+        return granted.bimap(error => {
             done();
-            return Left(granted.extract());
+            return error;
+        }, slot => ({ slot, choice, alone: search.alone && this.isAlone(slot), done }));
+    }
+
+    /** Waits until the other calls of this host on the endpoint have ended. */
+    private async untilDrained(id: EndpointId, search: SlotSearch): Promise<void> {
+        const { clock, directory } = this.services;
+        while (!search.signal.aborted && clock.nowMs() + drainPollMs < search.startByMs) {
+            if ((directory.get(id)?.ownInFlight ?? 0) === 0) {
+                return;
+            }
+            await clock.sleep(drainPollMs, search.signal);
         }
-        const slot = granted.extract() as Slot;
-        return Right({ slot, choice, alone: search.alone && this.isAlone(slot), done });
     }
 
     private choices(search: SlotSearch): readonly RouteChoice[] {
-        const ranked = this.services.router.rank({
+        const free = this.rank(search).filter(one => !this.reserve.isReserved(one.endpoint.id));
+        if (!search.alone) {
+            return free.slice(0, maxChoices);
+        }
+        const pool = this.services.directory.inPool(search.stage.pool);
+        const quiet = free.filter(one => this.reserve.isQuiet(one.endpoint.id));
+        quiet.sort((a, b) => a.endpoint.ownInFlight - b.endpoint.ownInFlight);
+        return this.reserve.hasRoom(pool) ? quiet.slice(0, 1) : [];
+    }
+
+    private rank(search: SlotSearch): readonly RouteChoice[] {
+        return this.services.router.rank({
             pool: search.stage.pool,
             model: search.stage.model,
             prompt: search.prompt,
             avoid: search.avoid,
             deadlineMs: search.startByMs,
         });
-        const free = ranked.filter(one => !this.reserved.has(one.endpoint.id));
-        if (!search.alone) {
-            return free.slice(0, maxChoices);
-        }
-        return free.filter(one => one.endpoint.ownInFlight === 0).slice(0, 1);
     }
 
     private isAlone(slot: Slot): boolean {
+        if (!this.reserve.isQuiet(slot.endpoint)) {
+            return false;
+        }
         if (slot.exclusive !== undefined) {
             return slot.exclusive;
         }
@@ -155,8 +184,9 @@
     /** What failed attempts at slots say of the pool. */
     private judge(search: SlotSearch, errors: readonly SlotError[]): NoSlot {
         const pool = search.stage.pool;
-        if (search.alone && errors.length === 0 && this.services.directory.inPool(pool).length > 0) {
-            return this.overloaded(`no endpoint of pool ${pool} is free for a call that has to run alone`, 50);
+        // All endpoints may be reserved for calls that run alone, or none may be free for such a call.
+        if (errors.length === 0 && this.rank(search).length > 0) {
+            return this.overloaded(`no endpoint of pool ${pool} is free`, alonePollMs);
         }
         const waits = errors.flatMap(error => {
             switch (error.kind) {
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -138,6 +138,7 @@
         const endedMs = clock.nowMs();
         const elapsedMs = endedMs - startedMs;
         const endpoint = found.choice.endpoint.id;
+        this.finder.noteEnd(endpoint, result.isRight());
         if (result.isLeft()) {
             const error = result.extract();
             log.event(EventId.StageEnded, {
