--- /dev/null
+++ b/bench/Balancer.ts
@@ -0,0 +1,85 @@
+/** The platform's balancer as callers see it: it asks each host whether it is ready, and takes ready ones in turn. */
+import { get } from "node:http";
+import type { Clock, Disposable } from "../src/common/Types.js";
+import type { Settings } from "../src/config/Schema.js";
+import { splitAddress } from "../standin/HttpHost.js";
+
+export interface BalancerTarget {
+    readonly host: string;
+    readonly address: string;
+}
+
+/** How often hosts are asked, and how long an answer may take, in milliseconds. */
+const pollMs = 500;
+const pollTimeoutMs = 1000;
+
+export class Balancer implements Disposable {
+    private readonly ready = new Set<string>();
+    private readonly targets: readonly BalancerTarget[];
+    private readonly abort = new AbortController();
+    private turn = 0;
+
+    public constructor(settings: Settings, private readonly clock: Clock) {
+        this.targets = Object.entries(settings.hosts).map(([host, { callerAddress }]) => ({
+            host,
+            address: callerAddress,
+        }));
+    }
+
+    /** Begins to ask the hosts. */
+    public start(): void {
+        for (const target of this.targets) {
+            void this.watch(target);
+        }
+    }
+
+    /** Resolves once so many hosts are ready; false when they were not in time. */
+    public async waitForReady(count: number, timeoutMs: number): Promise<boolean> {
+        const deadlineMs = this.clock.nowMs() + timeoutMs;
+        while (this.ready.size < count && this.clock.nowMs() < deadlineMs) {
+            await this.clock.sleep(pollMs / 5);
+        }
+        return this.ready.size >= count;
+    }
+
+    public get readyHosts(): readonly string[] {
+        return [...this.ready].sort();
+    }
+
+    public pick(): BalancerTarget | undefined {
+        const usable = this.targets.filter(target => this.ready.has(target.host));
+        this.turn += 1;
+        return usable[this.turn % Math.max(1, usable.length)];
+    }
+
+    public reportRefused(host: string): void {
+        this.ready.delete(host);
+    }
+
+    public dispose(): void {
+        this.abort.abort();
+    }
+
+    private async watch(target: BalancerTarget): Promise<void> {
+        while (!this.abort.signal.aborted) {
+            if (await isReady(target.address)) {
+                this.ready.add(target.host);
+            }
+            else {
+                this.ready.delete(target.host);
+            }
+            await this.clock.sleep(pollMs, this.abort.signal);
+        }
+    }
+}
+
+function isReady(address: string): Promise<boolean> {
+    return new Promise(resolve => {
+        const req = get({ ...splitAddress(address), path: "/v1/ready", timeout: pollTimeoutMs }, res => {
+            res.resume();
+            resolve(res.statusCode === 200);
+        });
+        req.on("timeout", () => req.destroy());
+        req.on("error", () => resolve(false));
+    });
+}
--- /dev/null
+++ b/bench/Caller.ts
@@ -0,0 +1,147 @@
+/**
+ * A caller: sends one request through the balancer, and judges what came back against what the stand-ins must have
+ * answered to that very request.
+ */
+import { Agent, type IncomingMessage, request } from "node:http";
+import { performance } from "node:perf_hooks";
+import type { Settings } from "../src/config/Schema.js";
+import { deadlineHeader, idempotencyHeader, workspaceHeader } from "../src/entry/CallerRequest.js";
+import { expectedAnswer } from "../standin/ExpectedOutput.js";
+import { splitAddress } from "../standin/HttpHost.js";
+import type { Balancer } from "./Balancer.js";
+import type { Arrival } from "./Workload.js";
+
+/**
+ * How a request ended for its caller. "wrong" is an answer that is not the whole answer to this request; "lost" is a
+ * reply that never came or broke off.
+ */
+export type CallEnd = "answered" | "wrong" | "not-run" | "failed" | "unknown" | "lost";
+
+export interface CallRecord {
+    readonly arrival: Arrival;
+    readonly host: string;
+    readonly end: CallEnd;
+    readonly status: number;
+    readonly reason: string;
+    readonly latencyMs: number;
+    /** Answered whole within the deadline. */
+    readonly attained: boolean;
+}
+
+interface HttpReply {
+    readonly status: number;
+    readonly text: string;
+}
+
+/** How long a caller waits beyond its deadline for the final word, in milliseconds. */
+const patienceMs = 5000;
+/** Hosts that the balancer tries while connections are refused. */
+const maxConnects = 3;
+
+export class Caller {
+    private readonly agent = new Agent({ keepAlive: true, maxSockets: Infinity });
+
+    public constructor(private readonly settings: Settings, private readonly balancer: Balancer) {}
+
+    public async call(arrival: Arrival): Promise<CallRecord> {
+        const startMs = performance.now();
+        const pipeline = Object.entries(this.settings.pipelines).find(([name]) => name === arrival.pipeline)?.[1];
+        const deadlineMs = pipeline?.deadlineMs ?? 0;
+        const { host, reply } = await this.send(arrival, deadlineMs);
+        const latencyMs = performance.now() - startMs;
+        const stages = pipeline?.stages.map(stage => stage.name) ?? [];
+        const judged = judgeReply(reply, expectedAnswer(stages, arrival.input));
+        const attained = judged.end === "answered" && latencyMs <= deadlineMs;
+        return { arrival, host, ...judged, status: reply?.status ?? 0, latencyMs, attained };
+    }
+
+    public dispose(): void {
+        this.agent.destroy();
+    }
+
+    /** Sends to one host; to another one only where the connection was refused, as a balancer does. */
+    private async send(
+        arrival: Arrival,
+        deadlineMs: number,
+    ): Promise<{ readonly host: string; readonly reply: HttpReply | undefined; }> {
+        let host = "";
+        for (let tries = 0; tries < maxConnects; tries += 1) {
+            const target = this.balancer.pick();
+            if (target === undefined) {
+                return { host, reply: undefined };
+            }
+            host = target.host;
+            const reply = await this.post(target.address, arrival, deadlineMs);
+            if (reply !== "refused") {
+                return { host, reply };
+            }
+            this.balancer.reportRefused(host);
+        }
+        return { host, reply: undefined };
+    }
+
+    private post(address: string, arrival: Arrival, deadlineMs: number): Promise<HttpReply | "refused" | undefined> {
+        const body = JSON.stringify(arrival.input);
+        const headers: Record<string, string | number> = {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            [workspaceHeader]: arrival.workspace,
+            [deadlineHeader]: deadlineMs,
+            ...(arrival.key === undefined ? {} : { [idempotencyHeader]: arrival.key }),
+        };
+        const options = {
+            ...splitAddress(address),
+            method: "POST",
+            path: `/v1/pipelines/${arrival.pipeline}`,
+            headers,
+        };
+        return new Promise(resolve => {
+            const req = request({ ...options, agent: this.agent }, res => void readAll(res).then(resolve));
+            req.setTimeout(deadlineMs + patienceMs, () => req.destroy());
+            req.on("error", err => {
+                const refused = (err as NodeJS.ErrnoException).code === "ECONNREFUSED";
+                resolve(refused ? "refused" : undefined);
+            });
+            req.end(body);
+        });
+    }
+}
+
+function readAll(res: IncomingMessage): Promise<HttpReply | undefined> {
+    return new Promise(resolve => {
+        let text = "";
+        res.setEncoding("utf8");
+        res.on("data", (part: string) => text += part);
+        res.on("end", () => resolve(res.complete ? { status: res.statusCode ?? 0, text } : undefined));
+        res.on("error", () => resolve(undefined));
+    });
+}
+
+/** Compares a reply with the answer that the request must get. */
+export function judgeReply(
+    reply: HttpReply | undefined,
+    expected: string,
+): { readonly end: CallEnd; readonly reason: string; } {
+    if (reply === undefined) {
+        return { end: "lost", reason: "no reply" };
+    }
+    const body = parseObject(reply.text);
+    if (reply.status === 200) {
+        const whole = body?.["output"] === expected;
+        return { end: whole ? "answered" : "wrong", reason: whole ? "" : "not the expected answer" };
+    }
+    const outcome = body?.["outcome"];
+    const reason = typeof body?.["reason"] === "string" ? body["reason"] : `status ${reply.status}`;
+    const known = outcome === "not-run" || outcome === "failed" || outcome === "unknown";
+    return { end: known ? outcome : "failed", reason };
+}
+
+function parseObject(text: string): Record<string, unknown> | undefined {
+    try {
+        const value: unknown = JSON.parse(text);
+        return typeof value === "object" && value !== null ? value as Record<string, unknown> : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/bench/Workload.ts
@@ -0,0 +1,95 @@
+/** Open-loop arrivals from a seed: when which request comes, whatever became of those before it. */
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import type { Settings } from "../src/config/Schema.js";
+
+/** Requests a second, by pipeline. */
+export type Rates = Readonly<Record<string, number>>;
+
+export interface Arrival {
+    /** From the start of the load, in milliseconds. */
+    readonly atMs: number;
+    readonly pipeline: string;
+    readonly workspace: string;
+    readonly input: RequestInput;
+    /** For pipelines with a stage that is not idempotent. */
+    readonly key: string | undefined;
+}
+
+export interface RequestInput {
+    /** Text that several requests share, such as a chapter or a shelter's notes. */
+    readonly document: string;
+    readonly question: string;
+}
+
+export interface WorkloadOptions {
+    readonly rates: Rates;
+    readonly durationMs: number;
+    readonly seed: number;
+    /** Arrivals in this span come at `factor` times their rate. */
+    readonly burst?: { readonly fromMs: number; readonly toMs: number; readonly factor: number; } | undefined;
+}
+
+/** Documents that requests of one workspace share, and their length in characters. */
+const documentsPerWorkspace = 8;
+const documentChars = 2000;
+
+/** The arrivals of all pipelines, in order of time. */
+export function planArrivals(settings: Settings, options: WorkloadOptions): Arrival[] {
+    const pipelines = Object.entries(options.rates).filter(([, rate]) => rate > 0);
+    const arrivals = pipelines.flatMap(([pipeline, rate], index) =>
+        planPipeline(settings, options, pipeline, rate, new SeededRandom(options.seed * 1000 + index))
+    );
+    return arrivals.sort((a, b) => a.atMs - b.atMs);
+}
+
+function planPipeline(
+    settings: Settings,
+    options: WorkloadOptions,
+    pipeline: string,
+    ratePerSecond: number,
+    random: SeededRandom,
+): Arrival[] {
+    const stages = Object.entries(settings.pipelines).find(([name]) => name === pipeline)?.[1].stages ?? [];
+    const unsafe = stages.some(stage => !stage.idempotent);
+    const workspaces = Object.entries(settings.workspaces).map(([name, { weight }]) => ({ name, weight }));
+    const arrivals: Arrival[] = [];
+    let atMs = 0;
+    for (let count = 0;; count += 1) {
+        const factor = burstFactor(options, atMs);
+        atMs += (-Math.log(1 - random.next()) / (ratePerSecond * factor)) * 1000;
+        if (atMs >= options.durationMs) {
+            return arrivals;
+        }
+        const workspace = pickByWeight(workspaces, random);
+        const id = `${pipeline}-${options.seed}-${count}`;
+        const document = documentOf(workspace, random.below(documentsPerWorkspace));
+        arrivals.push({ atMs, pipeline, workspace, input: { document, question: id }, key: unsafe ? id : undefined });
+    }
+}
+
+function burstFactor(options: WorkloadOptions, atMs: number): number {
+    const { burst } = options;
+    return burst !== undefined && atMs >= burst.fromMs && atMs < burst.toMs ? burst.factor : 1;
+}
+
+/** Workspaces differ in size as their weights do. */
+function pickByWeight(workspaces: readonly { name: string; weight: number; }[], random: SeededRandom): string {
+    const total = workspaces.reduce((sum, one) => sum + one.weight, 0);
+    let left = random.next() * total;
+    for (const { name, weight } of workspaces) {
+        left -= weight;
+        if (left < 0) {
+            return name;
+        }
+    }
+    return workspaces.at(-1)?.name ?? "";
+}
+
+function documentOf(workspace: string, index: number): string {
+    const random = new SeededRandom(index + 1);
+    let text = `${workspace} document ${index}:`;
+    while (text.length < documentChars) {
+        text += ` ${random.hex(2 + random.below(8))}`;
+    }
+    return text;
+}
--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -2,7 +2,7 @@
  * One term of this host as leader: appends proposals in batches with one sync for each, commits what a majority
  * holds, keeps the leader lease, and steps down when it has not heard from a majority for an election time.
  */
-import type { Either} from "purify-ts";
+import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import { invariant } from "../common/Invariant.js";
 import type { HostId } from "../common/Types.js";
--- a/standin/Defaults.ts
+++ b/standin/Defaults.ts
@@ -35,9 +35,6 @@
         runsByRequest: {},
         runsByInput: {},
         staleOrdersObeyed: 0,
-        busyMs: 0,
-        promptTokens: 0,
-        cachedTokens: 0,
-        outputTokens: 0,
+        byStage: {},
     };
 }
--- a/standin/StageWork.ts
+++ b/standin/StageWork.ts
@@ -13,7 +13,7 @@
 import { type HttpHost, sendJson } from "./HttpHost.js";
 import type { PrefixCache } from "./PrefixCache.js";
 import { type Echo, EventStream, type ReplyContent, type ReplyFaults, sendWhole } from "./Reply.js";
-import type { ControlMessage, StandInCounters, StandInOptions } from "./Types.js";
+import type { ControlMessage, StageSpending, StandInCounters, StandInOptions } from "./Types.js";
 import type { Warmth } from "./Warmth.js";
 
 /** How much longer a chunk takes in a full batch than alone. */
@@ -80,7 +80,7 @@
             busyMs: Math.round((this.parts.clock.nowMs() - startMs) * 100) / 100,
         });
         const completed = await this.reply(call, req, res, output, usageOf);
-        this.countUsage(usageOf());
+        this.countUsage(message, usageOf());
         return completed ? "completed" : "ended";
     }
 
@@ -161,10 +161,17 @@
         runsByInput[digest] = (runsByInput[digest] ?? 0) + 1;
     }
 
-    private countUsage(usage: StageUsage): void {
-        this.counters.busyMs += usage.busyMs;
-        this.counters.promptTokens += usage.promptTokens;
-        this.counters.cachedTokens += usage.cachedTokens;
-        this.counters.outputTokens += usage.outputTokens;
+    private countUsage(message: StageCallMessage, usage: StageUsage): void {
+        const key = `${message.pipeline}/${message.stage}`;
+        const spent = this.counters.byStage[key] ??= newSpending();
+        spent.calls += 1;
+        spent.busyMs += usage.busyMs;
+        spent.promptTokens += usage.promptTokens;
+        spent.cachedTokens += usage.cachedTokens;
+        spent.outputTokens += usage.outputTokens;
     }
 }
+
+function newSpending(): StageSpending {
+    return { calls: 0, busyMs: 0, promptTokens: 0, cachedTokens: 0, outputTokens: 0 };
+}
--- a/standin/StandInEndpoint.ts
+++ b/standin/StandInEndpoint.ts
@@ -127,7 +127,7 @@
             case "GET /v1/load":
                 return this.reportLoad(res);
             case "GET /v1/control":
-                return sendJson(res, 200, this.counters);
+                return sendJson(res, 200, this.shownCounters(url.searchParams.has("brief")));
             case "POST /v1/control":
                 return this.control(res, body);
         }
@@ -181,12 +181,16 @@
             return sendJson(res, 400, { message: parsed.error.message });
         }
         this.applyControl(parsed.data, res);
-        sendJson(res, 200, this.counters);
+        sendJson(res, 200, this.shownCounters(true));
         if (parsed.data.crash === true) {
             void this.crash();
         }
     }
 
+    private shownCounters(brief: boolean): StandInCounters {
+        return brief ? { ...this.counters, runsByRequest: {}, runsByInput: {} } : this.counters;
+    }
+
     private applyControl(control: ControlMessage, res: ServerResponse): void {
         this.work.apply(control);
         if (control.leaving !== undefined) {
--- a/standin/Types.ts
+++ b/standin/Types.ts
@@ -31,7 +31,19 @@
 
 export type ControlMessage = z.infer<typeof controlSchema>;
 
-/** `GET /v1/control`: what the endpoint has seen since the stand-in was made, restarts included. */
+/** What the calls of one stage of a pipeline have cost an endpoint. */
+export interface StageSpending {
+    calls: number;
+    busyMs: number;
+    promptTokens: number;
+    cachedTokens: number;
+    outputTokens: number;
+}
+
+/**
+ * `GET /v1/control`: what the endpoint has seen since the stand-in was made, restarts included. With `?brief` the
+ * runs are left out.
+ */
 export interface StandInCounters {
     received: number;
     completed: number;
@@ -51,10 +63,8 @@
     runsByInput: Record<string, number>;
     /** Orders obeyed although their fencing number was lower than an earlier one's. */
     staleOrdersObeyed: number;
-    busyMs: number;
-    promptTokens: number;
-    cachedTokens: number;
-    outputTokens: number;
+    /** By "pipeline/stage". */
+    byStage: Record<string, StageSpending>;
 }
 
 /** How fast a stand-in works. Times are in milliseconds. */
--- a/standin/main.ts
+++ b/standin/main.ts
@@ -12,7 +12,8 @@
     /** Whether to start the platform's list and weight store too; true by default. */
     readonly platform?: boolean;
     readonly startsCold?: boolean;
-    readonly speed?: Partial<StandInSpeed>;
+    /** Speed of engines; the other kinds keep their own. */
+    readonly engineSpeed?: Partial<StandInSpeed>;
     readonly seed?: number;
     readonly clock?: Clock;
 }
@@ -54,7 +55,7 @@
         weightStore: settings.platform.weightStoreAddress,
         seed: (options.seed ?? 1) * 1000 + index,
         ...(options.startsCold === undefined ? {} : { startsCold: options.startsCold }),
-        ...(options.speed === undefined ? {} : { speed: options.speed }),
+        ...(endpoint.kind === "engine" && options.engineSpeed !== undefined ? { speed: options.engineSpeed } : {}),
         ...(options.clock === undefined ? {} : { clock: options.clock }),
     };
 }
