--- a/src/cli/TimelineCommand.ts
+++ b/src/cli/TimelineCommand.ts
@@ -1,8 +1,9 @@
 /** `fireflykeel timeline LOG...`: prints one time line of the events of all processes. */
-import { Command, Option } from "commander";
+import { type Command, Option } from "commander";
 import { writeFileSync } from "node:fs";
 import { readTimeline } from "./Timeline.js";
 import { renderTimeline, type TimelineFormat } from "./TimelineView.js";
+import { type CommandContext, ExitCode } from "./Types.js";
 
 interface TimelineOptions {
     readonly request: readonly string[];
@@ -13,12 +14,9 @@
     readonly output?: string;
 }
 
-/** Exit code for a log that can't be read. */
-const unreadableExit = 1;
-
-export function timelineCommand(): Command {
+export function addTimelineCommand(program: Command, context: CommandContext): void {
     const several = (flags: string, description: string) => new Option(flags, description).default([], "any");
-    return new Command("timeline")
+    program.command("timeline")
         .description("print one time line of the events of all processes, merged by hybrid logical clock")
         .argument("<log...>", "logs of daemons, one JSON object a line")
         .addOption(several("-r, --request <id...>", "only events of these requests"))
@@ -31,10 +29,14 @@
             ),
         )
         .option("-o, --output <file>", "write to a file in place of the standard output")
-        .action(runTimeline);
+        .action((logs: readonly string[], options: TimelineOptions) => printTimeline(logs, options, context));
 }
 
-async function runTimeline(logs: readonly string[], options: TimelineOptions): Promise<void> {
+async function printTimeline(
+    logs: readonly string[],
+    options: TimelineOptions,
+    context: CommandContext,
+): Promise<void> {
     const filter = {
         requests: options.request,
         hosts: options.host,
@@ -44,19 +46,19 @@
     const read = await readTimeline(logs, filter);
     read.caseOf({
         Left: err => {
-            process.stderr.write(`${err.file}: ${err.message}\n`);
-            process.exitCode = unreadableExit;
+            context.output.err(`${err.file}: ${err.message}`);
+            context.setExit(ExitCode.Failed);
         },
         Right: timeline => {
             const text = renderTimeline(timeline, options.format);
             if (options.output === undefined) {
-                process.stdout.write(text);
+                context.output.out(text.trimEnd());
             }
             else {
                 writeFileSync(options.output, text);
             }
             for (const { file, line } of timeline.unreadable) {
-                process.stderr.write(`${file}:${line}: not an event, left out\n`);
+                context.output.err(`${file}:${line}: not an event, left out`);
             }
         },
     });
