Bench: attainment experiment, variants, result tables and report

Change: both sites under open-loop load while a data centre leaves and returns; JSON and one HTML page with plots. Conclusion: compiles; run once the daemons are whole.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,88 @@
+/** The load and experiment tool: `npm run bench -- COMMAND`. Results go to bench/results/. */
+import { Command, InvalidArgumentError } from "commander";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { cpus } from "node:os";
+import { join, resolve } from "node:path";
+import { runAttainment, sites } from "./Attainment.js";
+import { renderReport } from "./Report.js";
+import { printRun } from "./ResultTable.js";
+import type { ExperimentResult, RunResult } from "./Types.js";
+import { variants } from "./Variants.js";
+
+const results = resolve(import.meta.dirname, "../../bench/results");
+
+interface AttainmentArguments {
+    readonly site: readonly string[];
+    readonly variant: readonly string[];
+    readonly seconds: number;
+    readonly load: number;
+    readonly seed: number;
+    readonly changes: boolean;
+    readonly name: string;
+}
+
+function positive(text: string): number {
+    const value = Number(text);
+    if (!(value > 0)) {
+        throw new InvalidArgumentError("must be a number above 0");
+    }
+    return value;
+}
+
+function progress(text: string): void {
+    process.stderr.write(`${text}\n`);
+}
+
+const program = new Command("bench").description("drives real daemons and stand-ins on loopback with open-loop load");
+
+program.command("attainment")
+    .description("end-to-end attainment, cost by stage, and service while a data centre leaves and returns")
+    .option("--site <name...>", "sites to run", [...sites])
+    .option("--variant <name...>", `policies to compare: ${Object.keys(variants).join(", ")}`, ["as-is"])
+    .option("--seconds <n>", "length of the load", positive, 60)
+    .option("--load <factor>", "factor on the site's rates", positive, 1)
+    .option("--seed <n>", "seed of arrivals and stand-ins", positive, 1)
+    .option("--no-changes", "leave all data centres in service")
+    .option("--name <name>", "name of the result files", "attainment")
+    .action(attainment);
+
+/** Experiments that stand in files of their own; each exports `run(args)`. */
+for (const name of ["capacity", "endpoints", "replication", "requests"]) {
+    program.command(name)
+        .description(`the experiment of bench/${name}.ts`)
+        .allowUnknownOption()
+        .allowExcessArguments()
+        .helpOption(false)
+        .action(async (_options: unknown, command: Command) => {
+            const experiment = await import(`./${name}.js`) as { run(args: readonly string[]): Promise<void>; };
+            await experiment.run(command.args);
+        });
+}
+
+async function attainment(options: AttainmentArguments): Promise<void> {
+    const runs: RunResult[] = [];
+    for (const site of options.site) {
+        for (const variant of options.variant) {
+            progress(`${site}, ${variant}: ${options.seconds} s, load ${options.load}, seed ${options.seed}`);
+            const { seed, seconds, load, changes } = options;
+            const folder = join(results, "tmp");
+            const run = await runAttainment({ site, variant, seed, seconds, load, changes, folder, progress });
+            process.stdout.write(printRun(run));
+            runs.push(run);
+        }
+    }
+    const result: ExperimentResult = {
+        name: options.name,
+        command: `npm run bench -- ${process.argv.slice(2).join(" ")}`,
+        endedAt: new Date().toISOString(),
+        node: process.version,
+        cores: cpus().length,
+        runs,
+    };
+    mkdirSync(results, { recursive: true });
+    writeFileSync(join(results, `${options.name}.json`), JSON.stringify(result));
+    writeFileSync(join(results, `${options.name}.html`), renderReport(result));
+    progress(`written: bench/results/${options.name}.json and .html`);
+}
+
+await program.parseAsync();
--- a/standin/Defaults.ts
+++ b/standin/Defaults.ts
@@ -28,6 +28,7 @@
         refused: 0,
         cancelled: 0,
         crashes: 0,
+        fallsWhileCold: 0,
         maxConcurrentWhileCold: 0,
         maxConcurrent: 0,
         receivedAfterLeaving: 0,
--- a/standin/StandInEndpoint.test.ts
+++ b/standin/StandInEndpoint.test.ts
@@ -156,7 +156,7 @@
         send("POST", "/v1/stage", callOf("r2")),
     ]);
     assert.deepEqual(ends.map(end => end.status), ["rejected", "rejected"]);
-    assert.equal(endpoint.counters.crashes, 1);
+    assert.deepEqual([endpoint.counters.crashes, endpoint.counters.fallsWhileCold], [1, 1]);
     assert.equal(endpoint.counters.maxConcurrentWhileCold, 2);
     const report = loadReportSchema.parse(JSON.parse(await textOnceUp("/v1/load")));
     assert.deepEqual([report.incarnation, report.state], ["e1.2", "cold"]);
--- a/standin/StandInEndpoint.ts
+++ b/standin/StandInEndpoint.ts
@@ -245,6 +245,7 @@
         if (bearable !== undefined) {
             this.counters.maxConcurrentWhileCold = Math.max(this.counters.maxConcurrentWhileCold, concurrent);
             if (concurrent > bearable) {
+                this.counters.fallsWhileCold += 1;
                 return "crash";
             }
         }
--- a/standin/Types.ts
+++ b/standin/Types.ts
@@ -51,6 +51,8 @@
     refused: number;
     cancelled: number;
     crashes: number;
+    /** Of the crashes, those from more calls at once than the cold endpoint could bear. */
+    fallsWhileCold: number;
     /** The most calls that were on the endpoint at once while it could not bear its warm limit. */
     maxConcurrentWhileCold: number;
     /** The most calls that were on the endpoint at once. */
