--- a/src/cli/Program.ts
+++ b/src/cli/Program.ts
@@ -4,7 +4,7 @@
 import { addControlCommands } from "./ControlCommands.js";
 import { addDaemonCommands } from "./DaemonCommands.js";
 import { addJobCommands } from "./JobCommands.js";
-import { timelineCommand } from "./TimelineCommand.js";
+import { addTimelineCommand } from "./TimelineCommand.js";
 import { type CommandContext, ExitCode, type Output } from "./Types.js";
 
 const exitHelp = `
@@ -46,7 +46,7 @@
     addConfigCommands(program, context);
     addControlCommands(program, context);
     addJobCommands(program, context);
-    program.addCommand(timelineCommand());
+    addTimelineCommand(program, context);
     for (const command of program.commands) {
         inherit(program, command);
     }
