--- a/src/daemon/ControlPart.ts
+++ b/src/daemon/ControlPart.ts
@@ -108,12 +108,7 @@
         log: base.log,
     });
     const recordsLog = remote(recordsGroup);
-    const recordsAccess = {
-        propose: recordsLog.propose.bind(recordsLog),
-        readBarrier: recordsLog.readIndex.bind(recordsLog),
-        onApplied: () => ({ dispose: () => undefined }),
-    };
-    const records = new RecordsClient(recordsAccess, base.clock, base.log, sessionOptions(base));
+    const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base));
     return { config, records, replicas: [], remotes: [remote(configGroup), recordsLog], services: [config, records] };
 }
 
