--- a/src/replication/Forwarder.ts
+++ b/src/replication/Forwarder.ts
@@ -7,6 +7,8 @@
 
 /** Bound on one try of a read. */
 const readTryMs = 500;
+/** Time for the way back of an answer. */
+const replyMarginMs = 50;
 
 export class Forwarder {
     public constructor(
@@ -19,7 +21,7 @@
         const proposal = this.random.hex(16);
         const reply = await this.client.call(
             this.methods.propose,
-            remainingMs => ({ proposal, command, timeoutMs: remainingMs }),
+            remainingMs => ({ proposal, command, timeoutMs: atLeader(remainingMs) }),
             { timeoutMs, repeatable: false, tryTimeoutMs: timeoutMs },
         );
         return reply.mapLeft(proposeError).chain(takeProposeReply);
@@ -28,7 +30,7 @@
     public async read(timeoutMs: number): Promise<Either<ReadError, number>> {
         const reply = await this.client.call(
             this.methods.read,
-            remainingMs => ({ timeoutMs: remainingMs }),
+            remainingMs => ({ timeoutMs: atLeader(remainingMs) }),
             { timeoutMs, repeatable: true, tryTimeoutMs: readTryMs },
         );
         return reply
@@ -39,13 +41,18 @@
     public async changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>> {
         const reply = await this.client.call(
             this.methods.changeMembers,
-            remainingMs => ({ change, timeoutMs: remainingMs }),
+            remainingMs => ({ change, timeoutMs: atLeader(remainingMs) }),
             { timeoutMs, repeatable: false, tryTimeoutMs: timeoutMs },
         );
         return reply.mapLeft(proposeError).chain(takeMembersReply);
     }
 }
 
+/** What the leader may take of the remaining time, so that its answer arrives before the time is over. */
+function atLeader(remainingMs: number): number {
+    return remainingMs - Math.min(replyMarginMs, remainingMs / 4);
+}
+
 function proposeError(error: LeaderCallError): ProposeError {
     const { message } = error;
     return error.kind === "no-reply"
--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -38,6 +38,8 @@
     /** Index of the first entry of this term; once it is committed, all earlier ones are known to be. */
     private firstIndex = 0;
     private handingOver = false;
+    /** Set once another host may have been asked to take over, which need not wait for the lease to end. */
+    private leaseGivenUp = false;
 
     public constructor(private readonly context: Omit<ReplicatorContext, "onAnswer" | "onHigherTerm">) {
         this.work = new Notifier(context.clock);
@@ -49,7 +51,7 @@
     public get hasLease(): boolean {
         const { clock, timing } = this.context;
         const validUntilMs = this.quorumContactMs() + timing.electionMs - timing.clockDriftMs;
-        return this.isLeading && !this.handingOver && clock.nowMs() < validUntilMs;
+        return this.isLeading && !this.leaseGivenUp && clock.nowMs() < validUntilMs;
     }
 
     /** True once an entry of this term is committed: the commit index then covers all that earlier leaders committed. */
@@ -129,6 +131,7 @@
     /** Stops taking proposals, so that a follower that holds all entries can take over. */
     public beginHandover(): void {
         this.handingOver = true;
+        this.leaseGivenUp = true;
     }
 
     public cancelHandover(): void {
@@ -181,6 +184,7 @@
                 pending.isAppended = true;
                 replica.waiters.add(first + at, term, end => pending.settle(settled(end)));
             });
+            this.checkOneMemberChange(batch);
             const entries = batch.map(({ body }): LogEntry => ({ ...body, term }));
             const appending = replica.appendEntries(first, entries);
             this.nudgeAll();
@@ -192,6 +196,14 @@
         });
     }
 
+    /** Members change one at a time: the next change waits until the one before is committed. */
+    private checkOneMemberChange(batch: readonly Pending[]): void {
+        const { replica } = this.context;
+        const changes = batch.filter(pending => pending.body.kind === "members").length;
+        const isFree = replica.commitIndex >= replica.log.membersIndex;
+        invariant(changes === 0 || (changes === 1 && isFree), "one membership change at a time", { changes });
+    }
+
     /** Commits what a majority of voters holds, if it ends in an entry of this term. */
     private advanceCommit(): void {
         const { replica, term } = this.context;
--- a/src/replication/MemberChanger.ts
+++ b/src/replication/MemberChanger.ts
@@ -9,6 +9,9 @@
 import type { Replica } from "./Replica.js";
 import type { GroupMembers, GroupTiming, Member, MemberChange, ProposeError } from "./Types.js";
 
+/** Election times that one step of tending may take. */
+const tendPatience = 5;
+
 type StepResult = Either<ProposeError, void>;
 
 export class MemberChanger {
@@ -27,10 +30,40 @@
         return done.map(() => membersOf(this.replica.log.members));
     }
 
+    /**
+     * Finishes what was begun: makes voters of learners that were added as such and have caught up, and starts
+     * afresh with voters whose disk was emptied. Runs until the host leads no longer.
+     */
+    public async tend(signal: AbortSignal): Promise<void> {
+        while (this.leadership.isLeading && !signal.aborted) {
+            await this.clock.sleep(this.timing.electionMs / 2, signal);
+            const change = this.nextChange();
+            if (change !== undefined && this.leadership.isLeading) {
+                await this.change(change, this.timing.electionMs * tendPatience);
+            }
+        }
+    }
+
+    private nextChange(): MemberChange | undefined {
+        for (const { host, replica, role, promote } of this.replica.log.members) {
+            const follower = this.leadership.follower(host);
+            const isEmptied = role === "voter" && follower?.replicaId !== undefined && follower.replicaId !== replica;
+            if (isEmptied) {
+                return { kind: "replace", host, by: host };
+            }
+            if (role === "learner" && promote === true && this.hasCaughtUp(host)) {
+                return { kind: "add", host };
+            }
+        }
+        return undefined;
+    }
+
     private async makeChange(change: MemberChange, deadlineMs: number): Promise<StepResult> {
         switch (change.kind) {
             case "add":
-                return this.add(change.host, deadlineMs);
+                return change.role === "learner"
+                    ? this.addLearner(change.host, false, deadlineMs)
+                    : this.add(change.host, deadlineMs);
             case "remove":
                 return this.remove(change.host, deadlineMs);
             case "replace": {
@@ -48,12 +81,9 @@
         if (known?.role === "voter") {
             return Right(undefined);
         }
-        if (known === undefined) {
-            const learner: Member = { host, replica: undefined, role: "learner" };
-            const added = await this.setMembers(members => [...members, learner], deadlineMs);
-            if (added.isLeft()) {
-                return added;
-            }
+        const added = await this.addLearner(host, true, deadlineMs);
+        if (added.isLeft()) {
+            return added;
         }
         const replica = await this.waitForCatchUp(host, deadlineMs);
         if (replica === undefined) {
@@ -64,6 +94,15 @@
         return this.setMembers(members => members.map(one => one.host === host ? voter : one), deadlineMs);
     }
 
+    private async addLearner(host: HostId, promote: boolean, deadlineMs: number): Promise<StepResult> {
+        const known = this.find(host);
+        if (known !== undefined && (known.promote === true || !promote)) {
+            return Right(undefined);
+        }
+        const learner: Member = { host, replica: undefined, role: "learner", promote };
+        return this.setMembers(members => [...members.filter(one => one.host !== host), learner], deadlineMs);
+    }
+
     private async remove(host: HostId, deadlineMs: number): Promise<StepResult> {
         if (this.find(host) === undefined) {
             return Right(undefined);
@@ -79,7 +118,7 @@
             return Right(undefined);
         }
         if (known?.role === "voter") {
-            const learner: Member = { host, replica: undefined, role: "learner" };
+            const learner: Member = { host, replica: undefined, role: "learner", promote: true };
             const demoted = await this.setMembers(
                 members => members.map(one => one.host === host ? learner : one),
                 deadlineMs,
@@ -94,10 +133,8 @@
     /** The replica of a learner that holds all committed entries; undefined when it does not in time. */
     private async waitForCatchUp(host: HostId, deadlineMs: number): Promise<string | undefined> {
         while (this.leadership.isLeading && this.clock.nowMs() < deadlineMs) {
-            const follower = this.leadership.follower(host);
-            const isCaughtUp = follower !== undefined && follower.matchIndex >= this.replica.commitIndex;
-            if (isCaughtUp && this.isInContact(host)) {
-                return follower.replicaId;
+            if (this.hasCaughtUp(host)) {
+                return this.leadership.follower(host)?.replicaId;
             }
             await this.clock.sleep(this.timing.heartbeatMs / 2);
         }
@@ -136,6 +173,11 @@
         return undefined;
     }
 
+    private hasCaughtUp(host: HostId): boolean {
+        const matchIndex = this.leadership.follower(host)?.matchIndex ?? 0;
+        return matchIndex >= this.replica.commitIndex && this.isInContact(host);
+    }
+
     private isInContact(host: HostId): boolean {
         const contactMs = this.leadership.follower(host)?.contactMs;
         const isRecent = contactMs !== undefined && this.clock.nowMs() - contactMs < this.timing.electionMs;
--- a/src/replication/Messages.ts
+++ b/src/replication/Messages.ts
@@ -15,6 +15,7 @@
     host: hostId,
     replica: z.string().optional(),
     role: z.enum(["voter", "learner"]),
+    promote: z.boolean().optional(),
 }) as unknown as z.ZodType<Member>;
 
 const entry = z.discriminatedUnion("kind", [
@@ -68,7 +69,7 @@
 });
 
 const memberChange = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("add"), host: hostId }),
+    z.object({ kind: z.literal("add"), host: hostId, role: z.enum(["voter", "learner"]).optional() }),
     z.object({ kind: z.literal("remove"), host: hostId }),
     z.object({ kind: z.literal("replace"), host: hostId, by: hostId }),
 ]);
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -253,6 +253,7 @@
         const leadership = new Leadership({ term, replica, methods, transport, clock, timing });
         this.leadership = leadership;
         this.changer = new MemberChanger(replica, leadership, clock, timing);
+        void this.changer.tend(signal);
         await leadership.run(signal);
         this.leadership = undefined;
         this.changer = undefined;
--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -48,7 +48,8 @@
 }
 
 export type MemberChange =
-    | { readonly kind: "add"; readonly host: HostId; }
+    /** Adds a voter, which is a learner until it has caught up; or one that stays a learner. */
+    | { readonly kind: "add"; readonly host: HostId; readonly role?: "voter" | "learner" | undefined; }
     | { readonly kind: "remove"; readonly host: HostId; }
     | { readonly kind: "replace"; readonly host: HostId; readonly by: HostId; };
 
@@ -91,6 +92,8 @@
     /** Made at the first start on an empty disk; undefined for a learner that has not answered yet. */
     readonly replica: string | undefined;
     readonly role: "voter" | "learner";
+    /** A learner that becomes a voter as soon as it has caught up. */
+    readonly promote?: boolean | undefined;
 }
 
 export type LogEntry =
