Records: the end of a claim may be asked for again; crash reports in any order

Cause: a caller that asked for the end of a claim a second time was refused while the first went on in the background, and so recorded nothing although it was recorded; a crash alone whose report came before the first crash's report did not quarantine.

Change: the same end may be asked for again, another one may not; crashes and whether one was alone are counted apart.

--- a/src/records/CrashMarks.ts
+++ b/src/records/CrashMarks.ts
@@ -1,12 +1,14 @@
 /**
- * Requests that crash endpoints, by fingerprint. The first crash makes a request a suspect; a crash while it runs alone
- * quarantines a suspect. A suspect that ends without a crash is cleared. Marks carry versions, so that a cache can ask
- * for what has changed.
+ * Requests that crash endpoints, by fingerprint. The first crash makes a request a suspect; two crashes, in one of
+ * which it ran alone, quarantine it, in whatever order their reports come. A suspect that ends without a crash is
+ * cleared. Marks carry versions, so that a cache can ask for what has changed.
  */
 import { type BodyOf, type CommonReply, type CrashMark, type MarksReply, ticketText } from "./Commands.js";
 import { ExpiryQueue } from "./ExpiryQueue.js";
 
 interface StoredMark extends CrashMark {
+    /** True when the request ran alone in one of the crashes. */
+    readonly alone: boolean;
     /** Tickets of the reports that made the mark, so that a repeated report counts once. */
     readonly reports: readonly string[];
     readonly forgetAtMs: number;
@@ -37,12 +39,13 @@
         if (known?.reports.includes(report) === true) {
             return { kind: "done" };
         }
-        const suspected = known?.state === "suspect" || known?.state === "quarantined";
-        const quarantined = known?.state === "quarantined" || (suspected && body.alone);
+        const crashes = (known?.crashes ?? 0) + 1;
+        const alone = body.alone || known?.alone === true;
         this.put({
             fingerprint: body.fingerprint,
-            state: quarantined ? "quarantined" : "suspect",
-            crashes: (suspected ? known.crashes : 0) + 1,
+            state: crashes > 1 && alone ? "quarantined" : "suspect",
+            crashes,
+            alone,
             reports: withReport(known, report),
             forgetAtMs: nowMs + body.retentionMs,
         });
@@ -56,7 +59,7 @@
         const known = this.marks.get(body.fingerprint);
         const report = ticketText(body.ticket);
         if (known?.state === "suspect" && !known.reports.includes(report)) {
-            this.put({ ...known, state: "clear", crashes: 0, reports: withReport(known, report) });
+            this.put({ ...known, state: "clear", crashes: 0, alone: false, reports: withReport(known, report) });
         }
         return { kind: "done" };
     }
@@ -65,7 +68,7 @@
     public pardon(fingerprint: string): CommonReply {
         const known = this.marks.get(fingerprint);
         if (known !== undefined && known.state !== "clear") {
-            this.put({ ...known, state: "clear", crashes: 0 });
+            this.put({ ...known, state: "clear", crashes: 0, alone: false });
         }
         return { kind: "done" };
     }
--- a/src/records/HeldClaim.ts
+++ b/src/records/HeldClaim.ts
@@ -8,7 +8,9 @@
 import type { Claim, ClaimKey, RecordedOutcome, RecordsError } from "./Types.js";
 
 export class HeldClaim implements Claim {
-    private settled = false;
+    /** The command that ends the claim; it can be sent again, but not be another one. */
+    private ending: BodyOf<"finish" | "release"> | undefined;
+    private holding = true;
 
     public constructor(
         private readonly client: RecordsClient,
@@ -38,26 +40,38 @@
         return result;
     }
 
-    /** Sends the end of the claim; where the group doesn't answer in time, the client goes on in the background. */
+    /**
+     * Sends the end of the claim. Where the group doesn't answer in time, the client goes on in the background, and
+     * the same end may be asked for again to learn of its commit.
+     */
     private async settle(body: BodyOf<"finish" | "release">, timeoutMs: number): Promise<Either<RecordsError, void>> {
-        if (this.settled) {
-            return Left({ kind: "not-recorded", message: "the claim was ended before" });
+        const ending = this.ending ??= body;
+        if (JSON.stringify(ending) !== JSON.stringify(body)) {
+            return Left({ kind: "not-recorded", message: "the claim was ended otherwise before" });
         }
-        this.settled = true;
-        const sent = await this.client.send(body, timeoutMs);
-        this.client.drop("claim");
+        const sent = await this.client.send(ending, timeoutMs);
+        this.drop();
         return sent.caseOf<Either<RecordsError, void>>({
             Left: error => {
-                this.client.settle(body);
+                this.client.settle(ending);
                 return Left({ kind: "unknown", message: error.message });
             },
-            Right: ({ reply }) =>
-                reply.kind === "refused"
+            Right: ({ reply }) => {
+                this.client.settledElsewhere(ending);
+                return reply.kind === "refused"
                     ? Left({ kind: "not-recorded", message: reply.message })
-                    : Right(undefined),
+                    : Right(undefined);
+            },
         });
     }
 
+    private drop(): void {
+        if (this.holding) {
+            this.holding = false;
+            this.client.drop("claim");
+        }
+    }
+
     private labels(): Record<string, unknown> {
         return { workspace: this.key.workspace, request: this.request };
     }
--- a/src/records/RecordsClient.ts
+++ b/src/records/RecordsClient.ts
@@ -161,6 +161,11 @@
         this.settling.add(body);
     }
 
+    /** Notes that a command was carried out after all and needs no more settling. */
+    public settledElsewhere(body: RecordsBody): void {
+        this.settling.delete(body);
+    }
+
     /**
      * Notes a beat of another session, and asks for its end when it has not changed for a whole lease on this host's
      * clock. Resolves with true when the session was ended.
--- a/src/records/ReplicatedClaims.test.ts
+++ b/src/records/ReplicatedClaims.test.ts
@@ -127,12 +127,26 @@
     site.group.hasQuorum = false;
     assert.equal((await site.until(claim.finish(answered, timeoutMs))).isLeft(), true);
     assert.equal((await site.until(claimOf(b, "r2"))).kind === "claimed", false);
+    assert.equal((await site.until(claim.release(timeoutMs))).isLeft(), true);
     site.group.heal();
-    await site.clock.advance(5000);
+    assert.ok((await site.until(claim.finish(answered, timeoutMs))).isRight());
+    assert.equal(a.client.unsettled, 0);
     assert.deepEqual(await site.until(claimOf(b, "r3")), { kind: "recorded", outcome: answered });
     site.stop();
 });
 
+test("an outcome that its sender gave up waiting for is committed in the background", async () => {
+    const site = new RecordsHosts();
+    const [a, b] = [site.start("a"), site.start("b")];
+    const claim = held(await site.until(claimOf(a, "r1")));
+    site.group.hasQuorum = false;
+    assert.ok((await site.until(claim.finish(answered, timeoutMs))).isLeft());
+    site.group.heal();
+    await site.clock.advance(5000);
+    assert.deepEqual(await site.until(claimOf(b, "r2")), { kind: "recorded", outcome: answered });
+    site.stop();
+});
+
 test("claims of a workspace are bounded, and forgotten after the retention time", async () => {
     const site = new RecordsHosts();
     const a = site.start("a");
--- a/src/records/ReplicatedQuarantine.test.ts
+++ b/src/records/ReplicatedQuarantine.test.ts
@@ -10,6 +10,7 @@
     { reports: ["shared", "shared"], state: "suspect" },
     { reports: ["shared", "alone"], state: "quarantined" },
     { reports: ["alone", "alone"], state: "quarantined" },
+    { reports: ["alone", "shared"], state: "quarantined" },
     { reports: ["shared", "innocent"], state: "clear" },
     { reports: ["shared", "innocent", "alone"], state: "suspect" },
     { reports: ["shared", "alone", "innocent"], state: "quarantined" },
