Jobs: keep the input as text, and leave its comparison to the caller

Cause: a job that was sent again with another body was refused as not recorded, which reads as a missing quorum; and a codec that sorts the keys of maps would have made a resend of the same body look like another one.

Change: the input is proposed and kept as JSON text; a known id gives its job.

--- a/src/records/Commands.ts
+++ b/src/records/Commands.ts
@@ -52,7 +52,8 @@
     id: text,
     workspace: text,
     pipeline: text,
-    input: z.unknown(),
+    /** JSON text: a codec that reorders the keys of a map must not change what the caller sent. */
+    input: z.string(),
     ...limitsSchema,
 });
 const takeBody = z.object({ kind: z.literal("take"), ticket: ticketSchema });
--- a/src/records/JobTable.ts
+++ b/src/records/JobTable.ts
@@ -8,7 +8,7 @@
 import { type SessionId, sessionText, type Ticket, ticketText } from "./Commands.js";
 import { ExpiryQueue } from "./ExpiryQueue.js";
 import type { SessionTable } from "./SessionTable.js";
-import { newJob, sameContent, sizeOf, type StoredJob, toRecord } from "./StoredJob.js";
+import { newJob, sizeOf, type StoredJob, toRecord, toSummary } from "./StoredJob.js";
 import { WorkspaceUsage } from "./WorkspaceUsage.js";
 
 export interface JobTableSnapshot {
@@ -27,12 +27,13 @@
 
     public constructor(private readonly sessions: SessionTable) {}
 
+    /** Queues a job. An id that is known gives its job, whose content the caller compares. */
     public submit(body: BodyOf<"submit">, nowMs: number): JobReply | CommonReply {
         const known = this.jobs.get(body.id);
         if (known !== undefined) {
-            return sameContent(known, body)
+            return known.workspace === body.workspace
                 ? this.reply(known)
-                : { kind: "refused", message: "the job id was used with other content" };
+                : { kind: "refused", message: "the job id is another workspace's" };
         }
         if (this.usage.isFull(body.workspace, body)) {
             return { kind: "full", retryAfterMs: Math.max(fullRetryMs, (this.ended.nextMs ?? nowMs) - nowMs) };
@@ -128,12 +129,7 @@
     /** Lists jobs, the latest first and at most {@link listLimit}, without their inputs and outputs. */
     public list(workspace: string | undefined): JobReply {
         const all = [...this.jobs.values()].filter(job => workspace === undefined || job.workspace === workspace);
-        const jobs = all.reverse().slice(0, listLimit).map(job => ({
-            ...toRecord(job),
-            input: null,
-            stages: {},
-            answer: undefined,
-        }));
+        const jobs = all.reverse().slice(0, listLimit).map(toSummary);
         return { kind: "jobs", jobs };
     }
 
--- a/src/records/ReplicatedJobs.ts
+++ b/src/records/ReplicatedJobs.ts
@@ -45,12 +45,14 @@
         return this.limits().jobRetentionMs;
     }
 
+    /** Where the id is known its job is given, whatever its content: the caller compares. */
     public async submit(
         job: Pick<JobRecord, "id" | "workspace" | "pipeline" | "input">,
         timeoutMs: number,
     ): Promise<Either<RecordsError, JobRecord>> {
         const { jobsPerWorkspace: limit, jobRetentionMs: retentionMs } = this.limits();
-        const { id, workspace, pipeline, input } = job;
+        const { id, workspace, pipeline } = job;
+        const input = JSON.stringify(job.input ?? null);
         const sent = await this.client.send(
             { kind: "submit", id, workspace, pipeline, input, limit, sizeLimit: jobSizeLimit, retentionMs },
             timeoutMs,
--- a/src/records/StoredJob.ts
+++ b/src/records/StoredJob.ts
@@ -6,9 +6,8 @@
     readonly id: string;
     readonly workspace: string;
     readonly pipeline: string;
-    readonly input: unknown;
-    /** Length of the input as JSON text, in characters. */
-    readonly inputSize: number;
+    /** JSON text. */
+    readonly input: string;
     readonly state: JobState;
     readonly stages: Readonly<Record<string, string>>;
     /** The ticket with which the job was taken; undefined unless it runs. */
@@ -27,7 +26,6 @@
         workspace: body.workspace,
         pipeline: body.pipeline,
         input: body.input,
-        inputSize: JSON.stringify(body.input ?? null).length,
         state: "queued",
         stages: {},
         ticket: undefined,
@@ -38,24 +36,23 @@
     };
 }
 
-/** True when a job that is submitted again is the same. */
-export function sameContent(job: StoredJob, body: BodyOf<"submit">): boolean {
-    return job.workspace === body.workspace && job.pipeline === body.pipeline
-        && JSON.stringify(job.input) === JSON.stringify(body.input);
-}
-
 /** Length of everything that is kept of a job, in characters. */
 export function sizeOf(job: StoredJob | undefined): number {
     if (job === undefined) {
         return 0;
     }
     const stages = Object.values(job.stages).reduce((sum, output) => sum + output.length, 0);
-    return job.inputSize + stages + (job.answer ?? job.message ?? "").length;
+    return job.input.length + stages + (job.answer ?? job.message ?? "").length;
 }
 
 /** The job as callers see it. */
 export function toRecord(job: StoredJob): JobRecord {
-    const { input, state, stages, run, answer, message } = job;
+    const { state, stages, run, answer, message } = job;
     const runner = job.ticket === undefined ? undefined : asHost(job.ticket.session);
-    return { ...asIds(job), input, state, stages, runner, run, answer, message };
+    return { ...asIds(job), input: JSON.parse(job.input) as unknown, state, stages, runner, run, answer, message };
+}
+
+/** The job without its input and outputs, as it stands in a listing. */
+export function toSummary(job: StoredJob): JobRecord {
+    return toRecord({ ...job, input: "null", stages: {}, answer: undefined });
 }
