--- a/standin/Defaults.ts
+++ b/standin/Defaults.ts
@@ -28,6 +28,7 @@
         refused: 0,
         cancelled: 0,
         crashes: 0,
+        fallsWhileCold: 0,
         maxConcurrentWhileCold: 0,
         maxConcurrent: 0,
         receivedAfterLeaving: 0,
@@ -35,9 +36,6 @@
         runsByRequest: {},
         runsByInput: {},
         staleOrdersObeyed: 0,
-        busyMs: 0,
-        promptTokens: 0,
-        cachedTokens: 0,
-        outputTokens: 0,
+        byStage: {},
     };
 }
