--- /dev/null
+++ b/bench/requests/SimSite.ts
@@ -0,0 +1,280 @@
+/**
+ * A site in virtual time: engines with batches and limited prefix caches, pools of other endpoints, and two entry
+ * hosts that share them. Each host knows its own calls at once and the others' by reports that lag.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import type { DispatchLedger } from "../../src/common/Outcome.js";
+import type { Clock, DataCentreId, EndpointId, Random } from "../../src/common/Types.js";
+import { blockHashes, promptOf } from "../../src/endpoints/Prompt.js";
+import type {
+    EndpointDirectory,
+    EndpointView,
+    Slot,
+    SlotError,
+    SlotHolder,
+    SlotRequest,
+    StageCall,
+    StageCallError,
+    StageClient,
+    StageReply,
+} from "../../src/endpoints/Types.js";
+import { cacheBlockChars, charsPerToken } from "../../src/endpoints/Wire.js";
+import { FakeSlots } from "../../testing/pipeline/FakeSlots.js";
+
+const reportEveryMs = 1000;
+const prefillMsPerToken = 0.25;
+const decodeMsPerToken = 8;
+/** Blocks that an engine's cache holds. */
+const cacheBlocks = 200;
+/** How much a full batch slows a call. */
+const batchSlowdown = 0.5;
+const restartMs = 1000;
+
+export interface SimPool {
+    readonly name: string;
+    readonly count: number;
+    readonly limit: number;
+    readonly kind: "engine" | "service";
+    /** Time of a call in an idle endpoint; of engines, the decode alone. */
+    readonly callMs: number;
+}
+
+export const sitePools: readonly SimPool[] = [
+    { name: "encoder", count: 2, limit: 16, kind: "service", callMs: 8 },
+    { name: "retriever", count: 2, limit: 16, kind: "service", callMs: 15 },
+    { name: "reranker", count: 2, limit: 8, kind: "service", callMs: 20 },
+    { name: "engine", count: 6, limit: 8, kind: "engine", callMs: 40 * decodeMsPerToken },
+    { name: "lending", count: 3, limit: 4, kind: "service", callMs: 30 },
+];
+
+/** What endpoints do wrong, as chances of each call. */
+export interface SimFaults {
+    lost: number;
+    badReply: number;
+    neverSent: number;
+    /** Endpoints that answer nothing until then, on the clock. */
+    readonly outageUntilMs: Map<string, number>;
+}
+
+/** What the endpoints have done, over all hosts. */
+export interface SimTotals {
+    calls: number;
+    busyMs: number;
+    usedMs: number;
+    promptTokens: number;
+    prefilledTokens: number;
+    readonly sentByRequest: Map<string, number>;
+    readonly unsafeByKey: Map<string, number>;
+}
+
+interface Engine {
+    readonly cache: Set<string>;
+}
+
+export class SimSite {
+    public readonly slots: FakeSlots;
+    public readonly faults: SimFaults = { lost: 0, badReply: 0, neverSent: 0, outageUntilMs: new Map() };
+    public readonly totals: SimTotals = {
+        calls: 0,
+        busyMs: 0,
+        usedMs: 0,
+        promptTokens: 0,
+        prefilledTokens: 0,
+        sentByRequest: new Map(),
+        unsafeByKey: new Map(),
+    };
+    private readonly engines = new Map<string, Engine>();
+    private readonly pools = new Map<string, SimPool>();
+    private readonly reports = new Map<string, number>();
+    private reportedAtMs = 0;
+
+    public constructor(private readonly clock: Clock, private readonly random: Random) {
+        const endpoints = sitePools.flatMap(pool =>
+            Array.from({ length: pool.count }, (_, n) => ({
+                id: `${pool.name}-${n}`,
+                pool: pool.name,
+                limit: pool.limit,
+                kind: pool.kind,
+            }))
+        );
+        this.slots = new FakeSlots(clock, endpoints);
+        for (const pool of sitePools) {
+            this.pools.set(pool.name, pool);
+        }
+        for (const endpoint of endpoints) {
+            this.engines.set(endpoint.id, { cache: new Set() });
+        }
+        this.takeReports();
+    }
+
+    /** What one entry host sees and uses. */
+    public host(): SimHost {
+        return new SimHost(this, this.clock);
+    }
+
+    /** Calls in flight by the last report, and its age. */
+    public report(id: string): { running: number; ageMs: number; } {
+        return { running: this.reports.get(id) ?? 0, ageMs: this.clock.nowMs() - this.reportedAtMs };
+    }
+
+    /** Runs a call on an endpoint: its time, and whether it ends well. */
+    public async serve(call: StageCall, slot: Slot, ledger: DispatchLedger, signal: AbortSignal): Promise<
+        Either<StageCallError, StageReply>
+    > {
+        if (signal.aborted || this.random.next() < this.faults.neverSent || !slot.begin()) {
+            slot.release("never-sent");
+            return Left({ kind: "never-sent", message: "connection refused" });
+        }
+        ledger.markSent(call.idempotent);
+        this.countSent(call);
+        const startedMs = this.clock.nowMs();
+        const work = this.workOf(call, slot.endpoint);
+        const outageMs = (this.faults.outageUntilMs.get(slot.endpoint) ?? 0) - startedMs;
+        await this.clock.sleep(outageMs > 0 ? Math.min(restartMs, call.deadlineMs - startedMs) : work.ms, signal);
+        const busyMs = this.clock.nowMs() - startedMs;
+        this.totals.busyMs += busyMs;
+        const result = this.endOf(call, work, busyMs, outageMs > 0, signal);
+        slot.release(result.isRight() ? "succeeded" : "failed");
+        return result;
+    }
+
+    private endOf(
+        call: StageCall,
+        work: { promptTokens: number; cachedTokens: number; },
+        busyMs: number,
+        outage: boolean,
+        signal: AbortSignal,
+    ): Either<StageCallError, StageReply> {
+        if (signal.aborted) {
+            return Left({ kind: "cancelled", message: "cancelled" });
+        }
+        if (outage || this.random.next() < this.faults.lost) {
+            return Left({ kind: "lost", message: "connection broke", crashed: false, received: "" });
+        }
+        if (this.random.next() < this.faults.badReply) {
+            return Left({ kind: "bad-reply", message: "short reply" });
+        }
+        const output = `${call.stage}:${call.request}`;
+        const usage = { ...work, outputTokens: 40, busyMs };
+        return Right({ output, usage, evidence: { firstByteMs: busyMs, totalMs: busyMs, endpointIncarnation: "1" } });
+    }
+
+    private countSent(call: StageCall): void {
+        const { totals } = this;
+        totals.calls += 1;
+        totals.sentByRequest.set(call.request, (totals.sentByRequest.get(call.request) ?? 0) + 1);
+        if (!call.idempotent) {
+            const key = JSON.stringify(call.body.input);
+            totals.unsafeByKey.set(key, (totals.unsafeByKey.get(key) ?? 0) + 1);
+        }
+    }
+
+    private workOf(call: StageCall, id: string): { ms: number; promptTokens: number; cachedTokens: number; } {
+        const view = this.slots.get(id as EndpointId)!;
+        const pool = this.pools.get(view.pool)!;
+        const slowdown = 1 + batchSlowdown * Math.min(1, view.ownInFlight / view.limit);
+        const spread = 0.6 + 0.8 * this.random.next();
+        const ms = pool.callMs * slowdown * spread;
+        if (pool.kind !== "engine") {
+            return { ms, promptTokens: 0, cachedTokens: 0 };
+        }
+        const prompt = promptOf(call.body);
+        const promptTokens = prompt.length / charsPerToken;
+        const cachedTokens = this.prefill(id, prompt);
+        this.totals.promptTokens += promptTokens;
+        this.totals.prefilledTokens += promptTokens - cachedTokens;
+        return { ms: ms + (promptTokens - cachedTokens) * prefillMsPerToken, promptTokens, cachedTokens };
+    }
+
+    /** Tokens of the prompt that the engine's cache held; it holds all of them afterwards. */
+    private prefill(id: string, prompt: string): number {
+        const { cache } = this.engines.get(id)!;
+        const hashes = blockHashes(prompt);
+        let blocks = 0;
+        while (blocks < hashes.length && cache.has(hashes[blocks]!)) {
+            blocks += 1;
+        }
+        for (const hash of hashes) {
+            cache.delete(hash);
+            cache.add(hash);
+        }
+        for (const hash of cache) {
+            if (cache.size <= cacheBlocks) {
+                break;
+            }
+            cache.delete(hash);
+        }
+        return blocks * cacheBlockChars / charsPerToken;
+    }
+
+    private takeReports(): void {
+        for (const id of this.engines.keys()) {
+            this.reports.set(id, this.slots.inFlight(id));
+        }
+        this.reportedAtMs = this.clock.nowMs();
+        this.clock.setTimer(reportEveryMs, () => this.takeReports());
+    }
+}
+
+/** One entry host's view of the site's endpoints. */
+export class SimHost implements EndpointDirectory, SlotHolder, StageClient {
+    private readonly own = new Map<EndpointId, number>();
+    private readonly recent = new Map<EndpointId, number>();
+    public readonly onChange;
+
+    public constructor(private readonly site: SimSite, private readonly clock: Clock) {
+        this.onChange = site.slots.onChange;
+    }
+
+    public get(id: EndpointId): EndpointView | undefined {
+        const view = this.site.slots.get(id);
+        return view === undefined ? undefined : this.viewOf(view);
+    }
+
+    public inPool(pool: string): readonly EndpointView[] {
+        return this.site.slots.inPool(pool).map(view => this.viewOf(view));
+    }
+
+    public async acquire(id: EndpointId, req: SlotRequest): Promise<Either<SlotError, Slot>> {
+        const granted = await this.site.slots.acquire(id, req);
+        return granted.map(slot => {
+            this.own.set(id, (this.own.get(id) ?? 0) + 1);
+            return {
+                ...slot,
+                release: end => {
+                    this.own.set(id, (this.own.get(id) ?? 1) - 1);
+                    slot.release(end);
+                },
+            };
+        });
+    }
+
+    public async call(
+        call: StageCall,
+        slot: Slot,
+        ledger: DispatchLedger,
+        signal: AbortSignal,
+    ): Promise<Either<StageCallError, StageReply>> {
+        const startedMs = this.clock.nowMs();
+        const result = await this.site.serve(call, slot, ledger, signal);
+        if (result.isRight()) {
+            const tookMs = this.clock.nowMs() - startedMs;
+            const before = this.recent.get(slot.endpoint) ?? tookMs;
+            this.recent.set(slot.endpoint, before * 0.9 + tookMs * 0.1);
+        }
+        return result;
+    }
+
+    private viewOf(view: EndpointView): EndpointView {
+        const { running, ageMs } = this.site.report(view.id);
+        const own = this.own.get(view.id) ?? 0;
+        return {
+            ...view,
+            dataCentre: "dc1" as DataCentreId,
+            ownInFlight: own,
+            credits: 0,
+            reported: { running, waiting: 0, ageMs },
+            recentMs: this.recent.get(view.id),
+        };
+    }
+}
--- a/src/pipeline/Admission.ts
+++ b/src/pipeline/Admission.ts
@@ -8,6 +8,7 @@
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { RequestContext } from "./RequestContext.js";
 import type { StageEstimator } from "./StageEstimator.js";
+import type { AdmissionControl } from "./Types.js";
 
 const leastRetryAfterMs = 100;
 const workspaceFullRetryAfterMs = 500;
@@ -19,13 +20,12 @@
     readonly metrics: Metrics;
 }
 
-export class Admission {
+export class Admission implements AdmissionControl {
     private readonly running = new Map<WorkspaceId, number>();
     private readonly inStage = new Map<string, number>();
 
     public constructor(private readonly services: AdmissionServices, private readonly estimator: StageEstimator) {}
 
-    /** Counts a request in, or refuses it. */
     public enter(ctx: RequestContext): Failure | undefined {
         const workspace = ctx.req.workspace;
         const running = this.running.get(workspace) ?? 0;
@@ -48,7 +48,6 @@
         this.running.set(ctx.req.workspace, (this.running.get(ctx.req.workspace) ?? 1) - 1);
     }
 
-    /** Marks the time that a request spends in a stage. */
     public async during<T>(ctx: RequestContext, index: number, work: () => Promise<T>): Promise<T> {
         const name = this.stageName(ctx, index);
         this.inStage.set(name, (this.inStage.get(name) ?? 0) + 1);
@@ -60,7 +59,6 @@
         }
     }
 
-    /** Refuses a request that can't end in time from this stage on. */
     public check(ctx: RequestContext, index: number): Failure | undefined {
         const leftMs = ctx.req.deadlineMs - this.services.clock.nowMs();
         const need = this.estimator.need(ctx, index);
--- a/src/pipeline/HedgedAttempt.ts
+++ b/src/pipeline/HedgedAttempt.ts
@@ -12,6 +12,8 @@
 
 /** A call slower than this percentile of recent ones is hedged. */
 const hedgePercentile = 95;
+/** Part of a pool's limit in use from which no hedge is sent. */
+const busyShare = 0.6;
 
 interface StartedCall {
     readonly controller: AbortController;
@@ -52,10 +54,13 @@
         if (early !== undefined) {
             return early;
         }
-        if (this.firstEndpoint === undefined || this.relay.length > 0 || !this.parts.budget.tryTake()) {
+        const { services } = this.parts;
+        if (this.firstEndpoint === undefined || this.relay.length > 0 || this.isPoolBusy()) {
+            return first.result;
+        }
+        if (!this.parts.budget.tryTake()) {
             return first.result;
         }
-        const { services } = this.parts;
         services.log.event(EventId.HedgeSent, { request: this.ctx.req.id, stage: this.stage.name });
         const avoid = new Set([...this.options.avoid, this.firstEndpoint]);
         const second = this.start({ ...this.options, kind: "hedge", avoid });
@@ -69,6 +74,17 @@
         return this.parts.estimator.callMs(this.ctx, this.stage, hedgePercentile);
     }
 
+    /** A hedge in a busy pool would take the place of a call that somebody waits for. */
+    private isPoolBusy(): boolean {
+        let load = 0;
+        let limit = 0;
+        for (const endpoint of this.parts.services.directory.inPool(this.stage.pool)) {
+            load += Math.max(endpoint.ownInFlight, endpoint.reported?.running ?? 0);
+            limit += endpoint.limit;
+        }
+        return load > limit * busyShare;
+    }
+
     private start(options: AttemptOptions): StartedCall {
         const controller = new AbortController();
         if (this.options.signal.aborted) {
--- a/src/pipeline/StageQueues.ts
+++ b/src/pipeline/StageQueues.ts
@@ -4,7 +4,7 @@
  * Overnight calls (priority 2) have their own p-queue with a part of the pool, so that they never fill it while quick
  * calls wait for one of them to end, and are never starved by quick calls either.
  */
-import PQueue from "p-queue";
+import PQueue, { type Queue } from "p-queue";
 import { type Either, Left, Right } from "purify-ts";
 import type { Disposable, WorkspaceId } from "../common/Types.js";
 import type { EndpointDirectory, Priority } from "../endpoints/Types.js";
@@ -30,7 +30,12 @@
 
 export type TurnError = "queue-full" | "aborted";
 
-type PoolQueue = PQueue<FairQueue, FairQueueOptions>;
+type StageQueue = Queue<() => Promise<unknown>, FairQueueOptions>;
+
+/** Order of the calls that wait in a pool. */
+export type StageQueueClass = new() => StageQueue;
+
+type PoolQueue = PQueue<StageQueue, FairQueueOptions>;
 
 interface Pool {
     readonly quick: PoolQueue;
@@ -43,7 +48,11 @@
 
     private readonly subscription: Disposable;
 
-    public constructor(private readonly directory: EndpointDirectory, private readonly maxWaiting: () => number) {
+    public constructor(
+        private readonly directory: EndpointDirectory,
+        private readonly maxWaiting: () => number,
+        private readonly queueClass: StageQueueClass = FairQueue,
+    ) {
         this.subscription = directory.onChange(() => this.resizeAll());
     }
 
@@ -112,8 +121,8 @@
         let pool = this.pools.get(name);
         if (pool === undefined) {
             pool = {
-                quick: new PQueue({ queueClass: FairQueue, concurrency: 1 }),
-                overnight: new PQueue({ queueClass: FairQueue, concurrency: 1 }),
+                quick: new PQueue({ queueClass: this.queueClass, concurrency: 1 }),
+                overnight: new PQueue({ queueClass: this.queueClass, concurrency: 1 }),
             };
             this.pools.set(name, pool);
         }
--- a/src/pipeline/StagedPipelineRunner.ts
+++ b/src/pipeline/StagedPipelineRunner.ts
@@ -22,12 +22,13 @@
 import { StageQueues } from "./StageQueues.js";
 import { SuspectWatch } from "./SuspectWatch.js";
 import type {
+    AdmissionControl,
     OutputListener,
     PipelineAnswer,
     PipelineRequest,
     PipelineRunner,
     PipelineServices,
-    RetryBudget,
+    RunnerPolicies,
 } from "./Types.js";
 
 const notReadyRetryAfterMs = 1000;
@@ -43,24 +44,25 @@
     private readonly store = new DisposableStore();
     private readonly suspects: SuspectWatch;
     private readonly estimator: StageEstimator;
-    private readonly admission: Admission;
+    private readonly admission: AdmissionControl;
     private readonly idempotentStage: IdempotentStage;
     private readonly onceStage: OnceStage;
     private running = 0;
 
-    public constructor(private readonly services: PipelineServices, budget?: RetryBudget) {
+    public constructor(private readonly services: PipelineServices, policies: RunnerPolicies = {}) {
         const limits = () => services.config.current()?.settings.limits;
-        const queues = new StageQueues(services.directory, () => limits()?.queuedRequests ?? defaultMaxWaiting);
+        const maxWaiting = () => limits()?.queuedRequests ?? defaultMaxWaiting;
+        const queues = new StageQueues(services.directory, maxWaiting, policies.queueClass);
         this.store.add(queues);
         this.suspects = new SuspectWatch(services.quarantine);
         this.estimator = new StageEstimator(new LatencyBook(services.clock), queues, services.clock);
-        this.admission = new Admission(services, this.estimator);
+        this.admission = policies.admission?.(services, this.estimator) ?? new Admission(services, this.estimator);
         const caller = new StageCaller(services, queues, this.estimator, this.suspects);
         this.idempotentStage = new IdempotentStage({
             services,
             caller,
             estimator: this.estimator,
-            budget: budget ?? new ShareRetryBudget(() => limits()?.retryShare ?? defaultRetryShare),
+            budget: policies.budget ?? new ShareRetryBudget(() => limits()?.retryShare ?? defaultRetryShare),
             suspects: this.suspects,
         });
         this.onceStage = new OnceStage(services, caller, this.estimator);
--- a/src/pipeline/Types.ts
+++ b/src/pipeline/Types.ts
@@ -1,11 +1,14 @@
 /** Runs one request through its stages under one deadline. */
-import type { Outcome } from "../common/Outcome.js";
+import type { Failure, Outcome } from "../common/Outcome.js";
 import type { Clock, PipelineId, Random, RequestId, WorkspaceId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
 import type { EndpointDirectory, Priority, SlotHolder, StageClient, StageUsage } from "../endpoints/Types.js";
 import type { Claims, JobLease, Quarantine } from "../records/Types.js";
 import type { Router } from "../routing/Types.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { RequestContext } from "./RequestContext.js";
+import type { StageEstimator } from "./StageEstimator.js";
+import type { StageQueueClass } from "./StageQueues.js";
 
 export interface PipelineRequest {
     readonly id: RequestId;
@@ -59,6 +62,24 @@
     tryTake(): boolean;
 }
 
+/** Decides which requests are refused before they cost anything; baselines stand beside the product's own. */
+export interface AdmissionControl {
+    /** Counts a request in, or refuses it. */
+    enter(ctx: RequestContext): Failure | undefined;
+    leave(ctx: RequestContext): void;
+    /** Marks the time that a request spends in a stage. */
+    during<T>(ctx: RequestContext, index: number, work: () => Promise<T>): Promise<T>;
+    /** Refuses a request that can't end in time from this stage on. */
+    check(ctx: RequestContext, index: number): Failure | undefined;
+}
+
+/** Policies of a runner that may be replaced, for baselines and trials. */
+export interface RunnerPolicies {
+    readonly budget?: RetryBudget;
+    readonly queueClass?: StageQueueClass;
+    readonly admission?: (services: PipelineServices, estimator: StageEstimator) => AdmissionControl;
+}
+
 /** What a runner works with. */
 export interface PipelineServices {
     readonly config: ConfigSource;
