--- a/bench/Cluster.ts
+++ b/bench/Cluster.ts
@@ -19,6 +19,8 @@
     readonly overlays: Readonly<Record<string, string>>;
     readonly engineSpeed: Partial<StandInSpeed>;
     readonly seed: number;
+    /** Whether the stand-ins are cold at the start; true by default. */
+    readonly startsCold?: boolean;
     readonly clock: Clock;
 }
 
@@ -67,6 +69,7 @@
                 only,
                 platform: index === 0,
                 engineSpeed,
+                startsCold: this.options.startsCold ?? true,
                 seed: seed + index,
             };
             writeFileSync(file, JSON.stringify(options));
--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -14,6 +14,8 @@
     readonly cpuMs: number;
     /** Resident memory, in bytes. */
     readonly residentBytes: number;
+    /** Bytes read and written by system calls since the start: sockets, logs and other files together. */
+    readonly ioBytes: number;
 }
 
 export class Processes {
@@ -72,7 +74,9 @@
             const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
             const cpuMs = ((Number(fields[11]) + Number(fields[12])) * 1000) / ticksPerSecond;
             const resident = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"));
-            return { cpuMs, residentBytes: Number(resident?.[1] ?? 0) * 1024 };
+            const io = readFileSync(`/proc/${pid}/io`, "utf8");
+            const ioBytes = Number(/^rchar: (\d+)$/m.exec(io)?.[1]) + Number(/^wchar: (\d+)$/m.exec(io)?.[1]);
+            return { cpuMs, residentBytes: Number(resident?.[1] ?? 0) * 1024, ioBytes };
         }
         catch {
             return undefined;
--- a/bench/standInProcess.ts
+++ b/bench/standInProcess.ts
@@ -10,6 +10,7 @@
     readonly only: readonly string[];
     readonly platform: boolean;
     readonly engineSpeed: Partial<StandInSpeed>;
+    readonly startsCold: boolean;
     readonly seed: number;
 }
 
