--- a/bench/EndpointWatch.ts
+++ b/bench/EndpointWatch.ts
@@ -15,6 +15,8 @@
 
 export class EndpointWatch {
     public readonly samples: ReceivedSample[] = [];
+    /** The last count of each endpoint; it stands while an endpoint restarts and does not answer. */
+    private readonly lastReceived = new Map<string, number>();
 
     public constructor(private readonly settings: Settings, private readonly clock: Clock) {}
 
@@ -25,7 +27,9 @@
             const received: Record<string, number> = {};
             for (const [id, endpoint] of Object.entries(this.settings.endpoints)) {
                 const { dataCentre } = endpoint;
-                received[dataCentre] = (received[dataCentre] ?? 0) + (counters[id]?.received ?? 0);
+                const count = counters[id]?.received ?? this.lastReceived.get(id) ?? 0;
+                this.lastReceived.set(id, count);
+                received[dataCentre] = (received[dataCentre] ?? 0) + count;
             }
             this.samples.push({ atMs: this.clock.nowMs() - startMs, received });
             await this.clock.sleep(pollMs, signal);
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -62,7 +62,14 @@
         const incarnation = nextIncarnation(clock.wallMs());
         this.hybridClock = new HybridLogicalClock(clock, host);
         const log = new JsonEventLog(host, this.hybridClock, sink);
-        this.peers = new TrpcPeerServer({ key: keys.peerKey, clock: this.hybridClock, log, onFatal: options.onFatal });
+        const metrics = new MetricsRegistry();
+        this.peers = new TrpcPeerServer({
+            key: keys.peerKey,
+            clock: this.hybridClock,
+            log,
+            metrics,
+            onFatal: err => this.fatal(err),
+        });
         this.transport = new TrpcPeerTransport({
             self: host,
             key: keys.peerKey,
@@ -79,7 +86,7 @@
             clock,
             random: new SeededRandom(seedOf(`${host}/${incarnation}`)),
             log,
-            metrics: new MetricsRegistry(),
+            metrics,
             transport: this.transport,
             registry: this.peers,
         };
--- a/src/peer/TrpcPeer.test.ts
+++ b/src/peer/TrpcPeer.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { z } from "zod";
-import { MemoryLog } from "../../testing/MemoryLog.js";
+import { MemoryLog, MemoryMetrics } from "../../testing/MemoryLog.js";
 import { parseHostId } from "../common/Ids.js";
 import { SystemClock } from "../common/SystemClock.js";
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
@@ -39,6 +39,7 @@
         key: "secret",
         clock: new HybridLogicalClock(clock, beta),
         log: new MemoryLog(),
+        metrics: new MemoryMetrics(),
         onFatal: err => assert.fail(err),
     });
     server.handle(greet, async (req, from) => ({ text: `${req.name} from ${from}` }));
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -9,7 +9,7 @@
 import { InvariantError } from "../common/Invariant.js";
 import type { HostId } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog, HybridClock } from "../telemetry/Types.js";
+import type { EventLog, HybridClock, Metrics } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
 import type { PeerHandler, PeerMethod, PeerRegistry } from "./Types.js";
 
@@ -26,6 +26,7 @@
     readonly key: string;
     readonly clock: HybridClock;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     /** Called with a broken invariant from a handler. */
     readonly onFatal: (err: InvariantError) => void;
 }
@@ -87,7 +88,10 @@
         const procedures = [...this.registrations.values()].map(({ method, handler }) => {
             const procedure = trpc.procedure
                 .input(method.input)
-                .mutation(async ({ input, ctx }) => handler(input, ctx.from));
+                .mutation(async ({ input, ctx }) => {
+                    this.options.metrics.count("peer_calls", { method: method.name });
+                    return handler(input, ctx.from);
+                });
             return [method.name, procedure] as const;
         });
         return trpc.router(Object.fromEntries(procedures));
