Bring about the failures of the replicated log, one test each

Cause: a host that restarted cut off from all others did not know what had been committed when its machine had lost power: the note of the commit index was not synced. Change: the note is synced, at most every 200 ms.

--- a/src/replication/GroupStorage.test.ts
+++ b/src/replication/GroupStorage.test.ts
@@ -19,9 +19,9 @@
     const disk = new FakeDisk();
     const { storage } = await open(disk);
     await storage.saveVote({ term: 1, votedFor: "a" as HostId });
-    await storage.append(1, [entry("one"), entry("two")], 0, true);
+    await storage.append(1, [entry("one"), entry("two")], 0);
     await storage.saveSnapshot({ index: 2, term: 1, members: [], state: ["one", "two"] });
-    await storage.append(3, [entry("three")], 2, true);
+    await storage.append(3, [entry("three")], 2);
     return { disk, storage };
 }
 
@@ -49,7 +49,7 @@
     const path = disk.paths().find(one => /log-\d+$/.test(one))!;
     const before = disk.content(path)!.length;
     disk.failSync = true;
-    await storage.append(4, [entry("four")], 3, true);
+    await storage.append(4, [entry("four")], 3);
     const length = disk.content(path)!.length - before;
     assert.ok(length > 20);
     for (const zeros of [false, true]) {
@@ -133,7 +133,7 @@
 test("a log that a leader's snapshot has replaced is dropped, and an overwritten entry stays overwritten", async () => {
     const { disk, storage } = await usedDisk();
     await storage.saveVote({ term: 2, votedFor: undefined });
-    await storage.append(3, [{ kind: "command", term: 2, command: "other" }], 2, true);
+    await storage.append(3, [{ kind: "command", term: 2, command: "other" }], 2);
     const next = disk.crash();
     const { opened, storage: reopened } = await open(next);
     assert.deepEqual(commands(opened.unsafeCoerce()), ["one", "two", "other"]);
--- a/src/replication/GroupStorage.ts
+++ b/src/replication/GroupStorage.ts
@@ -83,17 +83,16 @@
         return this.replaceFile("vote", frameOf(vote));
     }
 
-    /** Appends entries in place of all from `first` on. They may be acknowledged once it resolves with `sync`. */
+    /** Appends entries in place of all from `first` on, durably: they may be acknowledged once it resolves. */
     public async append(
         first: number,
         entries: readonly LogEntry[],
         commit: number,
-        sync: boolean,
     ): Promise<Either<StorageError, void>> {
         const record: LogRecord = { kind: "entries", first, entries, commit };
         const path = this.path(`log-${this.generation}`);
         const appended = await this.disk.append(path, frameOf(record));
-        return appended.isLeft() || !sync ? appended : this.disk.sync(path);
+        return appended.isLeft() ? appended : this.disk.sync(path);
     }
 
     /** Makes a snapshot durable. The log must be rewritten afterwards, and then {@link removeOld} called. */
--- /dev/null
+++ b/src/replication/RaftFaults.test.ts
@@ -0,0 +1,262 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { DiskOperation, FakeDisk } from "../../testing/FakeDisk.js";
+import { type ClusterHost, ListMachine, RaftCluster } from "../../testing/RaftCluster.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import type { Clock } from "../common/Types.js";
+import type { HostId } from "../common/Types.js";
+import { RemoteLog } from "./RemoteLog.js";
+
+type Cluster = RaftCluster<ListMachine>;
+
+async function threeHosts(seed: number = 1): Promise<Cluster> {
+    const cluster = new RaftCluster({
+        seed,
+        voters: ["a", "b", "c"],
+        makeMachine: () => new ListMachine(),
+        compaction: { compactEntries: 50, keepEntries: 10 },
+    });
+    const leader = await cluster.leader();
+    await cluster.settle(leader.raft.propose("first", 1000));
+    return cluster;
+}
+
+async function write(cluster: Cluster, item: string): Promise<void> {
+    const leader = await cluster.leader();
+    const result = await cluster.settle(leader.raft.propose(item, 2000));
+    assert.ok(result.isRight(), JSON.stringify(result.extract()));
+}
+
+/** Each replica in the end holds the same items. */
+async function assertAgreement(cluster: Cluster): Promise<readonly unknown[]> {
+    await cluster.clock.advance(3000);
+    const [first, ...others] = cluster.up().map(host => host.machine.items);
+    others.forEach(items => assert.deepEqual(items, first));
+    return first ?? [];
+}
+
+/** Makes the disk of a process stop for good before the next operation of a kind. */
+function stopBefore(disk: FakeDisk, operation: DiskOperation): void {
+    disk.gate = next => next !== operation;
+}
+
+const deaths: readonly {
+    readonly at: string;
+    readonly prepare: (cluster: Cluster, leader: ClusterHost<ListMachine>) => void;
+}[] = [
+    { at: "before the write", prepare: (_, leader) => stopBefore(leader.disk, "append") },
+    { at: "between write and sync", prepare: (_, leader) => stopBefore(leader.disk, "sync") },
+    { at: "before anything is sent", prepare: (cluster, leader) => cluster.network.isolate(leader.id) },
+    {
+        at: "between sending and commit",
+        prepare: (cluster, leader) =>
+            cluster.followersOf(leader).forEach(host => cluster.network.cutOneWay(host.id, leader.id)),
+    },
+    { at: "after the commit", prepare: () => undefined },
+];
+
+for (const { at, prepare } of deaths) {
+    for (const through of ["leader", "follower"] as const) {
+        test(`the leader dies ${at}, with a proposal through the ${through}`, async () => {
+            const cluster = await threeHosts();
+            const leader = await cluster.leader();
+            const proposer = through === "leader" ? leader : cluster.followersOf(leader)[0]!;
+            prepare(cluster, leader);
+            const answer = proposer.raft.propose("item", 1500);
+            await cluster.clock.advance(200);
+            cluster.crash(leader.id, { kind: "keep", bytes: 20, zeros: false });
+            cluster.network.heal();
+            const result = through === "leader" ? undefined : await cluster.settle(answer);
+            await cluster.leader();
+            cluster.start(leader.id, leader.disk.crash());
+            await write(cluster, "last");
+            const items = await assertAgreement(cluster);
+            const isThere = items.includes("item");
+            const end = result?.caseOf({ Left: error => error.kind, Right: () => "committed" });
+            assert.ok(end !== "committed" || isThere, "an acknowledged entry is there");
+            assert.ok(end !== "not-accepted" || !isThere, "an entry that was called not accepted is not there");
+            assert.deepEqual([items[0], items.at(-1)], ["first", "last"]);
+            await cluster.stopAll();
+        });
+    }
+}
+
+test("a leader that is cut off silently stops answering reads, steps down, and comes back without a flood", async () => {
+    const cluster = await threeHosts();
+    const old = await cluster.leader();
+    cluster.network.isolate(old.id);
+    await cluster.clock.advance(1000);
+    const read = await cluster.settle(old.raft.readBarrier(500));
+    assert.equal(read.isLeft(), true);
+    await cluster.clock.advance(1000);
+    assert.notEqual(old.raft.status().role, "leader");
+    const next = await cluster.leader();
+    const term = next.raft.status().term;
+    await cluster.clock.advance(600_000);
+    await write(cluster, "second");
+    assert.equal(old.raft.status().term < term, true, "a host that is cut off does not raise its term");
+    cluster.network.heal();
+    await cluster.clock.advance(10_000);
+    assert.equal((await cluster.leader()).raft.status().term, term, "its return deposes nobody");
+    assert.deepEqual(await assertAgreement(cluster), ["first", "second"]);
+    await cluster.stopAll();
+});
+
+test("a leader that hears but is not heard gives way", async () => {
+    const cluster = await threeHosts();
+    const old = await cluster.leader();
+    cluster.followersOf(old).forEach(host => cluster.network.cutOneWay(old.id, host.id));
+    await cluster.clock.advance(5000);
+    assert.notEqual((await cluster.leader()).id, old.id);
+    await write(cluster, "second");
+    await cluster.stopAll();
+});
+
+const diskFaults = [
+    { name: "a full disk", set: (disk: FakeDisk, isOn: boolean) => disk.isFull = isOn },
+    { name: "a failing sync", set: (disk: FakeDisk, isOn: boolean) => disk.failSync = isOn },
+];
+
+for (const { name, set } of diskFaults) {
+    test(`${name} makes the leader step down with nothing acknowledged, and it comes back`, async () => {
+        const cluster = await threeHosts();
+        const old = await cluster.leader();
+        set(old.disk, true);
+        const answer = await cluster.settle(old.raft.propose("during", 1000));
+        assert.equal(answer.isLeft(), true);
+        assert.equal(old.raft.status().role, "stopped");
+        assert.ok(old.raft.status().fault !== undefined);
+        await write(cluster, "second");
+        set(old.disk, false);
+        await cluster.clock.advance(5000);
+        assert.equal(old.raft.status().fault, undefined);
+        await write(cluster, "third");
+        await assertAgreement(cluster);
+        await cluster.stopAll();
+    });
+
+    test(`${name} on two of three hosts: nothing is acknowledged`, async () => {
+        const cluster = await threeHosts();
+        const leader = await cluster.leader();
+        cluster.followersOf(leader).forEach(host => set(host.disk, true));
+        const answer = await cluster.settle(leader.raft.propose("during", 1000));
+        assert.equal(answer.swap().unsafeCoerce().kind, "unknown");
+        cluster.followersOf(leader).forEach(host => set(host.disk, false));
+        await cluster.clock.advance(5000);
+        await write(cluster, "after");
+        await assertAgreement(cluster);
+        await cluster.stopAll();
+    });
+}
+
+test("a follower that was away for long gets the snapshot in parts", async () => {
+    const cluster = await threeHosts();
+    const follower = cluster.followersOf(await cluster.leader())[0]!;
+    const disk = cluster.crash(follower.id);
+    const large = "x".repeat(20_000);
+    for (let item = 0; item < 120; item++) {
+        await write(cluster, `${item} ${large}`);
+    }
+    const back = cluster.start(follower.id, disk);
+    await cluster.clock.advance(5000);
+    assert.equal(back.machine.items.length, 121);
+    assert.ok((cluster.network.delivered.get("replication.snapshot-test") ?? 0) > 3);
+    await assertAgreement(cluster);
+    await cluster.stopAll();
+});
+
+test("messages lost, doubled, reordered and late change nothing", async () => {
+    const cluster = await threeHosts(7);
+    Object.assign(cluster.network.faults, { maxDelayMs: 60, loseRequest: 0.1, loseReply: 0.1, doubleRequest: 0.2 });
+    const ends: string[] = [];
+    for (let item = 0; item < 60; item++) {
+        const host = cluster.up()[item % 3]!;
+        void host.raft.propose(item, 3000).then(end => ends.push(end.isRight() ? `${item}` : "?"));
+        await cluster.clock.advance(50);
+    }
+    await cluster.clock.advance(5000);
+    Object.assign(cluster.network.faults, { loseRequest: 0, loseReply: 0 });
+    await write(cluster, "last");
+    const items = (await assertAgreement(cluster)).map(item => `${item as string}`);
+    assert.equal(new Set(items).size, items.length);
+    assert.ok(ends.filter(end => end !== "?").every(end => items.includes(end)));
+    assert.equal(ends.length, 60);
+    await cluster.stopAll();
+});
+
+test("all hosts restart at once and keep what was acknowledged", async () => {
+    const cluster = await threeHosts();
+    for (let item = 0; item < 70; item++) {
+        await write(cluster, `${item}`);
+    }
+    cluster.up().forEach(host => cluster.restart(host.id));
+    await write(cluster, "last");
+    assert.equal((await assertAgreement(cluster)).length, 72);
+    await cluster.stopAll();
+});
+
+test("a host that restarts cut off from all others still knows what was committed", async () => {
+    const cluster = await threeHosts();
+    await cluster.clock.advance(1000);
+    const follower = cluster.followersOf(await cluster.leader())[0]!;
+    cluster.network.isolate(follower.id);
+    await cluster.clock.advance(1000);
+    const back = cluster.restart(follower.id);
+    cluster.network.isolate(follower.id);
+    await cluster.clock.advance(100);
+    assert.deepEqual(back.machine.items, ["first"]);
+    await cluster.stopAll();
+});
+
+test("jumps of the wall clock decide nothing", async () => {
+    const cluster = await threeHosts();
+    const follower = cluster.followersOf(await cluster.leader())[0]!;
+    const disk = cluster.crash(follower.id);
+    const jumping: Clock = {
+        nowMs: () => cluster.clock.nowMs() + 5_000_000,
+        wallMs: () => (cluster.clock.nowMs() % 7) * 1e9,
+        setTimer: (delayMs, callback) => cluster.clock.setTimer(delayMs, callback),
+        sleep: (delayMs, signal) => cluster.clock.sleep(delayMs, signal),
+    };
+    cluster.start(follower.id, disk, jumping);
+    const term = (await cluster.leader()).raft.status().term;
+    await cluster.clock.advance(30_000);
+    await write(cluster, "second");
+    assert.equal((await cluster.leader()).raft.status().term, term);
+    await assertAgreement(cluster);
+    await cluster.stopAll();
+});
+
+test("a host without a replica proposes, and is told the truth when nobody answers", async () => {
+    const cluster = await threeHosts();
+    const self = "z" as HostId;
+    const remote = new RemoteLog({
+        group: "test",
+        self,
+        hosts: () => ["a", "b", "c"] as HostId[],
+        transport: cluster.network.addHost(self),
+        clock: cluster.clock,
+        random: new SeededRandom(5),
+    });
+    assert.equal((await cluster.settle(remote.propose("remote", 2000))).extract(), 2);
+    assert.equal((await cluster.settle(remote.statuses())).size, 3);
+    const leader = await cluster.leader();
+    cluster.network.cutOneWay(leader.id, self);
+    const lost = await cluster.settle(remote.propose("lost", 1000));
+    assert.equal(lost.swap().unsafeCoerce().kind, "unknown");
+    ["a", "b", "c"].forEach(name => cluster.crash(name));
+    cluster.network.heal();
+    const refused = await cluster.settle(remote.propose("refused", 1000));
+    assert.equal(refused.swap().unsafeCoerce().kind, "not-accepted");
+    await cluster.stopAll();
+});
+
+test("a group without work sends a bounded number of messages", async () => {
+    const cluster = await threeHosts();
+    await cluster.clock.advance(2000);
+    cluster.network.delivered.clear();
+    await cluster.clock.advance(60_000);
+    const messages = [...cluster.network.delivered.values()].reduce((sum, one) => sum + one, 0);
+    assert.ok(messages <= 2 * 60_000 / 150 + 10, `${messages} messages in a minute`);
+    await cluster.stopAll();
+});
--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -13,6 +13,9 @@
 import type { GroupRole, GroupSnapshot, LogEntry, Member, StateMachine, StorageError } from "./Types.js";
 import { Waiters } from "./Waiters.js";
 
+/** Shortest time between two notes of the commit index on disk. */
+const recordCommitEveryMs = 200;
+
 /** Entries after which the log is compacted, and how many of them stay for followers that lag. */
 export interface CompactionLimits {
     readonly compactEntries: number;
@@ -39,6 +42,7 @@
     private appliedTo = 0;
     private latestSnapshot: GroupSnapshot | undefined;
     private recordedCommit = 0;
+    private recordedCommitMs = 0;
     private storageFault: StorageError | undefined;
     private readonly queue = new PQueue({ concurrency: 1 });
 
@@ -47,7 +51,7 @@
         private readonly storage: GroupStorage,
         private readonly stateMachine: StateMachine,
         private readonly limits: CompactionLimits,
-        clock: Clock,
+        private readonly clock: Clock,
     ) {
         this.changed = new Notifier(clock);
     }
@@ -150,7 +154,7 @@
         invariant(first > this.committed, "a committed entry is never replaced", { first, committed: this.committed });
         this.log.put(first, entries);
         this.changed.notify();
-        const appended = await this.storage.append(first, entries, this.committed, true);
+        const appended = await this.storage.append(first, entries, this.committed);
         if (appended.isLeft()) {
             this.fail(appended.extract());
             return false;
@@ -170,13 +174,19 @@
         this.changed.notify();
     }
 
-    /** Notes the commit index on disk without a sync, so that a restart knows it. Called within {@link exclusive}. */
+    /**
+     * Notes the commit index on disk, so that a restart knows it even where no other host can be reached. Called
+     * within {@link exclusive}, whenever there is nothing else to write.
+     */
     public async recordCommit(): Promise<void> {
-        if (this.recordedCommit >= this.committed || this.storageFault !== undefined) {
+        const nowMs = this.clock.nowMs();
+        const isDue = this.recordedCommit < this.committed && nowMs - this.recordedCommitMs >= recordCommitEveryMs;
+        if (!isDue || this.storageFault !== undefined) {
             return;
         }
         this.recordedCommit = this.committed;
-        const appended = await this.storage.append(this.log.lastIndex + 1, [], this.committed, false);
+        this.recordedCommitMs = nowMs;
+        const appended = await this.storage.append(this.log.lastIndex + 1, [], this.committed);
         appended.ifLeft(error => this.fail(error));
     }
 
