--- a/src/records/Commands.ts
+++ b/src/records/Commands.ts
@@ -25,7 +25,7 @@
     z.object({ kind: z.literal("unknown"), message: z.string() }),
 ]);
 
-const limitsSchema = { limit: sequence, retentionMs: durationMs };
+const limitsSchema = { limit: sequence, sizeLimit: sequence, retentionMs: durationMs };
 
 const claimBody = z.object({
     kind: z.literal("claim"),
@@ -52,7 +52,8 @@
     id: text,
     workspace: text,
     pipeline: text,
-    input: z.unknown(),
+    /** JSON text: a codec that reorders the keys of a map must not change what the caller sent. */
+    input: z.string(),
     ...limitsSchema,
 });
 const takeBody = z.object({ kind: z.literal("take"), ticket: ticketSchema });
--- a/src/records/ReplicatedJobs.ts
+++ b/src/records/ReplicatedJobs.ts
@@ -45,14 +45,16 @@
         return this.limits().jobRetentionMs;
     }
 
+    /** Where the id is known its job is given, whatever its content: the caller compares. */
     public async submit(
         job: Pick<JobRecord, "id" | "workspace" | "pipeline" | "input">,
         timeoutMs: number,
     ): Promise<Either<RecordsError, JobRecord>> {
         const { jobsPerWorkspace: limit, jobRetentionMs: retentionMs } = this.limits();
-        const { id, workspace, pipeline, input } = job;
+        const { id, workspace, pipeline } = job;
+        const input = JSON.stringify(job.input ?? null);
         const sent = await this.client.send(
-            { kind: "submit", id, workspace, pipeline, input, limit, retentionMs },
+            { kind: "submit", id, workspace, pipeline, input, limit, sizeLimit: jobSizeLimit, retentionMs },
             timeoutMs,
         );
         return sent.chain(({ reply }) => {
@@ -208,6 +210,8 @@
     return Left({ kind: "not-recorded", message });
 }
 
+/** Characters that the jobs of a workspace may take, inputs and outputs included. */
+const jobSizeLimit = 64_000_000;
 /** Pauses between two questions for work, in milliseconds: at first, of the own replica, and of the group. */
 const firstPollMs = 50;
 const mostPollMs = 200;
