Operators' functions for configuration and members

Cause: the command line needs plain data, and answers that say whether a change may have been accepted. Forwarded proposals are named by host, process and a counter: random names of 32 bits of state would meet.

--- a/src/config/AnswerWindow.ts
+++ b/src/config/AnswerWindow.ts
@@ -51,8 +51,9 @@
     }
 }
 
+/** Digest of what a change does; the version that it builds on is left out, since a resend may name a newer one. */
 export function digestOf(change: ConfigChange): string {
-    const fields = Object.entries(change).sort(([a], [b]) => a < b ? -1 : 1);
+    const fields = Object.entries(change).filter(([name]) => name !== "baseVersion").sort(([a], [b]) => a < b ? -1 : 1);
     return createHash("sha256").update(JSON.stringify(fields)).digest("hex");
 }
 
--- a/src/config/ConfigClient.ts
+++ b/src/config/ConfigClient.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "../telemetry/Types.js";
 import { ConfigDistribution } from "./ConfigDistribution.js";
 import { changeMethod, type ChangeReply, pullMethod, type PullReply } from "./ConfigMessages.js";
+import { collectReports, readFromAny } from "./ConfigReports.js";
 import { LeaseServiceClient } from "./LeaseServiceClient.js";
 import type {
     CommittedConfig,
@@ -16,11 +17,14 @@
     ConfigChange,
     ConfigChangeError,
     ConfigChangeResult,
+    ConfigReader,
     ConfigSource,
     ConfigView,
     ConfigWriter,
+    ConfirmedConfig,
     DocumentChecker,
     DocumentName,
+    HostReport,
     Lease,
     LeaseError,
     LeaseService,
@@ -52,7 +56,7 @@
     readonly log: EventLog;
 }
 
-export class ConfigClient implements ConfigSource, ConfigWriter, LeaseService {
+export class ConfigClient implements ConfigSource, ConfigWriter, ConfigReader, LeaseService {
     public readonly name = "config client";
     public readonly onChange: ConfigSource["onChange"];
     private readonly views: ViewPublisher;
@@ -120,6 +124,14 @@
         return Left({ kind: mayBeAccepted ? "unknown" : "not-accepted", message });
     }
 
+    public read(timeoutMs: number): Promise<Either<string, ConfirmedConfig>> {
+        return readFromAny(this.options.controlHosts(), this.options.transport, timeoutMs);
+    }
+
+    public reports(): Promise<readonly HostReport[]> {
+        return collectReports(this.options.controlHosts(), this.options.transport);
+    }
+
     /** Follows the committed configuration until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
--- a/src/config/ConfigGroup.ts
+++ b/src/config/ConfigGroup.ts
@@ -19,6 +19,7 @@
     readMethod,
     releaseMethod,
 } from "./ConfigMessages.js";
+import { collectReports } from "./ConfigReports.js";
 import type { ConfigState } from "./ConfigState.js";
 import { leaderReply, LeaseServiceClient } from "./LeaseServiceClient.js";
 import { LeaseTable } from "./LeaseTable.js";
@@ -27,11 +28,14 @@
     ConfigChange,
     ConfigChangeError,
     ConfigChangeResult,
+    ConfigReader,
     ConfigSource,
     ConfigView,
     ConfigWriter,
+    ConfirmedConfig,
     DocumentChecker,
     DocumentName,
+    HostReport,
     Lease,
     LeaseError,
     LeaseService,
@@ -63,7 +67,7 @@
     readonly seeds: Readonly<Record<DocumentName, string>>;
 }
 
-export class ConfigGroup implements ConfigSource, ConfigWriter, LeaseService {
+export class ConfigGroup implements ConfigSource, ConfigWriter, ConfigReader, LeaseService {
     public readonly name = "config group";
     public readonly onChange: ConfigSource["onChange"];
     private readonly views: ViewPublisher;
@@ -115,6 +119,21 @@
         return this.leases.release(name);
     }
 
+    public async read(timeoutMs: number): Promise<Either<string, ConfirmedConfig>> {
+        const { raft, state } = this.options;
+        const barrier = await raft.readBarrier(timeoutMs);
+        return barrier
+            .mapLeft(error => error.message)
+            .map(() => ({ config: state.committed(), history: state.history }));
+    }
+
+    public reports(): Promise<readonly HostReport[]> {
+        const { raft, self, transport } = this.options;
+        const { voters, learners } = raft.status().members;
+        const others = [...voters, ...learners].filter(host => host !== self);
+        return collectReports(others, transport, this.distribution.listReports());
+    }
+
     /** Seeds a new group from this host's files, and reports the version in force here. */
     public async run(signal: AbortSignal): Promise<void> {
         const { clock, self } = this.options;
@@ -169,7 +188,7 @@
     }
 
     private register(registry: PeerRegistry): void {
-        const { raft, state } = this.options;
+        const { raft } = this.options;
         this.distribution.register(registry);
         registry.handle(changeMethod, async req => {
             const outcome = await this.change(req.change, req.timeoutMs);
@@ -179,10 +198,10 @@
             });
         });
         registry.handle(readMethod, async req => {
-            const read = await raft.readBarrier(req.timeoutMs);
+            const read = await this.read(req.timeoutMs);
             return read.caseOf<ConfigReadReply>({
-                Left: error => ({ kind: "failed", message: error.message }),
-                Right: () => ({ kind: "read", config: state.committed(), history: state.history }),
+                Left: message => ({ kind: "failed", message }),
+                Right: confirmed => ({ kind: "read", confirmed }),
             });
         });
         registry.handle(
--- a/src/config/ConfigMessages.ts
+++ b/src/config/ConfigMessages.ts
@@ -8,7 +8,7 @@
     ConfigChange,
     ConfigChangeError,
     ConfigChangeResult,
-    ConfigLogEntry,
+    ConfirmedConfig,
     HostReport,
 } from "./Types.js";
 
@@ -95,11 +95,7 @@
 
 /** The committed configuration as the leader knows it. */
 export type ConfigReadReply =
-    | {
-        readonly kind: "read";
-        readonly config: CommittedConfig;
-        readonly history: readonly ConfigLogEntry[];
-    }
+    | { readonly kind: "read"; readonly confirmed: ConfirmedConfig; }
     | { readonly kind: "failed"; readonly message: string; };
 
 export const changeMethod = definePeerMethod<ChangeRequest, ChangeReply>("config.change", changeRequest);
--- a/src/config/Types.ts
+++ b/src/config/Types.ts
@@ -132,6 +132,21 @@
     readonly leavingEndpoints: readonly EndpointId[];
 }
 
+/** The committed configuration as a quorum has confirmed it. */
+export interface ConfirmedConfig {
+    readonly config: CommittedConfig;
+    /** Accepted changes, the newest last; a bounded number. */
+    readonly history: readonly ConfigLogEntry[];
+}
+
+/** What operators read of the configuration, from any host. */
+export interface ConfigReader {
+    /** Errors: why no quorum has confirmed the configuration. */
+    read(timeoutMs: number): Promise<Either<string, ConfirmedConfig>>;
+    /** The last report of each host that any control host has heard of. */
+    reports(): Promise<readonly HostReport[]>;
+}
+
 /** One accepted change, as `config log` shows it. */
 export interface ConfigLogEntry {
     readonly version: number;
--- a/src/replication/Forwarder.ts
+++ b/src/replication/Forwarder.ts
@@ -1,24 +1,33 @@
 /** Proposals, reads and membership changes of a host that does not lead, carried to the leader. */
 import { type Either, Left, Right } from "purify-ts";
-import type { Random } from "../common/Types.js";
+import type { HostId, Random } from "../common/Types.js";
 import type { LeaderCallError, LeaderClient } from "./LeaderClient.js";
 import type { GroupMethods, MembersReply, ProposeReply, ReadReply } from "./Messages.js";
 import type { GroupMembers, Json, MemberChange, ProposeError, ReadError } from "./Types.js";
 
 /** Bound on one try of a read. */
 const readTryMs = 500;
+const instanceChars = 16;
 /** Time for the way back of an answer. */
 const replyMarginMs = 50;
 
 export class Forwarder {
+    /** Names this process, so that a restarted host does not use the ids of its former self. */
+    private readonly instance: string;
+    private proposals = 0;
+
     public constructor(
+        private readonly self: HostId,
         private readonly client: LeaderClient,
         private readonly methods: GroupMethods,
-        private readonly random: Random,
-    ) {}
+        random: Random,
+    ) {
+        this.instance = random.hex(instanceChars);
+    }
 
     public async propose(command: Json, timeoutMs: number): Promise<Either<ProposeError, Json>> {
-        const proposal = this.random.hex(16);
+        this.proposals += 1;
+        const proposal = `${this.self}/${this.instance}/${this.proposals}`;
         const reply = await this.client.call(
             this.methods.propose,
             remainingMs => ({ proposal, command, timeoutMs: atLeader(remainingMs) }),
--- a/src/replication/Messages.ts
+++ b/src/replication/Messages.ts
@@ -4,7 +4,7 @@
  */
 import { z } from "zod";
 import type { HostId } from "../common/Types.js";
-import { definePeerMethod } from "../peer/Types.js";
+import { definePeerMethod, type PeerTransport } from "../peer/Types.js";
 import type { GroupMembers, GroupStatus, Json, LogEntry, Member } from "./Types.js";
 
 const hostId = z.string() as unknown as z.ZodType<HostId>;
@@ -128,6 +128,23 @@
     | { readonly kind: "read"; readonly index: number; }
     | { readonly kind: "no-quorum"; readonly message: string; };
 
+const statusTimeoutMs = 1000;
+
+/** Asks hosts for their status of a group; those that do not answer are left out. */
+export async function collectStatuses(
+    hosts: readonly HostId[],
+    methods: GroupMethods,
+    transport: PeerTransport,
+): Promise<ReadonlyMap<HostId, GroupStatus>> {
+    const statuses = new Map<HostId, GroupStatus>();
+    const ask = async (host: HostId) => {
+        const reply = await transport.call(host, methods.status, {}, { timeoutMs: statusTimeoutMs });
+        reply.ifRight(status => statuses.set(host, status));
+    };
+    await Promise.all(hosts.map(ask));
+    return statuses;
+}
+
 /** The methods of one group. */
 export class GroupMethods {
     public readonly identify;
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -15,7 +15,7 @@
 import { LeaderClient } from "./LeaderClient.js";
 import { Leadership } from "./Leadership.js";
 import { MemberChanger, membersOf } from "./MemberChanger.js";
-import { GroupMethods } from "./Messages.js";
+import { collectStatuses, GroupMethods } from "./Messages.js";
 import { type CompactionLimits, Replica } from "./Replica.js";
 import { ReplicaServer } from "./ReplicaServer.js";
 import type {
@@ -89,7 +89,7 @@
             timing.electionMs,
         );
         this.client = this.makeClient();
-        this.forwarder = new Forwarder(this.client, this.methods, random);
+        this.forwarder = new Forwarder(self, this.client, this.methods, random);
         this.onApplied = this.replica.applied.event;
         this.onRoleChange = listener => this.replica.roleChanged.event(() => listener(this.status()));
         this.serve();
@@ -183,6 +183,15 @@
         };
     }
 
+    /** The status of each member that answers, this host's included. */
+    public async statuses(): Promise<ReadonlyMap<HostId, GroupStatus>> {
+        const { self, transport, initialMembers } = this.options;
+        const { log } = this.replica;
+        const known = log.members.length > 0 ? log.members.map(member => member.host) : initialMembers.voters;
+        const statuses = await collectStatuses(known.filter(host => host !== self), this.methods, transport);
+        return new Map([[self, this.status()], ...statuses]);
+    }
+
     private async open(): Promise<Either<StorageError, void>> {
         const { replica } = this;
         const { random, clock } = this.options;
--- a/src/replication/RemoteLog.ts
+++ b/src/replication/RemoteLog.ts
@@ -8,11 +8,10 @@
 import type { PeerTransport } from "../peer/Types.js";
 import { Forwarder } from "./Forwarder.js";
 import { LeaderClient } from "./LeaderClient.js";
-import { GroupMethods } from "./Messages.js";
+import { collectStatuses, GroupMethods } from "./Messages.js";
 import type { GroupMembers, GroupStatus, Json, MemberChange, ProposeError, ReadError, ReplicatedLog } from "./Types.js";
 
 const pauseMs = 100;
-const statusTimeoutMs = 1000;
 
 export interface RemoteLogOptions {
     readonly group: string;
@@ -38,7 +37,7 @@
         this.group = group;
         this.methods = new GroupMethods(group);
         const client = new LeaderClient({ self, transport, clock, hosts, pauseMs });
-        this.forwarder = new Forwarder(client, this.methods, random);
+        this.forwarder = new Forwarder(self, client, this.methods, random);
     }
 
     /** Errors: "not-accepted" only when no host has taken the command; "unknown" when an answer was lost. */
@@ -77,14 +76,7 @@
 
     /** The status of each host of the group that answers. */
     public async statuses(): Promise<ReadonlyMap<HostId, GroupStatus>> {
-        const statuses = new Map<HostId, GroupStatus>();
         const { hosts, transport } = this.options;
-        await Promise.all(
-            hosts().map(async host => {
-                const reply = await transport.call(host, this.methods.status, {}, { timeoutMs: statusTimeoutMs });
-                reply.ifRight(status => statuses.set(host, status));
-            }),
-        );
-        return statuses;
+        return collectStatuses(hosts(), this.methods, transport);
     }
 }
--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -118,6 +118,14 @@
     readonly clockDriftMs: number;
 }
 
+/** What operators ask of a group, from any host. */
+export interface GroupAdmin {
+    readonly group: string;
+    changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>>;
+    /** The status of each host of the group that answers. */
+    statuses(): Promise<ReadonlyMap<HostId, GroupStatus>>;
+}
+
 /** Files of a group that can't be used, or a disk that fails. */
 export type StorageError =
     | DiskError
