Never put an older configuration in force after a restart; step down when the disk hangs

Cause: a control host that lost power restarted with a version up to 300 ms older than it had in force; a leader whose disk hung kept the lead and stopped the group. Change: the config group applies an entry only once it is on disk that it is committed; a leader whose disk has been busy for two election times steps down.

--- a/src/config/ConfigClient.ts
+++ b/src/config/ConfigClient.ts
@@ -109,7 +109,7 @@
                 if (tryMs <= 0) {
                     break;
                 }
-                const req = { change, timeoutMs: tryMs };
+                const req = { change, timeoutMs: tryMs - Math.min(replyMarginMs, tryMs / 4) };
                 const reply = await transport.call(host, changeMethod, req, { timeoutMs: tryMs });
                 const answer = reply.map<ChangeReply | undefined>(one => one).orDefault(undefined);
                 if (answer?.kind === "answered") {
--- a/src/config/ConfigState.ts
+++ b/src/config/ConfigState.ts
@@ -39,6 +39,8 @@
 }
 
 export class ConfigState implements StateMachine {
+    /** A host that restarts never has an older version in force than before. */
+    public readonly notesCommits = true;
     public readonly leases = new LeaseRecords();
     private readonly answers = new AnswerWindow();
     private version = 0;
--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -14,6 +14,8 @@
 /** Proposals that may wait to be appended; more are refused. */
 const maxPending = 10_000;
 const maxBatch = 1024;
+/** Election times that a leader waits for its disk. */
+const diskPatience = 2;
 
 type Body = { readonly kind: "command"; readonly command: Json; } | {
     readonly kind: "members";
@@ -41,7 +43,10 @@
     /** Set once another host may have been asked to take over, which need not wait for the lease to end. */
     private leaseGivenUp = false;
 
-    public constructor(private readonly context: Omit<ReplicatorContext, "onAnswer" | "onHigherTerm">) {
+    public constructor(
+        private readonly context: Omit<ReplicatorContext, "onAnswer" | "onHigherTerm">,
+        private readonly onDiskHang: (busyMs: number) => void,
+    ) {
         this.work = new Notifier(context.clock);
         this.contacted = new Notifier(context.clock);
         this.startMs = context.clock.nowMs();
@@ -75,6 +80,7 @@
         const stop = () => this.ended.abort();
         signal.addEventListener("abort", stop);
         this.ownMatch = replica.log.lastIndex;
+        void this.watchDisk();
         await this.appendFirst();
         let recordedMs = clock.nowMs();
         while (this.isLeading && !signal.aborted) {
@@ -250,6 +256,18 @@
         }
     }
 
+    /** Steps down while the disk hangs, so that a host with a working one can lead. */
+    private async watchDisk(): Promise<void> {
+        const { replica, clock, timing } = this.context;
+        while (this.isLeading) {
+            await clock.sleep(timing.heartbeatMs, this.ended.signal);
+            if (this.isLeading && replica.busyMs > timing.electionMs * diskPatience) {
+                this.onDiskHang(replica.busyMs);
+                this.stepDown();
+            }
+        }
+    }
+
     private leaveIfRemoved(): void {
         const { replica } = this.context;
         const isCommitted = replica.commitIndex >= replica.log.membersIndex;
@@ -295,7 +313,7 @@
         const { replica } = this.context;
         if (this.isLeading) {
             replica.setRole(replica.followRole(), undefined);
-            this.work.notify();
+            this.ended.abort();
         }
     }
 
--- a/src/replication/RaftFaults.test.ts
+++ b/src/replication/RaftFaults.test.ts
@@ -149,6 +149,26 @@
     });
 }
 
+test("a leader whose disk hangs gives way to a host with a working one", async () => {
+    const cluster = await threeHosts();
+    const old = await cluster.leader();
+    old.disk.gate = async () => {
+        await cluster.clock.sleep(20_000);
+        return true;
+    };
+    const answer = old.raft.propose("during", 1000);
+    await cluster.clock.advance(6000);
+    const next = cluster.followersOf(old).find(host => host.raft.status().hasQuorum);
+    assert.ok(next !== undefined, "another host leads");
+    assert.equal((await cluster.settle(next.raft.propose("second", 2000))).isRight(), true);
+    const end = await cluster.settle(answer);
+    old.disk.gate = () => true;
+    await cluster.clock.advance(60_000);
+    const items = await assertAgreement(cluster);
+    assert.ok(end.isLeft() || items.includes("during"), "the two other hosts may commit it, and then it is there");
+    await cluster.stopAll();
+});
+
 test("a follower that was away for long gets the snapshot in parts", async () => {
     const cluster = await threeHosts();
     const follower = cluster.followersOf(await cluster.leader())[0]!;
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -259,7 +259,9 @@
         const { transport, clock, timing } = this.options;
         const term = replica.term;
         this.log.event(EventId.LeaderElected, { term, lastIndex: replica.log.lastIndex });
-        const leadership = new Leadership({ term, replica, methods, transport, clock, timing });
+        const context = { term, replica, methods, transport, clock, timing };
+        const onDiskHang = (busyMs: number) => this.log.event(EventId.ReplicaDiskHangs, { busyMs });
+        const leadership = new Leadership(context, onDiskHang);
         this.leadership = leadership;
         this.changer = new MemberChanger(replica, leadership, clock, timing);
         void this.changer.tend(signal);
--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -41,6 +41,7 @@
     private committed = 0;
     private appliedTo = 0;
     private latestSnapshot: GroupSnapshot | undefined;
+    private busySinceMs: number | undefined;
     private recordedCommit = 0;
     private recordedCommitMs = 0;
     private storageFault: StorageError | undefined;
@@ -100,7 +101,20 @@
 
     /** Runs one change of the durable state at a time. */
     public exclusive<T>(task: () => Promise<T>): Promise<T> {
-        return this.queue.add(task);
+        return this.queue.add(async () => {
+            this.busySinceMs = this.clock.nowMs();
+            try {
+                return await task();
+            }
+            finally {
+                this.busySinceMs = undefined;
+            }
+        });
+    }
+
+    /** For how long the disk has been at the current change, in milliseconds; 0 when there is none. */
+    public get busyMs(): number {
+        return this.busySinceMs === undefined ? 0 : this.clock.nowMs() - this.busySinceMs;
     }
 
     /** Reads the disk, and takes up from there. Entries that this process has applied stay applied. */
@@ -170,7 +184,12 @@
             return;
         }
         this.committed = index;
-        this.applyCommitted();
+        if (this.stateMachine.notesCommits === true) {
+            void this.exclusive(() => this.noteAndApply());
+        }
+        else {
+            this.applyCommitted();
+        }
         this.changed.notify();
     }
 
@@ -179,15 +198,9 @@
      * within {@link exclusive}, whenever there is nothing else to write.
      */
     public async recordCommit(): Promise<void> {
-        const nowMs = this.clock.nowMs();
-        const isDue = this.recordedCommit < this.committed && nowMs - this.recordedCommitMs >= recordCommitEveryMs;
-        if (!isDue || this.storageFault !== undefined) {
-            return;
+        if (this.clock.nowMs() - this.recordedCommitMs >= recordCommitEveryMs) {
+            await this.writeCommit();
         }
-        this.recordedCommit = this.committed;
-        this.recordedCommitMs = nowMs;
-        const appended = await this.storage.append(this.log.lastIndex + 1, [], this.committed);
-        appended.ifLeft(error => this.fail(error));
     }
 
     /** Sets the members that a new group starts with, durably. Called within {@link exclusive}. */
@@ -255,6 +268,24 @@
         this.changed.notify();
     }
 
+    private async writeCommit(): Promise<void> {
+        if (this.recordedCommit >= this.committed || this.storageFault !== undefined) {
+            return;
+        }
+        const commit = this.committed;
+        const appended = await this.storage.append(this.log.lastIndex + 1, [], commit);
+        appended.ifLeft(error => this.fail(error));
+        if (appended.isRight()) {
+            this.recordedCommit = commit;
+            this.recordedCommitMs = this.clock.nowMs();
+        }
+    }
+
+    private async noteAndApply(): Promise<void> {
+        await this.writeCommit();
+        this.applyCommitted(Math.min(this.recordedCommit, this.committed));
+    }
+
     private isOwn(member: Member): boolean {
         return member.role === "learner" || member.replica === this.replicaId;
     }
@@ -294,9 +325,9 @@
         this.applied.fire(this.appliedTo);
     }
 
-    private applyCommitted(): void {
+    private applyCommitted(upTo: number = this.committed): void {
         const before = this.appliedTo;
-        while (this.appliedTo < this.committed) {
+        while (this.appliedTo < upTo) {
             const index = this.appliedTo + 1;
             const entry = this.log.at(index);
             invariant(entry !== undefined, "every committed entry is there to be applied", { index });
@@ -306,6 +337,7 @@
         }
         if (this.appliedTo > before) {
             this.applied.fire(this.appliedTo);
+            this.changed.notify();
         }
     }
 }
--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -10,6 +10,11 @@
 
 /** The deterministic part of a group. It is called from one task, in log order, once for each entry. */
 export interface StateMachine {
+    /**
+     * True where a restart may not fall behind what was applied before, even if no other host can be reached then:
+     * entries are applied only once it is on disk that they are committed.
+     */
+    readonly notesCommits?: boolean;
     /** Applies a committed command and gives the result that its proposer receives. Never throws for bad input. */
     apply(command: Json, index: number): Json;
     snapshot(): Json;
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -26,6 +26,7 @@
     LeaderElected = 402,
     LeaderSteppedDown = 403,
     ReplicaOutOfService = 404,
+    ReplicaDiskHangs = 405,
     // 5xx: membership
     HostStateChanged = 500,
     HostRestarted = 501,
