Hold the limit through random faults: eras, expiring proof of warmth, shares that survive flapping views

Cause: random sequences of kills, cuts, drains, losses and endpoint restarts (SlotFaults.test.ts) put calls on cold endpoints. Found: successes of calls begun before a crash were taken for warmth after it; an idle endpoint that had restarted unseen was still believed warm; a view that flapped between certain and uncertain began the take-over wait anew each time and gave up the static part as well; one lost heartbeat held up the next. Change: each turn to cold begins an era, and only successes of calls begun in it count; warmth not shown for 1.5 s is tried with the cold limit first; a take-over keeps the least of the shares since the last settled one; heartbeats do not wait for each other; limits that have fallen are told at once, and an answer bounds on how many of the slots in use a call may still begin. The test of priorities let two calls run at once, so that their ends said nothing of the order of grants; its endpoint now bears one call.

--- a/src/cli/ConfigCommands.ts
+++ b/src/cli/ConfigCommands.ts
@@ -1,8 +1,8 @@
 /** `fireflykeel config check|render|apply|show|log|status` and `fireflykeel dc out|in`. */
+import type { Command } from "commander";
 import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { basename } from "node:path";
-import type { Command } from "commander";
 import { Either } from "purify-ts";
 import { stringify } from "yaml";
 import { checkDocuments, loadSettings } from "../config/Loader.js";
@@ -87,9 +87,9 @@
             printReply(await getFrom(`/v1/operator/config/show${query}`, options, context), context);
         });
     for (const [verb, text] of [["log", "print the latest changes"], ["status", "print the version on each host"]]) {
-        withOperatorOptions(config.command(verb ?? "").description(text ?? "")).action(async (options: OperatorOptions) =>
-            printReply(await getFrom(`/v1/operator/config/${verb ?? ""}`, options, context), context)
-        );
+        withOperatorOptions(config.command(verb ?? "").description(text ?? "")).action(async (
+            options: OperatorOptions,
+        ) => printReply(await getFrom(`/v1/operator/config/${verb ?? ""}`, options, context), context));
     }
 }
 
--- a/src/cli/OperatorCommand.ts
+++ b/src/cli/OperatorCommand.ts
@@ -1,9 +1,9 @@
 /** What commands that talk to a host share: the options that name hosts and key, and the print of a reply. */
 import type { Command } from "commander";
+import type { Either } from "purify-ts";
 import { loadSettings } from "../config/Loader.js";
 import { OperatorClient, type OperatorError, type OperatorReplyMessage } from "./OperatorClient.js";
 import { type CommandContext, ExitCode } from "./Types.js";
-import type { Either } from "purify-ts";
 
 const defaultTimeoutMs = "15000";
 
@@ -40,7 +40,9 @@
     }
     return loadSettings(file, []).caseOf({
         Left: err => {
-            err.issues.forEach(issue => context.output.err(`${issue.file}:${issue.line}: ${issue.path}: ${issue.message}`));
+            err.issues.forEach(issue =>
+                context.output.err(`${issue.file}:${issue.line}: ${issue.path}: ${issue.message}`)
+            );
             return [];
         },
         Right: settings => Object.values(settings.hosts).map(host => host.peerAddress),
--- a/src/daemon/CallerClient.ts
+++ b/src/daemon/CallerClient.ts
@@ -82,7 +82,9 @@
     }
     const body = parsed.unsafeCoerce();
     const outcome = String(res.headers["fireflykeel-outcome"] ?? "");
-    if (outcome === "answered" && (body.output?.length !== body.length || digestOf(body.output ?? "") !== body.digest)) {
+    if (
+        outcome === "answered" && (body.output?.length !== body.length || digestOf(body.output ?? "") !== body.digest)
+    ) {
         return Left({ kind: "broken", message: "the answer is not whole" });
     }
     return Right({
--- a/src/daemon/Demo.ts
+++ b/src/daemon/Demo.ts
@@ -6,8 +6,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import PQueue from "p-queue";
-import { runStandIns } from "../../standin/main.js";
 import { expectedAnswer } from "../../standin/ExpectedOutput.js";
+import { runStandIns } from "../../standin/main.js";
 import { SeededRandom } from "../common/SeededRandom.js";
 import { SystemClock } from "../common/SystemClock.js";
 import type { PipelineId } from "../common/Types.js";
@@ -49,7 +49,11 @@
         onFatal: err => print(`broken invariant: ${err.message}`),
     });
     try {
-        print(`starting ${Object.keys(settings.hosts).length} hosts and ${Object.keys(settings.endpoints).length} endpoints`);
+        print(
+            `starting ${Object.keys(settings.hosts).length} hosts and ${
+                Object.keys(settings.endpoints).length
+            } endpoints`,
+        );
         await site.start();
         print("a committed configuration is in force on every host");
         const results = await sendAll(settings, requests, random, print);
@@ -101,7 +105,13 @@
     const expected = expectedAnswer((settingsOfPipeline?.stages ?? []).map(stage => stage.name), input);
     const durationMs = clock.nowMs() - startedMs;
     return reply.caseOf<DemoResult>({
-        Left: err => ({ pipeline, outcome: `${err.kind}: ${err.message}`, isOwnAnswer: false, inTime: false, durationMs }),
+        Left: err => ({
+            pipeline,
+            outcome: `${err.kind}: ${err.message}`,
+            isOwnAnswer: false,
+            inTime: false,
+            durationMs,
+        }),
         Right: answer => ({
             pipeline,
             outcome: answer.outcome === "answered" ? "answered" : `${answer.outcome}: ${answer.message}`,
--- a/src/daemon/DialledConfig.ts
+++ b/src/daemon/DialledConfig.ts
@@ -2,8 +2,8 @@
  * The configuration as this process uses it: the committed view, with the addresses that the process's own settings
  * say to dial instead, and with its own `daemon` section.
  */
-import type { HostId } from "../common/Types.js";
 import { Emitter } from "../common/Emitter.js";
+import type { HostId } from "../common/Types.js";
 import type { DaemonSettings, Settings } from "../config/Schema.js";
 import type { ConfigSource, ConfigView } from "../config/Types.js";
 
--- a/src/daemon/Keys.ts
+++ b/src/daemon/Keys.ts
@@ -32,7 +32,10 @@
         .mapLeft<KeyError>(err => ({ kind: "bad-key", message: `the key file can't be read: ${err.message}` }))
         .chain(key =>
             key.length < minKeyLength
-                ? Left<KeyError, string>({ kind: "bad-key", message: `${file}: a key has at least ${minKeyLength} characters` })
+                ? Left<KeyError, string>({
+                    kind: "bad-key",
+                    message: `${file}: a key has at least ${minKeyLength} characters`,
+                })
                 : Either.of<KeyError, string>(key)
         );
 }
--- a/src/endpoints/EndpointHealth.ts
+++ b/src/endpoints/EndpointHealth.ts
@@ -7,6 +7,10 @@
 import type { EndpointState } from "./Types.js";
 import type { LoadReportMessage } from "./Wire.js";
 
+/** How long a sign of life is good for the whole limit. */
+const provenForMs = 1500;
+/** Fineness of era numbers, which start from the owner's clock. */
+const erasPerMs = 16;
 /** Between two halvings of the limit, so that one burst of refusals counts once. */
 const halvingPauseMs = 250;
 /** First and longest pause before the next probing call on a suspect endpoint. */
@@ -40,6 +44,9 @@
     private level: number;
     /** Below it the limit doubles with each round of successes; above, it rises by one. */
     private threshold: number;
+    private currentEra = 0;
+    /** When a success or a report last showed the same process at work. */
+    private provenAtMs = Number.NEGATIVE_INFINITY;
     private successes = 0;
     private lostInRow = 0;
     private coldSinceMs = Number.NEGATIVE_INFINITY;
@@ -58,6 +65,7 @@
     public constructor(private readonly clock: Clock, private limits: HealthLimits) {
         this.level = limits.coldLimit;
         this.threshold = limits.warmLimit;
+        this.beginEra();
     }
 
     /** State by evidence alone; operators' and the platform's word go on top of it. */
@@ -73,7 +81,13 @@
         if (this.current === "suspect") {
             return this.clock.nowMs() >= this.probeNotBeforeMs ? 1 : 0;
         }
-        return Math.max(1, Math.floor(this.level));
+        // Without a recent sign of life the endpoint may have turned cold unseen: it is tried with few calls first.
+        const level = this.isProven ? this.level : Math.min(this.level, this.limits.coldLimit);
+        return Math.max(1, Math.floor(level));
+    }
+
+    private get isProven(): boolean {
+        return this.clock.nowMs() - this.provenAtMs <= provenForMs;
     }
 
     /** The latest report and its age on the local clock. */
@@ -94,13 +108,19 @@
         return { state: this.state, limit: this.level, incarnation: this.incarnation };
     }
 
+    /** Changes whenever the endpoint is taken for cold. */
+    public get era(): number {
+        return this.currentEra;
+    }
+
     /** True once calls have told of troubles or of a process. */
     public get hasEvidence(): boolean {
         return this.incarnation !== undefined || this.current === "suspect";
     }
 
     /** Goes on from what the former owner knew. */
-    public restore(record: HealthRecord): void {
+    public restore(record: HealthRecord, provenAgeMs: number = 0): void {
+        this.provenAtMs = this.clock.nowMs() - provenAgeMs;
         this.incarnation ??= record.incarnation;
         this.current = "cold";
         this.level = this.limits.coldLimit;
@@ -129,7 +149,8 @@
         if (evidence.overloaded > 0) {
             this.halve();
         }
-        if (evidence.succeeded > 0) {
+        if (evidence.succeeded > 0 && evidence.era === this.currentEra) {
+            this.provenAtMs = this.clock.nowMs();
             this.succeed(evidence.succeeded, evidence.overloaded > 0);
         }
         for (const firstByteMs of evidence.firstByteMs) {
@@ -149,6 +170,7 @@
         this.uptimeMs = report.uptimeMs;
         this.incarnation = report.incarnation;
         this.report = { message: report, atMs: this.clock.nowMs() };
+        this.provenAtMs = this.clock.nowMs();
         this.leavingWord = report.state === "leaving";
         if (restarted || (report.state === "cold" && this.current !== "suspect")) {
             this.turnCold();
@@ -160,6 +182,11 @@
         return restarted;
     }
 
+    /** Another number than any before, also than those of other owners. */
+    private beginEra(): void {
+        this.currentEra = Math.max(this.currentEra + 1, Math.floor(this.clock.nowMs() * erasPerMs));
+    }
+
     private isBelieved(report: LoadReportMessage): boolean {
         return report.uptimeMs >= believedAgeMs && this.clock.nowMs() - this.coldSinceMs >= believedAgeMs;
     }
@@ -178,6 +205,7 @@
 
     private turnCold(): void {
         this.current = "cold";
+        this.beginEra();
         this.coldSinceMs = this.clock.nowMs();
         this.formerLevel = 0;
         this.level = this.limits.coldLimit;
--- a/src/endpoints/HandOver.ts
+++ b/src/endpoints/HandOver.ts
@@ -72,5 +72,6 @@
         expiresAtMs: nowMs + expiresInMs,
         callsEndMs: nowMs + callsEndInMs,
         recalled: false,
+        toldScarce: false,
     }));
 }
--- a/src/endpoints/HeldEndpoint.ts
+++ b/src/endpoints/HeldEndpoint.ts
@@ -5,6 +5,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { invariant } from "../common/Invariant.js";
 import type { Clock, Disposable, EndpointId, HostId } from "../common/Types.js";
+import { scarceLimit } from "./SlotLedger.js";
 import type { SlotAnswer, SlotEntry, SlotEvidence, SlotPush } from "./SlotMessages.js";
 import type { CallEnd, CallEvidence, EndpointState, Slot, SlotError, SlotRequest } from "./Types.js";
 
@@ -55,10 +56,12 @@
     private using = 0;
     private peak = 0;
     private usedAtMs = Number.NEGATIVE_INFINITY;
+    private succeededAtMs = Number.NEGATIVE_INFINITY;
     private latestCallEndMs = 0;
     private longestCallMs = 0;
     private waiters: Waiter[] = [];
-    private evidence = noEvidence();
+    private era = 0;
+    private evidence = noEvidence(0);
     private sentEvidence: SlotEvidence | undefined;
     private times: number[] = [];
 
@@ -129,7 +132,7 @@
         const held = Math.max(this.using, this.allowed);
         const first = this.waiters[0]?.req;
         const believed = this.tellsBelief && this.stateAtMs > Number.NEGATIVE_INFINITY
-            ? { believed: { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs } }
+            ? { believed: this.believed(nowMs) }
             : {};
         this.seq += 1;
         this.grantNo = -1;
@@ -139,7 +142,7 @@
         this.sentCallsEndMs = Math.max(nowMs + this.longestCallMs + boundHeadroomMs, this.latestCallEndMs);
         this.callsEndMs = Math.min(this.callsEndMs, this.sentCallsEndMs);
         this.sentEvidence = this.evidence;
-        this.evidence = noEvidence();
+        this.evidence = noEvidence(this.era);
         return {
             endpoint: this.id,
             seq: this.seq,
@@ -155,6 +158,11 @@
         };
     }
 
+    private believed(nowMs: number): NonNullable<SlotEntry["believed"]> {
+        const provenAgeMs = Math.min(nowMs - this.succeededAtMs, Number.MAX_SAFE_INTEGER);
+        return { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs, provenAgeMs };
+    }
+
     public apply(answer: Granted): void {
         if (answer.seq !== this.seq) {
             return;
@@ -165,14 +173,14 @@
         this.state = answer.state;
         this.stateAtMs = this.clock.nowMs();
         this.limit = answer.limit;
+        this.followEra(answer.era);
         this.scarce = answer.scarce;
         const { reported } = answer;
         this.reported = reported === undefined
             ? undefined
             : { running: reported.running, waiting: reported.waiting, atMs: this.clock.nowMs() - reported.ageMs };
         this.tellsBelief = false;
-        this.covered = answer.covered;
-        this.allow(answer.grantNo, answer.granted);
+        this.allow(answer.grantNo, answer.granted, answer.covered);
         if (this.isClosed) {
             this.failWaiters({ kind: "closed", endpoint: this.id, state: this.state });
         }
@@ -180,7 +188,8 @@
 
     public applyPush(push: SlotPush): void {
         if (push.seq === this.seq && push.grantNo > this.grantNo) {
-            this.allow(push.grantNo, push.granted);
+            this.scarce = push.scarce;
+            this.allow(push.grantNo, push.granted, push.covered);
             this.tellWhatIsFree();
         }
     }
@@ -222,12 +231,19 @@
         return this.isLive() && this.using < this.allowed && req.deadlineMs <= this.callsEndMs;
     }
 
-    private allow(grantNo: number, granted: number): void {
+    private followEra(era: number): void {
+        if (era !== this.era) {
+            this.era = era;
+            this.evidence = { ...this.evidence, era, succeeded: 0, firstByteMs: [] };
+        }
+    }
+
+    private allow(grantNo: number, granted: number, covered: number): void {
         if (grantNo > this.grantNo) {
             this.grantNo = grantNo;
             this.allowed = granted;
             this.ceiling = Math.max(this.ceiling, granted);
-            this.covered = Math.max(this.covered, granted);
+            this.covered = covered;
         }
         this.serve();
     }
@@ -286,25 +302,26 @@
         });
         return new HeldSlot(this.id, this.leaseUntilMs, {
             begin: () => this.begin(),
-            end: (end, evidence, begun) => {
-                this.begun -= begun ? 1 : 0;
-                this.release(end, evidence);
+            end: (end, evidence, era) => {
+                this.begun -= era === undefined ? 0 : 1;
+                this.release(end, evidence, era === this.era);
             },
         });
     }
 
-    private begin(): boolean {
+    /** @returns the era in which the call begins, or undefined when it may not begin. */
+    private begin(): number | undefined {
         if (!this.isLive() || this.isClosed || this.begun >= this.covered) {
-            return false;
+            return undefined;
         }
         this.begun += 1;
-        return true;
+        return this.era;
     }
 
-    private release(end: CallEnd, evidence: CallEvidence | undefined): void {
+    private release(end: CallEnd, evidence: CallEvidence | undefined, isOfThisEra: boolean): void {
         this.using -= 1;
         this.usedAtMs = this.clock.nowMs();
-        this.learn(end, evidence);
+        this.learn(end, evidence, isOfThisEra);
         if (this.scarce && this.limit <= scarceLimit) {
             // Who goes next is for the owner to say.
             this.allowed = Math.min(this.allowed, this.using);
@@ -323,33 +340,39 @@
         }
     }
 
-    private learn(end: CallEnd, evidence: CallEvidence | undefined): void {
+    private learn(end: CallEnd, evidence: CallEvidence | undefined, isOfThisEra: boolean): void {
+        if (end === "succeeded" && !isOfThisEra) {
+            return;
+        }
         noteEnd(this.evidence, end);
-        if (evidence?.endpointIncarnation !== undefined) {
+        if (isOfThisEra && evidence?.endpointIncarnation !== undefined) {
             this.evidence.incarnation = evidence.endpointIncarnation;
         }
         if (evidence?.firstByteMs !== undefined && this.evidence.firstByteMs.length < firstBytesSent) {
             this.evidence.firstByteMs.push(evidence.firstByteMs);
         }
         if (end === "succeeded" && evidence !== undefined) {
+            this.succeededAtMs = this.clock.nowMs();
             this.times = [...this.times, evidence.totalMs].slice(-timesKept);
         }
         const isTrouble = end !== "succeeded" && end !== "never-sent" && end !== "cancelled" && end !== "failed";
+        if (end === "crashed" || end === "refused" || end === "cold") {
+            // What is left of the credit was given for a warmer endpoint.
+            this.allowed = 0;
+            this.covered = this.begun;
+        }
         // While an endpoint warms up, its owner raises the limit by the successes that it hears of.
         this.dirty ||= isTrouble || (this.state !== "warm" && this.evidence.succeeded >= Math.max(1, this.ceiling / 2));
     }
 }
 
-/** Up to this limit a scarce slot goes back to the owner after each call. */
-const scarceLimit = 4;
-
 interface SlotHooks {
-    begin(): boolean;
-    end(end: CallEnd, evidence: CallEvidence | undefined, begun: boolean): void;
+    begin(): number | undefined;
+    end(end: CallEnd, evidence: CallEvidence | undefined, era: number | undefined): void;
 }
 
 class HeldSlot implements Slot {
-    private begun = false;
+    private era: number | undefined;
     private released = false;
 
     public constructor(
@@ -359,20 +382,21 @@
     ) {}
 
     public begin(): boolean {
-        invariant(!this.released && !this.begun, "a slot carries one call", { endpoint: this.endpoint });
-        this.begun = this.hooks.begin();
-        return this.begun;
+        const isUnused = !this.released && this.era === undefined;
+        invariant(isUnused, "a slot carries one call", { endpoint: this.endpoint });
+        this.era = this.hooks.begin();
+        return this.era !== undefined;
     }
 
     public release(end: CallEnd, evidence?: CallEvidence): void {
         invariant(!this.released, "a slot is released exactly once", { endpoint: this.endpoint });
         this.released = true;
-        this.hooks.end(end, evidence, this.begun);
+        this.hooks.end(end, evidence, this.era);
     }
 }
 
-function noEvidence(): SlotEvidence {
-    return { succeeded: 0, overloaded: 0, cold: 0, lost: 0, crashed: 0, refused: 0, leaving: 0, firstByteMs: [] };
+function noEvidence(era: number): SlotEvidence {
+    return { era, succeeded: 0, overloaded: 0, cold: 0, lost: 0, crashed: 0, refused: 0, leaving: 0, firstByteMs: [] };
 }
 
 function noteEnd(evidence: SlotEvidence, end: CallEnd): void {
--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -33,7 +33,8 @@
     public readonly ledger: SlotLedger;
     private key = "none";
     private share: (limit: number) => number = () => 0;
-    private formerShare: (limit: number) => number = () => 0;
+    /** Shares since the last settled one, by key; the least of them is safe while the take-over lasts. */
+    private readonly formerShares = new Map<string, (limit: number) => number>();
     /** Former owners' grants may be live until then. */
     private openAtMs = Number.POSITIVE_INFINITY;
     private settled = false;
@@ -120,7 +121,8 @@
         const heardAtMs = this.clock.nowMs() - believed.ageMs;
         if (heardAtMs > this.believedAtMs && !this.health.hasEvidence) {
             this.believedAtMs = heardAtMs;
-            this.health.restore({ state: believed.state, limit: believed.limit, incarnation: undefined });
+            const { state, limit, provenAgeMs } = believed;
+            this.health.restore({ state, limit, incarnation: undefined }, provenAgeMs);
         }
     }
 
@@ -131,7 +133,8 @@
         this.settleUnreported(context);
         const limit = this.limit(context);
         const full = this.share(limit);
-        const inForce = this.settled ? full : Math.min(full, this.formerShare(limit));
+        const formers = [...this.formerShares.values()].map(share => share(limit));
+        const inForce = this.settled ? full : Math.min(full, ...formers);
         return {
             limit: inForce,
             leaseMs: context.timing.slotLeaseMs,
@@ -149,7 +152,10 @@
         }
         const wasSure = this.key === "none" || this.isSole;
         const isSure = ownership.key.startsWith(soleKey);
-        this.formerShare = this.settled ? this.share : () => 0;
+        if (this.settled) {
+            this.formerShares.clear();
+        }
+        this.formerShares.set(this.key, this.share);
         this.share = limit => ownership.share(limit);
         this.key = ownership.key;
         // A host with another view gives up its part only once it has noticed.
--- a/src/endpoints/SlotLedger.ts
+++ b/src/endpoints/SlotLedger.ts
@@ -7,6 +7,9 @@
 import type { SlotEntry } from "./SlotMessages.js";
 import type { HolderIdentity } from "./Types.js";
 
+/** Up to this limit a scarce slot goes back to the owner after each call, so that priorities hold over all hosts. */
+export const scarceLimit = 4;
+
 /** What an endpoint may bear now, and for how long slots are lent. */
 export interface SlotTerms {
     /** Slots that this owner may give out in all. */
@@ -38,6 +41,8 @@
     /** All calls of the holder end before then, on this owner's clock. */
     callsEndMs: number;
     recalled: boolean;
+    /** True once the holder knows that others wait. */
+    toldScarce: boolean;
 }
 
 /** Slots whose holder has gone or was never known; counted until its calls have ended for certain. */
@@ -118,9 +123,8 @@
         const record = this.renew(holder, entry, terms);
         record.allowed = this.allowance(record, terms, known);
         record.counted = Math.max(record.counted, record.allowed);
-        const bound = terms.claimsOnly ? terms.claimLimit : terms.limit;
-        const left = Math.max(0, bound - (this.used - record.counted));
-        record.covered = Math.max(record.allowed, Math.min(record.inUse, left));
+        record.covered = this.coverage(record, terms.claimsOnly ? terms.claimLimit : terms.limit);
+        record.toldScarce = this.scarce;
         return record;
     }
 
@@ -132,8 +136,8 @@
             return [];
         }
         this.giveOut(terms, changed);
-        if (this.scarce && this.used >= terms.limit) {
-            this.recall(terms.limit, changed);
+        if (this.used > terms.limit || (this.scarce && this.used === terms.limit)) {
+            this.recall(terms, changed);
         }
         for (const record of changed) {
             record.grantNo += 1;
@@ -201,6 +205,7 @@
             expiresAtMs: nowMs + terms.leaseMs + terms.driftMs,
             callsEndMs: nowMs + entry.callBoundMs * stretch,
             recalled: false,
+            toldScarce: false,
         };
         this.records.set(holder.host, record);
         return record;
@@ -247,21 +252,32 @@
             this.assertWithin(terms, 1);
             next.allowed = Math.max(next.allowed, next.counted) + 1;
             next.counted = next.allowed;
+            next.covered = Math.max(next.covered, next.allowed);
             changed.add(next);
         }
     }
 
-    private recall(limit: number, changed: Set<HolderRecord>): void {
+    /** Asks for slots back where others wait for them, or where the limit has fallen. */
+    private recall(terms: SlotTerms, changed: Set<HolderRecord>): void {
         for (const record of this.records.values()) {
-            const fair = this.fairShare(record, limit);
-            if (!record.recalled && record.allowed > fair) {
-                record.allowed = fair;
+            const fair = Math.min(this.fairShare(record, terms.limit), terms.limit);
+            const mustKnow = !record.toldScarce && this.scarce && terms.limit <= scarceLimit && record.counted > 0;
+            if ((!record.recalled && record.allowed > fair) || mustKnow) {
+                record.allowed = Math.min(record.allowed, fair);
+                record.toldScarce = this.scarce;
+                record.covered = this.coverage(record, terms.limit);
                 record.recalled = true;
                 changed.add(record);
             }
         }
     }
 
+    /** Slots in use on which a call may still begin: what the limit leaves beside everybody else. */
+    private coverage(record: HolderRecord, bound: number): number {
+        const left = Math.max(0, bound - (this.used - record.counted));
+        return Math.max(record.allowed, Math.min(record.inUse, left));
+    }
+
     private orphan(record: HolderRecord): void {
         this.records.delete(record.holder.host);
         this.orphans.push({
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -12,6 +12,8 @@
 
 /** What calls that ended since the last message have shown. */
 const evidenceSchema = z.object({
+    /** The owner's era in which the calls that succeeded began. */
+    era: z.number(),
     succeeded: z.number().int(),
     overloaded: z.number().int(),
     cold: z.number().int(),
@@ -48,6 +50,8 @@
         state: z.enum(["cold", "warming", "warm", "suspect", "leaving", "out"]),
         limit: z.number().int(),
         ageMs: z.number(),
+        /** Since the last success that this holder has seen. */
+        provenAgeMs: z.number(),
     }).optional(),
 });
 
@@ -60,6 +64,8 @@
     seq: z.number().int(),
     grantNo: z.number().int(),
     granted: z.number().int(),
+    covered: z.number().int(),
+    scarce: z.boolean(),
     incarnation: z.number(),
 });
 
@@ -86,6 +92,8 @@
         readonly leaseMs: number;
         readonly state: EndpointState;
         readonly limit: number;
+        /** Changes whenever the endpoint is taken for cold; successes of calls begun before then prove nothing. */
+        readonly era: number;
         /** True when other holders wait: idle slots go back at once. */
         readonly scarce: boolean;
         readonly reported: { readonly running: number; readonly waiting: number; readonly ageMs: number; } | undefined;
@@ -102,6 +110,8 @@
     readonly seq: number;
     readonly grantNo: number;
     readonly granted: number;
+    readonly covered: number;
+    readonly scarce: boolean;
     /** Incarnation of the holder that it is meant for. */
     readonly incarnation: number;
 }
--- a/src/endpoints/SlotOwner.ts
+++ b/src/endpoints/SlotOwner.ts
@@ -141,6 +141,7 @@
             leaseMs: context.timing.slotLeaseMs,
             state: endpoint.state(context),
             limit: endpoint.limit(context),
+            era: endpoint.health.era,
             scarce: endpoint.ledger.scarce,
             reported: report === undefined
                 ? undefined
@@ -226,8 +227,9 @@
                 continue;
             }
             const { host, incarnation } = record.holder;
-            const { seq, grantNo, allowed } = record;
-            const push = { endpoint: endpoint.id, seq, grantNo, granted: allowed, incarnation };
+            const { seq, grantNo, allowed, covered } = record;
+            const { scarce } = endpoint.ledger;
+            const push = { endpoint: endpoint.id, seq, grantNo, granted: allowed, covered, scarce, incarnation };
             if (host === this.options.membership.self) {
                 this.selfPush?.(push);
             }
--- a/src/endpoints/Slots.test.ts
+++ b/src/endpoints/Slots.test.ts
@@ -292,7 +292,7 @@
 });
 
 test("scarce slots go by priority, then by deadline", async () => {
-    const site = await startedSite(smallSettings(3));
+    const site = await startedSite(smallSettings(3, { warmLimit: 1 }));
     const owner = site.ownerOf(writer)!;
     const order: string[] = [];
     const asking = (host: SiteHost, name: string, patienceMs: number, priority: 0 | 1 | 2) =>
@@ -310,3 +310,16 @@
     assert.deepEqual(order, ["sooner succeeded", "later succeeded", "overnight succeeded"]);
     site.stopAll();
 });
+
+test("an endpoint that restarts at once, without refusing connections, meets few calls that it can't bear", async () => {
+    const site = await startedSite(smallSettings(3));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(8000);
+    const endpoint = site.endpoint(writer);
+    endpoint.restart();
+    await site.clock.advance(8000);
+    assert.ok(endpoint.overloads <= 3, `${endpoint.overloads} calls`);
+    assert.equal(endpoint.bearable, 8);
+    load.stop();
+    site.stopAll();
+});
--- a/src/membership/HeartbeatMembership.ts
+++ b/src/membership/HeartbeatMembership.ts
@@ -22,6 +22,8 @@
 
 /** A host that is off the platform's list and silent for this many times `unreachableMs` is dead. */
 const goneFactor = 10;
+/** Heartbeats to one peer that may be unanswered at a time. */
+const maxPendingHeartbeats = 8;
 /** Between two summaries of another data centre, in heartbeats. */
 const summaryEveryHeartbeats = 8;
 /** Between two looks at the configured hosts, in heartbeats. */
@@ -178,24 +180,31 @@
         return peer;
     }
 
-    /** Sends heartbeats to one peer. A heartbeat that hangs does not hold up the next one for long. */
+    /** Sends heartbeats to one peer. One that hangs does not hold up the next ones. */
     private async runPeer(host: HostId, signal: AbortSignal): Promise<void> {
-        const { clock, transport } = this.options;
         const peer = this.peer(host);
+        let pending = 0;
         while (!signal.aborted) {
-            const sentAtMs = clock.nowMs();
-            const { heartbeatMs, unreachableMs, peerTimeoutMs } = this.timing;
-            const timeoutMs = Math.min(peerTimeoutMs, unreachableMs / 2);
-            const reply = await transport.call(host, heartbeat, this.factsFor(peer), { timeoutMs, signal });
-            reply.caseOf({
-                Left: error => this.noteFailure(peer, error),
-                Right: facts => this.noteAnswer(peer, facts, sentAtMs),
-            });
-            this.judgeAll();
-            await clock.sleep(Math.max(1, heartbeatMs - (clock.nowMs() - sentAtMs)), signal);
+            if (pending < maxPendingHeartbeats) {
+                pending += 1;
+                void this.beat(peer, signal).finally(() => pending -= 1);
+            }
+            await this.options.clock.sleep(this.timing.heartbeatMs, signal);
         }
     }
 
+    private async beat(peer: PeerHost, signal: AbortSignal): Promise<void> {
+        const { clock, transport } = this.options;
+        const sentAtMs = clock.nowMs();
+        const timeoutMs = Math.min(this.timing.peerTimeoutMs, this.timing.unreachableMs);
+        const reply = await transport.call(peer.host, heartbeat, this.factsFor(peer), { timeoutMs, signal });
+        reply.caseOf({
+            Left: error => this.noteFailure(peer, error),
+            Right: facts => this.noteAnswer(peer, facts, sentAtMs),
+        });
+        this.judgeAll();
+    }
+
     private async runSummary(dataCentre: DataCentreId, signal: AbortSignal): Promise<void> {
         const { clock, transport } = this.options;
         let turn = 0;
--- a/src/membership/PeerHost.ts
+++ b/src/membership/PeerHost.ts
@@ -49,6 +49,10 @@
             return false;
         }
         const restarted = this.incarnation > 0 && facts.incarnation > this.incarnation;
+        if (!restarted && sentAtMs < this.answeredAtMs) {
+            // A later heartbeat was answered before.
+            return false;
+        }
         this.incarnation = facts.incarnation;
         this.facts = facts;
         this.answeredAtMs = sentAtMs;
--- a/testing/SlotSite.ts
+++ b/testing/SlotSite.ts
@@ -184,7 +184,9 @@
             return { end: "lease-lost", waitedMs };
         }
         const target = this.site.endpoint(endpoint);
-        const end = await target.run(durationMs);
+        // A caller ends its call at the deadline.
+        const leftMs = deadlineMs - this.clock.nowMs();
+        const end = await target.run(Math.min(durationMs, leftMs));
         if (!this.stopped) {
             const firstByteMs = end === "succeeded" ? durationMs : undefined;
             const endpointIncarnation = end === "succeeded" ? target.incarnation : undefined;
