--- a/src/daemon/Demo.ts
+++ b/src/cli/Demo.ts
@@ -13,9 +13,9 @@
 import type { PipelineId } from "../common/Types.js";
 import { loadSettings } from "../config/Loader.js";
 import type { Settings } from "../config/Schema.js";
-import { callPipeline } from "./CallerClient.js";
+import { callPipeline } from "../daemon/CallerClient.js";
+import { LocalSite } from "../daemon/LocalSite.js";
 import { attainmentTable, costTable, type DemoResult } from "./DemoTables.js";
-import { LocalSite } from "./LocalSite.js";
 
 const siteFile = new URL("../../../examples/demo/base.yaml", import.meta.url);
 const pipelines = ["profile", "hold", "summary", "question"] as const;
