Crash marks: tell the other hosts before the reporter goes on

Change: PeerMarks passes a committed mark to every host and waits up to 300 ms for each; a crash report's reply carries the mark.

--- /dev/null
+++ b/proof/Faults.ts
@@ -0,0 +1,173 @@
+/** The faults of the matrix. Each strikes at a step of an operation and is over some seconds later. */
+import type { EndpointId } from "../src/common/Types.js";
+import { documentVersion, type Operation } from "./Operations.js";
+import { proofDocument } from "./ProofDocuments.js";
+import { changeId, type ProofSite } from "./ProofSite.js";
+
+export interface Fault {
+    readonly name: string;
+    /** Done before the operation starts. */
+    prepare?(site: ProofSite, turn: number): Promise<void>;
+    /** Strikes; what takes time goes on by itself. */
+    strike(site: ProofSite, operation: Operation, turn: number): void | Promise<void>;
+    /** Ends the fault. */
+    end?(site: ProofSite, operation: Operation, turn: number): void | Promise<void>;
+}
+
+const slowness = 20;
+const failingCalls = 2;
+const burstSize = 60;
+const manyChanges = 200;
+const resends = 3;
+
+export const faults: readonly Fault[] = [
+    {
+        name: "slow stage",
+        strike: site => site.endpoints.forEach(endpoint => endpoint.slowness = slowness),
+        end: site => site.endpoints.forEach(endpoint => endpoint.slowness = 1),
+    },
+    {
+        name: "failing stage",
+        strike: site => site.endpoints.forEach(endpoint => endpoint.failures = failingCalls),
+        end: site => site.endpoints.forEach(endpoint => endpoint.failures = 0),
+    },
+    {
+        name: "burst",
+        strike: (site, _operation, turn) => {
+            for (let at = 0; at < burstSize; at++) {
+                const host = site.live[at % site.live.length]!;
+                void site.send("profile", host.id, { burst: turn, at }, undefined, "library");
+            }
+        },
+    },
+    {
+        name: "process death",
+        strike: (site, operation) => site.kill(operation.host),
+        end: (site, operation) => site.restart(operation.host),
+    },
+    {
+        name: "warm turned cold",
+        strike: site => {
+            site.endpoints.forEach(endpoint => endpoint.turnCold());
+            site.endpoints.get("north-encoder")!.restart();
+            site.endpoints.get("south-writer")!.restart();
+        },
+    },
+    {
+        name: "silent partition of a control host",
+        strike: site => site.isolate((site.leader("records") ?? site.host("east-1")).id),
+        end: site => site.heal(),
+    },
+    {
+        name: "operators racing with equal numbers",
+        strike: async (site, _operation, turn) => {
+            const baseVersion = documentVersion(site);
+            const racers = ["north-1", "east-1"].filter(host => !site.host(host).isDead);
+            await Promise.all(racers.map((host, at) =>
+                site.change(host, {
+                    kind: "put-document",
+                    id: changeId(`race-${turn}-${at}`),
+                    document: "base",
+                    baseVersion,
+                    text: proofDocument(1000 + turn * 10 + at),
+                })
+            ));
+        },
+    },
+    {
+        name: "resent change",
+        strike: async (site, _operation, turn) => {
+            for (let at = 0; at < resends; at++) {
+                const host = site.live[at % site.live.length]!;
+                await site.change(host.id, {
+                    kind: "set-endpoint",
+                    id: changeId(`resent-${turn}`),
+                    endpoint: "east-encoder" as EndpointId,
+                    leaving: true,
+                });
+            }
+        },
+        end: (site, _operation, turn) => setLeaving(site, `resent-back-${turn}`, "east-encoder", false),
+    },
+    {
+        name: "second host lost after a repair",
+        strike: async site => {
+            site.kill("east-1");
+            site.restart("east-1", true);
+            await site.clock.sleep(repairMs);
+            site.kill("north-1");
+        },
+        end: site => site.restart("north-1"),
+    },
+    {
+        name: "restart after hundreds of changes",
+        prepare: async (site, turn) => {
+            for (let at = 0; at < manyChanges; at++) {
+                await setLeaving(site, `many-${turn}-${at}`, "east-encoder", at % 2 === 0);
+            }
+        },
+        strike: site => {
+            site.kill("east-1");
+            site.restart("east-1");
+        },
+    },
+    {
+        name: "request that crashes endpoints, resent",
+        strike: async (site, _operation, turn) => {
+            for (let at = 0; at < resends; at++) {
+                const host = site.live[at % site.live.length]!;
+                await Promise.race([
+                    site.send("profile", host.id, { crashes: "encoders", turn }),
+                    site.clock.sleep(3000),
+                ]);
+            }
+        },
+    },
+    {
+        name: "silent connections",
+        strike: site => site.endpoints.forEach(endpoint => endpoint.silence()),
+    },
+    {
+        name: "data centre cut off",
+        strike: site => site.cutCentre("north"),
+        end: site => site.heal(),
+    },
+    {
+        name: "leaving endpoint",
+        strike: async (site, _operation, turn) => {
+            const leaving = "north-encoder";
+            await setLeaving(site, `leave-${turn}`, leaving, true);
+            site.history.closed.push({
+                endpoints: [leaving],
+                fromMs: site.clock.nowMs(),
+                toMs: Number.POSITIVE_INFINITY,
+            });
+        },
+        end: (site, _operation, turn) => {
+            site.history.closed.forEach(closed => {
+                closed.toMs = Math.min(closed.toMs, site.clock.nowMs());
+            });
+            return setLeaving(site, `back-${turn}`, "north-encoder", false);
+        },
+    },
+    {
+        name: "disk full",
+        strike: site => {
+            site.diskOf((site.leader("records") ?? site.host("east-1")).id).isFull = true;
+        },
+        end: site => site.live.forEach(host => site.diskOf(host.id).isFull = false),
+    },
+];
+
+async function setLeaving(site: ProofSite, id: string, endpoint: string, leaving: boolean): Promise<void> {
+    const through = site.live.find(host => host.id !== "north-2") ?? site.live[0]!;
+    await site.change(through.id, {
+        kind: "set-endpoint",
+        id: changeId(id),
+        endpoint: endpoint as EndpointId,
+        leaving,
+    });
+}
+
+/** Time for a repaired host to catch up, in milliseconds. */
+const repairMs = 2500;
--- a/src/records/Commands.ts
+++ b/src/records/Commands.ts
@@ -173,7 +173,13 @@
     readonly marks: readonly CrashMark[];
 }
 
-export type RecordsReply = ClaimReply | CommonReply | JobReply | MarksReply;
+/** What a report has made of a mark. */
+export interface MarkReply {
+    readonly kind: "mark";
+    readonly mark: CrashMark;
+}
+
+export type RecordsReply = ClaimReply | CommonReply | JobReply | MarksReply | MarkReply;
 
 /** What every command gives back. */
 export interface RecordsResult {
--- a/src/records/CrashMarks.ts
+++ b/src/records/CrashMarks.ts
@@ -3,7 +3,14 @@
  * which it ran alone, quarantine it, in whatever order their reports come. A suspect that ends without a crash is
  * cleared. Marks carry versions, so that a cache can ask for what has changed.
  */
-import { type BodyOf, type CommonReply, type CrashMark, type MarksReply, ticketText } from "./Commands.js";
+import {
+    type BodyOf,
+    type CommonReply,
+    type CrashMark,
+    type MarkReply,
+    type MarksReply,
+    ticketText,
+} from "./Commands.js";
 import { ExpiryQueue } from "./ExpiryQueue.js";
 
 interface StoredMark extends CrashMark {
@@ -33,15 +40,15 @@
     }
 
     /** Counts a crash. A repeated report counts once. */
-    public crash(body: BodyOf<"crash">, nowMs: number): CommonReply {
+    public crash(body: BodyOf<"crash">, nowMs: number): MarkReply {
         const known = this.marks.get(body.fingerprint);
         const report = ticketText(body.ticket);
         if (known?.reports.includes(report) === true) {
-            return { kind: "done" };
+            return { kind: "mark", mark: toMark(known) };
         }
         const crashes = (known?.crashes ?? 0) + 1;
         const alone = body.alone || known?.alone === true;
-        this.put({
+        const mark = this.put({
             fingerprint: body.fingerprint,
             state: crashes > 1 && alone ? "quarantined" : "suspect",
             crashes,
@@ -51,7 +58,7 @@
         });
         this.expiry.add(body.fingerprint, nowMs + body.retentionMs);
         this.bound();
-        return { kind: "done" };
+        return { kind: "mark", mark: toMark(mark) };
     }
 
     /** Clears a suspect that ended without a crash. */
@@ -81,12 +88,7 @@
     public since(version: number): MarksReply {
         const reset = version < this.forgottenVersion;
         const changed = [...this.marks.values()].filter(mark => reset || mark.version > version);
-        const marks = changed.map(({ fingerprint, state, crashes, version: at }) => ({
-            fingerprint,
-            state,
-            crashes,
-            version: at,
-        }));
+        const marks = changed.map(toMark);
         return { kind: "marks", reset, version: this.versionNow, marks };
     }
 
@@ -123,9 +125,11 @@
         this.expiry.restore(snapshot.expiry);
     }
 
-    private put(mark: Omit<StoredMark, "version">): void {
+    private put(mark: Omit<StoredMark, "version">): StoredMark {
         this.versionNow += 1;
-        this.marks.set(mark.fingerprint, { ...mark, version: this.versionNow });
+        const stored = { ...mark, version: this.versionNow };
+        this.marks.set(mark.fingerprint, stored);
+        return stored;
     }
 
     private drop(fingerprint: string): void {
@@ -151,6 +155,10 @@
     }
 }
 
+function toMark({ fingerprint, state, crashes, version }: StoredMark): CrashMark {
+    return { fingerprint, state, crashes, version };
+}
+
 function withReport(mark: StoredMark | undefined, report: string): readonly string[] {
     return [...(mark?.reports ?? []), report].slice(-reportLimit);
 }
--- /dev/null
+++ b/src/records/PeerMarks.ts
@@ -0,0 +1,53 @@
+/**
+ * Tells the other hosts of a crash mark as soon as it is committed, so that a request that is sent again through
+ * another host is known there. Crashes are rare; hosts that can't be reached learn of the mark from the group.
+ */
+import { z } from "zod";
+import { Emitter } from "../common/Emitter.js";
+import type { Event, HostId } from "../common/Types.js";
+import { definePeerMethod, type PeerRegistry, type PeerTransport } from "../peer/Types.js";
+import type { CrashMark } from "./Commands.js";
+
+/** How the hosts' copies of the marks are told of a new one. */
+export interface MarkAnnouncer {
+    /** Resolves once every host has answered, or its time is over. */
+    announce(mark: CrashMark): Promise<void>;
+    readonly onAnnounced: Event<CrashMark>;
+}
+
+const markMethod = definePeerMethod<CrashMark, Record<string, never>>(
+    "records.mark",
+    z.object({
+        fingerprint: z.string(),
+        state: z.enum(["suspect", "quarantined", "clear"]),
+        crashes: z.number().int(),
+        version: z.number().int(),
+    }),
+);
+
+export class PeerMarks implements MarkAnnouncer {
+    private readonly announced = new Emitter<CrashMark>();
+    public readonly onAnnounced: Event<CrashMark> = this.announced.event;
+
+    public constructor(
+        private readonly transport: PeerTransport,
+        registry: PeerRegistry,
+        /** The other hosts. */
+        private readonly hosts: () => readonly HostId[],
+    ) {
+        registry.handle(markMethod, async mark => {
+            this.announced.fire(mark);
+            return {};
+        });
+    }
+
+    public async announce(mark: CrashMark): Promise<void> {
+        const calls = this.hosts().map(host =>
+            this.transport.call(host, markMethod, mark, { timeoutMs: announceTimeoutMs })
+        );
+        await Promise.all(calls);
+    }
+}
+
+/** A host that does not answer holds the report up for so long, in milliseconds. */
+const announceTimeoutMs = 300;
--- a/src/records/ReplicatedQuarantine.test.ts
+++ b/src/records/ReplicatedQuarantine.test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { FakeClock } from "../../testing/FakeClock.js";
+import { FakeNetwork } from "../../testing/FakeNetwork.js";
 import { type RecordsHost, RecordsHosts } from "../../testing/RecordsHosts.js";
+import type { HostId } from "../common/Types.js";
+import { PeerMarks } from "./PeerMarks.js";
 
 type Report = "shared" | "alone" | "innocent" | "pardon";
 
@@ -75,3 +79,21 @@
     assert.equal(stateOn(b, "f"), "suspect");
     site.stop();
 });
+
+test("a mark is known on the other hosts before its reporter goes on", async () => {
+    const network = new FakeNetwork(new FakeClock());
+    const ids = ["a", "b"] as HostId[];
+    const site = new RecordsHosts({}, id => {
+        const peers = network.addHost(id);
+        return new PeerMarks(peers, peers, () => ids.filter(other => other !== id));
+    });
+    const [a, b] = [site.start("a"), site.start("b")];
+    await report(site, a, "shared", "f");
+    assert.equal(stateOn(b, "f"), "suspect");
+    await report(site, b, "alone", "f");
+    assert.equal(stateOn(a, "f"), "quarantined");
+    await report(site, a, "pardon", "f");
+    await site.clock.advance(2500);
+    assert.equal(stateOn(b, "f"), "clear");
+    site.stop();
+});
--- a/src/records/ReplicatedQuarantine.ts
+++ b/src/records/ReplicatedQuarantine.ts
@@ -7,7 +7,8 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { BodyOf, CrashMark, RecordsReply, Ticket } from "./Commands.js";
-import type { RecordsClient } from "./RecordsClient.js";
+import type { MarkAnnouncer } from "./PeerMarks.js";
+import type { RecordsClient, SentReply } from "./RecordsClient.js";
 import type { Fingerprint, Quarantine, RecordsError } from "./Types.js";
 
 export class ReplicatedQuarantine implements Quarantine {
@@ -20,7 +21,9 @@
         private readonly client: RecordsClient,
         private readonly clock: Clock,
         private readonly events: EventLog,
+        private readonly announcer?: MarkAnnouncer,
     ) {
+        announcer?.onAnnounced(mark => this.adopt(mark));
         client.onResult(result => {
             if (result.marksVersion > this.version) {
                 this.wake?.();
@@ -98,19 +101,26 @@
         }
         if (reply.reset) {
             this.marks.clear();
+            this.version = 0;
         }
-        for (const mark of reply.marks) {
-            if (mark.state === "clear") {
-                this.marks.delete(mark.fingerprint);
-            }
-            else {
-                this.marks.set(mark.fingerprint, mark);
-            }
-        }
+        reply.marks.forEach(mark => this.adopt(mark));
         this.version = reply.version;
         this.events.event(EventId.MarksRefreshed, { version: this.version, marks: this.marks.size });
     }
 
+    /** Takes one mark over, unless a later version of the marks is known. */
+    private adopt(mark: CrashMark): void {
+        if (mark.version <= this.version) {
+            return;
+        }
+        if (mark.state === "clear") {
+            this.marks.delete(mark.fingerprint);
+        }
+        else {
+            this.marks.set(mark.fingerprint, mark);
+        }
+    }
+
     private async report(body: BodyOf<"crash" | "innocent">): Promise<Either<RecordsError, void>> {
         const sent = await this.client.send(body, reportMs);
         this.events.event(EventId.CrashReported, {
@@ -122,6 +132,11 @@
             this.client.settle(body);
             return sent.map(() => undefined);
         }
+        const { reply } = sent.extract() as SentReply;
+        if (reply.kind === "mark") {
+            this.adopt(reply.mark);
+            await this.announcer?.announce(reply.mark);
+        }
         await this.refresh();
         return Right(undefined);
     }
--- a/testing/RecordsHosts.ts
+++ b/testing/RecordsHosts.ts
@@ -1,5 +1,6 @@
 /** Several hosts' records components over one {@link FakeGroup}, for tests. */
 import type { HostId, Incarnation, JobId, PipelineId, RequestId, WorkspaceId } from "../src/common/Types.js";
+import type { MarkAnnouncer } from "../src/records/PeerMarks.js";
 import { RecordsClient } from "../src/records/RecordsClient.js";
 import { RecordsState } from "../src/records/RecordsState.js";
 import { ReplicatedClaims } from "../src/records/ReplicatedClaims.js";
@@ -35,7 +36,10 @@
     private incarnations = 0;
     private readonly aborts: AbortController[] = [];
 
-    public constructor(options: FakeLogOptions = {}) {
+    public constructor(
+        options: FakeLogOptions = {},
+        private readonly announcerOf: (id: HostId) => MarkAnnouncer | undefined = () => undefined,
+    ) {
         this.group = new FakeGroup(this.clock, () => new RecordsState(), options);
     }
 
@@ -49,7 +53,7 @@
         const client = new RecordsClient(log, this.clock, this.events, options, state);
         const claims = new ReplicatedClaims(client, this.clock, this.events, () => testLimits);
         const jobs = new ReplicatedJobs(client, this.clock, this.events, () => testLimits);
-        const quarantine = new ReplicatedQuarantine(client, this.clock, this.events);
+        const quarantine = new ReplicatedQuarantine(client, this.clock, this.events, this.announcerOf(id));
         const abort = new AbortController();
         this.aborts.push(abort);
         void client.run(abort.signal);
