Daemon: pass crash marks between hosts

Cause: PeerMarks has to be put together with the quarantine on each host.

Change: WorkPart gives the quarantine the other configured hosts.

--- a/src/daemon/WorkPart.ts
+++ b/src/daemon/WorkPart.ts
@@ -1,4 +1,5 @@
 /** What carries requests on one host: membership, endpoints and slots, records of requests, and the pipeline runner. */
+import type { HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
 import { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import { EndpointTable } from "../endpoints/EndpointTable.js";
@@ -10,6 +11,7 @@
 import { HeartbeatMembership } from "../membership/HeartbeatMembership.js";
 import { HttpPlatformList } from "../membership/HttpPlatformList.js";
 import { StagedPipelineRunner } from "../pipeline/StagedPipelineRunner.js";
+import { PeerMarks } from "../records/PeerMarks.js";
 import { ReplicatedClaims } from "../records/ReplicatedClaims.js";
 import { ReplicatedJobs } from "../records/ReplicatedJobs.js";
 import { ReplicatedQuarantine } from "../records/ReplicatedQuarantine.js";
@@ -65,7 +67,7 @@
     };
     const claims = new ReplicatedClaims(control.records, clock, log, limits);
     const jobs = new ReplicatedJobs(control.records, clock, log, limits);
-    const quarantine = new ReplicatedQuarantine(control.records, clock, log);
+    const quarantine = buildQuarantine(base, control, config);
     const runner = new StagedPipelineRunner({
         config,
         router: new CostRouter({ directory, prefixes: new BlockPrefixIndex(log), dataCentre }),
@@ -90,3 +92,11 @@
         services: [platform, membership, owner, holder, quarantine, worker],
     };
 }
+
+/** The host's copy of the crash marks; the other configured hosts are told of new ones. */
+function buildQuarantine(base: DaemonBase, control: ControlPart, config: ConfigSource): ReplicatedQuarantine {
+    const { host, settings, transport, registry, clock, log } = base;
+    const hosts = () => Object.keys((config.current()?.settings ?? settings).hosts) as HostId[];
+    const marks = new PeerMarks(transport, registry, () => hosts().filter(id => id !== host));
+    return new ReplicatedQuarantine(control.records, clock, log, marks);
+}
