Keep waiting calls in the host's queue, and prefixes where they are cached

Change: the queue of a pool lets go only as many calls as the host has slots for, and a few that wait for slots; while others wait, a call that would probably end too late is not started; the estimate at entry counts requests that are on their way to a stage; routing counts own calls that wait at an endpoint and weighs a prefill more on a full one; a call leaves the line at an endpoint only after twice the expected time.

--- a/bench/requests/trial.ts
+++ b/bench/requests/trial.ts
@@ -1,7 +1,9 @@
 import { LoadRun, type PolicyName } from "./LoadRun.js";
 
 const capacity = Number(process.argv[2] ?? 100);
-const policies: PolicyName[] = ["fireflykeel", "least loaded, FIFO, no budget", "round robin, FIFO, no budget"];
+const policies: PolicyName[] = process.argv[4]
+    ? [process.argv[4] as PolicyName]
+    : ["fireflykeel", "least loaded, FIFO, no budget", "round robin, FIFO, no budget"];
 for (const load of (process.argv[3] ?? "0.7,1,1.5,2").split(",").map(Number)) {
     for (const policy of policies) {
         const t0 = performance.now();
@@ -18,7 +20,7 @@
         const good = r.results.filter(o => o.answered && o.pipeline === "profile").length / r.countedMs * 1000;
         const kinds = new Map<string, number>();
         r.results.flatMap(o => o.outcomes).forEach(o => {
-            const k = o.kind + ("reason" in o ? "/" + o.reason : "");
+            const k = o.kind + ("message" in o ? "/" + o.message.replace(/[0-9]+/g, "N") : "");
             kinds.set(k, (kinds.get(k) ?? 0) + 1);
         });
         const shares2 = r.results.flatMap(o => o.refusalShares).sort((a, b) => a - b);
--- a/src/pipeline/Admission.ts
+++ b/src/pipeline/Admission.ts
@@ -61,8 +61,10 @@
 
     public check(ctx: RequestContext, index: number): Failure | undefined {
         const leftMs = ctx.req.deadlineMs - this.services.clock.nowMs();
-        const need = this.estimator.need(ctx, index);
-        const shortMs = need.waitMs + need.workMs - leftMs;
+        const need = this.estimator.need(ctx, index, stage => this.inStage.get(this.stageName(ctx, stage)) ?? 0);
+        // A request that has cost something is given up only when it is more likely to fail than not.
+        const workMs = need.waitMs > 0 && index === 0 ? need.cautiousMs : need.usualMs;
+        const shortMs = need.waitMs + workMs - leftMs;
         if (leftMs > 0 && (shortMs <= 0 || this.isIdle(ctx, index))) {
             return undefined;
         }
@@ -74,7 +76,7 @@
             );
         }
         const message = `the deadline leaves ${Math.max(0, Math.round(leftMs))} ms, and the stages to come`
-            + ` take ${Math.round(need.workMs)} ms`;
+            + ` take ${Math.round(workMs)} ms`;
         return failureFor(ctx.ledger, "deadline-too-short", message, this.retryAfterMs(shortMs));
     }
 
--- a/src/pipeline/SlotFinder.ts
+++ b/src/pipeline/SlotFinder.ts
@@ -11,6 +11,8 @@
 
 /** Endpoints asked for a slot in one round. */
 const maxChoices = 3;
+/** Multiple of the expected time after which the next choice is tried. */
+const patienceFactor = 2;
 /** How long a call waits for an endpoint when the pool has none that takes work. */
 const noEndpointPatienceMs = 300;
 const noEndpointPollMs = 100;
@@ -60,6 +62,8 @@
 
 export class SlotFinder {
     private readonly reserve: EndpointReserve;
+    /** Calls that wait for a slot, by endpoint. */
+    private readonly waiting = new Map<EndpointId, number>();
 
     public constructor(private readonly services: SlotFinderServices) {
         this.reserve = new EndpointReserve(services.clock);
@@ -125,12 +129,15 @@
             }
         };
         const nowMs = clock.nowMs();
+        const patienceMs = choice.expectedMs * patienceFactor;
+        this.waiting.set(id, (this.waiting.get(id) ?? 0) + 1);
         const granted = await slots.acquire(id, {
             priority: search.priority,
-            deadlineMs: nowMs + (search.startByMs - nowMs) / choicesLeft,
+            deadlineMs: choicesLeft === 1 ? search.startByMs : Math.min(search.startByMs, nowMs + patienceMs),
             signal: search.signal,
             ...(search.alone ? { exclusive: true } : {}),
         });
+        this.waiting.set(id, (this.waiting.get(id) ?? 1) - 1);
         return granted.bimap(error => {
             done();
             return error;
@@ -165,6 +172,7 @@
             model: search.stage.model,
             prompt: search.prompt,
             avoid: search.avoid,
+            waiting: this.waiting,
             deadlineMs: search.startByMs,
         });
     }
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -96,6 +96,7 @@
             turn.end();
             return Left(found.extract());
         }
+        this.queues.refresh(stage.pool);
         return this.send(ctx, stage, options, { turn, turnAtMs, found: found.extract() as FoundSlot });
     }
 
--- a/src/pipeline/StageEstimator.ts
+++ b/src/pipeline/StageEstimator.ts
@@ -16,8 +16,12 @@
 
 /** What a request needs from a stage on, in milliseconds. */
 export interface Need {
+    /** Wait for turns in queues that are there now. */
     readonly waitMs: number;
-    readonly workMs: number;
+    /** The stages themselves, usually. */
+    readonly usualMs: number;
+    /** The stages themselves in a bad case. */
+    readonly cautiousMs: number;
 }
 
 export class StageEstimator {
@@ -38,24 +42,35 @@
         return this.latencies.percentileMs(this.name("call", ctx, stage), percentile);
     }
 
-    /** What the request needs from this stage to its end, with the queues as they are. */
-    public need(ctx: RequestContext, from: number): Need {
+    /**
+     * What the request needs from this stage to its end, with the queues as they are. `underWay` gives the requests of
+     * the same pipeline that are in a stage; those still before a stage will be ahead in its queue.
+     */
+    public need(ctx: RequestContext, from: number, underWay: (index: number) => number = () => 0): Need {
         let waitMs = 0;
         let usualMs = 0;
         let cautiousMs = 0;
-        for (const stage of ctx.settings.stages.slice(from)) {
-            const usual = this.serveMs(ctx, stage, usualPercentile);
-            usualMs += usual;
-            cautiousMs += this.serveMs(ctx, stage, cautiousPercentile);
-            waitMs += this.queues.expectedWaitMs(this.turnRequest(ctx, stage), usual);
+        let before = 0;
+        for (const [index, stage] of ctx.settings.stages.entries()) {
+            if (index >= from) {
+                const usual = this.serveMs(ctx, stage, usualPercentile);
+                usualMs += usual;
+                cautiousMs += this.serveMs(ctx, stage, cautiousPercentile);
+                waitMs += this.queues.expectedWaitMs(this.turnRequest(ctx, stage), usual, before);
+            }
+            before += underWay(index);
         }
-        return { waitMs, workMs: waitMs > 0 ? cautiousMs : usualMs };
+        return { waitMs, usualMs, cautiousMs };
     }
 
-    /** The latest time at which a call of this stage may start, on the local monotonic clock. */
+    /**
+     * The latest time at which a call of this stage may start, on the local monotonic clock. While others wait for the
+     * pool, a call that would probably end too late leaves its place to them.
+     */
     public latestStartMs(ctx: RequestContext, stage: StageSettings): number {
-        const leastMs = this.callMs(ctx, stage, leastPercentile);
         const stageDeadlineMs = this.stageDeadlineMs(ctx, stage);
+        const contended = this.queues.isContended(stage.pool);
+        const leastMs = this.callMs(ctx, stage, contended ? cautiousPercentile : leastPercentile);
         if (leastMs === undefined) {
             const leftMs = stageDeadlineMs - this.clock.nowMs();
             return stageDeadlineMs - Math.max(0, leftMs) * unknownReserve;
--- a/src/pipeline/StageQueues.ts
+++ b/src/pipeline/StageQueues.ts
@@ -13,6 +13,9 @@
 /** Part of a pool that overnight calls may use, in [0, 1]. */
 const overnightShare = 0.7;
 const overnight: Priority = 2;
+/** Calls that may wait for slots at endpoints, as a share of the pool's limit, and at least. */
+const waitingForSlotsShare = 0.15;
+const leastWaitingForSlots = 2;
 
 export interface TurnRequest {
     readonly pool: string;
@@ -91,14 +94,23 @@
         });
     }
 
-    /** Expected wait for a turn, in milliseconds, where a call takes `callMs` from its turn to its end. */
-    public expectedWaitMs(req: TurnRequest, callMs: number): number {
+    /**
+     * Expected wait for a turn, in milliseconds, where a call takes `callMs` from its turn to its end. `soon` calls will
+     * be in the queue before.
+     */
+    public expectedWaitMs(req: TurnRequest, callMs: number, soon: number): number {
         const queue = this.queueFor(req);
         if (queue.size === 0 && queue.pending < queue.concurrency) {
             return 0;
         }
         const ahead = queue.sizeBy(this.optionsOf(req));
-        return (ahead + 1) * callMs / queue.concurrency;
+        return (ahead + soon + 1) * callMs / queue.concurrency;
+    }
+
+    /** True while calls wait for a turn in the pool. */
+    public isContended(name: string): boolean {
+        const pool = this.pools.get(name);
+        return pool !== undefined && pool.quick.size + pool.overnight.size > 0;
     }
 
     private optionsOf(req: TurnRequest): FairQueueOptions {
@@ -130,19 +142,39 @@
         return pool;
     }
 
+    /** Takes notice of a slot that was granted or released. */
+    public refresh(name: string): void {
+        const pool = this.pools.get(name);
+        if (pool !== undefined) {
+            this.resize(pool, name);
+        }
+    }
+
     private resizeAll(): void {
         for (const [name, pool] of this.pools) {
             this.resize(pool, name);
         }
     }
 
-    /** Follows the endpoints' limits: no more calls are under way than all endpoints together may have. */
+    /**
+     * Follows what this host has: its calls in flight, the slots that it could take at once, and some calls more that
+     * wait for slots. What waits beyond that waits here, where priorities and shares are kept, and is not bound to an
+     * endpoint yet.
+     */
     private resize(pool: Pool, name: string): void {
-        const limit = this.directory.inPool(name).reduce((sum, endpoint) => sum + endpoint.limit, 0);
-        const quick = Math.max(1, limit);
-        const overnightLimit = Math.max(1, Math.floor(limit * overnightShare));
+        let limit = 0;
+        let held = 0;
+        for (const endpoint of this.directory.inPool(name)) {
+            limit += endpoint.limit;
+            held += endpoint.ownInFlight + endpoint.credits;
+        }
+        const waitingForSlots = Math.max(leastWaitingForSlots, Math.ceil(limit * waitingForSlotsShare));
+        const quick = Math.max(1, Math.min(limit, held + waitingForSlots));
         if (pool.quick.concurrency !== quick) {
             pool.quick.concurrency = quick;
+        }
+        const overnightLimit = Math.max(1, Math.floor(quick * overnightShare));
+        if (pool.overnight.concurrency !== overnightLimit) {
             pool.overnight.concurrency = overnightLimit;
         }
     }
--- a/src/routing/CostRouter.ts
+++ b/src/routing/CostRouter.ts
@@ -15,6 +15,8 @@
 const batchSlowdown = 0.5;
 /** Time to prefill one token. */
 const prefillMsPerToken = 0.25;
+/** Further weight of the prefill on a full endpoint, where it takes time from other calls. */
+const prefillWeightWhenFull = 2;
 /** Extra time of a call to another data centre: both ways, and the connection's share. */
 const otherDataCentreMs = 4;
 /** Extra time that makes a suspect endpoint the last choice but for those already tried. */
@@ -59,7 +61,10 @@
         const engine = endpoint.kind === "engine";
         const cachedTokens = engine ? this.options.prefixes.cachedTokens(endpoint.id, req.prompt) : 0;
         const newTokens = engine ? Math.max(0, req.prompt.length / charsPerToken - cachedTokens) : 0;
-        let expectedMs = this.serviceMs(endpoint) + newTokens * prefillMsPerToken;
+        const load = this.loadOf(endpoint) + (req.waiting.get(endpoint.id) ?? 0);
+        const fullness = load / Math.max(1, endpoint.limit);
+        let expectedMs = this.serviceMs(endpoint, load);
+        expectedMs += newTokens * prefillMsPerToken * (1 + prefillWeightWhenFull * Math.min(1, fullness));
         expectedMs += endpoint.dataCentre === this.options.dataCentre ? 0 : otherDataCentreMs;
         expectedMs += endpoint.state === "suspect" ? suspectMs : 0;
         expectedMs += req.avoid.has(endpoint.id) ? triedMs : 0;
@@ -67,10 +72,9 @@
     }
 
     /** Wait for a place and the call itself, slowed by the batch that it joins. */
-    private serviceMs(endpoint: EndpointView): number {
+    private serviceMs(endpoint: EndpointView, load: number): number {
         const callMs = endpoint.recentMs ?? unknownCallMs;
         const limit = Math.max(1, endpoint.limit);
-        const load = this.loadOf(endpoint);
         const excess = Math.max(0, load + 1 - limit);
         return callMs * (1 + batchSlowdown * Math.min(1, load / limit) + excess / limit);
     }
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -9,6 +9,8 @@
     readonly prompt: string;
     /** Endpoints that this stage has already tried. */
     readonly avoid: ReadonlySet<EndpointId>;
+    /** Calls of this host that wait for a slot, by endpoint. */
+    readonly waiting: ReadonlyMap<EndpointId, number>;
     /** On the local monotonic clock. */
     readonly deadlineMs: number;
 }
