--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -18,7 +18,14 @@
     // 3xx: config
     ConfigInForce = 300,
     ConfigFileDiffers = 301,
+    ConfigUnusable = 302,
+    ConfigSeedInvalid = 303,
     // 4xx: replication
+    ReplicaOpened = 400,
+    GroupFounded = 401,
+    LeaderElected = 402,
+    LeaderSteppedDown = 403,
+    ReplicaOutOfService = 404,
     // 5xx: membership
     HostStateChanged = 500,
     HostRestarted = 501,
@@ -34,6 +41,18 @@
     EngineOrdered = 607,
     EngineOrderFailed = 608,
     // 7xx: records
+    RecordsSessionEnded = 700,
+    RecordsSessionExpired = 701,
+    ClaimMade = 702,
+    ClaimEnded = 703,
+    ClaimReleased = 704,
+    ClaimUnanswered = 705,
+    JobTaken = 710,
+    JobJournalled = 711,
+    JobEnded = 712,
+    JobLeaseLost = 713,
+    CrashReported = 720,
+    MarksRefreshed = 721,
     // 8xx: pipeline and routing
     RequestStarted = 800,
     RequestEnded = 801,
