--- /dev/null
+++ b/bench/Tally.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { resolve } from "node:path";
+import { test } from "node:test";
+import { loadSettings } from "../src/config/Loader.js";
+import { newCounters } from "../standin/Defaults.js";
+import { expectedAnswer, inputDigest } from "../standin/ExpectedOutput.js";
+import type { StandInCounters } from "../standin/Types.js";
+import { type CallEnd, type CallRecord, judgeReply } from "./Caller.js";
+import { fitLine } from "./Slopes.js";
+import { findViolations, tallyAttainment, tallyCosts, tallyPhases, tallySeconds, type Violations } from "./Tally.js";
+import { type Arrival, planArrivals, type RequestInput } from "./Workload.js";
+
+const base = resolve(import.meta.dirname, "../../examples/bramwell/base.yaml");
+const settings = loadSettings(base, []).unsafeCoerce();
+const input: RequestInput = { document: "d", question: "q" };
+
+function record(
+    end: CallEnd,
+    atMs: number = 0,
+    pipeline: string = "hold",
+    attained: boolean = end === "answered",
+): CallRecord {
+    const arrival: Arrival = { atMs, pipeline, workspace: "families", input, key: "k" };
+    return { arrival, host: "h", end, status: 200, reason: end === "answered" ? "" : "why", latencyMs: 100, attained };
+}
+
+test("attainment counts late answers as answered but not attained", () => {
+    const tally = tallyAttainment([record("answered"), record("answered", 0, "hold", false), record("lost")]);
+    assert.equal(tally.attained, 1 / 3);
+    assert.deepEqual([tally.ends.answered, tally.ends.lost], [2, 1]);
+    assert.deepEqual(tally.reasons, { "lost: why": 1 });
+    assert.equal(tally.p50Ms, 100);
+});
+
+test("phases and seconds take requests by their arrival", () => {
+    const records = [record("answered", 0), record("failed", 1500), record("answered", 1999)];
+    const phases = tallyPhases(records, [{ name: "a", fromMs: 0, toMs: 1500 }, {
+        name: "b",
+        fromMs: 1500,
+        toMs: 2000,
+    }]);
+    assert.deepEqual([phases["a"]?.requests, phases["b"]?.requests, phases["b"]?.attained], [1, 2, 0.5]);
+    assert.deepEqual(tallySeconds(records, 2000).map(second => second.attained), [1, 0.5]);
+});
+
+function counters(
+    runs: Record<string, number>,
+    change: Partial<StandInCounters> = {},
+): Record<string, StandInCounters> {
+    const runsByInput = Object.fromEntries(
+        Object.entries(runs).map(([stage, count]) => [inputDigest(stage, input), count]),
+    );
+    return { e1: { ...newCounters(), runsByInput, ...change } };
+}
+
+const violationRows: { name: string; end: CallEnd; runs: Record<string, number>; expected: Partial<Violations>; }[] = [
+    { name: "nothing", end: "answered", runs: { check: 2, place: 1 }, expected: {} },
+    { name: "a doubled run", end: "answered", runs: { check: 1, place: 2 }, expected: { doubledRuns: 1 } },
+    { name: "an answer without a run", end: "answered", runs: { check: 1 }, expected: { answeredWithoutRun: 1 } },
+    { name: "an untrue refusal", end: "not-run", runs: { check: 1 }, expected: { untrueRefusals: 1 } },
+    { name: "a true refusal", end: "not-run", runs: {}, expected: {} },
+    { name: "a wrong answer", end: "wrong", runs: { check: 1, place: 1 }, expected: { wrongAnswers: 1 } },
+];
+
+for (const row of violationRows) {
+    test(`findViolations sees ${row.name}`, () => {
+        const none = {
+            wrongAnswers: 0,
+            doubledRuns: 0,
+            answeredWithoutRun: 0,
+            untrueRefusals: 0,
+            fallsWhileCold: 0,
+            crashes: 0,
+        };
+        const found = findViolations(settings, [record(row.end)], counters(row.runs));
+        assert.deepEqual(found, { ...none, ...row.expected });
+    });
+}
+
+test("costs are spread over the answers", () => {
+    const spent = { calls: 6, busyMs: 60, promptTokens: 100, cachedTokens: 25, outputTokens: 30 };
+    const [row] = tallyCosts(
+        [record("answered"), record("answered"), record("failed")],
+        counters({}, { byStage: { "hold/check": spent } }),
+    );
+    assert.deepEqual(
+        [row?.callsPerAnswer, row?.busyMsPerAnswer, row?.cachedShare, row?.outputTokensPerAnswer],
+        [3, 30, 0.25, 15],
+    );
+});
+
+const answer = expectedAnswer(["check", "place"], input);
+const replies: { name: string; reply: { status: number; text: string; } | undefined; end: CallEnd; }[] = [
+    { name: "the whole answer", reply: { status: 200, text: JSON.stringify({ output: answer }) }, end: "answered" },
+    { name: "half an answer", reply: { status: 200, text: JSON.stringify({ output: answer.slice(9) }) }, end: "wrong" },
+    { name: "no JSON", reply: { status: 200, text: "x" }, end: "wrong" },
+    { name: "a refusal", reply: { status: 503, text: JSON.stringify({ outcome: "not-run" }) }, end: "not-run" },
+    { name: "a refusal without outcome", reply: { status: 500, text: "" }, end: "failed" },
+    { name: "no reply", reply: undefined, end: "lost" },
+];
+
+for (const row of replies) {
+    test(`judgeReply takes ${row.name} as ${row.end}`, () => assert.equal(judgeReply(row.reply, answer).end, row.end));
+}
+
+test("the same seed gives the same arrivals, at the asked rate", () => {
+    const options = { rates: { hold: 10, quick: 20 }, durationMs: 60_000, seed: 3 };
+    const arrivals = planArrivals(settings, options);
+    assert.deepEqual(arrivals, planArrivals(settings, options));
+    assert.notDeepEqual(arrivals, planArrivals(settings, { ...options, seed: 4 }));
+    assert.ok(Math.abs(arrivals.length - 1800) < 150, String(arrivals.length));
+    assert.ok(arrivals.every(one => (one.key !== undefined) === (one.pipeline === "hold")));
+    assert.equal(new Set(arrivals.map(one => one.input.question)).size, arrivals.length);
+});
+
+test("fitLine finds slope, intercept and fit", () => {
+    assert.deepEqual(fitLine([{ x: 0, y: 1 }, { x: 1, y: 3 }, { x: 2, y: 5 }]), { slope: 2, intercept: 1, fit: 1 });
+    assert.ok(fitLine([{ x: 0, y: 0 }, { x: 1, y: 5 }, { x: 2, y: 0 }]).fit < 0.1);
+});
