Bench: half of the callers take a stream where there is one

Change: a stream is judged by its offsets, its end and its digest's length; a stream without end counts as lost.

--- a/bench/Caller.ts
+++ b/bench/Caller.ts
@@ -28,9 +28,11 @@
     readonly attained: boolean;
 }
 
-interface HttpReply {
+export interface HttpReply {
     readonly status: number;
     readonly text: string;
+    /** Whether the text is server-sent events. */
+    readonly stream: boolean;
 }
 
 /** How long a caller waits beyond its deadline for the final word, in milliseconds. */
@@ -88,6 +90,7 @@
             [workspaceHeader]: arrival.workspace,
             [deadlineHeader]: deadlineMs,
             ...(arrival.key === undefined ? {} : { [idempotencyHeader]: arrival.key }),
+            ...(arrival.stream ? { accept: "text/event-stream" } : {}),
         };
         const options = {
             ...splitAddress(address),
@@ -112,30 +115,66 @@
         let text = "";
         res.setEncoding("utf8");
         res.on("data", (part: string) => text += part);
-        res.on("end", () => resolve(res.complete ? { status: res.statusCode ?? 0, text } : undefined));
+        const stream = res.headers["content-type"] === "text/event-stream";
+        res.on("end", () => resolve(res.complete ? { status: res.statusCode ?? 0, text, stream } : undefined));
         res.on("error", () => resolve(undefined));
     });
 }
 
 /** Compares a reply with the answer that the request must get. */
-export function judgeReply(
-    reply: HttpReply | undefined,
-    expected: string,
-): { readonly end: CallEnd; readonly reason: string; } {
+export function judgeReply(reply: HttpReply | undefined, expected: string): Judgement {
     if (reply === undefined) {
         return { end: "lost", reason: "no reply" };
     }
+    if (reply.stream) {
+        return judgeStream(reply.text, expected);
+    }
     const body = parseObject(reply.text);
     if (reply.status === 200) {
-        const whole = body?.["output"] === expected;
-        return { end: whole ? "answered" : "wrong", reason: whole ? "" : "not the expected answer" };
+        return judgeOutput(body?.["output"], expected);
     }
+    return judgeFailure(body, `status ${reply.status}`);
+}
+
+interface Judgement {
+    readonly end: CallEnd;
+    readonly reason: string;
+}
+
+function judgeOutput(output: unknown, expected: string): Judgement {
+    const whole = output === expected;
+    return { end: whole ? "answered" : "wrong", reason: whole ? "" : "not the expected answer" };
+}
+
+function judgeFailure(body: Record<string, unknown> | undefined, otherwise: string): Judgement {
     const outcome = body?.["outcome"];
-    const reason = typeof body?.["reason"] === "string" ? body["reason"] : `status ${reply.status}`;
+    const reason = typeof body?.["reason"] === "string" ? body["reason"] : otherwise;
     const known = outcome === "not-run" || outcome === "failed" || outcome === "unknown";
     return { end: known ? outcome : "failed", reason };
 }
 
+/** Puts the output events together; without the end event the answer is lost, however much of it came. */
+function judgeStream(text: string, expected: string): Judgement {
+    let output = "";
+    for (const event of text.split("\n\n").filter(part => part !== "")) {
+        const name = /^event: (.*)$/m.exec(event)?.[1];
+        const data = parseObject(/^data: (.*)$/m.exec(event)?.[1] ?? "");
+        if (name === "failure") {
+            return judgeFailure(data, "failed in the stream");
+        }
+        if (name === "end") {
+            return data?.["length"] === output.length
+                ? judgeOutput(output, expected)
+                : { end: "wrong", reason: "a stream of another length than its end says" };
+        }
+        if (data?.["offset"] !== output.length) {
+            return { end: "wrong", reason: "a gap or a repetition in the stream" };
+        }
+        output += String(data["text"]);
+    }
+    return { end: "lost", reason: "a stream without an end" };
+}
+
 function parseObject(text: string): Record<string, unknown> | undefined {
     try {
         const value: unknown = JSON.parse(text);
--- a/bench/Tally.test.ts
+++ b/bench/Tally.test.ts
@@ -5,7 +5,7 @@
 import { newCounters } from "../standin/Defaults.js";
 import { expectedAnswer, inputDigest } from "../standin/ExpectedOutput.js";
 import type { StandInCounters } from "../standin/Types.js";
-import { type CallEnd, type CallRecord, judgeReply } from "./Caller.js";
+import { type CallEnd, type CallRecord, type HttpReply, judgeReply } from "./Caller.js";
 import { fitLine } from "./Slopes.js";
 import { findViolations, tallyAttainment, tallyCosts, tallyPhases, tallySeconds, type Violations } from "./Tally.js";
 import { type Arrival, planArrivals, type RequestInput } from "./Workload.js";
@@ -20,7 +20,7 @@
     pipeline: string = "hold",
     attained: boolean = end === "answered",
 ): CallRecord {
-    const arrival: Arrival = { atMs, pipeline, workspace: "families", input, key: "k" };
+    const arrival: Arrival = { atMs, pipeline, workspace: "families", input, key: "k", stream: false };
     return { arrival, host: "h", end, status: 200, reason: end === "answered" ? "" : "why", latencyMs: 100, attained };
 }
 
@@ -90,13 +90,34 @@
 });
 
 const answer = expectedAnswer(["check", "place"], input);
-const replies: { name: string; reply: { status: number; text: string; } | undefined; end: CallEnd; }[] = [
-    { name: "the whole answer", reply: { status: 200, text: JSON.stringify({ output: answer }) }, end: "answered" },
-    { name: "half an answer", reply: { status: 200, text: JSON.stringify({ output: answer.slice(9) }) }, end: "wrong" },
-    { name: "no JSON", reply: { status: 200, text: "x" }, end: "wrong" },
-    { name: "a refusal", reply: { status: 503, text: JSON.stringify({ outcome: "not-run" }) }, end: "not-run" },
-    { name: "a refusal without outcome", reply: { status: 500, text: "" }, end: "failed" },
+const whole = (text: string, status: number = 200): HttpReply => ({ status, text, stream: false });
+
+function streamOf(...events: readonly [name: string, data: object][]): HttpReply {
+    const text = events.map(([name, data]) => `event: ${name}\ndata: ${JSON.stringify(data)}\n\n`).join("");
+    return { status: 200, text, stream: true };
+}
+
+const first = { offset: 0, text: answer.slice(0, 99) };
+const rest = { offset: 99, text: answer.slice(99) };
+const end = { length: answer.length };
+
+const replies: { name: string; reply: HttpReply | undefined; end: CallEnd; }[] = [
+    { name: "the whole answer", reply: whole(JSON.stringify({ output: answer })), end: "answered" },
+    { name: "half an answer", reply: whole(JSON.stringify({ output: answer.slice(9) })), end: "wrong" },
+    { name: "no JSON", reply: whole("x"), end: "wrong" },
+    { name: "a refusal", reply: whole(JSON.stringify({ outcome: "not-run" }), 503), end: "not-run" },
+    { name: "a refusal without outcome", reply: whole("", 500), end: "failed" },
     { name: "no reply", reply: undefined, end: "lost" },
+    { name: "a whole stream", reply: streamOf(["output", first], ["output", rest], ["end", end]), end: "answered" },
+    { name: "a stream without end", reply: streamOf(["output", first], ["output", rest]), end: "lost" },
+    { name: "a stream with a gap", reply: streamOf(["output", rest], ["end", end]), end: "wrong" },
+    { name: "a repeated piece", reply: streamOf(["output", first], ["output", first], ["end", end]), end: "wrong" },
+    { name: "a stream cut short", reply: streamOf(["output", first], ["end", end]), end: "wrong" },
+    {
+        name: "a failure in a stream",
+        reply: streamOf(["output", first], ["failure", { outcome: "failed" }]),
+        end: "failed",
+    },
 ];
 
 for (const row of replies) {
--- a/bench/Workload.ts
+++ b/bench/Workload.ts
@@ -13,6 +13,8 @@
     readonly input: RequestInput;
     /** For pipelines with a stage that is not idempotent. */
     readonly key: string | undefined;
+    /** Whether the caller takes the answer as a stream. */
+    readonly stream: boolean;
 }
 
 export interface RequestInput {
@@ -29,6 +31,8 @@
     readonly burst?: { readonly fromMs: number; readonly toMs: number; readonly factor: number; } | undefined;
 }
 
+/** Share of callers that take a stream where the pipeline offers one. */
+const streamShare = 0.5;
 /** Documents that requests of one workspace share, and their length in characters. */
 const documentsPerWorkspace = 8;
 const documentChars = 2000;
@@ -51,6 +55,7 @@
 ): Arrival[] {
     const stages = Object.entries(settings.pipelines).find(([name]) => name === pipeline)?.[1].stages ?? [];
     const unsafe = stages.some(stage => !stage.idempotent);
+    const streams = stages.at(-1)?.stream === true;
     const workspaces = Object.entries(settings.workspaces).map(([name, { weight }]) => ({ name, weight }));
     const arrivals: Arrival[] = [];
     let atMs = 0;
@@ -63,7 +68,9 @@
         const workspace = pickByWeight(workspaces, random);
         const id = `${pipeline}-${options.seed}-${count}`;
         const document = documentOf(workspace, random.below(documentsPerWorkspace));
-        arrivals.push({ atMs, pipeline, workspace, input: { document, question: id }, key: unsafe ? id : undefined });
+        const key = unsafe ? id : undefined;
+        const stream = streams && random.next() < streamShare;
+        arrivals.push({ atMs, pipeline, workspace, input: { document, question: id }, key, stream });
     }
 }
 
