--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -193,7 +193,7 @@
             this.checkOneMemberChange(batch);
             const entries = batch.map(({ body }): LogEntry => ({ ...body, term }));
             const appending = replica.appendEntries(first, entries);
-            this.nudgeAll();
+            this.replicators.forEach(replicator => replicator.notice());
             if (await appending) {
                 this.ownMatch = replica.log.lastIndex;
                 this.advanceCommit();
@@ -221,7 +221,7 @@
         );
         if (index > replica.commitIndex && replica.log.termAt(index) === term) {
             replica.commitTo(index);
-            this.nudgeAll();
+            this.replicators.forEach(replicator => replicator.notice());
             this.leaveIfRemoved();
         }
     }
--- a/src/replication/NodeDisk.ts
+++ b/src/replication/NodeDisk.ts
@@ -61,7 +61,7 @@
 
     public write(path: string, data: Uint8Array): Promise<Either<DiskError, void>> {
         return attempt(async () => {
-            await this.close(path);
+            await this.closeFile(path);
             await writeFile(path, data);
         });
     }
@@ -91,23 +91,22 @@
 
     public rename(from: string, to: string): Promise<Either<DiskError, void>> {
         return attempt(async () => {
-            await this.close(from);
-            await this.close(to);
+            await this.closeFile(from);
+            await this.closeFile(to);
             await rename(from, to);
         });
     }
 
     public remove(path: string): Promise<Either<DiskError, void>> {
         return attempt(async () => {
-            await this.close(path);
+            await this.closeFile(path);
             await rm(path, { force: true });
         });
     }
 
-    /** Closes all files; the disk may be used again afterwards. */
-    public async closeAll(): Promise<void> {
+    public async close(): Promise<void> {
         for (const path of [...this.appending.keys()]) {
-            await this.close(path);
+            await this.closeFile(path);
         }
     }
 
@@ -121,7 +120,7 @@
         return file;
     }
 
-    private async close(path: string): Promise<void> {
+    private async closeFile(path: string): Promise<void> {
         const file = this.appending.get(path);
         this.appending.delete(path);
         await file?.close();
--- a/src/replication/PeerReplicator.ts
+++ b/src/replication/PeerReplicator.ts
@@ -14,6 +14,7 @@
 const maxEntriesPerMessage = 512;
 const maxCharsPerMessage = 262_144;
 const snapshotPartChars = 262_144;
+const commitDelayMs = 2;
 
 /** What a leader's term gives to its replicators. */
 export interface ReplicatorContext {
@@ -47,30 +48,50 @@
         this.wake = new Notifier(context.clock);
     }
 
-    /** Sends what is new, or a heartbeat, at once. */
+    /** Sends a message at once, if only a heartbeat. */
     public nudge(): void {
         this.isEager = true;
         this.wake.notify();
     }
 
+    /** Looks whether there are new entries, or a new commit index. */
+    public notice(): void {
+        this.wake.notify();
+    }
+
     public stop(): void {
         this.stopped.abort();
     }
 
     public async run(leading: AbortSignal): Promise<void> {
         const signal = AbortSignal.any([leading, this.stopped.signal]);
-        const { replica, timing } = this.context;
+        const { replica, clock, timing } = this.context;
         while (!signal.aborted) {
             this.isEager = false;
             const member = replica.log.members.find(one => one.host === this.host);
             const isAnswered = await this.sendNext(member, signal);
-            const hasMore = this.nextIndex <= replica.log.lastIndex || this.knownCommit < replica.commitIndex;
-            if (!isAnswered) {
-                await this.context.clock.sleep(timing.heartbeatMs, signal);
+            if (isAnswered) {
+                await this.waitForWork(signal);
+            }
+            else {
+                await clock.sleep(timing.heartbeatMs, signal);
             }
-            else if (!hasMore && !this.isEager) {
-                await this.wake.wait(timing.heartbeatMs, signal);
+        }
+    }
+
+    /**
+     * Waits for entries, or until a heartbeat is due. A new commit index alone is sent after a short wait, so that it
+     * travels with the next entry where one follows.
+     */
+    private async waitForWork(signal: AbortSignal): Promise<void> {
+        const { replica, clock, timing } = this.context;
+        const dueMs = clock.nowMs() + timing.heartbeatMs;
+        while (!signal.aborted && !this.isEager && this.nextIndex > replica.log.lastIndex && clock.nowMs() < dueMs) {
+            if (this.knownCommit < Math.min(replica.commitIndex, this.matchIndex)) {
+                await this.wake.wait(commitDelayMs, signal);
+                return;
             }
+            await this.wake.wait(dueMs - clock.nowMs(), signal);
         }
     }
 
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -115,6 +115,7 @@
         }
         this.replica.setRole("stopped", undefined);
         this.replica.waiters.loseAll("the host stops");
+        await this.replica.exclusive(async () => this.options.disk.close?.());
     }
 
     /** Hands leadership to another voter before a planned stop. */
--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -89,6 +89,8 @@
     syncDir(dir: string): Promise<Either<DiskError, void>>;
     rename(from: string, to: string): Promise<Either<DiskError, void>>;
     remove(path: string): Promise<Either<DiskError, void>>;
+    /** Closes what is held open; the disk may be used again afterwards. */
+    close?(): Promise<void>;
 }
 
 /** One host of a group. A voter counts only under the replica id that its disk carries. */
