Compact by size too, and take requests for different leases at once

Cause: entries of a megabyte would fill memory long before 4,096 of them; leases of many endpoints would wait for each other's commits; two hosts that name each other as leader would be asked without a pause. Change: the log is compacted at 8 MB as well, leases are taken in 64 queues by name, a leader client pauses after as many tries as there are hosts, and a removed host that does not answer is given up after an election time.

--- a/src/config/LeaseTable.ts
+++ b/src/config/LeaseTable.ts
@@ -3,7 +3,9 @@
  * gets a new epoch; renewals are kept in the leader's memory. A new leader knows no renewals, and waits out a
  * lease's full duration before it gives it to another holder.
  */
+import { crc32 } from "node:zlib";
 import PQueue from "p-queue";
+import { invariant } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
 import type { Json, ReplicatedLog } from "../replication/Types.js";
 import type { ConfigCommand, LeaseCommandResult } from "./ConfigCommands.js";
@@ -11,6 +13,8 @@
 import type { ConfigState } from "./ConfigState.js";
 import type { LeaseRecord } from "./LeaseRecords.js";
 
+const queueCount = 64;
+
 /** What the leader remembers of a lease that it granted or renewed in its own term. */
 interface Renewal {
     readonly epoch: number;
@@ -18,7 +22,8 @@
 }
 
 export class LeaseTable {
-    private readonly queue = new PQueue({ concurrency: 1 });
+    /** Requests for one lease are taken one after the other. */
+    private readonly queues = Array.from({ length: queueCount }, () => new PQueue({ concurrency: 1 }));
     private renewals = new Map<string, Renewal>();
     private term = 0;
     private termStartMs = 0;
@@ -33,14 +38,14 @@
 
     /** Grants or renews; undefined when this host does not lead. */
     public acquire(req: LeaseRequest): Promise<LeaseReply | undefined> {
-        return this.queue.add(async () => {
+        return this.queueOf(req.name).add(async () => {
             const isLeading = await this.confirmLeading(req.timeoutMs);
             return isLeading ? this.decide(req) : undefined;
         });
     }
 
     public release(req: ReleaseRequest): Promise<{ readonly kind: "released"; } | undefined> {
-        return this.queue.add(async () => {
+        return this.queueOf(req.name).add(async () => {
             if (!await this.confirmLeading(req.timeoutMs)) {
                 return undefined;
             }
@@ -49,6 +54,12 @@
         });
     }
 
+    private queueOf(name: string): PQueue {
+        const queue = this.queues[crc32(name) % queueCount];
+        invariant(queue !== undefined, "every lease has a queue");
+        return queue;
+    }
+
     /** True once this host is proven to lead; forgets what it knew in an earlier term. */
     private async confirmLeading(timeoutMs: number): Promise<boolean> {
         if (this.raft.status().role !== "leader") {
--- a/src/replication/GroupStorage.ts
+++ b/src/replication/GroupStorage.ts
@@ -53,9 +53,15 @@
 
 export class GroupStorage {
     private generation = 0;
+    private logBytesNow = 0;
 
     public constructor(private readonly disk: Disk, private readonly dir: string) {}
 
+    /** Size of the log file. */
+    public get logBytes(): number {
+        return this.logBytesNow;
+    }
+
     /** Reads what is there; `makeReplica` gives the id of a disk that is used for the first time. */
     public async open(makeReplica: () => string): Promise<Either<StorageError, StoredState>> {
         const made = await this.disk.makeDir(this.dir);
@@ -91,7 +97,9 @@
     ): Promise<Either<StorageError, void>> {
         const record: LogRecord = { kind: "entries", first, entries, commit };
         const path = this.path(`log-${this.generation}`);
-        const appended = await this.disk.append(path, frameOf(record));
+        const frame = frameOf(record);
+        this.logBytesNow += frame.length;
+        const appended = await this.disk.append(path, frame);
         return appended.isLeft() ? appended : this.disk.sync(path);
     }
 
@@ -111,9 +119,11 @@
             frames.push(frameOf({ kind: "entries", first, entries, commit } satisfies LogRecord));
         }
         const next = this.generation + 1;
-        const written = await this.replaceFile(`log-${next}`, Buffer.concat(frames));
+        const data = Buffer.concat(frames);
+        const written = await this.replaceFile(`log-${next}`, data);
         if (written.isRight()) {
             this.generation = next;
+            this.logBytesNow = data.length;
         }
         return written;
     }
--- a/src/replication/LeaderClient.ts
+++ b/src/replication/LeaderClient.ts
@@ -27,7 +27,7 @@
     readonly clock: Clock;
     /** Hosts that may lead. */
     readonly hosts: () => readonly HostId[];
-    /** Pause after all hosts have been asked in vain. */
+    /** Pause after as many tries as there are hosts. */
     readonly pauseMs: number;
     /** True once this host leads itself, so that asking others has no use. */
     readonly leadsSelf?: () => boolean;
@@ -75,7 +75,7 @@
                     break;
                 }
             }
-            if (this.leader === undefined && tries % Math.max(1, this.options.hosts().length) === 0) {
+            if (tries % Math.max(2, this.options.hosts().length) === 0) {
                 await clock.sleep(Math.min(pauseMs, Math.max(0, deadlineMs - clock.nowMs())));
             }
         }
--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -289,13 +289,19 @@
         for (const [host, replicator] of this.replicators) {
             const hasLearnt = replicator.matchIndex >= replica.log.membersIndex;
             const isCommitted = replica.commitIndex >= replica.log.membersIndex;
-            if (!hosts.has(host) && isCommitted && (hasLearnt || replicator.contactMs === undefined)) {
+            if (!hosts.has(host) && isCommitted && (hasLearnt || !this.hasHeardFrom(replicator))) {
                 replicator.stop();
                 this.replicators.delete(host);
             }
         }
     }
 
+    private hasHeardFrom(replicator: PeerReplicator): boolean {
+        const { clock, timing } = this.context;
+        const { contactMs } = replicator;
+        return contactMs !== undefined && clock.nowMs() - contactMs < timing.electionMs;
+    }
+
     private startReplicator(host: HostId): void {
         const replicator = new PeerReplicator(host, {
             ...this.context,
--- a/src/replication/RaftFaults.test.ts
+++ b/src/replication/RaftFaults.test.ts
@@ -6,9 +6,27 @@
 import type { Clock } from "../common/Types.js";
 import type { HostId } from "../common/Types.js";
 import { RemoteLog } from "./RemoteLog.js";
+import type { Json, StateMachine } from "./Types.js";
 
 type Cluster = RaftCluster<ListMachine>;
 
+class CountMachine implements StateMachine {
+    public count = 0;
+
+    public apply(): number {
+        this.count += 1;
+        return this.count;
+    }
+
+    public snapshot(): number {
+        return this.count;
+    }
+
+    public restore(snapshot: Json): void {
+        this.count = snapshot as number;
+    }
+}
+
 async function threeHosts(seed: number = 1): Promise<Cluster> {
     const cluster = new RaftCluster({
         seed,
@@ -185,6 +203,26 @@
     await cluster.stopAll();
 });
 
+test("large entries are compacted by their size", async () => {
+    const cluster = new RaftCluster({
+        voters: ["a", "b", "c"],
+        makeMachine: () => new CountMachine(),
+        compaction: { compactEntries: 10_000, keepEntries: 1000, compactBytes: 400_000 },
+    });
+    const leader = await cluster.leader();
+    const large = "x".repeat(50_000);
+    for (let item = 0; item < 40; item++) {
+        assert.ok((await cluster.settle(leader.raft.propose(large, 2000))).isRight());
+    }
+    await cluster.clock.advance(2000);
+    for (const host of cluster.up()) {
+        const bytes = host.disk.paths().reduce((sum, path) => sum + host.disk.content(path)!.length, 0);
+        assert.ok(bytes < 1_000_000, `${host.id} holds ${bytes} bytes of the 2,000,000 written`);
+        assert.equal(host.machine.count, 40);
+    }
+    await cluster.stopAll();
+});
+
 test("messages lost, doubled, reordered and late change nothing", async () => {
     const cluster = await threeHosts(7);
     Object.assign(cluster.network.faults, { maxDelayMs: 60, loseRequest: 0.1, loseReply: 0.1, doubleRequest: 0.2 });
--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -15,11 +15,14 @@
 
 /** Shortest time between two notes of the commit index on disk. */
 const recordCommitEveryMs = 200;
+const defaultCompactBytes = 8_388_608;
 
 /** Entries after which the log is compacted, and how many of them stay for followers that lag. */
 export interface CompactionLimits {
     readonly compactEntries: number;
     readonly keepEntries: number;
+    /** Size of the log file that makes it be compacted, however few its entries. */
+    readonly compactBytes?: number;
 }
 
 export class Replica {
@@ -241,8 +244,7 @@
 
     /** Replaces the front of a long log by a snapshot. Called within {@link exclusive}. */
     public async compact(): Promise<void> {
-        const start = this.latestSnapshot?.index ?? 0;
-        if (this.appliedTo - start < this.limits.compactEntries || this.appliedTo > this.log.lastIndex) {
+        if (!this.isCompactionDue()) {
             return;
         }
         const index = this.appliedTo;
@@ -252,7 +254,7 @@
         const snapshot = { index, term, members, state: this.stateMachine.snapshot() };
         const saved = await this.storage.saveSnapshot(snapshot);
         if (saved.isRight()) {
-            this.log.dropUpTo(Math.min(index - this.limits.keepEntries, index));
+            this.log.dropUpTo(index - this.entriesToKeep());
             this.latestSnapshot = snapshot;
         }
         const rewritten = saved.isLeft() ? saved : await this.storage.rewriteLog(this.logToStore());
@@ -260,6 +262,21 @@
         removed.ifLeft(error => this.fail(error));
     }
 
+    private isCompactionDue(): boolean {
+        const applied = this.appliedTo - (this.latestSnapshot?.index ?? 0);
+        const isLarge = this.storage.logBytes >= (this.limits.compactBytes ?? defaultCompactBytes);
+        const isDue = applied >= this.limits.compactEntries || (isLarge && applied > 0);
+        return isDue && this.appliedTo <= this.log.lastIndex;
+    }
+
+    /** Entries that stay for followers that lag, as far as they take a quarter of the log's bytes at most. */
+    private entriesToKeep(): number {
+        const held = Math.max(1, this.log.lastIndex - this.log.baseIndex);
+        const bytesPerEntry = Math.max(1, this.storage.logBytes / held);
+        const compactBytes = this.limits.compactBytes ?? defaultCompactBytes;
+        return Math.min(this.limits.keepEntries, Math.floor(compactBytes / 4 / bytesPerEntry));
+    }
+
     /** Stops taking part: what was not on disk is not acknowledged. */
     public fail(error: StorageError): void {
         this.storageFault = error;
