--- a/bench/replication.ts
+++ b/bench/replication.ts
@@ -6,7 +6,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { loadavg } from "node:os";
 import { join, resolve } from "node:path";
-import type { ChangeId } from "../src/common/Types.js";
+import type { ChangeId, HostId } from "../src/common/Types.js";
 import { baseText, Site, siteHosts } from "./replication/Site.js";
 
 const results = resolve(import.meta.dirname, "../../bench/results");
@@ -98,6 +98,16 @@
     return { delayMs, changes, acceptedMs: distribution(accepted), inForceMs: distribution(inForce) };
 }
 
+/** Time from the start of one host until the last change is in force there. */
+async function timeRestart(site: Site, id: HostId | undefined, changesMade: number): Promise<number> {
+    const startMs = site.clock.nowMs();
+    const host = id === undefined ? undefined : await site.restartOne(id);
+    while ((host?.config?.current()?.version ?? 0) <= changesMade) {
+        await site.clock.sleep(1);
+    }
+    return round(site.clock.nowMs() - startMs);
+}
+
 /** Time from the start of all hosts until the last of `changesMade` changes is in force on each of them. */
 async function benchRestart(changesMade: number) {
     const site = new Site({ delayMs: 0, groups: ["config"], hosts: siteHosts });
@@ -108,6 +118,11 @@
         await writer?.change(changeOf(number), 10_000);
     }
     await site.waitForVersion(changesMade + 1);
+    const leader = await site.leader("config");
+    const follower = site.hosts.find(host => host.host.isVoter && !host.replicas.includes(leader))?.host.id;
+    const entry = site.hosts.find(host => !host.host.isVoter)?.host.id;
+    const oneControlHostMs = await timeRestart(site, follower, changesMade);
+    const oneEntryHostMs = await timeRestart(site, entry, changesMade);
     await site.stopHosts();
     const startMs = site.clock.nowMs();
     await site.start();
@@ -125,6 +140,8 @@
     site.removeFiles();
     return {
         changes: changesMade,
+        oneControlHostMs,
+        oneEntryHostMs,
         controlHostsMs: round(Math.max(...times.filter(time => time.isControl).map(time => time.ms))),
         allHostsMs: round(Math.max(...times.map(time => time.ms))),
         leaderMs: round(leaderMs),
--- a/bench/replication/Site.ts
+++ b/bench/replication/Site.ts
@@ -107,23 +107,26 @@
         }
         this.hosts = this.options.hosts.map(host => this.build(host));
         for (const host of this.hosts) {
-            await new Promise<void>(done => host.server?.listen(this.ports.get(host.host.id), "127.0.0.1", done));
-        }
-        for (const host of this.hosts) {
-            host.replicas.forEach(replica => host.running.push(replica.run(host.stop.signal)));
-            host.running.push(host.config?.run(host.stop.signal) ?? Promise.resolve());
+            await this.listen(host);
         }
+        this.hosts.forEach(host => this.run(host));
+    }
+
+    /** Stops one host and starts it again; the others go on. */
+    public async restartOne(id: HostId): Promise<RunningHost> {
+        const old = this.hosts.find(host => host.host.id === id)!;
+        await this.stopOne(old);
+        const restarted = this.build(old.host);
+        this.hosts = this.hosts.map(host => host === old ? restarted : host);
+        await this.listen(restarted);
+        this.run(restarted);
+        return restarted;
     }
 
     public async stopHosts(): Promise<void> {
+        this.hosts.forEach(host => host.stop.abort());
         for (const host of this.hosts) {
-            host.stop.abort();
-        }
-        for (const host of this.hosts) {
-            host.transport?.dispose();
-            host.server?.closeAllConnections();
-            await new Promise(done => host.server?.close(done));
-            await Promise.all(host.running);
+            await this.stopOne(host);
         }
     }
 
@@ -166,6 +169,23 @@
         return bytes;
     }
 
+    private listen(host: RunningHost): Promise<void> {
+        return new Promise(done => host.server?.listen(this.ports.get(host.host.id), "127.0.0.1", done));
+    }
+
+    private run(host: RunningHost): void {
+        host.replicas.forEach(replica => host.running.push(replica.run(host.stop.signal)));
+        host.running.push(host.config?.run(host.stop.signal) ?? Promise.resolve());
+    }
+
+    private async stopOne(host: RunningHost): Promise<void> {
+        host.stop.abort();
+        host.transport?.dispose();
+        host.server?.closeAllConnections();
+        await new Promise(done => host.server?.close(done));
+        await Promise.all(host.running);
+    }
+
     private build(host: SiteHost): RunningHost {
         const running = new RunningHost(host);
         const self = host.id;
