Hosts without a replica hear of jobs and crash marks without a commit

Cause: at idle, the 3 of 6 demo hosts without a replica proposed about 20 commands a second to the records group (they polled for jobs and marks by queries through the log), and every one was appended, synced and sent on. Ruled out: the replicas' own polling, which looks at the local state first. Change: a long poll at a host with a replica (RecordsNews).

--- a/src/daemon/ConfigRoutes.ts
+++ b/src/daemon/ConfigRoutes.ts
@@ -1,7 +1,7 @@
 /** Operators' routes that change the configuration. */
 import { z } from "zod";
 import { parseChangeId, parseDataCentreId, parseEndpointId } from "../common/Ids.js";
-import type { ConfigChange, ConfigChangeError, ConfigChangeResult, ConfigWriter } from "../config/Types.js";
+import type { ConfigChangeError, ConfigChangeResult, ConfigWriter } from "../config/Types.js";
 import type { OperatorReply, OperatorRoute } from "../entry/Types.js";
 
 const changeTimeoutMs = 10_000;
@@ -43,7 +43,7 @@
     return parsed;
 }
 
-/** `POST /v1/operator/config/change` with a {@link ConfigChange}. */
+/** `POST /v1/operator/config/change`. */
 export function changeRoute(writer: ConfigWriter): OperatorRoute {
     return {
         method: "POST",
--- a/src/daemon/ControlPart.ts
+++ b/src/daemon/ControlPart.ts
@@ -10,6 +10,7 @@
 import { checkDocuments } from "../config/Loader.js";
 import type { ConfigSource, ConfigWriter, LeaseService } from "../config/Types.js";
 import { RecordsClient } from "../records/RecordsClient.js";
+import { RecordsNewsClient, RecordsNewsServer } from "../records/RecordsNews.js";
 import { RecordsState } from "../records/RecordsState.js";
 import { NodeDisk } from "../replication/NodeDisk.js";
 import { RaftLog } from "../replication/RaftLog.js";
@@ -57,6 +58,7 @@
     const recordsState = new RecordsState();
     const recordsLog = buildReplica(base, dataDir, recordsGroup, recordsState);
     const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base), recordsState);
+    new RecordsNewsServer(recordsState, recordsLog.onApplied, base.clock).register(base.registry);
     return {
         config,
         records,
@@ -108,8 +110,15 @@
         log: base.log,
     });
     const recordsLog = remote(recordsGroup);
-    const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base));
-    return { config, records, replicas: [], remotes: [remote(configGroup), recordsLog], services: [config, records] };
+    const news = new RecordsNewsClient({ sources: controlHosts, transport: base.transport, clock: base.clock });
+    const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base), undefined, news);
+    return {
+        config,
+        records,
+        replicas: [],
+        remotes: [remote(configGroup), recordsLog],
+        services: [config, records, news],
+    };
 }
 
 function sessionOptions(base: DaemonBase) {
--- a/src/records/RecordsClient.ts
+++ b/src/records/RecordsClient.ts
@@ -13,6 +13,7 @@
 import type { HolderBeat, RecordsBody, RecordsCommand, RecordsReply, RecordsResult, SessionId } from "./Commands.js";
 import { sessionText, type Ticket, toJson } from "./Commands.js";
 import { GroupTime } from "./GroupTime.js";
+import type { RecordsNewsClient } from "./RecordsNews.js";
 import type { QueryBody, RecordsState } from "./RecordsState.js";
 import { SessionWatch } from "./SessionWatch.js";
 import type { RecordsError } from "./Types.js";
@@ -63,6 +64,8 @@
         private readonly options: RecordsClientOptions,
         /** The state machine that this host's member of the group applies to; undefined where there is none. */
         public readonly replica?: RecordsReplica,
+        /** What a host without a replica hears from one with it. */
+        public readonly news?: RecordsNewsClient,
     ) {
         this.current = { host: options.host, incarnation: options.incarnation, epoch: 1 };
         this.time = new GroupTime(clock);
@@ -85,6 +88,11 @@
         return this.heardAtMs + this.options.leaseMs * (1 - driftShare);
     }
 
+    /** What this host knows of the group's jobs without a command; undefined where it has to ask. */
+    public get jobsSeen(): Pick<RecordsReplica, "queuedJobs" | "jobHolders"> | undefined {
+        return this.replica ?? this.news;
+    }
+
     /** Fires when entries were applied on this host. */
     public get onApplied(): Event<number> {
         return this.log.onApplied;
--- a/src/records/ReplicatedJobs.ts
+++ b/src/records/ReplicatedJobs.ts
@@ -102,7 +102,7 @@
                 return lease;
             }
             await this.pause(Math.min(pauseMs, Math.max(0, untilMs - this.clock.nowMs())));
-            pauseMs = Math.min(pauseMs * 2, this.client.replica === undefined ? mostRemotePollMs : mostPollMs);
+            pauseMs = Math.min(pauseMs * 2, this.client.jobsSeen === undefined ? mostRemotePollMs : mostPollMs);
         }
         return undefined;
     }
@@ -114,11 +114,11 @@
         this.changeEmitter.fire(lease.job.id);
     }
 
-    /** Asks for a job; a replica is asked first whether there is any. */
+    /** Asks for a job; what this host knows without a command is looked at first. */
     private async look(timeoutMs: number): Promise<JobLease | undefined> {
-        const { replica } = this.client;
-        if (replica?.queuedJobs === 0) {
-            await this.watch(replica.jobHolders, timeoutMs);
+        const seen = this.client.jobsSeen;
+        if (seen?.queuedJobs === 0) {
+            await this.watch(seen.jobHolders, timeoutMs);
             return undefined;
         }
         return this.tryTake(timeoutMs);
@@ -132,8 +132,10 @@
                 woken.abort();
             }
         });
+        const newsListener = this.client.news?.onQueuedJobs(() => woken.abort());
         await this.clock.sleep(pauseMs, woken.signal);
         listener.dispose();
+        newsListener?.dispose();
     }
 
     private async tryTake(timeoutMs: number): Promise<JobLease | undefined> {
--- a/src/records/ReplicatedQuarantine.ts
+++ b/src/records/ReplicatedQuarantine.ts
@@ -15,6 +15,8 @@
     public readonly name = "quarantine";
     private readonly marks = new Map<Fingerprint, CrashMark>();
     private version = 0;
+    /** The newest version of the marks that a command's result has named. */
+    private newestSeen = 0;
     private wake: (() => void) | undefined;
 
     public constructor(
@@ -25,10 +27,12 @@
     ) {
         announcer?.onAnnounced(mark => this.adopt(mark));
         client.onResult(result => {
+            this.newestSeen = Math.max(this.newestSeen, result.marksVersion);
             if (result.marksVersion > this.version) {
                 this.wake?.();
             }
         });
+        client.news?.onMarks(reply => this.learn(reply));
         client.onApplied(() => {
             if ((client.replica?.marksVersion ?? 0) > this.version) {
                 this.refreshFromReplica();
@@ -70,7 +74,7 @@
     /** Keeps the copy fresh until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.refresh();
+            await (this.client.news === undefined ? this.refresh() : this.refreshNewer());
             const woken = new AbortController();
             const stop = () => woken.abort();
             this.wake = stop;
@@ -80,6 +84,13 @@
         }
     }
 
+    /** Asks only when a command's result has named newer marks than the news brought. */
+    private async refreshNewer(): Promise<void> {
+        if (this.newestSeen > this.version) {
+            await this.refresh();
+        }
+    }
+
     /** Asks for the marks that have changed. */
     public async refresh(): Promise<void> {
         if (this.client.replica !== undefined) {
