Exclusive slots: one call alone on an endpoint

Cause: a call suspected of crashing endpoints has to be tried alone, so that nothing else shares its endpoint. Change: a holder asks for an exclusive slot; the owner gives nothing else out, waits until all that it counts has ended, and keeps the endpoint for that one call. The holder's waiting queue, its evidence and its slots are classes of their own now.

--- a/src/endpoints/HeldEndpoint.ts
+++ b/src/endpoints/HeldEndpoint.ts
@@ -4,27 +4,22 @@
  */
 import { type Either, Left, Right } from "purify-ts";
 import { invariant } from "../common/Invariant.js";
-import type { Clock, Disposable, EndpointId, HostId } from "../common/Types.js";
+import type { Clock, EndpointId, HostId } from "../common/Types.js";
+import { EvidenceLog } from "./EvidenceLog.js";
+import { HeldSlot } from "./HeldSlot.js";
 import { scarceLimit } from "./SlotLedger.js";
-import type { SlotAnswer, SlotEntry, SlotEvidence, SlotPush } from "./SlotMessages.js";
+import type { SlotAnswer, SlotEntry, SlotPush } from "./SlotMessages.js";
+import { SlotWaiters } from "./SlotWaiters.js";
 import type { CallEnd, CallEvidence, EndpointState, Slot, SlotError, SlotRequest } from "./Types.js";
 
 /** Added to the longest call seen, so that the bound told to the owner serves until the next renewal. */
 const boundHeadroomMs = 5000;
 /** How long a refusal as closed is believed before the owner is asked again. */
 const closedBeliefMs = 2000;
-/** Times of calls kept for the median. */
-const timesKept = 32;
-/** First-byte times sent with one message at most. */
-const firstBytesSent = 8;
 /** Slots wanted beyond the recent peak, as a share of it. */
 const spareShare = 0.25;
-
-interface Waiter {
-    readonly req: SlotRequest;
-    readonly settle: (result: Either<SlotError, Slot>) => void;
-    readonly timer: Disposable;
-}
+/** Retry hint before the first call has shown how long one takes. */
+const defaultRetryMs = 1000;
 
 type Granted = Extract<SlotAnswer, { readonly kind: "granted"; }>;
 
@@ -44,9 +39,11 @@
     private covered = 0;
     /** Slots on which a call has begun. */
     private begun = 0;
-    private tellsBelief = false;
     /** What the owner counts for this host at most. */
     private ceiling = 0;
+    /** True while this host alone may have a call on the endpoint. */
+    private exclusive = false;
+    private tellsBelief = false;
     private leaseUntilMs = Number.NEGATIVE_INFINITY;
     private sentAtMs = 0;
     private callsEndMs = Number.NEGATIVE_INFINITY;
@@ -59,11 +56,9 @@
     private succeededAtMs = Number.NEGATIVE_INFINITY;
     private latestCallEndMs = 0;
     private longestCallMs = 0;
-    private waiters: Waiter[] = [];
-    private era = 0;
-    private evidence = noEvidence(0);
-    private sentEvidence: SlotEvidence | undefined;
-    private times: number[] = [];
+    private readonly waiters: SlotWaiters;
+    private readonly lonelyWaiters: SlotWaiters;
+    private readonly evidence = new EvidenceLog();
 
     public constructor(
         public readonly id: EndpointId,
@@ -73,6 +68,14 @@
         private readonly wake: () => void,
     ) {
         this.limit = coldLimit;
+        const expired = (): SlotError => {
+            // A queue that has ended must not hold back the rest of the endpoint's work.
+            this.dirty = true;
+            const retryAfterMs = Math.ceil(this.recentMs ?? defaultRetryMs);
+            return { kind: "no-slot", endpoint: this.id, retryAfterMs };
+        };
+        this.waiters = new SlotWaiters(clock, expired);
+        this.lonelyWaiters = new SlotWaiters(clock, expired);
     }
 
     public get inUse(): number {
@@ -80,7 +83,7 @@
     }
 
     public get waiting(): number {
-        return this.waiters.length;
+        return this.waiters.size + this.lonelyWaiters.size;
     }
 
     /** Slots that can be taken at once. */
@@ -89,8 +92,7 @@
     }
 
     public get recentMs(): number | undefined {
-        const sorted = [...this.times].sort((a, b) => a - b);
-        return sorted[Math.floor(sorted.length / 2)];
+        return this.evidence.recentMs;
     }
 
     /** True while the owner has lately said that the endpoint takes no new work. */
@@ -105,7 +107,7 @@
             return true;
         }
         const nowMs = this.clock.nowMs();
-        const isNeeded = this.using > 0 || this.waiters.length > 0 || nowMs - this.usedAtMs < leaseMs;
+        const isNeeded = this.using > 0 || this.waiting > 0 || nowMs - this.usedAtMs < leaseMs;
         return isNeeded && this.leaseUntilMs - nowMs < leaseMs / 2 && nowMs - this.sentAtMs >= leaseMs / 4;
     }
 
@@ -115,93 +117,78 @@
         if (this.isClosed) {
             return Promise.resolve(Left({ kind: "closed", endpoint: this.id, state: this.state }));
         }
-        if (this.canTake(req)) {
-            return Promise.resolve(Right(this.take(req)));
+        if (req.exclusive !== true && this.canTake(req)) {
+            return Promise.resolve(Right(this.take(req, false)));
         }
-        return this.wait(req);
+        const slot = (req.exclusive === true ? this.lonelyWaiters : this.waiters).add(req);
+        this.dirty = true;
+        this.wake();
+        return slot;
     }
 
     /** Makes the next message. From now on this host keeps to what the message says it holds. */
     public compose(): SlotEntry {
         const nowMs = this.clock.nowMs();
-        this.peak = Math.max(this.using + this.waiters.length, Math.floor(this.peak * (1 - spareShare)));
-        const spare = this.scarce ? 0 : Math.ceil((this.peak + 1) * spareShare);
-        const want = Math.max(this.using + this.waiters.length, this.scarce ? 0 : this.peak) + spare;
-        const kept = this.isLive() ? Math.min(this.allowed, want) : 0;
-        this.allowed = Math.max(kept, 0);
-        const held = Math.max(this.using, this.allowed);
-        const first = this.waiters[0]?.req;
-        const believed = this.tellsBelief && this.stateAtMs > Number.NEGATIVE_INFINITY
-            ? { believed: this.believed(nowMs) }
-            : {};
+        const needed = this.using + this.waiters.size;
+        this.peak = Math.max(needed, Math.floor(this.peak * (1 - spareShare)));
+        const want = this.scarce ? needed : this.peak + Math.ceil((this.peak + 1) * spareShare);
+        this.allowed = this.isLive() ? Math.min(this.allowed, want) : 0;
+        this.ceiling = Math.max(this.using, this.allowed);
         this.seq += 1;
         this.grantNo = -1;
-        this.ceiling = held;
         this.sentAtMs = nowMs;
         this.dirty = false;
         this.sentCallsEndMs = Math.max(nowMs + this.longestCallMs + boundHeadroomMs, this.latestCallEndMs);
         this.callsEndMs = Math.min(this.callsEndMs, this.sentCallsEndMs);
-        this.sentEvidence = this.evidence;
-        this.evidence = noEvidence(this.era);
+        const first = this.waiters.first ?? this.lonelyWaiters.first;
         return {
             endpoint: this.id,
             seq: this.seq,
-            held,
+            held: this.ceiling,
             inUse: this.using,
             want,
-            waiting: this.waiters.length,
+            waiting: this.waiters.size,
             priority: first?.priority ?? 2,
             deadlineInMs: first === undefined ? 0 : first.deadlineMs - nowMs,
             callBoundMs: this.sentCallsEndMs - nowMs,
-            evidence: this.sentEvidence,
-            ...believed,
+            evidence: this.evidence.takeOut(),
+            ...(this.lonelyWaiters.size > 0 ? { wantsExclusive: true } : {}),
+            ...(this.exclusive ? { exclusive: true } : {}),
+            ...(this.tellsBelief && this.stateAtMs > Number.NEGATIVE_INFINITY ? { believed: this.believed() } : {}),
         };
     }
 
-    private believed(nowMs: number): NonNullable<SlotEntry["believed"]> {
-        const provenAgeMs = Math.min(nowMs - this.succeededAtMs, Number.MAX_SAFE_INTEGER);
-        return { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs, provenAgeMs };
-    }
-
     public apply(answer: Granted): void {
         if (answer.seq !== this.seq) {
             return;
         }
         this.leaseUntilMs = this.sentAtMs + answer.leaseMs;
         this.callsEndMs = this.sentCallsEndMs;
-        this.sentEvidence = undefined;
         this.state = answer.state;
         this.stateAtMs = this.clock.nowMs();
         this.limit = answer.limit;
-        this.followEra(answer.era);
-        this.scarce = answer.scarce;
+        this.evidence.answered(answer.era);
         const { reported } = answer;
         this.reported = reported === undefined
             ? undefined
             : { running: reported.running, waiting: reported.waiting, atMs: this.clock.nowMs() - reported.ageMs };
         this.tellsBelief = false;
-        this.allow(answer.grantNo, answer.granted, answer.covered);
+        this.allow(answer);
         if (this.isClosed) {
             this.failWaiters({ kind: "closed", endpoint: this.id, state: this.state });
         }
     }
 
     public applyPush(push: SlotPush): void {
-        if (push.seq === this.seq && push.grantNo > this.grantNo) {
-            this.scarce = push.scarce;
-            this.allow(push.grantNo, push.granted, push.covered);
+        if (push.seq === this.seq) {
+            this.allow(push);
             this.tellWhatIsFree();
         }
     }
 
     /** The message was not answered: what it told of troubles is told again. */
     public unanswered(): void {
-        const lost = this.sentEvidence;
-        this.sentEvidence = undefined;
-        if (lost !== undefined) {
-            // Successes are dropped, since hearing of them twice would raise the limit too soon.
-            addTroubles(this.evidence, lost);
-        }
+        this.evidence.unanswered();
     }
 
     /** Another host is the owner now; it is told what this host holds. */
@@ -209,18 +196,14 @@
         if (this.owner !== owner) {
             this.owner = owner;
             this.tellsBelief = true;
-            this.dirty = this.using > 0 || this.waiters.length > 0;
+            this.dirty = this.using > 0 || this.waiting > 0;
         }
     }
 
     /** Refuses everybody who waits. */
     public failWaiters(error: SlotError): void {
-        const waiters = this.waiters;
-        this.waiters = [];
-        for (const waiter of waiters) {
-            waiter.timer.dispose();
-            waiter.settle(Left(error));
-        }
+        this.waiters.failAll(error);
+        this.lonelyWaiters.failAll(error);
     }
 
     private isLive(): boolean {
@@ -231,97 +214,78 @@
         return this.isLive() && this.using < this.allowed && req.deadlineMs <= this.callsEndMs;
     }
 
-    private followEra(era: number): void {
-        if (era !== this.era) {
-            this.era = era;
-            this.evidence = { ...this.evidence, era, succeeded: 0, firstByteMs: [] };
-        }
+    private believed(): NonNullable<SlotEntry["believed"]> {
+        const nowMs = this.clock.nowMs();
+        const provenAgeMs = Math.min(nowMs - this.succeededAtMs, Number.MAX_SAFE_INTEGER);
+        return { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs, provenAgeMs };
     }
 
-    private allow(grantNo: number, granted: number, covered: number): void {
-        if (grantNo > this.grantNo) {
-            this.grantNo = grantNo;
-            this.allowed = granted;
-            this.ceiling = Math.max(this.ceiling, granted);
-            this.covered = covered;
+    private allow(grant: Pick<SlotPush, "grantNo" | "granted" | "covered" | "scarce" | "exclusive">): void {
+        if (grant.grantNo > this.grantNo) {
+            this.grantNo = grant.grantNo;
+            this.scarce = grant.scarce;
+            this.allowed = grant.granted;
+            this.covered = grant.covered;
+            this.ceiling = Math.max(this.ceiling, grant.granted, grant.exclusive ? 1 : 0);
+            if (grant.exclusive && !this.exclusive) {
+                this.takeExclusive();
+            }
         }
         this.serve();
     }
 
-    private serve(): void {
-        for (let next = this.waiters[0]; next !== undefined; next = this.waiters[0]) {
-            if (!this.canTake(next.req)) {
-                return;
-            }
-            this.waiters.shift();
-            next.timer.dispose();
-            next.settle(Right(this.take(next.req)));
+    /** The endpoint is empty and kept for one call of this host. */
+    private takeExclusive(): void {
+        const first = this.lonelyWaiters.first;
+        if (first !== undefined && this.isLive() && first.deadlineMs <= this.callsEndMs && this.using === 0) {
+            this.exclusive = true;
+            this.lonelyWaiters.serve(req => this.take(req, true));
+            return;
         }
+        // Nobody waits any more: the next message gives the endpoint free again.
+        this.dirty = true;
     }
 
-    private wait(req: SlotRequest): Promise<Either<SlotError, Slot>> {
-        return new Promise(resolve => {
-            const nowMs = this.clock.nowMs();
-            const expire = () => {
-                this.waiters = this.waiters.filter(one => one !== waiter);
-                const retryAfterMs = Math.ceil(this.recentMs ?? 1000);
-                waiter.settle(Left({ kind: "no-slot", endpoint: this.id, retryAfterMs }));
-            };
-            const aborted = () => {
-                waiter.timer.dispose();
-                expire();
-            };
-            const waiter: Waiter = {
-                req,
-                settle: result => {
-                    req.signal?.removeEventListener("abort", aborted);
-                    resolve(result);
-                },
-                timer: this.clock.setTimer(Math.max(0, req.deadlineMs - nowMs), expire),
-            };
-            this.waiters.push(waiter);
-            this.waiters.sort((a, b) => a.req.priority - b.req.priority || a.req.deadlineMs - b.req.deadlineMs);
-            req.signal?.addEventListener("abort", aborted, { once: true });
-            if (req.signal?.aborted === true) {
-                aborted();
-                return;
-            }
-            this.dirty = true;
-            this.wake();
-        });
+    private serve(): void {
+        for (let first = this.waiters.first; first !== undefined && this.canTake(first); first = this.waiters.first) {
+            this.waiters.serve(req => this.take(req, false));
+        }
     }
 
-    private take(req: SlotRequest): Slot {
+    private take(req: SlotRequest, exclusive: boolean): Slot {
         this.using += 1;
         this.peak = Math.max(this.peak, this.using);
         this.latestCallEndMs = Math.max(this.latestCallEndMs, req.deadlineMs);
-        invariant(this.using <= this.ceiling, "a host uses no more slots than its owner counts for it", {
-            endpoint: this.id,
-            using: this.using,
-            ceiling: this.ceiling,
-        });
-        return new HeldSlot(this.id, this.leaseUntilMs, {
+        const { using, ceiling } = this;
+        const details = { endpoint: this.id, using, ceiling };
+        invariant(using <= ceiling, "a host uses no more slots than its owner counts for it", details);
+        return new HeldSlot(this.id, this.leaseUntilMs, exclusive, {
             begin: () => this.begin(),
-            end: (end, evidence, era) => {
-                this.begun -= era === undefined ? 0 : 1;
-                this.release(end, evidence, era === this.era);
-            },
+            end: (end, evidence, era) => this.release(end, evidence, era, exclusive),
         });
     }
 
-    /** @returns the era in which the call begins, or undefined when it may not begin. */
     private begin(): number | undefined {
         if (!this.isLive() || this.isClosed || this.begun >= this.covered) {
             return undefined;
         }
         this.begun += 1;
-        return this.era;
+        return this.evidence.era;
     }
 
-    private release(end: CallEnd, evidence: CallEvidence | undefined, isOfThisEra: boolean): void {
+    private release(
+        end: CallEnd,
+        evidence: CallEvidence | undefined,
+        era: number | undefined,
+        exclusive: boolean,
+    ): void {
         this.using -= 1;
+        this.begun -= era === undefined ? 0 : 1;
         this.usedAtMs = this.clock.nowMs();
-        this.learn(end, evidence, isOfThisEra);
+        this.succeededAtMs = end === "succeeded" ? this.usedAtMs : this.succeededAtMs;
+        this.exclusive = this.exclusive && !exclusive;
+        this.dirty ||= exclusive;
+        this.learn(end, evidence, era);
         if (this.scarce && this.limit <= scarceLimit) {
             // Who goes next is for the owner to say.
             this.allowed = Math.min(this.allowed, this.using);
@@ -340,88 +304,15 @@
         }
     }
 
-    private learn(end: CallEnd, evidence: CallEvidence | undefined, isOfThisEra: boolean): void {
-        if (end === "succeeded" && !isOfThisEra) {
-            return;
-        }
-        noteEnd(this.evidence, end);
-        if (isOfThisEra && evidence?.endpointIncarnation !== undefined) {
-            this.evidence.incarnation = evidence.endpointIncarnation;
-        }
-        if (evidence?.firstByteMs !== undefined && this.evidence.firstByteMs.length < firstBytesSent) {
-            this.evidence.firstByteMs.push(evidence.firstByteMs);
-        }
-        if (end === "succeeded" && evidence !== undefined) {
-            this.succeededAtMs = this.clock.nowMs();
-            this.times = [...this.times, evidence.totalMs].slice(-timesKept);
-        }
-        const isTrouble = end !== "succeeded" && end !== "never-sent" && end !== "cancelled" && end !== "failed";
+    private learn(end: CallEnd, evidence: CallEvidence | undefined, era: number | undefined): void {
+        const isTrouble = this.evidence.note(end, evidence, era);
         if (end === "crashed" || end === "refused" || end === "cold") {
             // What is left of the credit was given for a warmer endpoint.
             this.allowed = 0;
             this.covered = this.begun;
         }
         // While an endpoint warms up, its owner raises the limit by the successes that it hears of.
-        this.dirty ||= isTrouble || (this.state !== "warm" && this.evidence.succeeded >= Math.max(1, this.ceiling / 2));
+        const isRoundDone = this.state !== "warm" && this.evidence.successes >= Math.max(1, this.ceiling / 2);
+        this.dirty ||= isTrouble || isRoundDone;
     }
 }
-
-interface SlotHooks {
-    begin(): number | undefined;
-    end(end: CallEnd, evidence: CallEvidence | undefined, era: number | undefined): void;
-}
-
-class HeldSlot implements Slot {
-    private era: number | undefined;
-    private released = false;
-
-    public constructor(
-        public readonly endpoint: EndpointId,
-        public readonly expiresAtMs: number,
-        private readonly hooks: SlotHooks,
-    ) {}
-
-    public begin(): boolean {
-        const isUnused = !this.released && this.era === undefined;
-        invariant(isUnused, "a slot carries one call", { endpoint: this.endpoint });
-        this.era = this.hooks.begin();
-        return this.era !== undefined;
-    }
-
-    public release(end: CallEnd, evidence?: CallEvidence): void {
-        invariant(!this.released, "a slot is released exactly once", { endpoint: this.endpoint });
-        this.released = true;
-        this.hooks.end(end, evidence, this.era);
-    }
-}
-
-function noEvidence(era: number): SlotEvidence {
-    return { era, succeeded: 0, overloaded: 0, cold: 0, lost: 0, crashed: 0, refused: 0, leaving: 0, firstByteMs: [] };
-}
-
-function noteEnd(evidence: SlotEvidence, end: CallEnd): void {
-    switch (end) {
-        case "succeeded":
-        case "overloaded":
-        case "cold":
-        case "lost":
-        case "crashed":
-        case "refused":
-        case "leaving":
-            evidence[end] += 1;
-            break;
-        case "failed":
-        case "cancelled":
-        case "never-sent":
-            break;
-    }
-}
-
-function addTroubles(to: SlotEvidence, from: SlotEvidence): void {
-    to.overloaded += from.overloaded;
-    to.cold += from.cold;
-    to.lost += from.lost;
-    to.crashed += from.crashed;
-    to.refused += from.refused;
-    to.leaving += from.leaving;
-}
--- a/src/endpoints/SlotLedger.ts
+++ b/src/endpoints/SlotLedger.ts
@@ -41,6 +41,10 @@
     /** All calls of the holder end before then, on this owner's clock. */
     callsEndMs: number;
     recalled: boolean;
+    /** The holder has a request that must be alone on the endpoint. */
+    wantsExclusive: boolean;
+    /** The endpoint is kept for one call of this holder. */
+    exclusive: boolean;
     /** True once the holder knows that others wait. */
     toldScarce: boolean;
 }
@@ -121,7 +125,7 @@
         const known = former?.holder.incarnation === holder.incarnation;
         this.orphans = this.orphans.filter(one => !isSame(one.holder, holder));
         const record = this.renew(holder, entry, terms);
-        record.allowed = this.allowance(record, terms, known);
+        record.allowed = this.allowance(record, this.withExclusive(terms), known);
         record.counted = Math.max(record.counted, record.allowed);
         record.covered = this.coverage(record, terms.claimsOnly ? terms.claimLimit : terms.limit);
         record.toldScarce = this.scarce;
@@ -135,9 +139,11 @@
         if (terms.claimsOnly) {
             return [];
         }
-        this.giveOut(terms, changed);
-        if (this.used > terms.limit || (this.scarce && this.used === terms.limit)) {
-            this.recall(terms, changed);
+        this.giveExclusive(terms, changed);
+        this.giveOut(this.withExclusive(terms), changed);
+        const { limit } = this.withExclusive(terms);
+        if (this.used > limit || (this.scarce && this.used === limit)) {
+            this.recall(terms, limit, changed);
         }
         for (const record of changed) {
             record.grantNo += 1;
@@ -205,6 +211,8 @@
             expiresAtMs: nowMs + terms.leaseMs + terms.driftMs,
             callsEndMs: nowMs + entry.callBoundMs * stretch,
             recalled: false,
+            wantsExclusive: entry.wantsExclusive === true,
+            exclusive: entry.exclusive === true,
             toldScarce: false,
         };
         this.records.set(holder.host, record);
@@ -243,6 +251,25 @@
         return Math.min(record.inUse + record.waiting, part);
     }
 
+    /** While a request waits to be alone on the endpoint, or is, nothing else is given out. */
+    private withExclusive(terms: SlotTerms): SlotTerms {
+        const isKept = this.holders.some(one => one.exclusive || one.wantsExclusive);
+        return isKept && !terms.claimsOnly ? { ...terms, limit: 0 } : terms;
+    }
+
+    /** Keeps the endpoint for one request once every other call has ended. */
+    private giveExclusive(terms: SlotTerms, changed: Set<HolderRecord>): void {
+        const next = this.holders.filter(one => one.wantsExclusive).sort((a, b) => (comesBefore(a, b) ? -1 : 1))[0];
+        if (next === undefined || terms.limit < 1 || this.used > 0 || this.holders.some(one => one.exclusive)) {
+            return;
+        }
+        next.wantsExclusive = false;
+        next.exclusive = true;
+        next.counted = 1;
+        next.covered = 1;
+        changed.add(next);
+    }
+
     private giveOut(terms: SlotTerms, changed: Set<HolderRecord>): void {
         while (this.used < terms.limit) {
             const next = this.holders.filter(isHungry).sort((a, b) => (comesBefore(a, b) ? -1 : 1))[0];
@@ -258,10 +285,10 @@
     }
 
     /** Asks for slots back where others wait for them, or where the limit has fallen. */
-    private recall(terms: SlotTerms, changed: Set<HolderRecord>): void {
+    private recall(terms: SlotTerms, limit: number, changed: Set<HolderRecord>): void {
         for (const record of this.records.values()) {
-            const fair = Math.min(this.fairShare(record, terms.limit), terms.limit);
-            const mustKnow = !record.toldScarce && this.scarce && terms.limit <= scarceLimit && record.counted > 0;
+            const fair = Math.min(this.fairShare(record, limit), limit);
+            const mustKnow = !record.toldScarce && this.scarce && limit <= scarceLimit && record.counted > 0;
             if ((!record.recalled && record.allowed > fair) || mustKnow) {
                 record.allowed = Math.min(record.allowed, fair);
                 record.toldScarce = this.scarce;
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -45,6 +45,10 @@
     /** No call of this holder runs longer than this, counted from now. */
     callBoundMs: z.number(),
     evidence: evidenceSchema.optional(),
+    /** A request waits for the endpoint to be free of all other calls. */
+    wantsExclusive: z.boolean().optional(),
+    /** The one slot in use is such a request's. */
+    exclusive: z.boolean().optional(),
     /** What the former owner said of the endpoint; sent with the first message to another owner. */
     believed: z.object({
         state: z.enum(["cold", "warming", "warm", "suspect", "leaving", "out"]),
@@ -66,6 +70,7 @@
     granted: z.number().int(),
     covered: z.number().int(),
     scarce: z.boolean(),
+    exclusive: z.boolean(),
     incarnation: z.number(),
 });
 
@@ -96,6 +101,8 @@
         readonly era: number;
         /** True when other holders wait: idle slots go back at once. */
         readonly scarce: boolean;
+        /** True when the endpoint is kept for one call of this holder. */
+        readonly exclusive: boolean;
         readonly reported: { readonly running: number; readonly waiting: number; readonly ageMs: number; } | undefined;
     }
     | { readonly kind: "not-owner"; readonly endpoint: EndpointId; readonly owner: HostId | undefined; };
@@ -112,6 +119,8 @@
     readonly granted: number;
     readonly covered: number;
     readonly scarce: boolean;
+    /** True when the endpoint is kept for one call of this holder. */
+    readonly exclusive: boolean;
     /** Incarnation of the holder that it is meant for. */
     readonly incarnation: number;
 }
--- a/src/endpoints/SlotOwner.ts
+++ b/src/endpoints/SlotOwner.ts
@@ -143,6 +143,7 @@
             limit: endpoint.limit(context),
             era: endpoint.health.era,
             scarce: endpoint.ledger.scarce,
+            exclusive: record.exclusive,
             reported: report === undefined
                 ? undefined
                 : { running: report.message.running, waiting: report.message.waiting, ageMs: report.ageMs },
@@ -227,9 +228,9 @@
                 continue;
             }
             const { host, incarnation } = record.holder;
-            const { seq, grantNo, allowed, covered } = record;
+            const { seq, grantNo, allowed: granted, covered, exclusive } = record;
             const { scarce } = endpoint.ledger;
-            const push = { endpoint: endpoint.id, seq, grantNo, granted: allowed, covered, scarce, incarnation };
+            const push = { endpoint: endpoint.id, seq, grantNo, granted, covered, scarce, exclusive, incarnation };
             if (host === this.options.membership.self) {
                 this.selfPush?.(push);
             }
--- a/src/endpoints/Slots.test.ts
+++ b/src/endpoints/Slots.test.ts
@@ -323,3 +323,35 @@
     load.stop();
     site.stopAll();
 });
+
+test("an exclusive slot is alone on the endpoint, and the others go on after it", async () => {
+    const site = await startedSite(smallSettings(3));
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(6000);
+    const endpoint = site.endpoint(writer);
+    const host = site.live.find(one => one !== site.ownerOf(writer))!;
+    let alone = -1;
+    const exclusive = host.holder.acquire(writer, {
+        priority: 1,
+        deadlineMs: host.clock.nowMs() + 5000,
+        exclusive: true,
+    })
+        .then(async acquired => {
+            const slot = acquired.unsafeCoerce();
+            assert.equal(slot.exclusive, true);
+            assert.equal(slot.begin(), true);
+            alone = endpoint.inFlight;
+            const before = endpoint.completed;
+            await site.clock.sleep(500);
+            assert.equal(endpoint.completed, before, "no other call ran meanwhile");
+            slot.release("succeeded");
+        });
+    await site.clock.advance(2000);
+    await exclusive;
+    assert.equal(alone, 0);
+    const before = endpoint.completed;
+    await site.clock.advance(1000);
+    assert.ok(endpoint.completed > before + 40, `${endpoint.completed - before} calls in a second`);
+    load.stop();
+    site.stopAll();
+});
