--- a/src/records/HeldJob.ts
+++ b/src/records/HeldJob.ts
@@ -71,19 +71,28 @@
     public async handBack(): Promise<void> {
         const { id, run } = this.job;
         const body = { kind: "hand-back", id, run } as const;
-        this.lose("handed back");
+        this.stop("handed back");
         const sent = await this.client.send(body, handBackMs);
         sent.ifLeft(() => this.client.settle(body));
     }
 
-    /** Ends the lease because the group or this host's clock says so; whatever runs for the job is aborted. */
+    /**
+     * Ends the lease because the group or this host's clock says so; whatever runs for the job is aborted. The job is
+     * handed back in the background: the group may still think that this host's session, which lives on, runs it.
+     */
     public lose(reason: string): void {
-        if (this.ended) {
-            return;
+        if (!this.ended) {
+            this.stop(reason);
+            this.client.settle({ kind: "hand-back", id: this.job.id, run: this.job.run });
+        }
+    }
+
+    private stop(reason: string): void {
+        if (!this.ended) {
+            this.events.event(EventId.JobLeaseLost, { job: this.job.id, run: this.job.run, reason });
+            this.end();
+            this.abort.abort();
         }
-        this.events.event(EventId.JobLeaseLost, { job: this.job.id, run: this.job.run, reason });
-        this.end();
-        this.abort.abort();
     }
 
     private end(): void {
--- a/src/records/ReplicatedJobs.test.ts
+++ b/src/records/ReplicatedJobs.test.ts
@@ -74,6 +74,19 @@
     site.stop();
 });
 
+test("a job whose lease lapsed on a host that lives on is queued again", async () => {
+    const site = new RecordsHosts();
+    const a = site.start("a");
+    await submitted(site, a, "j1");
+    const lease = await taken(site, a);
+    site.group.cut(a.id);
+    await site.clock.advance(leaseMs + 10);
+    assert.equal(lease.live, false);
+    site.group.heal();
+    assert.equal((await taken(site, a, leaseMs * 3)).job.run, 2);
+    site.stop();
+});
+
 test("a job that is handed back goes to another host at once", async () => {
     const site = new RecordsHosts();
     const [a, b] = [site.start("a"), site.start("b")];
