--- a/proof/Faults.ts
+++ b/proof/Faults.ts
@@ -19,6 +19,7 @@
 const burstSize = 60;
 const manyChanges = 200;
 const resends = 3;
+const warmUpRounds = 20;
 
 export const faults: readonly Fault[] = [
     {
@@ -47,6 +48,7 @@
     },
     {
         name: "warm turned cold",
+        prepare: warmUp,
         strike: site => {
             site.endpoints.forEach(endpoint => endpoint.turnCold());
             site.endpoints.get("north-encoder")!.restart();
@@ -159,6 +161,17 @@
     },
 ];
 
+/** Enough work for every endpoint to be warm, and to be known as such. */
+async function warmUp(site: ProofSite, turn: number): Promise<void> {
+    for (let at = 0; at < warmUpRounds; at++) {
+        const sent = site.live.flatMap(host => [
+            site.send("profile", host.id, { warm: turn, at, host: host.id }),
+            site.send("hold", host.id, { warm: turn, at, host: host.id, hold: true }, `warm-${turn}-${at}-${host.id}`),
+        ]);
+        await Promise.race([Promise.all(sent), site.clock.sleep(3000)]);
+    }
+}
+
 async function setLeaving(site: ProofSite, id: string, endpoint: string, leaving: boolean): Promise<void> {
     const through = site.live.find(host => host.id !== "north-2") ?? site.live[0]!;
     await site.change(through.id, {
--- a/proof/History.ts
+++ b/proof/History.ts
@@ -81,6 +81,8 @@
     public readonly closed: ClosedTime[] = [];
     /** Times in which a host was down or cut off. */
     public readonly away: { readonly host: string; readonly fromMs: number; toMs: number; }[] = [];
+    /** Times of mixed faults, in which nothing is said about how quickly anything gets anywhere. */
+    public readonly disturbed: { readonly fromMs: number; toMs: number; }[] = [];
     /** Endpoints crashed by a request that crashes each one, by its input. */
     public readonly crashes = new Map<string, number>();
 }
--- a/proof/HistoryChecks.ts
+++ b/proof/HistoryChecks.ts
@@ -147,10 +147,17 @@
 
 /** Time in which a host was down or cut off, so that nothing could reach it, in milliseconds. */
 function excusedMs(history: History, host: string, fromMs: number, toMs: number): number {
-    return history.away
-        .filter(one => one.host === host)
-        .map(one => Math.min(one.toMs, toMs) - Math.max(one.fromMs, fromMs))
-        .reduce((sum, ms) => sum + Math.max(0, ms), 0);
+    const own = history.away.filter(one => one.host === host);
+    const away = [...own, ...history.disturbed].sort((a, b) => a.fromMs - b.fromMs);
+    let sum = 0;
+    let countedToMs = fromMs;
+    for (const one of away) {
+        const startMs = Math.max(one.fromMs, countedToMs);
+        const endMs = Math.min(one.toMs, toMs);
+        sum += Math.max(0, endMs - startMs);
+        countedToMs = Math.max(countedToMs, endMs);
+    }
+    return sum;
 }
 
 function checkClosed(history: History): readonly string[] {
@@ -158,10 +165,18 @@
         history.calls
             .filter(call => closed.endpoints.includes(call.endpoint))
             .filter(call => call.atMs > closed.fromMs + closeGraceMs && call.atMs < closed.toMs)
+            .filter(call => !isCutOff(history, call))
             .map(call => `${describe(call)} came ${call.atMs - closed.fromMs} ms after its order to close`)
     );
 }
 
+/** True when a host of the endpoint's data centre can't have heard of an order yet. */
+function isCutOff(history: History, call: SeenCall): boolean {
+    const centre = call.endpoint.split("-")[0] ?? "";
+    const away = history.away.filter(one => one.host.startsWith(centre));
+    return [...away, ...history.disturbed].some(one => call.atMs >= one.fromMs && call.atMs < one.toMs + closeGraceMs);
+}
+
 function checkCold(history: History): readonly string[] {
     return history.calls
         .filter(call => call.inFlight > call.bearable && call.sinceColdMs > coldGraceMs)
--- a/proof/ProofEndpoint.ts
+++ b/proof/ProofEndpoint.ts
@@ -63,14 +63,20 @@
     public restart(): void {
         this.starts += 1;
         this.startedAtMs = this.clock.nowMs();
-        this.turnCold();
+        this.chill();
         this.endAll({ kind: "crashed" });
     }
 
-    /** Turns cold without a restart, as when its model was swapped out. */
+    /**
+     * Turns cold without a restart, as when its model was swapped out. Only a warm one does: one that turned cold
+     * between the first calls that it completes would give no sign of it, so that one restarts instead.
+     */
     public turnCold(): void {
-        this.warmth = 0;
-        this.coldAtMs = this.clock.nowMs();
+        if (this.bearable < this.settings.warmLimit) {
+            this.restart();
+            return;
+        }
+        this.chill();
     }
 
     /** Everything between a caller and this endpoint forgets the connections that are open now. */
@@ -104,6 +110,11 @@
         };
     }
 
+    private chill(): void {
+        this.warmth = 0;
+        this.coldAtMs = this.clock.nowMs();
+    }
+
     private get incarnation(): string {
         return `${this.id}.${this.starts}`;
     }
--- /dev/null
+++ b/proof/SoakRun.ts
@@ -0,0 +1,352 @@
+/**
+ * Long randomised runs of a whole site: callers, operators and faults, all from one seed. Times of mixed faults
+ * alternate with calm ones, at whose end the site has to be whole again. The same seed gives the same run.
+ */
+import { createHash } from "node:crypto";
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import type { DataCentreId, EndpointId, JobId } from "../src/common/Types.js";
+import type { ConfigChange } from "../src/config/Types.js";
+import { brokenPromises } from "./HistoryChecks.js";
+import { documentVersion } from "./Operations.js";
+import { proofDocument, proofHosts } from "./ProofDocuments.js";
+import { changeId, ProofSite } from "./ProofSite.js";
+
+export interface SoakResult {
+    readonly seed: number;
+    readonly broken: readonly string[];
+    /** Digest of everything that callers, operators and endpoints saw. */
+    readonly digest: string;
+    readonly counts: Readonly<Record<string, number>>;
+    readonly lastEvents: readonly string[];
+}
+
+/** A time of mixed faults, and the calm one after it, in milliseconds. */
+const stormMs = 20_000;
+const calmMs = 25_000;
+const mostPauseMs = 300;
+const probeMs = 8000;
+const shownEvents = 100;
+
+type Action = readonly [weight: number, run: () => void];
+
+export class Soak {
+    private readonly site: ProofSite;
+    private readonly random: SeededRandom;
+    private readonly counts = new Map<string, number>();
+    private readonly keys: string[] = [];
+    private readonly broken: string[] = [];
+    /** Voters that may not lose their disk: one repair at a time. */
+    private repairing = false;
+    private lastId = 0;
+
+    public constructor(private readonly seed: number) {
+        this.site = new ProofSite(seed);
+        this.random = new SeededRandom(seed * 7919 + 1);
+    }
+
+    /** Runs for so many simulated seconds at least, and on to the end of a calm time. */
+    public async run(seconds: number): Promise<SoakResult> {
+        const { site } = this;
+        await site.start();
+        const untilMs = site.clock.nowMs() + seconds * 1000;
+        while (site.clock.nowMs() < untilMs) {
+            await this.storm();
+            await this.calm();
+        }
+        this.broken.push(...site.failures, ...brokenPromises(site.history));
+        await site.stopAll();
+        return {
+            seed: this.seed,
+            broken: this.broken,
+            digest: digestOf(site),
+            counts: Object.fromEntries([...this.counts].sort()),
+            lastEvents: site.events.slice(-shownEvents).map(event => JSON.stringify(event)),
+        };
+    }
+
+    private async storm(): Promise<void> {
+        const { site } = this;
+        const fromMs = site.clock.nowMs();
+        site.history.disturbed.push({ fromMs, toMs: Number.POSITIVE_INFINITY });
+        Object.assign(site.network.faults, { loseRequest: 0.01, loseReply: 0.01, doubleRequest: 0.02 });
+        while (site.clock.nowMs() < fromMs + stormMs) {
+            this.act();
+            await site.clock.advance(1 + this.random.below(mostPauseMs));
+        }
+    }
+
+    private async calm(): Promise<void> {
+        const { site } = this;
+        Object.assign(site.network.faults, { loseRequest: 0, loseReply: 0, doubleRequest: 0 });
+        site.heal();
+        for (const endpoint of site.endpoints.values()) {
+            endpoint.slowness = 1;
+            endpoint.failures = 0;
+        }
+        for (const host of proofHosts) {
+            site.diskOf(host).isFull = false;
+            site.restart(host);
+        }
+        this.closeClosed();
+        // Every order to close is undone, so that the next storm starts from a whole site.
+        await site.clock.advance(calmMs / 2);
+        await this.openAll();
+        site.history.disturbed.forEach(time => time.toMs = Math.min(time.toMs, site.clock.nowMs()));
+        await site.clock.advance(calmMs / 2);
+        this.repairing = false;
+        await this.probe();
+    }
+
+    private act(): void {
+        const actions: readonly Action[] = [
+            [12, () => this.profile()],
+            [10, () => this.hold()],
+            [8, () => this.resend()],
+            [3, () => this.job()],
+            [1, () => this.cancelJob()],
+            [1, () => this.poison()],
+            [1, () => this.burst()],
+            [2, () => this.putDocument()],
+            [1, () => this.race()],
+            [2, () => this.setEndpoint()],
+            [1, () => this.setCentre()],
+            [2, () => this.kill()],
+            [2, () => this.restart()],
+            [1, () => this.loseDisk()],
+            [1, () => this.site.isolate(this.anyHost())],
+            [1, () => this.site.cutCentre(this.pick(["north", "south", "east"]))],
+            [2, () => this.site.heal()],
+            [1, () => this.slow()],
+            [1, () => this.fail()],
+            [2, () => this.cold()],
+            [2, () => this.pick([...this.site.endpoints.values()]).silence()],
+            [1, () => this.fillDisk()],
+        ];
+        const sum = actions.reduce((total, [weight]) => total + weight, 0);
+        let draw = this.random.below(sum);
+        for (const [weight, run] of actions) {
+            draw -= weight;
+            if (draw < 0) {
+                run();
+                return;
+            }
+        }
+    }
+
+    private profile(): void {
+        void this.site.send("profile", this.liveHost(), { profile: this.nextId("profile") });
+    }
+
+    private hold(): void {
+        const key = `k${this.nextId("hold")}`;
+        this.keys.push(key);
+        void this.site.send("hold", this.liveHost(), { hold: key }, key);
+    }
+
+    /** Sends an earlier hold again, now and then twice at the same moment. */
+    private resend(): void {
+        const key = this.keys[Math.max(0, this.keys.length - 1 - this.random.below(6))];
+        if (key === undefined) {
+            return;
+        }
+        this.nextId("resend");
+        for (let at = 0; at <= this.random.below(2); at++) {
+            void this.site.send("hold", this.liveHost(), { hold: key }, key);
+        }
+    }
+
+    private job(): void {
+        const id = `job-${this.nextId("job")}`;
+        void this.site.submit(id, this.liveHost(), { job: id });
+    }
+
+    private cancelJob(): void {
+        const job = this.site.history.jobs.at(-1);
+        if (job !== undefined) {
+            this.nextId("cancel");
+            job.cancelled = true;
+            void this.site.host(this.liveHost()).jobs.cancel(job.id as JobId, 2000);
+        }
+    }
+
+    private poison(): void {
+        const input = { crashes: this.pick(["encoders", "writers"]), id: this.nextId("poison") };
+        void this.site.send("profile", this.liveHost(), input);
+    }
+
+    private burst(): void {
+        const size = 20 + this.random.below(40);
+        const id = this.nextId("burst");
+        for (let at = 0; at < size; at++) {
+            void this.site.send("profile", this.liveHost(), { burst: id, at }, undefined, "library");
+        }
+    }
+
+    private putDocument(): void {
+        const id = this.nextId("document");
+        const baseVersion = documentVersion(this.site);
+        this.change({
+            kind: "put-document",
+            id: changeId(`put-${id}`),
+            document: "base",
+            baseVersion,
+            text: proofDocument(id),
+        });
+    }
+
+    private race(): void {
+        this.putDocument();
+        this.putDocument();
+    }
+
+    private setEndpoint(): void {
+        const endpoint = this.pick(["north-encoder", "south-writer", "south-holds"]);
+        const id = changeId(`endpoint-${this.nextId("endpoint")}`);
+        const leaving = this.random.below(2) === 0;
+        const change = { kind: "set-endpoint" as const, id, endpoint: endpoint as EndpointId, leaving };
+        this.change(change);
+        if (this.random.below(2) === 0) {
+            this.change(change);
+        }
+    }
+
+    private setCentre(): void {
+        const id = changeId(`centre-${this.nextId("centre")}`);
+        const out = this.random.below(2) === 0;
+        this.change({ kind: "set-data-centre", id, dataCentre: "south" as DataCentreId, out });
+    }
+
+    private change(change: ConfigChange): void {
+        void this.site.change(this.liveHost(), change);
+    }
+
+    private kill(): void {
+        const host = this.anyHost();
+        if (!this.repairing || host === "north-2") {
+            this.nextId("kill");
+            this.site.kill(host);
+        }
+    }
+
+    private restart(): void {
+        for (const host of proofHosts.filter(one => this.site.host(one).isDead)) {
+            this.nextId("restart");
+            this.site.restart(host);
+        }
+    }
+
+    /** One voter loses its disk, while the others are whole; none of them dies until the calm time. */
+    private loseDisk(): void {
+        const voters = ["north-1", "south-1", "east-1"];
+        const areWhole = voters.every(host => !this.site.host(host).isDead && !this.site.diskOf(host).isFull);
+        if (this.repairing || !areWhole) {
+            return;
+        }
+        this.repairing = true;
+        this.nextId("lost disk");
+        const host = this.pick(voters);
+        this.site.kill(host);
+        this.site.restart(host, true);
+    }
+
+    private slow(): void {
+        this.nextId("slow");
+        this.pick([...this.site.endpoints.values()]).slowness = 10 + this.random.below(40);
+    }
+
+    private fail(): void {
+        this.nextId("fail");
+        this.pick([...this.site.endpoints.values()]).failures = 1 + this.random.below(5);
+    }
+
+    private cold(): void {
+        const endpoint = this.pick([...this.site.endpoints.values()]);
+        this.nextId("cold");
+        if (this.random.below(2) === 0) {
+            endpoint.restart();
+        }
+        else {
+            endpoint.turnCold();
+        }
+    }
+
+    private fillDisk(): void {
+        if (!this.repairing) {
+            this.nextId("full disk");
+            this.site.diskOf(this.pick(["north-1", "south-1", "east-1"])).isFull = true;
+        }
+    }
+
+    private async openAll(): Promise<void> {
+        const { site } = this;
+        const changes: ConfigChange[] = [
+            ...["north-encoder", "south-writer", "south-holds"].map(endpoint => ({
+                kind: "set-endpoint" as const,
+                id: changeId(`open-${this.nextId("open")}`),
+                endpoint: endpoint as EndpointId,
+                leaving: false,
+            })),
+            {
+                kind: "set-data-centre",
+                id: changeId(`open-${this.nextId("open")}`),
+                dataCentre: "south" as DataCentreId,
+                out: false,
+            },
+        ];
+        for (const change of changes) {
+            if (await site.settled(site.change("east-1", change), probeMs) !== "accepted") {
+                this.broken.push(`${change.kind} was not accepted in a calm time`);
+            }
+        }
+    }
+
+    private closeClosed(): void {
+        this.site.history.closed.forEach(closed => closed.toMs = Math.min(closed.toMs, this.site.clock.nowMs()));
+    }
+
+    private async probe(): Promise<void> {
+        const { site } = this;
+        const turn = this.nextId("probe");
+        const sent = proofHosts.flatMap(host => [
+            site.send("profile", host, { probe: turn, host }),
+            site.send("hold", host, { probe: turn, host, hold: true }, `probe-${turn}-${host}`),
+        ]);
+        const seen = await site.settled(Promise.all(sent), probeMs) ?? [];
+        for (const req of seen.filter(one => one.outcome?.kind !== "answered")) {
+            this.broken.push(`${req.host} did not serve a ${req.kind}: ${JSON.stringify(req.outcome)}`);
+        }
+        if (seen.length === 0) {
+            this.broken.push("a probe had no outcome");
+        }
+        await site.settled(site.readJobs("east-1"), probeMs);
+        const versions = new Set(site.live.map(host => host.config.current()?.version));
+        if (versions.size !== 1) {
+            this.broken.push(`hosts are at versions ${[...versions].join(", ")}`);
+        }
+    }
+
+    private anyHost(): string {
+        return this.pick<string>(proofHosts);
+    }
+
+    private liveHost(): string {
+        const live: readonly string[] = this.site.live.map(host => host.id);
+        return this.pick(live.length === 0 ? proofHosts : live);
+    }
+
+    private pick<T>(from: readonly T[]): T {
+        return from[this.random.below(from.length)]!;
+    }
+
+    private nextId(what: string): number {
+        this.counts.set(what, (this.counts.get(what) ?? 0) + 1);
+        this.lastId += 1;
+        return this.lastId;
+    }
+}
+
+function digestOf(site: ProofSite): string {
+    const { requests, jobs, calls, versions, accepted } = site.history;
+    const seen = requests.map(({ outcome, ...req }) => ({ ...req, outcome: outcome?.kind }));
+    return createHash("sha256").update(JSON.stringify([seen, jobs, calls, versions, accepted])).digest("hex");
+}
