--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -21,6 +21,7 @@
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
 import { JsonEventLog } from "../telemetry/JsonEventLog.js";
 import { MetricsRegistry } from "../telemetry/MetricsRegistry.js";
+import { changeRoute } from "./ConfigRoutes.js";
 import { buildControl, type ControlPart } from "./ControlPart.js";
 import { DialledConfig, peerAddressOf } from "./DialledConfig.js";
 import { HostReadiness } from "./HostReadiness.js";
@@ -61,7 +62,14 @@
         const incarnation = nextIncarnation(clock.wallMs());
         this.hybridClock = new HybridLogicalClock(clock, host);
         const log = new JsonEventLog(host, this.hybridClock, sink);
-        this.peers = new TrpcPeerServer({ key: keys.peerKey, clock: this.hybridClock, log, onFatal: options.onFatal });
+        const metrics = new MetricsRegistry();
+        this.peers = new TrpcPeerServer({
+            key: keys.peerKey,
+            clock: this.hybridClock,
+            log,
+            metrics,
+            onFatal: err => this.fatal(err),
+        });
         this.transport = new TrpcPeerTransport({
             self: host,
             key: keys.peerKey,
@@ -78,7 +86,7 @@
             clock,
             random: new SeededRandom(seedOf(`${host}/${incarnation}`)),
             log,
-            metrics: new MetricsRegistry(),
+            metrics,
             transport: this.transport,
             registry: this.peers,
         };
@@ -157,6 +165,7 @@
         const { log, metrics, host, settings } = this.base;
         const operators = new OperatorApi(this.options.keys.operatorKey, metrics, log);
         jobRoutes(this.work.jobs).forEach(route => operators.add(route));
+        operators.add(changeRoute(this.control.config));
         operators.add(statusRoute(this.base, this.config, this.control, this.work));
         operators.add({
             method: "POST",
