--- a/src/pipeline/CostTally.ts
+++ b/src/pipeline/CostTally.ts
@@ -1,5 +1,7 @@
-/** Adds up what the stages of one request cost. */
+/** Adds up what the stages of one request cost, and books it in the host's totals. */
+import type { PipelineId, WorkspaceId } from "../common/Types.js";
 import type { StageUsage } from "../endpoints/Types.js";
+import type { CallKind, CostBook } from "./CostBook.js";
 import type { StageCost } from "./Types.js";
 
 interface Entry {
@@ -17,7 +19,14 @@
 export class CostTally {
     private readonly entries = new Map<string, Entry>();
 
-    public recordCall(stage: string, kind: "first" | "retry" | "hedge"): void {
+    public constructor(
+        private readonly book: CostBook,
+        private readonly pipeline: PipelineId,
+        private readonly workspace: WorkspaceId,
+    ) {}
+
+    public recordCall(stage: string, kind: CallKind): void {
+        this.book.recordCall(this.pipeline, this.workspace, stage, kind);
         const entry = this.entry(stage);
         entry.calls += 1;
         entry.retries += kind === "retry" ? 1 : 0;
@@ -26,6 +35,7 @@
 
     /** Adds a call whose result was used. */
     public recordUsed(stage: string, usage: StageUsage): void {
+        this.book.recordUsed(this.pipeline, this.workspace, stage, usage);
         const entry = this.entry(stage);
         entry.promptTokens += usage.promptTokens;
         entry.cachedTokens += usage.cachedTokens;
@@ -35,6 +45,7 @@
 
     /** Adds the time of a call whose result was not used. */
     public recordWasted(stage: string, elapsedMs: number): void {
+        this.book.recordWasted(this.pipeline, this.workspace, stage, elapsedMs);
         this.entry(stage).wastedMs += elapsedMs;
     }
 
--- a/src/pipeline/OnceStage.ts
+++ b/src/pipeline/OnceStage.ts
@@ -28,6 +28,10 @@
 /** Endpoints tried with a call that has not been sent. */
 const maxUnsentTries = 4;
 const unsentBackoffMs = 20;
+/** Pause before a claim is tried again after an earlier sending has given it up. */
+const reclaimPauseMs = 5;
+/** Time before the deadline that is kept for the answer. */
+const answerMarginMs = 10;
 
 type StageResult = Either<Failure, string>;
 type FailedCall = Extract<AttemptError, { kind: "call-failed"; }>;
@@ -52,14 +56,32 @@
             const message = `stage ${stage.name} is not idempotent; send an Idempotency-Key`;
             return Left(failureFor(ctx.ledger, "idempotency-key-missing", message));
         }
-        const { claims, clock } = this.services;
+        while (true) {
+            const ended = await this.tryClaim(ctx, stage, key);
+            if (ended !== undefined) {
+                return ended;
+            }
+            await this.services.clock.sleep(reclaimPauseMs, ctx.signal);
+        }
+    }
+
+    /** Claims once and goes on from there; undefined when an earlier sending has just given its claim up unsent. */
+    private async tryClaim(
+        ctx: RequestContext,
+        stage: StageSettings,
+        key: ClaimKey,
+    ): Promise<StageResult | undefined> {
+        const { claims, clock, metrics } = this.services;
         const timeoutMs = Math.min(claimTimeoutMs, ctx.req.deadlineMs - clock.nowMs());
+        if (ctx.signal.aborted) {
+            return Left(cancelled(ctx));
+        }
         if (timeoutMs <= 0) {
             return Left(deadlineExceeded(ctx, stage.name, noQuorumRetryAfterMs));
         }
         const startedMs = clock.nowMs();
         const claimed = await claims.claim(key, bodyDigestOf(ctx.req), ctx.req.id, timeoutMs);
-        this.services.metrics.latency("claim_ms", clock.nowMs() - startedMs);
+        metrics.latency("claim", clock.nowMs() - startedMs);
         if (claimed.isLeft()) {
             return Left(this.notClaimed(ctx, claimed.extract()));
         }
@@ -89,7 +111,7 @@
         stage: StageSettings,
         key: ClaimKey,
         result: ClaimResult,
-    ): Promise<StageResult> {
+    ): Promise<StageResult | undefined> {
         switch (result.kind) {
             case "claimed":
                 return this.sendOnce(ctx, stage, result.claim);
@@ -97,14 +119,27 @@
                 return this.replay(ctx, stage, result.outcome);
             case "key-reused":
                 return Left(failureFor(ctx.ledger, "key-reused", "the Idempotency-Key was used with another body"));
-            case "running": {
-                const leftMs = ctx.req.deadlineMs - this.services.clock.nowMs();
-                const outcome = await this.services.claims.wait(key, Math.max(0, leftMs), ctx.signal);
-                return outcome === undefined
-                    ? Left(outcomeUnknown("an earlier sending still runs; send again with the same Idempotency-Key"))
-                    : this.replay(ctx, stage, outcome);
-            }
+            case "running":
+                return this.waitForOther(ctx, stage, key);
+        }
+    }
+
+    /** Waits for an earlier sending; undefined when it has given its claim up, so that this one may claim. */
+    private async waitForOther(
+        ctx: RequestContext,
+        stage: StageSettings,
+        key: ClaimKey,
+    ): Promise<StageResult | undefined> {
+        const { claims, clock } = this.services;
+        const leftMs = ctx.req.deadlineMs - answerMarginMs - clock.nowMs();
+        const outcome = await claims.wait(key, Math.max(0, leftMs), ctx.signal);
+        if (outcome !== undefined) {
+            return this.replay(ctx, stage, outcome);
+        }
+        if (!ctx.signal.aborted && ctx.req.deadlineMs - clock.nowMs() > 2 * answerMarginMs) {
+            return undefined;
         }
+        return Left(outcomeUnknown("an earlier sending still runs; send again with the same Idempotency-Key"));
     }
 
     private replay(ctx: RequestContext, stage: StageSettings, outcome: RecordedOutcome): StageResult {
--- a/src/pipeline/StagedPipelineRunner.ts
+++ b/src/pipeline/StagedPipelineRunner.ts
@@ -11,6 +11,7 @@
 import type { JobLease, RecordsError } from "../records/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import { Admission } from "./Admission.js";
+import { CostBook, type StageTotals } from "./CostBook.js";
 import { cancelled } from "./Failures.js";
 import { IdempotentStage } from "./IdempotentStage.js";
 import { LatencyBook } from "./LatencyBook.js";
@@ -47,6 +48,7 @@
     private readonly admission: AdmissionControl;
     private readonly idempotentStage: IdempotentStage;
     private readonly onceStage: OnceStage;
+    private readonly costBook: CostBook;
     private running = 0;
 
     public constructor(private readonly services: PipelineServices, policies: RunnerPolicies = {}) {
@@ -54,6 +56,7 @@
         const maxWaiting = () => limits()?.queuedRequests ?? defaultMaxWaiting;
         const queues = new StageQueues(services.directory, maxWaiting, policies.queueClass);
         this.store.add(queues);
+        this.costBook = new CostBook(services.metrics);
         this.suspects = new SuspectWatch(services.quarantine);
         this.estimator = new StageEstimator(new LatencyBook(services.clock), queues, services.clock);
         this.admission = policies.admission?.(services, this.estimator) ?? new Admission(services, this.estimator);
@@ -73,6 +76,11 @@
         return this.running + this.onceStage.detachedCalls;
     }
 
+    /** What the stages have cost, by pipeline, stage and workspace, since the start of the process. */
+    public costs(): readonly Readonly<StageTotals>[] {
+        return this.costBook.totals();
+    }
+
     public dispose(): void {
         this.store.dispose();
     }
@@ -154,6 +162,7 @@
             signal,
             listener,
             ledger,
+            costs: this.costBook,
             ...(lease === undefined ? {} : {
                 attemptBase: lease.job.run * attemptsPerRun,
                 maySend: () => lease.live,
@@ -193,7 +202,7 @@
         const kind = failure?.kind ?? "answered";
         metrics.count("requests_ended", { ...labels, kind });
         const durationMs = clock.nowMs() - startedMs;
-        metrics.latency("request_ms", durationMs, labels);
+        metrics.latency("request", durationMs, labels);
         log.event(EventId.RequestEnded, { request: ctx.req.id, outcome: kind, reason: failure?.reason, durationMs });
         return failure ?? { kind: "answered", answer: this.answerOf(ctx) };
     }
@@ -242,7 +251,7 @@
         );
         const durationMs = clock.nowMs() - startedMs;
         ctx.costs.recordDuration(stage.name, durationMs);
-        metrics.latency("stage_ms", durationMs, { pipeline: ctx.req.pipeline, stage: stage.name });
+        metrics.latency("stage", durationMs, { pipeline: ctx.req.pipeline, stage: stage.name });
         return ended;
     }
 
--- a/src/routing/BlockPrefixIndex.ts
+++ b/src/routing/BlockPrefixIndex.ts
@@ -17,8 +17,8 @@
 const leastTrust = 0.1;
 
 interface EngineCache {
-    /** Hashes, least recently used first. */
-    readonly blocks: Set<string>;
+    /** Uses by hash, least recently used first. */
+    readonly blocks: Map<string, number>;
     lastSequence: number | undefined;
     trust: number;
 }
@@ -44,7 +44,18 @@
     }
 
     public recordPrompt(endpoint: EndpointId, prompt: string): void {
-        this.store(this.engine(endpoint), blockHashes(prompt));
+        this.store(this.engine(endpoint), blockHashes(prompt), 1);
+    }
+
+    /** Records blocks that an engine was given from elsewhere. */
+    public recordBlocks(endpoint: EndpointId, blocks: readonly string[]): void {
+        this.store(this.engine(endpoint), blocks, 0);
+    }
+
+    /** The engine's blocks with at least so many uses by this host, most used first. */
+    public hotBlocks(endpoint: EndpointId, leastUses: number, most: number): readonly string[] {
+        const used = [...this.engines.get(endpoint)?.blocks ?? []].filter(([, uses]) => uses >= leastUses);
+        return used.sort(([, a], [, b]) => b - a).slice(0, most).map(([hash]) => hash);
     }
 
     public recordEvents(endpoint: EndpointId, events: readonly CacheEvent[]): void {
@@ -82,7 +93,7 @@
     private apply(engine: EngineCache, event: CacheEvent): void {
         switch (event.kind) {
             case "stored":
-                this.store(engine, event.blocks);
+                this.store(engine, event.blocks, 0);
                 break;
             case "evicted":
                 event.blocks.forEach(block => engine.blocks.delete(block));
@@ -94,12 +105,13 @@
         }
     }
 
-    private store(engine: EngineCache, hashes: readonly string[]): void {
+    private store(engine: EngineCache, hashes: readonly string[], newUses: number): void {
         for (const hash of hashes) {
+            const uses = engine.blocks.get(hash) ?? 0;
             engine.blocks.delete(hash);
-            engine.blocks.add(hash);
+            engine.blocks.set(hash, uses + newUses);
         }
-        for (const hash of engine.blocks) {
+        for (const hash of engine.blocks.keys()) {
             if (engine.blocks.size <= this.maxBlocks) {
                 break;
             }
@@ -110,7 +122,7 @@
     private engine(endpoint: EndpointId): EngineCache {
         let engine = this.engines.get(endpoint);
         if (engine === undefined) {
-            engine = { blocks: new Set(), lastSequence: undefined, trust: 1 };
+            engine = { blocks: new Map(), lastSequence: undefined, trust: 1 };
             this.engines.set(endpoint, engine);
         }
         return engine;
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -48,3 +48,27 @@
     /** Forgets an endpoint that restarted. */
     forget(endpoint: EndpointId): void;
 }
+
+/** Cache events of an engine after a sequence number. */
+export interface CacheBatch {
+    /** Identity of the engine's process. */
+    readonly incarnation: string;
+    readonly events: readonly CacheEvent[];
+}
+
+/** Reads engines' cache events and moves parts of their KV caches; undefined when an engine did not answer. */
+export interface CacheSource {
+    events(endpoint: EndpointId, after: number, signal: AbortSignal): Promise<CacheBatch | undefined>;
+    /** Makes an engine give out blocks for import elsewhere; gives those that it held. */
+    export(
+        endpoint: EndpointId,
+        blocks: readonly string[],
+        signal: AbortSignal,
+    ): Promise<readonly string[] | undefined>;
+    /** Makes an engine take blocks that another has given out; gives those that it holds now. */
+    import(
+        endpoint: EndpointId,
+        blocks: readonly string[],
+        signal: AbortSignal,
+    ): Promise<readonly string[] | undefined>;
+}
--- a/testing/pipeline/FakeRecords.ts
+++ b/testing/pipeline/FakeRecords.ts
@@ -83,6 +83,7 @@
             release: async () => {
                 await this.clock.sleep(this.commitMs);
                 this.released += 1;
+                this.entries.get(name)?.waiters.forEach(resolve => resolve());
                 this.entries.delete(name);
                 return Right(undefined);
             },
