--- /dev/null
+++ b/src/pipeline/Estimates.test.ts
@@ -0,0 +1,65 @@
+/** Recent latencies, and the retry budget as a share of calls. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { FakeClock } from "../../testing/FakeClock.js";
+import { LatencyBook } from "./LatencyBook.js";
+import { ShareRetryBudget } from "./ShareRetryBudget.js";
+
+describe("LatencyBook", () => {
+    it("gives percentiles of recent values, and none while too few are known", () => {
+        const book = new LatencyBook(new FakeClock());
+        [10, 20, 30, 40].forEach(ms => book.record("a", ms));
+        assert.equal(book.percentileMs("a", 50), undefined);
+        book.record("a", 50);
+        assert.ok(Math.abs(book.percentileMs("a", 50)! - 30) < 1);
+        assert.equal(book.percentileMs("b", 50), undefined);
+    });
+
+    const ages: { afterMs: number; known: boolean; }[] = [
+        { afterMs: 500, known: true },
+        { afterMs: 1500, known: true },
+        { afterMs: 2500, known: false },
+    ];
+    for (const { afterMs, known } of ages) {
+        it(`${known ? "keeps" : "forgets"} values of ${afterMs} ms ago with a window of 1000 ms`, async () => {
+            const clock = new FakeClock();
+            const book = new LatencyBook(clock, 1000);
+            for (let index = 0; index < 10; index++) {
+                book.record("a", 25);
+            }
+            await clock.advance(afterMs);
+            assert.equal(book.percentileMs("a", 50) !== undefined, known);
+        });
+    }
+});
+
+describe("ShareRetryBudget", () => {
+    const shares: { share: number; calls: number; most: number; least: number; }[] = [
+        { share: 0.2, calls: 1000, least: 200, most: 210 },
+        { share: 1, calls: 100, least: 100, most: 110 },
+        { share: 0, calls: 1000, least: 0, most: 0 },
+    ];
+    for (const { share, calls, least, most } of shares) {
+        it(`allows a share of ${share}`, () => {
+            const budget = new ShareRetryBudget(() => share);
+            let taken = 0;
+            for (let index = 0; index < calls; index++) {
+                budget.recordCall();
+                taken += budget.tryTake() ? 1 : 0;
+            }
+            assert.ok(taken >= least && taken <= most, `${taken} retries`);
+        });
+    }
+
+    it("saves up no more than its burst", () => {
+        const budget = new ShareRetryBudget(() => 0.5, 8);
+        for (let index = 0; index < 1000; index++) {
+            budget.recordCall();
+        }
+        let taken = 0;
+        while (budget.tryTake()) {
+            taken += 1;
+        }
+        assert.equal(taken, 8);
+    });
+});
