--- a/testing/pipeline/FakeSlots.ts
+++ b/testing/pipeline/FakeSlots.ts
@@ -56,7 +56,12 @@
         private readonly grantsExclusive: boolean = true,
     ) {
         for (const endpoint of endpoints) {
-            this.entries.set(endpoint.id as EndpointId, { endpoint, inFlight: 0, exclusive: false, waiters: [] });
+            this.entries.set(endpoint.id as EndpointId, {
+                endpoint: { ...endpoint },
+                inFlight: 0,
+                exclusive: false,
+                waiters: [],
+            });
         }
     }
 
