--- a/bench/requests/LoadRun.ts
+++ b/bench/requests/LoadRun.ts
@@ -91,6 +91,8 @@
     /** Answered whole within the deadline of any sending. */
     readonly answered: boolean;
     readonly tookMs: number;
+    /** From the start of the run. */
+    readonly endedMs: number;
     readonly outcomes: readonly Outcome<PipelineAnswer>[];
     /** How long each refusal or failure took, as a share of its deadline. */
     readonly refusalShares: readonly number[];
@@ -225,6 +227,7 @@
                 attained: answered && tookMs <= deadlineMs,
                 answered,
                 tookMs,
+                endedMs: arrivedMs + tookMs - startMs,
                 outcomes,
                 refusalShares,
             });
