Name the simulated run in the bench of requests

Cause: the experiment's entry point and the simulated run had the same name, so the bench did not compile. Change: the simulated run is called simulate. Conclusion: compiles and lints.

--- a/bench/requests.ts
+++ b/bench/requests.ts
@@ -25,7 +25,7 @@
     });
 }
 
-function run(
+function simulate(
     options: Omit<LoadOptions, "seed" | "durationMs" | "warmUpMs"> & Partial<LoadOptions>,
 ): Promise<LoadResult> {
     return new LoadRun({ seed, durationMs, warmUpMs, ...options }).run();
