--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -25,10 +25,10 @@
         mkdirSync(folder, { recursive: true });
     }
 
-    /** Starts `node` on a script; its output goes to NAME.out in the folder. */
+    /** Starts `node` on a script, with the options that this process has; its output goes to NAME.out in the folder. */
     public start(name: string, script: string, args: readonly string[]): void {
         const out = openSync(join(this.folder, `${name}.out`), "a");
-        const child = spawn(process.execPath, [script, ...args], { stdio: ["ignore", out, out] });
+        const child = spawn(process.execPath, [...process.execArgv, script, ...args], { stdio: ["ignore", out, out] });
         closeSync(out);
         this.children.set(name, child);
     }
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -7,6 +7,7 @@
 import { join, resolve } from "node:path";
 import { SystemClock } from "../src/common/SystemClock.js";
 import { keyHeader } from "../src/peer/Keys.js";
+import type { GroupStatus } from "../src/replication/Types.js";
 import { Balancer } from "./Balancer.js";
 import { Caller } from "./Caller.js";
 import { Cluster, operatorKey } from "./Cluster.js";
@@ -57,6 +58,8 @@
 }
 
 interface Measurement extends Point {
+    /** Entries committed in a second, by group. */
+    readonly commitsPerSecond: Readonly<Record<string, number>>;
     readonly daemons: readonly DaemonCost[];
     readonly answered: number;
     readonly accepted: number;
@@ -108,6 +111,7 @@
 
 async function measureReady(one: Point, cluster: Cluster, caller: Caller, clock: SystemClock, durationMs: number) {
     const hosts = Object.keys(cluster.settings.hosts);
+    const groupsBefore = await groupsOf(cluster);
     const before = new Map(hosts.map(host => [host, cluster.processes.use(host)]));
     const startMs = clock.nowMs();
     const [answered, accepted] = await Promise.all([
@@ -116,7 +120,12 @@
         clock.sleep(durationMs),
     ]);
     const elapsedMs = clock.nowMs() - startMs;
-    const leader = await leaderOf(cluster);
+    const groups = await groupsOf(cluster);
+    const leader = groups[0]?.leader;
+    const commitsPerSecond = Object.fromEntries(groups.map(({ group, commitIndex }) => {
+        const earlier = groupsBefore.find(one => one.group === group)?.commitIndex ?? 0;
+        return [group, ((commitIndex - earlier) * 1000) / elapsedMs];
+    }));
     const daemons = hosts.flatMap((host): DaemonCost[] => {
         const earlier = before.get(host);
         const later = cluster.processes.use(host);
@@ -129,7 +138,7 @@
             kilobytesPerSecond: (later.ioBytes - earlier.ioBytes) / elapsedMs,
         }];
     });
-    return { daemons, answered, accepted };
+    return { commitsPerSecond, daemons, answered, accepted };
 }
 
 /** Open-loop requests; gives how many were answered whole in time. */
@@ -170,10 +179,9 @@
     return accepted;
 }
 
-async function leaderOf(cluster: Cluster): Promise<string | undefined> {
+async function groupsOf(cluster: Cluster): Promise<readonly GroupStatus[]> {
     const reply = await operate(cluster, "GET", "/v1/operator/status");
-    const groups = (reply?.body as { groups?: { leader?: string; }[]; } | undefined)?.groups;
-    return groups?.[0]?.leader;
+    return (reply?.body as { groups?: readonly GroupStatus[]; } | undefined)?.groups ?? [];
 }
 
 /** Asks the first control host that answers. */
@@ -201,6 +209,8 @@
 }
 
 function printMeasurements(measurements: readonly Measurement[]): string {
+    const commits = (one: Measurement) =>
+        Object.entries(one.commitsPerSecond).map(([group, rate]) => `${group} ${rate.toFixed(1)}`).join(" ");
     const rows = measurements.flatMap(one =>
         roles.flatMap(role => {
             const cpu = meanOf(one, role, "cpuShare");
@@ -212,10 +222,11 @@
                 (meanOf(one, role, "kilobytesPerSecond") ?? 0).toFixed(2),
                 String(one.answered),
                 String(one.accepted),
+                commits(one),
             ]];
         })
     );
-    return table(["point", "role", "cpu of a core", "MB", "KB/s", "answered", "accepted"], rows);
+    return table(["point", "role", "cpu of a core", "MB", "KB/s", "answered", "accepted", "commits/s"], rows);
 }
 
 function printLines(measurements: readonly Measurement[]): string {
