--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -10,6 +10,11 @@
 
 /** The deterministic part of a group. It is called from one task, in log order, once for each entry. */
 export interface StateMachine {
+    /**
+     * True where a restart may not fall behind what was applied before, even if no other host can be reached then:
+     * entries are applied only once it is on disk that they are committed.
+     */
+    readonly notesCommits?: boolean;
     /** Applies a committed command and gives the result that its proposer receives. Never throws for bad input. */
     apply(command: Json, index: number): Json;
     snapshot(): Json;
@@ -118,6 +123,14 @@
     readonly clockDriftMs: number;
 }
 
+/** What operators ask of a group, from any host. */
+export interface GroupAdmin {
+    readonly group: string;
+    changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>>;
+    /** The status of each host of the group that answers. */
+    statuses(): Promise<ReadonlyMap<HostId, GroupStatus>>;
+}
+
 /** Files of a group that can't be used, or a disk that fails. */
 export type StorageError =
     | DiskError
