--- a/bench/Attainment.ts
+++ b/bench/Attainment.ts
@@ -10,6 +10,7 @@
 import { Caller, type CallRecord } from "./Caller.js";
 import { Cluster, operatorKey } from "./Cluster.js";
 import { EndpointWatch } from "./EndpointWatch.js";
+import { faultPlans } from "./Faults.js";
 import { callJson } from "./HttpJson.js";
 import type { ProcessUse } from "./Processes.js";
 import {
@@ -53,6 +54,10 @@
     readonly cold: boolean;
     /** Whether a data centre leaves and returns. */
     readonly changes: boolean;
+    /** Names of further faults, from {@link faultPlans}. */
+    readonly faults: readonly string[];
+    /** Factor on the rates in the fourth tenth of the load; 1 for none. */
+    readonly burst: number;
     /** Folder for files and logs of the processes. */
     readonly folder: string;
     readonly progress: (text: string) => void;
@@ -105,19 +110,22 @@
 
     public async run(): Promise<RunResult> {
         await this.start();
-        const { site, seed, seconds, load } = this.options;
+        const { site, seed, seconds, load, burst: factor } = this.options;
         const rates = Object.fromEntries(
             Object.entries(ratesBySite[site] ?? {}).map(([name, rate]) => [name, rate * load]),
         );
         const durationMs = seconds * 1000;
-        const arrivals = planArrivals(this.cluster.settings, { rates, durationMs, seed });
+        const burst = { fromMs: durationMs * 0.3, toMs: durationMs * 0.4, factor };
+        const arrivals = planArrivals(this.cluster.settings, { rates, durationMs, seed, burst });
         const useBefore = this.daemonUse();
         this.startMs = this.clock.nowMs();
         const watching = this.watch.run(this.startMs, this.abort.signal);
         const changing = this.options.changes ? this.changeDataCentre(durationMs) : Promise.resolve(undefined);
+        const failing = this.bringFaults(durationMs);
         await this.drive(arrivals);
         const daemons = this.useSince(useBefore);
         const dataCentreChange = await changing;
+        await failing;
         this.abort.abort();
         await watching;
         return this.result(durationMs, arrivals.length / seconds, dataCentreChange, daemons);
@@ -182,6 +190,16 @@
         };
     }
 
+    private async bringFaults(durationMs: number): Promise<void> {
+        const { settings } = this.cluster;
+        const steps = this.options.faults.flatMap(name => faultPlans[name]?.(settings) ?? []);
+        for (const step of [...steps].sort((a, b) => a.at - b.at)) {
+            await this.sleepUntil(durationMs * step.at);
+            await step.run({ cluster: this.cluster, watch: this.watch });
+            this.mark(step.what);
+        }
+    }
+
     /** Gives when the operators' call was sent. Any host takes it; the next one is asked while it fails. */
     private async setOut(out: boolean): Promise<number> {
         const atMs = this.clock.nowMs() - this.startMs;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,9 +1,10 @@
 /** The load and experiment tool: `npm run bench -- COMMAND`. Results go to bench/results/. */
-import { Command, InvalidArgumentError } from "commander";
+import { Command, InvalidArgumentError, Option } from "commander";
 import { mkdirSync, writeFileSync } from "node:fs";
 import { cpus } from "node:os";
 import { join, resolve } from "node:path";
 import { runAttainment, sites } from "./Attainment.js";
+import { faultPlans } from "./Faults.js";
 import { renderReport } from "./Report.js";
 import { printRun } from "./ResultTable.js";
 import type { ExperimentResult, RunResult } from "./Types.js";
@@ -19,6 +20,8 @@
     readonly seed: number;
     readonly changes: boolean;
     readonly cold?: boolean;
+    readonly fault: readonly string[];
+    readonly burst: number;
     readonly name: string;
 }
 
@@ -44,6 +47,8 @@
     .option("--load <factor>", "factor on the site's rates", positive, 1)
     .option("--seed <n>", "seed of arrivals and stand-ins", positive, 1)
     .option("--cold", "start with every endpoint cold")
+    .addOption(new Option("--fault <name...>", "further faults").choices(Object.keys(faultPlans)).default([], "none"))
+    .option("--burst <factor>", "factor on the rates in the fourth tenth of the load", positive, 1)
     .option("--no-changes", "leave all data centres in service")
     .option("--name <name>", "name of the result files", "attainment")
     .action(attainment);
@@ -66,10 +71,22 @@
     for (const site of options.site) {
         for (const variant of options.variant) {
             progress(`${site}, ${variant}: ${options.seconds} s, load ${options.load}, seed ${options.seed}`);
-            const { seed, seconds, load, changes } = options;
+            const { seed, seconds, load, changes, fault: faults, burst } = options;
             const folder = join(results, "tmp");
             const cold = options.cold ?? false;
-            const run = await runAttainment({ site, variant, seed, seconds, load, cold, changes, folder, progress });
+            const run = await runAttainment({
+                site,
+                variant,
+                seed,
+                seconds,
+                load,
+                cold,
+                changes,
+                faults,
+                burst,
+                folder,
+                progress,
+            });
             process.stdout.write(printRun(run));
             runs.push(run);
         }
