Operators' commands for configuration, data centres and control hosts, end to end

config apply|show|log|status, dc out|in and control status|add|remove|replace reach the config group through any host.

--- a/src/daemon/ConfigRoutes.ts
+++ b/src/daemon/ConfigRoutes.ts
@@ -1,13 +1,16 @@
-/** Operators' routes that change the configuration. */
+/** Operators' routes for the configuration and for the groups that keep the durable state. */
 import { z } from "zod";
-import { parseChangeId, parseDataCentreId, parseEndpointId } from "../common/Ids.js";
-import type { ConfigChangeError, ConfigChangeResult, ConfigWriter } from "../config/Types.js";
-import type { OperatorReply, OperatorRoute } from "../entry/Types.js";
+import { parseChangeId, parseDataCentreId, parseEndpointId, parseHostId } from "../common/Ids.js";
+import type { ConfigOperations, ShowReport } from "../config/ConfigOperations.js";
+import type { OperatorReply, OperatorRequest, OperatorRoute } from "../entry/Types.js";
 
-const changeTimeoutMs = 10_000;
+/** How long a change with `wait` waits to be in force on all live hosts. */
+const inForceWaitMs = 10_000;
 
 const id = z.string().transform((text, ctx) => branded(parseChangeId, text, ctx));
 
+const host = z.string().transform((text, ctx) => branded(parseHostId, text, ctx));
+
 const changeSchema = z.discriminatedUnion("kind", [
     z.strictObject({
         kind: z.literal("put-document"),
@@ -43,37 +46,85 @@
     return parsed;
 }
 
-/** `POST /v1/operator/config/change`. */
-export function changeRoute(writer: ConfigWriter): OperatorRoute {
-    return {
-        method: "POST",
-        path: "/v1/operator/config/change",
-        handle: async req => {
-            const parsed = changeSchema.safeParse(req.body);
-            if (!parsed.success) {
-                return { status: 400, body: { error: z.prettifyError(parsed.error) } };
-            }
-            const changed = await writer.change(parsed.data, changeTimeoutMs);
-            return changed.caseOf({ Left: errorReply, Right: resultReply });
+const memberSchema = z.strictObject({
+    group: z.string().default("all"),
+    change: z.discriminatedUnion("kind", [
+        z.strictObject({ kind: z.literal("add"), host }),
+        z.strictObject({ kind: z.literal("remove"), host }),
+        z.strictObject({ kind: z.literal("replace"), host, by: host }),
+    ]),
+});
+
+/** The routes behind `config apply|show|log|status`, `dc out|in` and `control status|add|remove|replace`. */
+export function configRoutes(operations: ConfigOperations): readonly OperatorRoute[] {
+    return [
+        { method: "POST", path: "/v1/operator/config/change", handle: req => change(operations, req) },
+        {
+            method: "GET",
+            path: "/v1/operator/config/show",
+            handle: async req => showReply(await operations.show(req.query.get("site") ?? undefined)),
+        },
+        {
+            method: "GET",
+            path: "/v1/operator/config/log",
+            handle: async () => readReply(await operations.log()),
         },
-    };
+        {
+            method: "GET",
+            path: "/v1/operator/config/status",
+            handle: async () => ({ status: 200, body: await operations.status() }),
+        },
+        {
+            method: "GET",
+            path: "/v1/operator/control/status",
+            handle: async () => ({ status: 200, body: await operations.controlStatus() }),
+        },
+        { method: "POST", path: "/v1/operator/control/change", handle: req => changeMembers(operations, req) },
+    ];
 }
 
-function resultReply(result: ConfigChangeResult): OperatorReply {
-    switch (result.kind) {
-        case "accepted":
-            return { status: 200, body: result };
-        case "conflict":
-            return { status: 409, body: result };
-        case "invalid":
-            return { status: 422, body: result };
+async function change(operations: ConfigOperations, req: OperatorRequest): Promise<OperatorReply> {
+    const parsed = changeSchema.safeParse(req.body);
+    if (!parsed.success) {
+        return { status: 400, body: { error: z.prettifyError(parsed.error) } };
+    }
+    const waitMs = req.query.get("wait") === "true" ? inForceWaitMs : 0;
+    const report = await operations.change(parsed.data, waitMs);
+    if (report.outcome === "accepted" && report.inForce?.everywhere === false) {
+        return { status: 202, body: report };
     }
+    return { status: statusByOutcome[report.outcome], body: report };
 }
 
-function errorReply(err: ConfigChangeError): OperatorReply {
-    if (err.kind === "unknown") {
-        const hint = "it may have been accepted; send it again with the same id to find out";
-        return { status: 504, body: { ...err, hint } };
+async function changeMembers(operations: ConfigOperations, req: OperatorRequest): Promise<OperatorReply> {
+    const parsed = memberSchema.safeParse(req.body);
+    if (!parsed.success) {
+        return { status: 400, body: { error: z.prettifyError(parsed.error) } };
     }
-    return { status: 503, body: { ...err, hint: "no quorum took the change; nothing was changed" } };
+    const reports = await operations.changeMembers(parsed.data.change, parsed.data.group);
+    const last = reports.at(-1);
+    if (last === undefined) {
+        return { status: 404, body: { error: `there is no group "${parsed.data.group}"` } };
+    }
+    return { status: statusByOutcome[last.outcome], body: reports };
+}
+
+function showReply(report: ShowReport): OperatorReply {
+    return { status: statusByOutcome[report.outcome], body: report };
 }
+
+function readReply(report: { readonly outcome: "read" | "no-quorum"; }): OperatorReply {
+    return { status: statusByOutcome[report.outcome], body: report };
+}
+
+const statusByOutcome = {
+    "accepted": 200,
+    "changed": 200,
+    "read": 200,
+    "not-found": 404,
+    "conflict": 409,
+    "invalid": 422,
+    "not-accepted": 503,
+    "no-quorum": 503,
+    "unknown": 504,
+} as const;
--- a/src/daemon/ControlPart.ts
+++ b/src/daemon/ControlPart.ts
@@ -6,16 +6,17 @@
 import type { HostId } from "../common/Types.js";
 import { ConfigClient } from "../config/ConfigClient.js";
 import { ConfigGroup } from "../config/ConfigGroup.js";
+import { ConfigOperations } from "../config/ConfigOperations.js";
 import { ConfigState } from "../config/ConfigState.js";
 import { checkDocuments } from "../config/Loader.js";
-import type { ConfigSource, ConfigWriter, LeaseService } from "../config/Types.js";
+import type { ConfigReader, ConfigSource, ConfigWriter, LeaseService } from "../config/Types.js";
 import { RecordsClient } from "../records/RecordsClient.js";
 import { RecordsNewsClient, RecordsNewsServer } from "../records/RecordsNews.js";
 import { RecordsState } from "../records/RecordsState.js";
 import { NodeDisk } from "../replication/NodeDisk.js";
 import { RaftLog } from "../replication/RaftLog.js";
 import { RemoteLog } from "../replication/RemoteLog.js";
-import type { GroupMembers, StateMachine } from "../replication/Types.js";
+import type { GroupAdmin, GroupMembers, StateMachine } from "../replication/Types.js";
 import type { Service } from "../supervise/Types.js";
 import type { DaemonBase } from "./Types.js";
 
@@ -27,7 +28,7 @@
     readonly records: RecordsClient;
     /** Replicas of this host; none on a host without a data folder. */
     readonly replicas: readonly RaftLog[];
-    readonly remotes: readonly RemoteLog[];
+    readonly operations: ConfigOperations;
     /** In order of start. */
     readonly services: readonly Service[];
 }
@@ -63,7 +64,7 @@
         config,
         records,
         replicas: [configLog, recordsLog],
-        remotes: [],
+        operations: operationsOf(base, config, [configLog, recordsLog]),
         services: [configLog, recordsLog, config, records],
     };
 }
@@ -112,13 +113,16 @@
     const recordsLog = remote(recordsGroup);
     const news = new RecordsNewsClient({ sources: controlHosts, transport: base.transport, clock: base.clock });
     const records = new RecordsClient(recordsLog, base.clock, base.log, sessionOptions(base), undefined, news);
-    return {
-        config,
-        records,
-        replicas: [],
-        remotes: [remote(configGroup), recordsLog],
-        services: [config, records, news],
-    };
+    const operations = operationsOf(base, config, [remote(configGroup), recordsLog]);
+    return { config, records, replicas: [], operations, services: [config, records, news] };
+}
+
+function operationsOf(
+    base: DaemonBase,
+    config: ConfigWriter & ConfigReader,
+    groups: readonly GroupAdmin[],
+): ConfigOperations {
+    return new ConfigOperations({ config, groups, checker: checkDocuments, clock: base.clock });
 }
 
 function sessionOptions(base: DaemonBase) {
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -21,7 +21,7 @@
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
 import { JsonEventLog } from "../telemetry/JsonEventLog.js";
 import { MetricsRegistry } from "../telemetry/MetricsRegistry.js";
-import { changeRoute } from "./ConfigRoutes.js";
+import { configRoutes } from "./ConfigRoutes.js";
 import { buildControl, type ControlPart } from "./ControlPart.js";
 import { DialledConfig, peerAddressOf } from "./DialledConfig.js";
 import { HostReadiness } from "./HostReadiness.js";
@@ -165,7 +165,7 @@
         const { log, metrics, host, settings } = this.base;
         const operators = new OperatorApi(this.options.keys.operatorKey, metrics, log);
         jobRoutes(this.work.jobs).forEach(route => operators.add(route));
-        operators.add(changeRoute(this.control.config));
+        configRoutes(this.control.operations).forEach(route => operators.add(route));
         operators.add(statusRoute(this.base, this.config, this.control, this.work));
         operators.add({
             method: "POST",
--- a/test/ProcessSite.test.ts
+++ b/test/ProcessSite.test.ts
@@ -1,11 +1,13 @@
 /** The whole path over separate processes: daemons in three data centres, stand-ins, a kill and a planned stop. */
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, test } from "node:test";
 import { Cluster } from "../bench/Cluster.js";
 import { callJson } from "../bench/HttpJson.js";
+import { runProgram } from "../src/cli/Program.js";
+import { ExitCode } from "../src/cli/Types.js";
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { HostId, PipelineId } from "../src/common/Types.js";
 import { type CallerAnswer, callPipeline } from "../src/daemon/CallerClient.js";
@@ -37,6 +39,10 @@
     return cluster.settings.hosts[host as HostId]!.callerAddress;
 }
 
+function peerAddress(host: string): string {
+    return cluster.settings.hosts[host as HostId]!.peerAddress;
+}
+
 async function untilReady(host: string): Promise<void> {
     const untilMs = clock.nowMs() + giveUpMs;
     while ((await callJson(callerAddress(host), "GET", "/v1/ready")).status !== 200) {
@@ -90,6 +96,55 @@
     assert.equal((await call("west-2", "hold", { cat: "c2" }, "k1")).status, 422);
 });
 
+async function operate(
+    args: readonly string[],
+    host?: string,
+): Promise<{ exit: number; reply: Record<string, unknown>; }> {
+    const lines: string[] = [];
+    const print = (text: string) => lines.push(text);
+    const asked = host === undefined ? ["--config", siteFile] : ["--address", peerAddress(host)];
+    const target = ["--key-file", join(folder, "operator.key"), ...asked];
+    const exit = await runProgram(["node", "fireflykeel", ...args, ...target], { out: print, err: print });
+    const json = lines.find(line => line.startsWith("{") || line.startsWith("["));
+    return { exit, reply: JSON.parse(json ?? "{}") as Record<string, unknown> };
+}
+
+test("of two operators who build on the same version at two hosts, one is told of the other's change", async () => {
+    const shown = await operate(["config", "show"]);
+    assert.equal(shown.exit, ExitCode.Ok);
+    const { documents } = shown.reply["config"] as { documents: { base: { version: number; text: string; }; }; };
+    const baseVersion = String(documents.base.version);
+    const apply = (name: string, deadline: string, host: string) => {
+        const file = join(folder, `${name}.yaml`);
+        writeFileSync(file, documents.base.text.replace("deadlineMs: 8000", `deadlineMs: ${deadline}`));
+        const args = ["config", "apply", file, "--document", "base", "--base-version", baseVersion, "--id", name];
+        return operate([...args, "--wait"], host);
+    };
+    const [first, second] = await Promise.all([
+        apply("change-a", "8100", "east-2"),
+        apply("change-b", "8200", "west-1"),
+    ]);
+    const outcomes = [first, second].map(one => one.reply["outcome"]).sort();
+    assert.deepEqual(outcomes, ["accepted", "conflict"]);
+    const winner = first.reply["outcome"] === "accepted" ? "change-a" : "change-b";
+    const again = await apply(winner, winner === "change-a" ? "8100" : "8200", "middle-2");
+    assert.equal(again.reply["outcome"], "accepted", "a resent change gets its first answer");
+    assert.equal((await operate(["config", "apply", siteFile, "--document", "base", "--base-version", "0"])).exit, 1);
+});
+
+test("a data centre is taken out and brought back, and its hosts tell the balancer", async () => {
+    assert.equal((await operate(["dc", "out", "west"])).exit, ExitCode.Ok);
+    const untilMs = clock.nowMs() + giveUpMs;
+    while ((await callJson(callerAddress("west-2"), "GET", "/v1/ready")).status !== 503) {
+        assert.ok(clock.nowMs() < untilMs, "west-2 still says that it is ready");
+        await clock.sleep(50);
+    }
+    const input = { note: "asked through a host that is out" };
+    assert.equal((await call("west-2", "profile", input)).output, expected("profile", input));
+    assert.equal((await operate(["dc", "in", "west"])).exit, ExitCode.Ok);
+    await untilReady("west-2");
+});
+
 test("after a daemon is killed the next request is served, and its holds are still known", async () => {
     cluster.processes.signal("east-1", "SIGKILL");
     const profile = { note: "another dog" };
