--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -3,7 +3,7 @@
  * before anything beyond the holders' claims may be given out.
  */
 import { invariant } from "../common/Invariant.js";
-import type { Clock, EndpointId } from "../common/Types.js";
+import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import type { EndpointSettings, TimingSettings } from "../config/Schema.js";
 import { EndpointHealth } from "./EndpointHealth.js";
 import { type Ownership, soleKey } from "./OwnerAuthority.js";
@@ -28,6 +28,12 @@
     readonly hostsMissing: boolean;
 }
 
+export interface HostClaim {
+    readonly host: HostId;
+    /** Calls of the host in flight on the endpoint. */
+    readonly inUse: number;
+}
+
 export class OwnedEndpoint {
     public readonly health: EndpointHealth;
     public readonly ledger: SlotLedger;
@@ -106,6 +112,23 @@
         }
     }
 
+    /** True while only the hosts themselves can tell which calls are in flight. */
+    public needsClaims(context: EndpointContext): boolean {
+        return !this.settled && !context.settings.reportsLoad && this.clock.nowMs() >= this.openAtMs;
+    }
+
+    /** Takes in what all hosts have said, asked after the wait; `isWhole` unless one that matters did not answer. */
+    public learnClaims(claims: readonly HostClaim[], isWhole: boolean, context: EndpointContext): void {
+        if (!isWhole || !this.needsClaims(context)) {
+            return;
+        }
+        for (const { host, inUse } of claims) {
+            const record = this.ledger.holders.find(one => one.holder.host === host);
+            this.ledger.addUnknown(Math.max(0, inUse - (record?.counted ?? 0)), context.callBoundMs);
+        }
+        this.settled = true;
+    }
+
     /** Goes on exactly where a former owner has stopped, without a wait. */
     public adopt(records: readonly HolderRecord[], orphans: number, context: EndpointContext): void {
         const unseen = records.filter(record => this.ledger.lastSeq(record.holder) < record.seq);
@@ -130,7 +153,7 @@
     public terms(context: EndpointContext): SlotTerms {
         this.health.setLimits(context.settings);
         this.followOwnership(context);
-        this.settleUnreported(context);
+        this.settleByTime(context);
         const limit = this.limit(context);
         const full = this.share(limit);
         const formers = [...this.formerShares.values()].map(share => share(limit));
@@ -164,15 +187,8 @@
         this.settled = false;
     }
 
-    /** Without reports, only time shows that the calls of missing hosts have ended. */
-    private settleUnreported(context: EndpointContext): void {
-        const nowMs = this.clock.nowMs();
-        const reportOverdue = nowMs >= this.openAtMs + context.callBoundMs;
-        if (this.settled || nowMs < this.openAtMs || (context.settings.reportsLoad && !reportOverdue)) {
-            return;
-        }
-        if (!context.hostsMissing || reportOverdue) {
-            this.settled = true;
-        }
+    /** After a call's longest time nothing of before can be left, whoever made it. */
+    private settleByTime(context: EndpointContext): void {
+        this.settled ||= this.clock.nowMs() >= this.openAtMs + context.callBoundMs;
     }
 }
--- a/src/endpoints/OwnerAuthority.ts
+++ b/src/endpoints/OwnerAuthority.ts
@@ -9,19 +9,9 @@
 import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
 import type { Membership } from "../membership/Types.js";
+import type { EpochSource, OwnerEpoch } from "./OwnerEpochs.js";
 import { rankHosts, staticPart } from "./Rendezvous.js";
 
-/** A confirmed set of hosts that may own endpoints while the view is uncertain. */
-export interface OwnerEpoch {
-    readonly epoch: number;
-    readonly hosts: readonly HostId[];
-}
-
-export interface EpochSource {
-    /** Undefined when no epoch is in force on this host. */
-    current(): OwnerEpoch | undefined;
-}
-
 /** Start of the keys under which one host gives out all of a limit. */
 export const soleKey = "certain/";
 
@@ -56,7 +46,7 @@
             return this.certainOwner(endpoint, configured);
         }
         const epoch = this.epochs?.current();
-        if (epoch !== undefined && epoch.hosts.includes(this.membership.self)) {
+        if (epoch !== undefined) {
             return this.epochOwner(endpoint, configured, epoch);
         }
         return {
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -16,6 +16,8 @@
     readonly timeoutMs: number;
     readonly clock: Clock;
     readonly signal: AbortSignal;
+    /** Asked right before the first byte is written; false holds the request back. */
+    readonly mayWrite?: () => boolean;
 }
 
 export interface TextReply {
@@ -41,6 +43,11 @@
         return Left(ready.extract());
     }
     const { req } = ready.unsafeCoerce();
+    if (options.mayWrite?.() === false) {
+        req.on("error", () => undefined);
+        req.destroy();
+        return Left({ kind: "aborted", message: "held back" });
+    }
     return new Promise(resolve => {
         const finish = (result: Either<TextError, TextReply>) => {
             timer.dispose();
--- a/src/endpoints/SlotFaults.test.ts
+++ b/src/endpoints/SlotFaults.test.ts
@@ -29,7 +29,7 @@
     fc.record({ kind: fc.constant("wait" as const), ms: fc.integer({ min: 100, max: 6000 }) }),
 );
 
-function siteOf(seed: number): SlotSite {
+function siteOf(seed: number, withEpochs: boolean): SlotSite {
     const hosts = Array.from({ length: hostCount }, (_, index) => [`north-${index + 1}`, {
         dataCentre: "north",
         callerAddress: `127.0.0.1:${20_001 + index}`,
@@ -43,7 +43,7 @@
             service: { ...common, kind: "service", pool: "holds", reportsLoad: false },
         },
     });
-    return new SlotSite({ settings, seed });
+    return new SlotSite({ settings, seed, withEpochs });
 }
 
 /** A host that calls an endpoint without pause; it ends with the process that makes the calls. */
@@ -103,30 +103,36 @@
     }
 }
 
-test("no sequence of faults puts more calls on an endpoint than it can bear", async () => {
-    await fc.assert(
-        fc.asyncProperty(fc.integer({ min: 1, max: 1000 }), fc.array(action, { minLength: 4, maxLength: 14 }), async (
-            seed,
-            steps,
-        ) => {
-            const site = siteOf(seed);
-            const random = new SeededRandom(seed);
-            site.startAll();
-            site.live.forEach(one => keepCalling(site, one.id, random));
-            await site.clock.advance(7000);
-            for (const step of steps) {
-                await act(site, step, random);
-                await site.clock.advance(200);
-            }
-            await site.clock.advance(4000);
-            site.stopAll();
-            for (const endpoint of endpoints) {
-                assert.equal(site.endpoint(endpoint).overloads, 0, `overloads of ${endpoint}`);
-            }
-        }),
-        {
-            seed: Number(process.env["SLOT_FAULTS_SEED"] ?? 20_261),
-            numRuns: Number(process.env["SLOT_FAULTS_RUNS"] ?? 12),
-        },
-    );
-});
+for (const withEpochs of [false, true]) {
+    test(`no sequence of faults puts more calls on an endpoint than it can bear, ${withEpochs ? "with" : "without"} epochs`, async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.integer({ min: 1, max: 1000 }),
+                fc.array(action, { minLength: 4, maxLength: 14 }),
+                async (
+                    seed,
+                    steps,
+                ) => {
+                    const site = siteOf(seed, withEpochs);
+                    const random = new SeededRandom(seed);
+                    site.startAll();
+                    site.live.forEach(one => keepCalling(site, one.id, random));
+                    await site.clock.advance(7000);
+                    for (const step of steps) {
+                        await act(site, step, random);
+                        await site.clock.advance(200);
+                    }
+                    await site.clock.advance(4000);
+                    site.stopAll();
+                    for (const endpoint of endpoints) {
+                        assert.equal(site.endpoint(endpoint).overloads, 0, `overloads of ${endpoint}`);
+                    }
+                },
+            ),
+            {
+                seed: Number(process.env["SLOT_FAULTS_SEED"] ?? 20_261),
+                numRuns: Number(process.env["SLOT_FAULTS_RUNS"] ?? 12),
+            },
+        );
+    });
+}
--- a/src/endpoints/SlotHolderClient.ts
+++ b/src/endpoints/SlotHolderClient.ts
@@ -10,7 +10,16 @@
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import { HeldEndpoint } from "./HeldEndpoint.js";
 import type { OwnerAuthority } from "./OwnerAuthority.js";
-import { type SlotAnswer, type SlotExchange, slotExchange, type SlotExchangeReply, slotPush } from "./SlotMessages.js";
+import {
+    type SlotAnswer,
+    type SlotClaim,
+    slotClaim,
+    type SlotExchange,
+    slotExchange,
+    type SlotExchangeReply,
+    type SlotPush,
+    slotPush,
+} from "./SlotMessages.js";
 import type { SlotOwner } from "./SlotOwner.js";
 import type { Slot, SlotError, SlotHolder, SlotRequest } from "./Types.js";
 
@@ -47,7 +56,21 @@
             this.applyPush(push);
             return undefined;
         });
-        options.localOwner.connectSelf(push => this.applyPush(push));
+        options.registry.handle(slotClaim, async ({ endpoint }) => this.claim(endpoint));
+        options.localOwner.connectSelf(this);
+    }
+
+    /** Calls of this host in flight on an endpoint, for a new owner. */
+    public claim(endpoint: EndpointId): SlotClaim {
+        return { incarnation: this.options.membership.incarnation, inUse: this.held.get(endpoint)?.inUse ?? 0 };
+    }
+
+    /** Takes in a changed number of slots. */
+    public applyPush(push: SlotPush): void {
+        if (push.incarnation === this.options.membership.incarnation) {
+            this.held.get(push.endpoint)?.applyPush(push);
+            this.changes.fire(push.endpoint);
+        }
     }
 
     public async acquire(endpoint: EndpointId, req: SlotRequest): Promise<Either<SlotError, Slot>> {
@@ -219,11 +242,4 @@
             }
         }
     }
-
-    private applyPush(push: Parameters<HeldEndpoint["applyPush"]>[0]): void {
-        if (push.incarnation === this.options.membership.incarnation) {
-            this.held.get(push.endpoint)?.applyPush(push);
-            this.changes.fire(push.endpoint);
-        }
-    }
 }
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -134,3 +134,14 @@
     "endpoints.push",
     pushSchema as unknown as z.ZodType<SlotPush>,
 );
+
+/** A new owner asks a host for its calls in flight on an endpoint, once the former owner's leases have run out. */
+export interface SlotClaim {
+    readonly incarnation: number;
+    readonly inUse: number;
+}
+
+export const slotClaim: PeerMethod<{ readonly endpoint: EndpointId; }, SlotClaim> = definePeerMethod(
+    "endpoints.claim",
+    z.object({ endpoint: z.string() }) as unknown as z.ZodType<{ readonly endpoint: EndpointId; }>,
+);
--- a/src/endpoints/SlotOwner.ts
+++ b/src/endpoints/SlotOwner.ts
@@ -4,16 +4,18 @@
  */
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import type { ConfigSource, ConfigView } from "../config/Types.js";
-import type { Membership, PlatformList } from "../membership/Types.js";
+import type { HostView, Membership, PlatformList } from "../membership/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import { type HandOver, handOver, packHandOver, unpackRecords } from "./HandOver.js";
-import { type EndpointContext, OwnedEndpoint } from "./OwnedEndpoint.js";
+import { type EndpointContext, type HostClaim, OwnedEndpoint } from "./OwnedEndpoint.js";
 import type { OwnerAuthority } from "./OwnerAuthority.js";
 import type { HolderRecord } from "./SlotLedger.js";
 import {
     type SlotAnswer,
+    type SlotClaim,
+    slotClaim,
     type SlotEntry,
     type SlotExchange,
     slotExchange,
@@ -44,6 +46,12 @@
     readonly platform?: PlatformList | undefined;
 }
 
+/** The holder of the same host. */
+export interface SelfHolder {
+    applyPush(push: SlotPush): void;
+    claim(endpoint: EndpointId): SlotClaim;
+}
+
 /** What an owner knows of one of its endpoints, for status pages and tests. */
 export interface OwnedView {
     readonly endpoint: EndpointId;
@@ -61,8 +69,9 @@
     private readonly departing = new Map<EndpointId, OwnedEndpoint>();
     private readonly states = new Map<EndpointId, EndpointState>();
     private readonly reportAtMs = new Map<EndpointId, number>();
-    /** Receives pushes for this host itself. */
-    private selfPush: ((push: SlotPush) => void) | undefined;
+    /** Endpoints whose claims are being collected. */
+    private readonly collecting = new Set<EndpointId>();
+    private selfHolder: SelfHolder | undefined;
 
     public constructor(private readonly options: SlotOwnerOptions) {
         options.registry.handle(slotExchange, async (req, from) => {
@@ -72,8 +81,8 @@
     }
 
     /** Connects the holder of this host, which is reached without the network. */
-    public connectSelf(listener: (push: SlotPush) => void): void {
-        this.selfPush = listener;
+    public connectSelf(holder: SelfHolder): void {
+        this.selfHolder = holder;
     }
 
     public view(): readonly OwnedView[] {
@@ -89,6 +98,14 @@
         return views;
     }
 
+    /** Calls running or waiting on the endpoints that this host owns. */
+    public demand(): { readonly endpoint: EndpointId; readonly calls: number; }[] {
+        return [...this.owned.values()].map(({ id, ledger }) => {
+            const waiting = ledger.holders.reduce((sum, record) => sum + record.waiting, 0);
+            return { endpoint: id, calls: ledger.inUse + waiting };
+        });
+    }
+
     /** Answers a holder's message. */
     public exchange(req: SlotExchange): SlotExchangeReply {
         const answers = req.entries.map(entry => this.answer(req.holder, entry));
@@ -198,6 +215,9 @@
         }
         this.pushAll(endpoint, context, undefined);
         this.noteState(endpoint, context);
+        if (endpoint.needsClaims(context) && !this.collecting.has(endpoint.id)) {
+            void this.collectClaims(endpoint);
+        }
         const nowMs = this.options.clock.nowMs();
         if (context.settings.reportsLoad && (this.reportAtMs.get(endpoint.id) ?? 0) <= nowMs) {
             this.reportAtMs.set(endpoint.id, nowMs + reportEveryMs);
@@ -205,6 +225,41 @@
         }
     }
 
+    /** Asks all hosts for their calls in flight. A host of this data centre that was seen must answer. */
+    private async collectClaims(endpoint: OwnedEndpoint): Promise<void> {
+        const { membership, transport, config, clock } = this.options;
+        const settings = config.current()?.settings;
+        const timeoutMs = settings?.timing.peerTimeoutMs ?? 1;
+        this.collecting.add(endpoint.id);
+        const claims: HostClaim[] = [];
+        const silent: HostId[] = [];
+        await Promise.all(
+            Object.keys(settings?.hosts ?? {}).map(async id => {
+                const host = id as HostId;
+                const claim = host === membership.self
+                    ? this.selfHolder?.claim(endpoint.id)
+                    : (await transport.call(host, slotClaim, { endpoint: endpoint.id }, { timeoutMs })).toMaybe()
+                        .extract();
+                if (claim === undefined) {
+                    silent.push(host);
+                }
+                else {
+                    claims.push({ host, inUse: claim.inUse });
+                }
+            }),
+        );
+        const context = this.context(endpoint.id);
+        const nowMs = clock.nowMs();
+        const mayHaveCalls = (one: HostView) =>
+            one.incarnation > 0 && (one.state !== "dead" || nowMs - one.sinceMs < (context?.callBoundMs ?? 0));
+        const seen = membership.view().local.filter(mayHaveCalls).map(one => one.host);
+        if (context !== undefined && this.owned.get(endpoint.id) === endpoint) {
+            endpoint.learnClaims(claims, !silent.some(host => seen.includes(host)), context);
+        }
+        await clock.sleep(tickMs);
+        this.collecting.delete(endpoint.id);
+    }
+
     private async readReport(endpoint: OwnedEndpoint, signal: AbortSignal): Promise<void> {
         const report = await this.options.loads.fetch(endpoint.id, signal);
         const context = this.context(endpoint.id);
@@ -232,7 +287,7 @@
             const { scarce } = endpoint.ledger;
             const push = { endpoint: endpoint.id, seq, grantNo, granted, covered, scarce, exclusive, incarnation };
             if (host === this.options.membership.self) {
-                this.selfPush?.(push);
+                this.selfHolder?.applyPush(push);
             }
             else {
                 void this.options.transport.call(host, slotPush, push, { timeoutMs: context.timing.peerTimeoutMs });
--- a/src/endpoints/Slots.test.ts
+++ b/src/endpoints/Slots.test.ts
@@ -355,3 +355,43 @@
     load.stop();
     site.stopAll();
 });
+
+test("with an owner epoch the hosts that see each other share all but the static part of the one cut off", async () => {
+    const site = new SlotSite({ settings: smallSettings(4), withEpochs: true });
+    site.startAll();
+    await site.clock.advance(settleMs);
+    const load = drive(site.live, writer, 4, 100);
+    await site.clock.advance(6000);
+    site.network.isolate("north-4" as HostId);
+    site.leases!.cutOff.add("north-4" as HostId);
+    await site.clock.advance(12_000);
+    const inside = site.live.filter(host => host.id !== "north-4");
+    const owners = new Set(inside.map(host => host.authority.ownership(writer).owner));
+    assert.equal(owners.size, 1, "one owner among those that see each other");
+    const owner = inside.find(host => owners.has(host.id))!;
+    assert.equal(owner.owner.view()[0]?.limit, 6, "8 but for the static 2 of the host that is cut off");
+    assert.equal(site.host("north-4").owner.view()[0]?.limit, 2);
+    assert.equal(site.endpoint(writer).overloads, 0);
+    assert.equal(site.endpoint(writer).maxInFlight, 8);
+    site.network.heal();
+    site.leases!.cutOff.clear();
+    await site.clock.advance(10_000);
+    assert.equal(site.ownerOf(writer)!.owner.view()[0]?.limit, 8);
+    assert.equal(site.endpoint(writer).overloads, 0);
+    load.stop();
+    site.stopAll();
+});
+
+test("without the config group each host keeps to its static part", async () => {
+    const site = new SlotSite({ settings: smallSettings(4), withEpochs: true });
+    site.startAll();
+    await site.clock.advance(settleMs);
+    const load = drive(site.live, writer, 4, 100);
+    site.live.forEach(host => site.leases!.cutOff.add(host.id));
+    site.network.isolate("north-4" as HostId);
+    await site.clock.advance(12_000);
+    assert.deepEqual(site.live.map(host => host.owner.view()[0]?.limit), [2, 2, 2, 2]);
+    assert.equal(site.endpoint(writer).overloads, 0);
+    load.stop();
+    site.stopAll();
+});
--- a/testing/SlotSite.ts
+++ b/testing/SlotSite.ts
@@ -6,12 +6,14 @@
 import type { EndpointSettings, Settings } from "../src/config/Schema.js";
 import { EndpointTable } from "../src/endpoints/EndpointTable.js";
 import { OwnerAuthority } from "../src/endpoints/OwnerAuthority.js";
+import { OwnerEpochs } from "../src/endpoints/OwnerEpochs.js";
 import { SlotHolderClient } from "../src/endpoints/SlotHolderClient.js";
 import { SlotOwner } from "../src/endpoints/SlotOwner.js";
 import type { CallEnd, LoadSource, Priority } from "../src/endpoints/Types.js";
 import type { LoadReportMessage } from "../src/endpoints/Wire.js";
 import { HeartbeatMembership } from "../src/membership/HeartbeatMembership.js";
 import { FakeClock } from "./FakeClock.js";
+import { FakeLeases } from "./FakeLeases.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import { MemoryLog } from "./MemoryLog.js";
 import { FixedConfig, testSettings, testView } from "./TestSettings.js";
@@ -118,11 +120,14 @@
 export interface SlotSiteOptions {
     readonly settings?: Settings;
     readonly seed?: number;
+    /** With a config group that confirms owner epochs. */
+    readonly withEpochs?: boolean;
 }
 
 /** One host's parts. */
 export class SiteHost {
     public readonly membership: HeartbeatMembership;
+    public readonly epochs: OwnerEpochs | undefined;
     public readonly authority: OwnerAuthority;
     public readonly owner: SlotOwner;
     public readonly holder: SlotHolderClient;
@@ -141,7 +146,10 @@
         const dataCentre = config.current()!.settings.hosts[id]!.dataCentre;
         const shared = { registry: node, transport: node, config, clock, log };
         this.membership = new HeartbeatMembership({ ...shared, self: id, dataCentre, incarnation });
-        this.authority = new OwnerAuthority(this.membership, config, undefined);
+        this.epochs = site.leases === undefined
+            ? undefined
+            : new OwnerEpochs({ ...shared, membership: this.membership, leases: site.leases.serviceOf(id, clock) });
+        this.authority = new OwnerAuthority(this.membership, config, this.epochs);
         const common = { ...shared, membership: this.membership, authority: this.authority };
         this.owner = new SlotOwner({ ...common, loads: site.loads(this) });
         this.holder = new SlotHolderClient({ ...common, localOwner: this.owner });
@@ -153,8 +161,8 @@
     }
 
     public start(): void {
-        for (const service of [this.membership, this.owner, this.holder]) {
-            void service.run(this.stop.signal);
+        for (const service of [this.membership, this.epochs, this.owner, this.holder]) {
+            void service?.run(this.stop.signal);
         }
     }
 
@@ -202,11 +210,13 @@
     public readonly settings: Settings;
     public readonly hosts = new Map<HostId, SiteHost>();
     private readonly endpoints = new Map<EndpointId, FakeEndpoint>();
+    public readonly leases: FakeLeases | undefined;
     private incarnations = 0;
     private readonly unreachable = new Set<string>();
 
     public constructor(options: SlotSiteOptions = {}) {
         this.network = new FakeNetwork(this.clock, options.seed ?? 1);
+        this.leases = options.withEpochs === true ? new FakeLeases(this.clock) : undefined;
         this.network.faults.minDelayMs = 0.5;
         this.network.faults.maxDelayMs = 1;
         this.settings = options.settings ?? testSettings();
