--- a/src/records/ReplicatedQuarantine.ts
+++ b/src/records/ReplicatedQuarantine.ts
@@ -7,25 +7,32 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { BodyOf, CrashMark, RecordsReply, Ticket } from "./Commands.js";
-import type { RecordsClient } from "./RecordsClient.js";
+import type { MarkAnnouncer } from "./PeerMarks.js";
+import type { RecordsClient, SentReply } from "./RecordsClient.js";
 import type { Fingerprint, Quarantine, RecordsError } from "./Types.js";
 
 export class ReplicatedQuarantine implements Quarantine {
     public readonly name = "quarantine";
     private readonly marks = new Map<Fingerprint, CrashMark>();
     private version = 0;
+    /** The newest version of the marks that a command's result has named. */
+    private newestSeen = 0;
     private wake: (() => void) | undefined;
 
     public constructor(
         private readonly client: RecordsClient,
         private readonly clock: Clock,
         private readonly events: EventLog,
+        private readonly announcer?: MarkAnnouncer,
     ) {
+        announcer?.onAnnounced(mark => this.adopt(mark));
         client.onResult(result => {
+            this.newestSeen = Math.max(this.newestSeen, result.marksVersion);
             if (result.marksVersion > this.version) {
                 this.wake?.();
             }
         });
+        client.news?.onMarks(reply => this.learn(reply));
         client.onApplied(() => {
             if ((client.replica?.marksVersion ?? 0) > this.version) {
                 this.refreshFromReplica();
@@ -67,7 +74,7 @@
     /** Keeps the copy fresh until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.refresh();
+            await (this.client.news === undefined ? this.refresh() : this.refreshNewer());
             const woken = new AbortController();
             const stop = () => woken.abort();
             this.wake = stop;
@@ -77,6 +84,13 @@
         }
     }
 
+    /** Asks only when a command's result has named newer marks than the news brought. */
+    private async refreshNewer(): Promise<void> {
+        if (this.newestSeen > this.version) {
+            await this.refresh();
+        }
+    }
+
     /** Asks for the marks that have changed. */
     public async refresh(): Promise<void> {
         if (this.client.replica !== undefined) {
@@ -98,19 +112,26 @@
         }
         if (reply.reset) {
             this.marks.clear();
+            this.version = 0;
         }
-        for (const mark of reply.marks) {
-            if (mark.state === "clear") {
-                this.marks.delete(mark.fingerprint);
-            }
-            else {
-                this.marks.set(mark.fingerprint, mark);
-            }
-        }
+        reply.marks.forEach(mark => this.adopt(mark));
         this.version = reply.version;
         this.events.event(EventId.MarksRefreshed, { version: this.version, marks: this.marks.size });
     }
 
+    /** Takes one mark over, unless a later version of the marks is known. */
+    private adopt(mark: CrashMark): void {
+        if (mark.version <= this.version) {
+            return;
+        }
+        if (mark.state === "clear") {
+            this.marks.delete(mark.fingerprint);
+        }
+        else {
+            this.marks.set(mark.fingerprint, mark);
+        }
+    }
+
     private async report(body: BodyOf<"crash" | "innocent">): Promise<Either<RecordsError, void>> {
         const sent = await this.client.send(body, reportMs);
         this.events.event(EventId.CrashReported, {
@@ -122,6 +143,11 @@
             this.client.settle(body);
             return sent.map(() => undefined);
         }
+        const { reply } = sent.extract() as SentReply;
+        if (reply.kind === "mark") {
+            this.adopt(reply.mark);
+            await this.announcer?.announce(reply.mark);
+        }
         await this.refresh();
         return Right(undefined);
     }
--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -13,6 +13,9 @@
 import type { GroupRole, GroupSnapshot, LogEntry, Member, StateMachine, StorageError } from "./Types.js";
 import { Waiters } from "./Waiters.js";
 
+/** Shortest time between two notes of the commit index on disk. */
+const recordCommitEveryMs = 200;
+
 /** Entries after which the log is compacted, and how many of them stay for followers that lag. */
 export interface CompactionLimits {
     readonly compactEntries: number;
@@ -38,7 +41,9 @@
     private committed = 0;
     private appliedTo = 0;
     private latestSnapshot: GroupSnapshot | undefined;
+    private busySinceMs: number | undefined;
     private recordedCommit = 0;
+    private recordedCommitMs = 0;
     private storageFault: StorageError | undefined;
     private readonly queue = new PQueue({ concurrency: 1 });
 
@@ -47,7 +52,7 @@
         private readonly storage: GroupStorage,
         private readonly stateMachine: StateMachine,
         private readonly limits: CompactionLimits,
-        clock: Clock,
+        private readonly clock: Clock,
     ) {
         this.changed = new Notifier(clock);
     }
@@ -96,7 +101,20 @@
 
     /** Runs one change of the durable state at a time. */
     public exclusive<T>(task: () => Promise<T>): Promise<T> {
-        return this.queue.add(task);
+        return this.queue.add(async () => {
+            this.busySinceMs = this.clock.nowMs();
+            try {
+                return await task();
+            }
+            finally {
+                this.busySinceMs = undefined;
+            }
+        });
+    }
+
+    /** For how long the disk has been at the current change, in milliseconds; 0 when there is none. */
+    public get busyMs(): number {
+        return this.busySinceMs === undefined ? 0 : this.clock.nowMs() - this.busySinceMs;
     }
 
     /** Reads the disk, and takes up from there. Entries that this process has applied stay applied. */
@@ -150,7 +168,7 @@
         invariant(first > this.committed, "a committed entry is never replaced", { first, committed: this.committed });
         this.log.put(first, entries);
         this.changed.notify();
-        const appended = await this.storage.append(first, entries, this.committed, true);
+        const appended = await this.storage.append(first, entries, this.committed);
         if (appended.isLeft()) {
             this.fail(appended.extract());
             return false;
@@ -166,18 +184,23 @@
             return;
         }
         this.committed = index;
-        this.applyCommitted();
+        if (this.stateMachine.notesCommits === true) {
+            void this.exclusive(() => this.noteAndApply());
+        }
+        else {
+            this.applyCommitted();
+        }
         this.changed.notify();
     }
 
-    /** Notes the commit index on disk without a sync, so that a restart knows it. Called within {@link exclusive}. */
+    /**
+     * Notes the commit index on disk, so that a restart knows it even where no other host can be reached. Called
+     * within {@link exclusive}, whenever there is nothing else to write.
+     */
     public async recordCommit(): Promise<void> {
-        if (this.recordedCommit >= this.committed || this.storageFault !== undefined) {
-            return;
+        if (this.clock.nowMs() - this.recordedCommitMs >= recordCommitEveryMs) {
+            await this.writeCommit();
         }
-        this.recordedCommit = this.committed;
-        const appended = await this.storage.append(this.log.lastIndex + 1, [], this.committed, false);
-        appended.ifLeft(error => this.fail(error));
     }
 
     /** Sets the members that a new group starts with, durably. Called within {@link exclusive}. */
@@ -245,6 +268,24 @@
         this.changed.notify();
     }
 
+    private async writeCommit(): Promise<void> {
+        if (this.recordedCommit >= this.committed || this.storageFault !== undefined) {
+            return;
+        }
+        const commit = this.committed;
+        const appended = await this.storage.append(this.log.lastIndex + 1, [], commit);
+        appended.ifLeft(error => this.fail(error));
+        if (appended.isRight()) {
+            this.recordedCommit = commit;
+            this.recordedCommitMs = this.clock.nowMs();
+        }
+    }
+
+    private async noteAndApply(): Promise<void> {
+        await this.writeCommit();
+        this.applyCommitted(Math.min(this.recordedCommit, this.committed));
+    }
+
     private isOwn(member: Member): boolean {
         return member.role === "learner" || member.replica === this.replicaId;
     }
@@ -284,9 +325,9 @@
         this.applied.fire(this.appliedTo);
     }
 
-    private applyCommitted(): void {
+    private applyCommitted(upTo: number = this.committed): void {
         const before = this.appliedTo;
-        while (this.appliedTo < this.committed) {
+        while (this.appliedTo < upTo) {
             const index = this.appliedTo + 1;
             const entry = this.log.at(index);
             invariant(entry !== undefined, "every committed entry is there to be applied", { index });
@@ -296,6 +337,7 @@
         }
         if (this.appliedTo > before) {
             this.applied.fire(this.appliedTo);
+            this.changed.notify();
         }
     }
 }
