Proof: a job may fail when an endpoint said that its stage failed

Change: the history keeps how each call ended at the endpoint; a job that fails without an endpoint having said so is still broken.

--- a/proof/History.ts
+++ b/proof/History.ts
@@ -45,8 +45,8 @@
     readonly bearable: number;
     /** Time since the endpoint last turned cold unannounced, in milliseconds. */
     readonly sinceColdMs: number;
-    /** True once the endpoint's work was done, whether its reply arrived or not. */
-    done: boolean;
+    /** How the endpoint's work ended, whether its reply arrived or not; undefined while it runs or when it was lost. */
+    end: "done" | "failed" | undefined;
 }
 
 /** The configuration in force on one host at one time. */
--- a/proof/HistoryChecks.ts
+++ b/proof/HistoryChecks.ts
@@ -67,7 +67,7 @@
     const placed = placedCalls(history);
     return history.requests
         .filter(req => req.kind === "hold" && req.outcome?.kind === "answered")
-        .filter(req => !placed.get(JSON.stringify(req.input))?.some(call => call.done))
+        .filter(req => !placed.get(JSON.stringify(req.input))?.some(call => call.end === "done"))
         .map(req => `${req.id} was answered and never placed`);
 }
 
@@ -103,6 +103,11 @@
 
 function checkJobs(history: History): readonly string[] {
     return history.jobs.filter(job => job.accepted && !job.cancelled).flatMap(job => {
+        // A job may end without its answer only when an endpoint itself said that a stage of it failed.
+        const saidToFail = history.calls.some(call => call.request === job.id && call.end === "failed");
+        if (job.state === "failed" && saidToFail) {
+            return [];
+        }
         if (job.state !== "answered") {
             return [`${job.id} was accepted and is ${job.state ?? "lost"}`];
         }
--- a/proof/ProofEndpoint.ts
+++ b/proof/ProofEndpoint.ts
@@ -142,7 +142,7 @@
 
     private noteEnd(call: StageCall, seen: SeenCall, end: EndpointEnd): void {
         if (end.kind === "done" || end.kind === "failed") {
-            seen.done = end.kind === "done";
+            seen.end = end.kind;
             this.warmth += 1;
             this.onStep("executed", call);
         }
@@ -191,7 +191,7 @@
             inFlight: this.running.size + 1,
             bearable: this.bearable,
             sinceColdMs: nowMs - this.coldAtMs,
-            done: false,
+            end: undefined,
         };
         this.history.calls.push(seen);
         return seen;
