--- /dev/null
+++ b/proof/matrix/Hold.test.ts
@@ -0,0 +1,3 @@
+import { testOperation } from "../MatrixTests.js";
+
+await testOperation("request that may not be repeated");
