Proof: a mutation for each check of the history

Cause: a check that can't fail proves nothing.

Change: Mutations.test replaces methods for the length of one cell and asks for the check that has to catch it; a test holds the table against the list of checks. Two checks were too weak for theirs and are stricter now: a key that was answered is never told as failed, whenever it was sent, and a data centre that is out is tried with more requests at once than the others bear cold.

--- a/proof/HistoryChecks.ts
+++ b/proof/HistoryChecks.ts
@@ -87,7 +87,7 @@
     });
 }
 
-/** Of the resends of one key: once one was answered, every later one that ends otherwise must leave it open. */
+/** Of the sendings of one key: once one was answered, none may be told that its action ran and failed. */
 function checkResends(history: History): readonly string[] {
     const byKey = new Map<string, SeenRequest[]>();
     for (const req of history.requests.filter(one => one.key !== undefined && one.endedAtMs !== undefined)) {
@@ -95,9 +95,10 @@
     }
     return [...byKey.values()].flatMap(sent => {
         const answered = sent.find(req => req.outcome?.kind === "answered");
-        const later = sent.filter(req => answered !== undefined && req.sentAtMs > (answered.endedAtMs ?? 0));
-        const denied = later.filter(req => req.outcome?.kind === "failed" && req.outcome.repeat === "unsafe");
-        return denied.map(req => `${req.id} was told that it failed after ${answered?.id ?? ""} was answered`);
+        const denied = sent.filter(req => req.outcome?.kind === "failed" && req.outcome.repeat === "unsafe");
+        return answered === undefined
+            ? []
+            : denied.map(req => `${req.id} was told that it failed, and ${answered.id} was answered`);
     });
 }
 
--- a/proof/MatrixTests.ts
+++ b/proof/MatrixTests.ts
@@ -1,8 +1,8 @@
 /** Makes one test of each cell of an operation's matrix. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { faults } from "./Faults.js";
 import { runStep } from "./FaultMatrix.js";
+import { faults } from "./Faults.js";
 import { operations } from "./Operations.js";
 
 const seed = 1;
--- /dev/null
+++ b/proof/Mutations.test.ts
@@ -0,0 +1,225 @@
+/**
+ * Each check has been seen to fail: a switch breaks one promise or one asserted condition, and the check named beside
+ * it has to catch that. The switches replace methods for one test; the product knows nothing of them.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Right } from "purify-ts";
+import { DispatchLedger } from "../src/common/Outcome.js";
+import { ConfigClient } from "../src/config/ConfigClient.js";
+import { ViewPublisher } from "../src/config/ViewPublisher.js";
+import { EndpointHealth } from "../src/endpoints/EndpointHealth.js";
+import { OnceStage } from "../src/pipeline/OnceStage.js";
+import { StagedPipelineRunner } from "../src/pipeline/StagedPipelineRunner.js";
+import { SuspectWatch } from "../src/pipeline/SuspectWatch.js";
+import { ClaimTable } from "../src/records/ClaimTable.js";
+import { JobTable } from "../src/records/JobTable.js";
+import { runAlone } from "./FaultMatrix.js";
+import { faults } from "./Faults.js";
+import { historyChecks } from "./HistoryChecks.js";
+import { operations } from "./Operations.js";
+
+/** Any method of any class, as a switch sees it. */
+type Method = (this: Record<string, unknown>, ...args: unknown[]) => unknown;
+
+interface Switch {
+    readonly target: object;
+    readonly method: string;
+    /** Makes the broken method from the right one. */
+    broken(right: Method): Method;
+}
+
+interface Mutation {
+    readonly name: string;
+    readonly switches: readonly Switch[];
+    readonly operation: string;
+    readonly step: string;
+    readonly fault: string;
+    /** Part of what has to be reported. */
+    readonly caughtBy: string;
+}
+
+function method(target: { readonly prototype: object; }, name: string, broken: Switch["broken"]): Switch {
+    return { target: target.prototype, method: name, broken };
+}
+
+const hold = "request that may not be repeated";
+
+const mutations: readonly Mutation[] = [
+    {
+        name: "every try gets the claim",
+        switches: [method(ClaimTable, "claim", () => () => ({ kind: "claimed" }))],
+        operation: hold,
+        step: "answered",
+        fault: "burst",
+        caughtBy: "a call that may not be repeated runs at most once",
+    },
+    {
+        name: "claims of a host that died are forgotten",
+        switches: [method(ClaimTable, "endSession", () =>
+            function() {
+                for (const claim of (this.running as Map<string, never>).values()) {
+                    (this.remove as (claim: never) => void)(claim);
+                }
+            })],
+        operation: hold,
+        step: "executed place",
+        fault: "process death",
+        caughtBy: "a call that may not be repeated runs at most once",
+    },
+    {
+        name: "an answered claim is told as failed",
+        switches: [method(ClaimTable, "describe", right =>
+            function(...args) {
+                const reply = right.apply(this, args) as { kind: string; };
+                return reply.kind === "recorded"
+                    ? { kind: "recorded", outcome: { kind: "failed", message: "" } }
+                    : reply;
+            })],
+        operation: hold,
+        step: "answered",
+        fault: "burst",
+        caughtBy: "an answer is never taken back",
+    },
+    {
+        name: "a hold is answered without its call",
+        switches: [method(OnceStage, "run", () =>
+            async function(...args) {
+                const ctx = args[0] as { req: { input: unknown; }; outputs: Record<string, string>; } & {
+                    adoptOutput(stage: string, output: string): void;
+                };
+                const output = `place[${JSON.stringify(ctx.req.input)} after ${ctx.outputs.check}]`;
+                ctx.adoptOutput("place", output);
+                return Right(output);
+            })],
+        operation: hold,
+        step: "executed check",
+        fault: "burst",
+        caughtBy: "an answered hold was placed",
+    },
+    {
+        name: "one request gets the answer of another",
+        switches: [method(StagedPipelineRunner, "answerOf", right => {
+            let earlier: unknown;
+            return function(...args) {
+                const answer = right.apply(this, args);
+                const given = earlier ?? answer;
+                earlier = answer;
+                return given;
+            };
+        })],
+        operation: "request",
+        step: "received write",
+        fault: "burst",
+        caughtBy: "an answer is whole, on time, and the request's own",
+    },
+    {
+        name: "sent calls are not counted",
+        switches: [{ target: DispatchLedger.prototype, method: "markSent", broken: () => () => undefined }],
+        operation: "request",
+        step: "received encode",
+        fault: "failing stage",
+        caughtBy: "a refusal that says not run is true",
+    },
+    {
+        name: "jobs of a host that died are not queued again",
+        switches: [method(JobTable, "endSession", () => () => undefined)],
+        operation: "job",
+        step: "received write",
+        fault: "process death",
+        caughtBy: "an accepted job ends with its own answer",
+    },
+    {
+        name: "a later version is taken back",
+        switches: [method(ViewPublisher, "publish", right =>
+            function(...args) {
+                right.apply(this, args);
+                const view = this.view as { version: number; } | undefined;
+                if (view !== undefined && view.version > 1) {
+                    (this.emitter as { fire(view: unknown): void; }).fire({ ...view, version: view.version - 1 });
+                }
+            })],
+        operation: "configuration change",
+        step: "proposed",
+        fault: "burst",
+        caughtBy: "versions in force only rise, and a version has one content",
+    },
+    {
+        name: "hosts without a replica follow no change",
+        switches: [method(ConfigClient, "take", right =>
+            function(...args) {
+                if (this.held === undefined) {
+                    right.apply(this, args);
+                }
+            })],
+        operation: "configuration change",
+        step: "proposed",
+        fault: "burst",
+        caughtBy: "an accepted change is in force everywhere within seconds",
+    },
+    {
+        name: "a data centre that is out is not closed",
+        switches: [method(ViewPublisher, "publish", right =>
+            function(...args) {
+                const config = args[0] as { outDataCentres: readonly string[]; };
+                right.apply(this, [{ ...config, outDataCentres: [] }]);
+            })],
+        operation: "data centre out and in",
+        step: "asked out",
+        fault: "resent change",
+        caughtBy: "a closed endpoint gets no new work after a few seconds",
+    },
+    {
+        name: "a cold endpoint gets as much as a warm one",
+        switches: [method(EndpointHealth, "turnCold", right =>
+            function(...args) {
+                right.apply(this, args);
+                this.level = (this.limits as { warmLimit: number; }).warmLimit;
+            })],
+        operation: "request",
+        step: "received write",
+        fault: "warm turned cold",
+        caughtBy: "an endpoint in cold start gets no more than it can bear",
+    },
+    {
+        name: "a request that crashes endpoints is never quarantined",
+        switches: [
+            method(SuspectWatch, "isQuarantined", () => () => false),
+            method(SuspectWatch, "isSuspect", () => () => false),
+        ],
+        operation: "request",
+        step: "received write",
+        fault: "request that crashes endpoints, resent",
+        caughtBy: "a request crashes at most two endpoints",
+    },
+];
+
+async function withSwitches<T>(switches: readonly Switch[], run: () => Promise<T>): Promise<T> {
+    const right = switches.map(one => Object.getOwnPropertyDescriptor(one.target, one.method));
+    switches.forEach((one, at) => {
+        assert.ok(right[at]?.value !== undefined, `there is no method ${one.method}`);
+        Object.defineProperty(one.target, one.method, { ...right[at], value: one.broken(right[at].value as Method) });
+    });
+    try {
+        return await run();
+    }
+    finally {
+        switches.forEach((one, at) => Object.defineProperty(one.target, one.method, right[at]!));
+    }
+}
+
+for (const { name, switches, operation: operationName, step: stepName, fault: faultName, caughtBy } of mutations) {
+    test(`${name}: caught by "${caughtBy}"`, async () => {
+        const operation = operations.find(one => one.name === operationName)!;
+        const step = operation.steps.find(one => one.name === stepName)!;
+        const fault = faults.find(one => one.name === faultName)!;
+        const cell = { operation, step, faults: [fault] };
+        const { broken } = await withSwitches(switches, () => runAlone(cell, 1));
+        assert.ok(broken.some(what => what.startsWith(caughtBy)), `reported instead: ${broken.join("; ")}`);
+    });
+}
+
+test("every check of the history has a mutation that it catches", () => {
+    const caught = new Set(mutations.map(one => one.caughtBy));
+    assert.deepEqual(historyChecks.map(check => check.name).filter(name => !caught.has(name)), []);
+});
--- a/proof/Operations.ts
+++ b/proof/Operations.ts
@@ -25,6 +25,11 @@
 const tries = 6;
 const pauseMs = 2000;
 
+/** Rounds of requests while a data centre is out, and the pause between them, in milliseconds. */
+const outRounds = 4;
+const roundMs = 2000;
+const requestsPerHost = 6;
+
 export const operations: readonly Operation[] = [
     {
         name: "request",
@@ -172,9 +177,14 @@
     const closed = { endpoints, fromMs: site.clock.nowMs(), toMs: Number.POSITIVE_INFINITY };
     site.history.closed.push(closed);
     site.onStep({ name: "out", place: "south-1" });
-    for (let at = 0; at < 4; at++) {
-        void site.send("profile", entry, { during: turn, at });
-        await site.clock.sleep(pauseMs);
+    for (let at = 0; at < outRounds; at++) {
+        // Enough at once that every open endpoint is needed.
+        for (const host of site.live) {
+            for (let each = 0; each < requestsPerHost; each++) {
+                void site.send("profile", host.id, { during: turn, at, host: host.id, each });
+            }
+        }
+        await site.clock.sleep(roundMs);
     }
     closed.toMs = site.clock.nowMs();
     site.onStep({ name: "asked in", place: "south-1" });
