Let overnight calls have their turn at slots, and hedge only calls that were sent

Cause: calls wait for slots by strict priority, so a steady stream of quick calls could keep an overnight call from its slot; the earlier test did not show it, since its calls ended after the stream. The time before a hedge counted from before the call had an endpoint, so that waiting calls were taken for slow ones. Change: an overnight call that has waited a second for a slot is ranked among the quick ones; while those fill the pool, overnight calls use an eighth of it. A hedge's time counts from when its call has its endpoint.

--- a/src/pipeline/HedgedAttempt.ts
+++ b/src/pipeline/HedgedAttempt.ts
@@ -23,6 +23,10 @@
 export class HedgedAttempt {
     private readonly calls: StartedCall[] = [];
     private firstEndpoint: EndpointId | undefined;
+    private markSent: () => void = () => {};
+    private readonly sent = new Promise<void>(resolve => {
+        this.markSent = resolve;
+    });
 
     public constructor(
         private readonly parts: IdempotentStageParts,
@@ -50,7 +54,9 @@
         if (hedgeAfterMs === undefined) {
             return first.result;
         }
-        const early = await this.within(first, hedgeAfterMs);
+        // The time counts from when the call has its endpoint; waiting for one is no sign of a slow call.
+        const early = await this.orUndefined(first.result, this.sent)
+            ?? await this.within(first, hedgeAfterMs);
         if (early !== undefined) {
             return early;
         }
@@ -97,6 +103,7 @@
             ...(this.relay.passesOn ? { onOutput: (offset, text) => source.onOutput(offset, text) } : {}),
             onEndpoint: endpoint => {
                 this.firstEndpoint ??= endpoint;
+                this.markSent();
             },
         }).finally(() => source.release());
         const call = { controller, result };
@@ -107,12 +114,16 @@
     /** The call's result, or undefined when it takes longer. */
     private async within(call: StartedCall, delayMs: number): Promise<AttemptResult | undefined> {
         const waiting = new AbortController();
-        const slow = this.parts.services.clock.sleep(delayMs, waiting.signal).then(() => undefined);
-        const result = await Promise.race([call.result, slow]);
+        const result = await this.orUndefined(call.result, this.parts.services.clock.sleep(delayMs, waiting.signal));
         waiting.abort();
         return result;
     }
 
+    /** The result, or undefined when the other promise is there first. */
+    private orUndefined(result: Promise<AttemptResult>, other: Promise<void>): Promise<AttemptResult | undefined> {
+        return Promise.race([result, other.then(() => undefined)]);
+    }
+
     private async firstSuccess(first: StartedCall, second: StartedCall): Promise<AttemptResult> {
         const [result, other] = await Promise.race([
             first.result.then(one => [one, second] as const),
--- a/src/pipeline/SlotFinder.ts
+++ b/src/pipeline/SlotFinder.ts
@@ -13,6 +13,10 @@
 const maxChoices = 3;
 /** Multiple of the expected time after which the next choice is tried. */
 const patienceFactor = 2;
+const overnight: Priority = 2;
+/** Wait for a slot after which an overnight call is ranked among the quick ones, and its patience then. */
+const overnightPatienceMs = 1000;
+const agedPatienceMs = 500;
 /** How long a call waits for an endpoint when the pool has none that takes work. */
 const noEndpointPatienceMs = 300;
 const noEndpointPollMs = 100;
@@ -27,6 +31,8 @@
     readonly prompt: string;
     readonly priority: Priority;
     readonly avoid: ReadonlySet<EndpointId>;
+    /** When the call got its turn, on the local monotonic clock. */
+    readonly sinceMs: number;
     /** The search ends then, on the local monotonic clock. */
     readonly startByMs: number;
     /** Whether no other call may be on the endpoint. */
@@ -129,11 +135,13 @@
             }
         };
         const nowMs = clock.nowMs();
-        const patienceMs = choice.expectedMs * patienceFactor;
+        const rank = this.rankOf(search, choice, nowMs);
         this.waiting.set(id, (this.waiting.get(id) ?? 0) + 1);
         const granted = await slots.acquire(id, {
-            priority: search.priority,
-            deadlineMs: choicesLeft === 1 ? search.startByMs : Math.min(search.startByMs, nowMs + patienceMs),
+            priority: rank.priority,
+            deadlineMs: choicesLeft === 1 && search.priority !== overnight
+                ? search.startByMs
+                : Math.min(search.startByMs, nowMs + rank.patienceMs),
             signal: search.signal,
             ...(search.alone ? { exclusive: true } : {}),
         });
@@ -144,6 +152,23 @@
         }, slot => ({ slot, choice, alone: search.alone && this.isAlone(slot), done }));
     }
 
+    /**
+     * How a call stands in the line for a slot. An overnight call that has waited for long is ranked among the quick
+     * ones, by a patience as short as theirs, so that a steady stream of them can't keep it from its turn.
+     */
+    private rankOf(
+        search: SlotSearch,
+        choice: RouteChoice,
+        nowMs: number,
+    ): { priority: Priority; patienceMs: number; } {
+        if (search.priority !== overnight) {
+            return { priority: search.priority, patienceMs: choice.expectedMs * patienceFactor };
+        }
+        return nowMs - search.sinceMs < overnightPatienceMs
+            ? { priority: overnight, patienceMs: overnightPatienceMs }
+            : { priority: 0, patienceMs: agedPatienceMs };
+    }
+
     /** Waits until the other calls of this host on the endpoint have ended. */
     private async untilDrained(id: EndpointId, search: SlotSearch): Promise<void> {
         const { clock, directory } = this.services;
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -87,6 +87,7 @@
             stage,
             prompt: ctx.prompt,
             priority: ctx.req.priority,
+            sinceMs: turnAtMs,
             avoid: options.avoid,
             startByMs,
             alone: options.alone,
--- a/src/pipeline/StageQueues.ts
+++ b/src/pipeline/StageQueues.ts
@@ -12,6 +12,8 @@
 
 /** Part of a pool that overnight calls may use, in [0, 1]. */
 const overnightShare = 0.7;
+/** The same while quick calls fill the pool. */
+const overnightShareWhenBusy = 1 / 8;
 const overnight: Priority = 2;
 /** Calls that may wait for slots at endpoints, as a share of the pool's limit, and at least. */
 const waitingForSlotsShare = 0.15;
@@ -173,7 +175,9 @@
         if (pool.quick.concurrency !== quick) {
             pool.quick.concurrency = quick;
         }
-        const overnightLimit = Math.max(1, Math.floor(quick * overnightShare));
+        const quickWaits = pool.quick.size > 0 || pool.quick.pending >= quick;
+        const share = quickWaits ? overnightShareWhenBusy : overnightShare;
+        const overnightLimit = Math.max(1, Math.floor(quick * share));
         if (pool.overnight.concurrency !== overnightLimit) {
             pool.overnight.concurrency = overnightLimit;
         }
