Size the pools' queues only where calls wait

Cause: each look at a queue, and each change of any endpoint, went through all endpoints of all pools.

--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -117,6 +117,7 @@
         options.onEndpoint?.(found.choice.endpoint.id);
         const ended = this.callClient(ctx, stage, options, held).finally(() => {
             found.done();
+            this.queues.refresh(stage.pool);
             turn.end();
         });
         return raceAbort<AttemptResult>(ended, options.signal, () => Left(givenUp));
--- a/src/pipeline/StageQueues.ts
+++ b/src/pipeline/StageQueues.ts
@@ -50,6 +50,7 @@
 export class StageQueues implements Disposable {
     private readonly pools = new Map<string, Pool>();
     private lastId = 0;
+    private resizePending = false;
 
     private readonly subscription: Disposable;
 
@@ -58,7 +59,7 @@
         private readonly maxWaiting: () => number,
         private readonly queueClass: StageQueueClass = FairQueue,
     ) {
-        this.subscription = directory.onChange(() => this.resizeAll());
+        this.subscription = directory.onChange(() => this.resizeSoon());
     }
 
     public dispose(): void {
@@ -77,6 +78,7 @@
     /** Waits for a turn until the signal is aborted. */
     public turn(req: TurnRequest, signal: AbortSignal): Promise<Either<TurnError, Turn>> {
         const queue = this.queueFor(req);
+        this.refresh(req.pool);
         if (signal.aborted) {
             return Promise.resolve(Left("aborted"));
         }
@@ -139,8 +141,8 @@
                 overnight: new PQueue({ queueClass: this.queueClass, concurrency: 1 }),
             };
             this.pools.set(name, pool);
+            this.resize(pool, name);
         }
-        this.resize(pool, name);
         return pool;
     }
 
@@ -152,10 +154,20 @@
         }
     }
 
-    private resizeAll(): void {
-        for (const [name, pool] of this.pools) {
-            this.resize(pool, name);
+    /** Resizes the pools in which calls wait, once for all changes that come together. */
+    private resizeSoon(): void {
+        if (this.resizePending) {
+            return;
         }
+        this.resizePending = true;
+        queueMicrotask(() => {
+            this.resizePending = false;
+            for (const [name, pool] of this.pools) {
+                if (pool.quick.size + pool.overnight.size > 0) {
+                    this.resize(pool, name);
+                }
+            }
+        });
     }
 
     /**
