--- a/bench/main.ts
+++ b/bench/main.ts
@@ -54,7 +54,7 @@
     .action(attainment);
 
 /** Experiments that stand in files of their own; each exports `run(args)`. */
-for (const name of ["capacity", "endpoints", "replication", "requests"]) {
+for (const name of ["capacity", "entry", "endpoints", "replication", "requests"]) {
     program.command(name)
         .description(`the experiment of bench/${name}.ts`)
         .allowUnknownOption()
