Tell an endpoint's process across owners, and trust a probe only by the process it was known by

Change: holders pass on the process that they last heard; a probe restores the limit only when the process is the one known before the trouble; an endpoint whose process was never heard of starts from its cold limit.

--- a/src/endpoints/EndpointHealth.ts
+++ b/src/endpoints/EndpointHealth.ts
@@ -52,6 +52,7 @@
     private coldSinceMs = Number.NEGATIVE_INFINITY;
     /** Limit before the endpoint became suspect, for when the same process turns out to be well. */
     private formerLevel = 0;
+    private formerIncarnation: string | undefined;
     private incarnation: string | undefined;
     private uptimeMs = 0;
     private halvedAtMs = Number.NEGATIVE_INFINITY;
@@ -113,15 +114,10 @@
         return this.currentEra;
     }
 
-    /** True once calls have told of troubles or of a process. */
-    public get hasEvidence(): boolean {
-        return this.incarnation !== undefined || this.current === "suspect";
-    }
-
     /** Goes on from what the former owner knew. */
     public restore(record: HealthRecord, provenAgeMs: number = 0): void {
         this.provenAtMs = this.clock.nowMs() - provenAgeMs;
-        this.incarnation ??= record.incarnation;
+        this.incarnation = record.incarnation;
         this.current = "cold";
         this.level = this.limits.coldLimit;
         if (record.state === "warming" || record.state === "warm") {
@@ -193,6 +189,10 @@
 
     private noteIncarnation(incarnation: string): boolean {
         const restarted = this.incarnation !== undefined && this.incarnation !== incarnation;
+        if (this.incarnation === undefined && !this.isProven && this.current !== "suspect") {
+            // What former owners knew may be of another process.
+            this.turnCold();
+        }
         this.incarnation = incarnation;
         if (restarted) {
             this.uptimeMs = 0;
@@ -222,6 +222,7 @@
         const former = Math.max(this.formerLevel, this.level);
         this.turnCold();
         this.formerLevel = former;
+        this.formerIncarnation = this.incarnation;
         this.lostInRow = 0;
         this.current = "suspect";
         this.probeNotBeforeMs = this.clock.nowMs() + this.probePauseMs;
@@ -261,8 +262,8 @@
     private endProbing(): void {
         this.probePauseMs = firstProbePauseMs;
         this.current = "warming";
-        // An endpoint that names no process may be another one.
-        const former = this.incarnation === undefined ? 0 : this.formerLevel;
+        const isSame = this.formerIncarnation !== undefined && this.formerIncarnation === this.incarnation;
+        const former = isSame ? this.formerLevel : 0;
         this.level = Math.max(this.limits.coldLimit, Math.floor(former / 2));
         this.formerLevel = 0;
     }
--- a/src/endpoints/EvidenceLog.ts
+++ b/src/endpoints/EvidenceLog.ts
@@ -12,6 +12,7 @@
     private pending = noEvidence(0);
     private sent: SlotEvidence | undefined;
     private times: number[] = [];
+    private latestIncarnation: string | undefined;
 
     /** The owner's era; successes of calls begun in an earlier one prove nothing. */
     public get era(): number {
@@ -23,6 +24,11 @@
         return this.pending.succeeded;
     }
 
+    /** The endpoint's process as it last named itself to this host. */
+    public get incarnation(): string | undefined {
+        return this.latestIncarnation;
+    }
+
     /** Median time of recent calls, in milliseconds. */
     public get recentMs(): number | undefined {
         const sorted = [...this.times].sort((a, b) => a - b);
@@ -40,6 +46,7 @@
         }
         if (isOfThisEra && evidence?.endpointIncarnation !== undefined) {
             this.pending.incarnation = evidence.endpointIncarnation;
+            this.latestIncarnation = evidence.endpointIncarnation;
         }
         if (evidence?.firstByteMs !== undefined && this.pending.firstByteMs.length < firstBytesSent) {
             this.pending.firstByteMs.push(evidence.firstByteMs);
--- a/src/endpoints/HeldEndpoint.ts
+++ b/src/endpoints/HeldEndpoint.ts
@@ -217,7 +217,8 @@
     private believed(): NonNullable<SlotEntry["believed"]> {
         const nowMs = this.clock.nowMs();
         const provenAgeMs = Math.min(nowMs - this.succeededAtMs, Number.MAX_SAFE_INTEGER);
-        return { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs, provenAgeMs };
+        const { incarnation } = this.evidence;
+        return { state: this.state, limit: this.limit, ageMs: nowMs - this.stateAtMs, provenAgeMs, incarnation };
     }
 
     private allow(grant: Pick<SlotPush, "grantNo" | "granted" | "covered" | "scarce" | "exclusive">): void {
--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -44,6 +44,8 @@
     /** Former owners' grants may be live until then. */
     private openAtMs = Number.POSITIVE_INFINITY;
     private settled = false;
+    /** True once calls or reports have told this owner of the endpoint. */
+    private hasOwnEvidence = false;
     private believedAtMs = Number.NEGATIVE_INFINITY;
 
     public constructor(
@@ -77,12 +79,15 @@
     /** Takes in a holder's message and what it tells of the endpoint. */
     public exchange(holder: HolderIdentity, entry: SlotEntry, context: EndpointContext): HolderRecord | undefined {
         const isNew = entry.seq > this.ledger.lastSeq(holder);
-        if (isNew && entry.evidence !== undefined && this.health.learn(entry.evidence)) {
-            this.ledger.endpointRestarted();
-        }
         if (isNew && entry.believed !== undefined && !this.settled) {
             this.believe(entry.believed);
         }
+        if (isNew && entry.evidence !== undefined) {
+            this.hasOwnEvidence ||= hasTold(entry.evidence);
+            if (this.health.learn(entry.evidence)) {
+                this.ledger.endpointRestarted();
+            }
+        }
         return this.ledger.exchange(holder, entry, this.terms(context));
     }
 
@@ -103,6 +108,7 @@
         if (this.health.learnReport(report)) {
             this.ledger.endpointRestarted();
         }
+        this.hasOwnEvidence = true;
         const calls = report.running + report.waiting;
         this.ledger.learnReport(calls, reportLagMs);
         const lagMs = context.hostsMissing ? reportLagMs : 0;
@@ -142,10 +148,10 @@
     /** Until this owner has evidence of its own, the freshest word of the former owner counts. */
     private believe(believed: NonNullable<SlotEntry["believed"]>): void {
         const heardAtMs = this.clock.nowMs() - believed.ageMs;
-        if (heardAtMs > this.believedAtMs && !this.health.hasEvidence) {
+        if (heardAtMs > this.believedAtMs && !this.hasOwnEvidence) {
             this.believedAtMs = heardAtMs;
-            const { state, limit, provenAgeMs } = believed;
-            this.health.restore({ state, limit, incarnation: undefined }, provenAgeMs);
+            const { state, limit, provenAgeMs, incarnation } = believed;
+            this.health.restore({ state, limit, incarnation }, provenAgeMs);
         }
     }
 
@@ -192,3 +198,7 @@
         this.settled ||= this.clock.nowMs() >= this.openAtMs + context.callBoundMs;
     }
 }
+
+function hasTold(evidence: NonNullable<SlotEntry["evidence"]>): boolean {
+    return evidence.incarnation !== undefined || evidence.crashed + evidence.refused + evidence.cold > 0;
+}
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -56,6 +56,7 @@
         ageMs: z.number(),
         /** Since the last success that this holder has seen. */
         provenAgeMs: z.number(),
+        incarnation: z.string().optional(),
     }).optional(),
 });
 
