A host that hears from nobody gives out no static part

Cause: a host cut off from all others went on with its static part for ever, also after its data centre had been taken out or the endpoint had begun to leave, since the order could not reach it (Slots.test.ts, a host cut off from the owner before the order: last call 2975 ms after, and it would have gone on). Change: such a host owns nothing until it hears from its data centre or another one. A data centre cut off as a whole goes on, since its hosts hear each other.

--- a/src/endpoints/OwnerAuthority.ts
+++ b/src/endpoints/OwnerAuthority.ts
@@ -2,13 +2,14 @@
  * Who owns an endpoint, and which part of its limit the owner may give out.
  *
  * - All hosts of the data centre are accounted for: the first living host in rendezvous order owns all of the limit.
- * - The view is uncertain: each host has its static part of the limit, and the parts add up to the limit.
+ * - The view is uncertain: each host has its static part of the limit, and the parts add up to the limit. A host that
+ *   hears from nobody has none, since it would not hear either that its data centre has been taken out.
  * - The view is uncertain but the config group has confirmed an owner epoch: the hosts that the epoch's holder sees
  *   share ownership by rendezvous, and leave out only the static parts of those that it does not see.
  */
 import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
-import type { Membership } from "../membership/Types.js";
+import type { Membership, MembershipView } from "../membership/Types.js";
 import type { EpochSource, OwnerEpoch } from "./OwnerEpochs.js";
 import { rankHosts, staticPart } from "./Rendezvous.js";
 
@@ -49,6 +50,9 @@
         if (epoch !== undefined) {
             return this.epochOwner(endpoint, configured, epoch);
         }
+        if (isCutOff(view)) {
+            return { ...nobody, key: "cut-off" };
+        }
         return {
             owner: this.membership.self,
             isOwn: true,
@@ -92,3 +96,12 @@
         return { owner, isOwn, key: `epoch/${epoch.epoch}/${[...epoch.hosts].sort().join(",")}`, share };
     }
 }
+
+/**
+ * True for a host that hears from nobody: neither from its data centre, although other hosts may live there, nor from
+ * any other one. An order to send nothing more could not reach it.
+ */
+function isCutOff(view: MembershipView): boolean {
+    const hearsLocal = view.local.filter(one => one.state === "alive" || one.state === "leaving").length > 1;
+    return !hearsLocal && ![...view.remote.values()].some(one => one.reachable);
+}
