Let broken invariants of detached calls stop the process

Cause: a call that was given up is not waited for, so what it threw was lost. Change: surfaceFailure passes it on to the top of the process. Conclusion: a rejected call ends a thread with its error, an answered one does not.

--- a/bench/requests/SimSite.ts
+++ b/bench/requests/SimSite.ts
@@ -28,7 +28,8 @@
 const cacheBlocks = 200;
 /** How much a full batch slows a call. */
 const batchSlowdown = 0.5;
-const restartMs = 1000;
+/** Time after which an endpoint in an outage loses a call. */
+const outageCallMs = 30;
 
 export interface SimPool {
     readonly name: string;
@@ -130,7 +131,7 @@
         const startedMs = this.clock.nowMs();
         const work = this.workOf(call, slot.endpoint);
         const outageMs = (this.faults.outageUntilMs.get(slot.endpoint) ?? 0) - startedMs;
-        await this.clock.sleep(outageMs > 0 ? Math.min(restartMs, call.deadlineMs - startedMs) : work.ms, signal);
+        await this.clock.sleep(outageMs > 0 ? Math.min(outageCallMs, call.deadlineMs - startedMs) : work.ms, signal);
         const busyMs = this.clock.nowMs() - startedMs;
         this.totals.busyMs += busyMs;
         const result = this.endOf(call, work, busyMs, outageMs > 0, signal);
--- a/src/pipeline/OnceStage.ts
+++ b/src/pipeline/OnceStage.ts
@@ -10,6 +10,7 @@
 import type { StageSettings } from "../config/Schema.js";
 import type { Claim, ClaimKey, ClaimResult, RecordedOutcome, RecordsError } from "../records/Types.js";
 import { EventId } from "../telemetry/Events.js";
+import { surfaceFailure } from "./Detached.js";
 import { bodyDigestOf } from "./Digests.js";
 import { cancelled, deadlineExceeded, failureOf } from "./Failures.js";
 import type { RequestContext } from "./RequestContext.js";
@@ -179,7 +180,9 @@
                 resolve(Left(this.givenUp(ctx, stage, sent, timed.timedOut)));
             };
             timed.signal.addEventListener("abort", giveUp, { once: true });
-            this.untilRecorded(ctx, stage, claim, call.signal).then(resolve, reject).finally(() => {
+            const recorded = this.untilRecorded(ctx, stage, claim, call.signal);
+            surfaceFailure(recorded);
+            recorded.then(resolve, reject).finally(() => {
                 this.detached -= answered ? 1 : 0;
                 timed.signal.removeEventListener("abort", giveUp);
                 timed.dispose();
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -7,6 +7,7 @@
 import type { StageSettings } from "../config/Schema.js";
 import type { StageCall, StageCallError, StageReply } from "../endpoints/Types.js";
 import { EventId } from "../telemetry/Events.js";
+import { surfaceFailure } from "./Detached.js";
 import type { RequestContext } from "./RequestContext.js";
 import { type FoundSlot, type NoSlot, SlotFinder } from "./SlotFinder.js";
 import type { StageEstimator } from "./StageEstimator.js";
@@ -120,6 +121,7 @@
             this.queues.refresh(stage.pool);
             turn.end();
         });
+        surfaceFailure(ended);
         return raceAbort<AttemptResult>(ended, options.signal, () => Left(givenUp));
     }
 
