--- a/bench/Balancer.ts
+++ b/bench/Balancer.ts
@@ -1,4 +1,5 @@
 /** The platform's balancer as callers see it: it asks each host whether it is ready, and takes ready ones in turn. */
+import { setMaxListeners } from "node:events";
 import { get } from "node:http";
 import type { Clock, Disposable } from "../src/common/Types.js";
 import type { Settings } from "../src/config/Schema.js";
@@ -28,6 +29,7 @@
 
     /** Begins to ask the hosts. */
     public start(): void {
+        setMaxListeners(0, this.abort.signal);
         for (const target of this.targets) {
             void this.watch(target);
         }
--- a/standin/StandInEndpoint.test.ts
+++ b/standin/StandInEndpoint.test.ts
@@ -1,9 +1,12 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { Agent, request } from "node:http";
+import { connect } from "node:net";
 import { afterEach, test } from "node:test";
 import { blockHashes } from "../src/endpoints/Prompt.js";
 import { cacheEventsSchema, engineStateSchema, loadReportSchema, stageReplySchema } from "../src/endpoints/Wire.js";
 import { expectedOutput, inputDigest } from "./ExpectedOutput.js";
+import { splitAddress } from "./HttpHost.js";
 import { digestOf } from "./Reply.js";
 import { StandInEndpoint } from "./StandInEndpoint.js";
 import type { ControlMessage, StandInOptions } from "./Types.js";
@@ -137,6 +140,39 @@
     });
 }
 
+test("a doubled stream repeats each event", async () => {
+    await start();
+    await control({ duplicate: 1 });
+    const { text } = await send("POST", "/v1/stage", callOf("r1"), { accept: "text/event-stream" });
+    const events = text.trim().split("\n\n");
+    assert.ok(events.length > 4);
+    assert.ok(events.every((event, index) => index % 2 === 0 || event === events[index - 1]));
+});
+
+test("a doubled whole reply comes again on the same connection", async () => {
+    await start();
+    await control({ duplicate: 1 });
+    const socket = connect(splitAddress(address));
+    const body = JSON.stringify(callOf("r1"));
+    socket.write(`POST /v1/stage HTTP/1.1\r\nhost: e\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    let received = "";
+    while (received.split("HTTP/1.1 200 OK").length < 3 || !received.endsWith("}}")) {
+        const [data] = await once(socket, "data") as [Buffer];
+        received += data.toString();
+    }
+    socket.destroy();
+    assert.equal(received.split(`"request":"r1"`).length - 1, 2);
+});
+
+test("a slow endpoint and a late reply take their time", async () => {
+    await start({ speed: { ...speed, baseMs: 10 } });
+    await control({ slowBy: 4, lateMs: 30 });
+    const startMs = performance.now();
+    const reply = stageReplySchema.parse(JSON.parse((await send("POST", "/v1/stage", callOf("r1"))).text));
+    assert.ok(performance.now() - startMs >= 69);
+    assert.ok(reply.usage.busyMs >= 39);
+});
+
 test("two swapped replies carry each other's content", async () => {
     await start();
     await control({ swapReplies: 2 });
