--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -141,6 +141,7 @@
     /** Ends at once, as a crash would, but closes sockets. */
     public async abort(): Promise<void> {
         await this.supervisor.abortAll();
+        this.work.dispose();
         this.transport.dispose();
     }
 
@@ -150,6 +151,7 @@
         this.readiness.markStopping();
         const graceMs = (this.config.current()?.settings ?? this.options.settings).timing.stopGraceMs;
         const left = await this.supervisor.stop(graceMs);
+        this.work.dispose();
         this.transport.dispose();
         log.event(EventId.ProcessStopped, { unfinished: left.reduce((sum, report) => sum + report.unfinished, 0) });
         this.resolveStopped(left);
--- a/src/daemon/WorkPart.ts
+++ b/src/daemon/WorkPart.ts
@@ -1,11 +1,16 @@
 /** What carries requests on one host: membership, endpoints and slots, records of requests, and the pipeline runner. */
-import type { HostId } from "../common/Types.js";
+import { DisposableStore } from "../common/DisposableStore.js";
+import type { Disposable, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
 import { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import { EndpointTable } from "../endpoints/EndpointTable.js";
+import { HttpEngineLink } from "../endpoints/EngineLink.js";
 import { HttpLoadSource } from "../endpoints/HttpLoadSource.js";
 import { HttpStageClient } from "../endpoints/HttpStageClient.js";
+import { OrderIssuer } from "../endpoints/OrderIssuer.js";
 import { OwnerAuthority } from "../endpoints/OwnerAuthority.js";
+import { OwnerEpochs } from "../endpoints/OwnerEpochs.js";
+import { PlacementService } from "../endpoints/PlacementService.js";
 import { SlotHolderClient } from "../endpoints/SlotHolderClient.js";
 import { SlotOwner } from "../endpoints/SlotOwner.js";
 import { HeartbeatMembership } from "../membership/HeartbeatMembership.js";
@@ -16,25 +21,77 @@
 import { ReplicatedJobs } from "../records/ReplicatedJobs.js";
 import { ReplicatedQuarantine } from "../records/ReplicatedQuarantine.js";
 import { BlockPrefixIndex } from "../routing/BlockPrefixIndex.js";
+import { CacheWatcher } from "../routing/CacheWatcher.js";
 import { CostRouter } from "../routing/CostRouter.js";
+import { HttpCacheSource } from "../routing/HttpCacheSource.js";
 import type { Service } from "../supervise/Types.js";
 import type { ControlPart } from "./ControlPart.js";
 import { JobWorker } from "./JobWorker.js";
 import type { DaemonBase } from "./Types.js";
 
-export interface WorkPart {
+/** Membership, endpoints and their slots, and the orders to engines. */
+interface EndpointPart {
     readonly membership: HeartbeatMembership;
     readonly directory: EndpointTable;
+    readonly connections: EndpointConnections;
     readonly owner: SlotOwner;
     readonly holder: SlotHolderClient;
+    readonly services: readonly Service[];
+}
+
+export interface WorkPart extends Disposable, Pick<EndpointPart, "membership" | "directory" | "owner" | "services"> {
     readonly jobs: ReplicatedJobs;
     readonly runner: StagedPipelineRunner;
-    /** In order of start. */
-    readonly services: readonly Service[];
 }
 
 export function buildWork(base: DaemonBase, control: ControlPart, config: ConfigSource): WorkPart {
-    const { clock, log, transport, registry, dataCentre, random, metrics } = base;
+    const { clock, log, dataCentre, metrics, random } = base;
+    const store = new DisposableStore();
+    const endpoints = buildEndpoints(base, control, config, store);
+    const { directory, connections, holder } = endpoints;
+    const limits = () => {
+        const settings = config.current()?.settings ?? base.settings;
+        return { ...settings.limits, ...settings.timing };
+    };
+    const jobs = new ReplicatedJobs(control.records, clock, log, limits);
+    const quarantine = buildQuarantine(base, control, config);
+    const prefixes = new BlockPrefixIndex(log);
+    const source = new HttpCacheSource(connections, clock);
+    const watcher = new CacheWatcher({ config, directory, source, index: prefixes, dataCentre, clock, log });
+    const runner = store.add(
+        new StagedPipelineRunner({
+            config,
+            router: new CostRouter({ directory, prefixes, dataCentre }),
+            directory,
+            slots: holder,
+            client: store.add(new HttpStageClient({ config, clock, connections })),
+            claims: new ReplicatedClaims(control.records, clock, log, limits),
+            quarantine,
+            clock,
+            log,
+            metrics,
+            random,
+        }),
+    );
+    const worker = new JobWorker({ jobs, runner, config, clock, dataCentre });
+    return {
+        membership: endpoints.membership,
+        directory,
+        owner: endpoints.owner,
+        jobs,
+        runner,
+        services: [...endpoints.services, watcher, quarantine, worker],
+        dispose: () => store.dispose(),
+    };
+}
+
+function buildEndpoints(
+    base: DaemonBase,
+    control: ControlPart,
+    config: ConfigSource,
+    store: DisposableStore,
+): EndpointPart {
+    const { clock, log, transport, registry, dataCentre } = base;
     const platform = new HttpPlatformList(config, clock);
     const membership = new HeartbeatMembership({
         self: base.host,
@@ -47,50 +104,22 @@
         log,
         platform,
     });
-    const authority = new OwnerAuthority(membership, config, undefined);
+    const leases = control.config;
+    const epochs = new OwnerEpochs({ membership, leases, transport, registry, clock, log });
+    const authority = new OwnerAuthority(membership, config, epochs);
     const connections = new EndpointConnections(config, clock);
     const loads = new HttpLoadSource(connections, clock);
     const owner = new SlotOwner({ membership, authority, config, registry, transport, clock, log, loads, platform });
-    const holder = new SlotHolderClient({
-        membership,
-        authority,
-        config,
-        registry,
-        transport,
-        clock,
-        localOwner: owner,
-    });
-    const directory = new EndpointTable({ dataCentre, config, held: holder, clock, platform });
-    const limits = () => {
-        const settings = config.current()?.settings ?? base.settings;
-        return { ...settings.limits, ...settings.timing };
-    };
-    const claims = new ReplicatedClaims(control.records, clock, log, limits);
-    const jobs = new ReplicatedJobs(control.records, clock, log, limits);
-    const quarantine = buildQuarantine(base, control, config);
-    const runner = new StagedPipelineRunner({
-        config,
-        router: new CostRouter({ directory, prefixes: new BlockPrefixIndex(log), dataCentre }),
-        directory,
-        slots: holder,
-        client: new HttpStageClient({ config, clock, connections }),
-        claims,
-        quarantine,
-        clock,
-        log,
-        metrics,
-        random,
-    });
-    const worker = new JobWorker({ jobs, runner, config, clock, dataCentre });
-    return {
-        membership,
-        directory,
-        owner,
-        holder,
-        jobs,
-        runner,
-        services: [platform, membership, owner, holder, quarantine, worker],
-    };
+    const localOwner = owner;
+    const holder = new SlotHolderClient({ membership, authority, config, registry, transport, clock, localOwner });
+    const closing = new AbortController();
+    store.add({ dispose: () => closing.abort() });
+    const link = new HttpEngineLink(connections, clock, closing.signal);
+    const issuer = new OrderIssuer({ dataCentre, leases, link, clock, log });
+    const placement = new PlacementService({ membership, config, registry, transport, owner, issuer, link, clock });
+    const directory = store.add(new EndpointTable({ dataCentre, config, held: holder, clock, platform }));
+    const services = [platform, membership, epochs, owner, holder, issuer, placement];
+    return { membership, directory, connections, owner, holder, services };
 }
 
 /** The host's copy of the crash marks; the other configured hosts are told of new ones. */
