--- /dev/null
+++ b/testing/ClaimRun.ts
@@ -0,0 +1,193 @@
+/** Random sequences of claims, sends, ends and faults over three hosts, checked by what callers and endpoint saw. */
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import type { Claim, ClaimResult, RecordedOutcome } from "../src/records/Types.js";
+import type { LogFault } from "./FakeLog.js";
+import { claimKey, type RecordsHost, RecordsHosts, requestId } from "./RecordsHosts.js";
+
+const timeoutMs = 1000;
+const answered: RecordedOutcome = { kind: "answered", answer: "held" };
+
+/** What callers and the endpoint saw of one key. */
+interface KeyHistory {
+    readonly sent: string[];
+    outcome: string | undefined;
+    held: Map<string, Claim>;
+}
+
+export type ClaimStep =
+    | { readonly kind: "claim" | "finish" | "send" | "release"; readonly host: number; readonly key: number; }
+    | { readonly kind: "restart" | "cut"; readonly host: number; }
+    | { readonly kind: "heal" | "no-quorum"; }
+    | { readonly kind: "advance"; readonly ms: number; };
+
+const host = fc.nat({ max: 2 });
+const key = fc.nat({ max: 1 });
+export const claimStep: fc.Arbitrary<ClaimStep> = fc.oneof(
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant("claim" as const), host, key }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("send" as const), host, key }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("finish" as const), host, key }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("release" as const), host, key }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom("restart" as const, "cut" as const), host }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom("heal" as const, "no-quorum" as const) }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("advance" as const), ms: fc.nat({ max: 3000 }) }) },
+);
+
+/** Runs a sequence of steps over three hosts and checks what was seen of each key. */
+export class ClaimRun {
+    private readonly site: RecordsHosts;
+    private readonly hosts: RecordsHost[];
+    private readonly histories: KeyHistory[] = [0, 1].map(() => ({
+        sent: [],
+        outcome: undefined,
+        held: new Map(),
+    }));
+    private requests = 0;
+    private restarts = 0;
+
+    public constructor(seed: number) {
+        this.site = new RecordsHosts({ seed, lateMs: 4000 });
+        Object.assign(this.site.group.chances, {
+            "lost-answer": 0.08,
+            "late-commit": 0.06,
+            "lost-command": 0.04,
+            "not-accepted": 0.06,
+            doubled: 0.1,
+        });
+        this.hosts = ["a", "b", "c"].map((name, at) => this.site.start(name, at === 0));
+    }
+
+    public async run(all: readonly ClaimStep[]): Promise<void> {
+        for (const one of all) {
+            await this.step(one);
+            await this.site.clock.advance(1);
+        }
+        await this.checkEnd();
+        this.site.stop();
+    }
+
+    private async step(one: ClaimStep): Promise<void> {
+        switch (one.kind) {
+            case "claim":
+                void this.claim(one.host, one.key);
+                return;
+            case "send":
+                this.send(one.host, one.key);
+                return;
+            case "finish":
+                void this.finish(one.host, one.key);
+                return;
+            case "release":
+                void this.release(one.host, one.key);
+                return;
+            case "restart":
+                this.restart(one.host);
+                return;
+            case "cut":
+                this.site.group.cut(this.hosts[one.host]!.id);
+                return;
+            case "heal":
+                this.site.group.heal();
+                return;
+            case "no-quorum":
+                this.site.group.hasQuorum = false;
+                return;
+            case "advance":
+                await this.site.clock.advance(one.ms);
+                return;
+        }
+    }
+
+    private async claim(at: number, keyAt: number): Promise<void> {
+        const chosen = this.hosts[at]!;
+        const history = this.histories[keyAt]!;
+        const request = `r${++this.requests}`;
+        const result = await chosen.claims.claim(claimKey(`k${keyAt}`), "body", requestId(request), timeoutMs);
+        if (this.hosts[at] === chosen) {
+            this.sawResult(history, chosen, result.extract());
+        }
+    }
+
+    private sawResult(history: KeyHistory, by: RecordsHost, result: ClaimResult | { readonly kind: string; }): void {
+        if (result.kind === "recorded") {
+            this.sawOutcome(history, (result as Extract<ClaimResult, { kind: "recorded"; }>).outcome.kind);
+        }
+        if (result.kind === "claimed") {
+            assert.deepEqual(history.sent, [], "a key was claimed again after its call was sent");
+            history.held.set(by.id, (result as Extract<ClaimResult, { kind: "claimed"; }>).claim);
+        }
+    }
+
+    private sawOutcome(history: KeyHistory, outcome: string): void {
+        assert.ok(history.outcome !== "answered" || outcome === "answered", "an answer was taken back");
+        assert.ok(outcome !== "answered" || history.sent.length === 1, "an answer without a call");
+        history.outcome = outcome;
+    }
+
+    private send(at: number, keyAt: number): void {
+        const history = this.histories[keyAt]!;
+        const claim = history.held.get(this.hosts[at]!.id);
+        if (claim !== undefined && !history.sent.includes(claim.request)) {
+            history.sent.push(claim.request);
+        }
+        assert.ok(history.sent.length <= 1, `one key was sent by ${history.sent.join(" and ")}`);
+    }
+
+    private async finish(at: number, keyAt: number): Promise<void> {
+        const history = this.histories[keyAt]!;
+        const claim = history.held.get(this.hosts[at]!.id);
+        if (claim !== undefined && history.sent.includes(claim.request)) {
+            history.held.delete(this.hosts[at]!.id);
+            await claim.finish(answered, timeoutMs);
+        }
+    }
+
+    private async release(at: number, keyAt: number): Promise<void> {
+        const history = this.histories[keyAt]!;
+        const claim = history.held.get(this.hosts[at]!.id);
+        if (claim !== undefined && !history.sent.includes(claim.request)) {
+            history.held.delete(this.hosts[at]!.id);
+            await claim.release(timeoutMs);
+        }
+    }
+
+    private restart(at: number): void {
+        const old = this.hosts[at]!;
+        this.restarts += 1;
+        old.kill();
+        for (const history of this.histories) {
+            history.held.delete(old.id);
+        }
+        this.hosts[at] = this.site.start(old.id, at === 0);
+    }
+
+    /** Once the faults are over, every key has an end: nothing runs for ever. */
+    private async checkEnd(): Promise<void> {
+        this.site.group.heal();
+        for (const fault of Object.keys(this.site.group.chances) as LogFault[]) {
+            this.site.group.chances[fault] = 0;
+        }
+        await this.site.clock.advance(10_000);
+        for (const keyAt of this.histories.keys()) {
+            for (const at of [0, 1, 2]) {
+                await this.site.until(this.finish(at, keyAt));
+                await this.site.until(this.release(at, keyAt));
+            }
+        }
+        await this.site.clock.advance(10_000);
+        for (const [keyAt, history] of this.histories.entries()) {
+            const name = claimKey(`k${keyAt}`);
+            const signal = new AbortController().signal;
+            const outcome = await this.site.until(this.hosts[1]!.claims.wait(name, 20_000, signal), 30_000);
+            const again = this.hosts[1]!.claims.claim(name, "body", requestId("last"), timeoutMs);
+            const result = (await this.site.until(again)).extract();
+            assert.notEqual(result.kind, "running", "a claim runs for ever");
+            assert.ok(history.sent.length === 0 || result.kind === "recorded", "a sent key was free");
+            assert.ok(history.sent.length === 1 || this.restarts > 0 || result.kind === "claimed", "a key is blocked");
+            if (outcome !== undefined) {
+                this.sawOutcome(history, outcome.kind);
+            }
+        }
+        this.site.group.checkReplicas();
+    }
+}
--- /dev/null
+++ b/testing/JobRun.ts
@@ -0,0 +1,183 @@
+/** Random sequences of jobs, workers and faults over three hosts, checked by the jobs' ends. */
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import type { JobLease } from "../src/records/Types.js";
+import type { LogFault } from "./FakeLog.js";
+import { newJob, type RecordsHost, RecordsHosts } from "./RecordsHosts.js";
+
+const timeoutMs = 1000;
+export const jobStages = ["encode", "rerank", "generate"];
+
+/** What the stages of jobs did: which lease ran each, and which result was used by later ones. */
+export class JobSite {
+    public readonly runs: string[] = [];
+    public readonly finished: string[] = [];
+
+    public constructor(public readonly site: RecordsHosts) {}
+
+    /** Runs a job from its journal; `before` may end the process before a step. */
+    public async work(lease: JobLease, host: RecordsHost, before: (step: string) => void): Promise<void> {
+        const done = new Map(Object.entries(lease.job.stages));
+        for (const stage of jobStages) {
+            if (done.has(stage)) {
+                continue;
+            }
+            before(`run ${stage}`);
+            if (!lease.live) {
+                return;
+            }
+            const output = `${lease.job.id}/${stage}/${host.id}/${lease.job.run}`;
+            this.runs.push(`${lease.job.id}/${stage}`);
+            await this.site.clock.sleep(30);
+            before(`journal ${stage}`);
+            if ((await lease.journal(stage, output)).isLeft()) {
+                return;
+            }
+            done.set(stage, output);
+        }
+        before("finish");
+        const finished = await lease.finish("answered", jobStages.map(stage => done.get(stage)).join(","));
+        if (finished.isRight()) {
+            this.finished.push(lease.job.id);
+        }
+    }
+}
+
+export type JobStep =
+    | { readonly kind: "submit"; readonly host: number; readonly job: number; }
+    | { readonly kind: "work" | "restart" | "cut" | "hand-back"; readonly host: number; }
+    | { readonly kind: "cancel"; readonly host: number; readonly job: number; }
+    | { readonly kind: "heal"; }
+    | { readonly kind: "advance"; readonly ms: number; };
+
+const host = fc.nat({ max: 2 });
+const job = fc.nat({ max: 3 });
+export const jobStep: fc.Arbitrary<JobStep> = fc.oneof(
+    { weight: 5, arbitrary: fc.record({ kind: fc.constant("submit" as const), host, job }) },
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant("work" as const), host }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("cancel" as const), host, job }) },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            kind: fc.constantFrom("restart" as const, "cut" as const, "hand-back" as const),
+            host,
+        }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("heal" as const) }) },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant("advance" as const), ms: fc.nat({ max: 2500 }) }) },
+);
+
+/** Runs a sequence of steps over three hosts and checks the jobs' ends. */
+export class JobRun {
+    private readonly site: RecordsHosts;
+    private readonly jobs: JobSite;
+    private readonly hosts: RecordsHost[];
+    private readonly accepted = new Set<string>();
+    private readonly cancelled = new Set<string>();
+    private readonly leases = new Map<string, JobLease>();
+    private readonly allLeases: { readonly lease: JobLease; readonly host: RecordsHost; }[] = [];
+    /** True once two hosts thought at the same time that they held one job's lease. */
+    private doubled = false;
+
+    public constructor(seed: number) {
+        this.site = new RecordsHosts({ seed, lateMs: 3000 });
+        Object.assign(this.site.group.chances, {
+            "lost-answer": 0.06,
+            "late-commit": 0.05,
+            "not-accepted": 0.05,
+            doubled: 0.1,
+        });
+        this.jobs = new JobSite(this.site);
+        this.hosts = ["a", "b", "c"].map((name, at) => this.site.start(name, at === 0));
+    }
+
+    public async run(all: readonly JobStep[]): Promise<void> {
+        for (const one of all) {
+            await this.step(one);
+            await this.site.clock.advance(1);
+        }
+        await this.checkEnd();
+        this.site.stop();
+    }
+
+    private async step(one: JobStep): Promise<void> {
+        switch (one.kind) {
+            case "submit":
+                void this.submit(one.host, `j${one.job}`);
+                return;
+            case "work":
+                void this.work(this.hosts[one.host]!, 800);
+                return;
+            case "cancel":
+                void this.cancel(one.host, `j${one.job}`);
+                return;
+            case "hand-back":
+                await Promise.race([this.leases.get(this.hosts[one.host]!.id)?.handBack(), Promise.resolve()]);
+                return;
+            case "restart":
+                this.hosts[one.host]!.kill();
+                this.hosts[one.host] = this.site.start(this.hosts[one.host]!.id, one.host === 0);
+                return;
+            case "cut":
+                this.site.group.cut(this.hosts[one.host]!.id);
+                return;
+            case "heal":
+                this.site.group.heal();
+                return;
+            case "advance":
+                await this.site.clock.advance(one.ms);
+                return;
+        }
+    }
+
+    private async submit(at: number, id: string): Promise<void> {
+        const result = await this.hosts[at]!.jobs.submit(newJob(id), timeoutMs);
+        result.ifRight(() => this.accepted.add(id));
+    }
+
+    private async cancel(at: number, id: string): Promise<void> {
+        this.cancelled.add(id);
+        await this.hosts[at]!.jobs.cancel(newJob(id).id, timeoutMs);
+    }
+
+    private async work(chosen: RecordsHost, waitMs: number): Promise<void> {
+        const lease = await chosen.jobs.take(waitMs);
+        if (lease === undefined) {
+            return;
+        }
+        const others = this.allLeases.filter(one => one.lease.job.id === lease.job.id && one.lease.live);
+        // A lease of a process that was replaced runs nothing.
+        this.doubled = this.doubled || others.some(one => this.hosts.includes(one.host));
+        this.allLeases.push({ lease, host: chosen });
+        this.leases.set(chosen.id, lease);
+        await this.jobs.work(lease, chosen, () => undefined);
+    }
+
+    /** Once the faults are over, every accepted job gets to an end, with results of its own only. */
+    private async checkEnd(): Promise<void> {
+        this.site.group.heal();
+        for (const fault of Object.keys(this.site.group.chances) as LogFault[]) {
+            this.site.group.chances[fault] = 0;
+        }
+        await this.site.clock.advance(6000);
+        for (let turn = 0; turn < 6; turn++) {
+            await this.site.until(this.work(this.hosts[turn % 3]!, 4000));
+        }
+        await this.site.clock.advance(3000);
+        for (const id of this.accepted) {
+            const found = (await this.site.until(this.hosts[1]!.jobs.get(newJob(id).id, timeoutMs))).unsafeCoerce();
+            assert.ok(found !== undefined, `${id} was lost`);
+            assert.ok(found.state === "answered" || this.cancelled.has(id), `${id} is ${found.state}`);
+            for (const [stage, output] of Object.entries(found.stages)) {
+                assert.ok(output.startsWith(`${id}/${stage}/`), `${id} has another's result: ${output}`);
+            }
+            if (found.state === "answered") {
+                assert.equal(found.answer, jobStages.map(stage => found.stages[stage]).join(","));
+            }
+        }
+        assert.equal(this.doubled, false, "two live leases of one job");
+        const twice = this.jobs.finished.filter((id, at) => this.jobs.finished.indexOf(id) !== at);
+        assert.deepEqual(twice, [], "a job ended twice");
+        this.site.group.checkReplicas();
+    }
+}
