--- a/proof/ProofSite.ts
+++ b/proof/ProofSite.ts
@@ -135,6 +135,12 @@
     public async stop(name: string): Promise<void> {
         const host = this.host(name);
         await host.stop();
+        if (
+            this.hosts.get(name) !== host
+            || this.history.away.some(one => one.host === name && one.toMs === Number.POSITIVE_INFINITY)
+        ) {
+            return; // The process died before its planned stop was over.
+        }
         this.network.kill(name as HostId);
         this.disks.set(name, this.disks.get(name)!.crash());
         this.history.away.push({ host: name, fromMs: this.clock.nowMs(), toMs: Number.POSITIVE_INFINITY });
