Give each prompt's beginning a home engine

Change: among engines that hold nothing of a prompt, the one at the top of the rendezvous order for its first two blocks is preferred by 30 % of the prefill. The hashes of a prompt are computed once for a ranking. The bench's engines publish cache events, half a second late and 2 % lost.

--- a/bench/baselines/Baselines.ts
+++ b/bench/baselines/Baselines.ts
@@ -104,6 +104,10 @@
         return 0;
     }
 
+    public homeOf(): undefined {
+        return undefined;
+    }
+
     public recordPrompt(): void {}
 
     public recordEvents(): void {}
--- a/bench/requests/LoadRun.ts
+++ b/bench/requests/LoadRun.ts
@@ -283,6 +283,15 @@
         }
     }
 
+    /** Reads the engines' cache events once a second, as a host does. */
+    private watchCaches(index: BlockPrefixIndex, after: Map<string, number>): void {
+        for (const [id, events] of this.site.cacheEvents(after)) {
+            index.recordEvents(id, events);
+            after.set(id, events[events.length - 1]?.sequence ?? after.get(id) ?? 0);
+        }
+        this.clock.setTimer(1000, () => this.watchCaches(index, after));
+    }
+
     private routerFor(host: EndpointDirectory): Router {
         const dataCentre = "dc1" as DataCentreId;
         switch (this.options.policy) {
@@ -292,8 +301,11 @@
                 return new LeastLoadedRouter(host);
             case "no prefix index":
                 return new CostRouter({ directory: host, prefixes: new NoPrefixes(), dataCentre });
-            default:
-                return new CostRouter({ directory: host, prefixes: new BlockPrefixIndex(new QuietLog()), dataCentre });
+            default: {
+                const index = new BlockPrefixIndex(new QuietLog());
+                this.watchCaches(index, new Map());
+                return new CostRouter({ directory: host, prefixes: index, dataCentre });
+            }
         }
     }
 
--- a/bench/requests/SimSite.ts
+++ b/bench/requests/SimSite.ts
@@ -19,6 +19,7 @@
     StageReply,
 } from "../../src/endpoints/Types.js";
 import { cacheBlockChars, charsPerToken } from "../../src/endpoints/Wire.js";
+import type { CacheEvent } from "../../src/routing/Types.js";
 import { FakeSlots } from "../../testing/pipeline/FakeSlots.js";
 
 const reportEveryMs = 1000;
@@ -30,6 +31,9 @@
 const batchSlowdown = 0.5;
 /** Time after which an endpoint in an outage loses a call. */
 const outageCallMs = 30;
+/** Cache events are published so late, and so many of them are lost. */
+const cacheEventLagMs = 500;
+const cacheEventLoss = 0.02;
 
 export interface SimPool {
     readonly name: string;
@@ -70,6 +74,8 @@
 
 interface Engine {
     readonly cache: Set<string>;
+    readonly events: { readonly atMs: number; readonly event: CacheEvent; }[];
+    sequence: number;
 }
 
 export class SimSite {
@@ -103,7 +109,7 @@
             this.pools.set(pool.name, pool);
         }
         for (const endpoint of endpoints) {
-            this.engines.set(endpoint.id, { cache: new Set() });
+            this.engines.set(endpoint.id, { cache: new Set(), events: [], sequence: 0 });
         }
         this.takeReports();
     }
@@ -118,6 +124,18 @@
         return { running: this.reports.get(id) ?? 0, ageMs: this.clock.nowMs() - this.reportedAtMs };
     }
 
+    /** Cache events of all engines after the given sequence numbers, as late as they are published. */
+    public cacheEvents(after: ReadonlyMap<string, number>): ReadonlyMap<EndpointId, readonly CacheEvent[]> {
+        const untilMs = this.clock.nowMs() - cacheEventLagMs;
+        const found = new Map<EndpointId, readonly CacheEvent[]>();
+        for (const [id, engine] of this.engines) {
+            const from = after.get(id) ?? 0;
+            const events = engine.events.filter(one => one.atMs <= untilMs && one.event.sequence > from);
+            found.set(id as EndpointId, events.map(one => one.event));
+        }
+        return found;
+    }
+
     /** Runs a call on an endpoint: its time, and whether it ends well. */
     public async serve(call: StageCall, slot: Slot, ledger: DispatchLedger, signal: AbortSignal): Promise<
         Either<StageCallError, StageReply>
@@ -189,7 +207,8 @@
 
     /** Tokens of the prompt that the engine's cache held; it holds all of them afterwards. */
     private prefill(id: string, prompt: string): number {
-        const { cache } = this.engines.get(id)!;
+        const engine = this.engines.get(id)!;
+        const { cache } = engine;
         const hashes = blockHashes(prompt);
         let blocks = 0;
         while (blocks < hashes.length && cache.has(hashes[blocks]!)) {
@@ -199,15 +218,30 @@
             cache.delete(hash);
             cache.add(hash);
         }
+        const evicted: string[] = [];
         for (const hash of cache) {
             if (cache.size <= cacheBlocks) {
                 break;
             }
             cache.delete(hash);
+            evicted.push(hash);
         }
+        this.publish(engine, "stored", hashes.slice(blocks));
+        this.publish(engine, "evicted", evicted);
         return blocks * cacheBlockChars / charsPerToken;
     }
 
+    private publish(engine: Engine, kind: "stored" | "evicted", blocks: readonly string[]): void {
+        if (blocks.length === 0) {
+            return;
+        }
+        engine.sequence += 1;
+        if (this.random.next() >= cacheEventLoss) {
+            const event = { sequence: engine.sequence, kind, blocks };
+            engine.events.push({ atMs: this.clock.nowMs(), event });
+        }
+    }
+
     private takeReports(): void {
         for (const id of this.engines.keys()) {
             this.reports.set(id, this.slots.inFlight(id));
--- a/src/routing/BlockPrefixIndex.test.ts
+++ b/src/routing/BlockPrefixIndex.test.ts
@@ -71,4 +71,18 @@
         index.forget(engine);
         assert.equal(index.cachedTokens(engine, "z".repeat(2 * cacheBlockChars)), 0);
     });
+
+    it("names the same home on every host, and none for a short prompt", () => {
+        const engines = ["e1", "e2", "e3", "e4"] as EndpointId[];
+        const homes = new Set<EndpointId | undefined>();
+        for (let text = 0; text < 40; text++) {
+            const beginning = `${text} `.repeat(cacheBlockChars);
+            const one = new BlockPrefixIndex(new MemoryLog()).homeOf(`${beginning} question`, engines);
+            const other = new BlockPrefixIndex(new MemoryLog()).homeOf(`${beginning} another`, [...engines].reverse());
+            assert.equal(one, other);
+            homes.add(one);
+        }
+        assert.deepEqual([...homes].sort(), engines);
+        assert.equal(new BlockPrefixIndex(new MemoryLog()).homeOf("short", engines), undefined);
+    });
 });
--- a/src/routing/BlockPrefixIndex.ts
+++ b/src/routing/BlockPrefixIndex.ts
@@ -2,6 +2,7 @@
  * Which blocks of prompts each engine is expected to hold: learnt from own calls and from the engine's cache events.
  * Events come late and with gaps; a gap lowers the trust in what is known of that engine until later events renew it.
  */
+import { createHash } from "node:crypto";
 import type { EndpointId } from "../common/Types.js";
 import { blockHashes } from "../endpoints/Prompt.js";
 import { cacheBlockChars, charsPerToken } from "../endpoints/Wire.js";
@@ -9,6 +10,8 @@
 import type { EventLog } from "../telemetry/Types.js";
 import type { CacheEvent, PrefixIndex } from "./Types.js";
 
+/** Blocks at a prompt's beginning that decide where it is at home. */
+const homeBlocks = 2;
 /** Blocks remembered of one engine. */
 const defaultMaxBlocks = 20_000;
 const trustAfterGap = 0.5;
@@ -25,6 +28,8 @@
 
 export class BlockPrefixIndex implements PrefixIndex {
     private readonly engines = new Map<EndpointId, EngineCache>();
+    private lastPrompt = "";
+    private lastHashes: readonly string[] = [];
 
     public constructor(private readonly log: EventLog, private readonly maxBlocks: number = defaultMaxBlocks) {}
 
@@ -34,7 +39,7 @@
             return 0;
         }
         let blocks = 0;
-        for (const hash of blockHashes(prompt)) {
+        for (const hash of this.hashesOf(prompt)) {
             if (!engine.blocks.has(hash)) {
                 break;
             }
@@ -43,8 +48,25 @@
         return blocks * cacheBlockChars / charsPerToken * engine.trust;
     }
 
+    public homeOf(prompt: string, candidates: readonly EndpointId[]): EndpointId | undefined {
+        const beginning = this.hashesOf(prompt)[homeBlocks - 1];
+        if (beginning === undefined) {
+            return undefined;
+        }
+        let home: EndpointId | undefined;
+        let highest = "";
+        for (const candidate of candidates) {
+            const weight = createHash("sha256").update(beginning).update(candidate).digest("hex");
+            if (weight > highest) {
+                highest = weight;
+                home = candidate;
+            }
+        }
+        return home;
+    }
+
     public recordPrompt(endpoint: EndpointId, prompt: string): void {
-        this.store(this.engine(endpoint), blockHashes(prompt), 1);
+        this.store(this.engine(endpoint), this.hashesOf(prompt), 1);
     }
 
     /** Records blocks that an engine was given from elsewhere. */
@@ -78,6 +100,15 @@
         return this.engines.get(endpoint)?.trust ?? 1;
     }
 
+    /** Ranking asks for the same prompt at each engine. */
+    private hashesOf(prompt: string): readonly string[] {
+        if (this.lastPrompt !== prompt) {
+            this.lastPrompt = prompt;
+            this.lastHashes = blockHashes(prompt);
+        }
+        return this.lastHashes;
+    }
+
     private judgeSequence(endpoint: EndpointId, engine: EngineCache, sequence: number): void {
         const last = engine.lastSequence;
         if (last !== undefined && sequence > last + 1) {
--- a/src/routing/CostRouter.test.ts
+++ b/src/routing/CostRouter.test.ts
@@ -114,4 +114,17 @@
             assert.equal(ranked[0]?.endpoint.id, first);
         });
     }
+
+    it("sends the same beginning to the same engine from every host, unless it is overfull", () => {
+        const endpoints: FakeEndpoint[] = [1, 2, 3, 4].map(n => ({ id: `e${n}`, ...engine }));
+        const firstOf = (waiting: ReadonlyMap<EndpointId, number>, order: readonly FakeEndpoint[]) =>
+            new CostRouter({
+                directory: new FakeSlots(new FakeClock(), order),
+                prefixes: new BlockPrefixIndex(new MemoryLog()),
+                dataCentre: "dc1" as DataCentreId,
+            }).rank({ pool: "p", model: undefined, prompt, avoid: new Set(), waiting, deadlineMs: 0 })[0]!.endpoint.id;
+        const home = firstOf(new Map(), endpoints);
+        assert.equal(firstOf(new Map(), [...endpoints].reverse()), home);
+        assert.notEqual(firstOf(new Map([[home, 40]]), endpoints), home);
+    });
 });
--- a/src/routing/CostRouter.ts
+++ b/src/routing/CostRouter.ts
@@ -17,6 +17,8 @@
 const prefillMsPerToken = 0.25;
 /** Further weight of the prefill on a full endpoint, where it takes time from other calls. */
 const prefillWeightWhenFull = 2;
+/** Part of the whole prompt's prefill by which its home engine is preferred. */
+const homeShare = 0.3;
 /** Extra time of a call to another data centre: both ways, and the connection's share. */
 const otherDataCentreMs = 4;
 /** Extra time that makes a suspect endpoint the last choice but for those already tried. */
@@ -35,12 +37,9 @@
     public constructor(private readonly options: CostRouterOptions) {}
 
     public rank(req: RouteRequest): readonly RouteChoice[] {
-        const choices: RouteChoice[] = [];
-        for (const endpoint of this.options.directory.inPool(req.pool)) {
-            if (this.mayTake(endpoint, req)) {
-                choices.push(this.choiceOf(endpoint, req));
-            }
-        }
+        const endpoints = this.options.directory.inPool(req.pool).filter(endpoint => this.mayTake(endpoint, req));
+        const home = this.homeOf(endpoints, req);
+        const choices = endpoints.map(endpoint => this.choiceOf(endpoint, req, endpoint.id === home));
         return choices.sort((a, b) => a.expectedMs - b.expectedMs);
     }
 
@@ -50,6 +49,12 @@
         }
     }
 
+    /** The engine of the own data centre where prompts with this beginning meet. */
+    private homeOf(endpoints: readonly EndpointView[], req: RouteRequest): EndpointId | undefined {
+        const engines = endpoints.filter(one => one.kind === "engine" && one.dataCentre === this.options.dataCentre);
+        return engines.length < 2 ? undefined : this.options.prefixes.homeOf(req.prompt, engines.map(one => one.id));
+    }
+
     private mayTake(endpoint: EndpointView, req: RouteRequest): boolean {
         if (endpoint.state === "leaving" || endpoint.state === "out") {
             return false;
@@ -57,13 +62,16 @@
         return req.model === undefined || endpoint.models.length === 0 || endpoint.models.includes(req.model);
     }
 
-    private choiceOf(endpoint: EndpointView, req: RouteRequest): RouteChoice {
+    private choiceOf(endpoint: EndpointView, req: RouteRequest, isHome: boolean): RouteChoice {
         const engine = endpoint.kind === "engine";
         const cachedTokens = engine ? this.options.prefixes.cachedTokens(endpoint.id, req.prompt) : 0;
         const newTokens = engine ? Math.max(0, req.prompt.length / charsPerToken - cachedTokens) : 0;
         const load = this.loadOf(endpoint) + (req.waiting.get(endpoint.id) ?? 0);
         const fullness = load / Math.max(1, endpoint.limit);
         let expectedMs = this.serviceMs(endpoint, load);
+        // Hosts that know nothing of each other's calls send the same beginning to the same engine.
+        const homeMs = isHome ? homeShare * req.prompt.length / charsPerToken * prefillMsPerToken : 0;
+        expectedMs -= homeMs;
         expectedMs += newTokens * prefillMsPerToken * (1 + prefillWeightWhenFull * Math.min(1, fullness));
         expectedMs += endpoint.dataCentre === this.options.dataCentre ? 0 : otherDataCentreMs;
         expectedMs += endpoint.state === "suspect" ? suspectMs : 0;
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -43,6 +43,11 @@
 export interface PrefixIndex {
     /** Tokens of the prompt that the endpoint is expected to hold, weighted by the trust in its index. */
     cachedTokens(endpoint: EndpointId, prompt: string): number;
+    /**
+     * The endpoint where prompts with this beginning meet, the same on every host; undefined for a prompt too short to
+     * be worth it.
+     */
+    homeOf(prompt: string, candidates: readonly EndpointId[]): EndpointId | undefined;
     recordPrompt(endpoint: EndpointId, prompt: string): void;
     recordEvents(endpoint: EndpointId, events: readonly CacheEvent[]): void;
     /** Forgets an endpoint that restarted. */
