--- a/proof/History.ts
+++ b/proof/History.ts
@@ -45,8 +45,8 @@
     readonly bearable: number;
     /** Time since the endpoint last turned cold unannounced, in milliseconds. */
     readonly sinceColdMs: number;
-    /** True once the endpoint's work was done, whether its reply arrived or not. */
-    done: boolean;
+    /** How the endpoint's work ended, whether its reply arrived or not; undefined while it runs or when it was lost. */
+    end: "done" | "failed" | undefined;
 }
 
 /** The configuration in force on one host at one time. */
@@ -81,6 +81,8 @@
     public readonly closed: ClosedTime[] = [];
     /** Times in which a host was down or cut off. */
     public readonly away: { readonly host: string; readonly fromMs: number; toMs: number; }[] = [];
+    /** Times of mixed faults, in which nothing is said about how quickly anything gets anywhere. */
+    public readonly disturbed: { readonly fromMs: number; toMs: number; }[] = [];
     /** Endpoints crashed by a request that crashes each one, by its input. */
     public readonly crashes = new Map<string, number>();
 }
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -7,6 +7,7 @@
 import type { StageSettings } from "../config/Schema.js";
 import type { StageCall, StageCallError, StageReply } from "../endpoints/Types.js";
 import { EventId } from "../telemetry/Events.js";
+import { surfaceFailure } from "./Detached.js";
 import type { RequestContext } from "./RequestContext.js";
 import { type FoundSlot, type NoSlot, SlotFinder } from "./SlotFinder.js";
 import type { StageEstimator } from "./StageEstimator.js";
@@ -87,6 +88,7 @@
             stage,
             prompt: ctx.prompt,
             priority: ctx.req.priority,
+            sinceMs: turnAtMs,
             avoid: options.avoid,
             startByMs,
             alone: options.alone,
@@ -116,8 +118,10 @@
         options.onEndpoint?.(found.choice.endpoint.id);
         const ended = this.callClient(ctx, stage, options, held).finally(() => {
             found.done();
+            this.queues.refresh(stage.pool);
             turn.end();
         });
+        surfaceFailure(ended);
         return raceAbort<AttemptResult>(ended, options.signal, () => Left(givenUp));
     }
 
--- a/src/pipeline/StageQueues.ts
+++ b/src/pipeline/StageQueues.ts
@@ -12,6 +12,8 @@
 
 /** Part of a pool that overnight calls may use, in [0, 1]. */
 const overnightShare = 0.7;
+/** The same while quick calls fill the pool. */
+const overnightShareWhenBusy = 1 / 8;
 const overnight: Priority = 2;
 /** Calls that may wait for slots at endpoints, as a share of the pool's limit, and at least. */
 const waitingForSlotsShare = 0.15;
@@ -48,6 +50,7 @@
 export class StageQueues implements Disposable {
     private readonly pools = new Map<string, Pool>();
     private lastId = 0;
+    private resizePending = false;
 
     private readonly subscription: Disposable;
 
@@ -56,7 +59,7 @@
         private readonly maxWaiting: () => number,
         private readonly queueClass: StageQueueClass = FairQueue,
     ) {
-        this.subscription = directory.onChange(() => this.resizeAll());
+        this.subscription = directory.onChange(() => this.resizeSoon());
     }
 
     public dispose(): void {
@@ -75,6 +78,7 @@
     /** Waits for a turn until the signal is aborted. */
     public turn(req: TurnRequest, signal: AbortSignal): Promise<Either<TurnError, Turn>> {
         const queue = this.queueFor(req);
+        this.refresh(req.pool);
         if (signal.aborted) {
             return Promise.resolve(Left("aborted"));
         }
@@ -137,8 +141,8 @@
                 overnight: new PQueue({ queueClass: this.queueClass, concurrency: 1 }),
             };
             this.pools.set(name, pool);
+            this.resize(pool, name);
         }
-        this.resize(pool, name);
         return pool;
     }
 
@@ -150,10 +154,20 @@
         }
     }
 
-    private resizeAll(): void {
-        for (const [name, pool] of this.pools) {
-            this.resize(pool, name);
+    /** Resizes the pools in which calls wait, once for all changes that come together. */
+    private resizeSoon(): void {
+        if (this.resizePending) {
+            return;
         }
+        this.resizePending = true;
+        queueMicrotask(() => {
+            this.resizePending = false;
+            for (const [name, pool] of this.pools) {
+                if (pool.quick.size + pool.overnight.size > 0) {
+                    this.resize(pool, name);
+                }
+            }
+        });
     }
 
     /**
@@ -173,7 +187,9 @@
         if (pool.quick.concurrency !== quick) {
             pool.quick.concurrency = quick;
         }
-        const overnightLimit = Math.max(1, Math.floor(quick * overnightShare));
+        const quickWaits = pool.quick.size > 0 || pool.quick.pending >= quick;
+        const share = quickWaits ? overnightShareWhenBusy : overnightShare;
+        const overnightLimit = Math.max(1, Math.floor(quick * share));
         if (pool.overnight.concurrency !== overnightLimit) {
             pool.overnight.concurrency = overnightLimit;
         }
--- a/src/routing/BlockPrefixIndex.ts
+++ b/src/routing/BlockPrefixIndex.ts
@@ -2,6 +2,7 @@
  * Which blocks of prompts each engine is expected to hold: learnt from own calls and from the engine's cache events.
  * Events come late and with gaps; a gap lowers the trust in what is known of that engine until later events renew it.
  */
+import { createHash } from "node:crypto";
 import type { EndpointId } from "../common/Types.js";
 import { blockHashes } from "../endpoints/Prompt.js";
 import { cacheBlockChars, charsPerToken } from "../endpoints/Wire.js";
@@ -9,6 +10,8 @@
 import type { EventLog } from "../telemetry/Types.js";
 import type { CacheEvent, PrefixIndex } from "./Types.js";
 
+/** Blocks at a prompt's beginning that decide where it is at home. */
+const homeBlocks = 2;
 /** Blocks remembered of one engine. */
 const defaultMaxBlocks = 20_000;
 const trustAfterGap = 0.5;
@@ -17,14 +20,16 @@
 const leastTrust = 0.1;
 
 interface EngineCache {
-    /** Hashes, least recently used first. */
-    readonly blocks: Set<string>;
+    /** Uses by hash, least recently used first. */
+    readonly blocks: Map<string, number>;
     lastSequence: number | undefined;
     trust: number;
 }
 
 export class BlockPrefixIndex implements PrefixIndex {
     private readonly engines = new Map<EndpointId, EngineCache>();
+    private lastPrompt = "";
+    private lastHashes: readonly string[] = [];
 
     public constructor(private readonly log: EventLog, private readonly maxBlocks: number = defaultMaxBlocks) {}
 
@@ -34,7 +39,7 @@
             return 0;
         }
         let blocks = 0;
-        for (const hash of blockHashes(prompt)) {
+        for (const hash of this.hashesOf(prompt)) {
             if (!engine.blocks.has(hash)) {
                 break;
             }
@@ -43,8 +48,36 @@
         return blocks * cacheBlockChars / charsPerToken * engine.trust;
     }
 
+    public homeOf(prompt: string, candidates: readonly EndpointId[]): EndpointId | undefined {
+        const beginning = this.hashesOf(prompt)[homeBlocks - 1];
+        if (beginning === undefined) {
+            return undefined;
+        }
+        let home: EndpointId | undefined;
+        let highest = "";
+        for (const candidate of candidates) {
+            const weight = createHash("sha256").update(beginning).update(candidate).digest("hex");
+            if (weight > highest) {
+                highest = weight;
+                home = candidate;
+            }
+        }
+        return home;
+    }
+
     public recordPrompt(endpoint: EndpointId, prompt: string): void {
-        this.store(this.engine(endpoint), blockHashes(prompt));
+        this.store(this.engine(endpoint), this.hashesOf(prompt), 1);
+    }
+
+    /** Records blocks that an engine was given from elsewhere. */
+    public recordBlocks(endpoint: EndpointId, blocks: readonly string[]): void {
+        this.store(this.engine(endpoint), blocks, 0);
+    }
+
+    /** The engine's blocks with at least so many uses by this host, most used first. */
+    public hotBlocks(endpoint: EndpointId, leastUses: number, most: number): readonly string[] {
+        const used = [...this.engines.get(endpoint)?.blocks ?? []].filter(([, uses]) => uses >= leastUses);
+        return used.sort(([, a], [, b]) => b - a).slice(0, most).map(([hash]) => hash);
     }
 
     public recordEvents(endpoint: EndpointId, events: readonly CacheEvent[]): void {
@@ -67,6 +100,15 @@
         return this.engines.get(endpoint)?.trust ?? 1;
     }
 
+    /** Ranking asks for the same prompt at each engine. */
+    private hashesOf(prompt: string): readonly string[] {
+        if (this.lastPrompt !== prompt) {
+            this.lastPrompt = prompt;
+            this.lastHashes = blockHashes(prompt);
+        }
+        return this.lastHashes;
+    }
+
     private judgeSequence(endpoint: EndpointId, engine: EngineCache, sequence: number): void {
         const last = engine.lastSequence;
         if (last !== undefined && sequence > last + 1) {
@@ -82,7 +124,7 @@
     private apply(engine: EngineCache, event: CacheEvent): void {
         switch (event.kind) {
             case "stored":
-                this.store(engine, event.blocks);
+                this.store(engine, event.blocks, 0);
                 break;
             case "evicted":
                 event.blocks.forEach(block => engine.blocks.delete(block));
@@ -94,12 +136,13 @@
         }
     }
 
-    private store(engine: EngineCache, hashes: readonly string[]): void {
+    private store(engine: EngineCache, hashes: readonly string[], newUses: number): void {
         for (const hash of hashes) {
+            const uses = engine.blocks.get(hash) ?? 0;
             engine.blocks.delete(hash);
-            engine.blocks.add(hash);
+            engine.blocks.set(hash, uses + newUses);
         }
-        for (const hash of engine.blocks) {
+        for (const hash of engine.blocks.keys()) {
             if (engine.blocks.size <= this.maxBlocks) {
                 break;
             }
@@ -110,7 +153,7 @@
     private engine(endpoint: EndpointId): EngineCache {
         let engine = this.engines.get(endpoint);
         if (engine === undefined) {
-            engine = { blocks: new Set(), lastSequence: undefined, trust: 1 };
+            engine = { blocks: new Map(), lastSequence: undefined, trust: 1 };
             this.engines.set(endpoint, engine);
         }
         return engine;
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -43,8 +43,37 @@
 export interface PrefixIndex {
     /** Tokens of the prompt that the endpoint is expected to hold, weighted by the trust in its index. */
     cachedTokens(endpoint: EndpointId, prompt: string): number;
+    /**
+     * The endpoint where prompts with this beginning meet, the same on every host; undefined for a prompt too short to
+     * be worth it.
+     */
+    homeOf(prompt: string, candidates: readonly EndpointId[]): EndpointId | undefined;
     recordPrompt(endpoint: EndpointId, prompt: string): void;
     recordEvents(endpoint: EndpointId, events: readonly CacheEvent[]): void;
     /** Forgets an endpoint that restarted. */
     forget(endpoint: EndpointId): void;
 }
+
+/** Cache events of an engine after a sequence number. */
+export interface CacheBatch {
+    /** Identity of the engine's process. */
+    readonly incarnation: string;
+    readonly events: readonly CacheEvent[];
+}
+
+/** Reads engines' cache events and moves parts of their KV caches; undefined when an engine did not answer. */
+export interface CacheSource {
+    events(endpoint: EndpointId, after: number, signal: AbortSignal): Promise<CacheBatch | undefined>;
+    /** Makes an engine give out blocks for import elsewhere; gives those that it held. */
+    export(
+        endpoint: EndpointId,
+        blocks: readonly string[],
+        signal: AbortSignal,
+    ): Promise<readonly string[] | undefined>;
+    /** Makes an engine take blocks that another has given out; gives those that it holds now. */
+    import(
+        endpoint: EndpointId,
+        blocks: readonly string[],
+        signal: AbortSignal,
+    ): Promise<readonly string[] | undefined>;
+}
