Ask again only when the lead has changed hands

Cause: a host that does not lead sent a command which the leader itself had refused again and again until its time was over, and a read failed at once when the leader stepped down with time left. Change: LeaderAccess tries again only while the lead comes to this host or leaves it. Quorum stands by itself.

--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -8,6 +8,7 @@
 import type { HostId } from "../common/Types.js";
 import { Notifier } from "./Notifier.js";
 import { PeerReplicator, type ReplicatorContext } from "./PeerReplicator.js";
+import { Quorum } from "./Quorum.js";
 import type { Json, LogEntry, Member, ProposeError, ReadError } from "./Types.js";
 import type { ProposalEnd } from "./Waiters.js";
 
@@ -30,6 +31,7 @@
 
 export class Leadership {
     private readonly replicators = new Map<HostId, PeerReplicator>();
+    private readonly quorum: Quorum;
     private readonly ended = new AbortController();
     private readonly work: Notifier;
     private readonly contacted: Notifier;
@@ -47,6 +49,7 @@
         private readonly context: Omit<ReplicatorContext, "onAnswer" | "onHigherTerm">,
         private readonly onDiskHang: (busyMs: number) => void,
     ) {
+        this.quorum = new Quorum(context.replica, this.replicators, context.clock);
         this.work = new Notifier(context.clock);
         this.contacted = new Notifier(context.clock);
         this.startMs = context.clock.nowMs();
@@ -55,7 +58,7 @@
     /** True while no other host can have been elected, by this host's clock. */
     public get hasLease(): boolean {
         const { clock, timing } = this.context;
-        const validUntilMs = this.quorumContactMs() + timing.electionMs - timing.clockDriftMs;
+        const validUntilMs = this.quorum.contactMs() + timing.electionMs - timing.clockDriftMs;
         return this.isLeading && !this.leaseGivenUp && clock.nowMs() < validUntilMs;
     }
 
@@ -125,7 +128,7 @@
         const startMs = clock.nowMs();
         const deadlineMs = startMs + timeoutMs;
         while (this.isLeading && clock.nowMs() < deadlineMs) {
-            if (this.isSettled && (this.hasLease || this.quorumContactMs() > startMs)) {
+            if (this.isSettled && (this.hasLease || this.quorum.contactMs() > startMs)) {
                 return Right(replica.commitIndex);
             }
             this.nudgeAll();
@@ -216,9 +219,7 @@
         if (!this.isLeading) {
             return;
         }
-        const index = this.majority(
-            member => member.host === replica.self ? this.ownMatch : this.matchOf(member),
-        );
+        const index = this.quorum.matchIndex(this.ownMatch);
         if (index > replica.commitIndex && replica.log.termAt(index) === term) {
             replica.commitTo(index);
             this.replicators.forEach(replicator => replicator.notice());
@@ -226,31 +227,9 @@
         }
     }
 
-    private matchOf(member: Member): number {
-        const replicator = this.replicators.get(member.host);
-        return replicator?.replicaId === member.replica ? replicator?.matchIndex ?? 0 : 0;
-    }
-
-    /** When a majority of voters was last known to follow this host. */
-    private quorumContactMs(): number {
-        const { replica, clock } = this.context;
-        return this.majority(member => {
-            if (member.host === replica.self) {
-                return clock.nowMs();
-            }
-            return this.replicators.get(member.host)?.contactMs ?? Number.NEGATIVE_INFINITY;
-        });
-    }
-
-    /** The highest value that a majority of voters has reached. */
-    private majority(valueOf: (member: Member) => number): number {
-        const values = this.context.replica.voters.map(valueOf).sort((a, b) => b - a);
-        return values[Math.floor(values.length / 2)] ?? Number.NEGATIVE_INFINITY;
-    }
-
     private checkQuorum(): void {
         const { replica, clock, timing } = this.context;
-        const contactMs = Math.max(this.quorumContactMs(), this.startMs);
+        const contactMs = Math.max(this.quorum.contactMs(), this.startMs);
         if (this.isLeading && clock.nowMs() - contactMs >= timing.electionMs) {
             replica.setRole(replica.followRole(), undefined);
         }
--- a/src/replication/Membership.test.ts
+++ b/src/replication/Membership.test.ts
@@ -64,8 +64,13 @@
     const [up, down] = hosts.followersOf(leader);
     hosts.crash(down!.id);
     await hosts.clock.advance(1500);
-    const result = await hosts.settle(leader.raft.changeMembers({ kind: "remove", host: up!.id }, 3000));
-    assert.equal(result.swap().unsafeCoerce().kind, "not-accepted");
+    for (const asked of [leader, up!]) {
+        hosts.network.delivered.clear();
+        const result = await hosts.settle(asked.raft.changeMembers({ kind: "remove", host: up!.id }, 3000));
+        assert.equal(result.swap().unsafeCoerce().kind, "not-accepted");
+        const messages = hosts.network.delivered.get("replication.change-members-test") ?? 0;
+        assert.ok(messages <= 1, `a refusal is forwarded once, not ${messages} times`);
+    }
     await write(hosts, 1);
     await hosts.stopAll();
 });
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -9,10 +9,9 @@
 import type { EventLog } from "../telemetry/Types.js";
 import { Elections } from "./Elections.js";
 import { Follower } from "./Follower.js";
-import { Forwarder } from "./Forwarder.js";
 import { Founder } from "./Founder.js";
 import { GroupStorage } from "./GroupStorage.js";
-import { LeaderClient } from "./LeaderClient.js";
+import { LeaderAccess } from "./LeaderAccess.js";
 import { Leadership } from "./Leadership.js";
 import { MemberChanger, membersOf } from "./MemberChanger.js";
 import { collectStatuses, GroupMethods } from "./Messages.js";
@@ -64,8 +63,7 @@
     private readonly methods: GroupMethods;
     private readonly elections: Elections;
     private readonly founder: Founder;
-    private readonly client: LeaderClient;
-    private readonly forwarder: Forwarder;
+    private readonly access: LeaderAccess;
     private readonly log: EventLog;
     private leadership: Leadership | undefined;
     private changer: MemberChanger | undefined;
@@ -90,8 +88,17 @@
             transport,
             timing.electionMs,
         );
-        this.client = this.makeClient();
-        this.forwarder = new Forwarder(self, this.client, this.methods, random);
+        this.access = new LeaderAccess({
+            replica: this.replica,
+            methods: this.methods,
+            transport,
+            clock,
+            random,
+            pauseMs: timing.heartbeatMs / 4,
+            hosts: () => this.possibleLeaders(),
+            leading: () => this.leading(),
+            changer: () => this.changer,
+        });
         this.onApplied = this.replica.applied.event;
         this.onRoleChange = listener => this.replica.roleChanged.event(() => listener(this.status()));
         this.serve();
@@ -140,18 +147,14 @@
         return { unfinished: 0, what: this.name };
     }
 
-    public async propose(command: Json, timeoutMs: number): Promise<Either<ProposeError, Json>> {
-        return this.atLeader(
-            timeoutMs,
-            (leadership, remainingMs) => leadership.propose({ kind: "command", command }, remainingMs),
-            remainingMs => this.forwarder.propose(command, remainingMs),
-        );
+    public propose(command: Json, timeoutMs: number): Promise<Either<ProposeError, Json>> {
+        return this.access.propose(command, timeoutMs);
     }
 
     public async readBarrier(timeoutMs: number): Promise<Either<ReadError, number>> {
         const { clock } = this.options;
         const deadlineMs = clock.nowMs() + timeoutMs;
-        const index = await (this.leading()?.confirmRead(timeoutMs) ?? this.forwarder.read(timeoutMs));
+        const index = await this.access.readIndex(timeoutMs);
         while (index.isRight() && this.replica.appliedIndex < index.orDefault(0)) {
             if (clock.nowMs() >= deadlineMs) {
                 return Left({ kind: "no-quorum", message: "this host has not received all committed entries" });
@@ -161,12 +164,8 @@
         return index;
     }
 
-    public async changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>> {
-        return this.atLeader(
-            timeoutMs,
-            async (_, remainingMs) => await this.changer?.change(change, remainingMs) ?? notLeading(),
-            remainingMs => this.forwarder.changeMembers(change, remainingMs),
-        );
+    public changeMembers(change: MemberChange, timeoutMs: number): Promise<Either<ProposeError, GroupMembers>> {
+        return this.access.changeMembers(change, timeoutMs);
     }
 
     public status(): GroupStatus {
@@ -278,40 +277,6 @@
         return this.leadership?.isLeading === true ? this.leadership : undefined;
     }
 
-    /** Does something on the leader: here, or through the host that leads. */
-    private async atLeader<T>(
-        timeoutMs: number,
-        here: (leadership: Leadership, remainingMs: number) => Promise<Either<ProposeError, T>>,
-        there: (remainingMs: number) => Promise<Either<ProposeError, T>>,
-    ): Promise<Either<ProposeError, T>> {
-        const { clock } = this.options;
-        const deadlineMs = clock.nowMs() + timeoutMs;
-        let result: Either<ProposeError, T> = notLeading();
-        while (clock.nowMs() < deadlineMs) {
-            const leadership = this.leading();
-            const remainingMs = deadlineMs - clock.nowMs();
-            this.client.hint(this.replica.leader);
-            result = await (leadership === undefined ? there(remainingMs) : here(leadership, remainingMs));
-            const mayGoOn = result.caseOf({ Left: error => error.kind === "not-accepted", Right: () => false });
-            if (!mayGoOn || leadership?.isLeading === true) {
-                return result;
-            }
-        }
-        return result;
-    }
-
-    private makeClient(): LeaderClient {
-        const { self, transport, clock, timing } = this.options;
-        return new LeaderClient({
-            self,
-            transport,
-            clock,
-            hosts: () => this.possibleLeaders(),
-            pauseMs: timing.heartbeatMs,
-            leadsSelf: () => this.leading() !== undefined,
-        });
-    }
-
     private possibleLeaders(): readonly HostId[] {
         const { voters } = this.replica;
         return voters.length > 0 ? voters.map(member => member.host) : this.options.initialMembers.voters;
@@ -347,10 +312,6 @@
     });
 }
 
-function notLeading(): Either<ProposeError, never> {
-    return Left({ kind: "not-accepted", message: "no leader is known", leader: undefined });
-}
-
 function describe(fault: StorageError): string {
     return fault.kind === "damaged" ? `${fault.file} at ${fault.offset}: ${fault.message}` : fault.message;
 }
