--- a/testing/FakeNetwork.ts
+++ b/testing/FakeNetwork.ts
@@ -43,6 +43,8 @@
     private readonly random: SeededRandom;
     /** Calls delivered, by method; a measure of message cost. */
     public readonly delivered = new Map<string, number>();
+    /** Characters of the requests and replies of those calls, by method. */
+    public readonly chars = new Map<string, number>();
 
     public constructor(private readonly clock: Clock, seed: number = 1) {
         this.random = new SeededRandom(seed);
@@ -135,7 +137,8 @@
         if (this.random.next() < this.faults.loseRequest) {
             return;
         }
-        const copy = JSON.parse(JSON.stringify(req ?? null)) as unknown;
+        const text = JSON.stringify(req ?? null);
+        const copy = JSON.parse(text) as unknown;
         await this.delay();
         const node = this.nodes.get(to);
         if (node?.up !== true || this.cuts.has(`${from}>${to}`)) {
@@ -149,7 +152,10 @@
         }
         this.delivered.set(method.name, (this.delivered.get(method.name) ?? 0) + 1);
         const result = await handler(input.data, from);
-        const reply = result === undefined ? undefined : JSON.parse(JSON.stringify(result)) as unknown;
+        const replyText = result === undefined ? undefined : JSON.stringify(result);
+        const reply = replyText === undefined ? undefined : JSON.parse(replyText) as unknown;
+        const chars = (this.chars.get(method.name) ?? 0) + text.length + (replyText?.length ?? 0);
+        this.chars.set(method.name, chars);
         if (this.random.next() < this.faults.loseReply) {
             return;
         }
--- a/testing/SlotSite.ts
+++ b/testing/SlotSite.ts
@@ -25,8 +25,12 @@
     /** Calls that came when the endpoint could not bear another one. */
     public overloads = 0;
     public completed = 0;
+    public received = 0;
     public refusesConnections = false;
     public lastCallAtMs = 0;
+    /** When set, a call too many makes it fall over: it refuses connections for so long and comes back cold. */
+    public fallsOverForMs: number | undefined;
+    public falls = 0;
     public starts = 1;
     private warmth = 0;
     private readonly history: { readonly atMs: number; readonly running: number; }[] = [];
@@ -63,6 +67,15 @@
         this.note();
     }
 
+    /** Ends as a process and comes back cold after a while. */
+    public async fall(forMs: number): Promise<void> {
+        this.falls += 1;
+        this.refusesConnections = true;
+        this.restart();
+        await this.clock.sleep(forMs);
+        this.refusesConnections = false;
+    }
+
     public warmUp(): void {
         this.warmth = this.settings.warmLimit;
     }
@@ -71,12 +84,19 @@
     public async run(durationMs: number): Promise<CallEnd> {
         const start = this.starts;
         this.lastCallAtMs = this.clock.nowMs();
+        this.received += 1;
         if (this.refusesConnections) {
             return "refused";
         }
         this.inFlight += 1;
         this.maxInFlight = Math.max(this.maxInFlight, this.inFlight);
-        this.overloads += this.inFlight > this.bearable ? 1 : 0;
+        if (this.inFlight > this.bearable) {
+            this.overloads += 1;
+            if (this.fallsOverForMs !== undefined) {
+                void this.fall(this.fallsOverForMs);
+                return "crashed";
+            }
+        }
         this.note();
         await this.clock.sleep(durationMs);
         if (start !== this.starts) {
