Proof: orders to engines, and owner epochs as the daemon has them

Cause: the matrix had no orders to engines, and its hosts ran without epochs.

Change: ProofHost runs OwnerEpochs and OrderIssuer; an operation, a check over what engines carried out, a mutation of it, and orders in the soak.

--- a/proof/History.ts
+++ b/proof/History.ts
@@ -72,7 +72,16 @@
     toMs: number;
 }
 
+/** An order that an engine carried out. */
+export interface SeenOrder {
+    readonly endpoint: string;
+    readonly fencing: number;
+    readonly orderId: string;
+    readonly atMs: number;
+}
+
 export class History {
+    public readonly orders: SeenOrder[] = [];
     public readonly requests: SeenRequest[] = [];
     public readonly jobs: SeenJob[] = [];
     public readonly calls: SeenCall[] = [];
--- a/proof/HistoryChecks.ts
+++ b/proof/HistoryChecks.ts
@@ -27,6 +27,7 @@
     { name: "a closed endpoint gets no new work after a few seconds", run: checkClosed },
     { name: "an endpoint in cold start gets no more than it can bear", run: checkCold },
     { name: "a request crashes at most two endpoints", run: checkCrashes },
+    { name: "orders to an engine come from one issuer at a time", run: checkOrders },
 ];
 
 export function brokenPromises(history: History): readonly string[] {
@@ -195,6 +196,18 @@
         .map(([input, count]) => `${input} crashed ${count} endpoints`);
 }
 
+/** The proofs' engines ignore fencing numbers, so that time alone keeps a former issuer's orders away. */
+function checkOrders(history: History): readonly string[] {
+    const highest = new Map<string, number>();
+    return history.orders.flatMap(({ endpoint, fencing, orderId, atMs }) => {
+        const before = highest.get(endpoint) ?? 0;
+        highest.set(endpoint, Math.max(before, fencing));
+        return fencing < before
+            ? [`${endpoint} got order ${orderId} after one of number ${before}, at ${atMs} ms`]
+            : [];
+    });
+}
+
 /** Crashes that one request may cause over the whole site. */
 const maxCrashes = 2;
 
--- a/proof/Mutations.test.ts
+++ b/proof/Mutations.test.ts
@@ -9,6 +9,7 @@
 import { ConfigClient } from "../src/config/ConfigClient.js";
 import { ViewPublisher } from "../src/config/ViewPublisher.js";
 import { EndpointHealth } from "../src/endpoints/EndpointHealth.js";
+import { OrderIssuer } from "../src/endpoints/OrderIssuer.js";
 import { OnceStage } from "../src/pipeline/OnceStage.js";
 import { StagedPipelineRunner } from "../src/pipeline/StagedPipelineRunner.js";
 import { SuspectWatch } from "../src/pipeline/SuspectWatch.js";
@@ -32,6 +33,9 @@
 
 const hold = "request that may not be repeated";
 
+/** Number of the last lease that the broken issuers gave themselves; it falls. */
+let lastEpoch = 1000;
+
 const mutations: readonly Mutation[] = [
     {
         name: "every try gets the claim",
@@ -168,6 +172,22 @@
         fault: "warm turned cold",
         caughtBy: "an endpoint in cold start gets no more than it can bear",
     },
+    {
+        name: "every host issues orders without the lease",
+        switches: [
+            breakMethod(OrderIssuer, "renew", () =>
+                async function() {
+                    const { clock } = this.options as { clock: { nowMs(): number; }; };
+                    lastEpoch -= 1;
+                    this.lease = { name: "", holder: "", epoch: lastEpoch, expiresAtMs: clock.nowMs() + 60_000 };
+                    this.mayIssueAtMs = 0;
+                }),
+        ],
+        operation: "order to an engine",
+        step: "EngineOrdered",
+        fault: "burst",
+        caughtBy: "orders to an engine come from one issuer at a time",
+    },
     {
         name: "a request that crashes endpoints is never quarantined",
         switches: [
--- a/proof/Operations.ts
+++ b/proof/Operations.ts
@@ -1,5 +1,5 @@
 /** What the matrix runs: operations of callers and operators, each with the steps at which a fault can strike. */
-import type { DataCentreId } from "../src/common/Types.js";
+import type { DataCentreId, EndpointId, ModelId } from "../src/common/Types.js";
 import { proofDocument } from "./ProofDocuments.js";
 import { changeId, type ProofSite, type Step } from "./ProofSite.js";
 
@@ -29,6 +29,9 @@
 const outRounds = 4;
 const roundMs = 2000;
 const requestsPerHost = 6;
+/** A lease on orders lasts a minute, so that the next issuer may have to wait so long. */
+const orderPatienceMs = 80_000;
+const orderPauseMs = 500;
 
 export const operations: readonly Operation[] = [
     {
@@ -126,6 +129,12 @@
             site.restart("south-1", true);
         },
     },
+    {
+        name: "order to an engine",
+        host: "north-1",
+        steps: [{ name: "asked" }, { name: "received order" }, { name: "EngineOrdered" }],
+        run: giveOrder,
+    },
     {
         name: "planned stop",
         host: entry,
@@ -208,6 +217,24 @@
     }
 }
 
+/** Asks the hosts of a data centre, all of them each time, until one has had an order carried out. */
+async function giveOrder(site: ProofSite, turn: number): Promise<void> {
+    site.onStep({ name: "asked", place: "north" });
+    const order = { kind: "load-model" as const, model: "m" as ModelId, version: `v${turn}` };
+    for (let waitedMs = 0; waitedMs < orderPatienceMs; waitedMs += orderPauseMs) {
+        let isDone = false;
+        for (const host of site.live.filter(one => one.dataCentre === "north" as DataCentreId)) {
+            const result = await bounded(site, host.issuer.issue("north-writer" as EndpointId, order, 5000), 6000);
+            isDone ||= result?.isRight() === true;
+        }
+        if (isDone) {
+            return;
+        }
+        await site.clock.sleep(orderPauseMs);
+    }
+    site.failures.push(`order ${turn} was not carried out within ${orderPatienceMs} ms`);
+}
+
 async function plannedStop(site: ProofSite, turn: number): Promise<void> {
     const cut = [0, 1, 2].map(at => site.send("profile", entry, { stop: turn, at }));
     site.onStep({ name: "stopping", place: entry });
--- a/proof/ProofEndpoint.ts
+++ b/proof/ProofEndpoint.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "../src/common/Types.js";
 import type { EndpointSettings } from "../src/config/Schema.js";
 import type { StageCall } from "../src/endpoints/Types.js";
-import type { LoadReportMessage } from "../src/endpoints/Wire.js";
+import type { EngineStateMessage, LoadReportMessage, OrderMessage } from "../src/endpoints/Wire.js";
 import { type History, type SeenCall, stageOutput } from "./History.js";
 
 export type EndpointEnd =
@@ -39,6 +39,7 @@
     public failures = 0;
     /** Called when a call has arrived and when it has been carried out. */
     public onStep: (step: "received" | "executed", call: StageCall) => void = () => undefined;
+    public onOrder: () => void = () => undefined;
     private starts = 1;
     private warmth = 0;
     private coldAtMs = Number.NEGATIVE_INFINITY;
@@ -97,6 +98,16 @@
         return this.work(call, seen, signal);
     }
 
+    /** Carries an order out, whatever its fencing number. */
+    public order({ fencing, orderId }: OrderMessage): void {
+        this.history.orders.push({ endpoint: this.id, fencing, orderId, atMs: this.clock.nowMs() });
+        this.onOrder();
+    }
+
+    public state(): EngineStateMessage {
+        return { incarnation: this.incarnation, role: "both", models: [], adapters: [], fencing: 0 };
+    }
+
     public report(): LoadReportMessage {
         const seenUntilMs = this.clock.nowMs() - reportLagMs;
         const running = this.loads.filter(one => one.atMs <= seenUntilMs).at(-1)?.running ?? 0;
--- a/proof/ProofHost.ts
+++ b/proof/ProofHost.ts
@@ -12,7 +12,10 @@
 import type { ConfigSource, ConfigWriter, LeaseService } from "../src/config/Types.js";
 import { JobWorker } from "../src/daemon/JobWorker.js";
 import { EndpointTable } from "../src/endpoints/EndpointTable.js";
+import type { EngineLink } from "../src/endpoints/EngineLink.js";
+import { OrderIssuer } from "../src/endpoints/OrderIssuer.js";
 import { OwnerAuthority } from "../src/endpoints/OwnerAuthority.js";
+import { OwnerEpochs } from "../src/endpoints/OwnerEpochs.js";
 import { SlotHolderClient } from "../src/endpoints/SlotHolderClient.js";
 import { SlotOwner } from "../src/endpoints/SlotOwner.js";
 import type { LoadSource, StageClient } from "../src/endpoints/Types.js";
@@ -48,6 +51,7 @@
     readonly disk: FakeDisk;
     readonly stageClient: StageClient;
     readonly loads: LoadSource;
+    readonly link: EngineLink;
     readonly onFatal: (err: Error) => void;
 }
 
@@ -65,6 +69,7 @@
     public readonly jobs: ReplicatedJobs;
     public readonly runner: StagedPipelineRunner;
     public readonly owner: SlotOwner;
+    public readonly issuer: OrderIssuer;
     /** False once the host tells the balancer that it stops. */
     public isReady = true;
     public isDead = false;
@@ -80,7 +85,10 @@
         this.replicas = control.replicas;
         const shared = { registry: peers, transport: peers, config: this.config, clock, log };
         const membership = new HeartbeatMembership({ ...shared, self: id, dataCentre: this.dataCentre, incarnation });
-        const authority = new OwnerAuthority(membership, this.config, undefined);
+        const leases = this.config;
+        const epochs = new OwnerEpochs({ ...shared, membership, leases });
+        const authority = new OwnerAuthority(membership, this.config, epochs);
+        this.issuer = new OrderIssuer({ dataCentre: this.dataCentre, leases, link: options.link, clock, log });
         this.owner = new SlotOwner({ ...shared, membership, authority, loads: options.loads });
         const holder = new SlotHolderClient({ ...shared, membership, authority, localOwner: this.owner });
         const directory = new EndpointTable({ dataCentre: this.dataCentre, config: this.config, held: holder, clock });
@@ -115,8 +123,10 @@
             control.config,
             control.records,
             membership,
+            epochs,
             this.owner,
             holder,
+            this.issuer,
             quarantine,
             worker,
             this.callers(),
--- a/proof/ProofSite.ts
+++ b/proof/ProofSite.ts
@@ -16,6 +16,7 @@
 import { History, type RequestKind, type SeenRequest } from "./History.js";
 import { proofHosts, proofSettings } from "./ProofDocuments.js";
 import { ProofEndpoint } from "./ProofEndpoint.js";
+import { ProofEngineLink } from "./ProofEngineLink.js";
 import { ProofHost } from "./ProofHost.js";
 import { ProofStageClient } from "./ProofStageClient.js";
 
@@ -47,6 +48,7 @@
         const { endpoints } = proofSettings("north");
         for (const [id, settings] of Object.entries(endpoints)) {
             const endpoint = new ProofEndpoint(id, settings, this.clock, this.history);
+            endpoint.onOrder = () => this.onStep({ name: "received order", place: id });
             endpoint.onStep = (step, call) => this.onStep({ name: `${step} ${call.stage}`, place: id });
             this.endpoints.set(id, endpoint);
         }
@@ -83,6 +85,7 @@
             peers: this.network.addHost(id),
             disk,
             stageClient: new ProofStageClient(wire, this.clock),
+            link: new ProofEngineLink(wire, this.clock),
             loads: {
                 fetch: async endpoint => {
                     await this.clock.sleep(1);
--- a/proof/SoakRun.ts
+++ b/proof/SoakRun.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from "node:crypto";
 import { SeededRandom } from "../src/common/SeededRandom.js";
-import type { DataCentreId, EndpointId, JobId } from "../src/common/Types.js";
+import type { DataCentreId, EndpointId, JobId, ModelId } from "../src/common/Types.js";
 import type { ConfigChange } from "../src/config/Types.js";
 import { brokenPromises } from "./HistoryChecks.js";
 import { documentVersion } from "./Operations.js";
@@ -121,6 +121,7 @@
             [2, () => this.cold()],
             [2, () => this.pick([...this.site.endpoints.values()]).silence()],
             [1, () => this.fillDisk()],
+            [3, () => this.order()],
         ];
         const sum = actions.reduce((total, [weight]) => total + weight, 0);
         let draw = this.random.below(sum);
@@ -277,6 +278,15 @@
         }
     }
 
+    /** Asks every live host of a data centre to give the same order. */
+    private order(): void {
+        const centre = this.pick(["north", "south"]);
+        const order = { kind: "load-model" as const, model: "m" as ModelId, version: `v${this.nextId("order")}` };
+        for (const host of this.site.live.filter(one => one.id.startsWith(centre))) {
+            void host.issuer.issue(`${centre}-writer` as EndpointId, order, 2000);
+        }
+    }
+
     private async openAll(): Promise<void> {
         const { site } = this;
         const changes: ConfigChange[] = [
--- /dev/null
+++ b/proof/matrix/Order.test.ts
@@ -0,0 +1,3 @@
+import { testOperation } from "../MatrixTests.js";
+
+await testOperation("order to an engine");
