Estimate waits by the pace at which a workspace's calls were served

Change: each pool learns, by workspace, how long a call waited for each one ahead of it, and the estimate is never below that pace.

--- a/src/pipeline/StageQueues.ts
+++ b/src/pipeline/StageQueues.ts
@@ -6,7 +6,7 @@
  */
 import PQueue, { type Queue } from "p-queue";
 import { type Either, Left, Right } from "purify-ts";
-import type { Disposable, WorkspaceId } from "../common/Types.js";
+import type { Clock, Disposable, WorkspaceId } from "../common/Types.js";
 import type { EndpointDirectory, Priority } from "../endpoints/Types.js";
 import { FairQueue, type FairQueueOptions } from "./FairQueue.js";
 
@@ -19,6 +19,10 @@
 const waitingForSlotsShare = 0.15;
 const leastWaitingForSlots = 2;
 
+/** Weight of the latest wait in the pace of a workspace, and how long the pace is believed without another. */
+const paceWeight = 0.1;
+const paceLifeMs = 2000;
+
 export interface TurnRequest {
     readonly pool: string;
     readonly workspace: WorkspaceId;
@@ -49,6 +53,7 @@
 
 export class StageQueues implements Disposable {
     private readonly pools = new Map<string, Pool>();
+    private readonly paces = new Map<string, { readonly paceMs: number; readonly atMs: number; }>();
     private lastId = 0;
     private resizePending = false;
 
@@ -56,6 +61,7 @@
 
     public constructor(
         private readonly directory: EndpointDirectory,
+        private readonly clock: Clock,
         private readonly maxWaiting: () => number,
         private readonly queueClass: StageQueueClass = FairQueue,
     ) {
@@ -85,6 +91,9 @@
         if (this.waiting >= this.maxWaiting()) {
             return Promise.resolve(Left("queue-full"));
         }
+        const options = this.optionsOf(req);
+        const ahead = queue.size === 0 ? 0 : queue.sizeBy(options);
+        const askedMs = this.clock.nowMs();
         return new Promise(resolve => {
             const waiting = new AbortController();
             const giveUp = () => waiting.abort();
@@ -92,9 +101,10 @@
             const run = () =>
                 new Promise<void>(end => {
                     signal.removeEventListener("abort", giveUp);
+                    this.recordPace(req, ahead, this.clock.nowMs() - askedMs);
                     resolve(Right({ end }));
                 });
-            queue.add(run, { ...this.optionsOf(req), signal: waiting.signal }).catch(() => resolve(Left("aborted")));
+            queue.add(run, { ...options, signal: waiting.signal }).catch(() => resolve(Left("aborted")));
         });
     }
 
@@ -108,7 +118,24 @@
             return 0;
         }
         const ahead = queue.sizeBy(this.optionsOf(req));
-        return (ahead + soon + 1) * callMs / queue.concurrency;
+        const paceMs = Math.max(callMs / queue.concurrency, this.recentPaceMs(req));
+        return (ahead + soon + 1) * paceMs;
+    }
+
+    /** Learns how long the workspace waits for each call ahead of its own; later calls of others go in between. */
+    private recordPace(req: TurnRequest, ahead: number, waitedMs: number): void {
+        const name = `${req.pool}/${req.priority}/${req.workspace}`;
+        const paceMs = waitedMs / (ahead + 1);
+        const before = this.paces.get(name)?.paceMs ?? paceMs;
+        this.paces.set(name, {
+            paceMs: before * (1 - paceWeight) + paceMs * paceWeight,
+            atMs: this.clock.nowMs(),
+        });
+    }
+
+    private recentPaceMs(req: TurnRequest): number {
+        const pace = this.paces.get(`${req.pool}/${req.priority}/${req.workspace}`);
+        return pace === undefined || this.clock.nowMs() - pace.atMs > paceLifeMs ? 0 : pace.paceMs;
     }
 
     /** True while calls wait for a turn in the pool. */
--- a/src/pipeline/StagedPipelineRunner.ts
+++ b/src/pipeline/StagedPipelineRunner.ts
@@ -54,7 +54,7 @@
     public constructor(private readonly services: PipelineServices, policies: RunnerPolicies = {}) {
         const limits = () => services.config.current()?.settings.limits;
         const maxWaiting = () => limits()?.queuedRequests ?? defaultMaxWaiting;
-        const queues = new StageQueues(services.directory, maxWaiting, policies.queueClass);
+        const queues = new StageQueues(services.directory, services.clock, maxWaiting, policies.queueClass);
         this.store.add(queues);
         this.costBook = new CostBook(services.metrics);
         this.suspects = new SuspectWatch(services.quarantine);
