--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -21,7 +21,7 @@
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
 import { JsonEventLog } from "../telemetry/JsonEventLog.js";
 import { MetricsRegistry } from "../telemetry/MetricsRegistry.js";
-import { changeRoute } from "./ConfigRoutes.js";
+import { configRoutes } from "./ConfigRoutes.js";
 import { buildControl, type ControlPart } from "./ControlPart.js";
 import { DialledConfig, peerAddressOf } from "./DialledConfig.js";
 import { HostReadiness } from "./HostReadiness.js";
@@ -141,6 +141,7 @@
     /** Ends at once, as a crash would, but closes sockets. */
     public async abort(): Promise<void> {
         await this.supervisor.abortAll();
+        this.work.dispose();
         this.transport.dispose();
     }
 
@@ -150,6 +151,7 @@
         this.readiness.markStopping();
         const graceMs = (this.config.current()?.settings ?? this.options.settings).timing.stopGraceMs;
         const left = await this.supervisor.stop(graceMs);
+        this.work.dispose();
         this.transport.dispose();
         log.event(EventId.ProcessStopped, { unfinished: left.reduce((sum, report) => sum + report.unfinished, 0) });
         this.resolveStopped(left);
@@ -165,7 +167,7 @@
         const { log, metrics, host, settings } = this.base;
         const operators = new OperatorApi(this.options.keys.operatorKey, metrics, log);
         jobRoutes(this.work.jobs).forEach(route => operators.add(route));
-        operators.add(changeRoute(this.control.config));
+        configRoutes(this.control.operations).forEach(route => operators.add(route));
         operators.add(statusRoute(this.base, this.config, this.control, this.work));
         operators.add({
             method: "POST",
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -56,6 +56,7 @@
         ageMs: z.number(),
         /** Since the last success that this holder has seen. */
         provenAgeMs: z.number(),
+        incarnation: z.string().optional(),
     }).optional(),
 });
 
@@ -134,3 +135,14 @@
     "endpoints.push",
     pushSchema as unknown as z.ZodType<SlotPush>,
 );
+
+/** A new owner asks a host for its calls in flight on an endpoint, once the former owner's leases have run out. */
+export interface SlotClaim {
+    readonly incarnation: number;
+    readonly inUse: number;
+}
+
+export const slotClaim: PeerMethod<{ readonly endpoint: EndpointId; }, SlotClaim> = definePeerMethod(
+    "endpoints.claim",
+    z.object({ endpoint: z.string() }) as unknown as z.ZodType<{ readonly endpoint: EndpointId; }>,
+);
--- a/src/replication/Types.ts
+++ b/src/replication/Types.ts
@@ -89,6 +89,8 @@
     syncDir(dir: string): Promise<Either<DiskError, void>>;
     rename(from: string, to: string): Promise<Either<DiskError, void>>;
     remove(path: string): Promise<Either<DiskError, void>>;
+    /** Closes what is held open; the disk may be used again afterwards. */
+    close?(): Promise<void>;
 }
 
 /** One host of a group. A voter counts only under the replica id that its disk carries. */
@@ -116,7 +118,7 @@
 }
 
 export interface GroupTiming {
-    /** Silence of the leader after which a voter campaigns; the timer is random between this and twice this. */
+    /** Silence of the leader after which a voter campaigns; the timer is random between this and half as much again. */
     readonly electionMs: number;
     readonly heartbeatMs: number;
     /** Bound on how far two monotonic clocks drift apart within one election time. */
