Proof on processes: frozen control host, silent cut of a data centre, lost disk

Each over six daemons and relays: no hold runs twice, answers are known through any host, configuration never goes back. Found on the way: a data centre that is cut off ran the idempotent stages of a hold and then could not record the claim, so that its refusal was 'failed' (safe to repeat) in place of 'not run'. The runner now confirms that the records group answers before the first stage. Until a leader inside the cut notices it, the old end still occurs; it is truthful and the test allows it only then.

--- a/bench/Cluster.ts
+++ b/bench/Cluster.ts
@@ -22,6 +22,8 @@
     /** Whether the stand-ins are cold at the start; true by default. */
     readonly startsCold?: boolean;
     readonly clock: Clock;
+    /** Addresses that a host dials instead of the configured ones, by host or endpoint. */
+    readonly dial?: (host: string) => Readonly<Record<string, string>>;
 }
 
 /** Compiled scripts that the processes run. */
@@ -89,6 +91,7 @@
             operatorKeyFile: this.path("operator.key"),
             peerKeyFile: this.path("peer.key"),
             logFile: this.path(`${host}.log`),
+            dial: this.options.dial?.(host) ?? {},
             ...(settings?.control === "none" ? {} : { dataDir: this.path(`data-${host}`) }),
         };
         writeFileSync(this.path(`host-${host}.yaml`), stringify({ daemon }));
--- a/src/daemon/CallerClient.ts
+++ b/src/daemon/CallerClient.ts
@@ -22,6 +22,8 @@
     readonly output: string | undefined;
     readonly message: string;
     readonly retryAfterMs: number | undefined;
+    /** Whether the host said that the same request may be sent again; undefined with an answer. */
+    readonly repeat: "safe" | "unsafe" | undefined;
 }
 
 export type CallerError =
@@ -36,6 +38,7 @@
     readonly digest?: string;
     readonly message?: string;
     readonly retryAfterMs?: number;
+    readonly repeat?: "safe" | "unsafe";
 }
 
 /** Sends the call. An answer whose length or digest does not match counts as broken. */
@@ -93,5 +96,6 @@
         output: body.output,
         message: body.message ?? "",
         retryAfterMs: body.retryAfterMs,
+        repeat: body.repeat,
     });
 }
--- a/src/pipeline/OnceStage.test.ts
+++ b/src/pipeline/OnceStage.test.ts
@@ -49,6 +49,14 @@
         });
     }
 
+    it("refuses as not run, before any stage, while claims can't be recorded", async () => {
+        const bench = new PipelineBench();
+        bench.claims.isReachable = false;
+        const outcome = await bench.settle(bench.runner.run(bench.request("checkedHold", hold), never));
+        assert.equal(outcome.kind === "not-run" && outcome.reason, "no-quorum");
+        assert.equal(bench.client.sent.length, 0);
+    });
+
     it("sends once for two sendings at the same moment, and both are answered", async () => {
         const bench = new PipelineBench();
         bench.client.script = () => ({ kind: "reply", ms: 50 });
--- a/src/pipeline/OnceStage.ts
+++ b/src/pipeline/OnceStage.ts
@@ -51,6 +51,25 @@
         return this.detached;
     }
 
+    /**
+     * Refuses a request whose later stages need claims while the records group can't be reached, before any stage has
+     * run. Undefined where there is nothing to refuse.
+     */
+    public async refuseUnreachable(ctx: RequestContext): Promise<Failure | undefined> {
+        const { claims, clock } = this.services;
+        const first = ctx.settings.stages.find(stage => ctx.outputs[stage.name] === undefined);
+        const needsClaim = ctx.settings.stages.some(stage => !stage.idempotent);
+        if (first === undefined || !first.idempotent || !needsClaim) {
+            return undefined;
+        }
+        const timeoutMs = Math.min(claimTimeoutMs, ctx.req.deadlineMs - clock.nowMs());
+        const confirmed = await claims.confirmReachable(timeoutMs);
+        return confirmed.caseOf<Failure | undefined>({
+            Left: error => this.notClaimed(ctx, error),
+            Right: () => undefined,
+        });
+    }
+
     public async run(ctx: RequestContext, stage: StageSettings): Promise<StageResult> {
         const key = this.keyOf(ctx, stage);
         if (key === undefined) {
@@ -103,7 +122,7 @@
         if (error.kind === "full") {
             return failureFor(ctx.ledger, "overloaded", error.message, error.retryAfterMs);
         }
-        const message = `the call was not sent, since its claim could not be recorded: ${error.message}`;
+        const message = `the call was not sent, since its claim can't be recorded: ${error.message}`;
         return failureFor(ctx.ledger, "no-quorum", message, noQuorumRetryAfterMs);
     }
 
--- a/src/pipeline/StagedPipelineRunner.ts
+++ b/src/pipeline/StagedPipelineRunner.ts
@@ -197,7 +197,8 @@
         const startedMs = clock.nowMs();
         const labels = { workspace: ctx.req.workspace, pipeline: ctx.req.pipeline };
         log.event(EventId.RequestStarted, { request: ctx.req.id, ...labels });
-        const failure = await this.runEachStage(ctx, journal);
+        const refused = journal === undefined ? await this.onceStage.refuseUnreachable(ctx) : undefined;
+        const failure = refused ?? await this.runEachStage(ctx, journal);
         ctx.ledger.seal();
         const kind = failure?.kind ?? "answered";
         metrics.count("requests_ended", { ...labels, kind });
--- a/src/records/RecordsClient.ts
+++ b/src/records/RecordsClient.ts
@@ -152,6 +152,14 @@
         return Left({ kind: unanswered ? "unknown" : "not-recorded", message });
     }
 
+    /** Confirms that a quorum of the group answers. */
+    public async confirmReachable(timeoutMs: number): Promise<Either<RecordsError, void>> {
+        const barrier = await this.log.readBarrier(timeoutMs);
+        return barrier
+            .map(() => undefined)
+            .mapLeft<RecordsError>(error => ({ kind: "not-recorded", message: error.message }));
+    }
+
     /** Asks without changing anything: the local replica after a read barrier, else the log. */
     public async query(body: QueryBody, timeoutMs: number): Promise<Either<RecordsError, RecordsReply>> {
         const replica = this.replica;
--- a/src/records/ReplicatedClaims.ts
+++ b/src/records/ReplicatedClaims.ts
@@ -49,6 +49,10 @@
         return Left({ kind: "not-recorded", message: "the host's session was ended again and again" });
     }
 
+    public confirmReachable(timeoutMs: number): Promise<Either<RecordsError, void>> {
+        return this.client.confirmReachable(timeoutMs);
+    }
+
     /** Also resolves with undefined as soon as the claim was given up unsent, so that the caller may claim again. */
     public async wait(key: ClaimKey, timeoutMs: number, signal: AbortSignal): Promise<RecordedOutcome | undefined> {
         const untilMs = this.clock.nowMs() + timeoutMs;
--- a/src/records/Types.ts
+++ b/src/records/Types.ts
@@ -57,6 +57,8 @@
         request: RequestId,
         timeoutMs: number,
     ): Promise<Either<RecordsError, ClaimResult>>;
+    /** Confirms that the records group can be reached, so that work before a claim is not done in vain. */
+    confirmReachable(timeoutMs: number): Promise<Either<RecordsError, void>>;
     /** Waits for the end of a claim that runs elsewhere; undefined when it has not ended by then. */
     wait(key: ClaimKey, timeoutMs: number, signal: AbortSignal): Promise<RecordedOutcome | undefined>;
 }
--- /dev/null
+++ b/test/ProcessFaults.test.ts
@@ -0,0 +1,195 @@
+/**
+ * Faults of whole processes: a frozen control host, a lost disk, a data centre cut off by silence. After each, every
+ * hold has run at most once, its answer is known through any host, and the configuration has not gone back.
+ */
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { parse, stringify } from "yaml";
+import { Cluster } from "../bench/Cluster.js";
+import { runProgram } from "../src/cli/Program.js";
+import { SystemClock } from "../src/common/SystemClock.js";
+import { EventId } from "../src/telemetry/Events.js";
+import { TcpRelay } from "../standin/TcpRelay.js";
+import { SiteDriver } from "../testing/SiteDriver.js";
+
+const clock = new SystemClock();
+const demoFile = new URL("../../examples/demo/base.yaml", import.meta.url).pathname;
+/** Ports are moved, so that this site and the one of the other test stand side by side. */
+const portOffset = 1000;
+const cutCentre = "west";
+const holdsBetween = 6;
+
+let folder = "";
+let cluster: Cluster;
+let site: SiteDriver;
+/** Relays in front of hosts, by host: traffic between the cut data centre and the others goes through them. */
+const relays = new Map<string, TcpRelay>();
+const relayAddresses: Record<string, string> = {};
+
+interface SiteDocument {
+    hosts: Record<string, { callerAddress: string; peerAddress: string; dataCentre: string; }>;
+    endpoints: Record<string, { address: string; dataCentre: string; }>;
+}
+
+function moved(address: string): string {
+    const [ip, port] = address.split(":");
+    return `${ip}:${Number(port) + portOffset}`;
+}
+
+function writeSite(file: string): SiteDocument {
+    const document = parse(readFileSync(demoFile, "utf8")) as SiteDocument;
+    for (const host of Object.values(document.hosts)) {
+        host.callerAddress = moved(host.callerAddress);
+        host.peerAddress = moved(host.peerAddress);
+    }
+    for (const endpoint of Object.values(document.endpoints)) {
+        endpoint.address = moved(endpoint.address);
+    }
+    writeFileSync(file, stringify(document));
+    return document;
+}
+
+/** A host dials the hosts and endpoints on the other side of the cut through their relays. */
+function dial(document: SiteDocument, host: string): Record<string, string> {
+    const isCut = document.hosts[host]?.dataCentre === cutCentre;
+    const others = Object.entries({ ...document.hosts, ...document.endpoints })
+        .filter(([, one]) => (one.dataCentre === cutCentre) !== isCut);
+    return Object.fromEntries(others.map(([id]) => [id, relayAddresses[id]!]));
+}
+
+before(async () => {
+    folder = mkdtempSync(join(tmpdir(), "fireflykeel-faults-"));
+    const baseFile = join(folder, "site.yaml");
+    const document = writeSite(baseFile);
+    const targets = [
+        ...Object.entries(document.hosts).map(([id, host]) => [id, host.peerAddress] as const),
+        ...Object.entries(document.endpoints).map(([id, endpoint]) => [id, endpoint.address] as const),
+    ];
+    for (const [id, target] of targets) {
+        const relay = new TcpRelay(target);
+        relayAddresses[id] = await relay.start("127.0.0.1:0");
+        relays.set(id, relay);
+    }
+    cluster = new Cluster({
+        folder: join(folder, "run"),
+        baseFile,
+        overlays: {},
+        engineSpeed: {},
+        seed: 2,
+        clock,
+        dial: host => dial(document, host),
+    });
+    site = new SiteDriver(cluster, clock);
+    cluster.startStandIns();
+    cluster.startDaemons();
+    await Promise.all(site.hosts.map(host => site.untilReadiness(host, 200)));
+});
+
+after(async () => {
+    await Promise.all([...relays.values()].map(relay => relay.stop()));
+    await cluster.stop();
+    rmSync(folder, { recursive: true, force: true });
+});
+
+async function operate(host: string, args: readonly string[]): Promise<number> {
+    const target = ["--key-file", join(folder, "run", "operator.key"), "--address", site.peerAddress(host)];
+    return runProgram(["node", "fireflykeel", ...args, ...target], { out: () => undefined, err: () => undefined });
+}
+
+/** Asserts what must hold after any fault. */
+async function assertHoldsKept(placed: readonly { answered: number; unknown: number; }[]): Promise<void> {
+    const runs = await site.holdsRun();
+    assert.ok(runs.every(count => count === 1), `a hold ran more than once: ${runs.join(" ")}`);
+    const answered = placed.reduce((sum, one) => sum + one.answered, 0);
+    const unknown = placed.reduce((sum, one) => sum + one.unknown, 0);
+    assert.ok(runs.length >= answered && runs.length <= answered + unknown, `${runs.length} ran, ${answered} answered`);
+}
+
+/** Versions in force by host, in the order of the log. */
+function versionsInForce(host: string): number[] {
+    return readFileSync(join(folder, "run", `${host}.log`), "utf8")
+        .split("\n")
+        .filter(line => line !== "")
+        .map(line => JSON.parse(line) as { event: number; version: number; })
+        .filter(record => record.event === Number(EventId.ConfigInForce))
+        .map(record => record.version);
+}
+
+function assertNeverReverts(): void {
+    for (const host of site.hosts) {
+        const versions = versionsInForce(host);
+        assert.deepEqual(versions, [...versions].sort((a, b) => a - b), `${host} went back`);
+    }
+}
+
+const placed: { answered: number; unknown: number; }[] = [];
+
+test("a control host is frozen for long and goes on", async () => {
+    placed.push(await site.placeHolds("before", holdsBetween));
+    cluster.processes.signal("east-1", "SIGSTOP");
+    const others = site.placeHolds("frozen", holdsBetween);
+    await clock.sleep(4000);
+    cluster.processes.signal("east-1", "SIGCONT");
+    placed.push(await others);
+    placed.push(await site.placeHolds("thawed", holdsBetween));
+    await assertHoldsKept(placed);
+    assert.equal(await operate("middle-2", ["dc", "out", "middle", "--id", "freeze-1"]), 0);
+    assert.equal(await operate("east-1", ["dc", "in", "middle", "--id", "freeze-2"]), 0);
+    await site.untilReadiness("middle-1", 200);
+    assertNeverReverts();
+});
+
+test("a data centre is cut off by silence, serves its callers, and comes back", async () => {
+    for (const relay of relays.values()) {
+        relay.silenceAll("both");
+    }
+    const input = { note: "asked inside the cut-off data centre" };
+    await site.until("the cut-off data centre serves an idempotent request", async () => {
+        const answer = await site.tryCall("west-2", "profile", input);
+        return answer?.output === site.expected("profile", input);
+    });
+    // Until a leader inside the cut notices it, a hold may get as far as its claim; it is never answered.
+    await site.until("the cut-off data centre refuses a hold as not run", async () => {
+        const refused = await site.call("west-2", "hold", { cat: "cut" }, "cut");
+        assert.ok(refused.outcome === "not-run" || refused.outcome === "failed", refused.message);
+        assert.equal(refused.repeat, "safe", refused.message);
+        return refused.outcome === "not-run";
+    });
+    await site.until("the majority serves a hold", async () => {
+        return (await site.tryCall("east-2", "hold", { cat: "majority" }, "majority"))?.outcome === "answered";
+    });
+    placed.push({ answered: 1, unknown: 0 });
+    assert.equal(await operate("east-1", ["dc", "out", "west", "--id", "cut-1"]), 0);
+    for (const relay of relays.values()) {
+        relay.silenceAll(undefined);
+    }
+    await site.untilReadiness("west-2", 503);
+    assert.equal(await operate("west-2", ["dc", "in", "west", "--id", "cut-2"]), 0);
+    await site.untilReadiness("west-2", 200);
+    const again = await site.call("west-1", "hold", { cat: "majority" }, "majority");
+    assert.equal(again.output, site.expected("hold", { cat: "majority" }));
+    placed.push(await site.placeHolds("healed", holdsBetween));
+    await assertHoldsKept(placed);
+    assertNeverReverts();
+});
+
+test("a control host loses its disk and is repaired", async () => {
+    cluster.processes.signal("west-1", "SIGKILL");
+    await site.until("west-1 has ended", () => !cluster.processes.isRunning("west-1"));
+    rmSync(join(folder, "run", "data-west-1"), { recursive: true, force: true });
+    placed.push(await site.placeHolds("lost", holdsBetween));
+    cluster.startDaemon("west-1");
+    await site.until("the emptied host is a voter again", async () => {
+        return await operate("east-1", ["control", "add", "west-1"]) === 0;
+    });
+    await site.untilReadiness("west-1", 200);
+    cluster.processes.signal("east-1", "SIGKILL");
+    placed.push(await site.placeHolds("second", holdsBetween));
+    const kept = await site.call("west-1", "hold", { cat: "lost-0" }, "lost-0");
+    assert.equal(kept.output, site.expected("hold", { cat: "lost-0" }));
+    await assertHoldsKept(placed);
+    assertNeverReverts();
+});
--- a/testing/pipeline/FakeRecords.ts
+++ b/testing/pipeline/FakeRecords.ts
@@ -24,12 +24,17 @@
     /** The error that the next calls meet. */
     public claimError: RecordsError | undefined;
     public finishErrors = 0;
+    public isReachable = true;
     /** Time that each commit takes, in milliseconds. */
     public commitMs = 1;
     public released = 0;
 
     public constructor(private readonly clock: Clock) {}
 
+    public async confirmReachable(): Promise<Either<RecordsError, void>> {
+        return this.isReachable ? Right(undefined) : Left({ kind: "not-recorded", message: "no quorum" });
+    }
+
     public async claim(
         key: ClaimKey,
         bodyDigest: string,
--- a/testing/pipeline/PipelineBench.ts
+++ b/testing/pipeline/PipelineBench.ts
@@ -34,10 +34,11 @@
     readonly services?: (services: PipelineServices) => Partial<PipelineServices>;
 }
 
-/** A pipeline of two idempotent stages on a pool each, and one that may not be repeated. */
+/** A pipeline of two idempotent stages on a pool each, and two with a stage that may not be repeated. */
 const defaultPipelines = {
     answer: [{ name: "retrieve", pool: "a" }, { name: "generate", pool: "b", stream: true }],
     hold: [{ name: "hold", pool: "b", idempotent: false }],
+    checkedHold: [{ name: "check", pool: "a" }, { name: "hold", pool: "b", idempotent: false }],
 };
 
 const defaultEndpoints = (): readonly FakeEndpoint[] => [
