--- a/src/replication/PeerReplicator.ts
+++ b/src/replication/PeerReplicator.ts
@@ -14,7 +14,7 @@
 const maxEntriesPerMessage = 512;
 const maxCharsPerMessage = 262_144;
 const snapshotPartChars = 262_144;
-const commitDelayMs = 2;
+const commitDelayMs = 10;
 /** Pause after a message without an answer, as a share of the election time. */
 const retryShare = 0.1;
 
