--- a/bench/endpoints/SlotRun.ts
+++ b/bench/endpoints/SlotRun.ts
@@ -12,7 +12,9 @@
 export const requestDeadlineMs = 5000;
 /** How long an endpoint that has fallen over refuses connections. */
 const fallMs = 400;
+/** Pause before the first retry; it doubles up to the longest one. */
 const retryPauseMs = 20;
+const longestRetryPauseMs = 320;
 
 export interface SiteShape {
     readonly centres: number;
@@ -135,7 +137,7 @@
                 this.records.push({ arrivedMs, host: host.id, attained: end === "succeeded" && !late, retries });
                 return;
             }
-            await this.site.clock.sleep(retryPauseMs);
+            await this.site.clock.sleep(Math.min(retryPauseMs * 2 ** retries, longestRetryPauseMs));
         }
     }
 }
--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -5,6 +5,7 @@
 import { invariant } from "../common/Invariant.js";
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import type { EndpointSettings, TimingSettings } from "../config/Schema.js";
+import type { Pace } from "../membership/Pace.js";
 import { EndpointHealth } from "./EndpointHealth.js";
 import { type Ownership, soleKey } from "./OwnerAuthority.js";
 import { type HolderRecord, SlotLedger, type SlotTerms } from "./SlotLedger.js";
@@ -19,6 +20,8 @@
 export interface EndpointContext {
     readonly settings: EndpointSettings;
     readonly timing: TimingSettings;
+    /** Pace of the data centre's heartbeats, by which hosts notice that their view has changed. */
+    readonly pace: Pace;
     readonly ownership: Ownership;
     /** "leaving" or "out" by operators or the platform; undefined when neither. */
     readonly closed: "leaving" | "out" | undefined;
@@ -174,7 +177,7 @@
     }
 
     private followOwnership(context: EndpointContext): void {
-        const { ownership, timing } = context;
+        const { ownership, timing, pace } = context;
         if (ownership.key === this.key) {
             this.share = limit => ownership.share(limit);
             return;
@@ -188,7 +191,7 @@
         this.share = limit => ownership.share(limit);
         this.key = ownership.key;
         // A host with another view gives up its part only once it has noticed.
-        const noticeMs = wasSure && isSure ? 0 : timing.unreachableMs + 2 * timing.heartbeatMs;
+        const noticeMs = wasSure && isSure ? 0 : pace.unreachableMs + 2 * pace.heartbeatMs;
         this.openAtMs = this.clock.nowMs() + noticeMs + timing.slotLeaseMs + timing.clockDriftMs;
         this.settled = false;
     }
--- a/src/endpoints/SlotHolderClient.ts
+++ b/src/endpoints/SlotHolderClient.ts
@@ -2,6 +2,7 @@
  * The holder's side of slots: one task for each owner, which sends what is due for all of that owner's endpoints in one
  * message, one message at a time.
  */
+import { setMaxListeners } from "node:events";
 import { type Either, Left } from "purify-ts";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, EndpointId, Event, HostId } from "../common/Types.js";
@@ -96,6 +97,8 @@
     }
 
     public async run(signal: AbortSignal): Promise<void> {
+        // One task for each peer listens to the signal.
+        setMaxListeners(0, signal);
         this.signal = signal;
         while (!signal.aborted) {
             for (const held of this.held.values()) {
@@ -110,6 +113,16 @@
         this.tasks.clear();
     }
 
+    /** Waits for calls in flight to end. */
+    public async drain(graceMs: number): Promise<{ readonly unfinished: number; readonly what: string; }> {
+        const { clock } = this.options;
+        const untilMs = clock.nowMs() + graceMs;
+        while (this.inFlight > 0 && clock.nowMs() < untilMs) {
+            await clock.sleep(renewalTickMs);
+        }
+        return { unfinished: this.inFlight, what: "calls in flight" };
+    }
+
     private get leaseMs(): number {
         return this.options.config.current()?.settings.timing.slotLeaseMs ?? 1;
     }
--- a/src/endpoints/SlotOwner.ts
+++ b/src/endpoints/SlotOwner.ts
@@ -2,12 +2,14 @@
  * The owner's side of slots: answers holders' messages for the endpoints that this host owns, pushes changed numbers
  * to holders that wait, reads load reports, and hands its endpoints over when the host stops.
  */
+import { setMaxListeners } from "node:events";
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
-import type { ConfigSource, ConfigView } from "../config/Types.js";
+import type { ConfigSource } from "../config/Types.js";
 import type { HostView, Membership, PlatformList } from "../membership/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
+import { EndpointContexts } from "./EndpointContexts.js";
 import { type HandOver, handOver, packHandOver, unpackRecords } from "./HandOver.js";
 import { type EndpointContext, type HostClaim, OwnedEndpoint } from "./OwnedEndpoint.js";
 import type { OwnerAuthority } from "./OwnerAuthority.js";
@@ -31,8 +33,6 @@
 const reportEveryMs = 1000;
 /** How long the next owner is offered an account; after that it has waited out the leases by itself. */
 const handOverWithinMs = 3000;
-/** Bound on call time for pools that no pipeline uses. */
-const defaultCallBoundMs = 30_000;
 
 export interface SlotOwnerOptions {
     readonly membership: Membership;
@@ -71,9 +71,11 @@
     private readonly reportAtMs = new Map<EndpointId, number>();
     /** Endpoints whose claims are being collected. */
     private readonly collecting = new Set<EndpointId>();
+    private readonly contexts: EndpointContexts;
     private selfHolder: SelfHolder | undefined;
 
     public constructor(private readonly options: SlotOwnerOptions) {
+        this.contexts = new EndpointContexts(options);
         options.registry.handle(slotExchange, async (req, from) => {
             return req.holder.host === from ? this.exchange(req) : { answers: [] };
         });
@@ -88,7 +90,7 @@
     public view(): readonly OwnedView[] {
         const views: OwnedView[] = [];
         for (const endpoint of this.owned.values()) {
-            const context = this.context(endpoint.id);
+            const context = this.contexts.of(endpoint.id);
             if (context?.ownership.isOwn === true) {
                 const { limit } = endpoint.terms(context);
                 const state = endpoint.state(context);
@@ -113,6 +115,8 @@
     }
 
     public async run(signal: AbortSignal): Promise<void> {
+        // One task for each peer listens to the signal.
+        setMaxListeners(0, signal);
         while (!signal.aborted) {
             this.followConfig();
             for (const endpoint of this.owned.values()) {
@@ -136,7 +140,7 @@
 
     private answer(holder: HolderIdentity, entry: SlotEntry): SlotAnswer | undefined {
         const id = entry.endpoint;
-        const context = this.context(id);
+        const context = this.contexts.of(id);
         if (context?.ownership.isOwn !== true) {
             return { kind: "not-owner", endpoint: id, owner: context?.ownership.owner };
         }
@@ -184,7 +188,7 @@
     private followConfig(): void {
         const endpoints = this.options.config.current()?.settings.endpoints ?? {};
         for (const id of Object.keys(endpoints) as EndpointId[]) {
-            const context = this.context(id);
+            const context = this.contexts.of(id);
             if (context?.ownership.isOwn === true) {
                 this.open(id, context);
             }
@@ -209,7 +213,7 @@
     }
 
     private look(endpoint: OwnedEndpoint, signal: AbortSignal): void {
-        const context = this.context(endpoint.id);
+        const context = this.contexts.of(endpoint.id);
         if (context === undefined) {
             return;
         }
@@ -248,7 +252,7 @@
                 }
             }),
         );
-        const context = this.context(endpoint.id);
+        const context = this.contexts.of(endpoint.id);
         const nowMs = clock.nowMs();
         const mayHaveCalls = (one: HostView) =>
             one.incarnation > 0 && (one.state !== "dead" || nowMs - one.sinceMs < (context?.callBoundMs ?? 0));
@@ -262,7 +266,7 @@
 
     private async readReport(endpoint: OwnedEndpoint, signal: AbortSignal): Promise<void> {
         const report = await this.options.loads.fetch(endpoint.id, signal);
-        const context = this.context(endpoint.id);
+        const context = this.contexts.of(endpoint.id);
         if (report !== undefined && context !== undefined && this.owned.get(endpoint.id) === endpoint) {
             endpoint.learnReport(report, context);
         }
@@ -316,7 +320,7 @@
     }
 
     private takeOver(req: HandOver): boolean {
-        const context = this.context(req.endpoint);
+        const context = this.contexts.of(req.endpoint);
         if (context?.ownership.isOwn !== true) {
             return false;
         }
@@ -325,40 +329,4 @@
         endpoint.adopt(unpackRecords(req, this.options.clock.nowMs()), req.orphans, context);
         return true;
     }
-
-    private context(id: EndpointId): EndpointContext | undefined {
-        const view = this.options.config.current();
-        const settings = view?.settings.endpoints[id];
-        if (view === undefined || settings === undefined) {
-            return undefined;
-        }
-        const local = this.options.membership.view().local;
-        return {
-            settings,
-            timing: view.settings.timing,
-            ownership: this.options.authority.ownership(id),
-            closed: this.closedReason(id, view),
-            callBoundMs: callBound(view, settings.pool),
-            hostsMissing: local.some(one =>
-                one.incarnation > 0 && (one.state === "dead" || one.state === "unreachable")
-            ),
-        };
-    }
-
-    private closedReason(id: EndpointId, view: ConfigView): "leaving" | "out" | undefined {
-        const dataCentre = view.settings.endpoints[id]?.dataCentre;
-        if (dataCentre !== undefined && view.outDataCentres.has(dataCentre)) {
-            return "out";
-        }
-        const listed = this.options.platform?.latest()?.find(entry => entry.id === id);
-        return view.leavingEndpoints.has(id) || listed?.state === "leaving" ? "leaving" : undefined;
-    }
-}
-
-/** The longest deadline of the pipelines that use a pool. */
-function callBound(view: ConfigView, pool: string): number {
-    const deadlines = Object.values(view.settings.pipelines)
-        .filter(pipeline => pipeline.stages.some(stage => stage.pool === pool))
-        .map(pipeline => pipeline.deadlineMs);
-    return deadlines.length === 0 ? defaultCallBoundMs : Math.max(...deadlines);
 }
--- a/src/membership/HeartbeatMembership.ts
+++ b/src/membership/HeartbeatMembership.ts
@@ -3,6 +3,7 @@
  * asks one of its hosts for a summary. A host is alive only while its own heartbeats are answered, so that two hosts
  * with a one-way cut between them agree that they can't reach each other.
  */
+import { setMaxListeners } from "node:events";
 import { z } from "zod";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, DataCentreId, Event, HostId, Incarnation } from "../common/Types.js";
@@ -17,11 +18,14 @@
 } from "../peer/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
+import { paceOf } from "./Pace.js";
 import { type HeartbeatFacts, PeerHost } from "./PeerHost.js";
 import type { HostView, Membership, MembershipView, PlatformList } from "./Types.js";
 
 /** A host that is off the platform's list and silent for this many times `unreachableMs` is dead. */
 const goneFactor = 10;
+/** Until a configuration is there. */
+const defaultTiming = { heartbeatMs: 250, unreachableMs: 1200, peerTimeoutMs: 1000 };
 /** Heartbeats to one peer that may be unanswered at a time. */
 const maxPendingHeartbeats = 8;
 /** Between two summaries of another data centre, in heartbeats. */
@@ -92,6 +96,8 @@
     }
 
     public async run(signal: AbortSignal): Promise<void> {
+        // One task for each peer listens to the signal.
+        setMaxListeners(0, signal);
         const tasks = new Map<string, { readonly stop: AbortController; readonly done: Promise<void>; }>();
         while (!signal.aborted) {
             const wanted = this.wantedTasks();
@@ -114,8 +120,9 @@
     }
 
     private get timing(): Pick<TimingSettings, "heartbeatMs" | "unreachableMs" | "peerTimeoutMs"> {
-        return this.options.config.current()?.settings.timing
-            ?? { heartbeatMs: 250, unreachableMs: 1200, peerTimeoutMs: 1000 };
+        const timing = this.options.config.current()?.settings.timing ?? defaultTiming;
+        const { peerTimeoutMs } = timing;
+        return { ...paceOf(timing, this.hostsOf(this.dataCentre).length), peerTimeoutMs };
     }
 
     private localView(): HostView[] {
--- a/src/membership/HttpPlatformList.ts
+++ b/src/membership/HttpPlatformList.ts
@@ -12,6 +12,7 @@
 const readTimeoutMs = 1000;
 /** A list not read again for this long counts as missing. */
 const staleAfterMs = 30_000;
+const statusOk = 200;
 /** Bound on the size of the list. */
 const maxListBytes = 4_194_304;
 
@@ -36,7 +37,7 @@
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const address = this.config.current()?.settings.platform.hostListAddress;
-            const text = address === undefined ? undefined : await readText(`http://${address}/v1/hosts`, signal);
+            const text = address === undefined ? undefined : await this.read(address, signal);
             const parsed = text === undefined ? undefined : parseList(text);
             if (parsed !== undefined) {
                 this.take(parsed);
@@ -52,6 +53,38 @@
             this.changes.fire(list);
         }
     }
+
+    /** Undefined when no whole list came in time. */
+    private read(address: string, signal: AbortSignal): Promise<string | undefined> {
+        return new Promise(resolve => {
+            const finish = (text: string | undefined) => {
+                timer.dispose();
+                signal.removeEventListener("abort", giveUp);
+                resolve(text);
+            };
+            const giveUp = () => req.destroy();
+            const timer = this.clock.setTimer(readTimeoutMs, giveUp);
+            signal.addEventListener("abort", giveUp);
+            const req = get(`http://${address}/v1/hosts`, { agent: false }, res => {
+                const chunks: Buffer[] = [];
+                let bytes = 0;
+                res.on("data", (chunk: Buffer) => {
+                    bytes += chunk.length;
+                    chunks.push(chunk);
+                    if (bytes > maxListBytes) {
+                        giveUp();
+                    }
+                });
+                res.on("end", () => {
+                    const isWhole = res.complete && res.statusCode === statusOk;
+                    finish(isWhole ? Buffer.concat(chunks).toString("utf8") : undefined);
+                });
+                res.on("error", () => finish(undefined));
+                res.on("close", () => finish(undefined));
+            });
+            req.on("error", () => finish(undefined));
+        });
+    }
 }
 
 function parseList(text: string): readonly PlatformEntry[] | undefined {
@@ -63,24 +96,3 @@
         return undefined;
     }
 }
-
-function readText(url: string, signal: AbortSignal): Promise<string | undefined> {
-    return new Promise(resolve => {
-        const bound = AbortSignal.any([signal, AbortSignal.timeout(readTimeoutMs)]);
-        const req = get(url, { signal: bound, agent: false }, res => {
-            const chunks: Buffer[] = [];
-            let bytes = 0;
-            res.on("data", (chunk: Buffer) => {
-                bytes += chunk.length;
-                chunks.push(chunk);
-                if (bytes > maxListBytes) {
-                    req.destroy();
-                }
-            });
-            res.on("end", () => resolve(res.statusCode === 200 ? Buffer.concat(chunks).toString("utf8") : undefined));
-            res.on("error", () => resolve(undefined));
-            res.on("close", () => resolve(undefined));
-        });
-        req.on("error", () => resolve(undefined));
-    });
-}
