--- a/bench/Caller.ts
+++ b/bench/Caller.ts
@@ -35,6 +35,12 @@
     readonly stream: boolean;
 }
 
+/** No reply came, or it broke off. */
+export interface LostReply {
+    /** The error's code, or what else is known. */
+    readonly lost: string;
+}
+
 /** How long a caller waits beyond its deadline for the final word, in milliseconds. */
 const patienceMs = 5000;
 /** Hosts that the balancer tries while connections are refused. */
@@ -54,7 +60,7 @@
         const stages = pipeline?.stages.map(stage => stage.name) ?? [];
         const judged = judgeReply(reply, expectedAnswer(stages, arrival.input));
         const attained = judged.end === "answered" && latencyMs <= deadlineMs;
-        return { arrival, host, ...judged, status: reply?.status ?? 0, latencyMs, attained };
+        return { arrival, host, ...judged, status: "lost" in reply ? 0 : reply.status, latencyMs, attained };
     }
 
     public dispose(): void {
@@ -65,12 +71,12 @@
     private async send(
         arrival: Arrival,
         deadlineMs: number,
-    ): Promise<{ readonly host: string; readonly reply: HttpReply | undefined; }> {
+    ): Promise<{ readonly host: string; readonly reply: HttpReply | LostReply; }> {
         let host = "";
         for (let tries = 0; tries < maxConnects; tries += 1) {
             const target = this.balancer.pick();
             if (target === undefined) {
-                return { host, reply: undefined };
+                return { host, reply: { lost: "no host is ready" } };
             }
             host = target.host;
             const reply = await this.post(target.address, arrival, deadlineMs);
@@ -79,10 +85,10 @@
             }
             this.balancer.reportRefused(host);
         }
-        return { host, reply: undefined };
+        return { host, reply: { lost: "refused by each host" } };
     }
 
-    private post(address: string, arrival: Arrival, deadlineMs: number): Promise<HttpReply | "refused" | undefined> {
+    private post(address: string, arrival: Arrival, deadlineMs: number): Promise<HttpReply | LostReply | "refused"> {
         const body = JSON.stringify(arrival.input);
         const headers: Record<string, string | number> = {
             "content-type": "application/json",
@@ -102,29 +108,29 @@
             const req = request({ ...options, agent: this.agent }, res => void readAll(res).then(resolve));
             req.setTimeout(deadlineMs + patienceMs, () => req.destroy());
             req.on("error", err => {
-                const refused = (err as NodeJS.ErrnoException).code === "ECONNREFUSED";
-                resolve(refused ? "refused" : undefined);
+                const { code = "closed" } = err as NodeJS.ErrnoException;
+                resolve(code === "ECONNREFUSED" ? "refused" : { lost: code });
             });
             req.end(body);
         });
     }
 }
 
-function readAll(res: IncomingMessage): Promise<HttpReply | undefined> {
+function readAll(res: IncomingMessage): Promise<HttpReply | LostReply> {
     return new Promise(resolve => {
         let text = "";
         res.setEncoding("utf8");
         res.on("data", (part: string) => text += part);
         const stream = res.headers["content-type"] === "text/event-stream";
-        res.on("end", () => resolve(res.complete ? { status: res.statusCode ?? 0, text, stream } : undefined));
-        res.on("error", () => resolve(undefined));
+        res.on("end", () => resolve(res.complete ? { status: res.statusCode ?? 0, text, stream } : { lost: "cut" }));
+        res.on("error", () => resolve({ lost: "cut" }));
     });
 }
 
 /** Compares a reply with the answer that the request must get. */
-export function judgeReply(reply: HttpReply | undefined, expected: string): Judgement {
-    if (reply === undefined) {
-        return { end: "lost", reason: "no reply" };
+export function judgeReply(reply: HttpReply | LostReply, expected: string): Judgement {
+    if ("lost" in reply) {
+        return { end: "lost", reason: reply.lost };
     }
     if (reply.stream) {
         return judgeStream(reply.text, expected);
--- a/bench/Tally.test.ts
+++ b/bench/Tally.test.ts
@@ -5,7 +5,7 @@
 import { newCounters } from "../standin/Defaults.js";
 import { expectedAnswer, inputDigest } from "../standin/ExpectedOutput.js";
 import type { StandInCounters } from "../standin/Types.js";
-import { type CallEnd, type CallRecord, type HttpReply, judgeReply } from "./Caller.js";
+import { type CallEnd, type CallRecord, type HttpReply, judgeReply, type LostReply } from "./Caller.js";
 import { fitLine } from "./Slopes.js";
 import { findViolations, tallyAttainment, tallyCosts, tallyPhases, tallySeconds, type Violations } from "./Tally.js";
 import { type Arrival, planArrivals, type RequestInput } from "./Workload.js";
@@ -101,13 +101,13 @@
 const rest = { offset: 99, text: answer.slice(99) };
 const end = { length: answer.length };
 
-const replies: { name: string; reply: HttpReply | undefined; end: CallEnd; }[] = [
+const replies: { name: string; reply: HttpReply | LostReply; end: CallEnd; }[] = [
     { name: "the whole answer", reply: whole(JSON.stringify({ output: answer })), end: "answered" },
     { name: "half an answer", reply: whole(JSON.stringify({ output: answer.slice(9) })), end: "wrong" },
     { name: "no JSON", reply: whole("x"), end: "wrong" },
     { name: "a refusal", reply: whole(JSON.stringify({ outcome: "not-run" }), 503), end: "not-run" },
     { name: "a refusal without outcome", reply: whole("", 500), end: "failed" },
-    { name: "no reply", reply: undefined, end: "lost" },
+    { name: "no reply", reply: { lost: "ECONNRESET" }, end: "lost" },
     { name: "a whole stream", reply: streamOf(["output", first], ["output", rest], ["end", end]), end: "answered" },
     { name: "a stream without end", reply: streamOf(["output", first], ["output", rest]), end: "lost" },
     { name: "a stream with a gap", reply: streamOf(["output", rest], ["end", end]), end: "wrong" },
