--- a/src/endpoints/EndpointHealth.ts
+++ b/src/endpoints/EndpointHealth.ts
@@ -159,6 +159,8 @@
     public learnReport(report: LoadReportMessage): boolean {
         const changed = this.incarnation !== undefined && this.incarnation !== report.incarnation;
         const restarted = report.uptimeMs < this.uptimeMs;
+        // Reports lag: an endpoint that has turned cold may be seen as warming next, without ever being seen cold.
+        const hasFallenBack = this.report?.message.state === "warm" && report.state === "warming";
         if (changed && !restarted) {
             // A lagging report of the former process must not undo what a reply of the new one has shown.
             return false;
@@ -168,7 +170,7 @@
         this.report = { message: report, atMs: this.clock.nowMs() };
         this.provenAtMs = this.clock.nowMs();
         this.leavingWord = report.state === "leaving";
-        if (restarted || (report.state === "cold" && this.current !== "suspect")) {
+        if (restarted || ((report.state === "cold" || hasFallenBack) && this.current !== "suspect")) {
             this.turnCold();
         }
         else if (report.state === "warm" && this.current === "cold" && this.isBelieved(report)) {
