--- a/src/endpoints/EndpointHealth.ts
+++ b/src/endpoints/EndpointHealth.ts
@@ -104,6 +104,11 @@
         this.threshold = Math.min(this.threshold, limits.warmLimit);
     }
 
+    /** Forgets the last sign of life: what happened since nobody has seen. */
+    public distrust(): void {
+        this.provenAtMs = Number.NEGATIVE_INFINITY;
+    }
+
     /** For a planned hand-over. */
     public record(): HealthRecord {
         return { state: this.state, limit: this.level, incarnation: this.incarnation };
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -53,7 +53,7 @@
             pool: settings.pool,
             models: settings.models,
             state: this.stateOf(id, view, held),
-            limit: held?.limit ?? settings.coldLimit,
+            limit: held === undefined || isStale(held) ? settings.coldLimit : held.limit,
             ownInFlight: held?.inUse ?? 0,
             credits: held?.credits ?? 0,
             reported: reported === undefined
@@ -85,12 +85,7 @@
         if (view.leavingEndpoints.has(id) || listed?.state === "leaving") {
             return "leaving";
         }
-        if (held === undefined) {
-            return "cold";
-        }
-        const isClosing = held.state === "leaving" || held.state === "out";
-        // An old word of the owner is no reason to avoid the endpoint for ever.
-        return isClosing && !held.isClosed ? "cold" : held.state;
+        return held === undefined || isStale(held) ? "cold" : held.state;
     }
 
     private fireAll(view: ConfigView): void {
@@ -99,3 +94,9 @@
         }
     }
 }
+
+/** An old word of the owner that the endpoint takes nothing is no reason to avoid it for ever. */
+function isStale(held: HeldEndpoint): boolean {
+    const isClosing = held.state === "leaving" || held.state === "out";
+    return isClosing && !held.isClosed;
+}
--- a/src/endpoints/OwnedEndpoint.ts
+++ b/src/endpoints/OwnedEndpoint.ts
@@ -47,6 +47,7 @@
     /** Former owners' grants may be live until then. */
     private openAtMs = Number.POSITIVE_INFINITY;
     private settled = false;
+    private wasClosed = false;
     /** True once calls or reports have told this owner of the endpoint. */
     private hasOwnEvidence = false;
     private believedAtMs = Number.NEGATIVE_INFINITY;
@@ -161,6 +162,11 @@
     /** The terms in force now, after a change of ownership if there was one. */
     public terms(context: EndpointContext): SlotTerms {
         this.health.setLimits(context.settings);
+        if (this.wasClosed && context.closed === undefined) {
+            // Without work nothing has shown whether it is still as warm as it was.
+            this.health.distrust();
+        }
+        this.wasClosed = context.closed !== undefined;
         this.followOwnership(context);
         this.settleByTime(context);
         const limit = this.limit(context);
--- /dev/null
+++ b/testing/SlotLoad.ts
@@ -0,0 +1,70 @@
+/** Sites and load for tests of slots. */
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import type { EndpointId } from "../src/common/Types.js";
+import { type CallResult, type SiteHost, SlotSite } from "./SlotSite.js";
+import { testSettings } from "./TestSettings.js";
+
+export const writer = "north-writer" as EndpointId;
+/** Long enough for heartbeats, the take-over wait and a load report. */
+export const settleMs = 8000;
+
+export async function startedSite(settings = testSettings()): Promise<SlotSite> {
+    const site = new SlotSite({ settings });
+    site.startAll();
+    await site.clock.advance(settleMs);
+    return site;
+}
+
+/** Settings with `hosts` hosts and one engine in one data centre, and one host in another if asked for. */
+export function smallSettings(hosts: number, engine: Record<string, unknown> = {}, withSouth: boolean = false) {
+    const ids = Array.from({ length: hosts }, (_, index) => `north-${index + 1}`).concat(withSouth ? ["south-1"] : []);
+    const entries = ids.map((id, index) => [id, {
+        dataCentre: id.slice(0, 5),
+        callerAddress: `127.0.0.1:${20_001 + index}`,
+        peerAddress: `127.0.0.1:${21_001 + index}`,
+    }]);
+    return testSettings({
+        hosts: Object.fromEntries(entries) as unknown,
+        endpoints: {
+            [writer]: {
+                dataCentre: "north",
+                address: "127.0.0.1:22003",
+                kind: "engine",
+                pool: "writer",
+                models: ["m1"],
+                coldLimit: 1,
+                warmLimit: 8,
+                ...engine,
+            },
+        },
+    });
+}
+
+export function northOf(site: SlotSite): SiteHost[] {
+    return site.live.filter(host => host.id.startsWith("north"));
+}
+
+/** Keeps `calls` calls going on each host until stopped; collects the results. */
+export function drive(hosts: readonly SiteHost[], endpoint: EndpointId, calls: number, durationMs: number, seed = 7) {
+    const results: CallResult[] = [];
+    const random = new SeededRandom(seed);
+    let going = true;
+    for (const host of hosts) {
+        for (let index = 0; index < calls; index += 1) {
+            void (async () => {
+                while (going && !host.stopped) {
+                    const result = await host.call(endpoint, durationMs * (0.5 + random.next()));
+                    results.push(result);
+                    if (result.end !== "succeeded") {
+                        await host.clock.sleep(50);
+                    }
+                }
+            })();
+        }
+    }
+    return { results, stop: () => going = false };
+}
+
+export function count(results: readonly CallResult[], end: CallResult["end"]): number {
+    return results.filter(result => result.end === end).length;
+}
