--- a/src/records/ReplicatedQuarantine.test.ts
+++ b/src/records/ReplicatedQuarantine.test.ts
@@ -97,3 +97,18 @@
     assert.equal(stateOn(b, "f"), "clear");
     site.stop();
 });
+
+test("an end without a crash does not wait for the group", async () => {
+    const site = new RecordsHosts();
+    const [a, b] = [site.start("a"), site.start("b")];
+    await report(site, a, "shared", "f");
+    site.group.hasQuorum = false;
+    const startedMs = site.clock.nowMs();
+    await report(site, a, "innocent", "f");
+    assert.ok(site.clock.nowMs() - startedMs <= 5);
+    assert.equal(stateOn(a, "f"), "clear");
+    site.group.heal();
+    await site.clock.advance(6000);
+    assert.equal(stateOn(b, "f"), "clear");
+    site.stop();
+});
--- a/src/records/ReplicatedQuarantine.ts
+++ b/src/records/ReplicatedQuarantine.ts
@@ -59,9 +59,15 @@
         return this.report({ kind: "crash", ticket, fingerprint, alone, retentionMs: quarantineRetentionMs });
     }
 
+    /** Goes on in the background: the request has its answer, which must not wait for the group. */
     public async reportInnocent(fingerprint: Fingerprint): Promise<Either<RecordsError, void>> {
         const ticket = this.reportId();
-        return this.report({ kind: "innocent", ticket, fingerprint });
+        if (this.isSuspect(fingerprint)) {
+            this.marks.delete(fingerprint);
+        }
+        this.client.settle({ kind: "innocent", ticket, fingerprint });
+        this.events.event(EventId.CrashReported, { fingerprint, report: "innocent", recorded: false });
+        return Right(undefined);
     }
 
     /** Lets a request run again, on an operator's order. */
@@ -132,7 +138,7 @@
         }
     }
 
-    private async report(body: BodyOf<"crash" | "innocent">): Promise<Either<RecordsError, void>> {
+    private async report(body: BodyOf<"crash">): Promise<Either<RecordsError, void>> {
         const sent = await this.client.send(body, reportMs);
         this.events.event(EventId.CrashReported, {
             fingerprint: body.fingerprint,
--- a/src/records/Types.ts
+++ b/src/records/Types.ts
@@ -121,7 +121,7 @@
     isSuspect(fingerprint: Fingerprint): boolean;
     /** Reports a crash of an endpoint while the request ran; `alone` when nothing else ran on it. */
     reportCrash(fingerprint: Fingerprint, alone: boolean): Promise<Either<RecordsError, void>>;
-    /** Reports that a suspect ended without a crash. */
+    /** Reports that a suspect ended without a crash; resolves at once and goes on in the background. */
     reportInnocent(fingerprint: Fingerprint): Promise<Either<RecordsError, void>>;
 }
 
