Send a suspect only where it is alone, and again only once its crash is recorded

Cause: the fault matrix (repair, disk lost, slow stage) saw a request crash three endpoints. A suspect was sent although its slot was not exclusive, and was sent again while the records group did not know of its crash, so that another host took it as harmless. Broken invariants of calls that somebody waits for were thrown twice, which failed the proof's mutation tests. Change: a slot that is not alone is given back unsent; a crash that could not be recorded ends the request as failed, safe to repeat; only what nobody waits for is passed on to the top of the process.

--- a/src/pipeline/IdempotentStage.ts
+++ b/src/pipeline/IdempotentStage.ts
@@ -169,6 +169,10 @@
         if (ctx.signal.aborted) {
             return cancelled(ctx);
         }
+        if (error.crashUnrecorded) {
+            // Another host would not know that the request has to run alone, so it is not run again here either.
+            return failureOf(ctx, stage.name, error);
+        }
         if (this.goOnFromBreak(ctx, stage, progress, error)) {
             return undefined;
         }
--- a/src/pipeline/OnceStage.ts
+++ b/src/pipeline/OnceStage.ts
@@ -177,11 +177,11 @@
                 }
                 answered = true;
                 this.detached += 1;
+                surfaceFailure(recorded);
                 resolve(Left(this.givenUp(ctx, stage, sent, timed.timedOut)));
             };
             timed.signal.addEventListener("abort", giveUp, { once: true });
             const recorded = this.untilRecorded(ctx, stage, claim, call.signal);
-            surfaceFailure(recorded);
             recorded.then(resolve, reject).finally(() => {
                 this.detached -= answered ? 1 : 0;
                 timed.signal.removeEventListener("abort", giveUp);
--- a/src/pipeline/SlotFinder.ts
+++ b/src/pipeline/SlotFinder.ts
@@ -50,7 +50,7 @@
 export interface FoundSlot {
     readonly slot: Slot;
     readonly choice: RouteChoice;
-    /** True when no other call is on the endpoint, as far as can be known. */
+    /** True when no other call is on the endpoint; so it is for each slot that was asked for alone. */
     readonly alone: boolean;
     /** Ends the hold on the endpoint that a suspect has. */
     done(): void;
@@ -146,10 +146,18 @@
             ...(search.alone ? { exclusive: true } : {}),
         });
         this.waiting.set(id, (this.waiting.get(id) ?? 1) - 1);
-        return granted.bimap(error => {
+        if (granted.isLeft()) {
             done();
-            return error;
-        }, slot => ({ slot, choice, alone: search.alone && this.isAlone(slot), done }));
+            return Left(granted.extract());
+        }
+        const slot = granted.extract() as Slot;
+        if (search.alone && !this.isAlone(slot)) {
+            // A suspect that is not alone would be proof of nothing, and would take others with it.
+            slot.release("never-sent");
+            done();
+            return Left({ kind: "no-slot", endpoint: id, retryAfterMs: alonePollMs });
+        }
+        return Right({ slot, choice, alone: search.alone, done });
     }
 
     /**
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -7,7 +7,6 @@
 import type { StageSettings } from "../config/Schema.js";
 import type { StageCall, StageCallError, StageReply } from "../endpoints/Types.js";
 import { EventId } from "../telemetry/Events.js";
-import { surfaceFailure } from "./Detached.js";
 import type { RequestContext } from "./RequestContext.js";
 import { type FoundSlot, type NoSlot, SlotFinder } from "./SlotFinder.js";
 import type { StageEstimator } from "./StageEstimator.js";
@@ -39,8 +38,8 @@
         readonly error: StageCallError;
         readonly endpoint: EndpointId;
         readonly attempt: number;
-        /** True when the call had its endpoint to itself. */
-        readonly alone: boolean;
+        /** True when the endpoint crashed under the call and the records group does not know of it yet. */
+        readonly crashUnrecorded: boolean;
     };
 
 export interface AttemptSuccess {
@@ -121,7 +120,6 @@
             this.queues.refresh(stage.pool);
             turn.end();
         });
-        surfaceFailure(ended);
         return raceAbort<AttemptResult>(ended, options.signal, () => Left(givenUp));
     }
 
@@ -153,8 +151,8 @@
                 durationMs: elapsedMs,
             });
             this.bookFailure(ctx, stage, error, elapsedMs);
-            await this.reportCrash(ctx, error, found);
-            return Left({ kind: "call-failed", error, endpoint, attempt: call.attempt, alone: found.alone });
+            const crashUnrecorded = !await this.reportCrash(ctx, error, found);
+            return Left({ kind: "call-failed", error, endpoint, attempt: call.attempt, crashUnrecorded });
         }
         const reply = result.extract() as StageReply;
         log.event(EventId.StageEnded, { ...fields, end: "succeeded", durationMs: elapsedMs });
@@ -188,17 +186,17 @@
         }
     }
 
-    /** Records a crash before anything else is decided, so that a resend finds it. */
-    private async reportCrash(ctx: RequestContext, error: StageCallError, found: FoundSlot): Promise<void> {
+    /** Records a crash before anything else is decided, so that a resend finds it. False when that failed. */
+    private async reportCrash(ctx: RequestContext, error: StageCallError, found: FoundSlot): Promise<boolean> {
         if (error.kind !== "lost" || !error.crashed) {
-            return;
+            return true;
         }
         this.services.log.event(EventId.EndpointCrashSeen, {
             request: ctx.req.id,
             endpoint: found.slot.endpoint,
             alone: found.alone,
         });
-        await this.suspects.crashed(ctx.fingerprint, found.alone);
+        return this.suspects.crashed(ctx.fingerprint, found.alone);
     }
 
     private turnFailure(
--- a/src/pipeline/SuspectWatch.ts
+++ b/src/pipeline/SuspectWatch.ts
@@ -22,12 +22,16 @@
         return this.local.get(fingerprint) === "suspect" || this.quarantine.isSuspect(fingerprint);
     }
 
-    /** Records a crash while the request ran; `alone` when no other call was on the endpoint. */
-    public async crashed(fingerprint: Fingerprint, alone: boolean): Promise<void> {
+    /**
+     * Records a crash while the request ran; `alone` when no other call was on the endpoint. False when the records
+     * group could not be told.
+     */
+    public async crashed(fingerprint: Fingerprint, alone: boolean): Promise<boolean> {
         if (this.local.get(fingerprint) !== "quarantined") {
             this.remember(fingerprint, alone ? "quarantined" : "suspect");
         }
-        await this.quarantine.reportCrash(fingerprint, alone);
+        const reported = await this.quarantine.reportCrash(fingerprint, alone);
+        return reported.isRight();
     }
 
     /** Records that a suspect has ended alone without a crash. */
--- a/src/pipeline/TimedSignal.ts
+++ b/src/pipeline/TimedSignal.ts
@@ -1,5 +1,6 @@
 /** An abort signal that follows another one and also aborts at a given time. */
 import type { Clock, Disposable } from "../common/Types.js";
+import { surfaceFailure } from "./Detached.js";
 
 export class TimedSignal implements Disposable {
     private readonly controller = new AbortController();
@@ -42,10 +43,16 @@
     }
 }
 
-/** Resolves with the promise's value, or with `otherwise()` as soon as the signal aborts. */
+/**
+ * Resolves with the promise's value, or with `otherwise()` as soon as the signal aborts. What the promise throws after
+ * that is passed on to the top of the process.
+ */
 export function raceAbort<T>(promise: Promise<T>, signal: AbortSignal, otherwise: () => T): Promise<T> {
     return new Promise((resolve, reject) => {
-        const aborted = () => resolve(otherwise());
+        const aborted = () => {
+            surfaceFailure(promise);
+            resolve(otherwise());
+        };
         if (signal.aborted) {
             aborted();
             return;
