--- a/src/entry/CallerServer.ts
+++ b/src/entry/CallerServer.ts
@@ -12,6 +12,8 @@
 import type { ReadinessSource } from "./Types.js";
 import { writeJson } from "./WriteJson.js";
 
+/** Idle connections stay open for longer than balancers keep theirs, so that none is reused while it closes. */
+const keepAliveMs = 75_000;
 /** How often a drain looks whether the last request has ended. */
 const drainPollMs = 10;
 
@@ -35,6 +37,7 @@
     public constructor(private readonly options: CallerServerOptions) {
         this.server = http.createServer((req, res) => void this.serve(req, res));
         this.server.requestTimeout = 0;
+        this.server.keepAliveTimeout = keepAliveMs;
     }
 
     /** Requests that have not been answered yet. */
--- a/src/pipeline/SlotFinder.ts
+++ b/src/pipeline/SlotFinder.ts
@@ -42,9 +42,10 @@
 
 export interface NoSlot {
     readonly kind: "no-slot";
-    readonly reason: "no-endpoint" | "overloaded" | "aborted";
+    readonly reason: "no-endpoint" | "overloaded" | "aborted" | "quarantined";
     readonly message: string;
-    readonly retryAfterMs: number;
+    /** Undefined where coming back is of no use. */
+    readonly retryAfterMs: number | undefined;
 }
 
 export interface FoundSlot {
@@ -93,7 +94,9 @@
             const untilMs = failure.reason === "no-endpoint"
                 ? Math.min(emptyUntilMs, search.startByMs)
                 : search.startByMs;
-            const waitMs = failure.reason === "no-endpoint" ? noEndpointPollMs : failure.retryAfterMs;
+            const waitMs = failure.reason === "no-endpoint"
+                ? noEndpointPollMs
+                : failure.retryAfterMs ?? noEndpointPollMs;
             if (clock.nowMs() + waitMs >= untilMs) {
                 return Left(failure);
             }
--- a/src/pipeline/StageCaller.ts
+++ b/src/pipeline/StageCaller.ts
@@ -58,6 +58,12 @@
     readonly found: FoundSlot;
 }
 
+const quarantined: AttemptError = {
+    kind: "no-slot",
+    reason: "quarantined",
+    message: "the request crashes the endpoints that run it",
+    retryAfterMs: undefined,
+};
 const givenUp: AttemptError = { kind: "no-slot", reason: "aborted", message: "given up", retryAfterMs: 0 };
 
 export class StageCaller {
@@ -108,11 +114,12 @@
         held: Held,
     ): Promise<AttemptResult> {
         const { turn, found } = held;
-        if (options.signal.aborted || ctx.ledger.isSealed || !ctx.maySend()) {
+        const obstacle = this.obstacleTo(ctx, stage, options, found);
+        if (obstacle !== undefined) {
             found.slot.release("never-sent");
             found.done();
             turn.end();
-            return Left(givenUp);
+            return Left(obstacle);
         }
         options.onEndpoint?.(found.choice.endpoint.id);
         const ended = this.callClient(ctx, stage, options, held).finally(() => {
@@ -123,6 +130,30 @@
         return raceAbort<AttemptResult>(ended, options.signal, () => Left(givenUp));
     }
 
+    /** What has come up while the call waited for its slot; undefined when it may be sent. */
+    private obstacleTo(
+        ctx: RequestContext,
+        stage: StageSettings,
+        options: AttemptOptions,
+        found: FoundSlot,
+    ): AttemptError | undefined {
+        if (options.signal.aborted || ctx.ledger.isSealed || !ctx.maySend()) {
+            return givenUp;
+        }
+        if (this.suspects.isQuarantined(ctx.fingerprint)) {
+            return quarantined;
+        }
+        if (stage.idempotent && !found.alone && this.suspects.isSuspect(ctx.fingerprint)) {
+            const error = {
+                kind: "never-sent",
+                message: "the request has become suspect and has to run alone",
+            } as const;
+            const endpoint = found.choice.endpoint.id;
+            return { kind: "call-failed", error, endpoint, attempt: 0, crashUnrecorded: false };
+        }
+        return undefined;
+    }
+
     private async callClient(
         ctx: RequestContext,
         stage: StageSettings,
