--- a/src/cli/ControlCommands.ts
+++ b/src/cli/ControlCommands.ts
@@ -1,7 +1,9 @@
 /** `fireflykeel control status|add|remove|replace`: the hosts that keep replicas of the durable state. */
 import type { Command } from "commander";
+import { parseHostId } from "../common/Ids.js";
+import { recoverGroups } from "../daemon/RecoverGroups.js";
 import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
-import type { CommandContext } from "./Types.js";
+import { type CommandContext, ExitCode } from "./Types.js";
 
 interface GroupOptions extends OperatorOptions {
     readonly group: string;
@@ -31,7 +33,39 @@
                 }
             });
     };
+    addRecover(control, context);
     change("add <host>", "add a voter once it has caught up", host => ({ kind: "add", host }));
     change("remove <host>", "remove a voter", host => ({ kind: "remove", host }));
     change("replace <host> <by>", "replace a voter by another host", (host, by) => ({ kind: "replace", host, by }));
 }
+
+interface RecoverOptions {
+    readonly dataDir: string;
+    readonly host: string;
+    readonly acceptLoss?: boolean;
+}
+
+/** Works on the files of a stopped daemon, unlike the other commands. */
+function addRecover(control: Command, context: CommandContext): void {
+    control.command("recover")
+        .description("last resort after the disks of a majority are lost: a stopped host's replicas go on alone")
+        .requiredOption("--data-dir <dir>", "data folder of the surviving host, whose daemon is stopped")
+        .requiredOption("--host <id>", "the surviving host")
+        .option("--accept-loss", "changes that did not reach this host are lost for good")
+        .action(async (options: RecoverOptions) => {
+            const host = parseHostId(options.host).toMaybe().extract();
+            if (host === undefined || options.acceptLoss !== true) {
+                context.output.err("name a valid --host, and add --accept-loss; see the page on repair first");
+                context.setExit(ExitCode.Usage);
+                return;
+            }
+            const recovered = await recoverGroups(options.dataDir, host);
+            recovered.caseOf({
+                Left: message => {
+                    context.output.err(message);
+                    context.setExit(ExitCode.Failed);
+                },
+                Right: lines => lines.forEach(line => context.output.out(line)),
+            });
+        });
+}
--- a/src/cli/Program.test.ts
+++ b/src/cli/Program.test.ts
@@ -47,6 +47,7 @@
     ["control", "add"],
     ["control", "remove"],
     ["control", "replace"],
+    ["control", "recover"],
     ["jobs", "list"],
     ["jobs", "show"],
     ["jobs", "cancel"],
@@ -114,6 +115,18 @@
         exit: ExitCode.Unavailable,
         text: /ECONNREFUSED/,
     },
+    {
+        name: "a recovery that does not accept the loss",
+        args: () => ["control", "recover", "--data-dir", dir, "--host", "h1"],
+        exit: ExitCode.Usage,
+        text: /--accept-loss/,
+    },
+    {
+        name: "a recovery of a folder without replicas",
+        args: () => ["control", "recover", "--data-dir", dir, "--host", "h1", "--accept-loss"],
+        exit: ExitCode.Failed,
+        text: /holds no replica/,
+    },
     {
         name: "serve without a host",
         args: () => ["serve", "--config", `${examples}demo/base.yaml`],
--- a/src/daemon/ControlPart.ts
+++ b/src/daemon/ControlPart.ts
@@ -22,6 +22,8 @@
 
 const configGroup = "config";
 const recordsGroup = "records";
+/** The groups of a site; each has a folder of its name below the data folder. */
+export const groupNames: readonly string[] = [configGroup, recordsGroup];
 
 export interface ControlPart {
     readonly config: ConfigSource & ConfigWriter & LeaseService;
--- a/src/daemon/StatusRoute.ts
+++ b/src/daemon/StatusRoute.ts
@@ -31,6 +31,7 @@
                     groups: control.replicas.map(replica => replica.status()),
                     endpoints: endpointIds.map(id => work.directory.get(id)),
                     owned: work.owner.view(),
+                    costs: work.runner.costs(),
                 },
             };
         },
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,21 @@
+/** The parts of fireflykeel that other programs may embed. Everything else may change without notice. */
+export { InvariantError } from "./common/Invariant.js";
+export { SystemClock } from "./common/SystemClock.js";
+export type { Clock, Disposable, Event, HostId, Random } from "./common/Types.js";
+export { OwnerAuthority } from "./endpoints/OwnerAuthority.js";
+export { SlotHolderClient } from "./endpoints/SlotHolderClient.js";
+export { SlotOwner } from "./endpoints/SlotOwner.js";
+export type { Slot, SlotError, SlotHolder, SlotRequest } from "./endpoints/Types.js";
+export type { PeerMethod, PeerRegistry, PeerTransport } from "./peer/Types.js";
+export { ShareRetryBudget } from "./pipeline/ShareRetryBudget.js";
+export { RecordsClient } from "./records/RecordsClient.js";
+export { RecordsState } from "./records/RecordsState.js";
+export { ReplicatedClaims } from "./records/ReplicatedClaims.js";
+export type { Claim, ClaimKey, ClaimResult, Claims, RecordedOutcome } from "./records/Types.js";
+export { NodeDisk } from "./replication/NodeDisk.js";
+export { RaftLog } from "./replication/RaftLog.js";
+export type { Disk, ReplicatedLog, StateMachine } from "./replication/Types.js";
+export { BlockPrefixIndex } from "./routing/BlockPrefixIndex.js";
+export type { PrefixIndex } from "./routing/Types.js";
+export { Supervisor } from "./supervise/Supervisor.js";
+export type { DrainReport, Service } from "./supervise/Types.js";
