--- a/bench/VirtualClock.ts
+++ b/bench/VirtualClock.ts
@@ -1,4 +1,5 @@
 /** A clock in virtual time for long runs: it jumps from timer to timer and lets all promises run on in between. */
+import { sleepOn } from "../src/common/Sleep.js";
 import type { Clock, Disposable } from "../src/common/Types.js";
 
 interface Timer {
@@ -33,19 +34,7 @@
     }
 
     public sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
-        return new Promise(resolve => {
-            if (signal?.aborted) {
-                resolve();
-                return;
-            }
-            const finish = () => {
-                timer.dispose();
-                signal?.removeEventListener("abort", finish);
-                resolve();
-            };
-            const timer = this.setTimer(delayMs, finish);
-            signal?.addEventListener("abort", finish);
-        });
+        return sleepOn(this, delayMs, signal);
     }
 
     /** Runs timers until the promise has settled. */
--- a/src/cli/ConfigCommands.ts
+++ b/src/cli/ConfigCommands.ts
@@ -8,6 +8,7 @@
 import { checkDocuments, loadSettings } from "../config/Loader.js";
 import type { ConfigError } from "../config/Types.js";
 import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
+import { printIssues } from "./PrintIssues.js";
 import { type CommandContext, ExitCode } from "./Types.js";
 
 export function addConfigCommands(program: Command, context: CommandContext): void {
@@ -139,10 +140,3 @@
             issues: err.issues.map(issue => ({ ...issue, file: files.get(issue.file) ?? issue.file })),
         }));
 }
-
-function printIssues(err: ConfigError, context: CommandContext): void {
-    for (const issue of err.issues) {
-        context.output.err(`${issue.file}:${issue.line}: ${issue.path}: ${issue.message}`);
-    }
-    context.setExit(ExitCode.Failed);
-}
--- a/src/cli/DaemonCommands.ts
+++ b/src/cli/DaemonCommands.ts
@@ -2,8 +2,8 @@
 import type { Command } from "commander";
 import { loadSettings } from "../config/Loader.js";
 import type { Settings } from "../config/Schema.js";
-import type { ConfigError } from "../config/Types.js";
 import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
+import { printIssues } from "./PrintIssues.js";
 import { type CommandContext, ExitCode } from "./Types.js";
 
 interface ServeOptions {
@@ -118,10 +118,3 @@
         ...(options.dataDir === undefined ? {} : { dataDir: options.dataDir }),
     };
 }
-
-export function printIssues(err: ConfigError, context: CommandContext): void {
-    for (const issue of err.issues) {
-        context.output.err(`${issue.file}:${issue.line}: ${issue.path}: ${issue.message}`);
-    }
-    context.setExit(ExitCode.Failed);
-}
--- a/src/cli/OperatorCommand.ts
+++ b/src/cli/OperatorCommand.ts
@@ -3,6 +3,7 @@
 import type { Either } from "purify-ts";
 import { loadSettings } from "../config/Loader.js";
 import { OperatorClient, type OperatorError, type OperatorReplyMessage } from "./OperatorClient.js";
+import { printIssues } from "./PrintIssues.js";
 import { type CommandContext, ExitCode } from "./Types.js";
 
 const defaultTimeoutMs = "15000";
@@ -40,9 +41,7 @@
     }
     return loadSettings(file, []).caseOf({
         Left: err => {
-            err.issues.forEach(issue =>
-                context.output.err(`${issue.file}:${issue.line}: ${issue.path}: ${issue.message}`)
-            );
+            printIssues(err, context);
             return [];
         },
         Right: settings => Object.values(settings.hosts).map(host => host.peerAddress),
--- a/src/common/SystemClock.ts
+++ b/src/common/SystemClock.ts
@@ -1,5 +1,6 @@
 /** The clock of the machine. */
 import { performance } from "node:perf_hooks";
+import { sleepOn } from "./Sleep.js";
 import type { Clock, Disposable } from "./Types.js";
 
 export class SystemClock implements Clock {
@@ -17,18 +18,6 @@
     }
 
     public sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
-        return new Promise(resolve => {
-            if (signal?.aborted) {
-                resolve();
-                return;
-            }
-            const finish = () => {
-                clearTimeout(timer);
-                signal?.removeEventListener("abort", finish);
-                resolve();
-            };
-            const timer = setTimeout(finish, delayMs);
-            signal?.addEventListener("abort", finish);
-        });
+        return sleepOn(this, delayMs, signal);
     }
 }
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -33,8 +33,10 @@
 
 /** How often a start looks whether this host can serve. */
 const startPollMs = 20;
-/** A start waits this long at most for the slots of the endpoints that this host owns. */
-const maxOwnerWaitMs = 6000;
+/** A start waits this long at most for its endpoints' slots and for the records group, which may be cut off. */
+const maxSettleMs = 6000;
+/** One question to the records group during a start. */
+const recordsCheckMs = 1000;
 
 export class Daemon {
     private readonly base: DaemonBase;
@@ -110,21 +112,27 @@
         while (this.config.current() === undefined && signal?.aborted !== true && this.stopped === undefined) {
             await clock.sleep(startPollMs, signal);
         }
-        await this.waitForOwnedEndpoints(signal);
+        await this.waitUntilSettled(signal);
         this.readiness.markStarted();
         log.event(EventId.ProcessStarted, { incarnation, dataCentre });
     }
 
-    /** Waits until the peers are known and every endpoint that this host owns may be given out. */
-    private async waitForOwnedEndpoints(signal: AbortSignal | undefined): Promise<void> {
+    /**
+     * Waits until the peers are known, every endpoint that this host owns may be given out, and claims can be recorded.
+     */
+    private async waitUntilSettled(signal: AbortSignal | undefined): Promise<void> {
         const { clock, settings } = this.base;
         const settledMs = clock.nowMs() + 2 * settings.timing.heartbeatMs;
-        const untilMs = clock.nowMs() + maxOwnerWaitMs;
+        const untilMs = clock.nowMs() + maxSettleMs;
         const isSettled = () =>
             clock.nowMs() >= settledMs
             && this.work.membership.view().certain
             && this.work.owner.view().every(endpoint => endpoint.open);
-        while (!isSettled() && clock.nowMs() < untilMs && signal?.aborted !== true && this.stopped === undefined) {
+        const mayWait = () => clock.nowMs() < untilMs && signal?.aborted !== true && this.stopped === undefined;
+        while (!isSettled() && mayWait()) {
+            await clock.sleep(startPollMs, signal);
+        }
+        while (mayWait() && (await this.control.records.confirmReachable(recordsCheckMs)).isLeft()) {
             await clock.sleep(startPollMs, signal);
         }
     }
--- a/test/ProcessSite.test.ts
+++ b/test/ProcessSite.test.ts
@@ -5,29 +5,25 @@
 import { join } from "node:path";
 import { after, before, test } from "node:test";
 import { Cluster } from "../bench/Cluster.js";
-import { callJson } from "../bench/HttpJson.js";
 import { runProgram } from "../src/cli/Program.js";
 import { ExitCode } from "../src/cli/Types.js";
 import { SystemClock } from "../src/common/SystemClock.js";
-import type { HostId, PipelineId } from "../src/common/Types.js";
-import { type CallerAnswer, callPipeline } from "../src/daemon/CallerClient.js";
-import { expectedAnswer } from "../standin/ExpectedOutput.js";
+import { SiteDriver } from "../testing/SiteDriver.js";
 
 const clock = new SystemClock();
 const siteFile = new URL("../../examples/demo/base.yaml", import.meta.url).pathname;
-/** Bounds how long the test waits for a condition before it gives up, in milliseconds. */
-const giveUpMs = 60_000;
-const callTimeoutMs = 30_000;
 
 let folder = "";
 let cluster: Cluster;
+let site: SiteDriver;
 
 before(async () => {
     folder = mkdtempSync(join(tmpdir(), "fireflykeel-site-"));
     cluster = new Cluster({ folder, baseFile: siteFile, overlays: {}, engineSpeed: {}, seed: 1, clock });
     cluster.startStandIns();
     cluster.startDaemons();
-    await Promise.all(Object.keys(cluster.settings.hosts).map(host => untilReady(host)));
+    site = new SiteDriver(cluster, clock);
+    await Promise.all(site.hosts.map(host => site.untilReadiness(host, 200)));
 });
 
 after(async () => {
@@ -35,74 +31,13 @@
     rmSync(folder, { recursive: true, force: true });
 });
 
-function callerAddress(host: string): string {
-    return cluster.settings.hosts[host as HostId]!.callerAddress;
-}
-
-function peerAddress(host: string): string {
-    return cluster.settings.hosts[host as HostId]!.peerAddress;
-}
-
-async function untilReady(host: string): Promise<void> {
-    const untilMs = clock.nowMs() + giveUpMs;
-    while ((await callJson(callerAddress(host), "GET", "/v1/ready")).status !== 200) {
-        assert.ok(clock.nowMs() < untilMs, `${host} did not become ready`);
-        await clock.sleep(100);
-    }
-}
-
-async function call(host: string, pipeline: string, input: unknown, key?: string): Promise<CallerAnswer> {
-    const reply = await callPipeline({
-        address: callerAddress(host),
-        pipeline,
-        workspace: "shelters",
-        input,
-        timeoutMs: callTimeoutMs,
-        ...(key === undefined ? {} : { idempotencyKey: key }),
-    });
-    return reply.unsafeCoerce();
-}
-
-function expected(pipeline: string, input: unknown): string {
-    const { stages } = cluster.settings.pipelines[pipeline as PipelineId]!;
-    return expectedAnswer(stages.map(stage => stage.name), input);
-}
-
-/** How often each hold really ran, over all endpoints of the pool. */
-async function holdsRun(): Promise<number[]> {
-    const pool = Object.values(cluster.settings.endpoints).filter(endpoint => endpoint.pool === "holds");
-    const counters = await Promise.all(pool.map(endpoint => callJson(endpoint.address, "GET", "/v1/control")));
-    const totals = new Map<string, number>();
-    for (const { body } of counters) {
-        for (const [input, runs] of Object.entries((body as { runsByInput: Record<string, number>; }).runsByInput)) {
-            totals.set(input, (totals.get(input) ?? 0) + runs);
-        }
-    }
-    return [...totals.values()];
-}
-
-test("a profile and a hold are served whole, and a resent hold is not run again", async () => {
-    const profile = { note: "a quiet dog" };
-    const answer = await call("east-1", "profile", profile);
-    assert.equal(answer.outcome, "answered", answer.message);
-    assert.equal(answer.output, expected("profile", profile));
-
-    const hold = { cat: "c1", family: "f1" };
-    const first = await call("east-2", "hold", hold, "k1");
-    const again = await call("west-1", "hold", hold, "k1");
-    assert.equal(first.output, expected("hold", hold), first.message);
-    assert.equal(again.output, first.output);
-    assert.deepEqual(await holdsRun(), [1]);
-    assert.equal((await call("west-2", "hold", { cat: "c2" }, "k1")).status, 422);
-});
-
 async function operate(
     args: readonly string[],
     host?: string,
 ): Promise<{ exit: number; reply: Record<string, unknown>; }> {
     const lines: string[] = [];
     const print = (text: string) => lines.push(text);
-    const asked = host === undefined ? ["--config", siteFile] : ["--address", peerAddress(host)];
+    const asked = host === undefined ? ["--config", siteFile] : ["--address", site.peerAddress(host)];
     const target = ["--key-file", join(folder, "operator.key"), ...asked];
     const exit = await runProgram(["node", "fireflykeel", ...args, ...target], { out: print, err: print });
     const json = lines.find(line => line.startsWith("{") || line.startsWith("["));
@@ -134,43 +69,35 @@
 
 test("a data centre is taken out and brought back, and its hosts tell the balancer", async () => {
     assert.equal((await operate(["dc", "out", "west"])).exit, ExitCode.Ok);
-    const untilMs = clock.nowMs() + giveUpMs;
-    while ((await callJson(callerAddress("west-2"), "GET", "/v1/ready")).status !== 503) {
-        assert.ok(clock.nowMs() < untilMs, "west-2 still says that it is ready");
-        await clock.sleep(50);
-    }
+    await site.untilReadiness("west-2", 503);
     const input = { note: "asked through a host that is out" };
-    assert.equal((await call("west-2", "profile", input)).output, expected("profile", input));
+    assert.equal((await site.call("west-2", "profile", input)).output, site.expected("profile", input));
     assert.equal((await operate(["dc", "in", "west"])).exit, ExitCode.Ok);
-    await untilReady("west-2");
+    await site.untilReadiness("west-2", 200);
 });
 
 test("after a daemon is killed the next request is served, and its holds are still known", async () => {
     cluster.processes.signal("east-1", "SIGKILL");
     const profile = { note: "another dog" };
-    const answer = await call("east-2", "profile", profile);
+    const answer = await site.call("east-2", "profile", profile);
     assert.equal(answer.outcome, "answered", answer.message);
-    assert.equal(answer.output, expected("profile", profile));
+    assert.equal(answer.output, site.expected("profile", profile));
     const hold = { cat: "c1", family: "f1" };
-    assert.equal((await call("middle-1", "hold", hold, "k1")).output, expected("hold", hold));
-    assert.deepEqual(await holdsRun(), [1]);
+    assert.equal((await site.call("middle-1", "hold", hold, "k1")).output, site.expected("hold", hold));
+    assert.deepEqual(await site.holdsRun(), [1]);
 });
 
 test("a killed daemon comes back, and a planned stop cuts no request", async () => {
     cluster.startDaemon("east-1");
-    await untilReady("east-1");
+    await site.untilReadiness("east-1", 200);
     const inputs = Array.from({ length: 6 }, (_, index) => ({ note: `dog ${index}` }));
-    const replies = inputs.map(input => call("middle-2", "profile", input));
+    const replies = inputs.map(input => site.call("middle-2", "profile", input));
     await clock.sleep(50);
     cluster.processes.signal("middle-2", "SIGTERM");
     for (const [index, reply] of replies.entries()) {
         const answer = await reply;
         assert.equal(answer.outcome, "answered", answer.message);
-        assert.equal(answer.output, expected("profile", inputs[index]));
-    }
-    const untilMs = clock.nowMs() + giveUpMs;
-    while (cluster.processes.isRunning("middle-2")) {
-        assert.ok(clock.nowMs() < untilMs, "middle-2 did not stop");
-        await clock.sleep(50);
+        assert.equal(answer.output, site.expected("profile", inputs[index]));
     }
+    await site.until("middle-2 has stopped", () => !cluster.processes.isRunning("middle-2"));
 });
--- a/testing/FakeClock.ts
+++ b/testing/FakeClock.ts
@@ -1,5 +1,6 @@
 /** A clock that tests move by hand, over @sinonjs/fake-timers. Several hosts may share one, each with its own offset. */
 import { type Clock as FakeTimers, createClock } from "@sinonjs/fake-timers";
+import { sleepOn } from "../src/common/Sleep.js";
 import type { Clock, Disposable } from "../src/common/Types.js";
 
 export class FakeClock implements Clock {
@@ -28,19 +29,7 @@
     }
 
     public sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
-        return new Promise(resolve => {
-            if (signal?.aborted) {
-                resolve();
-                return;
-            }
-            const finish = () => {
-                timer.dispose();
-                signal?.removeEventListener("abort", finish);
-                resolve();
-            };
-            const timer = this.setTimer(delayMs, finish);
-            signal?.addEventListener("abort", finish);
-        });
+        return sleepOn(this, delayMs, signal);
     }
 
     /** Lets time pass, and lets every promise that it resolves run on. */
