Tests listen below the range of outgoing ports

StandInEndpoint.test failed now and then with EADDRINUSE: its ports (47xxx) lie in the range that the system gives to outgoing connections of the tests beside it.

--- a/standin/StandInEndpoint.test.ts
+++ b/standin/StandInEndpoint.test.ts
@@ -14,7 +14,7 @@
 const speed = { baseMs: 2, prefillMsPerToken: 0, chunkMs: 0, chunkChars: 100, coldFactor: 1 };
 const agent = new Agent({ keepAlive: true });
 let standIn: StandInEndpoint | undefined;
-let nextPort = 47_100;
+let nextPort = 24600;
 let address = "";
 
 async function start(options: Partial<StandInOptions> = {}): Promise<StandInEndpoint> {
--- a/standin/StandInPlatform.test.ts
+++ b/standin/StandInPlatform.test.ts
@@ -6,7 +6,7 @@
 import { splitAddress } from "./HttpHost.js";
 import { StandInPlatform } from "./StandInPlatform.js";
 
-const address = "127.0.0.1:47090";
+const address = "127.0.0.1:24590";
 let clock: FakeClock;
 let platform: StandInPlatform;
 
