--- a/src/cli/ConfigCommands.ts
+++ b/src/cli/ConfigCommands.ts
@@ -7,7 +7,7 @@
 import { stringify } from "yaml";
 import { checkDocuments, loadSettings } from "../config/Loader.js";
 import type { ConfigError } from "../config/Types.js";
-import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
+import { askHost, type OperatorOptions, tellHost, withOperatorOptions } from "./OperatorCommand.js";
 import { printIssues } from "./PrintIssues.js";
 import { type CommandContext, ExitCode } from "./Types.js";
 
@@ -21,12 +21,8 @@
             .description(out ? "no new work goes to the data centre" : "the data centre takes work again")
             .option("--id <change>", "id of the change, to send it again after a lost answer")
             .action(async (dataCentre: string, options: OperatorOptions & { readonly id?: string; }) => {
-                const client = operatorClient(options, context);
-                const id = changeId(options.id, context);
-                if (client !== undefined) {
-                    const change = { kind: "set-data-centre", id, dataCentre, out };
-                    printReply(await client.post("/v1/operator/config/change", change), context);
-                }
+                const change = { kind: "set-data-centre", id: changeId(options.id, context), dataCentre, out };
+                await tellHost("/v1/operator/config/change", change, options, context);
             });
     }
 }
@@ -65,9 +61,8 @@
         .option("--id <change>", "id of the change, to send it again after a lost answer")
         .option("--wait", "return when the change is in force on all live hosts")
         .action(async (file: string, options: ApplyOptions) => {
-            const client = operatorClient(options, context);
             const text = readText(file, context);
-            if (client === undefined || text === undefined) {
+            if (text === undefined) {
                 return;
             }
             const change = {
@@ -78,27 +73,19 @@
                 text,
             };
             const path = options.wait === true ? "/v1/operator/config/change?wait=true" : "/v1/operator/config/change";
-            printReply(await client.post(path, change), context);
+            await tellHost(path, change, options, context);
         });
     withOperatorOptions(config.command("show"))
         .description("print the committed documents, or the settings in force for a site")
         .option("--site <name>", "the site whose merged settings to print")
         .action(async (options: OperatorOptions & { readonly site?: string; }) => {
             const query = options.site === undefined ? "" : `?site=${encodeURIComponent(options.site)}`;
-            printReply(await getFrom(`/v1/operator/config/show${query}`, options, context), context);
+            await askHost(`/v1/operator/config/show${query}`, options, context);
         });
-    for (const [verb, text] of [["log", "print the latest changes"], ["status", "print the version on each host"]]) {
-        withOperatorOptions(config.command(verb ?? "").description(text ?? "")).action(async (
-            options: OperatorOptions,
-        ) => printReply(await getFrom(`/v1/operator/config/${verb ?? ""}`, options, context), context));
-    }
-}
-
-async function getFrom(path: string, options: OperatorOptions, context: CommandContext) {
-    const client = operatorClient(options, context);
-    return client === undefined
-        ? Either.of<never, { status: number; body: unknown; }>({ status: 400, body: "no host was named" })
-        : client.get(path);
+    withOperatorOptions(config.command("log").description("print the latest changes"))
+        .action((options: OperatorOptions) => askHost("/v1/operator/config/log", options, context));
+    withOperatorOptions(config.command("status").description("print the version on each host"))
+        .action((options: OperatorOptions) => askHost("/v1/operator/config/status", options, context));
 }
 
 /** The operator's own id, or a new one that is printed first, so that a lost answer can be followed up. */
--- a/src/cli/ControlCommands.ts
+++ b/src/cli/ControlCommands.ts
@@ -2,7 +2,7 @@
 import type { Command } from "commander";
 import { parseHostId } from "../common/Ids.js";
 import { recoverGroups } from "../daemon/RecoverGroups.js";
-import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
+import { askHost, type OperatorOptions, tellHost, withOperatorOptions } from "./OperatorCommand.js";
 import { type CommandContext, ExitCode } from "./Types.js";
 
 interface GroupOptions extends OperatorOptions {
@@ -12,12 +12,7 @@
 export function addControlCommands(program: Command, context: CommandContext): void {
     const control = program.command("control").description("the hosts that keep replicas of the durable state");
     withOperatorOptions(control.command("status").description("print each group's members, leader and progress"))
-        .action(async (options: OperatorOptions) => {
-            const client = operatorClient(options, context);
-            if (client !== undefined) {
-                printReply(await client.get("/v1/operator/control/status"), context);
-            }
-        });
+        .action((options: OperatorOptions) => askHost("/v1/operator/control/status", options, context));
     const change = (name: string, text: string, build: (host: string, by: string) => unknown) => {
         withOperatorOptions(control.command(name))
             .description(`${text}; safe to send again`)
@@ -25,12 +20,9 @@
             .action(async (...args: readonly unknown[]) => {
                 const hosts = args.filter((arg): arg is string => typeof arg === "string");
                 const options = args[hosts.length] as GroupOptions;
-                const client = operatorClient(options, context);
                 const [host = "", by = ""] = hosts;
-                if (client !== undefined) {
-                    const body = { group: options.group, change: build(host, by) };
-                    printReply(await client.post("/v1/operator/control/change", body), context);
-                }
+                const body = { group: options.group, change: build(host, by) };
+                await tellHost("/v1/operator/control/change", body, options, context);
             });
     };
     addRecover(control, context);
--- a/src/cli/DaemonCommands.ts
+++ b/src/cli/DaemonCommands.ts
@@ -2,7 +2,7 @@
 import type { Command } from "commander";
 import { loadSettings } from "../config/Loader.js";
 import type { Settings } from "../config/Schema.js";
-import { operatorClient, type OperatorOptions, printReply, withOperatorOptions } from "./OperatorCommand.js";
+import { askHost, type OperatorOptions, tellHost, withOperatorOptions } from "./OperatorCommand.js";
 import { printIssues } from "./PrintIssues.js";
 import { type CommandContext, ExitCode } from "./Types.js";
 
@@ -26,19 +26,9 @@
             context.setExit(good ? ExitCode.Ok : ExitCode.Failed);
         });
     withOperatorOptions(program.command("status").description("print what a host knows and what its work costs"))
-        .action(async (options: OperatorOptions) => {
-            const client = operatorClient(options, context);
-            if (client !== undefined) {
-                printReply(await client.get("/v1/operator/status"), context);
-            }
-        });
+        .action((options: OperatorOptions) => askHost("/v1/operator/status", options, context));
     withOperatorOptions(program.command("drain").description("stop a host as planned, so that no request is cut"))
-        .action(async (options: OperatorOptions) => {
-            const client = operatorClient(options, context);
-            if (client !== undefined) {
-                printReply(await client.post("/v1/operator/drain", {}), context);
-            }
-        });
+        .action((options: OperatorOptions) => tellHost("/v1/operator/drain", {}, options, context));
 }
 
 function addServe(program: Command, context: CommandContext): void {
--- a/src/cli/OperatorCommand.ts
+++ b/src/cli/OperatorCommand.ts
@@ -25,7 +25,7 @@
 }
 
 /** Makes a client; undefined, with the fault printed, when no host is named. */
-export function operatorClient(options: OperatorOptions, context: CommandContext): OperatorClient | undefined {
+function operatorClient(options: OperatorOptions, context: CommandContext): OperatorClient | undefined {
     const addresses = options.address ?? addressesOf(options.config, context);
     if (addresses.length === 0) {
         context.output.err("name the hosts to ask, by --address or by --config");
@@ -48,8 +48,29 @@
     });
 }
 
+/** Asks a host, and prints its reply. */
+export async function askHost(path: string, options: OperatorOptions, context: CommandContext): Promise<void> {
+    const client = operatorClient(options, context);
+    if (client !== undefined) {
+        printReply(await client.get(path), context);
+    }
+}
+
+/** Has a host carry something out, and prints its reply. */
+export async function tellHost(
+    path: string,
+    body: unknown,
+    options: OperatorOptions,
+    context: CommandContext,
+): Promise<void> {
+    const client = operatorClient(options, context);
+    if (client !== undefined) {
+        printReply(await client.post(path, body), context);
+    }
+}
+
 /** Prints a reply and sets the exit code that goes with it. */
-export function printReply(reply: Either<OperatorError, OperatorReplyMessage>, context: CommandContext): void {
+function printReply(reply: Either<OperatorError, OperatorReplyMessage>, context: CommandContext): void {
     reply.caseOf({
         Left: err => {
             context.output.err(err.message);
