A host that has stalled judges its peers before it gives out slots

Its view of the peers was still that of before the stall until the next heartbeat tick, so that it took itself for an owner. Ruled out: holders, whose leases run out by the clock. Change: a view asked for after a stall of unreachableMs is judged anew first, and what was heard of other data centres is dropped.

--- a/src/membership/HeartbeatMembership.test.ts
+++ b/src/membership/HeartbeatMembership.test.ts
@@ -5,7 +5,7 @@
 import { MemoryLog } from "../../testing/MemoryLog.js";
 import { FixedConfig, testSettings, testView } from "../../testing/TestSettings.js";
 import { Emitter } from "../common/Emitter.js";
-import type { DataCentreId, HostId, Incarnation } from "../common/Types.js";
+import type { Clock, DataCentreId, HostId, Incarnation } from "../common/Types.js";
 import { HeartbeatMembership } from "./HeartbeatMembership.js";
 import type { HostState, PlatformEntry, PlatformList } from "./Types.js";
 
@@ -26,7 +26,7 @@
     private readonly stops = new Map<string, AbortController>();
     private starts = 0;
 
-    public start(id: string): HeartbeatMembership {
+    public start(id: string, clock: Clock = this.clock): HeartbeatMembership {
         this.starts += 1;
         const node = this.network.addHost(id as HostId);
         const membership = new HeartbeatMembership({
@@ -36,7 +36,7 @@
             transport: node,
             registry: node,
             config: this.config,
-            clock: this.clock,
+            clock,
             log: new MemoryLog(),
             platform: this.platform,
         });
@@ -150,6 +150,30 @@
     bed.stop();
 });
 
+test("after a stall, what was known before counts no more, also before the next heartbeat", async () => {
+    const bed = new Bed();
+    let stalledMs = 0;
+    const clock: Clock = {
+        nowMs: () => bed.clock.nowMs() + stalledMs,
+        wallMs: () => bed.clock.wallMs(),
+        setTimer: (delayMs, callback) => bed.clock.setTimer(delayMs, callback),
+        sleep: (delayMs, signal) => bed.clock.sleep(delayMs, signal),
+    };
+    const membership = bed.start("north-1", clock);
+    bed.start("north-2");
+    bed.start("south-1");
+    await bed.clock.advance(5000);
+    assert.equal(stateOf(membership, "north-2"), "alive");
+    assert.ok([...membership.view().remote.values()].some(one => one.reachable));
+    stalledMs = 10_000;
+    assert.equal(stateOf(membership, "north-2"), "unreachable");
+    assert.equal(membership.view().certain, false);
+    assert.ok(![...membership.view().remote.values()].some(one => one.reachable));
+    await bed.clock.advance(2000);
+    assert.equal(stateOf(membership, "north-2"), "alive");
+    bed.stop();
+});
+
 test("another data centre is summed up by any of its hosts", async () => {
     const bed = new Bed();
     const self = bed.start("north-1");
--- a/src/membership/HeartbeatMembership.ts
+++ b/src/membership/HeartbeatMembership.ts
@@ -72,6 +72,8 @@
     private readonly changes = new Emitter<MembershipView>();
     private leaving = false;
     private wasCertain = false;
+    /** When the peers were last judged; a long time ago after the process was stopped. */
+    private judgedAtMs: number;
 
     public readonly onChange: Event<MembershipView> = this.changes.event;
 
@@ -79,6 +81,7 @@
         this.self = options.self;
         this.dataCentre = options.dataCentre;
         this.incarnation = options.incarnation;
+        this.judgedAtMs = options.clock.nowMs();
         options.registry.handle(heartbeat, async (facts, from) => this.answerHeartbeat(facts, from));
         options.registry.handle(summary, async () => ({
             aliveHosts: this.view().local.filter(one => one.state === "alive").length,
@@ -86,6 +89,11 @@
     }
 
     public view(): MembershipView {
+        if (this.hasStalled()) {
+            // Nothing that was known before the stall counts, also for callers that run before the next heartbeat.
+            this.remote.clear();
+            this.judgeAll();
+        }
         return { local: this.localView(), certain: this.isCertain(), remote: this.remote };
     }
 
@@ -271,8 +279,14 @@
         }
     }
 
+    /** True when this process has not run for so long that every peer's word is out of date. */
+    private hasStalled(): boolean {
+        return this.options.clock.nowMs() - this.judgedAtMs >= this.timing.unreachableMs;
+    }
+
     private judgeAll(): void {
         const nowMs = this.options.clock.nowMs();
+        this.judgedAtMs = nowMs;
         const { unreachableMs } = this.timing;
         let changed = false;
         for (const peer of this.peers.values()) {
