Remove unused exports and doubled replies

One function builds the reply of every report of the configuration routes; the demonstration's caller uses the header names of the entry; an unused schema and two unused types are gone.

--- a/src/config/Schema.ts
+++ b/src/config/Schema.ts
@@ -21,7 +21,6 @@
     "must be IP number and port, such as 127.0.0.1:8080",
 );
 const milliseconds = z.number().int().min(1).max(86_400_000);
-const count = z.number().int().min(0).max(1_000_000);
 
 const host = z.strictObject({
     dataCentre: brandedId<DataCentreId>(),
@@ -165,6 +164,3 @@
     readonly workspaces: Readonly<Record<WorkspaceId, WorkspaceSettings>>;
     readonly daemon?: DaemonSettings | undefined;
 }
-
-/** Bounds a count in a document; shared by the overlay checks. */
-export const countSchema = count;
--- a/src/daemon/CallerClient.ts
+++ b/src/daemon/CallerClient.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import { Either, Left, Right } from "purify-ts";
 import { digestOf } from "../entry/AnswerStream.js";
+import { deadlineHeader, idempotencyHeader, workspaceHeader } from "../entry/CallerRequest.js";
 
 export interface CallerCall {
     /** "ip:port" of an entry host. */
@@ -72,9 +73,9 @@
     return {
         "content-type": "application/json",
         "content-length": length,
-        "fireflykeel-workspace": call.workspace,
-        ...(call.idempotencyKey === undefined ? {} : { "idempotency-key": call.idempotencyKey }),
-        ...(call.deadlineMs === undefined ? {} : { "fireflykeel-deadline-ms": call.deadlineMs }),
+        [workspaceHeader]: call.workspace,
+        ...(call.idempotencyKey === undefined ? {} : { [idempotencyHeader]: call.idempotencyKey }),
+        ...(call.deadlineMs === undefined ? {} : { [deadlineHeader]: call.deadlineMs }),
     };
 }
 
--- a/src/daemon/ConfigRoutes.ts
+++ b/src/daemon/ConfigRoutes.ts
@@ -1,7 +1,7 @@
 /** Operators' routes for the configuration and for the groups that keep the durable state. */
 import { z } from "zod";
 import { parseChangeId, parseDataCentreId, parseEndpointId, parseHostId } from "../common/Ids.js";
-import type { ConfigOperations, ShowReport } from "../config/ConfigOperations.js";
+import type { ConfigOperations } from "../config/ConfigOperations.js";
 import type { OperatorReply, OperatorRequest, OperatorRoute } from "../entry/Types.js";
 
 /** How long a change with `wait` waits to be in force on all live hosts. */
@@ -62,12 +62,12 @@
         {
             method: "GET",
             path: "/v1/operator/config/show",
-            handle: async req => showReply(await operations.show(req.query.get("site") ?? undefined)),
+            handle: async req => replyOf(await operations.show(req.query.get("site") ?? undefined)),
         },
         {
             method: "GET",
             path: "/v1/operator/config/log",
-            handle: async () => readReply(await operations.log()),
+            handle: async () => replyOf(await operations.log()),
         },
         {
             method: "GET",
@@ -93,7 +93,7 @@
     if (report.outcome === "accepted" && report.inForce?.everywhere === false) {
         return { status: 202, body: report };
     }
-    return { status: statusByOutcome[report.outcome], body: report };
+    return replyOf(report);
 }
 
 async function changeMembers(operations: ConfigOperations, req: OperatorRequest): Promise<OperatorReply> {
@@ -109,11 +109,8 @@
     return { status: statusByOutcome[last.outcome], body: reports };
 }
 
-function showReply(report: ShowReport): OperatorReply {
-    return { status: statusByOutcome[report.outcome], body: report };
-}
-
-function readReply(report: { readonly outcome: "read" | "no-quorum"; }): OperatorReply {
+/** The reply whose status goes with the report's outcome. */
+function replyOf(report: { readonly outcome: keyof typeof statusByOutcome; }): OperatorReply {
     return { status: statusByOutcome[report.outcome], body: report };
 }
 
--- a/src/records/Types.ts
+++ b/src/records/Types.ts
@@ -3,7 +3,6 @@
  * one state machine over a replicated log.
  */
 import type { Either } from "purify-ts";
-import type { Failure, Outcome } from "../common/Outcome.js";
 import type { Event, HostId, JobId, PipelineId, RequestId, WorkspaceId } from "../common/Types.js";
 
 /** Names a call that may run at most once. */
@@ -108,11 +107,6 @@
     readonly onChange: Event<JobId>;
 }
 
-/** Runs one job from its last journalled stage; given to the job worker by the daemon. */
-export interface JobRunner {
-    run(lease: JobLease): Promise<Outcome<string>>;
-}
-
 /** Fingerprint of a request: a digest of workspace, pipeline and body. */
 export type Fingerprint = string;
 
@@ -126,6 +120,3 @@
     /** Reports that a suspect ended without a crash; resolves at once and goes on in the background. */
     reportInnocent(fingerprint: Fingerprint): Promise<Either<RecordsError, void>>;
 }
-
-/** A failure of a request as the records know it. */
-export type RecordedFailure = Failure;
