--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,6 +12,9 @@
     membership: ["common", "telemetry", "peer", "config"],
     endpoints: ["common", "telemetry", "peer", "config", "membership"],
     records: ["common", "telemetry", "peer", "config", "replication"],
+    fleet: ["common", "telemetry", "supervise", "peer", "endpoints", "replication", "entry"],
+    gather: ["common", "telemetry", "supervise", "peer", "endpoints", "fleet"],
+    gateway: ["common", "telemetry", "supervise", "endpoints", "entry", "fleet", "gather"],
     routing: ["common", "telemetry", "config", "endpoints"],
     pipeline: ["common", "telemetry", "config", "endpoints", "records", "routing"],
     entry: [
@@ -39,6 +42,9 @@
         "routing",
         "pipeline",
         "entry",
+        "fleet",
+        "gather",
+        "gateway",
     ],
     cli: ["common", "peer", "telemetry", "config", "daemon", "entry", "supervise"],
 };
@@ -54,7 +60,9 @@
                 group: folders
                     .filter(other => other !== folder && !allowedImports[folder].includes(other))
                     .map(other => `**/${other}/**`)
-                    .concat(["**/testing/**", "**/standin/**"]).filter(p => folder !== "cli" || !p.includes("standin")),
+                    .concat(["**/testing/**", "**/standin/**", "**/platform/**"]).filter(p =>
+                        folder !== "cli" || !p.includes("standin")
+                    ),
                 message: `src/${folder} may not import from this folder (see docs/DESIGN.md, layout).`,
             }],
         }],
@@ -62,7 +70,7 @@
 }));
 
 export default tseslint.config(
-    { ignores: ["out/**", "node_modules/**", "*.mjs"] },
+    { ignores: ["out/**", "target/**", "node_modules/**", "*.mjs", "platform/*.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- /dev/null
+++ b/src/daemon/FleetEntry.ts
@@ -0,0 +1,103 @@
+/** An entry host of a fleet: its view of the fleet, the gatherer of pieces, and the gateway for callers. */
+import { LeaseClock } from "../common/LeaseClock.js";
+import type { EndpointId } from "../common/Types.js";
+import { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import { FleetClient } from "../fleet/FleetClient.js";
+import type { DeploymentDecoder } from "../fleet/Types.js";
+import { EndpointBook } from "../gateway/EndpointBook.js";
+import { EndpointChooser } from "../gateway/EndpointChooser.js";
+import { fingerprintOf, Gateway } from "../gateway/Gateway.js";
+import { GatewayServer } from "../gateway/GatewayServer.js";
+import { ColdShares, RetryShares } from "../gateway/LimitShares.js";
+import { ReplyTimes } from "../gateway/ReplyTimes.js";
+import { StageGraph } from "../gateway/StageGraph.js";
+import type { GatewayCodec } from "../gateway/Types.js";
+import { GatherClient } from "../gather/GatherClient.js";
+import { Gatherer } from "../gather/Gatherer.js";
+import type { PieceCodec, SubmissionId } from "../gather/Types.js";
+import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
+
+/** Bound on making a connection to an endpoint: several times the way to the farthest one and its own setup. */
+const connectMs = 400;
+/** Endpoints name the time for which they keep idle connections; without a name this holds. */
+const idleMs = 8000;
+
+export interface FleetEntryOptions extends FleetHostOptions {
+    /** "ip:port" for callers. */
+    readonly callerAddress: string;
+    /** "ip:port" for the balancer's checks. */
+    readonly readyAddress: string;
+    readonly isReadyPath: (path: string) => boolean;
+    readonly decoder: DeploymentDecoder;
+    readonly gatewayCodec: GatewayCodec;
+    readonly pieceCodec: PieceCodec;
+}
+
+/** Puts an entry host together and starts it. */
+export function startFleetEntry(options: FleetEntryOptions): FleetHost {
+    const { settings, decoder } = options;
+    const { dataCentre, bounds } = settings;
+    const host = new FleetHost(options);
+    const { self, incarnation, transport, peers: registry, clock, random, log, metrics } = host;
+    const signal = host.stopped.signal;
+    const fleet = new FleetClient({
+        self,
+        dataCentre,
+        incarnation,
+        seeds: host.seedHosts,
+        decoder,
+        transport,
+        clock: new LeaseClock(clock),
+        log,
+        metrics,
+        stopping: host.stopping.signal,
+    });
+    const addressOf = (endpoint: EndpointId) => book.addressOf(endpoint);
+    const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
+    const book: EndpointBook = new EndpointBook(fleet, clock, log, endpoint => connections.distrustIdle(endpoint));
+    const codec = options.pieceCodec;
+    const local = new Gatherer({ self, fleet, connections, codec, transport, registry, clock, log, metrics, signal });
+    const pieces = new GatherClient({ self, incarnation, fleet, local, transport, registry, clock, log });
+    const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
+    const cold = new ColdShares(self, bounds, fleet, clock);
+    const gateway = new Gateway({
+        fleet,
+        bounds,
+        codec: options.gatewayCodec,
+        book,
+        chooser: new EndpointChooser(dataCentre, cold, random),
+        stages: new StageGraph(pieces, clock, nextId),
+        connections,
+        retries: new RetryShares(bounds, fleet, clock),
+        cold,
+        replyTimes: new ReplyTimes(),
+        clock,
+        log,
+        metrics,
+        random: () => random.next(),
+        reportCrash: admitted => fleet.reportCrash(fingerprintOf(admitted)),
+    });
+    const { callerAddress, readyAddress, isReadyPath } = options;
+    const { onFatal } = host;
+    const server = new GatewayServer({
+        address: callerAddress,
+        readyAddress,
+        isReadyPath,
+        gateway,
+        fleet,
+        clock,
+        log,
+        onFatal,
+    });
+    host.start([fleet, pieces, server]);
+    return host;
+}
+
+/** Host, incarnation and count together are unique over all hosts and restarts. */
+function submissionIds(prefix: string): () => SubmissionId {
+    let count = 0;
+    return () => {
+        count += 1;
+        return `${prefix}.${count.toString(36)}` as SubmissionId;
+    };
+}
--- /dev/null
+++ b/src/daemon/FleetHost.ts
@@ -0,0 +1,140 @@
+/**
+ * What entry hosts and control hosts of a fleet have in common: clock, logs, calls between hosts, metrics, and the way
+ * they start and stop.
+ */
+import * as http from "node:http";
+import { nextIncarnation, parseHostId } from "../common/Ids.js";
+import type { InvariantError } from "../common/Invariant.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import { SystemClock } from "../common/SystemClock.js";
+import type { Clock, HostId, Incarnation } from "../common/Types.js";
+import { listen } from "../entry/CallerServer.js";
+import type { FleetSettings } from "../fleet/Types.js";
+import { TrpcPeerServer } from "../peer/TrpcPeerServer.js";
+import { TrpcPeerTransport } from "../peer/TrpcPeerTransport.js";
+import { Supervisor } from "../supervise/Supervisor.js";
+import type { Service } from "../supervise/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
+import { JsonEventLog, type LineSink } from "../telemetry/JsonEventLog.js";
+import { MetricsRegistry } from "../telemetry/MetricsRegistry.js";
+import type { EventLog } from "../telemetry/Types.js";
+import { PeerServer } from "./PeerServer.js";
+
+/** Separates fleets by mistake of address, not by secrecy: the network between hosts is closed to others. */
+const peerKey = "fireflykeel-fleet";
+/** How often the delay of the event loop is measured. */
+const loopCheckMs = 500;
+
+export interface FleetHostOptions {
+    readonly settings: FleetSettings;
+    /** "ip:port" of the metrics; undefined for none. */
+    readonly metricsAddress: string | undefined;
+    readonly sink: LineSink;
+    /** Lines that were dropped so far. */
+    readonly droppedLines: () => number;
+    readonly onFatal: (err: InvariantError) => void;
+}
+
+export class FleetHost {
+    public readonly self: HostId;
+    public readonly incarnation: Incarnation;
+    public readonly clock: Clock = new SystemClock();
+    public readonly random: SeededRandom;
+    public readonly log: EventLog;
+    public readonly metrics = new MetricsRegistry();
+    public readonly peers: TrpcPeerServer;
+    public readonly transport: TrpcPeerTransport;
+    public readonly stopped = new AbortController();
+    /** Fires once a planned stop begins, before anything is drained. */
+    public readonly stopping = new AbortController();
+    private readonly supervisor: Supervisor;
+    private seeds: readonly string[];
+
+    public constructor(private readonly options: FleetHostOptions) {
+        const { settings, sink, onFatal } = options;
+        this.self = settings.host;
+        this.seeds = settings.seeds;
+        this.incarnation = nextIncarnation(this.clock.wallMs());
+        this.random = new SeededRandom(this.incarnation ^ hashOf(this.self));
+        const hybridClock = new HybridLogicalClock(this.clock, this.self);
+        this.log = new JsonEventLog(this.self, hybridClock, sink);
+        const { log, metrics, clock, self } = this;
+        const fatal = (err: InvariantError) => {
+            log.event(EventId.InvariantBroken, { invariant: err.invariant, details: err.details });
+            onFatal(err);
+        };
+        this.peers = new TrpcPeerServer({ key: peerKey, clock: hybridClock, log, metrics, onFatal: fatal });
+        const addressOf = (host: HostId) => `${host}:${settings.peerPort}`;
+        this.transport = new TrpcPeerTransport({ self, key: peerKey, addressOf, clock, hybridClock, log });
+        this.supervisor = new Supervisor({ clock, log, onFatal: fatal });
+        this.onFatal = fatal;
+    }
+
+    public readonly onFatal: (err: InvariantError) => void;
+
+    /** Control hosts to begin with: their addresses without the port. */
+    public readonly seedHosts = (): readonly HostId[] =>
+        this.seeds.flatMap(seed => parseHostId(seed.slice(0, seed.lastIndexOf(":"))).toMaybe().toList());
+
+    /** Takes over seeds that have changed in the settings. */
+    public setSeeds(seeds: readonly string[]): void {
+        this.seeds = seeds;
+    }
+
+    public start(services: readonly Service[]): void {
+        const { settings, metricsAddress } = this.options;
+        const { log, metrics, peers } = this;
+        const address = `${settings.ip}:${settings.peerPort}`;
+        this.supervisor.start(new PeerServer({ address, peers, operators: undefined, log, onFatal: this.onFatal }));
+        services.forEach(service => this.supervisor.start(service));
+        this.supervisor.start({ name: "loop-delay", run: signal => this.measureLoop(signal) });
+        if (metricsAddress !== undefined) {
+            const run = (signal: AbortSignal) => serveMetrics(metricsAddress, metrics, signal);
+            this.supervisor.start({ name: "metrics-server", run });
+        }
+        const { host, dataCentre, seeds, isFirstStart } = settings;
+        log.event(EventId.ProcessStarted, { incarnation: this.incarnation, host, dataCentre, seeds, isFirstStart });
+    }
+
+    /** Drains and ends all services within the grace time; gives what was left unfinished. */
+    public async stop(reason: string): Promise<number> {
+        this.log.event(EventId.ProcessStopping, { reason });
+        this.stopping.abort();
+        const left = await this.supervisor.stop(this.options.settings.bounds.stopGraceMs);
+        this.stopped.abort();
+        this.transport.dispose();
+        const unfinished = left.reduce((sum, report) => sum + report.unfinished, 0);
+        this.log.event(EventId.ProcessStopped, { unfinished });
+        return unfinished;
+    }
+
+    private async measureLoop(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const startMs = this.clock.nowMs();
+            await this.clock.sleep(loopCheckMs, signal);
+            this.metrics.latency("loop_delay", Math.max(0, this.clock.nowMs() - startMs - loopCheckMs));
+            this.metrics.gauge("dropped_log_lines", this.options.droppedLines());
+        }
+    }
+}
+
+async function serveMetrics(address: string, metrics: MetricsRegistry, signal: AbortSignal): Promise<void> {
+    const server = http.createServer((_, res) => {
+        void metrics.render().then(text => {
+            res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
+        });
+    });
+    await listen(server, address);
+    await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+    server.closeAllConnections();
+    server.close();
+}
+
+function hashOf(text: string): number {
+    let hash = 0;
+    for (const char of text) {
+        hash = Math.imul(hash, 31) + char.charCodeAt(0) | 0;
+    }
+    return hash;
+}
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -3,6 +3,7 @@
 import { InvariantError } from "../common/Invariant.js";
 import { listen } from "../entry/CallerServer.js";
 import type { OperatorApi } from "../entry/OperatorApi.js";
+import { writeJson } from "../entry/WriteJson.js";
 import { peerPath, type TrpcPeerServer } from "../peer/TrpcPeerServer.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -15,7 +16,8 @@
     /** "ip:port". */
     readonly address: string;
     readonly peers: TrpcPeerServer;
-    readonly operators: OperatorApi;
+    /** Undefined where operators are served elsewhere. */
+    readonly operators: OperatorApi | undefined;
     readonly log: EventLog;
     readonly onFatal: (err: InvariantError) => void;
 }
@@ -32,6 +34,10 @@
                 servePeer(req, res);
                 return;
             }
+            if (this.services.operators === undefined) {
+                writeJson(res, 404, {}, { error: "not found" });
+                return;
+            }
             this.services.operators.handle(req, res).catch((err: unknown) => this.failed(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
--- a/src/daemon/WorkPart.ts
+++ b/src/daemon/WorkPart.ts
@@ -2,7 +2,7 @@
 import { DisposableStore } from "../common/DisposableStore.js";
 import type { Disposable, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
-import { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import { ConfiguredAddresses, EndpointConnections } from "../endpoints/EndpointConnections.js";
 import { EndpointTable } from "../endpoints/EndpointTable.js";
 import { HttpEngineLink } from "../endpoints/EngineLink.js";
 import { HttpLoadSource } from "../endpoints/HttpLoadSource.js";
@@ -107,7 +107,7 @@
     const leases = control.config;
     const epochs = new OwnerEpochs({ membership, leases, transport, registry, clock, log });
     const authority = new OwnerAuthority(membership, config, epochs);
-    const connections = new EndpointConnections(config, clock);
+    const connections = new EndpointConnections(new ConfiguredAddresses(config), clock);
     const loads = new HttpLoadSource(connections, clock);
     const owner = new SlotOwner({ membership, authority, config, registry, transport, clock, log, loads, platform });
     const localOwner = owner;
--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -3,6 +3,7 @@
  * connections are being made to one endpoint at a time.
  */
 import * as http from "node:http";
+import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, Disposable, EndpointId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
@@ -19,9 +20,12 @@
 }
 
 export interface ConnectOptions {
-    readonly method: "GET" | "POST";
+    readonly method: string;
     readonly path: string;
-    readonly headers?: http.OutgoingHttpHeaders;
+    /** As an object, or as a flat list of names and values that are written as they stand. */
+    readonly headers?: http.OutgoingHttpHeaders | readonly string[];
+    /** A pooled connection that has been idle for longer is not used; undefined for any. */
+    readonly maxIdleMs?: number;
     /** True for a connection of its own, which no earlier request has used. */
     readonly fresh: boolean;
     readonly signal: AbortSignal;
@@ -34,6 +38,28 @@
     readonly reused: boolean;
 }
 
+/** Where endpoints are dialled. */
+export interface EndpointAddresses {
+    /** "ip:port"; undefined for an endpoint that is not known. */
+    addressOf(endpoint: EndpointId): string | undefined;
+    /** Bound on making a connection, in milliseconds. */
+    connectMs(): number;
+}
+
+/** Addresses of the endpoints that the configuration names, with those that this process is told to dial instead. */
+export class ConfiguredAddresses implements EndpointAddresses {
+    public constructor(private readonly config: ConfigSource) {}
+
+    public addressOf(endpoint: EndpointId): string | undefined {
+        const settings = this.config.current()?.settings;
+        return settings?.daemon?.dial[endpoint] ?? settings?.endpoints[endpoint]?.address;
+    }
+
+    public connectMs(): number {
+        return this.config.current()?.settings.timing.connectMs ?? 1;
+    }
+}
+
 interface Pool {
     readonly address: string;
     readonly agent: http.Agent;
@@ -43,8 +69,13 @@
     private readonly pools = new Map<EndpointId, Pool>();
     private readonly connecting = new Map<EndpointId, number>();
     private readonly queues = new Map<EndpointId, (() => void)[]>();
+    private readonly idleSinceMs = new WeakMap<Socket, number>();
 
-    public constructor(private readonly config: ConfigSource, private readonly clock: Clock) {}
+    public constructor(
+        private readonly addresses: EndpointAddresses,
+        private readonly clock: Clock,
+        private readonly poolIdleMs: number = idleMs,
+    ) {}
 
     /** Makes a request ready to be written; the caller ends or destroys it. */
     public async connect(endpoint: EndpointId, options: ConnectOptions): Promise<Either<ConnectError, ReadyRequest>> {
@@ -54,7 +85,12 @@
         }
         await this.enter(endpoint);
         try {
-            return await this.connectNow(pool, options);
+            let connected = await this.connectNow(pool, options);
+            while (connected.isRight() && this.isIdleForLong(connected.unsafeCoerce(), options)) {
+                connected.ifRight(discard);
+                connected = await this.connectNow(pool, options);
+            }
+            return connected;
         }
         finally {
             this.leave(endpoint);
@@ -80,8 +116,7 @@
     }
 
     private pool(endpoint: EndpointId): Pool | undefined {
-        const settings = this.config.current()?.settings;
-        const address = settings?.daemon?.dial[endpoint] ?? settings?.endpoints[endpoint]?.address;
+        const address = this.addresses.addressOf(endpoint);
         const known = this.pools.get(endpoint);
         if (known?.address === address) {
             return known;
@@ -90,11 +125,27 @@
         if (address === undefined) {
             return undefined;
         }
-        const pool = { address, agent: new http.Agent({ keepAlive: true, timeout: idleMs }) };
+        const pool = { address, agent: this.newAgent() };
         this.pools.set(endpoint, pool);
         return pool;
     }
 
+    private newAgent(): http.Agent {
+        const agent = new http.Agent({ keepAlive: true, timeout: this.poolIdleMs });
+        agent.on("free", (socket: Socket) => {
+            this.idleSinceMs.set(socket, this.clock.nowMs());
+            socket.on("data", destroyOnData);
+        });
+        return agent;
+    }
+
+    private isIdleForLong({ req, reused }: ReadyRequest, { maxIdleMs }: ConnectOptions): boolean {
+        if (!reused || maxIdleMs === undefined || req.socket === null) {
+            return false;
+        }
+        return this.clock.nowMs() - (this.idleSinceMs.get(req.socket) ?? 0) > maxIdleMs;
+    }
+
     private async enter(endpoint: EndpointId): Promise<void> {
         const count = this.connecting.get(endpoint) ?? 0;
         if (count < maxConnecting) {
@@ -116,12 +167,12 @@
     }
 
     private connectNow(pool: Pool, options: ConnectOptions): Promise<Either<ConnectError, ReadyRequest>> {
-        const connectMs = this.config.current()?.settings.timing.connectMs ?? 1;
+        const connectMs = this.addresses.connectMs();
         return new Promise(resolve => {
             const req = http.request(`http://${pool.address}${options.path}`, {
                 method: options.method,
                 agent: options.fresh ? false : pool.agent,
-                headers: { ...options.headers, ...(options.fresh ? { connection: "close" } : {}) },
+                headers: headersOf(options),
             });
             const finish = (result: Either<ConnectError, ReadyRequest>) => {
                 timer.dispose();
@@ -141,6 +192,7 @@
             options.signal.addEventListener("abort", aborted);
             req.on("error", failed);
             req.on("socket", socket => {
+                socket.off("data", destroyOnData);
                 const ready = () => finish(Right({ req, reused: req.reusedSocket }));
                 if (socket.connecting) {
                     socket.once("connect", ready);
@@ -155,3 +207,25 @@
         });
     }
 }
+
+/** Gives up a connection on which nothing was written; what it still reports tells nothing. */
+function discard({ req }: ReadyRequest): void {
+    req.on("error", () => undefined);
+    req.destroy();
+}
+
+/** What comes on an idle connection belongs to no request; whatever follows it could not be told apart. */
+function destroyOnData(this: Socket): void {
+    this.destroy();
+}
+
+function headersOf({ headers, fresh }: ConnectOptions): http.OutgoingHttpHeaders | readonly string[] {
+    if (headers !== undefined && isHeaderList(headers)) {
+        return fresh ? [...headers, "connection", "close"] : headers;
+    }
+    return { ...headers, ...(fresh ? { connection: "close" } : {}) };
+}
+
+function isHeaderList(headers: http.OutgoingHttpHeaders | readonly string[]): headers is readonly string[] {
+    return Array.isArray(headers);
+}
--- a/src/endpoints/HttpStageClient.ts
+++ b/src/endpoints/HttpStageClient.ts
@@ -8,7 +8,7 @@
 import type { DispatchLedger } from "../common/Outcome.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
-import { type ConnectError, EndpointConnections } from "./EndpointConnections.js";
+import { ConfiguredAddresses, type ConnectError, EndpointConnections } from "./EndpointConnections.js";
 import { requestText } from "./RequestText.js";
 import { type ExchangeEnd, StageExchange } from "./StageExchange.js";
 import type { CallEnd, CallEvidence, Slot, StageCall, StageCallError, StageClient, StageReply } from "./Types.js";
@@ -28,7 +28,8 @@
     private readonly closing = new AbortController();
 
     public constructor(private readonly options: HttpStageClientOptions) {
-        this.connections = options.connections ?? new EndpointConnections(options.config, options.clock);
+        this.connections = options.connections
+            ?? new EndpointConnections(new ConfiguredAddresses(options.config), options.clock);
     }
 
     public dispose(): void {
--- a/src/endpoints/Rendezvous.ts
+++ b/src/endpoints/Rendezvous.ts
@@ -18,11 +18,16 @@
     return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** Candidates in rendezvous order for a key, first choice first. */
+export function rankByWeight<T extends string>(key: string, candidates: readonly T[]): T[] {
+    const weighed = candidates.map(candidate => ({ candidate, weight: weight(key, candidate) }));
+    weighed.sort((a, b) => b.weight - a.weight || (a.candidate < b.candidate ? -1 : 1));
+    return weighed.map(one => one.candidate);
+}
+
 /** Hosts in rendezvous order for an endpoint, first choice first. */
 export function rankHosts(endpoint: EndpointId, hosts: readonly HostId[]): HostId[] {
-    const weighed = hosts.map(host => ({ host, weight: weight(endpoint, host) }));
-    weighed.sort((a, b) => b.weight - a.weight || (a.host < b.host ? -1 : 1));
-    return weighed.map(one => one.host);
+    return rankByWeight(endpoint, hosts);
 }
 
 /**
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -1,4 +1,5 @@
 /** Small requests to endpoints beside stage calls: cancels, load reports, orders. The reply is short text. */
+import type { IncomingHttpHeaders } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
@@ -10,6 +11,7 @@
     readonly method: "GET" | "POST";
     readonly path: string;
     readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
     /** True for a connection of its own. */
     readonly fresh: boolean;
     /** Bound on the whole exchange after connecting. */
@@ -23,6 +25,7 @@
 export interface TextReply {
     readonly status: number;
     readonly text: string;
+    readonly headers: IncomingHttpHeaders;
 }
 
 /** "broken": the request was written and no whole reply came. */
@@ -35,9 +38,10 @@
 ): Promise<Either<TextError, TextReply>> {
     const { method, path, fresh, signal } = options;
     const body = options.body ?? "";
-    const headers = body === ""
+    const content = body === ""
         ? {}
         : { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
+    const headers = { ...options.headers, ...content };
     const ready = await connections.connect(endpoint, { method, path, fresh, signal, headers });
     if (ready.isLeft()) {
         return Left(ready.extract());
@@ -76,7 +80,8 @@
             res.on("close", () => broken("the reply was cut short"));
             res.on("end", () => {
                 if (res.complete) {
-                    finish(Right({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") }));
+                    const text = Buffer.concat(chunks).toString("utf8");
+                    finish(Right({ status: res.statusCode ?? 0, text, headers: res.headers }));
                 }
             });
         });
--- a/src/entry/CallerServer.ts
+++ b/src/entry/CallerServer.ts
@@ -103,13 +103,13 @@
 }
 
 /** Starts listening on "ip:port". Rejects when the address can't be had. */
-export function listen(server: http.Server, address: string): Promise<void> {
+export function listen(server: http.Server, address: string, backlog?: number): Promise<void> {
     const split = address.lastIndexOf(":");
     const ip = address.slice(0, split).replace(/^\[|\]$/g, "");
     const port = Number(address.slice(split + 1));
     return new Promise((resolve, reject) => {
         server.once("error", reject);
-        server.listen(port, ip, () => {
+        server.listen(port, ip, backlog, () => {
             server.off("error", reject);
             resolve();
         });
--- a/src/entry/RequestBody.ts
+++ b/src/entry/RequestBody.ts
@@ -18,7 +18,8 @@
     return read.chain(parseJson);
 }
 
-function readBytes(req: http.IncomingMessage, limitBytes: number): Promise<Either<BodyError, Buffer>> {
+/** Reads the whole body, up to a limit. */
+export function readBytes(req: http.IncomingMessage, limitBytes: number): Promise<Either<BodyError, Buffer>> {
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let size = 0;
--- /dev/null
+++ b/src/fleet/ControlOperator.ts
@@ -0,0 +1,104 @@
+/**
+ * What operators ask of a control host: put a configuration, read the newest one, take data centres out and in. An
+ * order is acknowledged once it is committed, and a read is answered only with what is certainly the newest.
+ */
+import type { Clock, DataCentreId } from "../common/Types.js";
+import type { RaftLog } from "../replication/RaftLog.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { FleetCommand, FleetState } from "./FleetState.js";
+import type { DeploymentDecoder } from "./Types.js";
+
+/** Bound on committing an order; operators ask again after a second or more without an answer. */
+const commitTimeoutMs = 2500;
+/** Bound on proving that what is read is the newest. */
+const readTimeoutMs = 900;
+
+/** An operator's request, as the adapter has decoded it. */
+export type OperatorCall =
+    | { readonly kind: "put-config"; readonly text: string; }
+    | { readonly kind: "get-config"; }
+    | { readonly kind: "set-data-centre"; readonly dataCentre: DataCentreId; readonly isOut: boolean; };
+
+export type OperatorAnswer =
+    | { readonly kind: "done"; readonly version: number; }
+    | { readonly kind: "config"; readonly text: string; }
+    /** The order can't ever be carried out. */
+    | { readonly kind: "invalid"; readonly message: string; }
+    /** Nothing certain can be said; the same may be asked again, of any control host. */
+    | { readonly kind: "unavailable"; readonly message: string; };
+
+export interface ControlOperatorOptions {
+    readonly log: RaftLog;
+    readonly state: FleetState;
+    readonly decoder: DeploymentDecoder;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly metrics: Metrics;
+}
+
+export class ControlOperator {
+    public constructor(private readonly options: ControlOperatorOptions) {}
+
+    public async handle(call: OperatorCall): Promise<OperatorAnswer> {
+        const { clock, events, metrics } = this.options;
+        const startMs = clock.nowMs();
+        const answer = await this.answer(call);
+        const durationMs = Math.round(clock.nowMs() - startMs);
+        metrics.count("operator_calls", { call: call.kind, outcome: answer.kind });
+        events.event(EventId.DeploymentChangeEnded, { ...summaryOf(call), outcome: shortOf(answer), durationMs });
+        return answer;
+    }
+
+    private answer(call: OperatorCall): Promise<OperatorAnswer> {
+        switch (call.kind) {
+            case "put-config":
+                return this.putConfig(call.text);
+            case "get-config":
+                return this.getConfig();
+            case "set-data-centre":
+                return this.commit({ kind: "set-data-centre", dataCentre: call.dataCentre, isOut: call.isOut });
+        }
+    }
+
+    private async putConfig(text: string): Promise<OperatorAnswer> {
+        const decoded = this.options.decoder.decode(text);
+        if (decoded.isLeft()) {
+            return { kind: "invalid", message: decoded.extract().message };
+        }
+        const { version } = decoded.unsafeCoerce();
+        if (version <= this.options.state.version) {
+            // What is applied is committed, so that this change is overtaken for good.
+            return { kind: "done", version: this.options.state.version };
+        }
+        return this.commit({ kind: "put-config", version, text });
+    }
+
+    private async getConfig(): Promise<OperatorAnswer> {
+        const { log, state } = this.options;
+        const barrier = await log.readBarrier(readTimeoutMs);
+        if (barrier.isLeft()) {
+            return { kind: "unavailable", message: barrier.extract().message };
+        }
+        return state.version > 0
+            ? { kind: "config", text: state.text }
+            : { kind: "unavailable", message: "no configuration has been put yet" };
+    }
+
+    private async commit(command: FleetCommand): Promise<OperatorAnswer> {
+        const { log, state } = this.options;
+        const committed = await log.propose(command, commitTimeoutMs);
+        return committed.caseOf<OperatorAnswer>({
+            Left: error => ({ kind: "unavailable", message: error.message }),
+            Right: () => ({ kind: "done", version: state.version }),
+        });
+    }
+}
+
+function summaryOf(call: OperatorCall): Readonly<Record<string, unknown>> {
+    return call.kind === "put-config" ? { call: call.kind, chars: call.text.length } : { call: call.kind, ...call };
+}
+
+function shortOf(answer: OperatorAnswer): unknown {
+    return answer.kind === "config" ? { kind: answer.kind, chars: answer.text.length } : answer;
+}
--- /dev/null
+++ b/src/fleet/OperatorServer.ts
@@ -0,0 +1,83 @@
+/** HTTP server for operators on a control host. An adapter tells which request asks for what. */
+import * as http from "node:http";
+import { InvariantError } from "../common/Invariant.js";
+import { listen } from "../entry/CallerServer.js";
+import { readBytes } from "../entry/RequestBody.js";
+import { writeJson } from "../entry/WriteJson.js";
+import type { Service } from "../supervise/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { ControlOperator, OperatorAnswer, OperatorCall } from "./ControlOperator.js";
+
+/** Bound on a configuration, in bytes; what the log carries in one message. */
+const maxBodyBytes = 12 * 1024 * 1024;
+const keepAliveMs = 30_000;
+
+/** Tells what an operator's request asks for; undefined for a request that means nothing here. */
+export type OperatorDecoder = (method: string, path: string, body: string) => OperatorCall | undefined;
+
+export interface OperatorServerOptions {
+    /** "ip:port". */
+    readonly address: string;
+    readonly operator: ControlOperator;
+    readonly decode: OperatorDecoder;
+    readonly log: EventLog;
+    readonly onFatal: (err: InvariantError) => void;
+}
+
+export class OperatorServer implements Service {
+    public readonly name = "operator-server";
+
+    public constructor(private readonly options: OperatorServerOptions) {}
+
+    public async run(signal: AbortSignal): Promise<void> {
+        const server = http.createServer((req, res) => {
+            this.serve(req, res).catch((err: unknown) => this.failed(err, res));
+        });
+        server.keepAliveTimeout = keepAliveMs;
+        await listen(server, this.options.address);
+        await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+        server.closeAllConnections();
+        await new Promise<void>(resolve => server.close(() => resolve()));
+    }
+
+    private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+        const body = await readBytes(req, maxBodyBytes);
+        if (body.isLeft()) {
+            const error = body.extract();
+            writeJson(res, error.kind === "too-large" ? 413 : 400, {}, { error });
+            return;
+        }
+        const text = body.unsafeCoerce().toString("utf8");
+        const call = this.options.decode(req.method ?? "GET", req.url ?? "/", text);
+        if (call === undefined) {
+            writeJson(res, 404, {}, { error: { kind: "unknown-call", message: `${req.method} ${req.url}` } });
+            return;
+        }
+        writeAnswer(res, await this.options.operator.handle(call));
+    }
+
+    private failed(err: unknown, res: http.ServerResponse): void {
+        if (err instanceof InvariantError) {
+            this.options.onFatal(err);
+        }
+        this.options.log.event(EventId.ServiceFailed, { service: this.name, message: String(err) });
+        res.destroy();
+    }
+}
+
+function writeAnswer(res: http.ServerResponse, answer: OperatorAnswer): void {
+    switch (answer.kind) {
+        case "done":
+            return writeJson(res, 200, {}, { version: answer.version });
+        case "invalid":
+            return writeJson(res, 400, {}, { error: answer });
+        case "unavailable":
+            return writeJson(res, 503, { "retry-after": "1" }, { error: answer });
+        case "config": {
+            const bytes = Buffer.from(answer.text);
+            res.writeHead(200, { "content-type": "application/json", "content-length": bytes.length });
+            res.end(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/GatewayRequest.ts
@@ -0,0 +1,360 @@
+/**
+ * One caller's request from its head to its final answer: a task straight down. It is refused at once where nothing can
+ * come of it, its stages are run, and it is sent to one endpoint after another as far as its kind, its route and the
+ * fleet's budget of repeats allow.
+ */
+import type * as http from "node:http";
+import type { Clock } from "../common/Types.js";
+import type { Route, Service, Workspace } from "../fleet/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import { CallerReply } from "./CallerReply.js";
+import type { EndpointRecord } from "./EndpointBook.js";
+import type { Choice } from "./EndpointChooser.js";
+import { EndpointExchange } from "./EndpointExchange.js";
+import type { GatewayParts } from "./Gateway.js";
+import { shortestStagesMs, type StagePlan, type StageResults } from "./StageGraph.js";
+import type { AttemptEnd, Refusal, ReplyHead, RequestHead } from "./Types.js";
+
+/** Attempts that never reached an endpoint, for one request. */
+const mostUnsent = 4;
+/** Pause before an endpoint is looked for again when none may be given the request. */
+const noEndpointPauseMs = 40;
+/** A request waits for an endpoint at most for this part of its latency objective. */
+const endpointWaitShare = 0.5;
+/** What is advised where nothing tells when an endpoint is to be had. */
+const defaultRetryMs = 500;
+/** A repeatable request is taken elsewhere after this many times its usual time, but no sooner than the least. */
+const silentFactor = 6;
+const leastSilentMs = 350;
+/** A resumable stream is taken elsewhere after this much silence before its first event, and between two. */
+const streamSilentMs = 1500;
+const streamGapMs = 900;
+/** Results of this size are given up as soon as the endpoint has fetched them, since they block others' room. */
+const largeResultsBytes = 500_000;
+/** Time kept for the last answer's way before the caller's deadline. */
+const answerMarginMs = 15;
+
+/** What has been found out about a request before it is run. */
+export interface AdmittedRequest {
+    readonly head: RequestHead;
+    readonly route: Route;
+    readonly service: Service;
+    readonly workspace: Workspace | undefined;
+    readonly body: Buffer;
+    readonly arrivedMs: number;
+}
+
+type Ending = { readonly kind: "answered"; } | { readonly kind: "refused"; readonly refusal: Refusal; };
+
+export class GatewayRequest {
+    private readonly caller: CallerReply;
+    private readonly abort = new AbortController();
+    private readonly tried = new Set<EndpointRecord>();
+    private readonly attempts: string[] = [];
+    private readonly clock: Clock;
+    private readonly log: EventLog;
+    private readonly deadlineMs: number;
+    private results: StageResults | undefined;
+    private isOver = false;
+    private hasLeft = false;
+    /** Attempts after which the request may have run. */
+    private ran = 0;
+    private unsent = 0;
+    private sent = 0;
+
+    public constructor(
+        private readonly parts: GatewayParts,
+        private readonly admitted: AdmittedRequest,
+        private readonly res: http.ServerResponse,
+    ) {
+        const { head, route, arrivedMs } = admitted;
+        this.clock = parts.clock;
+        this.log = parts.log;
+        this.caller = new CallerReply(res, head.lastEvent);
+        const callerMs = head.remainingMs === undefined ? Infinity : head.remainingMs - answerMarginMs;
+        this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerMs);
+    }
+
+    public async run(): Promise<void> {
+        const timer = this.clock.setTimer(Math.max(0, this.deadlineMs - this.clock.nowMs()), () => {
+            this.isOver = true;
+            this.abort.abort();
+        });
+        const closed = () => {
+            this.hasLeft = !this.res.writableFinished;
+            this.abort.abort();
+        };
+        this.res.on("close", closed);
+        const ending = await this.serve();
+        timer.dispose();
+        this.res.off("close", closed);
+        if (ending.kind === "refused") {
+            this.caller.refuse(ending.refusal);
+        }
+        this.results?.free();
+        this.noteEnd(ending);
+    }
+
+    private async serve(): Promise<Ending> {
+        for (;;) {
+            const refusal = await this.prepare();
+            if (refusal !== undefined) {
+                return { kind: "refused", refusal };
+            }
+            const choice = await this.choose();
+            if (choice === undefined) {
+                return { kind: "refused", refusal: this.noEndpoint() };
+            }
+            const end = await this.attempt(choice);
+            const ending = this.judge(end);
+            if (ending !== undefined) {
+                return ending;
+            }
+        }
+    }
+
+    /** Runs the stages, unless their results are at hand. */
+    private async prepare(): Promise<Refusal | undefined> {
+        const { route, head, workspace } = this.admitted;
+        const deployment = this.parts.fleet.view().deployment;
+        if (route.stages.length === 0 || this.results !== undefined || deployment === undefined) {
+            return this.abort.signal.aborted ? this.ended() : undefined;
+        }
+        const plan: StagePlan = {
+            request: head.id,
+            route,
+            deployment,
+            pieces: head.pieces,
+            pieceKey: head.pieceKey,
+            priority: workspace?.priority ?? route.priority,
+            objectiveMs: this.admitted.arrivedMs + route.objectiveMs,
+            deadlineMs: this.deadlineMs,
+            replyMs: this.parts.replyTimes.expectedMs(route.id),
+            dataCentre: undefined,
+        };
+        if (this.clock.nowMs() + shortestStagesMs(plan) > this.deadlineMs && this.sent === 0) {
+            return this.refusal("overloaded", "the stages alone take longer than what is left");
+        }
+        const made = await this.parts.stages.run(plan, this.abort.signal);
+        return made.caseOf<Refusal | undefined>({
+            Right: results => {
+                this.results = results;
+                return undefined;
+            },
+            Left: error => {
+                if (this.abort.signal.aborted) {
+                    return this.ended();
+                }
+                const retryAfterMs = error.kind === "overloaded" ? error.retryAfterMs : defaultRetryMs;
+                return { ...this.refusal("overloaded", error.message), retryAfterMs };
+            },
+        });
+    }
+
+    /** An endpoint that may be given the request; waits a little where there is none now. */
+    private async choose(): Promise<Choice | undefined> {
+        const { book, chooser } = this.parts;
+        const { service, head, route } = this.admitted;
+        const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + route.objectiveMs * endpointWaitShare);
+        for (;;) {
+            const choice = chooser.choose(service, book.usable(service.id), this.tried, head.prompt);
+            if (choice !== undefined || this.abort.signal.aborted || this.clock.nowMs() >= untilMs) {
+                return this.abort.signal.aborted ? undefined : choice;
+            }
+            await this.clock.sleep(noEndpointPauseMs, this.abort.signal);
+        }
+    }
+
+    private async attempt({ record, reason }: Choice): Promise<AttemptEnd> {
+        const { book, codec, connections, cold, replyTimes } = this.parts;
+        const { head, service, workspace, body, route } = this.admitted;
+        const startMs = this.clock.nowMs();
+        if (record.isCold) {
+            cold.sent(record.id);
+        }
+        const attempt = book.start(record, service);
+        const remainingMs = Math.max(1, Math.floor(this.deadlineMs - startMs));
+        const headers = codec.encodeAttempt(head, {
+            instance: record.listed.instance,
+            remainingMs,
+            workspace: workspace?.id,
+            results: route.stages.length > 0 ? this.results?.handles ?? [] : undefined,
+            lastEvent: this.caller.lastEvent,
+            bodyBytes: body.length,
+        });
+        let hasReplied = false;
+        const onReply = () => {
+            if (!hasReplied) {
+                hasReplied = true;
+                replyTimes.note(route.id, this.clock.nowMs() - startMs);
+                if ((this.results?.bytes ?? 0) >= largeResultsBytes || !this.isRepeatable) {
+                    this.results?.free();
+                }
+            }
+        };
+        const exchange = new EndpointExchange({
+            head,
+            headers,
+            body,
+            attempt,
+            caller: this.caller,
+            codec,
+            connections,
+            clock: this.clock,
+            signal: this.abort.signal,
+            isRepeatable: this.isRepeatable,
+            firstSignMs: this.silenceBorneMs(record),
+            gapMs: route.kind === "resumable" ? streamGapMs : undefined,
+            onReply,
+        });
+        const end = await exchange.run();
+        attempt.ended(end);
+        if (hasReplied && (this.results?.bytes ?? 0) >= largeResultsBytes) {
+            this.results = undefined;
+        }
+        this.noteAttempt(record, reason, end, startMs);
+        return end;
+    }
+
+    /** What follows from an attempt's end; undefined to go on with another attempt. */
+    private judge(end: AttemptEnd): Ending | undefined {
+        switch (end.kind) {
+            case "cancelled":
+                this.ran += 1;
+                return { kind: "refused", refusal: this.ended() };
+            case "unsent":
+                this.unsent += 1;
+                return this.unsent < mostUnsent ? undefined : { kind: "refused", refusal: this.noEndpoint() };
+            case "not-run":
+                return this.judgeNotRun(end.status);
+            case "broken":
+                this.ran += 1;
+                if (!end.isSilent) {
+                    this.parts.reportCrash(this.admitted);
+                }
+                if (this.isRepeatable && this.mayRepeat()) {
+                    return undefined;
+                }
+                return { kind: "refused", refusal: this.refusal("broken", end.message) };
+            case "replied":
+                this.ran += 1;
+                if (end.reply.status >= 500 && this.isRepeatable && !this.caller.hasBegun && this.mayRepeat()) {
+                    return undefined;
+                }
+                return this.answer(end.reply, end.body);
+        }
+    }
+
+    /** Gives a whole reply to the caller, unless its stream has been relayed already. */
+    private answer(reply: ReplyHead, body: Buffer | undefined): Ending {
+        if (body === undefined) {
+            return { kind: "answered" };
+        }
+        if (this.caller.hasBegun || notRunStatuses.includes(reply.status)) {
+            // The status would promise that the request has not run, or belongs to the continuation of a stream.
+            return { kind: "refused", refusal: this.refusal("broken", `an endpoint replied ${reply.status}`) };
+        }
+        this.caller.writeWhole(reply, body);
+        return { kind: "answered" };
+    }
+
+    private judgeNotRun(status: number): Ending | undefined {
+        if (status === resultsGone) {
+            this.results = undefined;
+            this.tried.clear();
+        }
+        if (this.clock.nowMs() < this.deadlineMs && this.parts.retries.tryRepeat(this.admitted.service.id)) {
+            return undefined;
+        }
+        return { kind: "refused", refusal: this.refusal("overloaded", `an endpoint refused it with ${status}`) };
+    }
+
+    private get isRepeatable(): boolean {
+        const { kind } = this.admitted.route;
+        return kind === "idempotent" || kind === "resumable";
+    }
+
+    private mayRepeat(): boolean {
+        const { route, service } = this.admitted;
+        return !this.abort.signal.aborted
+            && this.ran < route.maxEndpoints
+            && this.parts.retries.tryRepeat(service.id);
+    }
+
+    private silenceBorneMs(record: EndpointRecord): number | undefined {
+        switch (this.admitted.route.kind) {
+            case "idempotent":
+                return Math.max(leastSilentMs, (record.replyMs ?? 0) * silentFactor);
+            case "resumable":
+                return streamSilentMs;
+            default:
+                return undefined;
+        }
+    }
+
+    private ended(): Refusal {
+        return this.refusal("deadline", this.hasLeft ? "the caller has left" : "the time is over");
+    }
+
+    private noEndpoint(): Refusal {
+        return this.abort.signal.aborted
+            ? this.ended()
+            : {
+                ...this.refusal("no-endpoint", "no endpoint may be given the request now"),
+                retryAfterMs: defaultRetryMs,
+            };
+    }
+
+    private refusal(reason: Refusal["reason"], message: string): Refusal {
+        return { reason, message, notRun: this.ran === 0 };
+    }
+
+    private noteAttempt(record: EndpointRecord, reason: string, end: AttemptEnd, startMs: number): void {
+        this.attempts.push(`${record.id}:${end.kind}`);
+        if (end.kind !== "unsent") {
+            this.sent += 1;
+            this.tried.add(record);
+        }
+        else {
+            this.tried.add(record);
+        }
+        this.log.event(EventId.EndpointAttemptEnded, {
+            request: this.admitted.head.id,
+            endpoint: record.id,
+            chosenBy: reason,
+            running: record.running.size,
+            failureShare: Number(record.failureShare.toFixed(2)),
+            isCold: record.isCold,
+            end: end.kind,
+            ...(end.kind === "replied" ? { status: end.reply.status } : {}),
+            ...(end.kind === "not-run" ? { status: end.status } : {}),
+            ...(end.kind === "broken" || end.kind === "unsent" ? { message: end.message } : {}),
+            takenMs: Math.round(this.clock.nowMs() - startMs),
+        });
+    }
+
+    private noteEnd(ending: Ending): void {
+        const { head, route, arrivedMs } = this.admitted;
+        const durationMs = this.clock.nowMs() - arrivedMs;
+        const outcome = ending.kind === "answered" ? "answered" : ending.refusal.reason;
+        this.parts.metrics.count("gateway_requests", { outcome, kind: route.kind });
+        this.parts.metrics.latency("gateway_request", durationMs, { kind: route.kind });
+        this.log.event(EventId.GatewayRequestEnded, {
+            request: head.id,
+            route: route.id,
+            config: this.parts.fleet.view().deployment?.version,
+            outcome,
+            ...(ending.kind === "refused" ? ending.refusal : {}),
+            hasLeft: this.hasLeft,
+            isOver: this.isOver,
+            attempts: this.attempts,
+            events: this.caller.events,
+            durationMs: Math.round(durationMs),
+        });
+    }
+}
+
+const resultsGone = 409;
+/** Statuses by which callers understand that a request has not run. */
+const notRunStatuses: readonly number[] = [408, 421, 429, 503];
--- /dev/null
+++ b/src/gateway/StageGraph.ts
@@ -0,0 +1,160 @@
+/**
+ * Makes the results that a request's endpoint needs: runs the stages of its route as a graph, each as soon as those
+ * before it have ended, and gives up results that no later stage needs.
+ */
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock, DataCentreId } from "../common/Types.js";
+import type { Deployment, Route, RouteStage } from "../fleet/Types.js";
+import type { PieceMaker, PieceResult, PiecesError, PieceSource, SubmissionId } from "../gather/Types.js";
+
+/** One request's stages, and the times that they are to keep. */
+export interface StagePlan {
+    readonly request: string;
+    readonly route: Route;
+    readonly deployment: Deployment;
+    /** Pieces of each stage; a stage with none is left out. */
+    readonly pieces: readonly number[];
+    readonly pieceKey: string;
+    readonly priority: number;
+    /** Times on the local clock. */
+    readonly objectiveMs: number;
+    readonly deadlineMs: number;
+    /** Estimate of the time from the last result to the first byte of the reply. */
+    readonly replyMs: number;
+    readonly dataCentre: DataCentreId | undefined;
+}
+
+/** Results of the stages that no other stage follows, with the service that made each. */
+export interface StageResults {
+    readonly handles: readonly string[];
+    readonly bytes: number;
+    /** Gives up the results at their makers. Doing so twice does nothing. */
+    free(): void;
+}
+
+interface StageRun {
+    readonly stage: RouteStage;
+    readonly index: number;
+    ended: Promise<Either<PiecesError, readonly PieceResult[]>>;
+}
+
+export class StageGraph {
+    public constructor(
+        private readonly maker: PieceMaker,
+        private readonly clock: Clock,
+        private readonly nextId: () => SubmissionId,
+    ) {}
+
+    public async run(plan: StagePlan, signal: AbortSignal): Promise<Either<PiecesError, StageResults>> {
+        const failed = new AbortController();
+        const both = AbortSignal.any([signal, failed.signal]);
+        const runs: StageRun[] = [];
+        plan.route.stages.forEach((stage, index) => {
+            const run: StageRun = { stage, index, ended: Promise.resolve(Right([])) };
+            runs.push(run);
+            run.ended = this.runStage(plan, run, runs, both);
+        });
+        runs.forEach(run => void this.freeOnceUsed(run, runs));
+        let firstError: PiecesError | undefined;
+        const ends = await Promise.all(runs.map(async run => {
+            const end = await run.ended;
+            end.ifLeft(error => {
+                firstError ??= error;
+                failed.abort();
+            });
+            return { run, results: end.orDefault([]) };
+        }));
+        const last = ends.filter(({ run }) => followersOf(run, runs).length === 0);
+        const freeAll = () => last.forEach(({ run, results }) => this.maker.free(run.stage.service, results));
+        if (firstError !== undefined) {
+            freeAll();
+            return Left(firstError);
+        }
+        let isFreed = false;
+        return Right({
+            handles: last.flatMap(({ results }) => results.map(one => one.handle)),
+            bytes: last.reduce((sum, { results }) => sum + results.reduce((all, one) => all + one.bytes, 0), 0),
+            free: () => {
+                if (!isFreed) {
+                    isFreed = true;
+                    freeAll();
+                }
+            },
+        });
+    }
+
+    /** Gives up the results of a stage as soon as all stages that follow it have ended. */
+    private async freeOnceUsed(run: StageRun, runs: readonly StageRun[]): Promise<void> {
+        const followers = followersOf(run, runs);
+        if (followers.length > 0) {
+            await Promise.all(followers.map(one => one.ended));
+            this.maker.free(run.stage.service, (await run.ended).orDefault([]));
+        }
+    }
+
+    private async runStage(plan: StagePlan, run: StageRun, runs: readonly StageRun[], signal: AbortSignal) {
+        const before = await Promise.all(
+            run.stage.after.map(index => runs[index]?.ended ?? Promise.resolve(Right([]))),
+        );
+        const failure = before.find(end => end.isLeft());
+        if (failure !== undefined) {
+            return failure;
+        }
+        const count = plan.pieces[run.index] ?? 0;
+        if (count === 0) {
+            return Right([]);
+        }
+        const handles = before.flatMap(end => end.orDefault([])).map(one => one.handle);
+        const source: PieceSource = run.stage.after.length === 0
+            ? { kind: "key", key: plan.pieceKey }
+            : { kind: "results", handles };
+        const nowMs = this.clock.nowMs();
+        const restMs = restAfter(plan, run.index) + plan.replyMs;
+        return this.maker.make({
+            id: this.nextId(),
+            service: run.stage.service,
+            request: plan.request,
+            stage: run.index,
+            pieces: Array.from({ length: count }, (_, piece) => piece),
+            source,
+            resultBytes: run.stage.resultBytes,
+            startInMs: plan.objectiveMs - nowMs - stageMs(plan, run.index) - restMs,
+            remainingMs: plan.deadlineMs - nowMs,
+            restMs,
+            priority: plan.priority,
+            dataCentre: plan.dataCentre,
+        }, signal);
+    }
+}
+
+function followersOf(run: StageRun, runs: readonly StageRun[]): readonly StageRun[] {
+    return runs.filter(one => one.stage.after.includes(run.index));
+}
+
+/** Time of one stage once it has started: that of a full call, since its pieces seldom travel alone. */
+function stageMs(plan: StagePlan, index: number): number {
+    const stage = plan.route.stages[index];
+    const traits = stage === undefined ? undefined : plan.deployment.services.get(stage.service)?.pieces;
+    return traits === undefined || (plan.pieces[index] ?? 0) === 0
+        ? 0
+        : traits.callMs + traits.batch * traits.pieceMs;
+}
+
+/** Time of the longest way through the stages that follow one. */
+function restAfter(plan: StagePlan, index: number): number {
+    let longestMs = 0;
+    plan.route.stages.forEach((stage, at) => {
+        if (stage.after.includes(index)) {
+            longestMs = Math.max(longestMs, stageMs(plan, at) + restAfter(plan, at));
+        }
+    });
+    return longestMs;
+}
+
+/** Time that a request's stages take with full calls and no wait. */
+export function shortestStagesMs(plan: StagePlan): number {
+    const ways = plan.route.stages.map((stage, at) =>
+        stage.after.length === 0 ? stageMs(plan, at) + restAfter(plan, at) : 0
+    );
+    return Math.max(0, ...ways);
+}
--- /dev/null
+++ b/src/gather/GatherMessages.ts
@@ -0,0 +1,60 @@
+/** Messages between a host that submits pieces and the host that gathers them. */
+import { z } from "zod";
+import type { DataCentreId, EndpointId } from "../common/Types.js";
+import type { ServiceId } from "../fleet/Types.js";
+import { definePeerMethod } from "../peer/Types.js";
+import type { EndedSubmission, PiecesError, Submission, SubmissionId } from "./Types.js";
+
+const submissionId = z.string() as unknown as z.ZodType<SubmissionId>;
+const serviceId = z.string() as unknown as z.ZodType<ServiceId>;
+const endpointId = z.string() as unknown as z.ZodType<EndpointId>;
+const dataCentreId = z.string() as unknown as z.ZodType<DataCentreId>;
+
+const submission = z.object({
+    id: submissionId,
+    service: serviceId,
+    request: z.string(),
+    stage: z.number().int(),
+    pieces: z.array(z.number().int()),
+    source: z.discriminatedUnion("kind", [
+        z.object({ kind: z.literal("key"), key: z.string() }),
+        z.object({ kind: z.literal("results"), handles: z.array(z.string()) }),
+    ]),
+    resultBytes: z.number(),
+    startInMs: z.number(),
+    remainingMs: z.number(),
+    restMs: z.number(),
+    priority: z.number(),
+    dataCentre: dataCentreId.optional(),
+}) as unknown as z.ZodType<Submission>;
+
+const result = z.object({ handle: z.string(), endpoint: endpointId, bytes: z.number() });
+
+const workRequest = z.object({
+    submissions: z.array(submission),
+    cancels: z.array(z.object({ service: serviceId, id: submissionId })),
+    frees: z.array(z.object({ service: serviceId, results: z.array(result) })),
+});
+
+const ended = z.object({
+    id: submissionId,
+    service: serviceId,
+    results: z.array(result),
+    error: (z.object({ kind: z.string(), message: z.string() }).loose() as unknown as z.ZodType<PiecesError>)
+        .optional(),
+}) as unknown as z.ZodType<EndedSubmission>;
+
+const endedRequest = z.object({ ended: z.array(ended) });
+
+export type WorkRequest = z.infer<typeof workRequest>;
+export type EndedRequest = z.infer<typeof endedRequest>;
+
+export interface WorkReply {
+    /** Estimated wait of a new submission to each service that was named, in milliseconds. */
+    readonly waits: readonly (readonly [ServiceId, number])[];
+}
+
+export const gatherMethods = {
+    work: definePeerMethod<WorkRequest, WorkReply>("gather.work", workRequest),
+    ended: definePeerMethod<EndedRequest, Record<string, never>>("gather.ended", endedRequest),
+};
--- /dev/null
+++ b/src/gather/ServiceGatherer.ts
@@ -0,0 +1,409 @@
+/**
+ * Gathers the pieces of one service: keeps those that wait in order, sends full calls to endpoints as they get free, and
+ * tells each submitter its results. A call that fails or takes far too long gives its pieces back to the queue: a
+ * piece may be made again, and the first result counts.
+ */
+import { Left, Right } from "purify-ts";
+import type { Clock, Disposable } from "../common/Types.js";
+import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import { requestText } from "../endpoints/RequestText.js";
+import type { BatchTraits, ListedEndpoint, ServiceId } from "../fleet/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { BatchDesk } from "./BatchDesk.js";
+import { PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
+import type {
+    PieceCodec,
+    PieceOutcome,
+    PieceResult,
+    PiecesEnd,
+    PiecesError,
+    Submission,
+    SubmissionId,
+} from "./Types.js";
+
+/** A call is given up at this many times its expected time and a constant for the ways. */
+const giveUpFactor = 4;
+const giveUpExtraMs = 1000;
+/** Its pieces go to other endpoints already at this many times its expected time. */
+const hedgeFactor = 2;
+const hedgeExtraMs = 100;
+/** Calls that may fail for one submission. */
+const mostFailures = 4;
+/** An endpoint this much slower than the best one gets a call only where that is still sooner than waiting. */
+const muchSlower = 1.8;
+const shortestRetryMs = 200;
+
+interface Open {
+    readonly submission: Submission;
+    readonly waiting: Waiting;
+    readonly results: Map<number, PieceResult>;
+    readonly deliver: (end: PiecesEnd) => void;
+    failures: number;
+}
+
+export interface ServiceGathererOptions {
+    readonly service: ServiceId;
+    readonly traits: () => BatchTraits | undefined;
+    readonly connections: EndpointConnections;
+    readonly codec: PieceCodec;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    readonly signal: AbortSignal;
+}
+
+export class ServiceGatherer {
+    private readonly queue = new PieceQueue();
+    private readonly desks = new Map<string, BatchDesk>();
+    private readonly open = new Map<SubmissionId, Open>();
+    private wakeTimer: Disposable | undefined;
+
+    public constructor(private readonly options: ServiceGathererOptions) {}
+
+    /** Submissions that have not ended. */
+    public get size(): number {
+        return this.open.size;
+    }
+
+    /** Names the endpoints that may be used now. */
+    public setEndpoints(endpoints: readonly ListedEndpoint[]): void {
+        const ids = new Set<string>(endpoints.map(one => one.id));
+        for (const [id, desk] of this.desks) {
+            if (!ids.has(id) && desk.calls === 0) {
+                this.desks.delete(id);
+            }
+        }
+        for (const endpoint of endpoints) {
+            const known = this.desks.get(endpoint.id);
+            if (known === undefined) {
+                this.desks.set(endpoint.id, new BatchDesk(endpoint, this.options.clock));
+            }
+            else {
+                known.endpoint = endpoint;
+            }
+        }
+        this.usable = ids;
+        this.pump();
+    }
+
+    private usable: ReadonlySet<string> = new Set();
+
+    /** Takes a submission; refuses it at once when it can't be made in time. */
+    public submit(submission: Submission, deliver: (end: PiecesEnd) => void): void {
+        const { clock } = this.options;
+        const nowMs = clock.nowMs();
+        const known = this.open.get(submission.id);
+        if (known !== undefined) {
+            return;
+        }
+        const startByMs = nowMs + submission.startInMs;
+        const deadlineMs = nowMs + submission.remainingMs;
+        const readyInMs = this.waitMs(startByMs, deadlineMs, submission.priority)
+            + this.callMs(submission.pieces.length) + submission.restMs;
+        if (readyInMs > submission.remainingMs) {
+            const retryAfterMs = Math.max(shortestRetryMs, readyInMs - submission.remainingMs);
+            const message = `${Math.round(readyInMs)} ms are needed, ${Math.round(submission.remainingMs)} ms are left`;
+            deliver(Left({ kind: "overloaded", message, retryAfterMs }));
+            return;
+        }
+        const waiting = { submission, startByMs, deadlineMs, pieces: [...submission.pieces] };
+        this.open.set(submission.id, { submission, waiting, results: new Map(), deliver, failures: 0 });
+        this.queue.add(waiting);
+        this.pump();
+    }
+
+    public cancel(id: SubmissionId): void {
+        this.queue.remove(id);
+        const open = this.open.get(id);
+        this.open.delete(id);
+        if (open !== undefined) {
+            void this.free([...open.results.values()]);
+        }
+    }
+
+    /** Gives up results at their makers. */
+    public async free(results: readonly PieceResult[]): Promise<void> {
+        const byDesk = new Map<BatchDesk, string[]>();
+        for (const { endpoint, handle } of results) {
+            const desk = this.desks.get(endpoint);
+            if (desk !== undefined) {
+                byDesk.set(desk, [...byDesk.get(desk) ?? [], handle]);
+            }
+        }
+        await Promise.all([...byDesk].map(([desk, handles]) => this.freeAt(desk, handles)));
+        this.pump();
+    }
+
+    /** Estimated wait of a new submission before its first call starts. */
+    public waitMs(startByMs: number, deadlineMs: number, priority: number): number {
+        const traits = this.options.traits();
+        const desks = this.usableDesks().filter(desk => !desk.isSuspect);
+        if (traits === undefined || desks.length === 0) {
+            return 0;
+        }
+        const ahead = this.queue.ahead(startByMs, deadlineMs, priority, this.options.clock.nowMs());
+        const piecesPerMs = desks.reduce(
+            (sum, desk) => sum + traits.slots * traits.batch / desk.expectedMs(traits, traits.batch),
+            0,
+        );
+        const isBusy = desks.every(desk => !desk.mayStart(traits));
+        const currentMs = isBusy ? this.callMs(traits.batch) / (2 * desks.length) : 0;
+        return currentMs + ahead / piecesPerMs;
+    }
+
+    private callMs(pieces: number): number {
+        const traits = this.options.traits();
+        return traits === undefined ? 0 : traits.callMs + Math.min(pieces, traits.batch) * traits.pieceMs;
+    }
+
+    private usableDesks(): BatchDesk[] {
+        return [...this.desks.values()].filter(desk => this.usable.has(desk.id));
+    }
+
+    /** Starts as many calls as there are free endpoints and waiting pieces. */
+    private pump(): void {
+        const traits = this.options.traits();
+        if (traits === undefined) {
+            return;
+        }
+        this.refuseHopeless();
+        while (this.queue.size > 0) {
+            const desk = this.nextDesk(traits);
+            if (desk === undefined) {
+                break;
+            }
+            const nowMs = this.options.clock.nowMs();
+            const taken = this.queue.take(traits.batch, desk.roomBytes(traits), nowMs);
+            if (taken.length === 0) {
+                desk.wasFull();
+                continue;
+            }
+            void this.call(desk, taken, traits);
+        }
+        this.planWake(traits);
+    }
+
+    /** The endpoint for the next call: the fastest free one, unless waiting for a faster one ends sooner. */
+    private nextDesk(traits: BatchTraits): BatchDesk | undefined {
+        const desks = this.usableDesks();
+        const free = desks.filter(desk => desk.mayStart(traits));
+        const timeOf = (desk: BatchDesk) => desk.expectedMs(traits, traits.batch);
+        const best = free.sort((a, b) => Number(a.isSuspect) - Number(b.isSuspect) || timeOf(a) - timeOf(b))[0];
+        const fastestMs = Math.min(...desks.map(timeOf));
+        if (best === undefined || timeOf(best) <= fastestMs * muchSlower) {
+            return best;
+        }
+        const fast = desks.filter(desk => timeOf(desk) <= fastestMs * muchSlower).length;
+        const waitMs = fastestMs * (1 + this.queue.size / traits.batch / Math.max(1, fast));
+        return timeOf(best) < waitMs + fastestMs ? best : undefined;
+    }
+
+    private planWake(traits: BatchTraits): void {
+        this.wakeTimer?.dispose();
+        const waits = this.usableDesks()
+            .filter(desk => desk.calls < traits.slots)
+            .map(desk => desk.pausedUntilMs - this.options.clock.nowMs());
+        if (this.queue.size > 0 && waits.length > 0) {
+            const waitMs = Math.max(1, Math.min(...waits, shortestRetryMs));
+            this.wakeTimer = this.options.clock.setTimer(waitMs, () => this.pump());
+        }
+        else if (this.queue.size > 0) {
+            this.wakeTimer = this.options.clock.setTimer(shortestRetryMs, () => this.pump());
+        }
+    }
+
+    private refuseHopeless(): void {
+        const nowMs = this.options.clock.nowMs();
+        for (const { submission } of this.queue.takeHopeless(nowMs, this.callMs(1))) {
+            const message = "the pieces could not be started in time";
+            this.end(submission.id, { kind: "overloaded", message, retryAfterMs: shortestRetryMs });
+        }
+    }
+
+    private async call(desk: BatchDesk, taken: readonly TakenPiece[], traits: BatchTraits): Promise<void> {
+        const { clock, log, metrics, service } = this.options;
+        const bytes = taken.reduce((sum, { waiting }) => sum + waiting.submission.resultBytes, 0);
+        const startMs = clock.nowMs();
+        const expectedMs = desk.expectedMs(traits, taken.length);
+        desk.started(bytes);
+        const hedge = clock.setTimer(expectedMs * hedgeFactor + hedgeExtraMs, () => {
+            desk.failed();
+            log.event(EventId.BatchEndpointSuspected, { service, endpoint: desk.id, reason: "slow", expectedMs });
+            this.giveBack(taken, false);
+            this.pump();
+        });
+        const reply = await this.send(desk, taken, expectedMs * giveUpFactor + giveUpExtraMs);
+        hedge.dispose();
+        desk.ended(bytes);
+        const takenMs = clock.nowMs() - startMs;
+        const outcome = this.takeReply(desk, taken, reply, takenMs, traits);
+        metrics.count("batches", { service, outcome });
+        metrics.latency("batch", takenMs, { service });
+        log.event(EventId.BatchEnded, {
+            service,
+            endpoint: desk.id,
+            pieces: taken.length,
+            requests: [...new Set(taken.map(({ waiting }) => waiting.submission.request))],
+            waiting: this.queue.size,
+            expectedMs: Math.round(expectedMs),
+            takenMs: Math.round(takenMs),
+            outcome,
+        });
+        this.pump();
+    }
+
+    private send(desk: BatchDesk, taken: readonly TakenPiece[], timeoutMs: number) {
+        const { connections, codec, clock, signal } = this.options;
+        const nowMs = clock.nowMs();
+        const calls = taken.map(({ waiting, piece }) => ({
+            request: waiting.submission.request,
+            stage: waiting.submission.stage,
+            piece,
+            source: waiting.submission.source,
+            remainingMs: Math.max(1, Math.floor(waiting.deadlineMs - nowMs)),
+        }));
+        return requestText(connections, desk.id, {
+            method: "POST",
+            path: codec.runPath,
+            body: codec.encodeRun(calls),
+            headers: codec.callHeaders(desk.endpoint.instance, Math.max(...calls.map(call => call.remainingMs))),
+            fresh: false,
+            timeoutMs,
+            clock,
+            signal,
+        });
+    }
+
+    /** Hands out what a call has made and gives back what it has not. */
+    private takeReply(
+        desk: BatchDesk,
+        taken: readonly TakenPiece[],
+        reply: Awaited<ReturnType<ServiceGatherer["send"]>>,
+        takenMs: number,
+        traits: BatchTraits,
+    ): string {
+        const { codec } = this.options;
+        if (reply.isLeft()) {
+            desk.failed();
+            this.giveBack(taken, true);
+            return reply.extract().message;
+        }
+        const { status, headers, text } = reply.unsafeCoerce();
+        if (codec.isNotRun(status, headers)) {
+            if (status === refusedForPlace) {
+                desk.wasFull();
+            }
+            else {
+                desk.failed();
+            }
+            this.giveBack(taken, false);
+            return `not run (${status})`;
+        }
+        const outcomes = status === ok ? codec.decodeRun(text, taken.length) : undefined;
+        if (outcomes === undefined) {
+            desk.failed();
+            this.giveBack(taken, true);
+            return `bad reply (${status})`;
+        }
+        desk.succeeded(takenMs, traits.callMs + taken.length * traits.pieceMs);
+        taken.forEach((piece, at) => this.takeOutcome(desk, piece, outcomes[at], traits));
+        return "made";
+    }
+
+    private takeOutcome(
+        desk: BatchDesk,
+        taken: TakenPiece,
+        outcome: PieceOutcome | undefined,
+        traits: BatchTraits,
+    ): void {
+        const { submission } = taken.waiting;
+        const open = this.open.get(submission.id);
+        if (outcome?.kind === "made") {
+            const result = { handle: outcome.handle, endpoint: desk.id, bytes: submission.resultBytes };
+            desk.made(outcome.handle, submission.resultBytes, traits);
+            if (open === undefined || open.results.has(taken.piece)) {
+                void this.free([result]);
+                return;
+            }
+            open.results.set(taken.piece, result);
+            this.endIfWhole(open);
+            return;
+        }
+        const fault = outcome?.fault ?? "error";
+        if (fault === "gone") {
+            this.end(submission.id, { kind: "source-gone", message: "a result of an earlier stage has gone" });
+        }
+        else if (fault === "late") {
+            const message = "the deadline passed before the call's turn";
+            this.end(submission.id, { kind: "overloaded", message, retryAfterMs: shortestRetryMs });
+        }
+        else {
+            this.giveBack([taken], fault === "error");
+        }
+    }
+
+    private endIfWhole(open: Open): void {
+        const { submission, results } = open;
+        if (results.size < submission.pieces.length) {
+            return;
+        }
+        this.queue.remove(submission.id);
+        this.open.delete(submission.id);
+        const ordered = submission.pieces.map(piece => results.get(piece)).filter(one => one !== undefined);
+        open.deliver(Right(ordered));
+    }
+
+    private end(id: SubmissionId, error: PiecesError): void {
+        const open = this.open.get(id);
+        this.queue.remove(id);
+        this.open.delete(id);
+        if (open !== undefined) {
+            void this.free([...open.results.values()]);
+            open.deliver(Left(error));
+        }
+    }
+
+    /** Puts pieces without a result back into the queue; `failed` counts against their submissions. */
+    private giveBack(taken: readonly TakenPiece[], failed: boolean): void {
+        const counted = new Set<SubmissionId>();
+        for (const { waiting, piece } of taken) {
+            const open = this.open.get(waiting.submission.id);
+            if (open === undefined || open.results.has(piece)) {
+                continue;
+            }
+            if (failed && !counted.has(open.submission.id)) {
+                counted.add(open.submission.id);
+                open.failures += 1;
+            }
+            if (open.failures >= mostFailures) {
+                this.end(open.submission.id, { kind: "failed", message: "calls failed at several endpoints" });
+                continue;
+            }
+            this.queue.add({ ...open.waiting, pieces: [piece] });
+        }
+    }
+
+    private async freeAt(desk: BatchDesk, handles: readonly string[]): Promise<void> {
+        const { connections, codec, clock, signal, log, service } = this.options;
+        handles.forEach(handle => desk.freed(handle));
+        const freed = await requestText(connections, desk.id, {
+            method: "POST",
+            path: codec.freePath,
+            body: codec.encodeFree(handles),
+            headers: codec.callHeaders(desk.endpoint.instance, freeTimeoutMs),
+            fresh: false,
+            timeoutMs: freeTimeoutMs,
+            clock,
+            signal,
+        });
+        freed.ifLeft(error => {
+            log.event(EventId.ResultsNotFreed, { service, endpoint: desk.id, handles: handles.length, ...error });
+        });
+    }
+}
+
+const ok = 200;
+const refusedForPlace = 503;
+/** Bound on giving up results; they expire by themselves. */
+const freeTimeoutMs = 1000;
--- /dev/null
+++ b/src/gather/Types.ts
@@ -0,0 +1,101 @@
+/**
+ * Pieces of stages, gathered into calls. An endpoint of a stage's service runs few calls at a time and each call has a
+ * fixed cost, so that one entry host, the gatherer, collects the pieces of all hosts for a service and sends full calls.
+ */
+import type { Either } from "purify-ts";
+import type { Brand, DataCentreId, EndpointId } from "../common/Types.js";
+import type { ServiceId } from "../fleet/Types.js";
+
+/** Names one submission; unique over all hosts and restarts. */
+export type SubmissionId = Brand<string, "SubmissionId">;
+
+/** What a piece is made from: the request's own key, or results of earlier stages. */
+export type PieceSource =
+    | { readonly kind: "key"; readonly key: string; }
+    | { readonly kind: "results"; readonly handles: readonly string[]; };
+
+/** The pieces of one stage of one request. */
+export interface Submission {
+    readonly id: SubmissionId;
+    readonly service: ServiceId;
+    readonly request: string;
+    readonly stage: number;
+    readonly pieces: readonly number[];
+    readonly source: PieceSource;
+    readonly resultBytes: number;
+    /** Time within which the pieces must start for the request to meet its objective; negative once it can't. */
+    readonly startInMs: number;
+    /** What is left of the request's deadline. */
+    readonly remainingMs: number;
+    /** Estimate of what the request needs once the pieces are made. */
+    readonly restMs: number;
+    /** 0 goes first. */
+    readonly priority: number;
+    /** Where the results are wanted. */
+    readonly dataCentre: DataCentreId | undefined;
+}
+
+/** A result that lies at its maker until it is freed. */
+export interface PieceResult {
+    readonly handle: string;
+    readonly endpoint: EndpointId;
+    readonly bytes: number;
+}
+
+export type PiecesError =
+    /** The pieces can't be made in time; asking again may succeed after a while. */
+    | { readonly kind: "overloaded"; readonly message: string; readonly retryAfterMs: number; }
+    /** A result that the pieces need has gone. */
+    | { readonly kind: "source-gone"; readonly message: string; }
+    /** Endpoints failed, again and again. */
+    | { readonly kind: "failed"; readonly message: string; }
+    | { readonly kind: "cancelled"; readonly message: string; };
+
+export type PiecesEnd = Either<PiecesError, readonly PieceResult[]>;
+
+/** Makes the pieces of one stage. */
+export interface PieceMaker {
+    make(submission: Submission, signal: AbortSignal): Promise<PiecesEnd>;
+    /** Gives up results that are needed no more. */
+    free(service: ServiceId, results: readonly PieceResult[]): void;
+    /** Estimated wait for a new submission to a service, in milliseconds; undefined when nothing recent is known. */
+    waitMs(service: ServiceId): number | undefined;
+}
+
+export type PieceFault = "late" | "gone" | "room" | "error";
+
+/** The outcome of one piece in an endpoint's reply. */
+export type PieceOutcome =
+    | { readonly kind: "made"; readonly handle: string; }
+    | { readonly kind: "fault"; readonly fault: PieceFault; };
+
+/** One piece of a call to an endpoint. */
+export interface PieceCall {
+    readonly request: string;
+    readonly stage: number;
+    readonly piece: number;
+    readonly source: PieceSource;
+    readonly remainingMs: number;
+}
+
+/** The platform's form of calls to endpoints of stages. */
+export interface PieceCodec {
+    readonly runPath: string;
+    readonly freePath: string;
+    encodeRun(pieces: readonly PieceCall[]): string;
+    /** Undefined when the reply is not a whole reply to as many pieces. */
+    decodeRun(text: string, pieces: number): readonly PieceOutcome[] | undefined;
+    encodeFree(handles: readonly string[]): string;
+    /** Headers of a call to one start of an endpoint. */
+    callHeaders(instance: string, remainingMs: number): Readonly<Record<string, string>>;
+    /** True when a reply says that the endpoint did not run the call. */
+    isNotRun(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean;
+}
+
+/** The end of a submission, on its way to the host that submitted it. */
+export interface EndedSubmission {
+    readonly id: SubmissionId;
+    readonly service: ServiceId;
+    readonly results: readonly PieceResult[];
+    readonly error?: PiecesError | undefined;
+}
--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -35,7 +35,7 @@
     private readonly ended = new AbortController();
     private readonly work: Notifier;
     private readonly contacted: Notifier;
-    private readonly startMs: number;
+    public readonly startMs: number;
     private pending: Pending[] = [];
     /** Entries up to here are durable on this host. */
     private ownMatch = 0;
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -185,6 +185,19 @@
         };
     }
 
+    /**
+     * For how long a member has not answered this host as leader, in milliseconds; at most since it began to lead, and
+     * 0 for this host or while it does not lead.
+     */
+    public silentMs(host: HostId): number {
+        const leadership = this.leading();
+        if (leadership === undefined || host === this.options.self) {
+            return 0;
+        }
+        const contactMs = leadership.follower(host)?.contactMs ?? leadership.startMs;
+        return this.options.clock.nowMs() - Math.max(contactMs, leadership.startMs);
+    }
+
     /** The status of each member that answers, this host's included. */
     public async statuses(): Promise<ReadonlyMap<HostId, GroupStatus>> {
         const { self, transport, initialMembers } = this.options;
