Pieces: begun requests go first, late ones are told at once, large results stay in their data centre

Cause: under a burst on a service of few endpoints, requests whose pieces were half made fell behind others once they were late, and their results kept the room of the endpoints full (16,553 pieces found no room); what waited was refused only at its deadline; results were made anywhere. Change: a begun submission goes first; a new one starts only where its results fit; a late one is admitted by what is to spare and refused as soon as its end can't be met; sources and consumers of more than 1 MB bind a stage to a data centre until it would be late; results are given up when the reply begins.

--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -4,7 +4,7 @@
  * fleet's budget of repeats allow.
  */
 import type * as http from "node:http";
-import type { Clock } from "../common/Types.js";
+import type { Clock, DataCentreId } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
@@ -30,8 +30,6 @@
 /** A resumable stream is taken elsewhere after this much silence before its first event, and between two. */
 const streamSilentMs = 1500;
 const streamGapMs = 900;
-/** Results of this size are given up as soon as the endpoint has fetched them, since they block others' room. */
-const largeResultsBytes = 500_000;
 /** Time kept for the last answer's way before the caller's deadline. */
 const answerMarginMs = 15;
 
@@ -131,7 +129,7 @@
             objectiveMs: this.admitted.arrivedMs + route.objectiveMs,
             deadlineMs: this.deadlineMs,
             replyMs: this.parts.replyTimes.expectedMs(route.id),
-            dataCentre: undefined,
+            dataCentre: this.expectedCentre(),
         };
         if (this.clock.nowMs() + shortestStagesMs(plan) > this.deadlineMs && this.sent === 0) {
             return this.refusal("overloaded", "the stages alone take longer than what is left");
@@ -152,6 +150,13 @@
         });
     }
 
+    /** Where the endpoint is that would be chosen now. */
+    private expectedCentre(): DataCentreId | undefined {
+        const { book, chooser } = this.parts;
+        const { service, head } = this.admitted;
+        return chooser.choose(service, book.usable(service.id), this.tried, head.prompt)?.record.listed.dataCentre;
+    }
+
     /** An endpoint that may be given the request; waits a little where there is none now. */
     private async choose(): Promise<Choice | undefined> {
         const { book, chooser } = this.parts;
@@ -188,9 +193,9 @@
             if (!hasReplied) {
                 hasReplied = true;
                 replyTimes.note(route.id, this.clock.nowMs() - startMs);
-                if ((this.results?.bytes ?? 0) >= largeResultsBytes || !this.isRepeatable) {
-                    this.results?.free();
-                }
+                // The endpoint has fetched them, and they block the room of others' results.
+                this.results?.free();
+                this.results = undefined;
             }
         };
         const exchange = new EndpointExchange({
@@ -205,14 +210,11 @@
             signal: this.abort.signal,
             isRepeatable: this.isRepeatable,
             firstSignMs: this.silenceBorneMs(record),
-            gapMs: route.kind === "resumable" ? streamGapMs : undefined,
+            gapMs: route.kind === "resumable" && this.ran + 1 < route.maxEndpoints ? streamGapMs : undefined,
             onReply,
         });
         const end = await exchange.run();
         attempt.ended(end);
-        if (hasReplied && (this.results?.bytes ?? 0) >= largeResultsBytes) {
-            this.results = undefined;
-        }
         this.noteAttempt(record, reason, end, startMs);
         return end;
     }
@@ -282,7 +284,11 @@
             && this.parts.retries.tryRepeat(service.id);
     }
 
+    /** For how long an endpoint may give nothing before the request is taken elsewhere; undefined where it can't be. */
     private silenceBorneMs(record: EndpointRecord): number | undefined {
+        if (this.ran + 1 >= this.admitted.route.maxEndpoints) {
+            return undefined;
+        }
         switch (this.admitted.route.kind) {
             case "idempotent":
                 return Math.max(leastSilentMs, (record.replyMs ?? 0) * silentFactor);
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -27,7 +27,6 @@
 /** Results of the stages that no other stage follows, with the service that made each. */
 export interface StageResults {
     readonly handles: readonly string[];
-    readonly bytes: number;
     /** Gives up the results at their makers. Doing so twice does nothing. */
     free(): void;
 }
@@ -73,7 +72,6 @@
         let isFreed = false;
         return Right({
             handles: last.flatMap(({ results }) => results.map(one => one.handle)),
-            bytes: last.reduce((sum, { results }) => sum + results.reduce((all, one) => all + one.bytes, 0), 0),
             free: () => {
                 if (!isFreed) {
                     isFreed = true;
@@ -122,11 +120,37 @@
             remainingMs: plan.deadlineMs - nowMs,
             restMs,
             priority: plan.priority,
-            dataCentre: plan.dataCentre,
+            dataCentre: placeOf(plan, run.index, before.flatMap(end => end.orDefault([])), count),
         }, signal);
     }
 }
 
+/**
+ * Where a stage's pieces are best made: each piece fetches all its sources, so that large sources bind it to where most
+ * of them lie; large results for the endpoint at the end are best made where that is.
+ */
+function placeOf(
+    plan: StagePlan,
+    index: number,
+    sources: readonly PieceResult[],
+    pieces: number,
+): DataCentreId | undefined {
+    const bytesAt = new Map<DataCentreId, number>();
+    for (const { dataCentre, bytes } of sources) {
+        bytesAt.set(dataCentre, (bytesAt.get(dataCentre) ?? 0) + bytes * pieces);
+    }
+    const resultBytes = (plan.route.stages[index]?.resultBytes ?? 0) * pieces;
+    const isLast = plan.route.stages.every(stage => !stage.after.includes(index));
+    if (isLast && plan.dataCentre !== undefined) {
+        bytesAt.set(plan.dataCentre, (bytesAt.get(plan.dataCentre) ?? 0) + resultBytes);
+    }
+    const [best] = [...bytesAt].sort((a, b) => b[1] - a[1]);
+    return best !== undefined && best[1] >= bindingBytes ? best[0] : undefined;
+}
+
+/** Fewer bytes than this may cross between data centres without binding a stage to one. */
+const bindingBytes = 1_000_000;
+
 function followersOf(run: StageRun, runs: readonly StageRun[]): readonly StageRun[] {
     return runs.filter(one => one.stage.after.includes(run.index));
 }
--- a/src/gather/BatchDesk.ts
+++ b/src/gather/BatchDesk.ts
@@ -12,6 +12,10 @@
 const longestPauseMs = 4000;
 /** Pause after the endpoint had no place for a call. */
 const fullPauseMs = 60;
+/** Pause after its results found no room; about the time in which some are given up. */
+const noRoomPauseMs = 100;
+/** Pause after it could take nothing of what waited. */
+const nothingPauseMs = 20;
 /** A result takes room for this much longer than configured at most, until its expiry is certain here. */
 const expiryMarginMs = 500;
 
@@ -97,6 +101,16 @@
         this.slowness += newestWeight * (takenMs / Math.max(1, configuredMs) - this.slowness);
     }
 
+    /** Nothing that waits may go there now. */
+    public hadNothing(): void {
+        this.notBeforeMs = this.clock.nowMs() + nothingPauseMs;
+    }
+
+    /** Results found no room although it was expected: others use it, or results were lost sight of. */
+    public lackedRoom(): void {
+        this.notBeforeMs = this.clock.nowMs() + noRoomPauseMs;
+    }
+
     /** The endpoint had no place; it is otherwise well. */
     public wasFull(): void {
         this.notBeforeMs = this.clock.nowMs() + fullPauseMs;
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -28,7 +28,12 @@
     dataCentre: dataCentreId.optional(),
 }) as unknown as z.ZodType<Submission>;
 
-const result = z.object({ handle: z.string(), endpoint: endpointId, bytes: z.number() });
+const result = z.object({
+    handle: z.string(),
+    endpoint: endpointId,
+    dataCentre: dataCentreId,
+    bytes: z.number(),
+});
 
 const workRequest = z.object({
     submissions: z.array(submission),
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -16,6 +16,10 @@
 /** Bound on handing results over; the submitter asks another host if they do not come. */
 const resultTimeoutMs = 1000;
 const resultTries = 3;
+/** Submitters are told the wait of a submission with this much time before its latest start. */
+const usualSlackMs = 500;
+/** Told where the end of a wait can't be seen. */
+const unknownWaitMs = 60_000;
 
 export interface GathererOptions {
     readonly self: HostId;
@@ -70,7 +74,8 @@
     }
 
     private waitMs(service: ServiceId): number {
-        return Math.round(this.service(service).waitMs(Infinity, Infinity, 0));
+        const waitMs = this.service(service).waitMs(this.options.clock.nowMs() + usualSlackMs, Infinity, 0);
+        return Math.round(Math.min(waitMs, unknownWaitMs));
     }
 
     private service(service: ServiceId): ServiceGatherer {
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -1,10 +1,19 @@
 /**
- * Pieces that wait for a call, and the order in which calls take them. Pieces that can still meet their request's
- * objective go by the time at which they must start; those that can't go after them, by priority and deadline. The
- * pieces of one request stay together, since a request is served only by all of them.
+ * Pieces that wait for a call, and the order in which calls take them. The pieces of a request that has been begun go
+ * first, since its results take up room until all are there. Then go requests that can still meet their objective, by
+ * the time at which they must start; then the others, by priority and deadline.
+ *
+ * A submission may be bound to a data centre: to where its sources or its consumer are, or to where its first piece
+ * went. An endpoint elsewhere takes it only when it would else be late, or when its data centre has no endpoint.
  */
+import type { DataCentreId } from "../common/Types.js";
 import type { Submission, SubmissionId } from "./Types.js";
 
+/** A submission with less time than this before its latest start goes to any data centre. */
+const leaveCentreMs = 120;
+/** A submission counts as late this long before its latest start, since estimates of later steps vary. */
+const lateMarginMs = 60;
+
 /** Pieces of a submission that still wait. */
 export interface Waiting {
     readonly submission: Submission;
@@ -12,6 +21,10 @@
     readonly startByMs: number;
     readonly deadlineMs: number;
     readonly pieces: number[];
+    /** True once a piece has been taken. */
+    isBegun: boolean;
+    /** Where its pieces are to be made. */
+    dataCentre: DataCentreId | undefined;
 }
 
 export interface TakenPiece {
@@ -19,6 +32,15 @@
     readonly piece: number;
 }
 
+/** What an endpoint that is free can take. */
+export interface TakeLimits {
+    readonly pieces: number;
+    readonly roomBytes: number;
+    readonly dataCentre: DataCentreId;
+    /** Data centres with an endpoint that can take pieces. */
+    readonly served: ReadonlySet<DataCentreId>;
+}
+
 export class PieceQueue {
     private readonly waiting = new Map<SubmissionId, Waiting>();
 
@@ -32,75 +54,94 @@
     }
 
     public add(waiting: Waiting): void {
-        const known = this.waiting.get(waiting.submission.id);
-        if (known === undefined) {
-            this.waiting.set(waiting.submission.id, { ...waiting, pieces: [...waiting.pieces] });
-            return;
+        this.waiting.set(waiting.submission.id, waiting);
+    }
+
+    /** Puts a piece back that was taken. */
+    public putBack(waiting: Waiting, piece: number): void {
+        if (!waiting.pieces.includes(piece)) {
+            waiting.pieces.push(piece);
         }
-        known.pieces.push(...waiting.pieces.filter(piece => !known.pieces.includes(piece)));
+        this.waiting.set(waiting.submission.id, waiting);
     }
 
     public remove(id: SubmissionId): void {
         this.waiting.delete(id);
     }
 
-    /** Submissions that can't be ended by their deadline even if they start now; they are removed. */
-    public takeHopeless(nowMs: number, serviceMs: number): Waiting[] {
-        const hopeless = [...this.waiting.values()].filter(one =>
-            nowMs + serviceMs + one.submission.restMs > one.deadlineMs
-        );
-        hopeless.forEach(one => this.remove(one.submission.id));
-        return hopeless;
+    /** Submissions that wait, in the order in which they would be taken. */
+    public list(nowMs: number): readonly Waiting[] {
+        return [...this.waiting.values()].sort((a, b) => compare(a, b, nowMs));
     }
 
-    /** Takes the pieces of the next call: at most `most`, with results of at most `roomBytes`. */
-    public take(most: number, roomBytes: number, nowMs: number): TakenPiece[] {
+    /** Takes the pieces of the next call of an endpoint. */
+    public take(limits: TakeLimits, nowMs: number): TakenPiece[] {
         const taken: TakenPiece[] = [];
-        let leftBytes = roomBytes;
-        for (const waiting of this.inOrder(nowMs)) {
+        let leftBytes = limits.roomBytes;
+        for (const waiting of this.list(nowMs)) {
             const { resultBytes, id } = waiting.submission;
-            while (waiting.pieces.length > 0 && taken.length < most && resultBytes <= leftBytes) {
+            const neededBytes = waiting.pieces.length * resultBytes;
+            // A request that is begun where its results find no room would keep others out.
+            const fits = waiting.isBegun || neededBytes <= leftBytes || taken.length === 0;
+            if (!fits || !mayGoTo(waiting, limits, nowMs)) {
+                continue;
+            }
+            while (waiting.pieces.length > 0 && taken.length < limits.pieces && resultBytes <= leftBytes) {
                 const piece = waiting.pieces.shift();
                 if (piece !== undefined) {
                     taken.push({ waiting, piece });
                     leftBytes -= resultBytes;
+                    waiting.isBegun = true;
+                    waiting.dataCentre = limits.dataCentre;
                 }
             }
             if (waiting.pieces.length === 0) {
                 this.waiting.delete(id);
             }
-            if (taken.length >= most) {
+            if (taken.length >= limits.pieces) {
                 break;
             }
         }
         return taken;
     }
 
-    /** Pieces that would go before those of a new submission. */
+    /** Pieces that would go before those of a new submission, and how many of all can still be on time. */
     public ahead(startByMs: number, deadlineMs: number, priority: number, nowMs: number): number {
-        const added = { startByMs, deadlineMs, submission: { priority } };
+        const added = { startByMs, deadlineMs, submission: { priority }, isBegun: false };
         let pieces = 0;
         for (const one of this.waiting.values()) {
             pieces += compare(one, added, nowMs) <= 0 ? one.pieces.length : 0;
         }
         return pieces;
     }
+}
 
-    private inOrder(nowMs: number): Waiting[] {
-        return [...this.waiting.values()].sort((a, b) => compare(a, b, nowMs));
+/** True for a submission that can't be expected to meet its objective any more. */
+export function isLate({ startByMs }: Pick<Waiting, "startByMs">, nowMs: number): boolean {
+    return startByMs - lateMarginMs < nowMs;
+}
+
+function mayGoTo(waiting: Waiting, { dataCentre, served }: TakeLimits, nowMs: number): boolean {
+    const bound = waiting.dataCentre;
+    if (bound === undefined || bound === dataCentre || !served.has(bound)) {
+        return true;
     }
+    return !isLate(waiting, nowMs) && waiting.startByMs - nowMs < leaveCentreMs;
 }
 
 interface Ordered {
     readonly startByMs: number;
     readonly deadlineMs: number;
+    readonly isBegun: boolean;
     readonly submission: { readonly priority: number; };
 }
 
 function compare(a: Ordered, b: Ordered, nowMs: number): number {
-    const isLateA = a.startByMs < nowMs;
-    const isLateB = b.startByMs < nowMs;
-    if (isLateA !== isLateB) {
+    if (a.isBegun !== b.isBegun) {
+        return a.isBegun ? -1 : 1;
+    }
+    const isLateA = isLate(a, nowMs);
+    if (isLateA !== isLate(b, nowMs)) {
         return isLateA ? 1 : -1;
     }
     return isLateA
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -11,7 +11,8 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { BatchDesk } from "./BatchDesk.js";
-import { PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
+import { DemandMeter } from "./DemandMeter.js";
+import { isLate, PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
 import type {
     PieceCodec,
     PieceOutcome,
@@ -32,7 +33,15 @@
 const mostFailures = 4;
 /** An endpoint this much slower than the best one gets a call only where that is still sooner than waiting. */
 const muchSlower = 1.8;
+/** A caller is asked to come back no sooner and no later than this. */
 const shortestRetryMs = 200;
+const longestRetryMs = 1500;
+/** A submission that needs more of its remaining time than this is refused at once rather than at its end. */
+const sureShare = 0.8;
+/** With less of the service to spare than this, late submissions can't be told a time. */
+const leastSpareShare = 0.05;
+/** How often what waits is looked through. */
+const wakeMs = 100;
 
 interface Open {
     readonly submission: Submission;
@@ -55,11 +64,14 @@
 
 export class ServiceGatherer {
     private readonly queue = new PieceQueue();
+    private readonly demand: DemandMeter;
     private readonly desks = new Map<string, BatchDesk>();
     private readonly open = new Map<SubmissionId, Open>();
     private wakeTimer: Disposable | undefined;
 
-    public constructor(private readonly options: ServiceGathererOptions) {}
+    public constructor(private readonly options: ServiceGathererOptions) {
+        this.demand = new DemandMeter(options.clock);
+    }
 
     /** Submissions that have not ended. */
     public get size(): number {
@@ -97,17 +109,20 @@
         if (known !== undefined) {
             return;
         }
-        const startByMs = nowMs + submission.startInMs;
-        const deadlineMs = nowMs + submission.remainingMs;
-        const readyInMs = this.waitMs(startByMs, deadlineMs, submission.priority)
-            + this.callMs(submission.pieces.length) + submission.restMs;
-        if (readyInMs > submission.remainingMs) {
-            const retryAfterMs = Math.max(shortestRetryMs, readyInMs - submission.remainingMs);
-            const message = `${Math.round(readyInMs)} ms are needed, ${Math.round(submission.remainingMs)} ms are left`;
-            deliver(Left({ kind: "overloaded", message, retryAfterMs }));
+        this.demand.note(submission.pieces.length);
+        const waiting: Waiting = {
+            submission,
+            startByMs: nowMs + submission.startInMs,
+            deadlineMs: nowMs + submission.remainingMs,
+            pieces: [...submission.pieces],
+            isBegun: false,
+            dataCentre: submission.dataCentre,
+        };
+        const readyInMs = this.readyInMs(waiting);
+        if (readyInMs > submission.remainingMs * sureShare) {
+            deliver(Left(this.overloaded(readyInMs, submission.remainingMs)));
             return;
         }
-        const waiting = { submission, startByMs, deadlineMs, pieces: [...submission.pieces] };
         this.open.set(submission.id, { submission, waiting, results: new Map(), deliver, failures: 0 });
         this.queue.add(waiting);
         this.pump();
@@ -135,21 +150,50 @@
         this.pump();
     }
 
-    /** Estimated wait of a new submission before its first call starts. */
+    /** Estimated wait before the first call of a submission that would go after those that have their times. */
     public waitMs(startByMs: number, deadlineMs: number, priority: number): number {
-        const traits = this.options.traits();
-        const desks = this.usableDesks().filter(desk => !desk.isSuspect);
-        if (traits === undefined || desks.length === 0) {
+        const nowMs = this.options.clock.nowMs();
+        const piecesPerMs = this.piecesPerMs();
+        if (piecesPerMs === 0) {
             return 0;
         }
-        const ahead = this.queue.ahead(startByMs, deadlineMs, priority, this.options.clock.nowMs());
-        const piecesPerMs = desks.reduce(
-            (sum, desk) => sum + traits.slots * traits.batch / desk.expectedMs(traits, traits.batch),
-            0,
-        );
-        const isBusy = desks.every(desk => !desk.mayStart(traits));
+        const traits = this.options.traits();
+        const desks = this.usableDesks();
+        const isBusy = traits !== undefined && desks.every(desk => !desk.mayStart(traits));
         const currentMs = isBusy ? this.callMs(traits.batch) / (2 * desks.length) : 0;
-        return currentMs + ahead / piecesPerMs;
+        const waitMs = currentMs + this.queue.ahead(startByMs, deadlineMs, priority, nowMs) / piecesPerMs;
+        if (startByMs - nowMs >= waitMs) {
+            return waitMs;
+        }
+        // It can't be on time, and then goes after all that can: what comes until then is ahead of it too.
+        const late = this.queue.ahead(-Infinity, deadlineMs, priority, nowMs);
+        const sparePerMs = piecesPerMs - this.demand.perMs();
+        return sparePerMs <= piecesPerMs * leastSpareShare ? Infinity : currentMs + late / sparePerMs;
+    }
+
+    /** Estimated time until the request of a submission can be answered. */
+    private readyInMs({ submission, startByMs, deadlineMs }: Waiting): number {
+        const waitMs = this.waitMs(startByMs, deadlineMs, submission.priority);
+        return waitMs + this.callMs(submission.pieces.length) + submission.restMs;
+    }
+
+    private overloaded(readyInMs: number, remainingMs: number): PiecesError {
+        const needed = Number.isFinite(readyInMs) ? `${Math.round(readyInMs)} ms are` : "more time than can be told is";
+        const message = `${needed} needed, ${Math.round(remainingMs)} ms are left`;
+        const missingMs = Number.isFinite(readyInMs) ? readyInMs - remainingMs * sureShare : longestRetryMs;
+        const retryAfterMs = Math.min(longestRetryMs, Math.max(shortestRetryMs, missingMs));
+        return { kind: "overloaded", message, retryAfterMs };
+    }
+
+    /** Pieces that all endpoints that are well make in a millisecond with full calls. */
+    private piecesPerMs(): number {
+        const traits = this.options.traits();
+        if (traits === undefined) {
+            return 0;
+        }
+        return this.usableDesks()
+            .filter(desk => !desk.isSuspect)
+            .reduce((sum, desk) => sum + traits.slots * traits.batch / desk.expectedMs(traits, traits.batch), 0);
     }
 
     private callMs(pieces: number): number {
@@ -168,15 +212,24 @@
             return;
         }
         this.refuseHopeless();
+        const served = new Set(
+            this.usableDesks().filter(desk => !desk.isSuspect).map(desk => desk.endpoint.dataCentre),
+        );
         while (this.queue.size > 0) {
             const desk = this.nextDesk(traits);
             if (desk === undefined) {
                 break;
             }
             const nowMs = this.options.clock.nowMs();
-            const taken = this.queue.take(traits.batch, desk.roomBytes(traits), nowMs);
+            const limits = {
+                pieces: traits.batch,
+                roomBytes: desk.roomBytes(traits),
+                dataCentre: desk.endpoint.dataCentre,
+                served,
+            };
+            const taken = this.queue.take(limits, nowMs);
             if (taken.length === 0) {
-                desk.wasFull();
+                desk.hadNothing();
                 continue;
             }
             void this.call(desk, taken, traits);
@@ -201,23 +254,29 @@
 
     private planWake(traits: BatchTraits): void {
         this.wakeTimer?.dispose();
-        const waits = this.usableDesks()
-            .filter(desk => desk.calls < traits.slots)
-            .map(desk => desk.pausedUntilMs - this.options.clock.nowMs());
-        if (this.queue.size > 0 && waits.length > 0) {
-            const waitMs = Math.max(1, Math.min(...waits, shortestRetryMs));
+        if (this.queue.size > 0) {
+            const waits = this.usableDesks()
+                .filter(desk => desk.calls < traits.slots)
+                .map(desk => desk.pausedUntilMs - this.options.clock.nowMs());
+            const waitMs = Math.max(1, Math.min(...waits, wakeMs));
             this.wakeTimer = this.options.clock.setTimer(waitMs, () => this.pump());
         }
-        else if (this.queue.size > 0) {
-            this.wakeTimer = this.options.clock.setTimer(shortestRetryMs, () => this.pump());
-        }
     }
 
+    /** Refuses what waits and can't be expected to end in time any more, as soon as that is seen. */
     private refuseHopeless(): void {
         const nowMs = this.options.clock.nowMs();
-        for (const { submission } of this.queue.takeHopeless(nowMs, this.callMs(1))) {
-            const message = "the pieces could not be started in time";
-            this.end(submission.id, { kind: "overloaded", message, retryAfterMs: shortestRetryMs });
+        const sparePerMs = this.piecesPerMs() - this.demand.perMs();
+        let ahead = 0;
+        for (const waiting of this.queue.list(nowMs)) {
+            ahead += waiting.pieces.length;
+            const { submission, deadlineMs, isBegun } = waiting;
+            const waitMs = isLate(waiting, nowMs) && !isBegun && sparePerMs > 0 ? ahead / sparePerMs : 0;
+            const readyMs = nowMs + waitMs + this.callMs(waiting.pieces.length) + submission.restMs;
+            const isSqueezed = isLate(waiting, nowMs) && !isBegun && sparePerMs <= 0;
+            if (readyMs > deadlineMs || isSqueezed) {
+                this.end(submission.id, this.overloaded(isSqueezed ? Infinity : readyMs - nowMs, deadlineMs - nowMs));
+            }
         }
     }
 
@@ -238,7 +297,8 @@
         desk.ended(bytes);
         const takenMs = clock.nowMs() - startMs;
         const outcome = this.takeReply(desk, taken, reply, takenMs, traits);
-        metrics.count("batches", { service, outcome });
+        metrics.count("batches", { service, outcome: reply.isRight() ? "replied" : "failed" });
+        metrics.count("batch_pieces", { service }, taken.length);
         metrics.latency("batch", takenMs, { service });
         log.event(EventId.BatchEnded, {
             service,
@@ -308,7 +368,8 @@
         }
         desk.succeeded(takenMs, traits.callMs + taken.length * traits.pieceMs);
         taken.forEach((piece, at) => this.takeOutcome(desk, piece, outcomes[at], traits));
-        return "made";
+        const faults = outcomes.flatMap(one => (one.kind === "fault" ? [one.fault] : []));
+        return faults.length === 0 ? "made" : `made, ${faults.length} not: ${[...new Set(faults)].join(", ")}`;
     }
 
     private takeOutcome(
@@ -320,7 +381,9 @@
         const { submission } = taken.waiting;
         const open = this.open.get(submission.id);
         if (outcome?.kind === "made") {
-            const result = { handle: outcome.handle, endpoint: desk.id, bytes: submission.resultBytes };
+            const { dataCentre } = desk.endpoint;
+            const { resultBytes: bytes } = submission;
+            const result = { handle: outcome.handle, endpoint: desk.id, dataCentre, bytes };
             desk.made(outcome.handle, submission.resultBytes, traits);
             if (open === undefined || open.results.has(taken.piece)) {
                 void this.free([result]);
@@ -339,6 +402,9 @@
             this.end(submission.id, { kind: "overloaded", message, retryAfterMs: shortestRetryMs });
         }
         else {
+            if (fault === "room") {
+                desk.lackedRoom();
+            }
             this.giveBack([taken], fault === "error");
         }
     }
@@ -380,7 +446,7 @@
                 this.end(open.submission.id, { kind: "failed", message: "calls failed at several endpoints" });
                 continue;
             }
-            this.queue.add({ ...open.waiting, pieces: [piece] });
+            this.queue.putBack(open.waiting, piece);
         }
     }
 
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -31,7 +31,7 @@
     readonly restMs: number;
     /** 0 goes first. */
     readonly priority: number;
-    /** Where the results are wanted. */
+    /** Where the pieces are to be made if that costs no time; undefined for anywhere. */
     readonly dataCentre: DataCentreId | undefined;
 }
 
@@ -39,6 +39,7 @@
 export interface PieceResult {
     readonly handle: string;
     readonly endpoint: EndpointId;
+    readonly dataCentre: DataCentreId;
     readonly bytes: number;
 }
 
