--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -14,6 +14,7 @@
 import type { GatewayCodec } from "../gateway/Types.js";
 import { GatherClient } from "../gather/GatherClient.js";
 import { Gatherer } from "../gather/Gatherer.js";
+import { HttpPieceClient } from "../gather/PieceClient.js";
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
 
@@ -55,8 +56,8 @@
     const addressOf = (endpoint: EndpointId) => book.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
     const book: EndpointBook = new EndpointBook(fleet, clock, log, endpoint => connections.distrustIdle(endpoint));
-    const codec = options.pieceCodec;
-    const local = new Gatherer({ self, fleet, connections, codec, transport, registry, clock, log, metrics, signal });
+    const client = new HttpPieceClient(connections, options.pieceCodec, clock, signal);
+    const local = new Gatherer({ self, fleet, client, transport, registry, clock, log, metrics, signal });
     const pieces = new GatherClient({ self, incarnation, fleet, local, transport, registry, clock, log });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdShares(self, bounds, fleet, clock);
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -3,13 +3,12 @@
  * way back of results, in one message for each host and moment.
  */
 import type { Clock, HostId } from "../common/Types.js";
-import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { FleetSource, FleetView, ServiceId } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { gatherMethods, type WorkReply, type WorkRequest } from "./GatherMessages.js";
 import { ServiceGatherer } from "./ServiceGatherer.js";
-import type { EndedSubmission, PieceCodec, PiecesEnd, Submission, SubmissionId } from "./Types.js";
+import type { EndedSubmission, PieceClient, PiecesEnd, Submission, SubmissionId } from "./Types.js";
 
 /** Results of one moment travel together. */
 const resultDelayMs = 2;
@@ -24,8 +23,7 @@
 export interface GathererOptions {
     readonly self: HostId;
     readonly fleet: FleetSource;
-    readonly connections: EndpointConnections;
-    readonly codec: PieceCodec;
+    readonly client: PieceClient;
     readonly transport: PeerTransport;
     readonly registry: PeerRegistry;
     readonly clock: Clock;
@@ -79,13 +77,13 @@
     }
 
     private service(service: ServiceId): ServiceGatherer {
-        const { fleet, connections, codec, clock, log, metrics, signal } = this.options;
+        const { fleet, client, clock, log, metrics } = this.options;
         const known = this.services.get(service);
         if (known !== undefined) {
             return known;
         }
         const traits = () => fleet.view().deployment?.services.get(service)?.pieces;
-        const added = new ServiceGatherer({ service, traits, connections, codec, clock, log, metrics, signal });
+        const added = new ServiceGatherer({ service, traits, client, clock, log, metrics });
         this.services.set(service, added);
         added.setEndpoints(usable(fleet.view(), service));
         return added;
--- /dev/null
+++ b/src/gather/ServiceGatherer.test.ts
@@ -0,0 +1,150 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeClock } from "../../testing/FakeClock.js";
+import {
+    centreId,
+    listed,
+    noMetrics,
+    serviceId,
+    silentLog,
+    submission,
+    TimedEndpoints,
+} from "../../testing/FleetFixtures.js";
+import type { BatchTraits } from "../fleet/Types.js";
+import { ServiceGatherer } from "./ServiceGatherer.js";
+import type { PieceCall, PiecesEnd, Submission } from "./Types.js";
+
+const traits: BatchTraits = {
+    slots: 1,
+    batch: 10,
+    callMs: 150,
+    pieceMs: 10,
+    resultRoomBytes: 1_000_000,
+    resultKeptMs: 4000,
+};
+
+class Site {
+    public readonly clock = new FakeClock();
+    public readonly endpoints: TimedEndpoints;
+    public readonly gatherer: ServiceGatherer;
+    public readonly ends = new Map<string, { readonly end: PiecesEnd; readonly atMs: number; }>();
+
+    public constructor(
+        endpoints: number,
+        bytesOf: (call: PieceCall) => number = () => 0,
+        private readonly shape: BatchTraits = traits,
+    ) {
+        this.endpoints = new TimedEndpoints(this.clock, shape, bytesOf);
+        this.gatherer = new ServiceGatherer({
+            service: serviceId("s"),
+            traits: () => this.shape,
+            client: this.endpoints,
+            clock: this.clock,
+            log: silentLog,
+            metrics: noMetrics,
+        });
+        this.gatherer.setEndpoints(
+            Array.from({ length: endpoints }, (_, at) => listed(`e${at}`, { dataCentre: centreId("a") })),
+        );
+    }
+
+    public submit(fields: Partial<Submission>): string {
+        const one = submission(fields);
+        const startMs = this.clock.nowMs();
+        this.gatherer.submit(one, end => {
+            this.ends.set(one.request, { end, atMs: this.clock.nowMs() - startMs });
+            end.ifRight(results => void this.gatherer.free(results));
+        });
+        return one.request;
+    }
+
+    public made(): readonly string[] {
+        return [...this.ends].filter(([, { end }]) => end.isRight()).map(([request]) => request);
+    }
+}
+
+test("pieces of many requests that wait travel in full calls", async () => {
+    const site = new Site(1);
+    for (let at = 0; at < 31; at++) {
+        site.submit({ startInMs: 3000 });
+    }
+    await site.clock.advance(2000);
+    assert.equal(site.made().length, 31);
+    assert.deepEqual(site.endpoints.calls.map(call => call.pieces.length), [1, 10, 10, 10]);
+});
+
+test("burst of twice the capacity: what is served is on time, the rest is refused at once with a time to return", async () => {
+    const site = new Site(2);
+    const startInMs = 600;
+    // Two endpoints make 80 pieces a second; 20 requests of 8 pieces a second ask for 160.
+    for (let at = 0; at < 60; at++) {
+        site.submit({ pieces: [0, 1, 2, 3, 4, 5, 6, 7], startInMs, remainingMs: 4000 });
+        await site.clock.advance(50);
+    }
+    await site.clock.advance(4000);
+    const all = [...site.ends.values()];
+    const served = all.filter(({ end }) => end.isRight());
+    const onTime = served.filter(({ atMs }) => atMs <= startInMs + traits.callMs + traits.batch * traits.pieceMs);
+    const refused = all.filter(({ end }) => end.isLeft());
+    assert.equal(all.length, 60);
+    assert.ok(onTime.length >= 24, `${onTime.length} on time of the 30 that the endpoints can make`);
+    const heldMs = refused.map(({ atMs }) => atMs).sort((a, b) => a - b);
+    assert.ok(heldMs[Math.floor(heldMs.length / 2)]! < 100, `half were held for ${heldMs[heldMs.length >> 1]} ms`);
+    for (const { end } of refused) {
+        end.ifLeft(error => assert.ok(error.kind === "overloaded" && error.retryAfterMs >= 200));
+    }
+});
+
+test("results that take much room: requests are not begun beyond it, and none is lost", async () => {
+    const site = new Site(1, () => 100_000, { ...traits, resultRoomBytes: 1_000_000 });
+    for (let at = 0; at < 12; at++) {
+        site.submit({ pieces: [0, 1, 2, 3], resultBytes: 100_000, startInMs: 5000, remainingMs: 20_000 });
+    }
+    await site.clock.advance(6000);
+    assert.equal(site.made().length, 12);
+    assert.equal(site.endpoints.noRoom, 0);
+});
+
+test("an endpoint that stops replying: its pieces are made elsewhere", async () => {
+    const site = new Site(2);
+    site.endpoints.slowness.set("e0", Infinity);
+    for (let at = 0; at < 8; at++) {
+        site.submit({ startInMs: 3000, remainingMs: 8000 });
+    }
+    await site.clock.advance(3000);
+    assert.equal(site.made().length, 8);
+});
+
+test("an endpoint that breaks every call is left alone for longer and longer", async () => {
+    const site = new Site(2);
+    site.endpoints.broken.add("e0");
+    for (let at = 0; at < 40; at++) {
+        site.submit({ startInMs: 3000, remainingMs: 8000 });
+        await site.clock.advance(100);
+    }
+    await site.clock.advance(3000);
+    assert.equal(site.made().length, 40);
+    assert.ok(site.endpoints.calls.filter(call => call.endpoint === "e0").length <= 8);
+});
+
+test("an endpoint four times as slow gets calls only while that is sooner than waiting", async () => {
+    const site = new Site(3);
+    site.endpoints.slowness.set("e0", 4);
+    for (let at = 0; at < 100; at++) {
+        site.submit({ startInMs: 1000, remainingMs: 8000 });
+        await site.clock.advance(30);
+    }
+    await site.clock.advance(3000);
+    assert.equal(site.made().length, 100);
+    assert.ok(site.endpoints.calls.filter(call => call.endpoint === "e0").length <= 4);
+});
+
+test("what a request gave up is freed at its maker", async () => {
+    const site = new Site(1);
+    const one = submission({ pieces: [0, 1], startInMs: 1000 });
+    site.gatherer.submit(one, () => assert.fail("cancelled submissions are not delivered"));
+    await site.clock.advance(10);
+    site.gatherer.cancel(one.id);
+    await site.clock.advance(1000);
+    assert.equal(site.endpoints.freed.length, 2);
+});
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -5,8 +5,6 @@
  */
 import { Left, Right } from "purify-ts";
 import type { Clock, Disposable } from "../common/Types.js";
-import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
-import { requestText } from "../endpoints/RequestText.js";
 import type { BatchTraits, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -14,7 +12,8 @@
 import { DemandMeter } from "./DemandMeter.js";
 import { isLate, PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
 import type {
-    PieceCodec,
+    CallEnd,
+    PieceClient,
     PieceOutcome,
     PieceResult,
     PiecesEnd,
@@ -54,12 +53,10 @@
 export interface ServiceGathererOptions {
     readonly service: ServiceId;
     readonly traits: () => BatchTraits | undefined;
-    readonly connections: EndpointConnections;
-    readonly codec: PieceCodec;
+    readonly client: PieceClient;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
-    readonly signal: AbortSignal;
 }
 
 export class ServiceGatherer {
@@ -292,12 +289,12 @@
             this.giveBack(taken, false);
             this.pump();
         });
-        const reply = await this.send(desk, taken, expectedMs * giveUpFactor + giveUpExtraMs);
+        const end = await this.send(desk, taken, expectedMs * giveUpFactor + giveUpExtraMs);
         hedge.dispose();
         desk.ended(bytes);
         const takenMs = clock.nowMs() - startMs;
-        const outcome = this.takeReply(desk, taken, reply, takenMs, traits);
-        metrics.count("batches", { service, outcome: reply.isRight() ? "replied" : "failed" });
+        const outcome = this.takeEnd(desk, taken, end, takenMs);
+        metrics.count("batches", { service, outcome: end.kind });
         metrics.count("batch_pieces", { service }, taken.length);
         metrics.latency("batch", takenMs, { service });
         log.event(EventId.BatchEnded, {
@@ -313,9 +310,8 @@
         this.pump();
     }
 
-    private send(desk: BatchDesk, taken: readonly TakenPiece[], timeoutMs: number) {
-        const { connections, codec, clock, signal } = this.options;
-        const nowMs = clock.nowMs();
+    private send(desk: BatchDesk, taken: readonly TakenPiece[], timeoutMs: number): Promise<CallEnd> {
+        const nowMs = this.options.clock.nowMs();
         const calls = taken.map(({ waiting, piece }) => ({
             request: waiting.submission.request,
             stage: waiting.submission.stage,
@@ -323,52 +319,25 @@
             source: waiting.submission.source,
             remainingMs: Math.max(1, Math.floor(waiting.deadlineMs - nowMs)),
         }));
-        return requestText(connections, desk.id, {
-            method: "POST",
-            path: codec.runPath,
-            body: codec.encodeRun(calls),
-            headers: codec.callHeaders(desk.endpoint.instance, Math.max(...calls.map(call => call.remainingMs))),
-            fresh: false,
-            timeoutMs,
-            clock,
-            signal,
-        });
+        return this.options.client.run(desk.endpoint, calls, timeoutMs);
     }
 
-    /** Hands out what a call has made and gives back what it has not. */
-    private takeReply(
-        desk: BatchDesk,
-        taken: readonly TakenPiece[],
-        reply: Awaited<ReturnType<ServiceGatherer["send"]>>,
-        takenMs: number,
-        traits: BatchTraits,
-    ): string {
-        const { codec } = this.options;
-        if (reply.isLeft()) {
-            desk.failed();
-            this.giveBack(taken, true);
-            return reply.extract().message;
-        }
-        const { status, headers, text } = reply.unsafeCoerce();
-        if (codec.isNotRun(status, headers)) {
-            if (status === refusedForPlace) {
+    /** Hands out what a call has made and gives back what it has not; tells the outcome for the log. */
+    private takeEnd(desk: BatchDesk, taken: readonly TakenPiece[], end: CallEnd, takenMs: number): string {
+        const traits = this.options.traits();
+        if (end.kind !== "replied" || traits === undefined) {
+            if (end.kind === "full") {
                 desk.wasFull();
             }
             else {
                 desk.failed();
             }
-            this.giveBack(taken, false);
-            return `not run (${status})`;
-        }
-        const outcomes = status === ok ? codec.decodeRun(text, taken.length) : undefined;
-        if (outcomes === undefined) {
-            desk.failed();
-            this.giveBack(taken, true);
-            return `bad reply (${status})`;
+            this.giveBack(taken, end.kind === "broken");
+            return end.kind === "replied" ? "the service is gone" : end.message;
         }
         desk.succeeded(takenMs, traits.callMs + taken.length * traits.pieceMs);
-        taken.forEach((piece, at) => this.takeOutcome(desk, piece, outcomes[at], traits));
-        const faults = outcomes.flatMap(one => (one.kind === "fault" ? [one.fault] : []));
+        taken.forEach((piece, at) => this.takeOutcome(desk, piece, end.outcomes[at], traits));
+        const faults = end.outcomes.flatMap(one => (one.kind === "fault" ? [one.fault] : []));
         return faults.length === 0 ? "made" : `made, ${faults.length} not: ${[...new Set(faults)].join(", ")}`;
     }
 
@@ -451,25 +420,12 @@
     }
 
     private async freeAt(desk: BatchDesk, handles: readonly string[]): Promise<void> {
-        const { connections, codec, clock, signal, log, service } = this.options;
+        const { client, log, service } = this.options;
         handles.forEach(handle => desk.freed(handle));
-        const freed = await requestText(connections, desk.id, {
-            method: "POST",
-            path: codec.freePath,
-            body: codec.encodeFree(handles),
-            headers: codec.callHeaders(desk.endpoint.instance, freeTimeoutMs),
-            fresh: false,
-            timeoutMs: freeTimeoutMs,
-            clock,
-            signal,
-        });
-        freed.ifLeft(error => {
-            log.event(EventId.ResultsNotFreed, { service, endpoint: desk.id, handles: handles.length, ...error });
-        });
+        const message = await client.free(desk.endpoint, handles);
+        if (message !== undefined) {
+            const fields = { service, endpoint: desk.id, handles: handles.length, message };
+            log.event(EventId.ResultsNotFreed, fields);
+        }
     }
 }
-
-const ok = 200;
-const refusedForPlace = 503;
-/** Bound on giving up results; they expire by themselves. */
-const freeTimeoutMs = 1000;
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -4,7 +4,7 @@
  */
 import type { Either } from "purify-ts";
 import type { Brand, DataCentreId, EndpointId } from "../common/Types.js";
-import type { ServiceId } from "../fleet/Types.js";
+import type { ListedEndpoint, ServiceId } from "../fleet/Types.js";
 
 /** Names one submission; unique over all hosts and restarts. */
 export type SubmissionId = Brand<string, "SubmissionId">;
@@ -79,6 +79,22 @@
     readonly remainingMs: number;
 }
 
+/** How a call to an endpoint ended. */
+export type CallEnd =
+    | { readonly kind: "replied"; readonly outcomes: readonly PieceOutcome[]; }
+    /** The endpoint had no place for the call; it is well otherwise. */
+    | { readonly kind: "full"; readonly message: string; }
+    /** The endpoint did not run the call for another reason. */
+    | { readonly kind: "not-run"; readonly message: string; }
+    | { readonly kind: "broken"; readonly message: string; };
+
+/** Calls to endpoints of stages. */
+export interface PieceClient {
+    run(endpoint: ListedEndpoint, calls: readonly PieceCall[], timeoutMs: number): Promise<CallEnd>;
+    /** Gives up results; undefined when the endpoint has taken note, else what went wrong. */
+    free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined>;
+}
+
 /** The platform's form of calls to endpoints of stages. */
 export interface PieceCodec {
     readonly runPath: string;
--- /dev/null
+++ b/testing/FleetFixtures.ts
@@ -0,0 +1,213 @@
+/** Small fleets for tests: listed endpoints, deployments, a fixed view, and endpoints of stages that keep time. */
+import { Emitter } from "../src/common/Emitter.js";
+import type { Clock, DataCentreId, EndpointId, HostId, Incarnation } from "../src/common/Types.js";
+import type {
+    BatchTraits,
+    Deployment,
+    EntryHost,
+    FleetBounds,
+    FleetSource,
+    FleetView,
+    ListedEndpoint,
+    Route,
+    RouteId,
+    Service,
+    ServiceId,
+} from "../src/fleet/Types.js";
+import type { CallEnd, PieceCall, PieceClient, Submission, SubmissionId } from "../src/gather/Types.js";
+import type { EventLog, Metrics } from "../src/telemetry/Types.js";
+
+export const serviceId = (text: string) => text as ServiceId;
+export const centreId = (text: string) => text as DataCentreId;
+
+export const silentLog: EventLog = { event: () => undefined, with: () => silentLog };
+export const noMetrics: Metrics = {
+    count: () => undefined,
+    gauge: () => undefined,
+    latency: () => undefined,
+    percentileMs: () => undefined,
+    render: async () => "",
+};
+
+export const defaultBounds: FleetBounds = {
+    configApplyMs: 2000,
+    revokeMs: 5000,
+    drainMs: 3000,
+    stopGraceMs: 8000,
+    retryShare: 0.2,
+    retryWindowMs: 10_000,
+    retrySlack: 56,
+    coldOverrun: 1.5,
+    coldSlack: 5,
+};
+
+export function listed(id: string, fields: Partial<ListedEndpoint> = {}): ListedEndpoint {
+    return {
+        id: id as EndpointId,
+        instance: id,
+        service: serviceId("s"),
+        address: "127.0.0.1:1",
+        dataCentre: centreId("a"),
+        slots: 1,
+        isLeaving: false,
+        coldLeftMs: 0,
+        ...fields,
+    };
+}
+
+export function entryHosts(count: number): EntryHost[] {
+    return Array.from({ length: count }, (_, at) => ({
+        host: `10.0.0.${at + 1}` as HostId,
+        dataCentre: centreId("a"),
+        incarnation: 1 as Incarnation,
+        isLive: true,
+    }));
+}
+
+export function route(fields: Partial<Route> = {}): Route {
+    return {
+        id: "r" as RouteId,
+        host: "h.example",
+        pathPrefix: "/a/",
+        kind: "idempotent",
+        timeoutMs: 5000,
+        objectiveMs: 1000,
+        gapMs: undefined,
+        priority: 0,
+        targets: [{ service: serviceId("s"), weight: 1 }],
+        maxEndpoints: 2,
+        stages: [],
+        isPublic: true,
+        hasPrompt: false,
+        ...fields,
+    };
+}
+
+export function service(id: string, fields: Partial<Service> = {}): Service {
+    return { id: serviceId(id), healthPath: "/", coldMs: 0, coldPerSecond: 0, pieces: undefined, ...fields };
+}
+
+export function deployment(routes: readonly Route[], services: readonly Service[]): Deployment {
+    return {
+        version: 1,
+        routes,
+        services: new Map(services.map(one => [one.id, one])),
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+        workspaces: undefined,
+    };
+}
+
+/** A fleet whose view the test sets. */
+export class FixedFleet implements FleetSource {
+    private readonly changes = new Emitter<FleetView>();
+    public readonly onChange = this.changes.event;
+    public readonly crashes: string[] = [];
+    public age = 0;
+    private current: FleetView = {
+        deployment: undefined,
+        endpoints: [],
+        endpointsReadMs: 0,
+        hosts: [],
+        dataCentresOut: new Set(),
+        quarantined: new Set(),
+    };
+
+    public set(fields: Partial<FleetView>): void {
+        this.current = { ...this.current, ...fields };
+        this.changes.fire(this.current);
+    }
+
+    public view(): FleetView {
+        return this.current;
+    }
+
+    public ageMs(): number {
+        return this.age;
+    }
+
+    public reportCrash(fingerprint: string): void {
+        this.crashes.push(fingerprint);
+    }
+}
+
+/** Endpoints of a stage that take the configured time for a call, keep results within their room, and may fail. */
+export class TimedEndpoints implements PieceClient {
+    public readonly calls: { readonly endpoint: EndpointId; readonly pieces: readonly PieceCall[]; }[] = [];
+    public readonly freed: string[] = [];
+    /** Factor on the time of calls, by endpoint; Infinity for one that never replies. */
+    public readonly slowness = new Map<string, number>();
+    public readonly broken = new Set<string>();
+    public noRoom = 0;
+    private readonly busyUntilMs = new Map<EndpointId, number>();
+    private readonly held = new Map<EndpointId, Map<string, number>>();
+    private made = 0;
+
+    public constructor(
+        private readonly clock: Clock,
+        private readonly traits: BatchTraits,
+        private readonly bytesOf: (call: PieceCall) => number = () => 0,
+    ) {}
+
+    public async run(endpoint: ListedEndpoint, pieces: readonly PieceCall[], timeoutMs: number): Promise<CallEnd> {
+        this.calls.push({ endpoint: endpoint.id, pieces });
+        if (this.broken.has(endpoint.id)) {
+            await this.clock.sleep(1);
+            return { kind: "broken", message: "reset" };
+        }
+        const factor = this.slowness.get(endpoint.id) ?? 1;
+        const workMs = (this.traits.callMs + pieces.length * this.traits.pieceMs) * factor;
+        const startMs = Math.max(this.clock.nowMs(), this.busyUntilMs.get(endpoint.id) ?? 0);
+        this.busyUntilMs.set(endpoint.id, startMs + workMs);
+        const waitMs = startMs + workMs - this.clock.nowMs();
+        if (waitMs > timeoutMs) {
+            await this.clock.sleep(timeoutMs);
+            return { kind: "broken", message: "no reply" };
+        }
+        const outcomes = pieces.map(piece => this.make(endpoint.id, piece));
+        await this.clock.sleep(waitMs);
+        return { kind: "replied", outcomes };
+    }
+
+    public async free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined> {
+        for (const handle of handles) {
+            this.freed.push(handle);
+            this.held.get(endpoint.id)?.delete(handle);
+        }
+        return undefined;
+    }
+
+    private make(endpoint: EndpointId, piece: PieceCall) {
+        const held = this.held.get(endpoint) ?? new Map<string, number>();
+        this.held.set(endpoint, held);
+        const usedBytes = [...held.values()].reduce((sum, bytes) => sum + bytes, 0);
+        if (usedBytes + this.bytesOf(piece) > this.traits.resultRoomBytes) {
+            this.noRoom += 1;
+            return { kind: "fault", fault: "room" } as const;
+        }
+        this.made += 1;
+        const handle = `${endpoint}/${this.made}`;
+        held.set(handle, this.bytesOf(piece));
+        return { kind: "made", handle } as const;
+    }
+}
+
+let submissions = 0;
+
+export function submission(fields: Partial<Submission> = {}): Submission {
+    submissions += 1;
+    return {
+        id: `s${submissions}` as SubmissionId,
+        service: serviceId("s"),
+        request: `r${submissions}`,
+        stage: 0,
+        pieces: [0],
+        source: { kind: "key", key: "k" },
+        resultBytes: 0,
+        startInMs: 500,
+        remainingMs: 5000,
+        restMs: 0,
+        priority: 0,
+        dataCentre: undefined,
+        ...fields,
+    };
+}
