Unframed replies stay unframed; waits of all stages decide at arrival; a data centre that can't be reached is left out at once

Requests passed their first stage although a later one had no time for them. Each endpoint of a cut data centre cost its own connection time-out.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -18,8 +18,8 @@
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
 
-/** Bound on making a connection to an endpoint: several times the way to the farthest one and its own setup. */
-const connectMs = 400;
+/** Bound on making a connection to an endpoint: many times the way to the farthest one and its own setup. */
+const connectMs = 200;
 /** Endpoints name the time for which they keep idle connections; without a name this holds. */
 const idleMs = 8000;
 
@@ -68,6 +68,7 @@
         book,
         chooser: new EndpointChooser(dataCentre, cold, random),
         stages: new StageGraph(pieces, clock, nextId),
+        pieces,
         connections,
         retries: new RetryShares(bounds, fleet, clock),
         cold,
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -54,7 +54,12 @@
         if (this.res.destroyed) {
             return;
         }
-        this.res.writeHead(reply.status, [...reply.forwarded, "content-length", String(body.length)]);
+        if (reply.isFramed) {
+            this.res.writeHead(reply.status, [...reply.forwarded, "content-length", String(body.length)]);
+        }
+        else {
+            this.writeUnframedHead(reply);
+        }
         this.res.end(body);
     }
 
@@ -64,7 +69,12 @@
             return;
         }
         this.begun = true;
-        this.res.writeHead(reply.status, [...reply.forwarded]);
+        if (reply.isFramed) {
+            this.res.writeHead(reply.status, [...reply.forwarded]);
+        }
+        else {
+            this.writeUnframedHead(reply);
+        }
         this.res.flushHeaders();
     }
 
@@ -108,6 +118,13 @@
         this.res.destroy();
     }
 
+    /** A reply that ends with its connection goes on as one, so that it looks no more complete than it was. */
+    private writeUnframedHead(reply: ReplyHead): void {
+        this.res.useChunkedEncodingByDefault = false;
+        this.res.shouldKeepAlive = false;
+        this.res.writeHead(reply.status, [...reply.forwarded, "connection", "close"]);
+    }
+
     private hasEvent(id: string): boolean {
         const number = Number(id);
         const last = Number(this.lastEventId ?? Number.NaN);
--- a/src/gateway/EndpointBook.ts
+++ b/src/gateway/EndpointBook.ts
@@ -3,7 +3,7 @@
  * can't be reached, breaks requests off or gives nothing while it owes replies is suspected and left out until it has
  * shown a sign of life, or for a pause that grows with each failure.
  */
-import type { Clock, EndpointId } from "../common/Types.js";
+import type { Clock, DataCentreId, EndpointId } from "../common/Types.js";
 import type { FleetSource, FleetView, ListedEndpoint, Service, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
@@ -24,6 +24,38 @@
 /** Failures are forgotten to a half in this time, so that an endpoint that is not used is tried again. */
 const failureHalfLifeMs = 3000;
 
+/**
+ * Signs of a data centre's endpoints. When several of them can't be reached and none gives a sign, the way there is cut,
+ * and the others are not tried one by one.
+ */
+class CentreSigns {
+    private signMs = -Infinity;
+    private readonly silent = new Map<EndpointId, number>();
+
+    public constructor(private readonly clock: Clock) {}
+
+    public get isCut(): boolean {
+        const sinceMs = Math.max(this.signMs, this.clock.nowMs() - cutMemoryMs);
+        let recent = 0;
+        for (const atMs of this.silent.values()) {
+            recent += atMs > sinceMs ? 1 : 0;
+        }
+        return recent >= silentUntilCut;
+    }
+
+    public sign(): void {
+        this.signMs = this.clock.nowMs();
+    }
+
+    public noteSilent(endpoint: EndpointId): void {
+        this.silent.set(endpoint, this.clock.nowMs());
+    }
+}
+
+/** Endpoints of one data centre that can't be reached until it counts as cut off, and for how long they count. */
+const silentUntilCut = 2;
+const cutMemoryMs = 1500;
+
 export class EndpointRecord {
     public listed: ListedEndpoint;
     public coldUntilMs = 0;
@@ -37,7 +69,11 @@
     private notBeforeMs = 0;
     private signMs = 0;
 
-    public constructor(listed: ListedEndpoint, private readonly clock: Clock) {
+    public constructor(
+        listed: ListedEndpoint,
+        private readonly clock: Clock,
+        private readonly centre: CentreSigns,
+    ) {
         this.listed = listed;
     }
 
@@ -61,7 +97,7 @@
 
     /** True while requests should go elsewhere. */
     public get isSuspect(): boolean {
-        return this.clock.nowMs() < this.notBeforeMs || this.isSilent;
+        return this.clock.nowMs() < this.notBeforeMs || this.isSilent || this.centre.isCut;
     }
 
     private get isSilent(): boolean {
@@ -80,6 +116,7 @@
     /** The endpoint has given something for an attempt. */
     public sign(attempt: object): void {
         this.signMs = this.clock.nowMs();
+        this.centre.sign();
         this.running.set(attempt, this.signMs);
     }
 
@@ -89,6 +126,9 @@
         switch (end.kind) {
             case "unsent":
                 this.assumeCold(hasColdStart);
+                if (end.isSilent) {
+                    this.centre.noteSilent(this.id);
+                }
                 return this.pause(end.message);
             case "broken":
                 this.countFailure(1);
@@ -144,6 +184,7 @@
 export class EndpointBook {
     private readonly records = new Map<EndpointId, EndpointRecord>();
     private readonly byService = new Map<ServiceId, EndpointRecord[]>();
+    private readonly centres = new Map<DataCentreId, CentreSigns>();
 
     public constructor(
         private readonly fleet: FleetSource,
@@ -194,7 +235,7 @@
         }
         this.byService.clear();
         for (const endpoint of view.endpoints) {
-            const record = this.records.get(endpoint.id) ?? new EndpointRecord(endpoint, this.clock);
+            const record = this.records.get(endpoint.id) ?? this.newRecord(endpoint);
             this.records.set(endpoint.id, record);
             record.listed = endpoint;
             if (endpoint.coldLeftMs > 0) {
@@ -205,4 +246,10 @@
             this.byService.set(endpoint.service, ofService);
         }
     }
+
+    private newRecord(endpoint: ListedEndpoint): EndpointRecord {
+        const centre = this.centres.get(endpoint.dataCentre) ?? new CentreSigns(this.clock);
+        this.centres.set(endpoint.dataCentre, centre);
+        return new EndpointRecord(endpoint, this.clock, centre);
+    }
 }
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -57,7 +57,9 @@
         });
         if (connected.isLeft()) {
             const { kind, message } = connected.extract();
-            return kind === "aborted" ? { kind: "cancelled" } : { kind: "unsent", message };
+            return kind === "aborted"
+                ? { kind: "cancelled" }
+                : { kind: "unsent", message, isSilent: kind === "timeout" };
         }
         const { req } = connected.unsafeCoerce();
         return this.exchange(req);
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -9,6 +9,7 @@
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import { readBytes } from "../entry/RequestBody.js";
 import type { FleetBounds, FleetSource, Workspace } from "../fleet/Types.js";
+import type { PieceMaker } from "../gather/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CallerReply } from "./CallerReply.js";
@@ -38,6 +39,7 @@
     readonly book: EndpointBook;
     readonly chooser: EndpointChooser;
     readonly stages: StageGraph;
+    readonly pieces: PieceMaker;
     readonly connections: EndpointConnections;
     readonly retries: RetryShares;
     readonly cold: ColdShares;
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -13,7 +13,7 @@
 import type { Choice } from "./EndpointChooser.js";
 import { EndpointExchange } from "./EndpointExchange.js";
 import type { GatewayParts } from "./Gateway.js";
-import { shortestStagesMs, type StagePlan, type StageResults } from "./StageGraph.js";
+import { expectedStagesMs, type StagePlan, type StageResults } from "./StageGraph.js";
 import type { AttemptEnd, Refusal, ReplyHead, RequestHead } from "./Types.js";
 
 /** Attempts that never reached an endpoint, for one request. */
@@ -24,6 +24,8 @@
 const endpointWaitShare = 0.5;
 /** What is advised where nothing tells when an endpoint is to be had. */
 const defaultRetryMs = 500;
+/** No caller is asked to stay away for longer: bursts end within seconds, and deadlines are seconds. */
+const longestRetryMs = 1500;
 /** A repeatable request is taken elsewhere after this many times its usual time, but no sooner than the least. */
 const silentFactor = 6;
 const leastSilentMs = 350;
@@ -131,10 +133,16 @@
             replyMs: this.parts.replyTimes.expectedMs(route.id),
             dataCentre: this.expectedCentre(),
         };
-        if (this.clock.nowMs() + shortestStagesMs(plan) > this.deadlineMs && this.sent === 0) {
-            return this.refusal("overloaded", "the stages alone take longer than what is left");
+        const hopeless = this.sent === 0 ? this.hopelessIn(plan) : undefined;
+        if (hopeless !== undefined) {
+            return hopeless;
+        }
+        let made = await this.parts.stages.run(plan, this.abort.signal);
+        const hasGone = made.caseOf({ Left: error => error.kind === "source-gone", Right: () => false });
+        if (hasGone && !this.abort.signal.aborted) {
+            // Its maker has ended, or kept it no longer; whatever was made of it is made anew.
+            made = await this.parts.stages.run(plan, this.abort.signal);
         }
-        const made = await this.parts.stages.run(plan, this.abort.signal);
         return made.caseOf<Refusal | undefined>({
             Right: results => {
                 this.results = results;
@@ -150,6 +158,19 @@
         });
     }
 
+    /** A refusal for a request whose stages can't be expected to end in time, by what gatherers told last. */
+    private hopelessIn(plan: StagePlan): Refusal | undefined {
+        const { pieces } = this.parts;
+        const neededMs = expectedStagesMs(plan, service => pieces.waitMs(service) ?? 0) + plan.replyMs;
+        const leftMs = this.deadlineMs - this.clock.nowMs();
+        if (neededMs <= leftMs) {
+            return undefined;
+        }
+        const message = `the stages need ${Math.round(neededMs)} ms, ${Math.round(leftMs)} ms are left`;
+        const retryAfterMs = Math.min(longestRetryMs, Math.max(defaultRetryMs, neededMs - leftMs));
+        return { ...this.refusal("overloaded", message), retryAfterMs };
+    }
+
     /** Where the endpoint is that would be chosen now. */
     private expectedCentre(): DataCentreId | undefined {
         const { book, chooser } = this.parts;
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -4,7 +4,7 @@
  */
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, DataCentreId } from "../common/Types.js";
-import type { Deployment, Route, RouteStage } from "../fleet/Types.js";
+import type { Deployment, Route, RouteStage, ServiceId } from "../fleet/Types.js";
 import type { PieceMaker, PieceResult, PiecesError, PieceSource, SubmissionId } from "../gather/Types.js";
 
 /** One request's stages, and the times that they are to keep. */
@@ -175,10 +175,15 @@
     return longestMs;
 }
 
-/** Time that a request's stages take with full calls and no wait. */
-export function shortestStagesMs(plan: StagePlan): number {
-    const ways = plan.route.stages.map((stage, at) =>
-        stage.after.length === 0 ? stageMs(plan, at) + restAfter(plan, at) : 0
-    );
-    return Math.max(0, ...ways);
+/** Time that a request's stages need, with full calls and the waits that `waitMs` gives for their services. */
+export function expectedStagesMs(plan: StagePlan, waitMs: (service: ServiceId) => number): number {
+    const timeOf = (index: number): number => {
+        const stage = plan.route.stages[index];
+        const ownMs = stage === undefined || (plan.pieces[index] ?? 0) === 0
+            ? 0
+            : stageMs(plan, index) + waitMs(stage.service);
+        const before = (stage?.after ?? []).map(timeOf);
+        return ownMs + Math.max(0, ...before);
+    };
+    return Math.max(0, ...plan.route.stages.map((_, index) => timeOf(index)));
 }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -66,6 +66,8 @@
     /** True when it says that the request was not run. */
     readonly isNotRun: boolean;
     readonly isEventStream: boolean;
+    /** False when only the end of the connection tells where the body ends, so that nothing tells whether it is whole. */
+    readonly isFramed: boolean;
     /** Headers that go to the caller unchanged: names and values by turns. */
     readonly forwarded: readonly string[];
 }
@@ -80,7 +82,7 @@
 /** How an attempt at one endpoint ended. */
 export type AttemptEnd =
     /** No byte was written. */
-    | { readonly kind: "unsent"; readonly message: string; }
+    | { readonly kind: "unsent"; readonly message: string; readonly isSilent: boolean; }
     /** The endpoint says that it did not run the request. */
     | { readonly kind: "not-run"; readonly status: number; }
     /** A whole reply; `body` is undefined when it has been relayed to the caller already. */
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -24,7 +24,7 @@
 /** A gatherer that failed is passed by for this long. */
 const avoidMs = 2000;
 /** An estimate of a wait counts for this long. */
-const waitValidMs = 1000;
+const waitValidMs = 300;
 
 interface Pending {
     readonly submission: Submission;
@@ -60,8 +60,9 @@
     private readonly asking = new Set<HostId>();
 
     public constructor(private readonly options: GatherClientOptions) {
-        options.registry.handle(gatherMethods.ended, async ({ ended }, from) => {
+        options.registry.handle(gatherMethods.ended, async ({ ended, waits }, from) => {
             this.heardMs.set(from, options.clock.nowMs());
+            this.noteWaits(waits);
             ended.forEach(one => this.take(one, from));
             return {};
         });
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -49,7 +49,11 @@
         .optional(),
 }) as unknown as z.ZodType<EndedSubmission>;
 
-const endedRequest = z.object({ ended: z.array(ended) });
+const endedRequest = z.object({
+    ended: z.array(ended),
+    /** Estimated wait of a new submission to each service, in milliseconds. */
+    waits: z.array(z.tuple([serviceId, z.number()])),
+});
 
 export type WorkRequest = z.infer<typeof workRequest>;
 export type EndedRequest = z.infer<typeof endedRequest>;
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -107,9 +107,13 @@
         const { transport, signal } = this.options;
         const ended = this.outbox.get(to) ?? [];
         this.outbox.delete(to);
+        const waits = [...new Set(ended.map(one => one.service))].map((service): [ServiceId, number] => [
+            service,
+            this.waitMs(service),
+        ]);
         for (let tries = 0; tries < resultTries && !signal.aborted; tries++) {
             const options = { timeoutMs: resultTimeoutMs / resultTries, signal };
-            const sent = await transport.call(to, gatherMethods.ended, { ended }, options);
+            const sent = await transport.call(to, gatherMethods.ended, { ended, waits }, options);
             if (sent.isRight()) {
                 return;
             }
