--- /dev/null
+++ b/src/fleet/Fleet.test.ts
@@ -0,0 +1,172 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeDisk } from "../../testing/FakeDisk.js";
+import { FleetCluster } from "../../testing/FleetCluster.js";
+import { listed } from "../../testing/FleetFixtures.js";
+import type { HostId } from "../common/Types.js";
+
+const names = ["c1", "c2", "c3"];
+
+async function startFleet(more: readonly string[] = []): Promise<FleetCluster> {
+    const fleet = new FleetCluster(names);
+    [...names, ...more].forEach(name => fleet.startControl(name, true));
+    await fleet.clock.advance(3000);
+    assert.ok(fleet.leader() !== undefined, "a leader is elected after the first start");
+    return fleet;
+}
+
+test("the seeds found the group in any order of start, and others join it", async () => {
+    const fleet = new FleetCluster(names);
+    for (const name of ["c4", "c3", "c1"]) {
+        fleet.startControl(name, true);
+        await fleet.clock.advance(700);
+    }
+    assert.equal(fleet.leader(), undefined, "no group without all seeds");
+    fleet.startControl("c2", true);
+    await fleet.clock.advance(4000);
+    const { voters, learners } = fleet.leader()!.log.status().members;
+    assert.deepEqual([[...voters].sort(), learners], [names, ["c4"]]);
+    await fleet.stopAll();
+});
+
+test("a host that starts later with an empty disk never founds a second group", async () => {
+    const fleet = new FleetCluster(names);
+    names.forEach(name => fleet.startControl(name, false));
+    await fleet.clock.advance(5000);
+    assert.equal(fleet.leader(), undefined);
+    await fleet.stopAll();
+});
+
+test("an acknowledged configuration outlives the loss of any one disk while all lose power", async () => {
+    for (const wiped of names) {
+        const fleet = await startFleet();
+        assert.equal(await fleet.put("c1", 7), true);
+        const disks = names.map(name => [name, fleet.crash(name)] as const);
+        disks.forEach(([name, disk]) => fleet.startControl(name, false, name === wiped ? new FakeDisk() : disk));
+        await fleet.clock.advance(6000);
+        for (const name of names) {
+            assert.equal(await fleet.get(name), "7", `read at ${name} after ${wiped} was wiped`);
+        }
+        assert.equal(fleet.leader()!.log.status().members.voters.length, 3);
+        await fleet.stopAll();
+    }
+});
+
+test("a voter that is gone for good is replaced by an empty host at another address", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 3);
+    const gone = names.find(name => name !== fleet.leader()!.id)!;
+    fleet.crash(gone);
+    fleet.startControl("c9", false);
+    await fleet.clock.advance(8000);
+    const { voters } = fleet.leader()!.log.status().members;
+    assert.ok(voters.includes("c9" as HostId) && !voters.includes(gone as HostId), voters.join());
+    assert.equal(await fleet.get("c9"), "3");
+    await fleet.stopAll();
+});
+
+test("a voter that was replaced while it was cut off comes back as a learner", async () => {
+    const fleet = await startFleet(["c4"]);
+    const cut = names.find(name => name !== fleet.leader()!.id)!;
+    fleet.network.isolate(cut as HostId);
+    await fleet.clock.advance(8000);
+    assert.ok(!fleet.leader()!.log.status().members.voters.includes(cut as HostId));
+    fleet.network.heal();
+    await fleet.clock.advance(8000);
+    const { voters, learners } = fleet.leader()!.log.status().members;
+    assert.ok([...voters, ...learners].includes(cut as HostId));
+    assert.equal(await fleet.put(cut, 12), true, "orders are taken there again");
+    await fleet.stopAll();
+});
+
+test("a control host that is cut off acknowledges and reads back nothing", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const cut = fleet.leader()!.id;
+    fleet.network.isolate(cut);
+    await fleet.clock.advance(2000);
+    const other = names.find(name => name !== cut)!;
+    assert.equal(await fleet.put(other, 2), true);
+    assert.equal(await fleet.get(cut), undefined);
+    assert.equal(await fleet.put(cut, 3), false);
+    assert.equal(await fleet.get(other), "2");
+    await fleet.stopAll();
+});
+
+test("lower and equal versions are acknowledged and change nothing", async () => {
+    const fleet = await startFleet();
+    for (const version of [5, 5, 4]) {
+        assert.equal(await fleet.put("c2", version), true);
+    }
+    assert.equal(await fleet.get("c3"), "5");
+    await fleet.stopAll();
+});
+
+test("entry hosts follow changes within the time allowed, and know when they can't", async () => {
+    const fleet = await startFleet();
+    fleet.listed = [listed("e1")];
+    await fleet.put("c1", 1);
+    const entry = fleet.startEntry("h1");
+    fleet.startEntry("h2");
+    await fleet.clock.advance(2000);
+    assert.equal(entry.view().deployment?.version, 1);
+    assert.equal(entry.view().endpoints.length, 1);
+    assert.equal(entry.view().hosts.filter(one => one.isLive).length, 2);
+    const changed = fleet.controls.get("c2")!.operator.handle({ kind: "put-config", text: "2" });
+    await fleet.clock.advance(1000);
+    assert.equal((await changed).kind, "done");
+    assert.equal(entry.view().deployment?.version, 2);
+    assert.ok(entry.ageMs() < 1200, `age ${entry.ageMs()}`);
+    names.forEach(name => fleet.network.cut("h1" as HostId, name as HostId));
+    await fleet.clock.advance(4000);
+    assert.ok(entry.ageMs() > 3500, `age ${entry.ageMs()} while cut off`);
+    fleet.network.heal();
+    await fleet.clock.advance(2000);
+    assert.ok(entry.ageMs() < 1200, `age ${entry.ageMs()} after the cut`);
+    await fleet.stopAll();
+});
+
+test("an entry host beside a control host that lost the group goes to one that has it", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const entry = fleet.startEntry("h1");
+    await fleet.clock.advance(2000);
+    for (const cut of names) {
+        names.filter(name => name !== cut).forEach(name => fleet.network.cut(cut as HostId, name as HostId));
+        await fleet.clock.advance(6000);
+        assert.ok(entry.ageMs() < 2000, `age ${entry.ageMs()} with ${cut} cut off from the others`);
+        fleet.network.heal();
+        await fleet.clock.advance(3000);
+    }
+    await fleet.stopAll();
+});
+
+test("one control host reads the list for all, and another one takes over when it can't tell them", async () => {
+    const fleet = await startFleet();
+    const readsBefore = fleet.listReads;
+    await fleet.clock.advance(5000);
+    const reads = fleet.listReads - readsBefore;
+    assert.ok(reads >= 8 && reads <= 11, `${reads} readings in 5 s`);
+    const leader = fleet.leader()!.id;
+    fleet.network.isolate(leader);
+    await fleet.clock.advance(3000);
+    fleet.listed = [listed("e2")];
+    await fleet.clock.advance(2500);
+    const others = names.filter(name => name !== leader).map(name => fleet.controls.get(name)!);
+    others.forEach(one => assert.equal(one.reader.current().endpoints.length, 1, one.id));
+    await fleet.stopAll();
+});
+
+test("a request that was running in three crashes is quarantined on every host", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const entries = ["h1", "h2"].map(name => fleet.startEntry(name));
+    await fleet.clock.advance(1000);
+    for (let crash = 1; crash <= 3; crash++) {
+        assert.equal(entries[1]!.view().quarantined.has("mark"), false, `after ${crash - 1} crashes`);
+        entries[crash % 2]!.reportCrash("mark");
+        await fleet.clock.advance(2000);
+    }
+    entries.forEach(entry => assert.equal(entry.view().quarantined.has("mark"), true));
+    await fleet.stopAll();
+});
--- /dev/null
+++ b/src/gateway/LimitShares.test.ts
@@ -0,0 +1,93 @@
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeClock } from "../../testing/FakeClock.js";
+import { defaultBounds, entryHosts, FixedFleet, service, serviceId } from "../../testing/FleetFixtures.js";
+import type { EndpointId } from "../common/Types.js";
+import { ColdShares, RetryShares } from "./LimitShares.js";
+
+const seed = 20261204;
+
+function hostsOf(count: number, seenBy: (at: number) => number = () => count) {
+    const clock = new FakeClock();
+    const hosts = entryHosts(count);
+    const fleets = hosts.map((_, at) => {
+        const fleet = new FixedFleet();
+        fleet.set({ hosts: hosts.slice(0, seenBy(at)) });
+        return fleet;
+    });
+    return { clock, hosts, fleets };
+}
+
+function mostWithin(times: readonly number[], windowMs: number): number {
+    return Math.max(0, ...times.map(from => times.filter(at => at >= from && at < from + windowMs).length));
+}
+
+test("repeats of all hosts together stay within the budget in any window, however they come", async () => {
+    const arrivals = fc.array(fc.record({ host: fc.nat(7), gapMs: fc.nat(40), repeats: fc.nat(3) }), {
+        minLength: 100,
+        maxLength: 400,
+    });
+    await fc.assert(
+        fc.asyncProperty(arrivals, async steps => {
+            const { clock, fleets } = hostsOf(8);
+            const shares = fleets.map(fleet => new RetryShares(defaultBounds, fleet, clock));
+            const requests: number[] = [];
+            const repeats: number[] = [];
+            for (const { host, gapMs, repeats: wanted } of steps) {
+                await clock.advance(gapMs);
+                shares[host]!.noteRequest(serviceId("s"));
+                requests.push(clock.nowMs());
+                for (let at = 0; at < wanted; at++) {
+                    if (shares[host]!.tryRepeat(serviceId("s"))) {
+                        repeats.push(clock.nowMs());
+                    }
+                }
+            }
+            const { retryWindowMs, retryShare, retrySlack } = defaultBounds;
+            for (const from of repeats) {
+                const within = (at: number) => at >= from && at < from + retryWindowMs;
+                const allowed = retryShare * requests.filter(within).length + retrySlack;
+                assert.ok(repeats.filter(within).length <= allowed);
+            }
+        }),
+        { seed, numRuns: 30 },
+    );
+});
+
+interface ColdCase {
+    readonly name: string;
+    readonly hosts: number;
+    /** Hosts that each host knows. */
+    readonly seenBy?: (at: number) => number;
+}
+
+const coldCases: readonly ColdCase[] = [
+    { name: "8 hosts", hosts: 8 },
+    { name: "69 hosts", hosts: 69 },
+    { name: "390 hosts", hosts: 390 },
+    { name: "half of 8 hosts not knowing of the others yet", hosts: 8, seenBy: at => (at < 4 ? 4 : 8) },
+    { name: "half of 69 hosts not knowing of the others yet", hosts: 69, seenBy: at => (at < 35 ? 35 : 69) },
+];
+
+for (const { name, hosts: count, seenBy } of coldCases) {
+    test(`a cold endpoint gets no more than it bears in any second: ${name}, all with work for it`, async () => {
+        const { clock, hosts, fleets } = hostsOf(count, seenBy);
+        const shares = hosts.map(({ host }, at) => new ColdShares(host, defaultBounds, fleets[at]!, clock));
+        const cold = service("s", { coldMs: 3000, coldPerSecond: 18 });
+        const endpoint = "e" as EndpointId;
+        const sent: number[] = [];
+        for (let step = 0; step < 100; step++) {
+            for (const share of shares) {
+                if (share.maySend(endpoint, cold)) {
+                    share.sent(endpoint);
+                    sent.push(clock.nowMs());
+                }
+            }
+            await clock.advance(50);
+        }
+        const bound = cold.coldPerSecond * defaultBounds.coldOverrun + defaultBounds.coldSlack;
+        assert.ok(mostWithin(sent, 1000) <= bound, `${mostWithin(sent, 1000)} in a second`);
+        assert.ok(sent.length >= 10, "it gets some work while it is cold");
+    });
+}
--- /dev/null
+++ b/testing/FleetCluster.ts
@@ -0,0 +1,161 @@
+/** Control hosts and entry hosts of a fleet over the fakes for network, disk and clock. */
+import { Right } from "purify-ts";
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import type { DataCentreId, HostId, Incarnation } from "../src/common/Types.js";
+import { ControlMembers } from "../src/fleet/ControlMembers.js";
+import { ControlOperator } from "../src/fleet/ControlOperator.js";
+import { EndpointListReader } from "../src/fleet/EndpointListReader.js";
+import { FleetBoard } from "../src/fleet/FleetBoard.js";
+import { FleetClient } from "../src/fleet/FleetClient.js";
+import { FleetState } from "../src/fleet/FleetState.js";
+import type { DeploymentDecoder, EndpointListSource, ListedEndpoint } from "../src/fleet/Types.js";
+import { RaftLog } from "../src/replication/RaftLog.js";
+import { FakeClock } from "./FakeClock.js";
+import { FakeDisk } from "./FakeDisk.js";
+import { FakeNetwork } from "./FakeNetwork.js";
+import { deployment, noMetrics, silentLog } from "./FleetFixtures.js";
+
+const timing = { electionMs: 900, heartbeatMs: 200, clockDriftMs: 50 };
+
+/** Reads a configuration that is its version alone. */
+export const versionDecoder: DeploymentDecoder = {
+    decode: text => Right({ ...deployment([], []), version: Number(text) }),
+};
+
+export interface ControlHost {
+    readonly id: HostId;
+    readonly log: RaftLog;
+    readonly state: FleetState;
+    readonly operator: ControlOperator;
+    readonly reader: EndpointListReader;
+    readonly disk: FakeDisk;
+    readonly stop: AbortController;
+}
+
+export class FleetCluster {
+    public readonly clock = new FakeClock();
+    public readonly network: FakeNetwork;
+    public readonly controls = new Map<string, ControlHost>();
+    public readonly entries = new Map<string, FleetClient>();
+    /** What the platform lists; read by control hosts. */
+    public listed: readonly ListedEndpoint[] = [];
+    public listReads = 0;
+    private starts = 0;
+
+    public constructor(private readonly seeds: readonly string[], private readonly lossesBorne: number = 1) {
+        this.network = new FakeNetwork(this.clock, 1);
+    }
+
+    public startControl(name: string, isFirstStart: boolean, disk: FakeDisk = new FakeDisk()): ControlHost {
+        const { clock } = this;
+        const id = name as HostId;
+        const seeds = this.seeds as HostId[];
+        const peers = this.network.addHost(id);
+        const state = new FleetState();
+        this.starts += 1;
+        const common = { self: id, transport: peers, registry: peers, clock, random: new SeededRandom(this.starts) };
+        const log = new RaftLog({
+            ...common,
+            group: "fleet",
+            initialMembers: { voters: isFirstStart && seeds.includes(id) ? seeds : [], learners: [] },
+            disk,
+            dir: "fleet",
+            log: silentLog,
+            stateMachine: state,
+            timing,
+        });
+        const source: EndpointListSource = {
+            read: async () => {
+                this.listReads += 1;
+                return Right({ endpoints: this.listed, unreadable: 0 });
+            },
+        };
+        const board: FleetBoard = new FleetBoard({
+            ...common,
+            log,
+            state,
+            reader: () => reader,
+            controls: () => log.status().members.voters,
+            events: silentLog,
+            metrics: noMetrics,
+        });
+        const reader = new EndpointListReader({
+            source,
+            leads: () => log.status().role === "leader",
+            clock,
+            log: silentLog,
+            metrics: noMetrics,
+            onChange: () => board.notify(),
+        });
+        const { lossesBorne } = this;
+        const members = new ControlMembers({ ...common, log, seeds: () => seeds, lossesBorne, events: silentLog });
+        const stop = new AbortController();
+        [log, board, reader, members].forEach(one => void one.run(stop.signal));
+        const operator = new ControlOperator({
+            log,
+            state,
+            decoder: versionDecoder,
+            clock,
+            events: silentLog,
+            metrics: noMetrics,
+        });
+        const host = { id, log, state, operator, reader, disk, stop };
+        this.controls.set(name, host);
+        return host;
+    }
+
+    public startEntry(name: string): FleetClient {
+        const peers = this.network.addHost(name as HostId);
+        const client = new FleetClient({
+            self: name as HostId,
+            dataCentre: "a" as DataCentreId,
+            incarnation: 1 as Incarnation,
+            seeds: () => this.seeds as HostId[],
+            decoder: versionDecoder,
+            transport: peers,
+            clock: this.clock,
+            log: silentLog,
+            metrics: noMetrics,
+            stopping: new AbortController().signal,
+        });
+        void client.run(new AbortController().signal);
+        this.entries.set(name, client);
+        return client;
+    }
+
+    /** Ends a control host as a loss of power does, and gives the disk as the next start finds it. */
+    public crash(name: string): FakeDisk {
+        const host = this.controls.get(name);
+        this.network.kill(name as HostId);
+        host?.stop.abort();
+        this.controls.delete(name);
+        return host?.disk.crash() ?? new FakeDisk();
+    }
+
+    public leader(): ControlHost | undefined {
+        return [...this.controls.values()].find(one => one.log.status().role === "leader");
+    }
+
+    /** Puts a configuration at one control host; true when it was acknowledged. */
+    public async put(name: string, version: number): Promise<boolean> {
+        const answer = this.controls.get(name)?.operator.handle({ kind: "put-config", text: String(version) });
+        let kind = "";
+        void answer?.then(one => kind = one.kind);
+        await this.clock.advance(3000);
+        return kind === "done";
+    }
+
+    /** The configuration that a control host reads back; undefined when it can't be sure. */
+    public async get(name: string): Promise<string | undefined> {
+        const answer = this.controls.get(name)?.operator.handle({ kind: "get-config" });
+        let text: string | undefined;
+        void answer?.then(one => text = one.kind === "config" ? one.text : undefined);
+        await this.clock.advance(1500);
+        return text;
+    }
+
+    public async stopAll(): Promise<void> {
+        this.controls.forEach(({ stop }) => stop.abort());
+        await this.clock.advance(1000);
+    }
+}
