Cells: a large service is gathered by several hosts, each beside the endpoints it serves

Cause: on 69 entry hosts one host gathered all pieces of a service; its link (7 Mbit/s) and processor (0.324 of a core) bound the whole fleet. Weighed: cells by data centre of about four endpoints (taken), one gatherer for each endpoint (calls no longer share a queue), gathering on control hosts (few, and lost when the core is).

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -12,6 +12,7 @@
 import { ReplyTimes } from "../gateway/ReplyTimes.js";
 import { StageGraph } from "../gateway/StageGraph.js";
 import type { GatewayCodec } from "../gateway/Types.js";
+import { CellSource } from "../gather/Cells.js";
 import { GatherClient } from "../gather/GatherClient.js";
 import { Gatherer } from "../gather/Gatherer.js";
 import { HttpPieceClient } from "../gather/PieceClient.js";
@@ -56,9 +57,10 @@
     const addressOf = (endpoint: EndpointId) => book.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
     const book: EndpointBook = new EndpointBook(fleet, clock, log, endpoint => connections.distrustIdle(endpoint));
+    const cells = new CellSource(() => fleet.view());
     const client = new HttpPieceClient(connections, options.pieceCodec, clock, signal);
-    const local = new Gatherer({ self, fleet, client, transport, registry, clock, log, metrics, signal });
-    const pieces = new GatherClient({ self, incarnation, fleet, local, transport, registry, clock, log });
+    const local = new Gatherer({ self, fleet, cells, client, transport, registry, clock, log, metrics, signal });
+    const pieces = new GatherClient({ self, dataCentre, cells, local, transport, registry, clock, log });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdShares(self, bounds, fleet, clock);
     const gateway = new Gateway({
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -64,7 +64,7 @@
             return { run, results: end.orDefault([]) };
         }));
         const last = ends.filter(({ run }) => followersOf(run, runs).length === 0);
-        const freeAll = () => last.forEach(({ run, results }) => this.maker.free(run.stage.service, results));
+        const freeAll = () => last.forEach(({ results }) => this.maker.free(results));
         if (firstError !== undefined) {
             freeAll();
             return Left(firstError);
@@ -86,7 +86,7 @@
         const followers = followersOf(run, runs);
         if (followers.length > 0) {
             await Promise.all(followers.map(one => one.ended));
-            this.maker.free(run.stage.service, (await run.ended).orDefault([]));
+            this.maker.free((await run.ended).orDefault([]));
         }
     }
 
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -1,18 +1,28 @@
 /**
- * Sends pieces to the gatherer of their service: the first live host in rendezvous order, which all hosts find without
- * a message. A gatherer that fails or falls silent is passed by, and what it held is submitted to the next one.
+ * Sends pieces to the gatherer of a cell: the first live host in rendezvous order, which all hosts find without a
+ * message. Pieces that no data centre binds stay in this one; a cell without time for them passes them on to another. A gatherer that fails or falls silent is passed by, and what it held is submitted to the next one.
  */
 import { Left, Right } from "purify-ts";
-import type { Clock, HostId, Incarnation } from "../common/Types.js";
+import type { Clock, DataCentreId, HostId } from "../common/Types.js";
 import { rankByWeight } from "../endpoints/Rendezvous.js";
-import type { FleetSource, ServiceId } from "../fleet/Types.js";
+import type { ServiceId } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
+import type { Cell, CellSource } from "./Cells.js";
 import type { Gatherer } from "./Gatherer.js";
 import { gatherMethods, type WorkRequest } from "./GatherMessages.js";
-import type { EndedSubmission, PieceMaker, PieceResult, PiecesEnd, Submission, SubmissionId } from "./Types.js";
+import type {
+    CellId,
+    EndedSubmission,
+    NewSubmission,
+    PieceMaker,
+    PieceResult,
+    PiecesEnd,
+    Submission,
+    SubmissionId,
+} from "./Types.js";
 
 /** Work of one moment travels together. */
 const sendDelayMs = 2;
@@ -25,24 +35,32 @@
 const avoidMs = 2000;
 /** An estimate of a wait counts for this long. */
 const waitValidMs = 300;
+/** Cells that may pass a submission on for want of time before one keeps it. */
+const mostPassedOn = 1;
+/** What is advised while a service has no endpoint. */
+const noCellRetryMs = 1000;
 
 interface Pending {
-    readonly submission: Submission;
+    readonly asked: NewSubmission;
     readonly submittedMs: number;
     readonly settle: (end: PiecesEnd) => void;
+    /** Cells that had no time for it. */
+    readonly refused: CellId[];
+    cell: CellId | undefined;
+    onTimeOnly: boolean;
     gatherer: HostId;
 }
 
 interface Outbox {
     readonly submissions: Submission[];
-    readonly cancels: { service: ServiceId; id: SubmissionId; }[];
-    readonly frees: { service: ServiceId; results: PieceResult[]; }[];
+    readonly cancels: { cell: CellId; id: SubmissionId; }[];
+    readonly frees: { cell: CellId; results: PieceResult[]; }[];
 }
 
 export interface GatherClientOptions {
     readonly self: HostId;
-    readonly incarnation: Incarnation;
-    readonly fleet: FleetSource;
+    readonly dataCentre: DataCentreId;
+    readonly cells: CellSource;
     readonly local: Gatherer;
     readonly transport: PeerTransport;
     readonly registry: PeerRegistry;
@@ -56,7 +74,7 @@
     private readonly outboxes = new Map<HostId, Outbox>();
     private readonly heardMs = new Map<HostId, number>();
     private readonly avoidUntilMs = new Map<HostId, number>();
-    private readonly waits = new Map<ServiceId, { readonly waitMs: number; readonly atMs: number; }>();
+    private readonly waits = new Map<CellId, { readonly waitMs: number; readonly atMs: number; }>();
     private readonly asking = new Set<HostId>();
 
     public constructor(private readonly options: GatherClientOptions) {
@@ -68,19 +86,18 @@
         });
     }
 
-    public make(submission: Submission, signal: AbortSignal): Promise<PiecesEnd> {
-        const { log, clock } = this.options;
+    public make(asked: NewSubmission, signal: AbortSignal): Promise<PiecesEnd> {
         return new Promise(resolve => {
             const cancelled = () => {
-                const gatherer = this.pending.get(submission.id)?.gatherer;
-                if (gatherer !== undefined) {
-                    this.outbox(gatherer).cancels.push({ service: submission.service, id: submission.id });
+                const pending = this.pending.get(asked.id);
+                if (pending?.cell !== undefined) {
+                    this.outbox(pending.gatherer).cancels.push({ cell: pending.cell, id: asked.id });
                 }
                 settle(Left({ kind: "cancelled", message: "the request has ended" }));
             };
             const settle = (end: PiecesEnd) => {
                 signal.removeEventListener("abort", cancelled);
-                this.pending.delete(submission.id);
+                this.pending.delete(asked.id);
                 resolve(end);
             };
             if (signal.aborted) {
@@ -88,32 +105,38 @@
                 return;
             }
             signal.addEventListener("abort", cancelled);
-            const gatherer = this.gathererOf(submission.service);
-            this.pending.set(submission.id, { submission, submittedMs: clock.nowMs(), settle, gatherer });
-            const { id, service, request, stage, pieces, startInMs } = submission;
-            log.event(EventId.PiecesSubmitted, {
-                request,
-                submission: id,
-                service,
-                stage,
-                pieces: pieces.length,
-                startInMs: Math.round(startInMs),
+            const submittedMs = this.options.clock.nowMs();
+            const { self: gatherer } = this.options;
+            const pending: Pending = {
+                asked,
+                submittedMs,
+                settle,
+                refused: [],
+                cell: undefined,
+                onTimeOnly: true,
                 gatherer,
-            });
-            this.outbox(gatherer).submissions.push(submission);
+            };
+            this.pending.set(asked.id, pending);
+            this.submit(pending);
         });
     }
 
-    public free(service: ServiceId, results: readonly PieceResult[]): void {
-        if (results.length > 0) {
-            this.outbox(this.gathererOf(service)).frees.push({ service, results: [...results] });
+    public free(results: readonly PieceResult[]): void {
+        const cells = this.options.cells.current();
+        for (const result of results) {
+            const cell = cells.ofEndpoint(result.endpoint);
+            if (cell !== undefined) {
+                this.freeAt(this.gathererOf(cell), cell, result);
+            }
         }
     }
 
     public waitMs(service: ServiceId): number | undefined {
-        const known = this.waits.get(service);
-        const isRecent = known !== undefined && this.options.clock.nowMs() - known.atMs < waitValidMs;
-        return isRecent ? known.waitMs : undefined;
+        const recent = this.options.cells.current().ofService(service).flatMap(({ id }) => {
+            const known = this.waits.get(id);
+            return known !== undefined && this.options.clock.nowMs() - known.atMs < waitValidMs ? [known.waitMs] : [];
+        });
+        return recent.length === 0 ? undefined : Math.min(...recent);
     }
 
     /** Watches gatherers that owe results. */
@@ -131,12 +154,72 @@
         }
     }
 
-    /** The first live host in the service's order that has not just failed; this host where none is left. */
-    private gathererOf(service: ServiceId): HostId {
-        const { fleet, self, clock } = this.options;
-        const hosts = fleet.view().hosts.filter(one => one.isLive).map(one => one.host);
+    /** Sends a submission to the best cell that has not refused it. */
+    private submit(pending: Pending): void {
+        const { clock, log } = this.options;
+        const { asked, submittedMs, refused } = pending;
+        const choices = this.cellsFor(asked).filter(cell => !refused.includes(cell));
+        const [cell] = choices;
+        if (cell === undefined) {
+            const message = "no endpoint of the service is known";
+            pending.settle(Left({ kind: "overloaded", message, retryAfterMs: noCellRetryMs }));
+            return;
+        }
+        // Only the last cell that is tried keeps what can't be on time.
+        pending.onTimeOnly = refused.length < mostPassedOn && choices.length > 1;
+        pending.cell = cell;
+        pending.gatherer = this.gathererOf(cell);
+        const passedMs = clock.nowMs() - submittedMs;
+        const { id, service, request, stage, pieces } = asked;
+        const startInMs = asked.startInMs - passedMs;
+        log.event(EventId.PiecesSubmitted, {
+            request,
+            submission: id,
+            service,
+            cell,
+            stage,
+            pieces: pieces.length,
+            startInMs: Math.round(startInMs),
+            gatherer: pending.gatherer,
+        });
+        this.outbox(pending.gatherer).submissions.push({
+            ...asked,
+            cell,
+            onTimeOnly: pending.onTimeOnly,
+            startInMs,
+            remainingMs: asked.remainingMs - passedMs,
+        });
+    }
+
+    /** Cells of a service in the order in which a submission tries them. */
+    private cellsFor({ service, dataCentre, id }: NewSubmission): readonly CellId[] {
+        const { cells, dataCentre: own } = this.options;
+        const all = cells.current().ofService(service);
+        const rankOf = (cell: Cell) => cell.dataCentre === (dataCentre ?? own) ? 0 : 1;
+        // A cell that its own data centre's loss or order has emptied takes nothing.
+        const open = all.filter(cell => cells.current().usable(cell.id).length > 0);
+        const spread = rankByWeight(id, open.map(cell => cell.id));
+        return [...open].sort((a, b) => rankOf(a) - rankOf(b) || spread.indexOf(a.id) - spread.indexOf(b.id))
+            .map(cell => cell.id);
+    }
+
+    /** The first host in the cell's order that has not just failed; this host where none is left. */
+    private gathererOf(cell: CellId): HostId {
+        const { cells, self, clock } = this.options;
         const nowMs = clock.nowMs();
-        return rankByWeight(service, hosts).find(host => nowMs >= (this.avoidUntilMs.get(host) ?? 0)) ?? self;
+        const isOpen = (host: HostId) => nowMs >= (this.avoidUntilMs.get(host) ?? 0);
+        return cells.current().gatherers(cell).find(isOpen) ?? self;
+    }
+
+    private freeAt(host: HostId, cell: CellId, result: PieceResult): void {
+        const { frees } = this.outbox(host);
+        const known = frees.find(one => one.cell === cell);
+        if (known === undefined) {
+            frees.push({ cell, results: [result] });
+        }
+        else {
+            known.results.push(result);
+        }
     }
 
     private outbox(host: HostId): Outbox {
@@ -172,9 +255,9 @@
         });
     }
 
-    private noteWaits(waits: readonly (readonly [ServiceId, number])[]): void {
+    private noteWaits(waits: readonly (readonly [CellId, number])[]): void {
         const atMs = this.options.clock.nowMs();
-        waits.forEach(([service, waitMs]) => this.waits.set(service, { waitMs, atMs }));
+        waits.forEach(([cell, waitMs]) => this.waits.set(cell, { waitMs, atMs }));
     }
 
     /** Passes a gatherer by and submits what it owes to the next ones. */
@@ -183,25 +266,16 @@
         this.avoidUntilMs.set(host, clock.nowMs() + avoidMs);
         const owed = [...this.pending.values()].filter(one => one.gatherer === host);
         log.event(EventId.GathererLost, { gatherer: host, message, submissions: owed.length });
-        for (const pending of owed) {
-            const { submission, submittedMs } = pending;
-            const passedMs = clock.nowMs() - submittedMs;
-            pending.gatherer = this.gathererOf(submission.service);
-            this.outbox(pending.gatherer).submissions.push({
-                ...submission,
-                startInMs: submission.startInMs - passedMs,
-                remainingMs: submission.remainingMs - passedMs,
-            });
-        }
+        owed.forEach(pending => this.submit(pending));
     }
 
-    private take({ id, service, results, error }: EndedSubmission, from: HostId): void {
+    private take({ id, cell, results, error }: EndedSubmission, from: HostId): void {
         if (this.pending.has(id)) {
             this.finish(id, error === undefined ? Right(results) : Left(error));
         }
-        else if (results.length > 0) {
+        else {
             // Made twice, or for a request that has ended.
-            this.outbox(from).frees.push({ service, results: [...results] });
+            results.forEach(result => this.freeAt(from, cell, result));
         }
     }
 
@@ -211,19 +285,31 @@
             return;
         }
         const { log, clock } = this.options;
-        const { request, service, stage } = pending.submission;
+        const { request, service, stage } = pending.asked;
+        const isPassedOn = pending.onTimeOnly && pending.cell !== undefined
+            && end.caseOf({
+                Left: error => error.kind === "overloaded" || error.kind === "failed",
+                Right: () => false,
+            });
         log.event(EventId.PiecesEnded, {
             request,
             submission: id,
             service,
+            cell: pending.cell,
             stage,
             gatherer: pending.gatherer,
+            isPassedOn,
             durationMs: Math.round(clock.nowMs() - pending.submittedMs),
             outcome: end.caseOf<unknown>({
                 Left: error => error,
                 Right: results => ({ kind: "made", results: results.length }),
             }),
         });
+        if (isPassedOn && pending.cell !== undefined) {
+            pending.refused.push(pending.cell);
+            this.submit(pending);
+            return;
+        }
         pending.settle(end);
     }
 }
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -3,16 +3,19 @@
 import type { DataCentreId, EndpointId } from "../common/Types.js";
 import type { ServiceId } from "../fleet/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
-import type { EndedSubmission, PiecesError, Submission, SubmissionId } from "./Types.js";
+import type { CellId, EndedSubmission, PiecesError, Submission, SubmissionId } from "./Types.js";
 
 const submissionId = z.string() as unknown as z.ZodType<SubmissionId>;
 const serviceId = z.string() as unknown as z.ZodType<ServiceId>;
+const cellId = z.string() as unknown as z.ZodType<CellId>;
 const endpointId = z.string() as unknown as z.ZodType<EndpointId>;
 const dataCentreId = z.string() as unknown as z.ZodType<DataCentreId>;
 
 const submission = z.object({
     id: submissionId,
     service: serviceId,
+    cell: cellId,
+    onTimeOnly: z.boolean(),
     request: z.string(),
     stage: z.number().int(),
     pieces: z.array(z.number().int()),
@@ -37,13 +40,13 @@
 
 const workRequest = z.object({
     submissions: z.array(submission),
-    cancels: z.array(z.object({ service: serviceId, id: submissionId })),
-    frees: z.array(z.object({ service: serviceId, results: z.array(result) })),
+    cancels: z.array(z.object({ cell: cellId, id: submissionId })),
+    frees: z.array(z.object({ cell: cellId, results: z.array(result) })),
 });
 
 const ended = z.object({
     id: submissionId,
-    service: serviceId,
+    cell: cellId,
     results: z.array(result),
     error: (z.object({ kind: z.string(), message: z.string() }).loose() as unknown as z.ZodType<PiecesError>)
         .optional(),
@@ -51,16 +54,16 @@
 
 const endedRequest = z.object({
     ended: z.array(ended),
-    /** Estimated wait of a new submission to each service, in milliseconds. */
-    waits: z.array(z.tuple([serviceId, z.number()])),
+    /** Estimated wait of a new submission to each cell, in milliseconds. */
+    waits: z.array(z.tuple([cellId, z.number()])),
 });
 
 export type WorkRequest = z.infer<typeof workRequest>;
 export type EndedRequest = z.infer<typeof endedRequest>;
 
 export interface WorkReply {
-    /** Estimated wait of a new submission to each service that was named, in milliseconds. */
-    readonly waits: readonly (readonly [ServiceId, number])[];
+    /** Estimated wait of a new submission to each cell that was named, in milliseconds. */
+    readonly waits: readonly (readonly [CellId, number])[];
 }
 
 export const gatherMethods = {
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -1,14 +1,16 @@
 /**
- * The gathering side of an entry host: one {@link ServiceGatherer} for each service that hosts send pieces for, and the
+ * The gathering side of an entry host: one {@link ServiceGatherer} for each cell that hosts send pieces for, and the
  * way back of results, in one message for each host and moment.
  */
+import { Left } from "purify-ts";
 import type { Clock, HostId } from "../common/Types.js";
-import type { FleetSource, FleetView, ServiceId } from "../fleet/Types.js";
+import type { FleetSource } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { CellSource } from "./Cells.js";
 import { gatherMethods, type WorkReply, type WorkRequest } from "./GatherMessages.js";
 import { ServiceGatherer } from "./ServiceGatherer.js";
-import type { EndedSubmission, PieceClient, PiecesEnd, Submission, SubmissionId } from "./Types.js";
+import type { CellId, EndedSubmission, PieceClient, PiecesEnd, SubmissionId } from "./Types.js";
 
 /** Results of one moment travel together. */
 const resultDelayMs = 2;
@@ -23,6 +25,7 @@
 export interface GathererOptions {
     readonly self: HostId;
     readonly fleet: FleetSource;
+    readonly cells: CellSource;
     readonly client: PieceClient;
     readonly transport: PeerTransport;
     readonly registry: PeerRegistry;
@@ -33,66 +36,77 @@
 }
 
 export class Gatherer {
-    private readonly services = new Map<ServiceId, ServiceGatherer>();
+    private readonly gatherers = new Map<CellId, ServiceGatherer>();
     private readonly outbox = new Map<HostId, EndedSubmission[]>();
 
     public constructor(private readonly options: GathererOptions) {
         const { fleet, registry } = options;
-        fleet.onChange(view => this.services.forEach((one, service) => one.setEndpoints(usable(view, service))));
+        fleet.onChange(() => {
+            const cells = options.cells.current();
+            this.gatherers.forEach((one, cell) => one.setEndpoints(cells.usable(cell)));
+        });
         registry.handle(gatherMethods.work, async (req, from) => this.work(req, from));
     }
 
     /** Submissions that have not ended. */
     public get size(): number {
-        return [...this.services.values()].reduce((sum, one) => sum + one.size, 0);
+        return [...this.gatherers.values()].reduce((sum, one) => sum + one.size, 0);
     }
 
     /** Takes work of a host, which may be this one. */
     public work(req: WorkRequest, from: HostId, local?: (id: SubmissionId, end: PiecesEnd) => void): WorkReply {
-        const services = new Set<ServiceId>();
-        for (const { service, results } of req.frees) {
-            void this.service(service).free(results);
+        const named = new Set<CellId>();
+        for (const { cell, results } of req.frees) {
+            void this.gatherer(cell)?.free(results);
         }
-        for (const { service, id } of req.cancels) {
-            this.service(service).cancel(id);
+        for (const { cell, id } of req.cancels) {
+            this.gatherers.get(cell)?.cancel(id);
         }
         for (const submission of req.submissions) {
-            services.add(submission.service);
+            const { id, cell = "" as CellId } = submission;
             const deliver = (end: PiecesEnd) => {
                 if (local === undefined) {
-                    this.sendBack(from, submission, end);
+                    this.sendBack(from, id, cell, end);
                 }
                 else {
-                    local(submission.id, end);
+                    local(id, end);
                 }
             };
-            this.service(submission.service).submit(submission, deliver);
+            const gatherer = this.gatherer(cell);
+            if (gatherer === undefined) {
+                deliver(Left({ kind: "failed", message: "the cell is not known here" }));
+                continue;
+            }
+            named.add(cell);
+            gatherer.submit(submission, deliver);
         }
-        return { waits: [...services].map(service => [service, this.waitMs(service)]) };
+        return { waits: [...named].map(cell => [cell, this.waitMs(cell)]) };
     }
 
-    private waitMs(service: ServiceId): number {
-        const waitMs = this.service(service).waitMs(this.options.clock.nowMs() + usualSlackMs, Infinity, 0);
+    private waitMs(cell: CellId): number {
+        const waitMs = this.gatherers.get(cell)?.waitMs(this.options.clock.nowMs() + usualSlackMs, Infinity, 0) ?? 0;
         return Math.round(Math.min(waitMs, unknownWaitMs));
     }
 
-    private service(service: ServiceId): ServiceGatherer {
-        const { fleet, client, clock, log, metrics } = this.options;
-        const known = this.services.get(service);
-        if (known !== undefined) {
+    /** The gatherer of a cell; undefined for a cell that this host's list does not have. */
+    private gatherer(id: CellId): ServiceGatherer | undefined {
+        const { fleet, cells, client, clock, log, metrics } = this.options;
+        const known = this.gatherers.get(id);
+        const service = cells.current().get(id)?.service;
+        if (known !== undefined || service === undefined) {
             return known;
         }
         const traits = () => fleet.view().deployment?.services.get(service)?.pieces;
         const added = new ServiceGatherer({ service, traits, client, clock, log, metrics });
-        this.services.set(service, added);
-        added.setEndpoints(usable(fleet.view(), service));
+        this.gatherers.set(id, added);
+        added.setEndpoints(cells.current().usable(id));
         return added;
     }
 
-    private sendBack(to: HostId, { id, service }: Submission, end: PiecesEnd): void {
+    private sendBack(to: HostId, id: SubmissionId, cell: CellId, end: PiecesEnd): void {
         const ended = end.caseOf<EndedSubmission>({
-            Left: error => ({ id, service, results: [], error }),
-            Right: results => ({ id, service, results }),
+            Left: error => ({ id, cell, results: [], error }),
+            Right: results => ({ id, cell, results }),
         });
         const waiting = this.outbox.get(to);
         if (waiting !== undefined) {
@@ -107,10 +121,8 @@
         const { transport, signal } = this.options;
         const ended = this.outbox.get(to) ?? [];
         this.outbox.delete(to);
-        const waits = [...new Set(ended.map(one => one.service))].map((service): [ServiceId, number] => [
-            service,
-            this.waitMs(service),
-        ]);
+        const named = new Set(ended.map(one => one.cell));
+        const waits = [...named].map((cell): [CellId, number] => [cell, this.waitMs(cell)]);
         for (let tries = 0; tries < resultTries && !signal.aborted; tries++) {
             const options = { timeoutMs: resultTimeoutMs / resultTries, signal };
             const sent = await transport.call(to, gatherMethods.ended, { ended, waits }, options);
@@ -121,9 +133,3 @@
         // The submitter has gone or asks elsewhere: its results lie unused until they expire.
     }
 }
-
-function usable(view: FleetView, service: ServiceId) {
-    return view.endpoints.filter(one =>
-        one.service === service && !one.isLeaving && !view.dataCentresOut.has(one.dataCentre)
-    );
-}
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -1,5 +1,5 @@
 /**
- * Gathers the pieces of one service: keeps those that wait in order, sends full calls to endpoints as they get free, and
+ * Gathers the pieces of one cell of a service: keeps those that wait in order, sends full calls to endpoints as they get free, and
  * tells each submitter its results. A call that fails or takes far too long gives its pieces back to the queue: a
  * piece may be made again, and the first result counts.
  */
@@ -116,7 +116,9 @@
             dataCentre: submission.dataCentre,
         };
         const readyInMs = this.readyInMs(waiting);
-        if (readyInMs > submission.remainingMs * sureShare) {
+        const isTooLate = submission.onTimeOnly
+            && this.waitMs(waiting.startByMs, waiting.deadlineMs, submission.priority) > submission.startInMs;
+        if (readyInMs > submission.remainingMs * sureShare || isTooLate) {
             deliver(Left(this.overloaded(readyInMs, submission.remainingMs)));
             return;
         }
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -9,6 +9,9 @@
 /** Names one submission; unique over all hosts and restarts. */
 export type SubmissionId = Brand<string, "SubmissionId">;
 
+/** Names the endpoints that one gatherer serves; see {@link Cells}. */
+export type CellId = Brand<string, "CellId">;
+
 /** What a piece is made from: the request's own key, or results of earlier stages. */
 export type PieceSource =
     | { readonly kind: "key"; readonly key: string; }
@@ -18,6 +21,10 @@
 export interface Submission {
     readonly id: SubmissionId;
     readonly service: ServiceId;
+    /** Set by the client once it has chosen one. */
+    readonly cell: CellId | undefined;
+    /** True for a submission that is to be refused if it can't start in time, since another cell may have time. */
+    readonly onTimeOnly: boolean;
     readonly request: string;
     readonly stage: number;
     readonly pieces: readonly number[];
@@ -35,6 +42,9 @@
     readonly dataCentre: DataCentreId | undefined;
 }
 
+/** A submission for which no cell has been chosen yet. */
+export type NewSubmission = Omit<Submission, "cell" | "onTimeOnly">;
+
 /** A result that lies at its maker until it is freed. */
 export interface PieceResult {
     readonly handle: string;
@@ -56,9 +66,9 @@
 
 /** Makes the pieces of one stage. */
 export interface PieceMaker {
-    make(submission: Submission, signal: AbortSignal): Promise<PiecesEnd>;
+    make(submission: NewSubmission, signal: AbortSignal): Promise<PiecesEnd>;
     /** Gives up results that are needed no more. */
-    free(service: ServiceId, results: readonly PieceResult[]): void;
+    free(results: readonly PieceResult[]): void;
     /** Estimated wait for a new submission to a service, in milliseconds; undefined when nothing recent is known. */
     waitMs(service: ServiceId): number | undefined;
 }
@@ -112,7 +122,7 @@
 /** The end of a submission, on its way to the host that submitted it. */
 export interface EndedSubmission {
     readonly id: SubmissionId;
-    readonly service: ServiceId;
+    readonly cell: CellId;
     readonly results: readonly PieceResult[];
     readonly error?: PiecesError | undefined;
 }
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -198,6 +198,8 @@
     return {
         id: `s${submissions}` as SubmissionId,
         service: serviceId("s"),
+        cell: undefined,
+        onTimeOnly: false,
         request: `r${submissions}`,
         stage: 0,
         pieces: [0],
