--- a/src/fleet/FleetBoard.ts
+++ b/src/fleet/FleetBoard.ts
@@ -52,6 +52,8 @@
     public readonly name = "fleet-board";
     private readonly heard: HeardHosts;
     private readonly news: Notifier;
+    /** Wakes the exchange when there is another leader to ask. */
+    private readonly roleChanges: Notifier;
     private packed: { readonly version: number; readonly text: string; } | undefined;
     /** Until when this host's state is known to have been the newest. */
     private freshUntilMs: number | undefined;
@@ -61,7 +63,9 @@
         const { clock, registry, log } = options;
         this.heard = new HeardHosts(clock);
         this.news = new Notifier(clock);
+        this.roleChanges = new Notifier(clock);
         log.onApplied(() => this.news.notify());
+        log.onRoleChange(() => this.roleChanges.notify());
         registry.handle(fleetMethods.sync, req => this.sync(req));
         registry.handle(fleetMethods.board, req => this.board(req));
     }
@@ -85,7 +89,7 @@
                 this.freshUntilMs = startMs;
             }
             this.noteFreshness(fresh);
-            await clock.sleep(exchangeEveryMs, signal);
+            await this.roleChanges.wait(exchangeEveryMs, signal);
         }
     }
 
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -30,6 +30,9 @@
 const unconfirmedRetryMs = 1000;
 /** A view that is confirmed again within this time is worth waiting for. */
 const confirmWaitMs = 150;
+/** After a start of the whole fleet the first view comes within an election; a request waits for part of its time. */
+const firstViewWaitMs = 1500;
+const firstViewWaitShare = 0.4;
 const confirmPollMs = 20;
 
 export interface GatewayParts {
@@ -105,7 +108,7 @@
             }
             return;
         }
-        await this.waitForCertainty();
+        await this.waitForCertainty(head.remainingMs ?? 0);
         const admission = this.admit(head, body.unsafeCoerce(), arrivedMs);
         if ("refusal" in admission) {
             this.refuse(head, res, admission.refusal);
@@ -127,9 +130,11 @@
     }
 
     /** Waits a little where the view is not certain now, as after a stall of this host. */
-    private async waitForCertainty(): Promise<void> {
+    private async waitForCertainty(remainingMs: number): Promise<void> {
         const { clock, fleet, bounds } = this.parts;
-        const untilMs = clock.nowMs() + confirmWaitMs;
+        const isFirst = !Number.isFinite(fleet.ageMs());
+        const waitMs = isFirst ? Math.min(firstViewWaitMs, remainingMs * firstViewWaitShare) : confirmWaitMs;
+        const untilMs = clock.nowMs() + waitMs;
         while (fleet.ageMs() > bounds.configApplyMs && clock.nowMs() < untilMs) {
             await clock.sleep(confirmPollMs);
         }
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -4,13 +4,14 @@
  * the time at which they must start; then the others, by priority and deadline.
  *
  * A submission may be bound to a data centre: to where its sources or its consumer are, or to where its first piece
- * went. An endpoint elsewhere takes it only when it would else be late, or when its data centre has no endpoint.
+ * went. An endpoint elsewhere takes it only after its own, and only when it would else be late or is so already, or when
+ * its data centre has no endpoint.
  */
 import type { DataCentreId } from "../common/Types.js";
 import type { Submission, SubmissionId } from "./Types.js";
 
-/** A submission with less time than this before its latest start goes to any data centre. */
-const leaveCentreMs = 120;
+/** A submission with less time than this before its latest start goes to any data centre; about one call's time. */
+const leaveCentreMs = 250;
 /** A submission counts as late this long before its latest start, since estimates of later steps vary. */
 const lateMarginMs = 60;
 
@@ -77,16 +78,30 @@
     /** Takes the pieces of the next call of an endpoint. */
     public take(limits: TakeLimits, nowMs: number): TakenPiece[] {
         const taken: TakenPiece[] = [];
-        let leftBytes = limits.roomBytes;
-        for (const waiting of this.list(nowMs)) {
+        const inOrder = this.list(nowMs);
+        const isOwn = (one: Waiting) => one.dataCentre === undefined || one.dataCentre === limits.dataCentre;
+        const leftBytes = this.takeFrom(inOrder.filter(isOwn), limits, limits.roomBytes, taken);
+        const others = inOrder.filter(one => !isOwn(one) && mayLeave(one, limits, nowMs));
+        this.takeFrom(others, limits, leftBytes, taken);
+        return taken;
+    }
+
+    /** Takes pieces in order while there is room for them; gives the room that is left. */
+    private takeFrom(
+        candidates: readonly Waiting[],
+        limits: TakeLimits,
+        roomBytes: number,
+        taken: TakenPiece[],
+    ): number {
+        let leftBytes = roomBytes;
+        for (const waiting of candidates) {
+            if (taken.length >= limits.pieces) {
+                break;
+            }
             const { resultBytes, id } = waiting.submission;
-            const neededBytes = waiting.pieces.length * resultBytes;
             // A request that is begun where its results find no room would keep others out.
-            const fits = waiting.isBegun || neededBytes <= leftBytes || taken.length === 0;
-            if (!fits || !mayGoTo(waiting, limits, nowMs)) {
-                continue;
-            }
-            while (waiting.pieces.length > 0 && taken.length < limits.pieces && resultBytes <= leftBytes) {
+            const fits = waiting.isBegun || waiting.pieces.length * resultBytes <= leftBytes || taken.length === 0;
+            while (fits && waiting.pieces.length > 0 && taken.length < limits.pieces && resultBytes <= leftBytes) {
                 const piece = waiting.pieces.shift();
                 if (piece !== undefined) {
                     taken.push({ waiting, piece });
@@ -98,11 +113,8 @@
             if (waiting.pieces.length === 0) {
                 this.waiting.delete(id);
             }
-            if (taken.length >= limits.pieces) {
-                break;
-            }
         }
-        return taken;
+        return leftBytes;
     }
 
     /** Pieces that would go before those of a new submission, and how many of all can still be on time. */
@@ -121,12 +133,10 @@
     return startByMs - lateMarginMs < nowMs;
 }
 
-function mayGoTo(waiting: Waiting, { dataCentre, served }: TakeLimits, nowMs: number): boolean {
-    const bound = waiting.dataCentre;
-    if (bound === undefined || bound === dataCentre || !served.has(bound)) {
-        return true;
-    }
-    return !isLate(waiting, nowMs) && waiting.startByMs - nowMs < leaveCentreMs;
+/** True for a submission bound to another data centre that may be made elsewhere all the same. */
+function mayLeave(waiting: Waiting, { served }: TakeLimits, nowMs: number): boolean {
+    const { dataCentre, startByMs } = waiting;
+    return dataCentre === undefined || !served.has(dataCentre) || startByMs - nowMs < leaveCentreMs;
 }
 
 interface Ordered {
