Pieces that continue earlier stages are not refused for want of spare time

Those requests now wait for their turn while their deadline allows; what has no time is refused before its first stage, by the waits that gatherers tell.

--- a/src/gather/ServiceGatherer.test.ts
+++ b/src/gather/ServiceGatherer.test.ts
@@ -148,3 +148,18 @@
     await site.clock.advance(1000);
     assert.equal(site.endpoints.freed.length, 2);
 });
+
+test("a service that is asked for more than it makes: requests with earlier stages behind them are kept while they can end", async () => {
+    const refusedOf = async (source: Submission["source"]) => {
+        const site = new Site(1);
+        for (let at = 0; at < 30; at++) {
+            site.submit({ pieces: [0, 1, 2, 3, 4, 5, 6, 7], startInMs: 300, remainingMs: 6000, source });
+            await site.clock.advance(150);
+        }
+        await site.clock.advance(8000);
+        return 30 - site.made().length;
+    };
+    const first = await refusedOf({ kind: "key", key: "k" });
+    const continued = await refusedOf({ kind: "results", handles: ["h"] });
+    assert.ok(continued < first, `${continued} of 30 refused, against ${first} at their first stage`);
+});
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -150,7 +150,7 @@
     }
 
     /** Estimated wait before the first call of a submission that would go after those that have their times. */
-    public waitMs(startByMs: number, deadlineMs: number, priority: number): number {
+    public waitMs(startByMs: number, deadlineMs: number, priority: number, isContinued: boolean = false): number {
         const nowMs = this.options.clock.nowMs();
         const piecesPerMs = this.piecesPerMs();
         if (piecesPerMs === 0) {
@@ -166,13 +166,16 @@
         }
         // It can't be on time, and then goes after all that can: what comes until then is ahead of it too.
         const late = this.queue.ahead(-Infinity, deadlineMs, priority, nowMs);
+        if (isContinued) {
+            return currentMs + late / piecesPerMs;
+        }
         const sparePerMs = piecesPerMs - this.demand.perMs();
         return sparePerMs <= piecesPerMs * leastSpareShare ? Infinity : currentMs + late / sparePerMs;
     }
 
     /** Estimated time until the request of a submission can be answered. */
     private readyInMs({ submission, startByMs, deadlineMs }: Waiting): number {
-        const waitMs = this.waitMs(startByMs, deadlineMs, submission.priority);
+        const waitMs = this.waitMs(startByMs, deadlineMs, submission.priority, isContinued(submission));
         return waitMs + this.callMs(submission.pieces.length) + submission.restMs;
     }
 
@@ -270,9 +273,10 @@
         for (const waiting of this.queue.list(nowMs)) {
             ahead += waiting.pieces.length;
             const { submission, deadlineMs, isBegun } = waiting;
-            const waitMs = isLate(waiting, nowMs) && !isBegun && sparePerMs > 0 ? ahead / sparePerMs : 0;
+            const isLoose = isLate(waiting, nowMs) && !isBegun && !isContinued(submission);
+            const waitMs = isLoose && sparePerMs > 0 ? ahead / sparePerMs : 0;
             const readyMs = nowMs + waitMs + this.callMs(waiting.pieces.length) + submission.restMs;
-            const isSqueezed = isLate(waiting, nowMs) && !isBegun && sparePerMs <= 0;
+            const isSqueezed = isLoose && sparePerMs <= 0;
             if (readyMs > deadlineMs || isSqueezed) {
                 this.end(submission.id, this.overloaded(isSqueezed ? Infinity : readyMs - nowMs, deadlineMs - nowMs));
             }
@@ -431,3 +435,8 @@
         }
     }
 }
+
+/** True for pieces that continue earlier stages: refusing them throws away what those have made. */
+function isContinued({ source }: Submission): boolean {
+    return source.kind === "results";
+}
