--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -19,8 +19,6 @@
 const resultTries = 3;
 /** Submitters are told the wait of a submission with this much time before its latest start. */
 const usualSlackMs = 500;
-/** Told where the end of a wait can't be seen. */
-const unknownWaitMs = 60_000;
 
 export interface GathererOptions {
     readonly self: HostId;
@@ -85,7 +83,7 @@
 
     private waitMs(cell: CellId): number {
         const waitMs = this.gatherers.get(cell)?.waitMs(this.options.clock.nowMs() + usualSlackMs, Infinity, 0) ?? 0;
-        return Math.round(Math.min(waitMs, unknownWaitMs));
+        return Math.round(waitMs);
     }
 
     /** The gatherer of a cell; undefined for a cell that this host's list does not have. */
--- a/src/gather/ServiceGatherer.test.ts
+++ b/src/gather/ServiceGatherer.test.ts
@@ -163,3 +163,18 @@
     const continued = await refusedOf({ kind: "results", handles: ["h"] });
     assert.ok(continued < first, `${continued} of 30 refused, against ${first} at their first stage`);
 });
+
+test("a burst: requests with far deadlines wait for its end, those with near ones are told at once", async () => {
+    const site = new Site(1);
+    const far: string[] = [];
+    const near: string[] = [];
+    for (let at = 0; at < 30; at++) {
+        const fields = { pieces: [0, 1, 2, 3, 4, 5, 6, 7], startInMs: 300 };
+        (at % 5 === 0 ? far : near).push(site.submit({ ...fields, remainingMs: at % 5 === 0 ? 15_000 : 4000 }));
+        await site.clock.advance(100);
+    }
+    await site.clock.advance(15_000);
+    const made = site.made();
+    assert.deepEqual(far.filter(request => !made.includes(request)), []);
+    assert.ok(near.some(request => !made.includes(request)));
+});
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -37,8 +37,10 @@
 const longestRetryMs = 1500;
 /** A submission that needs more of its remaining time than this is refused at once rather than at its end. */
 const sureShare = 0.8;
-/** With less of the service to spare than this, late submissions can't be told a time. */
+/** With less of the service to spare than this, late submissions wait for the end of the burst. */
 const leastSpareShare = 0.05;
+/** Bursts of callers last about this long; a request with more time than that waits for the end of one. */
+const burstMs = 6000;
 /** How often what waits is looked through. */
 const wakeMs = 100;
 
@@ -170,7 +172,8 @@
             return currentMs + late / piecesPerMs;
         }
         const sparePerMs = piecesPerMs - this.demand.perMs();
-        return sparePerMs <= piecesPerMs * leastSpareShare ? Infinity : currentMs + late / sparePerMs;
+        const hasSpare = sparePerMs > piecesPerMs * leastSpareShare;
+        return currentMs + (hasSpare ? Math.min(burstMs, late / sparePerMs) : burstMs);
     }
 
     /** Estimated time until the request of a submission can be answered. */
@@ -180,9 +183,8 @@
     }
 
     private overloaded(readyInMs: number, remainingMs: number): PiecesError {
-        const needed = Number.isFinite(readyInMs) ? `${Math.round(readyInMs)} ms are` : "more time than can be told is";
-        const message = `${needed} needed, ${Math.round(remainingMs)} ms are left`;
-        const missingMs = Number.isFinite(readyInMs) ? readyInMs - remainingMs * sureShare : longestRetryMs;
+        const message = `${Math.round(readyInMs)} ms are needed, ${Math.round(remainingMs)} ms are left`;
+        const missingMs = readyInMs - remainingMs * sureShare;
         const retryAfterMs = Math.min(longestRetryMs, Math.max(shortestRetryMs, missingMs));
         return { kind: "overloaded", message, retryAfterMs };
     }
@@ -274,11 +276,11 @@
             ahead += waiting.pieces.length;
             const { submission, deadlineMs, isBegun } = waiting;
             const isLoose = isLate(waiting, nowMs) && !isBegun && !isContinued(submission);
-            const waitMs = isLoose && sparePerMs > 0 ? ahead / sparePerMs : 0;
+            const turnMs = sparePerMs > 0 ? Math.min(burstMs, ahead / sparePerMs) : burstMs;
+            const waitMs = isLoose ? turnMs : 0;
             const readyMs = nowMs + waitMs + this.callMs(waiting.pieces.length) + submission.restMs;
-            const isSqueezed = isLoose && sparePerMs <= 0;
-            if (readyMs > deadlineMs || isSqueezed) {
-                this.end(submission.id, this.overloaded(isSqueezed ? Infinity : readyMs - nowMs, deadlineMs - nowMs));
+            if (readyMs > deadlineMs) {
+                this.end(submission.id, this.overloaded(readyMs - nowMs, deadlineMs - nowMs));
             }
         }
     }
