--- /dev/null
+++ b/src/cli/Explain.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { explainRequest } from "./Explain.js";
+import type { TimelineEntry } from "./Timeline.js";
+
+function entry(atMs: number, host: string, name: string, fields: object = {}): TimelineEntry {
+    const hlc = `${String(1_000_000 + atMs).padStart(14, "0")}-000000-${host}`;
+    return { hlc, host, event: 1, name, ...fields };
+}
+
+const log = [
+    entry(0, "h1", "FleetViewChanged", { config: 1 }),
+    entry(10, "h2", "FleetViewChanged", { config: 1 }),
+    entry(500, "h1", "FleetViewChanged", { config: 2 }),
+    entry(900, "h1", "EndpointSuspected", { endpoint: "e1" }),
+    entry(950, "h1", "EndpointSuspected", { endpoint: "e9" }),
+    entry(1000, "h1", "GatewayRequestTaken", { request: "r1" }),
+    entry(1005, "h1", "GatewayRequestTaken", { request: "r2" }),
+    entry(1010, "h1", "PiecesSubmitted", { request: "r1", gatherer: "h2" }),
+    entry(1100, "h2", "BatchEnded", { requests: ["r0", "r1"], endpoint: "e2" }),
+    entry(1150, "h1", "GathererLost", { gatherer: "h2" }),
+    entry(1200, "h1", "EndpointAttemptEnded", { request: "r1", endpoint: "e1" }),
+    entry(1300, "h1", "GatewayRequestEnded", { request: "r1" }),
+    entry(1400, "h1", "EndpointSuspected", { endpoint: "e1" }),
+];
+
+test("a request's story has its events, what its hosts believed then, and the troubles that it met", () => {
+    const story = explainRequest(log, "r1").map(({ entry: one, part }) => `${part} ${one.host} ${one.name}`);
+    assert.deepEqual(story, [
+        "trouble h1 EndpointSuspected",
+        "belief h1 FleetViewChanged",
+        "own h1 GatewayRequestTaken",
+        "own h1 PiecesSubmitted",
+        "belief h2 FleetViewChanged",
+        "own h2 BatchEnded",
+        "trouble h1 GathererLost",
+        "own h1 EndpointAttemptEnded",
+        "own h1 GatewayRequestEnded",
+    ]);
+    assert.equal(explainRequest(log, "r1")[1]!.entry["config"], 2, "the belief is the newest one before");
+});
+
+test("a request that no line names has no story", () => {
+    assert.deepEqual(explainRequest(log, "r7"), []);
+});
--- a/src/cli/Program.ts
+++ b/src/cli/Program.ts
@@ -3,6 +3,7 @@
 import { addConfigCommands } from "./ConfigCommands.js";
 import { addControlCommands } from "./ControlCommands.js";
 import { addDaemonCommands } from "./DaemonCommands.js";
+import { addExplainCommand } from "./ExplainCommand.js";
 import { addJobCommands } from "./JobCommands.js";
 import { addTimelineCommand } from "./TimelineCommand.js";
 import { type CommandContext, ExitCode, type Output } from "./Types.js";
@@ -47,6 +48,7 @@
     addControlCommands(program, context);
     addJobCommands(program, context);
     addTimelineCommand(program, context);
+    addExplainCommand(program, context);
     for (const command of program.commands) {
         inherit(program, command);
     }
--- a/src/peer/TrpcPeerTransport.ts
+++ b/src/peer/TrpcPeerTransport.ts
@@ -93,7 +93,8 @@
             if (timedOut) {
                 this.drop(to, link, method.name);
             }
-            return Left(peerErrorOf(err));
+            const error = peerErrorOf(err);
+            return Left(timedOut ? { ...error, message: `no reply within ${callOptions.timeoutMs} ms` } : error);
         }
         finally {
             timer.dispose();
