--- /dev/null
+++ b/proof/FleetHistory.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { answerOf, type CallerEnd, eventOf, FleetHistory, streamEvents } from "./FleetHistory.js";
+
+const whole = Array.from({ length: streamEvents }, (_, at) => eventOf("r1", at + 1)).join("");
+
+function end(fields: Partial<CallerEnd>): CallerEnd {
+    return {
+        request: "r1",
+        kind: "once",
+        host: "h1",
+        sentMs: 100,
+        endedMs: 200,
+        status: 200,
+        body: answerOf("r1"),
+        isWhole: true,
+        wasSent: true,
+        ...fields,
+    };
+}
+
+const run = { request: "r1", endpoint: "e1", atMs: 150 };
+const stop = { host: "h1", fromMs: 150, toMs: 400 };
+
+interface Case {
+    readonly name: string;
+    readonly change: (history: FleetHistory) => void;
+    readonly isBroken: boolean;
+}
+
+const cases: readonly Case[] = [
+    { name: "a request that ran and was answered", change: one => one.ends.push(end({})), isBroken: false },
+    { name: "one that ran twice", change: one => (one.runs.push(run), one.ends.push(end({}))), isBroken: true },
+    {
+        name: "a repeatable one that ran twice",
+        change: one => (one.runs.push(run), one.ends.push(end({ kind: "idempotent" }))),
+        isBroken: false,
+    },
+    { name: "a refusal of one that ran", change: one => one.ends.push(end({ status: 503, body: "" })), isBroken: true },
+    {
+        name: "an unclear end of one that ran",
+        change: one => one.ends.push(end({ status: 502, body: "" })),
+        isBroken: false,
+    },
+    { name: "another's answer", change: one => one.ends.push(end({ body: answerOf("r2") })), isBroken: true },
+    { name: "a whole stream", change: one => one.ends.push(end({ kind: "resumable", body: whole })), isBroken: false },
+    {
+        name: "a stream that is cut after an event",
+        change: one => one.ends.push(end({ kind: "resumable", body: eventOf("r1", 1), isWhole: false })),
+        isBroken: false,
+    },
+    {
+        name: "a short stream that looks complete",
+        change: one => one.ends.push(end({ kind: "resumable", body: eventOf("r1", 1) })),
+        isBroken: true,
+    },
+    {
+        name: "a stream with an event twice",
+        change: one =>
+            one.ends.push(end({ kind: "resumable", body: eventOf("r1", 1) + eventOf("r1", 1), isWhole: false })),
+        isBroken: true,
+    },
+    {
+        name: "an older configuration read after an acknowledgement",
+        change: one => (one.acks.push({ version: 5, atMs: 100 }), one.reads.push({ version: 4, sentMs: 101 })),
+        isBroken: true,
+    },
+    {
+        name: "an older configuration read before the acknowledgement",
+        change: one => (one.acks.push({ version: 5, atMs: 100 }), one.reads.push({ version: 4, sentMs: 99 })),
+        isBroken: false,
+    },
+    {
+        name: "a request cut by a planned stop",
+        change: one => (one.stops.push(stop), one.ends.push(end({ status: 0, isWhole: false }))),
+        isBroken: true,
+    },
+    {
+        name: "a request cut while something unplanned happened too",
+        change: one => (one.stops.push(stop), one.harms.push(stop), one.ends.push(end({ status: 0, isWhole: false }))),
+        isBroken: false,
+    },
+    {
+        name: "a connection that a stopping host did not take",
+        change: one => (one.stops.push(stop), one.ends.push(end({ status: 0, isWhole: false, wasSent: false }))),
+        isBroken: false,
+    },
+];
+
+for (const { name, change, isBroken } of cases) {
+    test(`${name}: ${isBroken ? "is reported" : "holds"}`, () => {
+        const history = new FleetHistory();
+        history.runs.push(run);
+        change(history);
+        assert.equal(history.broken().length > 0, isBroken, history.broken().join("; "));
+    });
+}
--- /dev/null
+++ b/proof/FleetSite.ts
@@ -0,0 +1,248 @@
+/**
+ * The programs of deploy/system.toml as processes on loopback addresses, with stand-ins for the platform's list and
+ * for endpoints, in this process. Endpoints may break, lose or refuse what they are sent.
+ */
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import * as http from "node:http";
+import { join } from "node:path";
+import { stringify } from "yaml";
+import { Processes } from "../bench/Processes.js";
+import type { Clock, Random } from "../src/common/Types.js";
+import { listen } from "../src/entry/CallerServer.js";
+import { answerOf, eventOf, type FleetHistory, streamEvents } from "./FleetHistory.js";
+
+const script = new URL("../platform/main.js", import.meta.url).pathname;
+/** Below the range of outgoing ports. */
+const ports = { peer: 17_740, operator: 17_741, caller: 17_742, ready: 17_743, endpoint: 17_744, list: 17_745 };
+/** Pause between two events of a stream. */
+const eventPauseMs = 15;
+const workMs = 10;
+
+export interface FleetSize {
+    readonly controls: number;
+    readonly entries: number;
+    readonly endpoints: number;
+}
+
+/** Chances in [0, 1] of what endpoints do to a request. */
+export interface EndpointFaults {
+    /** The connection is reset after the request has run. */
+    loseAnswer: number;
+    /** The request is refused as not run. */
+    refuse: number;
+    /** A stream is cut in the middle. */
+    cutStream: number;
+}
+
+export class FleetSite {
+    public readonly processes: Processes;
+    public readonly controls: readonly string[];
+    public readonly entries: readonly string[];
+    public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0 };
+    private readonly endpoints: readonly string[];
+    private readonly servers: http.Server[] = [];
+    private version = 0;
+
+    public constructor(
+        size: FleetSize,
+        private readonly folder: string,
+        private readonly history: FleetHistory,
+        private readonly clock: Clock,
+        private readonly random: Random,
+    ) {
+        const names = (net: number, count: number) =>
+            Array.from({ length: count }, (_, at) => `127.${net}.0.${at + 1}`);
+        this.controls = names(11, size.controls);
+        this.entries = names(12, size.entries);
+        this.endpoints = names(13, size.endpoints);
+        this.processes = new Processes(folder, clock);
+    }
+
+    public async start(): Promise<void> {
+        for (const endpoint of this.endpoints) {
+            await this.listen(endpoint, ports.endpoint, (req, res) => this.serve(endpoint, req, res));
+        }
+        await this.listen("127.14.0.1", ports.list, (_, res) => {
+            const instances = this.endpoints.map(address => ({
+                Id: address,
+                Service: "s",
+                Address: `${address}:${ports.endpoint}`,
+                Zone: "a",
+                State: "ready",
+                Slots: 16,
+            }));
+            res.end(JSON.stringify({ Instances: instances, Next: null }));
+        });
+        [...this.controls, ...this.entries].forEach(host => this.startHost(host, true));
+    }
+
+    public startHost(host: string, isFirstStart: boolean): void {
+        const isControl = this.controls.includes(host);
+        const settings = {
+            host,
+            name: host,
+            dataCentre: "a",
+            peerPort: ports.peer,
+            seeds: this.controls.slice(0, 3).map(one => `${one}:${ports.operator}`),
+            isFirstStart,
+            lossesBorne: 1,
+            ...(isControl
+                ? { dataDir: this.dataDir(host), operatorAddress: `${host}:${ports.operator}` }
+                : { callerAddress: `${host}:${ports.caller}`, readyAddress: `${host}:${ports.ready}` }),
+            endpointListAddress: `127.14.0.1:${ports.list}`,
+            bounds: {
+                configApplyMs: 2000,
+                revokeMs: 5000,
+                drainMs: 3000,
+                stopGraceS: 8,
+                retryShare: 0.2,
+                retryWindowS: 10,
+                retrySlack: 56,
+                coldOverrun: 1.5,
+                coldSlack: 5,
+            },
+        };
+        mkdirSync(this.folder, { recursive: true });
+        const file = join(this.folder, `${host}.yaml`);
+        writeFileSync(file, stringify(settings));
+        this.processes.start(host, script, [isControl ? "control" : "entry", "--settings", file]);
+    }
+
+    /** Empties the disk of a control host that does not run. */
+    public wipe(host: string): void {
+        rmSync(this.dataDir(host), { recursive: true, force: true });
+    }
+
+    /** Sends the next configuration to a control host; notes its acknowledgement. */
+    public async putConfig(host: string): Promise<void> {
+        this.version += 1;
+        const { version } = this;
+        const kinds = [["once", "non_idempotent"], ["idempotent", "idempotent"], ["resumable", "streaming"]] as const;
+        const document = {
+            Version: version,
+            Services: [{ Name: "s" }],
+            Routes: kinds.map(([name, Kind]) => ({
+                Name: name,
+                Host: "h.example",
+                PathPrefix: `/${name}/`,
+                Kind,
+                Resumable: name === "resumable",
+                TimeoutMs: 5000,
+                TargetLatencyMs: 500,
+                Service: "s",
+                MaxAttempts: name === "once" ? 1 : 3,
+            })),
+        };
+        const status = await this.operate(host, "POST", "/api/Config.Put", JSON.stringify(document));
+        if (status.code === 200) {
+            this.history.acks.push({ version, atMs: this.clock.nowMs() });
+        }
+    }
+
+    /** Reads the configuration at a control host; notes the version, if one is told. */
+    public async readConfig(host: string): Promise<void> {
+        const sentMs = this.clock.nowMs();
+        const { code, text } = await this.operate(host, "GET", "/api/Config.Get", "");
+        if (code === 200) {
+            const { Version: version } = JSON.parse(text) as { readonly Version: number; };
+            this.history.reads.push({ version, sentMs });
+        }
+    }
+
+    public async isReady(host: string): Promise<boolean> {
+        const { code } = await ask({ host, port: ports.ready, path: "/api/ready", method: "GET", timeout: 1000 }, "");
+        return code === 200;
+    }
+
+    public callerAddress(host: string): { readonly host: string; readonly port: number; } {
+        return { host, port: ports.caller };
+    }
+
+    public async stop(): Promise<void> {
+        await this.processes.stopAll();
+        this.servers.forEach(server => {
+            server.closeAllConnections();
+            server.close();
+        });
+    }
+
+    private dataDir(host: string): string {
+        return join(this.folder, `data-${host}`);
+    }
+
+    private operate(host: string, method: string, path: string, body: string) {
+        return ask({ host, port: ports.operator, path, method, timeout: 3000 }, body);
+    }
+
+    private async listen(address: string, port: number, listener: http.RequestListener): Promise<void> {
+        const server = http.createServer(listener);
+        await listen(server, `${address}:${port}`);
+        this.servers.push(server);
+    }
+
+    /** Serves one request as an endpoint of the platform does. */
+    private serve(endpoint: string, req: http.IncomingMessage, res: http.ServerResponse): void {
+        req.resume();
+        const request = String(req.headers["fireflykeel-request-id"]);
+        const echo = { "Fireflykeel-Request-Id": request };
+        if (this.random.next() < this.faults.refuse) {
+            res.writeHead(503, { ...echo, "Fireflykeel-Not-Executed": "1", "content-length": 0 }).end();
+            return;
+        }
+        this.history.runs.push({ request, endpoint, atMs: this.clock.nowMs() });
+        const loses = this.random.next() < this.faults.loseAnswer;
+        const signed = { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` };
+        if (req.url?.startsWith("/resumable/") === true) {
+            void this.stream(req, res, request, signed);
+            return;
+        }
+        this.clock.setTimer(workMs, () => {
+            if (loses) {
+                req.socket.resetAndDestroy();
+                return;
+            }
+            const body = answerOf(request);
+            res.writeHead(200, { ...signed, "content-length": body.length }).end(body);
+        });
+    }
+
+    private async stream(req: http.IncomingMessage, res: http.ServerResponse, request: string, signed: object) {
+        const cutAt = this.random.next() < this.faults.cutStream ? 1 + this.random.below(streamEvents) : undefined;
+        const last = Number(req.headers["last-event-id"] ?? 0);
+        res.writeHead(200, { ...signed, "content-type": "text/event-stream" });
+        for (let id = last + 1; id <= streamEvents && !res.destroyed; id++) {
+            const text = eventOf(request, id);
+            if (id === cutAt) {
+                // Part of an event goes out before the cut.
+                res.write(text.slice(0, text.length / 2));
+                await this.clock.sleep(eventPauseMs);
+                req.socket.resetAndDestroy();
+                return;
+            }
+            res.write(text);
+            await this.clock.sleep(eventPauseMs);
+        }
+        res.end();
+    }
+}
+
+interface Asked {
+    /** 0 without a whole answer. */
+    readonly code: number;
+    readonly text: string;
+}
+
+function ask(options: http.RequestOptions, body: string): Promise<Asked> {
+    return new Promise(resolve => {
+        const none = { code: 0, text: "" };
+        const req = http.request({ ...options, agent: false }, res => {
+            let text = "";
+            res.on("data", (chunk: Buffer) => text += chunk.toString());
+            res.on("error", () => resolve(none));
+            res.on("close", () => resolve(res.complete ? { code: res.statusCode ?? 0, text } : none));
+        });
+        req.on("timeout", () => req.destroy());
+        req.on("error", () => resolve(none));
+        req.end(body);
+    });
+}
