Pieces that wait in a cell that the list has divided anew move to the new cells

Cause: found by reading: with the number of endpoints the cells of a large service change, and what waited at a cell that was no more had no endpoint until it was hopeless. Its gatherer now gives such pieces back, and their hosts send them to the cells of their own list.

--- /dev/null
+++ b/src/gather/GatherClient.test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeClock } from "../../testing/FakeClock.js";
+import { FakeNetwork } from "../../testing/FakeNetwork.js";
+import {
+    centreId,
+    deployment,
+    entryHosts,
+    FixedFleet,
+    listed,
+    noMetrics,
+    service,
+    silentLog,
+    submission,
+    TimedEndpoints,
+} from "../../testing/FleetFixtures.js";
+import type { HostId } from "../common/Types.js";
+import type { BatchTraits, ListedEndpoint } from "../fleet/Types.js";
+import { Cells, CellSource } from "./Cells.js";
+import { GatherClient } from "./GatherClient.js";
+import { Gatherer } from "./Gatherer.js";
+import type { PiecesEnd } from "./Types.js";
+
+const traits: BatchTraits = {
+    slots: 1,
+    batch: 4,
+    callMs: 150,
+    pieceMs: 10,
+    resultRoomBytes: 1e6,
+    resultKeptMs: 4000,
+};
+
+function endpoints(count: number, dataCentre = "a"): ListedEndpoint[] {
+    return Array.from({ length: count }, (_, at) => listed(`e${at}`, { dataCentre: centreId(dataCentre) }));
+}
+
+/** Hosts that gather and submit, over one network and the same endpoints. */
+class Hosts {
+    public readonly clock = new FakeClock();
+    public readonly network = new FakeNetwork(this.clock);
+    public readonly made = new TimedEndpoints(this.clock, traits);
+    public readonly fleet = new FixedFleet();
+    public readonly clients = new Map<HostId, GatherClient>();
+    private readonly stopping = new AbortController();
+
+    public constructor(count: number, listedEndpoints: readonly ListedEndpoint[]) {
+        const { clock, fleet, made: client } = this;
+        const cells = new CellSource(() => fleet.view());
+        const hosts = entryHosts(count);
+        const common = { cells, clock, log: silentLog };
+        for (const { host: self, dataCentre } of hosts) {
+            const peers = this.network.addHost(self);
+            const { signal } = this.stopping;
+            const own = { ...common, self, transport: peers, registry: peers };
+            const local = new Gatherer({ ...own, fleet, client, metrics: noMetrics, signal });
+            const submitter = new GatherClient({ ...own, dataCentre, local });
+            void submitter.run(signal);
+            this.clients.set(self, submitter);
+        }
+        fleet.set({
+            deployment: deployment([], [service("s", { pieces: traits })]),
+            endpoints: listedEndpoints,
+            hosts,
+        });
+    }
+
+    /** The host that gathers for the first cell. */
+    public gatherer(): HostId {
+        const cells = new Cells(this.fleet.view());
+        return cells.gatherers(cells.ofService(service("s").id)[0]!.id)[0]!;
+    }
+
+    /** Submits requests of one piece each at a host; gives their ends as they come. */
+    public submit(host: HostId, count: number): PiecesEnd[] {
+        const ends: PiecesEnd[] = [];
+        for (let at = 0; at < count; at++) {
+            const signal = new AbortController().signal;
+            const asked = submission({ startInMs: 4000, remainingMs: 8000 });
+            void this.clients.get(host)?.make(asked, signal).then(end => ends.push(end));
+        }
+        return ends;
+    }
+
+    public stop(): void {
+        this.stopping.abort();
+    }
+}
+
+function madeOf(ends: readonly PiecesEnd[]): number {
+    return ends.filter(end => end.isRight()).length;
+}
+
+test("pieces of all hosts meet at one host and travel in full calls", async () => {
+    const hosts = new Hosts(4, endpoints(1));
+    const ends = [...hosts.clients.keys()].map(host => hosts.submit(host, 4));
+    await hosts.clock.advance(3000);
+    assert.deepEqual(ends.map(madeOf), [4, 4, 4, 4]);
+    assert.ok(hosts.made.calls.length <= 5, `${hosts.made.calls.length} calls for 16 pieces of 4 a call`);
+    hosts.stop();
+});
+
+for (const how of ["killed", "cut off"] as const) {
+    test(`a gatherer that is ${how} with pieces waiting is passed by within a second`, async () => {
+        const hosts = new Hosts(4, endpoints(2));
+        const gatherer = hosts.gatherer();
+        const submitter = [...hosts.clients.keys()].find(host => host !== gatherer)!;
+        const ends = hosts.submit(submitter, 20);
+        await hosts.clock.advance(100);
+        if (how === "killed") {
+            hosts.network.kill(gatherer);
+        }
+        else {
+            hosts.network.isolate(gatherer);
+        }
+        await hosts.clock.advance(2500);
+        assert.equal(madeOf(ends), 20);
+        hosts.stop();
+    });
+}
+
+test("pieces that wait in a cell that the list divides anew are made in the new ones", async () => {
+    const hosts = new Hosts(1, endpoints(8));
+    const [host] = hosts.clients.keys();
+    const ends = hosts.submit(host!, 100);
+    await hosts.clock.advance(50);
+    hosts.fleet.set({ endpoints: endpoints(12) });
+    await hosts.clock.advance(50);
+    hosts.fleet.set({ endpoints: endpoints(3) });
+    await hosts.clock.advance(4000);
+    assert.equal(madeOf(ends), 100);
+    hosts.stop();
+});
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -37,6 +37,9 @@
 const waitValidMs = 300;
 /** Cells that may pass a submission on for want of time before one keeps it. */
 const mostPassedOn = 1;
+/** Times that a submission's cell may vanish before it is given up, and the pause before it is sent again. */
+const mostMoves = 6;
+const movePauseMs = 50;
 /** What is advised while a service has no endpoint. */
 const noCellRetryMs = 1000;
 
@@ -47,6 +50,8 @@
     /** Cells that had no time for it. */
     readonly refused: CellId[];
     cell: CellId | undefined;
+    /** Times that its cell had vanished, or was not known to the gatherer yet. */
+    moves: number;
     onTimeOnly: boolean;
     gatherer: HostId;
 }
@@ -113,6 +118,7 @@
                 settle,
                 refused: [],
                 cell: undefined,
+                moves: 0,
                 onTimeOnly: true,
                 gatherer,
             };
@@ -191,6 +197,13 @@
         });
     }
 
+    /** Sends a submission again after a pause, unless its request has ended meanwhile. */
+    private resubmit(pending: Pending): void {
+        if (this.pending.get(pending.asked.id) === pending) {
+            this.submit(pending);
+        }
+    }
+
     /** Cells of a service in the order in which a submission tries them. */
     private cellsFor({ service, dataCentre, id }: NewSubmission): readonly CellId[] {
         const { cells, dataCentre: own } = this.options;
@@ -286,11 +299,12 @@
         }
         const { log, clock } = this.options;
         const { request, service, stage } = pending.asked;
-        const isPassedOn = pending.onTimeOnly && pending.cell !== undefined
-            && end.caseOf({
-                Left: error => error.kind === "overloaded" || error.kind === "failed",
-                Right: () => false,
-            });
+        const hasMoved = end.caseOf({ Left: error => error.kind === "moved", Right: () => false })
+            && pending.moves < mostMoves;
+        const isPassedOn = pending.onTimeOnly && end.caseOf({
+            Left: error => error.kind === "overloaded" || error.kind === "failed",
+            Right: () => false,
+        });
         log.event(EventId.PiecesEnded, {
             request,
             submission: id,
@@ -305,6 +319,12 @@
                 Right: results => ({ kind: "made", results: results.length }),
             }),
         });
+        if (hasMoved) {
+            // Hosts take over a new list one after another.
+            pending.moves += 1;
+            clock.setTimer(movePauseMs, () => this.resubmit(pending));
+            return;
+        }
         if (isPassedOn && pending.cell !== undefined) {
             pending.refused.push(pending.cell);
             this.submit(pending);
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -41,7 +41,12 @@
         const { fleet, registry } = options;
         fleet.onChange(() => {
             const cells = options.cells.current();
-            this.gatherers.forEach((one, cell) => one.setEndpoints(cells.usable(cell)));
+            for (const [cell, gatherer] of this.gatherers) {
+                gatherer.setEndpoints(cells.usable(cell));
+                if (cells.get(cell) === undefined) {
+                    gatherer.abandon();
+                }
+            }
         });
         registry.handle(gatherMethods.work, async (req, from) => this.work(req, from));
     }
@@ -72,7 +77,7 @@
             };
             const gatherer = this.gatherer(cell);
             if (gatherer === undefined) {
-                deliver(Left({ kind: "failed", message: "the cell is not known here" }));
+                deliver(Left({ kind: "moved", message: "the cell is not known here" }));
                 continue;
             }
             named.add(cell);
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -100,6 +100,13 @@
 
     private usable: ReadonlySet<string> = new Set();
 
+    /** Gives back all that waits, since the list has divided the service anew and this cell is no more. */
+    public abandon(): void {
+        for (const id of [...this.open.keys()]) {
+            this.end(id, { kind: "moved", message: "the cell is no more" });
+        }
+    }
+
     /** Takes a submission; refuses it at once when it can't be made in time. */
     public submit(submission: Submission, deliver: (end: PiecesEnd) => void): void {
         const { clock } = this.options;
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -58,6 +58,8 @@
     | { readonly kind: "overloaded"; readonly message: string; readonly retryAfterMs: number; }
     /** A result that the pieces need has gone. */
     | { readonly kind: "source-gone"; readonly message: string; }
+    /** The cell is not one of the service's any more, or not yet; another one takes the pieces. */
+    | { readonly kind: "moved"; readonly message: string; }
     /** Endpoints failed, again and again. */
     | { readonly kind: "failed"; readonly message: string; }
     | { readonly kind: "cancelled"; readonly message: string; };
