--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -339,13 +339,8 @@
 
     private noteAttempt(record: EndpointRecord, reason: string, end: AttemptEnd, startMs: number): void {
         this.attempts.push(`${record.id}:${end.kind}`);
-        if (end.kind !== "unsent") {
-            this.sent += 1;
-            this.tried.add(record);
-        }
-        else {
-            this.tried.add(record);
-        }
+        this.tried.add(record);
+        this.sent += end.kind === "unsent" ? 0 : 1;
         this.log.event(EventId.EndpointAttemptEnded, {
             request: this.admitted.head.id,
             endpoint: record.id,
