--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -1,7 +1,7 @@
 /** What callers, endpoints and operators of a fleet saw, and the promises that are checked against it. */
 
 /** What an endpoint did with a request. */
-export interface EndpointRun {
+interface EndpointRun {
     readonly request: string;
     readonly endpoint: string;
     readonly atMs: number;
@@ -25,18 +25,18 @@
 }
 
 /** A planned stop of a host: from the signal to the end of its process. */
-export interface PlannedStop {
+interface PlannedStop {
     readonly host: string;
     readonly fromMs: number;
     readonly toMs: number;
 }
 
-export interface ConfigAck {
+interface ConfigAck {
     readonly version: number;
     readonly atMs: number;
 }
 
-export interface ConfigRead {
+interface ConfigRead {
     readonly version: number;
     readonly sentMs: number;
 }
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -25,7 +25,7 @@
 }
 
 /** Chances in [0, 1] of what endpoints do to a request. */
-export interface EndpointFaults {
+interface EndpointFaults {
     /** The connection is reset after the request has run. */
     loseAnswer: number;
     /** The request is refused as not run. */
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -18,7 +18,7 @@
 const harmTailMs = 3000;
 const kinds: readonly CallerKind[] = ["once", "idempotent", "resumable"];
 
-export interface FleetSoakResult {
+interface FleetSoakResult {
     readonly broken: readonly string[];
     readonly counts: Readonly<Record<string, number>>;
 }
--- a/src/daemon/FleetControl.ts
+++ b/src/daemon/FleetControl.ts
@@ -19,7 +19,7 @@
 /** Configurations are large and the disk is small: the log is compacted after few entries. */
 const compaction = { compactEntries: 256, keepEntries: 64, compactBytes: 8 * 1024 * 1024 };
 
-export interface FleetControlOptions extends FleetHostOptions {
+interface FleetControlOptions extends FleetHostOptions {
     readonly dataDir: string;
     /** "ip:port" for operators. */
     readonly operatorAddress: string;
--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -24,7 +24,7 @@
 /** Endpoints name the time for which they keep idle connections; without a name this holds. */
 const idleMs = 8000;
 
-export interface FleetEntryOptions extends FleetHostOptions {
+interface FleetEntryOptions extends FleetHostOptions {
     /** "ip:port" for callers. */
     readonly callerAddress: string;
     /** "ip:port" for the balancer's checks. */
--- a/src/fleet/ControlMembers.ts
+++ b/src/fleet/ControlMembers.ts
@@ -25,7 +25,7 @@
 const changeTimeoutMs = 3000;
 const fewestVoters = 3;
 
-export interface ControlMembersOptions {
+interface ControlMembersOptions {
     readonly self: HostId;
     readonly log: RaftLog;
     /** Control hosts to ask besides the members of the group. */
--- a/src/fleet/ControlOperator.ts
+++ b/src/fleet/ControlOperator.ts
@@ -28,7 +28,7 @@
     /** Nothing certain can be said; the same may be asked again, of any control host. */
     | { readonly kind: "unavailable"; readonly message: string; };
 
-export interface ControlOperatorOptions {
+interface ControlOperatorOptions {
     readonly log: RaftLog;
     readonly state: FleetState;
     readonly decoder: DeploymentDecoder;
--- a/src/fleet/EndpointListReader.ts
+++ b/src/fleet/EndpointListReader.ts
@@ -24,7 +24,7 @@
     readonly readMs: number;
 }
 
-export interface EndpointListReaderOptions {
+interface EndpointListReaderOptions {
     readonly source: EndpointListSource;
     readonly leads: () => boolean;
     readonly clock: Clock;
--- a/src/fleet/FleetBoard.ts
+++ b/src/fleet/FleetBoard.ts
@@ -33,7 +33,7 @@
 /** Bound on committing marks of crashes. */
 const markTimeoutMs = 2000;
 
-export interface FleetBoardOptions {
+interface FleetBoardOptions {
     readonly self: HostId;
     readonly log: RaftLog;
     readonly state: FleetState;
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -23,7 +23,7 @@
 /** Pause after all control hosts have been tried in vain. */
 const retryPauseMs = 100;
 
-export interface FleetClientOptions {
+interface FleetClientOptions {
     readonly self: HostId;
     readonly dataCentre: DataCentreId;
     readonly incarnation: Incarnation;
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -52,7 +52,7 @@
 export type HeldTags = z.infer<typeof heldTags>;
 export type SyncRequest = z.infer<typeof syncRequest>;
 export type BoardRequest = z.infer<typeof boardRequest>;
-export type JoinRequest = z.infer<typeof joinRequest>;
+type JoinRequest = z.infer<typeof joinRequest>;
 
 /** A list of endpoints with the age that it had when the message was sent. */
 export interface AgedEndpoints {
--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -16,7 +16,7 @@
 /** Tells what an operator's request asks for; undefined for a request that means nothing here. */
 export type OperatorDecoder = (method: string, path: string, body: string) => OperatorCall | undefined;
 
-export interface OperatorServerOptions {
+interface OperatorServerOptions {
     /** "ip:port". */
     readonly address: string;
     readonly operator: ControlOperator;
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -23,7 +23,7 @@
     readonly resultBytes: number;
 }
 
-export interface RouteTarget {
+interface RouteTarget {
     readonly service: ServiceId;
     readonly weight: number;
 }
@@ -76,7 +76,7 @@
     readonly pieces: BatchTraits | undefined;
 }
 
-export interface CallerLimits {
+interface CallerLimits {
     readonly maxHeaderBytes: number;
     readonly maxBodyBytes: number;
     readonly headerTimeoutMs: number;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -29,7 +29,7 @@
 /** Pending connections that the system keeps; callers arrive in bursts. */
 const backlog = 1024;
 
-export interface GatewayServerOptions {
+interface GatewayServerOptions {
     /** "ip:port" for callers. */
     readonly address: string;
     /** "ip:port" for the balancer's checks. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -4,10 +4,10 @@
  */
 import type * as http from "node:http";
 import type { Either } from "purify-ts";
-import type { EndpointId, WorkspaceId } from "../common/Types.js";
+import type { WorkspaceId } from "../common/Types.js";
 
 /** One part of a prompt, in order; equal ids are equal text. */
-export interface PromptPart {
+interface PromptPart {
     readonly id: string;
     readonly tokens: number;
 }
@@ -93,7 +93,7 @@
     | { readonly kind: "cancelled"; };
 
 /** Why a request ends without an endpoint's reply. */
-export type RefusalReason =
+type RefusalReason =
     | "bad-request"
     | "no-route"
     | "unknown-key"
@@ -114,8 +114,3 @@
     readonly notRun: boolean;
     readonly retryAfterMs?: number;
 }
-
-export interface AttemptedEndpoint {
-    readonly endpoint: EndpointId;
-    readonly end: AttemptEnd;
-}
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -62,7 +62,7 @@
     readonly frees: { cell: CellId; results: PieceResult[]; }[];
 }
 
-export interface GatherClientOptions {
+interface GatherClientOptions {
     readonly self: HostId;
     readonly dataCentre: DataCentreId;
     readonly cells: CellSource;
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -59,7 +59,7 @@
 });
 
 export type WorkRequest = z.infer<typeof workRequest>;
-export type EndedRequest = z.infer<typeof endedRequest>;
+type EndedRequest = z.infer<typeof endedRequest>;
 
 export interface WorkReply {
     /** Estimated wait of a new submission to each cell that was named, in milliseconds. */
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -20,7 +20,7 @@
 /** Submitters are told the wait of a submission with this much time before its latest start. */
 const usualSlackMs = 500;
 
-export interface GathererOptions {
+interface GathererOptions {
     readonly self: HostId;
     readonly fleet: FleetSource;
     readonly cells: CellSource;
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -52,7 +52,7 @@
     failures: number;
 }
 
-export interface ServiceGathererOptions {
+interface ServiceGathererOptions {
     readonly service: ServiceId;
     readonly traits: () => BatchTraits | undefined;
     readonly client: PieceClient;
@@ -66,6 +66,8 @@
     private readonly demand: DemandMeter;
     private readonly desks = new Map<string, BatchDesk>();
     private readonly open = new Map<SubmissionId, Open>();
+    /** Endpoints that may be given calls; desks of others stay until their calls have ended. */
+    private usable: ReadonlySet<string> = new Set();
     private wakeTimer: Disposable | undefined;
 
     public constructor(private readonly options: ServiceGathererOptions) {
@@ -98,8 +100,6 @@
         this.pump();
     }
 
-    private usable: ReadonlySet<string> = new Set();
-
     /** Gives back all that waits, since the list has divided the service anew and this cell is no more. */
     public abandon(): void {
         for (const id of [...this.open.keys()]) {
