A request is marked only where its endpoint refuses the next connection, and only marks of one minute count

A reset is no crash: the endpoint is now dialled once more, and marks further apart than a minute quarantine nothing. The soak reports hosts that do not serve after its faults. The check leaves out connections made later than 2 s, and only those; both sides of that bound are in its table.

--- a/proof/FleetHistory.test.ts
+++ b/proof/FleetHistory.test.ts
@@ -15,6 +15,7 @@
         body: answerOf("r1"),
         isWhole: true,
         wasSent: true,
+        isFresh: true,
         ...fields,
     };
 }
@@ -80,6 +81,21 @@
         change: one => (one.stops.push(stop), one.harms.push(stop), one.ends.push(end({ status: 0, isWhole: false }))),
         isBroken: false,
     },
+    {
+        name: "a connection made long after the host has turned not ready",
+        change:
+            one => (one.stops.push({ ...stop, fromMs: 0 }),
+                one.ends.push(end({ status: 0, isWhole: false, sentMs: 2100, endedMs: 2200 })),
+                one.stops.push({ host: "h1", fromMs: 50, toMs: 2300 })),
+        isBroken: false,
+    },
+    {
+        name: "an old connection on which a stopping host takes a request and drops it",
+        change:
+            one => (one.stops.push({ host: "h1", fromMs: 50, toMs: 2300 }),
+                one.ends.push(end({ status: 0, isWhole: false, isFresh: false, sentMs: 2100, endedMs: 2200 }))),
+        isBroken: true,
+    },
     {
         name: "a connection that a stopping host did not take",
         change: one => (one.stops.push(stop), one.ends.push(end({ status: 0, isWhole: false, wasSent: false }))),
--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -20,8 +20,10 @@
     readonly status: number;
     readonly body: string;
     readonly isWhole: boolean;
-    /** True when the host had read the request: the connection was made and the request written. */
+    /** True when the host may have read the request: the connection was made and the request written. */
     readonly wasSent: boolean;
+    /** True when the connection was made for this request. */
+    readonly isFresh: boolean;
 }
 
 /** A planned stop of a host: from the signal to the end of its process. */
@@ -41,6 +43,8 @@
     readonly sentMs: number;
 }
 
+/** A balancer makes no new connection to a host this long after it has turned not ready. */
+const balancerLagMs = 2000;
 /** Statuses that promise that a request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 /** Events of a whole stream of the stand-in endpoints. */
@@ -120,8 +124,10 @@
     /** Requests that a host had taken and left without a whole answer around its own planned stop. */
     private cutByPlannedStops(): string[] {
         return this.ends.flatMap(end => {
-            const { host, sentMs, endedMs, wasSent, isWhole, request } = end;
-            const within = (one: PlannedStop) => one.host === host && sentMs <= one.toMs && endedMs >= one.fromMs;
+            const { host, sentMs, endedMs, wasSent, isFresh, isWhole, request } = end;
+            const within = (one: PlannedStop) =>
+                one.host === host && sentMs <= one.toMs && endedMs >= one.fromMs
+                && !(isFresh && sentMs > one.fromMs + balancerLagMs);
             const isCut = wasSent && !isWhole && this.stops.some(within);
             const isHarmed = this.harms.some(harm => sentMs <= harm.toMs && endedMs >= harm.fromMs);
             return isCut && !isHarmed ? [`${request} was cut by the planned stop of ${host}`] : [];
--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -79,10 +79,10 @@
         log,
         metrics,
         random: () => random.next(),
+        stopped: signal,
         reportCrash: admitted => fleet.reportCrash(fingerprintOf(admitted)),
     });
     const { callerAddress, readyAddress, isReadyPath } = options;
-    const { onFatal } = host;
     const server = new GatewayServer({
         address: callerAddress,
         readyAddress,
@@ -91,7 +91,7 @@
         fleet,
         clock,
         log,
-        onFatal,
+        onFatal: host.onFatal,
     });
     host.start([fleet, pieces, server]);
     return host;
--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -97,6 +97,13 @@
         }
     }
 
+    /** True when the endpoint's machine refuses a connection, so that no process listens there any more. */
+    public async refusesConnections(endpoint: EndpointId, signal: AbortSignal): Promise<boolean> {
+        const connected = await this.connect(endpoint, { method: "GET", path: "/", fresh: true, signal });
+        connected.ifRight(discard);
+        return connected.caseOf({ Left: error => error.kind === "refused", Right: () => false });
+    }
+
     /** Closes idle connections: one to the same endpoint has fallen silent, and others may have as well. */
     public distrustIdle(endpoint: EndpointId): void {
         const pool = this.pools.get(endpoint);
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -170,3 +170,16 @@
     entries.forEach(entry => assert.equal(entry.view().quarantined.has("mark"), true));
     await fleet.stopAll();
 });
+
+test("crashes that lie far apart quarantine nothing", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const entry = fleet.startEntry("h1");
+    for (let crash = 1; crash <= 4; crash++) {
+        await fleet.clock.advance(40_000);
+        entry.reportCrash("mark");
+        await fleet.clock.advance(1000);
+    }
+    assert.equal(entry.view().quarantined.size, 0);
+    await fleet.stopAll();
+});
--- a/src/fleet/FleetBoard.ts
+++ b/src/fleet/FleetBoard.ts
@@ -157,8 +157,9 @@
     }
 
     private async markCrashes(fingerprints: readonly string[]): Promise<void> {
-        const { log, events } = this.options;
-        const marked = await log.propose({ kind: "mark-crashes", fingerprints }, markTimeoutMs);
+        const { log, events, clock } = this.options;
+        const command = { kind: "mark-crashes", fingerprints, atMs: clock.wallMs() };
+        const marked = await log.propose(command, markTimeoutMs);
         marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, fingerprints }));
     }
 
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -6,15 +6,22 @@
 import { z } from "zod";
 import type { Json, StateMachine } from "../replication/Types.js";
 
-/** Crashes after which a request is not sent to endpoints again. */
+/** Crashes within the time below after which a request is not sent to endpoints again. */
 const crashesUntilQuarantine = 3;
+/** Requests that merely ran beside one that crashes endpoints seldom do so three times within a minute. */
+const crashWindowMs = 60_000;
 /** Marks kept; the oldest are forgotten first. */
 const maxCrashMarks = 2048;
 
 const commandSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("put-config"), version: z.number(), text: z.string() }),
     z.object({ kind: z.literal("set-data-centre"), dataCentre: z.string(), isOut: z.boolean() }),
-    z.object({ kind: z.literal("mark-crashes"), fingerprints: z.array(z.string()) }),
+    z.object({
+        kind: z.literal("mark-crashes"),
+        fingerprints: z.array(z.string()),
+        /** Wall time of the control host that was told. */
+        atMs: z.number(),
+    }),
 ]);
 
 export type FleetCommand = z.infer<typeof commandSchema>;
@@ -23,14 +30,15 @@
     version: z.number(),
     text: z.string(),
     dataCentresOut: z.array(z.string()),
-    crashes: z.array(z.tuple([z.string(), z.number()])),
+    crashes: z.array(z.tuple([z.string(), z.array(z.number())])),
 });
 
 export class FleetState implements StateMachine {
     private configVersion = 0;
     private configText = "";
     private readonly out = new Set<string>();
-    private readonly crashes = new Map<string, number>();
+    /** Times of the last crashes by fingerprint; as many as it takes make a request quarantined. */
+    private readonly crashes = new Map<string, readonly number[]>();
 
     /** 0 before the first configuration. */
     public get version(): number {
@@ -47,7 +55,7 @@
     }
 
     public get quarantined(): readonly string[] {
-        return [...this.crashes].filter(([, count]) => count >= crashesUntilQuarantine).map(([mark]) => mark);
+        return [...this.crashes].filter(([, times]) => times.length >= crashesUntilQuarantine).map(([mark]) => mark);
     }
 
     public apply(command: Json): Json {
@@ -61,7 +69,7 @@
             case "set-data-centre":
                 return this.setDataCentre(parsed.data.dataCentre, parsed.data.isOut);
             case "mark-crashes":
-                return this.markCrashes(parsed.data.fingerprints);
+                return this.markCrashes(parsed.data.fingerprints, parsed.data.atMs);
         }
     }
 
@@ -81,7 +89,7 @@
         this.out.clear();
         dataCentresOut.forEach(dataCentre => this.out.add(dataCentre));
         this.crashes.clear();
-        crashes.forEach(([mark, count]) => this.crashes.set(mark, count));
+        crashes.forEach(([mark, times]) => this.crashes.set(mark, times));
     }
 
     private putConfig(version: number, text: string): Json {
@@ -103,11 +111,13 @@
         return { kind: "set" };
     }
 
-    private markCrashes(fingerprints: readonly string[]): Json {
+    private markCrashes(fingerprints: readonly string[], atMs: number): Json {
         for (const mark of fingerprints) {
-            const count = (this.crashes.get(mark) ?? 0) + 1;
+            const known = this.crashes.get(mark) ?? [];
+            const isQuarantined = known.length >= crashesUntilQuarantine;
+            const recent = isQuarantined ? known : known.filter(time => Math.abs(atMs - time) < crashWindowMs);
             this.crashes.delete(mark);
-            this.crashes.set(mark, count);
+            this.crashes.set(mark, [...recent, atMs].slice(-crashesUntilQuarantine));
         }
         while (this.crashes.size > maxCrashMarks) {
             const [oldest] = this.crashes.keys();
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -52,8 +52,10 @@
     readonly metrics: Metrics;
     /** A number in [0, 1) for each request. */
     readonly random: () => number;
-    /** Called when an endpoint has broken off while the request ran there. */
-    reportCrash(admitted: AdmittedRequest): void;
+    /** Aborted once this process has stopped. */
+    readonly stopped: AbortSignal;
+    /** Called when an endpoint has crashed while the request ran there. */
+    readonly reportCrash: (admitted: AdmittedRequest) => void;
 }
 
 type Admission = { readonly admitted: AdmittedRequest; } | { readonly refusal: Refusal; };
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -236,10 +236,21 @@
         });
         const end = await exchange.run();
         attempt.ended(end);
+        if (end.kind === "broken" && !end.isSilent) {
+            void this.reportIfCrashed(record);
+        }
         this.noteAttempt(record, reason, end, startMs);
         return end;
     }
 
+    /** A broken connection alone tells nothing of the endpoint; one that refuses the next has crashed. */
+    private async reportIfCrashed(record: EndpointRecord): Promise<void> {
+        const { connections, reportCrash, stopped } = this.parts;
+        if (await connections.refusesConnections(record.id, stopped)) {
+            reportCrash(this.admitted);
+        }
+    }
+
     /** What follows from an attempt's end; undefined to go on with another attempt. */
     private judge(end: AttemptEnd): Ending | undefined {
         switch (end.kind) {
@@ -253,9 +264,6 @@
                 return this.judgeNotRun(end.status);
             case "broken":
                 this.ran += 1;
-                if (!end.isSilent) {
-                    this.parts.reportCrash(this.admitted);
-                }
                 if (this.isRepeatable && this.mayRepeat()) {
                     return undefined;
                 }
