Tags of a reply are made once; sizes that nobody asks for go; one way to choose with a prompt and one without

Found on reading the whole change again. A reply to an entry host hashed the list of hosts and the marks up to twice more than needed.

--- a/src/fleet/FleetBoard.ts
+++ b/src/fleet/FleetBoard.ts
@@ -175,6 +175,8 @@
         const { state, controls, reader } = this.options;
         const endpoints = reader().current();
         const hosts = this.heard.list();
+        const hostsTag = this.hostsTag();
+        const marksTag = this.marksTag();
         return {
             ageMs: this.ageMs,
             heldMs,
@@ -182,10 +184,10 @@
             endpointsAgeMs: endpoints.ageMs,
             ...(state.version > held.config ? { config: this.packedConfig() } : {}),
             ...(endpoints.tag === held.endpoints ? {} : { endpoints }),
-            ...(this.hostsTag() === held.hosts ? {} : { hosts: { tag: this.hostsTag(), hosts } }),
-            ...(this.marksTag() === held.marks ? {} : {
+            ...(hostsTag === held.hosts ? {} : { hosts: { tag: hostsTag, hosts } }),
+            ...(marksTag === held.marks ? {} : {
                 marks: {
-                    tag: this.marksTag(),
+                    tag: marksTag,
                     dataCentresOut: state.dataCentresOut,
                     quarantined: state.quarantined,
                 },
--- a/src/gateway/EndpointChooser.ts
+++ b/src/gateway/EndpointChooser.ts
@@ -46,12 +46,11 @@
             const record = this.fastest(open);
             return record === undefined ? undefined : { record, reason: "suspect" };
         }
-        const key = prompt === undefined ? undefined : affinityOf(prompt);
-        const record = key === undefined ? this.fastest(trusted) : undefined;
-        if (record !== undefined) {
-            return { record, reason: "expected" };
+        if (prompt !== undefined) {
+            return this.byAffinity(affinityOf(prompt), trusted);
         }
-        return this.byAffinity(key ?? "", trusted);
+        const record = this.fastest(trusted);
+        return record === undefined ? undefined : { record, reason: "expected" };
     }
 
     private byAffinity(key: string, trusted: readonly EndpointRecord[]): Choice | undefined {
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -51,11 +51,6 @@
         registry.handle(gatherMethods.work, async (req, from) => this.work(req, from));
     }
 
-    /** Submissions that have not ended. */
-    public get size(): number {
-        return [...this.gatherers.values()].reduce((sum, one) => sum + one.size, 0);
-    }
-
     /** Takes work of a host, which may be this one. */
     public work(req: WorkRequest, from: HostId, local?: (id: SubmissionId, end: PiecesEnd) => void): WorkReply {
         const named = new Set<CellId>();
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -1,7 +1,7 @@
 /**
- * Gathers the pieces of one cell of a service: keeps those that wait in order, sends full calls to endpoints as they get free, and
- * tells each submitter its results. A call that fails or takes far too long gives its pieces back to the queue: a
- * piece may be made again, and the first result counts.
+ * Gathers the pieces of one cell of a service: keeps those that wait in order, sends full calls to endpoints as they get
+ * free, and tells each submitter its results. A call that fails or takes far too long gives its pieces back to the
+ * queue: a piece may be made again, and the first result counts.
  */
 import { Left, Right } from "purify-ts";
 import type { Clock, Disposable } from "../common/Types.js";
@@ -74,11 +74,6 @@
         this.demand = new DemandMeter(options.clock);
     }
 
-    /** Submissions that have not ended. */
-    public get size(): number {
-        return this.open.size;
-    }
-
     /** Names the endpoints that may be used now. */
     public setEndpoints(endpoints: readonly ListedEndpoint[]): void {
         const ids = new Set<string>(endpoints.map(one => one.id));
@@ -111,8 +106,7 @@
     public submit(submission: Submission, deliver: (end: PiecesEnd) => void): void {
         const { clock } = this.options;
         const nowMs = clock.nowMs();
-        const known = this.open.get(submission.id);
-        if (known !== undefined) {
+        if (this.open.has(submission.id)) {
             return;
         }
         this.demand.note(submission.pieces.length);
