Stages: lost replies, results lost with their endpoint and room taken by others are told from what endpoints say

Change: a call that takes 1.5 times its time has its endpoint asked what it does; one that works on nothing gets the next call at once. A suspected endpoint gets a copy of one piece. Several requests of a call that miss an endpoint's results, and none that finds any, end all that waits for them. Room learnt from a call counts for a second. Only whole calls tell a speed. Freed results count as room once the endpoint has said so. Each has a test that failed before it (ServiceGatherer.test.ts, LostMakers.test.ts). The growing pause that two classes had is one class.

--- a/src/gateway/EndpointBook.ts
+++ b/src/gateway/EndpointBook.ts
@@ -3,6 +3,7 @@
  * can't be reached, breaks requests off or gives nothing while it owes replies is suspected and left out until it has
  * shown a sign of life, or for a pause that grows with each failure.
  */
+import { GrowingPause } from "../common/GrowingPause.js";
 import type { Clock, DataCentreId, EndpointId } from "../common/Types.js";
 import type { FleetSource, FleetView, ListedEndpoint, Service, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -64,9 +65,8 @@
     private failing = 0;
     private failingAtMs = 0;
     private averageMs: number | undefined;
-    private pauses = 0;
+    private readonly pause: GrowingPause;
     private breaks = 0;
-    private notBeforeMs = 0;
     private signMs = 0;
 
     public constructor(
@@ -75,6 +75,7 @@
         private readonly centre: CentreSigns,
     ) {
         this.listed = listed;
+        this.pause = new GrowingPause(clock, firstPauseMs, longestPauseMs);
     }
 
     public get id(): EndpointId {
@@ -97,7 +98,7 @@
 
     /** True while requests should go elsewhere. */
     public get isSuspect(): boolean {
-        return this.clock.nowMs() < this.notBeforeMs || this.isSilent || this.centre.isCut;
+        return !this.pause.isOver || this.isSilent || this.centre.isCut;
     }
 
     private get isSilent(): boolean {
@@ -122,28 +123,27 @@
 
     /** Takes note of an attempt's end; gives why the endpoint is suspected now, if it is. */
     public ended(end: AttemptEnd, takenMs: number, hasColdStart: boolean): string | undefined {
-        const nowMs = this.clock.nowMs();
         switch (end.kind) {
             case "unsent":
                 this.assumeCold(hasColdStart);
                 if (end.isSilent) {
                     this.centre.noteSilent(this.id);
                 }
-                return this.pause(end.message);
+                return this.suspect(end.message);
             case "broken":
                 this.countFailure(1);
                 this.breaks += 1;
                 this.assumeCold(hasColdStart);
-                return end.isSilent || this.breaks >= breaksUntilSuspect ? this.pause(end.message) : undefined;
+                return end.isSilent || this.breaks >= breaksUntilSuspect ? this.suspect(end.message) : undefined;
             case "not-run":
                 if (end.status === misdirected) {
-                    return this.pause("another endpoint has the address");
+                    return this.suspect("another endpoint has the address");
                 }
-                this.notBeforeMs = Math.max(this.notBeforeMs, nowMs + fullPauseMs);
+                this.pause.atLeast(fullPauseMs);
                 return undefined;
             case "replied":
                 this.breaks = 0;
-                this.pauses = 0;
+                this.pause.succeeded();
                 this.countFailure(end.reply.status >= serverError ? 1 : 0);
                 this.averageMs = (this.averageMs ?? takenMs) * (1 - newestWeight) + takenMs * newestWeight;
                 return undefined;
@@ -163,10 +163,8 @@
         this.failingAtMs = this.clock.nowMs();
     }
 
-    private pause(reason: string): string {
-        const pauseMs = Math.min(longestPauseMs, firstPauseMs * 2 ** this.pauses);
-        this.pauses += 1;
-        this.notBeforeMs = this.clock.nowMs() + pauseMs;
+    private suspect(reason: string): string {
+        this.pause.failed();
         return reason;
     }
 }
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -102,10 +102,14 @@
         if (count === 0) {
             return Right([]);
         }
-        const handles = before.flatMap(end => end.orDefault([])).map(one => one.handle);
+        const results = before.flatMap(end => end.orDefault([]));
         const source: PieceSource = run.stage.after.length === 0
             ? { kind: "key", key: plan.pieceKey }
-            : { kind: "results", handles };
+            : {
+                kind: "results",
+                handles: results.map(one => one.handle),
+                makers: [...new Set(results.map(one => one.endpoint))],
+            };
         const nowMs = this.clock.nowMs();
         const restMs = restAfter(plan, run.index) + plan.replyMs;
         return this.maker.make({
@@ -120,7 +124,7 @@
             remainingMs: plan.deadlineMs - nowMs,
             restMs,
             priority: plan.priority,
-            dataCentre: placeOf(plan, run.index, before.flatMap(end => end.orDefault([])), count),
+            dataCentre: placeOf(plan, run.index, results, count),
         }, signal);
     }
 }
--- a/src/gather/BatchDesk.ts
+++ b/src/gather/BatchDesk.ts
@@ -2,6 +2,7 @@
  * One endpoint of a stage's service, as its gatherer sees it: the call that runs there, the room that its results take,
  * how its times compare with the configured ones, and whether it is to be left alone for a while.
  */
+import { GrowingPause } from "../common/GrowingPause.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { BatchTraits, ListedEndpoint } from "../fleet/Types.js";
 
@@ -9,11 +10,14 @@
 const newestWeight = 0.3;
 /** Pause after a failure, doubled with each further one in a row. */
 const firstPauseMs = 200;
-const longestPauseMs = 4000;
+/** A try of one piece costs little; a longer pause would outlast most failures. */
+const longestPauseMs = 1600;
 /** Pause after the endpoint had no place for a call. */
 const fullPauseMs = 60;
-/** Pause after its results found no room; about the time in which some are given up. */
+/** Pause after none of a call's results found room; about the time in which some are given up. */
 const noRoomPauseMs = 100;
+/** Room found taken by unknown results is believed taken for so long; results usually lie until the next stage ends. */
+const unknownKeptMs = 1000;
 /** Pause after it could take nothing of what waited. */
 const nothingPauseMs = 20;
 /** A result takes room for this much longer than configured at most, until its expiry is certain here. */
@@ -30,14 +34,19 @@
     public calls = 0;
     /** Measured time of calls as a share of the configured time. */
     public slowness = 1;
-    private notBeforeMs = 0;
-    private failures = 0;
+    private readonly pause: GrowingPause;
+    /** True since a reply was lost, until the next one arrives. */
+    private hasLostReply = false;
+    private losses = 0;
+    /** Room taken by results that are not known here. */
+    private unknown: HeldResult = { bytes: 0, untilMs: -Infinity };
     private readonly held = new Map<string, HeldResult>();
     /** Room of results that are being made. */
     private pendingBytes = 0;
 
     public constructor(endpoint: ListedEndpoint, private readonly clock: Clock) {
         this.endpoint = endpoint;
+        this.pause = new GrowingPause(clock, firstPauseMs, longestPauseMs);
     }
 
     public get id(): EndpointId {
@@ -46,21 +55,22 @@
 
     /** True while it may be given a call. */
     public mayStart(traits: BatchTraits): boolean {
-        return this.calls < traits.slots && this.clock.nowMs() >= this.notBeforeMs;
+        return this.calls < traits.slots && this.pause.isOver;
     }
 
     /** When it may be given a call again, if it is being left alone now. */
     public get pausedUntilMs(): number {
-        return this.notBeforeMs;
+        return this.pause.endMs;
     }
 
+    /** True after a failure, until a call succeeds: it is given one piece at a time. */
     public get isSuspect(): boolean {
-        return this.failures > 0;
+        return this.pause.failuresInARow > 0 || this.hasLostReply;
     }
 
     public roomBytes(traits: BatchTraits): number {
         const nowMs = this.clock.nowMs();
-        let usedBytes = this.pendingBytes;
+        let usedBytes = this.pendingBytes + (this.unknown.untilMs > nowMs ? this.unknown.bytes : 0);
         for (const [handle, result] of this.held) {
             if (result.untilMs < nowMs) {
                 this.held.delete(handle);
@@ -95,30 +105,40 @@
         this.held.delete(handle);
     }
 
-    public succeeded(takenMs: number, configuredMs: number): void {
-        this.failures = 0;
-        this.notBeforeMs = 0;
-        this.slowness += newestWeight * (takenMs / Math.max(1, configuredMs) - this.slowness);
+    /** Takes the time of a call as a share of the configured one; undefined where it can't be told. */
+    public succeeded(slowness: number | undefined): void {
+        this.pause.succeeded();
+        this.hasLostReply = false;
+        this.slowness += newestWeight * ((slowness ?? this.slowness) - this.slowness);
     }
 
     /** Nothing that waits may go there now. */
     public hadNothing(): void {
-        this.notBeforeMs = this.clock.nowMs() + nothingPauseMs;
+        this.pause.atLeast(nothingPauseMs);
     }
 
-    /** Results found no room although it was expected: others use it, or results were lost sight of. */
-    public lackedRoom(): void {
-        this.notBeforeMs = this.clock.nowMs() + noRoomPauseMs;
+    /** Results of a call found less room than was expected at its start: others use it. */
+    public lackedRoom(expectedBytes: number, madeBytes: number): void {
+        const bytes = Math.max(0, expectedBytes - madeBytes);
+        this.unknown = { bytes, untilMs: this.clock.nowMs() + unknownKeptMs };
+        if (madeBytes === 0) {
+            this.pause.atLeast(noRoomPauseMs);
+        }
     }
 
     /** The endpoint had no place; it is otherwise well. */
     public wasFull(): void {
-        this.notBeforeMs = this.clock.nowMs() + fullPauseMs;
+        this.pause.atLeast(fullPauseMs);
     }
 
     public failed(): void {
-        const pauseMs = Math.min(longestPauseMs, firstPauseMs * 2 ** this.failures);
-        this.failures += 1;
-        this.notBeforeMs = this.clock.nowMs() + pauseMs;
+        this.pause.failed();
+    }
+
+    /** A call was run and its reply lost: results that nobody can name or free take room until they expire. */
+    public lostReply(bytes: number, traits: BatchTraits): void {
+        this.hasLostReply = true;
+        this.losses += 1;
+        this.made(`lost ${this.losses}`, bytes, traits);
     }
 }
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -21,7 +21,11 @@
     pieces: z.array(z.number().int()),
     source: z.discriminatedUnion("kind", [
         z.object({ kind: z.literal("key"), key: z.string() }),
-        z.object({ kind: z.literal("results"), handles: z.array(z.string()) }),
+        z.object({
+            kind: z.literal("results"),
+            handles: z.array(z.string()),
+            makers: z.array(endpointId).default([]),
+        }),
     ]),
     resultBytes: z.number(),
     startInMs: z.number(),
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -6,6 +6,7 @@
 import type { Clock, HostId } from "../common/Types.js";
 import type { FleetSource } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
+import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { CellSource } from "./Cells.js";
 import { gatherMethods, type WorkReply, type WorkRequest } from "./GatherMessages.js";
@@ -116,18 +117,21 @@
     }
 
     private async flush(to: HostId): Promise<void> {
-        const { transport, signal } = this.options;
+        const { transport, signal, log } = this.options;
         const ended = this.outbox.get(to) ?? [];
         this.outbox.delete(to);
         const named = new Set(ended.map(one => one.cell));
         const waits = [...named].map((cell): [CellId, number] => [cell, this.waitMs(cell)]);
+        let message = "stopped";
         for (let tries = 0; tries < resultTries && !signal.aborted; tries++) {
             const options = { timeoutMs: resultTimeoutMs / resultTries, signal };
             const sent = await transport.call(to, gatherMethods.ended, { ended, waits }, options);
             if (sent.isRight()) {
                 return;
             }
+            sent.ifLeft(error => message = error.message);
         }
         // The submitter has gone or asks elsewhere: its results lie unused until they expire.
+        log.event(EventId.ResultsUndelivered, { to, submissions: ended.map(one => one.id), message });
     }
 }
--- a/src/gather/PieceClient.ts
+++ b/src/gather/PieceClient.ts
@@ -1,15 +1,17 @@
 /** Calls to endpoints of stages over HTTP. */
 import type { Clock } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
-import { requestText } from "../endpoints/RequestText.js";
+import { requestText, type TextRequest } from "../endpoints/RequestText.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
-import type { CallEnd, PieceCall, PieceClient, PieceCodec } from "./Types.js";
+import type { CallEnd, PieceCall, PieceClient, PieceCodec, WorkState } from "./Types.js";
 
 const ok = 200;
 /** By this status an endpoint says that it had no place for the call. */
 const noPlace = 503;
 /** Bound on giving up results; they expire by themselves. */
 const freeTimeoutMs = 1000;
+/** Bound on asking an endpoint what it does: many times the way to and fro, and far less than a call. */
+const stateTimeoutMs = 150;
 
 export class HttpPieceClient implements PieceClient {
     public constructor(
@@ -19,10 +21,22 @@
         private readonly signal: AbortSignal,
     ) {}
 
-    public async run(endpoint: ListedEndpoint, calls: readonly PieceCall[], timeoutMs: number): Promise<CallEnd> {
+    public async run(
+        endpoint: ListedEndpoint,
+        calls: readonly PieceCall[],
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<CallEnd> {
         const { codec } = this;
         const remainingMs = Math.max(...calls.map(call => call.remainingMs));
-        const reply = await this.post(endpoint, codec.runPath, codec.encodeRun(calls), remainingMs, timeoutMs);
+        const reply = await this.request(endpoint, {
+            method: "POST",
+            path: codec.runPath,
+            body: codec.encodeRun(calls),
+            headers: codec.callHeaders(endpoint.instance, remainingMs),
+            timeoutMs,
+            signal: AbortSignal.any([this.signal, signal]),
+        });
         return reply.caseOf<CallEnd>({
             Left: error => ({ kind: "broken", message: error.message }),
             Right: ({ status, headers, text }) => {
@@ -38,19 +52,31 @@
     }
 
     public async free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined> {
-        const { freePath } = this.codec;
-        const body = this.codec.encodeFree(handles);
-        const reply = await this.post(endpoint, freePath, body, freeTimeoutMs, freeTimeoutMs);
+        const { codec, signal } = this;
+        const reply = await this.request(endpoint, {
+            method: "POST",
+            path: codec.freePath,
+            body: codec.encodeFree(handles),
+            headers: codec.callHeaders(endpoint.instance, freeTimeoutMs),
+            timeoutMs: freeTimeoutMs,
+            signal,
+        });
         return reply.caseOf({
             Left: error => error.message,
             Right: ({ status }) => (status === ok ? undefined : `status ${status}`),
         });
     }
 
-    private post(endpoint: ListedEndpoint, path: string, body: string, remainingMs: number, timeoutMs: number) {
-        const { connections, codec, clock, signal } = this;
-        const headers = codec.callHeaders(endpoint.instance, remainingMs);
-        const request = { method: "POST" as const, path, body, headers, fresh: false, timeoutMs, clock, signal };
-        return requestText(connections, endpoint.id, request);
+    public async state(endpoint: ListedEndpoint): Promise<WorkState | undefined> {
+        const { codec, signal } = this;
+        const asking = { method: "GET" as const, path: codec.statePath, timeoutMs: stateTimeoutMs, signal };
+        const reply = await this.request(endpoint, asking);
+        return reply.toMaybe().filter(({ status }) => status === ok).map(({ text }) => codec.decodeState(text))
+            .extract();
+    }
+
+    private request(endpoint: ListedEndpoint, options: Omit<TextRequest, "fresh" | "clock">) {
+        const { connections, clock } = this;
+        return requestText(connections, endpoint.id, { ...options, fresh: false, clock });
     }
 }
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -70,6 +70,18 @@
         this.waiting.delete(id);
     }
 
+    /** Removes a piece that has been made. */
+    public drop(id: SubmissionId, piece: number): void {
+        const waiting = this.waiting.get(id);
+        const at = waiting?.pieces.indexOf(piece) ?? -1;
+        if (waiting !== undefined && at >= 0) {
+            waiting.pieces.splice(at, 1);
+            if (waiting.pieces.length === 0) {
+                this.waiting.delete(id);
+            }
+        }
+    }
+
     /** Submissions that wait, in the order in which they would be taken. */
     public list(nowMs: number): readonly Waiting[] {
         return [...this.waiting.values()].sort((a, b) => compare(a, b, nowMs));
@@ -86,6 +98,14 @@
         return taken;
     }
 
+    /** The first piece that an endpoint might take; it waits on, since the endpoint may fail it. */
+    public copyFirst({ roomBytes, dataCentre }: TakeLimits, nowMs: number): TakenPiece[] {
+        const fitting = this.list(nowMs).filter(one => one.submission.resultBytes <= roomBytes);
+        const waiting = fitting.find(one => one.dataCentre === dataCentre) ?? fitting[0];
+        const piece = waiting?.pieces[0];
+        return waiting === undefined || piece === undefined ? [] : [{ waiting, piece }];
+    }
+
     /** Takes pieces in order while there is room for them; gives the room that is left. */
     private takeFrom(
         candidates: readonly Waiting[],
--- a/src/gather/ServiceGatherer.test.ts
+++ b/src/gather/ServiceGatherer.test.ts
@@ -10,7 +10,9 @@
     submission,
     TimedEndpoints,
 } from "../../testing/FleetFixtures.js";
+import type { EndpointId } from "../common/Types.js";
 import type { BatchTraits } from "../fleet/Types.js";
+import { EventId } from "../telemetry/Events.js";
 import { ServiceGatherer } from "./ServiceGatherer.js";
 import type { PieceCall, PiecesEnd, Submission } from "./Types.js";
 
@@ -27,6 +29,8 @@
     public readonly clock = new FakeClock();
     public readonly endpoints: TimedEndpoints;
     public readonly gatherer: ServiceGatherer;
+    /** Expected times of calls, in the order of their ends. */
+    public readonly expectedMs: number[] = [];
     public readonly ends = new Map<string, { readonly end: PiecesEnd; readonly atMs: number; }>();
 
     public constructor(
@@ -40,7 +44,14 @@
             traits: () => this.shape,
             client: this.endpoints,
             clock: this.clock,
-            log: silentLog,
+            log: {
+                ...silentLog,
+                event: (id, fields) => {
+                    if (id === EventId.BatchEnded) {
+                        this.expectedMs.push(Number(fields?.["expectedMs"]));
+                    }
+                },
+            },
             metrics: noMetrics,
         });
         this.gatherer.setEndpoints(
@@ -115,6 +126,71 @@
     assert.equal(site.made().length, 8);
 });
 
+test("an endpoint whose reply is lost gets the next call as soon as it tells that it works on nothing", async () => {
+    const site = new Site(1);
+    site.endpoints.mute.add("e0");
+    site.submit({ startInMs: 3000, remainingMs: 8000 });
+    await site.clock.advance(200);
+    site.endpoints.mute.clear();
+    for (let at = 0; at < 8; at++) {
+        site.submit({ startInMs: 3000, remainingMs: 8000 });
+    }
+    await site.clock.advance(1300);
+    assert.equal(site.made().length, 9);
+});
+
+test("an endpoint that loses every reply is tried with one piece at a time", async () => {
+    const site = new Site(2);
+    site.endpoints.mute.add("e0");
+    for (let at = 0; at < 60; at++) {
+        site.submit({ pieces: [0, 1, 2], startInMs: 3000, remainingMs: 8000 });
+        await site.clock.advance(60);
+    }
+    await site.clock.advance(5000);
+    assert.equal(site.made().length, 60);
+    const again = site.endpoints.calls.filter(call => call.endpoint === "e0").slice(1);
+    assert.ok(again.length >= 2, `${again.length} further tries`);
+    assert.ok(again.every(call => call.pieces.length === 1), `${again.map(call => call.pieces.length).join(" ")}`);
+});
+
+test("results of an endpoint that has ended: requests that wait for them are told by the first call that misses them", async () => {
+    const site = new Site(1);
+    site.endpoints.goneMakers.add("m1");
+    const source = (maker: string): Submission["source"] => ({
+        kind: "results",
+        handles: [`${maker}/1`],
+        makers: [maker as EndpointId],
+    });
+    const lost = Array.from({ length: 30 }, () => site.submit({ pieces: [0, 1], source: source("m1") }));
+    const kept = Array.from({ length: 5 }, () => site.submit({ pieces: [0, 1], source: source("m2") }));
+    await site.clock.advance(800);
+    assert.deepEqual(site.made(), kept);
+    assert.ok(lost.every(request => site.ends.get(request)?.end.isLeft()));
+    assert.ok(site.endpoints.calls.length <= 4, `${site.endpoints.calls.length} calls`);
+});
+
+test("room taken by results that are not known here: calls are made no larger than what finds room", async () => {
+    const site = new Site(1, () => 100_000);
+    site.endpoints.unknownBytes = 600_000;
+    for (let at = 0; at < 40; at++) {
+        site.submit({ resultBytes: 100_000, startInMs: 3000, remainingMs: 20_000 });
+    }
+    await site.clock.advance(3000);
+    assert.ok(site.endpoints.noRoom <= 20, `${site.endpoints.noRoom} pieces found no room`);
+    assert.ok(site.made().length >= 40, `${site.made().length} made in 3 s of the 48 that 4 pieces a call come to`);
+});
+
+test("calls that make nothing tell nothing of an endpoint's speed", async () => {
+    const site = new Site(1, () => 100_000);
+    site.endpoints.unknownBytes = 1_000_000;
+    for (let at = 0; at < 10; at++) {
+        site.submit({ resultBytes: 100_000, startInMs: 3000, remainingMs: 20_000 });
+        await site.clock.advance(300);
+    }
+    assert.ok(site.expectedMs.length >= 3, `${site.expectedMs.length} calls`);
+    assert.ok(site.expectedMs.every(one => one >= traits.callMs), `expected ${site.expectedMs.join(" ")} ms`);
+});
+
 test("an endpoint that breaks every call is left alone for longer and longer", async () => {
     const site = new Site(2);
     site.endpoints.broken.add("e0");
@@ -160,7 +236,7 @@
         return 30 - site.made().length;
     };
     const first = await refusedOf({ kind: "key", key: "k" });
-    const continued = await refusedOf({ kind: "results", handles: ["h"] });
+    const continued = await refusedOf({ kind: "results", handles: ["h"], makers: [] });
     assert.ok(continued < first, `${continued} of 30 refused, against ${first} at their first stage`);
 });
 
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -8,8 +8,11 @@
 import type { BatchTraits, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
-import { BatchDesk } from "./BatchDesk.js";
+import type { BatchDesk } from "./BatchDesk.js";
+import { CallWatch } from "./CallWatch.js";
 import { DemandMeter } from "./DemandMeter.js";
+import { DeskSet } from "./DeskSet.js";
+import { LostMakers } from "./LostMakers.js";
 import { isLate, PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
 import type {
     CallEnd,
@@ -25,13 +28,8 @@
 /** A call is given up at this many times its expected time and a constant for the ways. */
 const giveUpFactor = 4;
 const giveUpExtraMs = 1000;
-/** Its pieces go to other endpoints already at this many times its expected time. */
-const hedgeFactor = 2;
-const hedgeExtraMs = 100;
 /** Calls that may fail for one submission. */
 const mostFailures = 4;
-/** An endpoint this much slower than the best one gets a call only where that is still sooner than waiting. */
-const muchSlower = 1.8;
 /** A caller is asked to come back no sooner and no later than this. */
 const shortestRetryMs = 200;
 const longestRetryMs = 1500;
@@ -64,34 +62,20 @@
 export class ServiceGatherer {
     private readonly queue = new PieceQueue();
     private readonly demand: DemandMeter;
-    private readonly desks = new Map<string, BatchDesk>();
+    private readonly desks: DeskSet;
+    private readonly lostMakers: LostMakers;
     private readonly open = new Map<SubmissionId, Open>();
-    /** Endpoints that may be given calls; desks of others stay until their calls have ended. */
-    private usable: ReadonlySet<string> = new Set();
     private wakeTimer: Disposable | undefined;
 
     public constructor(private readonly options: ServiceGathererOptions) {
         this.demand = new DemandMeter(options.clock);
+        this.desks = new DeskSet(options.clock);
+        this.lostMakers = new LostMakers(options.clock);
     }
 
     /** Names the endpoints that may be used now. */
     public setEndpoints(endpoints: readonly ListedEndpoint[]): void {
-        const ids = new Set<string>(endpoints.map(one => one.id));
-        for (const [id, desk] of this.desks) {
-            if (!ids.has(id) && desk.calls === 0) {
-                this.desks.delete(id);
-            }
-        }
-        for (const endpoint of endpoints) {
-            const known = this.desks.get(endpoint.id);
-            if (known === undefined) {
-                this.desks.set(endpoint.id, new BatchDesk(endpoint, this.options.clock));
-            }
-            else {
-                known.endpoint = endpoint;
-            }
-        }
-        this.usable = ids;
+        this.desks.setEndpoints(endpoints);
         this.pump();
     }
 
@@ -109,6 +93,10 @@
         if (this.open.has(submission.id)) {
             return;
         }
+        if (this.lostMakers.hasGone(submission.source)) {
+            deliver(Left(sourceGone));
+            return;
+        }
         this.demand.note(submission.pieces.length);
         const waiting: Waiting = {
             submission,
@@ -141,27 +129,20 @@
 
     /** Gives up results at their makers. */
     public async free(results: readonly PieceResult[]): Promise<void> {
-        const byDesk = new Map<BatchDesk, string[]>();
-        for (const { endpoint, handle } of results) {
-            const desk = this.desks.get(endpoint);
-            if (desk !== undefined) {
-                byDesk.set(desk, [...byDesk.get(desk) ?? [], handle]);
-            }
-        }
-        await Promise.all([...byDesk].map(([desk, handles]) => this.freeAt(desk, handles)));
+        await Promise.all([...this.desks.handlesAt(results)].map(([desk, handles]) => this.freeAt(desk, handles)));
         this.pump();
     }
 
     /** Estimated wait before the first call of a submission that would go after those that have their times. */
     public waitMs(startByMs: number, deadlineMs: number, priority: number, isContinued: boolean = false): number {
         const nowMs = this.options.clock.nowMs();
-        const piecesPerMs = this.piecesPerMs();
-        if (piecesPerMs === 0) {
+        const traits = this.options.traits();
+        const piecesPerMs = traits === undefined ? 0 : this.desks.piecesPerMs(traits);
+        if (traits === undefined || piecesPerMs === 0) {
             return 0;
         }
-        const traits = this.options.traits();
-        const desks = this.usableDesks();
-        const isBusy = traits !== undefined && desks.every(desk => !desk.mayStart(traits));
+        const desks = this.desks.usable();
+        const isBusy = desks.every(desk => !desk.mayStart(traits));
         const currentMs = isBusy ? this.callMs(traits.batch) / (2 * desks.length) : 0;
         const waitMs = currentMs + this.queue.ahead(startByMs, deadlineMs, priority, nowMs) / piecesPerMs;
         if (startByMs - nowMs >= waitMs) {
@@ -190,38 +171,21 @@
         return { kind: "overloaded", message, retryAfterMs };
     }
 
-    /** Pieces that all endpoints that are well make in a millisecond with full calls. */
-    private piecesPerMs(): number {
-        const traits = this.options.traits();
-        if (traits === undefined) {
-            return 0;
-        }
-        return this.usableDesks()
-            .filter(desk => !desk.isSuspect)
-            .reduce((sum, desk) => sum + traits.slots * traits.batch / desk.expectedMs(traits, traits.batch), 0);
-    }
-
     private callMs(pieces: number): number {
         const traits = this.options.traits();
         return traits === undefined ? 0 : traits.callMs + Math.min(pieces, traits.batch) * traits.pieceMs;
     }
 
-    private usableDesks(): BatchDesk[] {
-        return [...this.desks.values()].filter(desk => this.usable.has(desk.id));
-    }
-
     /** Starts as many calls as there are free endpoints and waiting pieces. */
     private pump(): void {
         const traits = this.options.traits();
         if (traits === undefined) {
             return;
         }
-        this.refuseHopeless();
-        const served = new Set(
-            this.usableDesks().filter(desk => !desk.isSuspect).map(desk => desk.endpoint.dataCentre),
-        );
+        this.refuseHopeless(traits);
+        const served = this.desks.served();
         while (this.queue.size > 0) {
-            const desk = this.nextDesk(traits);
+            const desk = this.desks.next(traits, this.queue.size);
             if (desk === undefined) {
                 break;
             }
@@ -232,7 +196,7 @@
                 dataCentre: desk.endpoint.dataCentre,
                 served,
             };
-            const taken = this.queue.take(limits, nowMs);
+            const taken = desk.isSuspect ? this.queue.copyFirst(limits, nowMs) : this.queue.take(limits, nowMs);
             if (taken.length === 0) {
                 desk.hadNothing();
                 continue;
@@ -242,25 +206,10 @@
         this.planWake(traits);
     }
 
-    /** The endpoint for the next call: the fastest free one, unless waiting for a faster one ends sooner. */
-    private nextDesk(traits: BatchTraits): BatchDesk | undefined {
-        const desks = this.usableDesks();
-        const free = desks.filter(desk => desk.mayStart(traits));
-        const timeOf = (desk: BatchDesk) => desk.expectedMs(traits, traits.batch);
-        const best = free.sort((a, b) => Number(a.isSuspect) - Number(b.isSuspect) || timeOf(a) - timeOf(b))[0];
-        const fastestMs = Math.min(...desks.map(timeOf));
-        if (best === undefined || timeOf(best) <= fastestMs * muchSlower) {
-            return best;
-        }
-        const fast = desks.filter(desk => timeOf(desk) <= fastestMs * muchSlower).length;
-        const waitMs = fastestMs * (1 + this.queue.size / traits.batch / Math.max(1, fast));
-        return timeOf(best) < waitMs + fastestMs ? best : undefined;
-    }
-
     private planWake(traits: BatchTraits): void {
         this.wakeTimer?.dispose();
         if (this.queue.size > 0) {
-            const waits = this.usableDesks()
+            const waits = this.desks.usable()
                 .filter(desk => desk.calls < traits.slots)
                 .map(desk => desk.pausedUntilMs - this.options.clock.nowMs());
             const waitMs = Math.max(1, Math.min(...waits, wakeMs));
@@ -269,9 +218,9 @@
     }
 
     /** Refuses what waits and can't be expected to end in time any more, as soon as that is seen. */
-    private refuseHopeless(): void {
+    private refuseHopeless(traits: BatchTraits): void {
         const nowMs = this.options.clock.nowMs();
-        const sparePerMs = this.piecesPerMs() - this.demand.perMs();
+        const sparePerMs = this.desks.piecesPerMs(traits) - this.demand.perMs();
         let ahead = 0;
         for (const waiting of this.queue.list(nowMs)) {
             ahead += waiting.pieces.length;
@@ -291,18 +240,34 @@
         const bytes = taken.reduce((sum, { waiting }) => sum + waiting.submission.resultBytes, 0);
         const startMs = clock.nowMs();
         const expectedMs = desk.expectedMs(traits, taken.length);
+        const roomBytes = desk.roomBytes(traits);
         desk.started(bytes);
-        const hedge = clock.setTimer(expectedMs * hedgeFactor + hedgeExtraMs, () => {
-            desk.failed();
-            log.event(EventId.BatchEndpointSuspected, { service, endpoint: desk.id, reason: "slow", expectedMs });
-            this.giveBack(taken, false);
-            this.pump();
+        const lost = new AbortController();
+        const suspected = (reason: string) =>
+            log.event(EventId.BatchEndpointSuspected, { service, endpoint: desk.id, reason, expectedMs });
+        const watch = new CallWatch({
+            endpoint: desk.endpoint,
+            client: this.options.client,
+            clock,
+            expectedMs,
+            onLate: reason => {
+                desk.failed();
+                suspected(reason);
+                this.giveBack(taken, false);
+                this.pump();
+            },
+            onLost: () => {
+                suspected("reply-lost");
+                lost.abort();
+            },
         });
-        const end = await this.send(desk, taken, expectedMs * giveUpFactor + giveUpExtraMs);
-        hedge.dispose();
+        const end = await this.send(desk, taken, expectedMs * giveUpFactor + giveUpExtraMs, lost.signal);
+        watch.dispose();
         desk.ended(bytes);
         const takenMs = clock.nowMs() - startMs;
-        const outcome = this.takeEnd(desk, taken, end, takenMs);
+        const outcome = lost.signal.aborted
+            ? this.takeLoss(desk, taken, bytes, traits)
+            : this.takeEnd(desk, taken, end, { takenMs, roomBytes });
         metrics.count("batches", { service, outcome: end.kind });
         metrics.count("batch_pieces", { service }, taken.length);
         metrics.latency("batch", takenMs, { service });
@@ -319,7 +284,12 @@
         this.pump();
     }
 
-    private send(desk: BatchDesk, taken: readonly TakenPiece[], timeoutMs: number): Promise<CallEnd> {
+    private send(
+        desk: BatchDesk,
+        taken: readonly TakenPiece[],
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<CallEnd> {
         const nowMs = this.options.clock.nowMs();
         const calls = taken.map(({ waiting, piece }) => ({
             request: waiting.submission.request,
@@ -328,11 +298,23 @@
             source: waiting.submission.source,
             remainingMs: Math.max(1, Math.floor(waiting.deadlineMs - nowMs)),
         }));
-        return this.options.client.run(desk.endpoint, calls, timeoutMs);
+        return this.options.client.run(desk.endpoint, calls, timeoutMs, signal);
+    }
+
+    /** The endpoint has ended the call and its reply was lost: the results lie there, and nobody knows their handles. */
+    private takeLoss(desk: BatchDesk, taken: readonly TakenPiece[], bytes: number, traits: BatchTraits): string {
+        desk.lostReply(bytes, traits);
+        this.giveBack(taken, false);
+        return "the endpoint works on nothing, its reply was lost";
     }
 
     /** Hands out what a call has made and gives back what it has not; tells the outcome for the log. */
-    private takeEnd(desk: BatchDesk, taken: readonly TakenPiece[], end: CallEnd, takenMs: number): string {
+    private takeEnd(
+        desk: BatchDesk,
+        taken: readonly TakenPiece[],
+        end: CallEnd,
+        { takenMs, roomBytes }: { readonly takenMs: number; readonly roomBytes: number; },
+    ): string {
         const traits = this.options.traits();
         if (end.kind !== "replied" || traits === undefined) {
             if (end.kind === "full") {
@@ -344,9 +326,16 @@
             this.giveBack(taken, end.kind === "broken");
             return end.kind === "replied" ? "the service is gone" : end.message;
         }
-        desk.succeeded(takenMs, traits.callMs + taken.length * traits.pieceMs);
+        const isWhole = end.outcomes.every(one => one.kind === "made");
+        // Pieces that are not made take no time, and tell nothing of how fast the endpoint is.
+        desk.succeeded(isWhole ? takenMs / (traits.callMs + taken.length * traits.pieceMs) : undefined);
         taken.forEach((piece, at) => this.takeOutcome(desk, piece, end.outcomes[at], traits));
+        this.endLost(taken, end.outcomes);
         const faults = end.outcomes.flatMap(one => (one.kind === "fault" ? [one.fault] : []));
+        if (faults.includes("room")) {
+            const made = taken.filter((_, at) => end.outcomes[at]?.kind === "made");
+            desk.lackedRoom(roomBytes, made.reduce((sum, { waiting }) => sum + waiting.submission.resultBytes, 0));
+        }
         return faults.length === 0 ? "made" : `made, ${faults.length} not: ${[...new Set(faults)].join(", ")}`;
     }
 
@@ -368,25 +357,43 @@
                 return;
             }
             open.results.set(taken.piece, result);
+            this.queue.drop(submission.id, taken.piece);
             this.endIfWhole(open);
             return;
         }
         const fault = outcome?.fault ?? "error";
         if (fault === "gone") {
-            this.end(submission.id, { kind: "source-gone", message: "a result of an earlier stage has gone" });
+            this.end(submission.id, sourceGone);
         }
         else if (fault === "late") {
             const message = "the deadline passed before the call's turn";
             this.end(submission.id, { kind: "overloaded", message, retryAfterMs: shortestRetryMs });
         }
         else {
-            if (fault === "room") {
-                desk.lackedRoom();
-            }
             this.giveBack([taken], fault === "error");
         }
     }
 
+    /** Ends what waits for results of endpoints that a call has shown to be lost. */
+    private endLost(taken: readonly TakenPiece[], outcomes: readonly PieceOutcome[]): void {
+        const lost = this.lostMakers.note(taken.map(({ waiting }, at) => ({
+            request: waiting.submission.request,
+            source: waiting.submission.source,
+            outcome: outcomes[at],
+        })));
+        if (lost.length === 0) {
+            return;
+        }
+        const waiting = this.queue.list(this.options.clock.nowMs())
+            .filter(({ submission }) => this.lostMakers.hasGone(submission.source));
+        this.options.log.event(EventId.ResultsLost, {
+            service: this.options.service,
+            makers: lost,
+            requests: waiting.map(({ submission }) => submission.request),
+        });
+        waiting.forEach(({ submission }) => this.end(submission.id, sourceGone));
+    }
+
     private endIfWhole(open: Open): void {
         const { submission, results } = open;
         if (results.size < submission.pieces.length) {
@@ -430,15 +437,19 @@
 
     private async freeAt(desk: BatchDesk, handles: readonly string[]): Promise<void> {
         const { client, log, service } = this.options;
-        handles.forEach(handle => desk.freed(handle));
         const message = await client.free(desk.endpoint, handles);
-        if (message !== undefined) {
+        if (message === undefined) {
+            handles.forEach(handle => desk.freed(handle));
+        }
+        else {
             const fields = { service, endpoint: desk.id, handles: handles.length, message };
             log.event(EventId.ResultsNotFreed, fields);
         }
     }
 }
 
+const sourceGone: PiecesError = { kind: "source-gone", message: "a result of an earlier stage has gone" };
+
 /** True for pieces that continue earlier stages: refusing them throws away what those have made. */
 function isContinued({ source }: Submission): boolean {
     return source.kind === "results";
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -15,7 +15,12 @@
 /** What a piece is made from: the request's own key, or results of earlier stages. */
 export type PieceSource =
     | { readonly kind: "key"; readonly key: string; }
-    | { readonly kind: "results"; readonly handles: readonly string[]; };
+    | {
+        readonly kind: "results";
+        readonly handles: readonly string[];
+        /** Endpoints that hold the results; empty from a host whose version does not tell. */
+        readonly makers: readonly EndpointId[];
+    };
 
 /** The pieces of one stage of one request. */
 export interface Submission {
@@ -100,9 +105,23 @@
     | { readonly kind: "not-run"; readonly message: string; }
     | { readonly kind: "broken"; readonly message: string; };
 
+/** What an endpoint of a stage tells of itself; it may be some hundred milliseconds old. */
+export interface WorkState {
+    /** True while a call runs or waits there. */
+    readonly isWorking: boolean;
+}
+
 /** Calls to endpoints of stages. */
 export interface PieceClient {
-    run(endpoint: ListedEndpoint, calls: readonly PieceCall[], timeoutMs: number): Promise<CallEnd>;
+    /** Ends as broken when `signal` is aborted. */
+    run(
+        endpoint: ListedEndpoint,
+        calls: readonly PieceCall[],
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<CallEnd>;
+    /** Asks an endpoint what it does; undefined when it can't be asked. */
+    state(endpoint: ListedEndpoint): Promise<WorkState | undefined>;
     /** Gives up results; undefined when the endpoint has taken note, else what went wrong. */
     free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined>;
 }
@@ -111,10 +130,13 @@
 export interface PieceCodec {
     readonly runPath: string;
     readonly freePath: string;
+    readonly statePath: string;
     encodeRun(pieces: readonly PieceCall[]): string;
     /** Undefined when the reply is not a whole reply to as many pieces. */
     decodeRun(text: string, pieces: number): readonly PieceOutcome[] | undefined;
     encodeFree(handles: readonly string[]): string;
+    /** Undefined when the reply does not tell it. */
+    decodeState(text: string): WorkState | undefined;
     /** Headers of a call to one start of an endpoint. */
     callHeaders(instance: string, remainingMs: number): Readonly<Record<string, string>>;
     /** True when a reply says that the endpoint did not run the call. */
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -12,6 +12,7 @@
     ServiceRestarted = 105,
     StopLeftWork = 106,
     SecondSignal = 107,
+    LogLinesLeftOut = 108,
     // 2xx: peer
     PeerConnectionSilent = 200,
     PeerRejected = 201,
@@ -101,4 +102,6 @@
     GathererLost = 1203,
     BatchEndpointSuspected = 1204,
     ResultsNotFreed = 1205,
+    ResultsLost = 1206,
+    ResultsUndelivered = 1207,
 }
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -14,7 +14,7 @@
     Service,
     ServiceId,
 } from "../src/fleet/Types.js";
-import type { CallEnd, PieceCall, PieceClient, Submission, SubmissionId } from "../src/gather/Types.js";
+import type { CallEnd, PieceCall, PieceClient, Submission, SubmissionId, WorkState } from "../src/gather/Types.js";
 import type { EventLog, Metrics } from "../src/telemetry/Types.js";
 
 export const serviceId = (text: string) => text as ServiceId;
@@ -32,7 +32,6 @@
 export const defaultBounds: FleetBounds = {
     configApplyMs: 2000,
     revokeMs: 5000,
-    drainMs: 3000,
     stopGraceMs: 8000,
     retryShare: 0.2,
     retryWindowMs: 10_000,
@@ -72,19 +71,17 @@
         kind: "idempotent",
         timeoutMs: 5000,
         objectiveMs: 1000,
-        gapMs: undefined,
         priority: 0,
         targets: [{ service: serviceId("s"), weight: 1 }],
         maxEndpoints: 2,
         stages: [],
         isPublic: true,
-        hasPrompt: false,
         ...fields,
     };
 }
 
 export function service(id: string, fields: Partial<Service> = {}): Service {
-    return { id: serviceId(id), healthPath: "/", coldMs: 0, coldPerSecond: 0, pieces: undefined, ...fields };
+    return { id: serviceId(id), coldMs: 0, coldPerSecond: 0, pieces: undefined, ...fields };
 }
 
 export function deployment(routes: readonly Route[], services: readonly Service[]): Deployment {
@@ -137,6 +134,12 @@
     /** Factor on the time of calls, by endpoint; Infinity for one that never replies. */
     public readonly slowness = new Map<string, number>();
     public readonly broken = new Set<string>();
+    /** Endpoints that run calls and whose replies are lost. */
+    public readonly mute = new Set<string>();
+    /** Endpoints whose results can't be fetched any more. */
+    public readonly goneMakers = new Set<string>();
+    /** Room taken by results that the test's gatherer does not know. */
+    public unknownBytes = 0;
     public noRoom = 0;
     private readonly busyUntilMs = new Map<EndpointId, number>();
     private readonly held = new Map<EndpointId, Map<string, number>>();
@@ -148,7 +151,12 @@
         private readonly bytesOf: (call: PieceCall) => number = () => 0,
     ) {}
 
-    public async run(endpoint: ListedEndpoint, pieces: readonly PieceCall[], timeoutMs: number): Promise<CallEnd> {
+    public async run(
+        endpoint: ListedEndpoint,
+        pieces: readonly PieceCall[],
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<CallEnd> {
         this.calls.push({ endpoint: endpoint.id, pieces });
         if (this.broken.has(endpoint.id)) {
             await this.clock.sleep(1);
@@ -160,11 +168,21 @@
         this.busyUntilMs.set(endpoint.id, startMs + workMs);
         const waitMs = startMs + workMs - this.clock.nowMs();
         if (waitMs > timeoutMs) {
-            await this.clock.sleep(timeoutMs);
+            await this.clock.sleep(timeoutMs, signal);
             return { kind: "broken", message: "no reply" };
         }
         const outcomes = pieces.map(piece => this.make(endpoint.id, piece));
-        await this.clock.sleep(waitMs);
+        if (outcomes.every(one => one.kind === "fault")) {
+            // With nothing to make the call ends at once.
+            this.busyUntilMs.set(endpoint.id, startMs);
+            await this.clock.sleep(1);
+            return { kind: "replied", outcomes };
+        }
+        if (this.mute.has(endpoint.id)) {
+            await this.clock.sleep(timeoutMs, signal);
+            return { kind: "broken", message: "no reply" };
+        }
+        await this.clock.sleep(waitMs, signal);
         return { kind: "replied", outcomes };
     }
 
@@ -176,10 +194,18 @@
         return undefined;
     }
 
+    public async state(endpoint: ListedEndpoint): Promise<WorkState | undefined> {
+        await this.clock.sleep(2);
+        return { isWorking: (this.busyUntilMs.get(endpoint.id) ?? 0) > this.clock.nowMs() };
+    }
+
     private make(endpoint: EndpointId, piece: PieceCall) {
         const held = this.held.get(endpoint) ?? new Map<string, number>();
         this.held.set(endpoint, held);
-        const usedBytes = [...held.values()].reduce((sum, bytes) => sum + bytes, 0);
+        if (piece.source.kind === "results" && piece.source.makers.some(maker => this.goneMakers.has(maker))) {
+            return { kind: "fault", fault: "gone" } as const;
+        }
+        const usedBytes = [...held.values()].reduce((sum, bytes) => sum + bytes, this.unknownBytes);
         if (usedBytes + this.bytesOf(piece) > this.traits.resultRoomBytes) {
             this.noRoom += 1;
             return { kind: "fault", fault: "room" } as const;
