Logs: under pressure lines of requests that went well are left out, by request id and alike on all hosts

Cause: a standard output that is read slowly filled the 4 MiB buffer, and then any line was dropped, refusals among them. Change: from a sixteenth of the buffer on, one request in 4, 16, 64 keeps its lines of what went well; refusals, failures and changes of belief are always written; event 108 tells what is missing.

--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -19,6 +19,8 @@
 }
 
 export class Processes {
+    /** Names of processes whose output goes to a pipe that nobody reads. */
+    public readonly unread = new Set<string>();
     private readonly children = new Map<string, ChildProcess>();
 
     public constructor(private readonly folder: string, private readonly clock: Clock) {
@@ -28,7 +30,9 @@
     /** Starts `node` on a script, with the options that this process has; its output goes to NAME.out in the folder. */
     public start(name: string, script: string, args: readonly string[]): void {
         const out = openSync(join(this.folder, `${name}.out`), "a");
-        const child = spawn(process.execPath, [...process.execArgv, script, ...args], { stdio: ["ignore", out, out] });
+        const child = spawn(process.execPath, [...process.execArgv, script, ...args], {
+            stdio: ["ignore", this.unread.has(name) ? "pipe" : out, out],
+        });
         closeSync(out);
         this.children.set(name, child);
     }
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -7,6 +7,7 @@
 import type { InvariantError } from "../common/Invariant.js";
 import { SeededRandom } from "../common/SeededRandom.js";
 import { SystemClock } from "../common/SystemClock.js";
+import { hashOf } from "../common/TextHash.js";
 import type { Clock, HostId, Incarnation } from "../common/Types.js";
 import { listen } from "../entry/CallerServer.js";
 import type { FleetSettings } from "../fleet/Types.js";
@@ -17,6 +18,7 @@
 import { EventId } from "../telemetry/Events.js";
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
 import { JsonEventLog, type LineSink } from "../telemetry/JsonEventLog.js";
+import { type LogPressure, LogSampler, SampledEventLog } from "../telemetry/LogSampler.js";
 import { MetricsRegistry } from "../telemetry/MetricsRegistry.js";
 import type { EventLog } from "../telemetry/Types.js";
 import { PeerServer } from "./PeerServer.js";
@@ -31,8 +33,8 @@
     /** "ip:port" of the metrics; undefined for none. */
     readonly metricsAddress: string | undefined;
     readonly sink: LineSink;
-    /** Lines that were dropped so far. */
-    readonly droppedLines: () => number;
+    /** What tells of lines that wait for the sink. */
+    readonly logPressure: LogPressure;
     readonly onFatal: (err: InvariantError) => void;
 }
 
@@ -48,17 +50,19 @@
     public readonly stopped = new AbortController();
     /** Fires once a planned stop begins, before anything is drained. */
     public readonly stopping = new AbortController();
+    private readonly sampler: LogSampler;
     private readonly supervisor: Supervisor;
     private seeds: readonly string[];
 
     public constructor(private readonly options: FleetHostOptions) {
-        const { settings, sink, onFatal } = options;
+        const { settings, sink, logPressure, onFatal } = options;
         this.self = settings.host;
         this.seeds = settings.seeds;
         this.incarnation = nextIncarnation(this.clock.wallMs());
         this.random = new SeededRandom(this.incarnation ^ hashOf(this.self));
         const hybridClock = new HybridLogicalClock(this.clock, this.self);
-        this.log = new JsonEventLog(this.self, hybridClock, sink);
+        this.sampler = new LogSampler(logPressure, this.clock);
+        this.log = new SampledEventLog(new JsonEventLog(this.self, hybridClock, sink), this.sampler);
         const { log, metrics, clock, self } = this;
         const fatal = (err: InvariantError) => {
             log.event(EventId.InvariantBroken, { invariant: err.invariant, details: err.details });
@@ -114,7 +118,8 @@
             const startMs = this.clock.nowMs();
             await this.clock.sleep(loopCheckMs, signal);
             this.metrics.latency("loop_delay", Math.max(0, this.clock.nowMs() - startMs - loopCheckMs));
-            this.metrics.gauge("dropped_log_lines", this.options.droppedLines());
+            this.metrics.gauge("dropped_log_lines", this.options.logPressure.droppedLines());
+            this.metrics.gauge("left_out_log_lines", this.sampler.leftOutLines);
         }
     }
 }
@@ -130,11 +135,3 @@
     server.closeAllConnections();
     server.close();
 }
-
-function hashOf(text: string): number {
-    let hash = 0;
-    for (const char of text) {
-        hash = Math.imul(hash, 31) + char.charCodeAt(0) | 0;
-    }
-    return hash;
-}
--- a/src/endpoints/Rendezvous.ts
+++ b/src/endpoints/Rendezvous.ts
@@ -2,25 +2,12 @@
  * Rendezvous hashing: each pair of endpoint and host has a weight, and the host with the highest weight comes first.
  * A host that goes or comes moves only its own endpoints.
  */
+import { hashOf } from "../common/TextHash.js";
 import type { EndpointId, HostId } from "../common/Types.js";
 
-const fnvOffset = 0x811C9DC5;
-const fnvPrime = 0x01000193;
-
-function weight(endpoint: string, host: string): number {
-    let hash = fnvOffset;
-    const text = `${endpoint}|${host}`;
-    for (let index = 0; index < text.length; index += 1) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-    }
-    hash = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B);
-    hash = Math.imul(hash ^ (hash >>> 13), 0xC2B2AE35);
-    return (hash ^ (hash >>> 16)) >>> 0;
-}
-
 /** Candidates in rendezvous order for a key, first choice first. */
 export function rankByWeight<T extends string>(key: string, candidates: readonly T[]): T[] {
-    const weighed = candidates.map(candidate => ({ candidate, weight: weight(key, candidate) }));
+    const weighed = candidates.map(candidate => ({ candidate, weight: hashOf(`${key}|${candidate}`) }));
     weighed.sort((a, b) => b.weight - a.weight || (a.candidate < b.candidate ? -1 : 1));
     return weighed.map(one => one.candidate);
 }
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -1,5 +1,5 @@
 /** Small requests to endpoints beside stage calls: cancels, load reports, orders. The reply is short text. */
-import type { IncomingHttpHeaders } from "node:http";
+import type { ClientRequest, IncomingHttpHeaders } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
@@ -28,8 +28,13 @@
     readonly headers: IncomingHttpHeaders;
 }
 
-/** "broken": the request was written and no whole reply came. */
-export type TextError = ConnectError | { readonly kind: "broken"; readonly message: string; };
+/** The request was written and no whole reply came. */
+interface BrokenText {
+    readonly kind: "broken";
+    readonly message: string;
+}
+
+export type TextError = ConnectError | BrokenText;
 
 export async function requestText(
     connections: EndpointConnections,
@@ -52,8 +57,23 @@
         req.destroy();
         return Left({ kind: "aborted", message: "held back" });
     }
+    return exchangeText(req, { ...options, body, maxReplyBytes });
+}
+
+export interface TextExchange {
+    readonly body: string;
+    /** Bound on the whole exchange. */
+    readonly timeoutMs: number;
+    readonly maxReplyBytes: number;
+    readonly clock: Clock;
+    readonly signal: AbortSignal;
+}
+
+/** Sends a body and reads the whole reply as text; the request is destroyed when none comes. */
+export function exchangeText(req: ClientRequest, options: TextExchange): Promise<Either<BrokenText, TextReply>> {
+    const { body, timeoutMs, clock, signal } = options;
     return new Promise(resolve => {
-        const finish = (result: Either<TextError, TextReply>) => {
+        const finish = (result: Either<BrokenText, TextReply>) => {
             timer.dispose();
             signal.removeEventListener("abort", aborted);
             if (result.isLeft()) {
@@ -63,7 +83,7 @@
         };
         const broken = (message: string) => finish(Left({ kind: "broken", message }));
         const aborted = () => broken("aborted");
-        const timer = options.clock.setTimer(options.timeoutMs, () => broken(`no reply in ${options.timeoutMs} ms`));
+        const timer = clock.setTimer(timeoutMs, () => broken(`no reply in ${timeoutMs} ms`));
         signal.addEventListener("abort", aborted);
         req.on("error", err => broken(err.message));
         req.on("response", res => {
@@ -72,7 +92,7 @@
             res.on("data", (chunk: Buffer) => {
                 bytes += chunk.length;
                 chunks.push(chunk);
-                if (bytes > maxReplyBytes) {
+                if (bytes > options.maxReplyBytes) {
                     broken("the reply is too long");
                 }
             });
--- a/src/telemetry/JsonEventLog.ts
+++ b/src/telemetry/JsonEventLog.ts
@@ -27,6 +27,7 @@
             type: "hidden",
             hideLogPositionForProduction: true,
             argumentsArrayName: "records",
+            maskValuesOfKeys: [],
         });
         this.logger.attachTransport(logged => {
             const [record] = (logged as unknown as { readonly records: readonly EventRecord[]; }).records;
--- a/test/FleetProcesses.test.ts
+++ b/test/FleetProcesses.test.ts
@@ -1,10 +1,15 @@
-/** A short run of the fleet's programs as processes, with faults of a fixed seed. */
+/** Short runs of the fleet's programs as processes: with faults of a fixed seed, and with output that nobody reads. */
 import assert from "node:assert/strict";
 import { mkdtempSync, rmSync } from "node:fs";
+import * as http from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { FleetHistory } from "../proof/FleetHistory.js";
+import { FleetSite } from "../proof/FleetSite.js";
 import { FleetSoak } from "../proof/FleetSoak.js";
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import { SystemClock } from "../src/common/SystemClock.js";
 
 const seeds: readonly number[] = [1];
 const seconds = 8;
@@ -18,3 +23,54 @@
         rmSync(folder, { recursive: true, force: true });
     });
 }
+
+const unreadMs = 10_000;
+/** Log bytes of a request are about 1,400, and a pipe holds 64 KiB: within a second nothing more can be written. */
+const callers = 8;
+const borneMs = 300;
+
+test("an entry host whose standard output is not read for 10 s delays and fails no request", async () => {
+    const folder = mkdtempSync(join(tmpdir(), "fireflykeel-unread-"));
+    const clock = new SystemClock();
+    const size = { controls: 3, entries: 1, endpoints: 2 };
+    const site = new FleetSite(size, folder, new FleetHistory(), clock, new SeededRandom(1));
+    const [entry = ""] = site.entries;
+    site.processes.unread.add(entry);
+    await site.start();
+    while (!await site.isReady(entry)) {
+        await site.putConfig(site.controls[0] ?? "");
+        await clock.sleep(200);
+    }
+    const untilMs = clock.nowMs() + unreadMs;
+    const takenMs: number[] = [];
+    const statuses = new Set<number>();
+    const call = async (caller: number) => {
+        const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+        for (let at = 0; clock.nowMs() < untilMs; at++) {
+            const startMs = clock.nowMs();
+            statuses.add(await statusOf(site.callerAddress(entry), `u${caller}-${at}`, agent));
+            takenMs.push(clock.nowMs() - startMs);
+        }
+        agent.destroy();
+    };
+    await Promise.all(Array.from({ length: callers }, (_, at) => call(at)));
+    await site.stop();
+    takenMs.sort((a, b) => a - b);
+    const mostMs = takenMs[Math.floor(takenMs.length * 0.999)] ?? Infinity;
+    assert.deepEqual([...statuses], [200], `logs in ${folder}`);
+    assert.ok(takenMs.length > 2000, `${takenMs.length} requests`);
+    assert.ok(mostMs < borneMs, `one in a thousand takes ${mostMs} ms or more`);
+    rmSync(folder, { recursive: true, force: true });
+});
+
+function statusOf(address: { readonly host: string; readonly port: number; }, request: string, agent: http.Agent) {
+    const headers = { "Host": "h.example", "Fireflykeel-Request-Id": request, "Fireflykeel-Deadline-Ms": "4000" };
+    return new Promise<number>(resolve => {
+        const req = http.request({ ...address, path: "/idempotent/a", method: "POST", headers, agent }, res => {
+            res.resume();
+            res.on("close", () => resolve(res.complete ? res.statusCode ?? 0 : 0));
+        });
+        req.on("error", () => resolve(0));
+        req.end();
+    });
+}
