--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -93,7 +93,6 @@
             bounds: {
                 configApplyMs: 2000,
                 revokeMs: 5000,
-                drainMs: 3000,
                 stopGraceS: 8,
                 retryShare: 0.2,
                 retryWindowS: 10,
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -38,8 +38,6 @@
     readonly timeoutMs: number;
     /** Latency objective: to the whole answer, or to the first event of a stream. */
     readonly objectiveMs: number;
-    /** Longest pause between events of a stream that meets its objective; undefined for other kinds. */
-    readonly gapMs: number | undefined;
     /** 0 goes first. */
     readonly priority: number;
     readonly targets: readonly RouteTarget[];
@@ -48,8 +46,6 @@
     readonly stages: readonly RouteStage[];
     /** True when a request needs no key. */
     readonly isPublic: boolean;
-    /** True when requests carry prompts whose shared parts endpoints cache. */
-    readonly hasPrompt: boolean;
 }
 
 /** How endpoints of a stage's service work. */
@@ -67,7 +63,6 @@
 
 export interface Service {
     readonly id: ServiceId;
-    readonly healthPath: string;
     /** An endpoint that has just started is cold for this long; 0 for services without cold start. */
     readonly coldMs: number;
     /** Requests that a cold endpoint bears in one second. */
@@ -193,7 +188,6 @@
     readonly configApplyMs: number;
     /** A key that was taken away opens nothing this long after the acknowledgement. */
     readonly revokeMs: number;
-    readonly drainMs: number;
     /** A process is killed this long after it was told to stop. */
     readonly stopGraceMs: number;
     /** Repeats of requests to one service, over all hosts and in each window: a share of the requests and a constant. */
