Peer calls are served over node:http without web requests and streams

Cause (processor profile of an entry host): the library's adapter makes a web request, a web response, their streams and an abort error for each call, 8 % of the host's time. Change: a handler that calls tRPC's procedures itself; same wire. Tests: bodies that are no JSON or too long (TrpcPeer.test.ts).

--- /dev/null
+++ b/src/peer/TrpcHttpHandler.ts
@@ -0,0 +1,87 @@
+/**
+ * Serves a tRPC router's mutations over node:http: the body is the input, the reply is tRPC's. The library's own adapter
+ * makes a web request, a web response and their streams for each call, which costs several times what a call does.
+ */
+import type { AnyTRPCRouter } from "@trpc/server";
+import { callTRPCProcedure, getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError } from "@trpc/server";
+import { getHTTPStatusCodeFromError } from "@trpc/server/http";
+import type * as http from "node:http";
+
+export interface TrpcHttpOptions {
+    readonly router: AnyTRPCRouter;
+    /** Path before the name of a method. */
+    readonly basePath: string;
+    readonly maxBodyBytes: number;
+    readonly createContext: (req: http.IncomingMessage) => unknown;
+    readonly onError: (error: TRPCError) => void;
+}
+
+const type = "mutation";
+
+export function trpcHttpHandler(options: TrpcHttpOptions): http.RequestListener {
+    return (req, res) => void serve(options, req, res);
+}
+
+async function serve(options: TrpcHttpOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const { router, basePath, createContext, onError } = options;
+    const path = (req.url ?? "").slice(basePath.length);
+    try {
+        const text = await bodyOf(req, options.maxBodyBytes);
+        const input = text === "" ? undefined : parse(text);
+        const data: unknown = await callTRPCProcedure({
+            router,
+            path,
+            type,
+            ctx: createContext(req),
+            getRawInput: async () => input,
+            signal: undefined,
+            batchIndex: 0,
+        });
+        reply(res, 200, { result: { data } });
+    }
+    catch (err) {
+        const error = getTRPCErrorFromUnknown(err);
+        onError(error);
+        const { _config: config } = router._def;
+        const shape: unknown = getTRPCErrorShape({ config, error, type, path, input: undefined, ctx: undefined });
+        reply(res, getHTTPStatusCodeFromError(error), { error: shape });
+    }
+}
+
+function parse(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch (cause) {
+        throw new TRPCError({ code: "PARSE_ERROR", cause });
+    }
+}
+
+function bodyOf(req: http.IncomingMessage, maxBytes: number): Promise<string> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        req.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            if (bytes <= maxBytes) {
+                chunks.push(chunk);
+            }
+            else {
+                reject(new TRPCError({ code: "PAYLOAD_TOO_LARGE" }));
+            }
+        });
+        req.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
+        req.on("error", reject);
+        req.on("close", () => {
+            if (!req.complete) {
+                reject(new TRPCError({ code: "CLIENT_CLOSED_REQUEST" }));
+            }
+        });
+    });
+}
+
+function reply(res: http.ServerResponse, status: number, value: unknown): void {
+    const text = JSON.stringify(value);
+    const headers = { "content-type": "application/json", "content-length": Buffer.byteLength(text) };
+    res.writeHead(status, headers).end(text);
+}
--- a/src/peer/TrpcPeer.test.ts
+++ b/src/peer/TrpcPeer.test.ts
@@ -65,6 +65,26 @@
     });
 }
 
+test("a body that is no JSON and one beyond the bound get an error, and the next call is served", async () => {
+    const { server, address } = await listen(peerServer().listener());
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    const send = (body: string) =>
+        new Promise<number>(resolve => {
+            const headers = { "fireflykeel-key": "secret", "fireflykeel-host": "alpha" };
+            const req = http.request(`http://${address}/peer/test.greet`, { method: "POST", agent, headers }, res => {
+                res.resume();
+                res.on("end", () => resolve(res.statusCode ?? 0));
+            });
+            req.on("error", () => resolve(0));
+            req.end(body);
+        });
+    assert.equal(await send("{"), 400);
+    assert.equal(await send("x".repeat(17 * 1024 * 1024)), 413);
+    assert.equal(await send("{\"name\":\"a\"}"), 200);
+    agent.destroy();
+    server.close();
+});
+
 test("a refused connection and an unknown host are proven undelivered", async () => {
     const { server, address } = await listen(() => undefined);
     await new Promise(done => server.close(done));
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -3,7 +3,6 @@
  * `/peer/`. A call with a wrong key gets 401 and nothing else.
  */
 import { initTRPC } from "@trpc/server";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import type * as http from "node:http";
 import { parseHostId } from "../common/Ids.js";
 import { InvariantError } from "../common/Invariant.js";
@@ -11,6 +10,7 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, HybridClock, Metrics } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
+import { trpcHttpHandler } from "./TrpcHttpHandler.js";
 import type { PeerHandler, PeerMethod, PeerRegistry } from "./Types.js";
 
 /** Path under which peers are served. */
@@ -56,12 +56,12 @@
 
     /** Builds the listener for requests below {@link peerPath}; call it once all methods are registered. */
     public listener(): RequestListener {
-        const serve = createHTTPHandler({
+        const serve = trpcHttpHandler({
             router: this.buildRouter(),
             basePath: peerPath,
-            maxBodySize: maxBodyBytes,
-            createContext: ({ req }) => ({ from: parseHostId(headerText(req, hostHeader)).orDefault("?" as HostId) }),
-            onError: ({ error }) => {
+            maxBodyBytes,
+            createContext: req => ({ from: parseHostId(headerText(req, hostHeader)).orDefault("?" as HostId) }),
+            onError: error => {
                 if (error.cause instanceof InvariantError) {
                     this.options.onFatal(error.cause);
                 }
@@ -79,7 +79,7 @@
             }
             this.options.clock.observe(headerText(req, clockHeader));
             res.setHeader(clockHeader, this.options.clock.stamp());
-            void serve(req, res);
+            serve(req, res);
         };
     }
 
