--- a/src/gather/Cells.ts
+++ b/src/gather/Cells.ts
@@ -25,6 +25,7 @@
     private readonly byId = new Map<CellId, Cell>();
     private readonly byService = new Map<ServiceId, Cell[]>();
     private readonly cellOfEndpoint = new Map<EndpointId, CellId>();
+    private readonly gatherersOf = new Map<CellId, readonly HostId[]>();
 
     public constructor(private readonly view: FleetView) {
         const services = new Map<ServiceId, ListedEndpoint[]>();
@@ -59,6 +60,12 @@
 
     /** Live hosts that may gather for a cell, first choice first: those beside its endpoints before others. */
     public gatherers(id: CellId): readonly HostId[] {
+        const known = this.gatherersOf.get(id) ?? this.rankGatherers(id);
+        this.gatherersOf.set(id, known);
+        return known;
+    }
+
+    private rankGatherers(id: CellId): readonly HostId[] {
         const centre = this.byId.get(id)?.dataCentre;
         const live = this.view.hosts.filter(one => one.isLive);
         const isNear = (one: EntryHost) => centre === undefined || one.dataCentre === centre;
