A stage that only the endpoint needs waits for the longer branch beside it; priority counts in the order of pieces

Cause: a whole route played without network (StagePipeline) showed two losses. (2) Among requests that can be on time only the latest start counted: with one of three endpoints left the least urgent kind was served most often.

--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -1,6 +1,7 @@
 /**
  * Makes the results that a request's endpoint needs: runs the stages of its route as a graph, each as soon as those
- * before it have ended, and gives up results that no later stage needs.
+ * before it have ended, and gives up results that no later stage needs. A stage that no other needs waits for a longer
+ * branch beside it: its results would else lie at their makers until that branch has ended, and take others' room.
  */
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, DataCentreId } from "../common/Types.js";
@@ -81,6 +82,13 @@
         });
     }
 
+    /** Waits until the longer branches beside a stage have come as near to their ends; gives their failure, if any. */
+    private async longerBranch(plan: StagePlan, run: StageRun, runs: readonly StageRun[]) {
+        const beside = stagesBeside(plan, run.index).flatMap(index => runs[index]?.ended ?? []);
+        const ends = await Promise.all(beside);
+        return ends.find(end => end.isLeft());
+    }
+
     /** Gives up the results of a stage as soon as all stages that follow it have ended. */
     private async freeOnceUsed(run: StageRun, runs: readonly StageRun[]): Promise<void> {
         const followers = followersOf(run, runs);
@@ -94,7 +102,7 @@
         const before = await Promise.all(
             run.stage.after.map(index => runs[index]?.ended ?? Promise.resolve(Right([]))),
         );
-        const failure = before.find(end => end.isLeft());
+        const failure = before.find(end => end.isLeft()) ?? await this.longerBranch(plan, run, runs);
         if (failure !== undefined) {
             return failure;
         }
@@ -179,6 +187,33 @@
     return longestMs;
 }
 
+/**
+ * Stages of longer branches beside a stage that no other needs: once they have ended, what is left of their branches
+ * takes about as long as the stage itself.
+ */
+function stagesBeside(plan: StagePlan, index: number): readonly number[] {
+    const { stages } = plan.route;
+    const isLast = (at: number) => stages.every(stage => !stage.after.includes(at));
+    if (!isLast(index) || (plan.pieces[index] ?? 0) === 0) {
+        return [];
+    }
+    const ownMs = stageMs(plan, index) * sameTimeShare;
+    const others = stages.map((_, at) => at).filter(at => at !== index && isLast(at));
+    return others.flatMap(last => {
+        const ancestors = ancestorsOf(stages, last).filter(at => restAfter(plan, at) >= ownMs);
+        ancestors.sort((a, b) => restAfter(plan, a) - restAfter(plan, b));
+        return ancestors.slice(0, 1).filter(at => !ancestorsOf(stages, index).includes(at));
+    });
+}
+
+/** Stages count as equally long within this share, since waits differ more than that. */
+const sameTimeShare = 0.9;
+
+function ancestorsOf(stages: readonly RouteStage[], index: number): readonly number[] {
+    const after = stages[index]?.after ?? [];
+    return [...new Set(after.flatMap(at => [at, ...ancestorsOf(stages, at)]))];
+}
+
 /** Time that a request's stages need, with full calls and the waits that `waitMs` gives for their services. */
 export function expectedStagesMs(plan: StagePlan, waitMs: (service: ServiceId) => number): number {
     const timeOf = (index: number): number => {
--- a/src/gather/PieceQueue.test.ts
+++ b/src/gather/PieceQueue.test.ts
@@ -49,6 +49,22 @@
         added: [{ request: "barely", startInMs: 30 }, { request: "on-time", startInMs: 400 }],
         taken: ["on-time", "barely"],
     },
+    {
+        name: "a more urgent one goes before one that must start a little sooner",
+        added: [
+            { request: "sooner", startInMs: 300, priority: 1 },
+            { request: "urgent", startInMs: 800, priority: 0 },
+        ],
+        taken: ["urgent", "sooner"],
+    },
+    {
+        name: "a less urgent one is not put off for ever",
+        added: [
+            { request: "far", startInMs: 2000, priority: 0 },
+            { request: "near", startInMs: 300, priority: 1 },
+        ],
+        taken: ["near", "far"],
+    },
     {
         name: "late ones go by priority, then by deadline",
         added: [
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -1,7 +1,7 @@
 /**
  * Pieces that wait for a call, and the order in which calls take them. The pieces of a request that has been begun go
  * first, since its results take up room until all are there. Then go requests that can still meet their objective, by
- * the time at which they must start; then the others, by priority and deadline.
+ * the time at which they must start and by their priority; then the others, by priority and deadline.
  *
  * A submission may be bound to a data centre: to where its sources or its consumer are, or to where its first piece
  * went. An endpoint elsewhere takes it only after its own, and only when it would else be late or is so already, or when
@@ -12,6 +12,8 @@
 
 /** A submission with less time than this before its latest start goes to any data centre; about one call's time. */
 const leaveCentreMs = 250;
+/** A rank of priority weighs as much as this much time before the latest start: two calls that come first. */
+const rankMs = 700;
 /** A submission counts as late this long before its latest start, since estimates of later steps vary. */
 const lateMarginMs = 60;
 
@@ -176,5 +178,9 @@
     }
     return isLateA
         ? a.submission.priority - b.submission.priority || a.deadlineMs - b.deadlineMs
-        : a.startByMs - b.startByMs;
+        : rankedStartMs(a) - rankedStartMs(b);
+}
+
+function rankedStartMs({ startByMs, submission }: Ordered): number {
+    return startByMs + submission.priority * rankMs;
 }
