Results that one data centre can't reach: their requests go to endpoints beside them

Change: a piece whose results are gone elsewhere goes to an endpoint in its maker's data centre before its request is told; endpoints lost to one data centre are lost to that one only; a request whose endpoint can't fetch its results is sent to one beside them. The estimate of waits moved to a file of its own. Tests: ServiceGatherer.test.ts (two data centres), LostMakers.test.ts.

--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -56,6 +56,8 @@
     private readonly log: EventLog;
     private readonly deadlineMs: number;
     private results: StageResults | undefined;
+    /** Data centres whose endpoints could not fetch the results. */
+    private readonly unreachableFrom = new Set<DataCentreId>();
     private isOver = false;
     private hasLeft = false;
     /** Attempts after which the request may have run. */
@@ -107,7 +109,7 @@
                 return { kind: "refused", refusal: this.noEndpoint() };
             }
             const end = await this.attempt(choice);
-            const ending = this.judge(end);
+            const ending = this.judge(end, choice.record);
             if (ending !== undefined) {
                 return ending;
             }
@@ -178,13 +180,24 @@
         return chooser.choose(service, book.usable(service.id), this.tried, head.prompt)?.record.listed.dataCentre;
     }
 
+    /** Endpoints that may be given the request, once some could not fetch its results only those beside the results. */
+    private usable(): readonly EndpointRecord[] {
+        const { results, unreachableFrom } = this;
+        const all = this.parts.book.usable(this.admitted.service.id);
+        return results === undefined || unreachableFrom.size === 0
+            ? all
+            : all.filter(({ listed: { dataCentre } }) =>
+                results.dataCentres.has(dataCentre) && !unreachableFrom.has(dataCentre)
+            );
+    }
+
     /** An endpoint that may be given the request; waits a little where there is none now. */
     private async choose(): Promise<Choice | undefined> {
-        const { book, chooser } = this.parts;
+        const { chooser } = this.parts;
         const { service, head, route } = this.admitted;
         const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + route.objectiveMs * endpointWaitShare);
         for (;;) {
-            const choice = chooser.choose(service, book.usable(service.id), this.tried, head.prompt);
+            const choice = chooser.choose(service, this.usable(), this.tried, head.prompt);
             if (choice !== undefined || this.abort.signal.aborted || this.clock.nowMs() >= untilMs) {
                 return this.abort.signal.aborted ? undefined : choice;
             }
@@ -252,7 +265,7 @@
     }
 
     /** What follows from an attempt's end; undefined to go on with another attempt. */
-    private judge(end: AttemptEnd): Ending | undefined {
+    private judge(end: AttemptEnd, record: EndpointRecord): Ending | undefined {
         switch (end.kind) {
             case "cancelled":
                 this.ran += 1;
@@ -261,7 +274,7 @@
                 this.unsent += 1;
                 return this.unsent < mostUnsent ? undefined : { kind: "refused", refusal: this.noEndpoint() };
             case "not-run":
-                return this.judgeNotRun(end.status);
+                return this.judgeNotRun(end.status, record);
             case "broken":
                 this.ran += 1;
                 if (this.isRepeatable && this.mayRepeat()) {
@@ -290,10 +303,14 @@
         return { kind: "answered" };
     }
 
-    private judgeNotRun(status: number): Ending | undefined {
+    private judgeNotRun(status: number, { listed }: EndpointRecord): Ending | undefined {
         if (status === resultsGone) {
-            this.results = undefined;
             this.tried.clear();
+            this.unreachableFrom.add(listed.dataCentre);
+            if (this.usable().length === 0) {
+                this.results = undefined;
+                this.unreachableFrom.clear();
+            }
         }
         if (this.clock.nowMs() < this.deadlineMs && this.parts.retries.tryRepeat(this.admitted.service.id)) {
             return undefined;
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -6,7 +6,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, DataCentreId } from "../common/Types.js";
 import type { Deployment, Route, RouteStage, ServiceId } from "../fleet/Types.js";
-import type { PieceMaker, PieceResult, PiecesError, PieceSource, SubmissionId } from "../gather/Types.js";
+import type { PieceMaker, PieceResult, PiecesError, PieceSource, ResultMaker, SubmissionId } from "../gather/Types.js";
 
 /** One request's stages, and the times that they are to keep. */
 export interface StagePlan {
@@ -28,6 +28,8 @@
 /** Results of the stages that no other stage follows, with the service that made each. */
 export interface StageResults {
     readonly handles: readonly string[];
+    /** Where the results lie. */
+    readonly dataCentres: ReadonlySet<DataCentreId>;
     /** Gives up the results at their makers. Doing so twice does nothing. */
     free(): void;
 }
@@ -73,6 +75,7 @@
         let isFreed = false;
         return Right({
             handles: last.flatMap(({ results }) => results.map(one => one.handle)),
+            dataCentres: new Set(last.flatMap(({ results }) => results.map(one => one.dataCentre))),
             free: () => {
                 if (!isFreed) {
                     isFreed = true;
@@ -116,7 +119,7 @@
             : {
                 kind: "results",
                 handles: results.map(one => one.handle),
-                makers: [...new Set(results.map(one => one.endpoint))],
+                makers: makersOf(results),
             };
         const nowMs = this.clock.nowMs();
         const restMs = restAfter(plan, run.index) + plan.replyMs;
@@ -160,6 +163,11 @@
     return best !== undefined && best[1] >= bindingBytes ? best[0] : undefined;
 }
 
+/** The endpoints that hold results, each once. */
+function makersOf(results: readonly PieceResult[]): readonly ResultMaker[] {
+    return [...new Map(results.map(({ endpoint, dataCentre }) => [endpoint, { endpoint, dataCentre }])).values()];
+}
+
 /** Fewer bytes than this may cross between data centres without binding a stage to one. */
 const bindingBytes = 1_000_000;
 
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -24,7 +24,7 @@
         z.object({
             kind: z.literal("results"),
             handles: z.array(z.string()),
-            makers: z.array(endpointId).default([]),
+            makers: z.array(z.object({ endpoint: endpointId, dataCentre: dataCentreId })).default([]),
         }),
     ]),
     resultBytes: z.number(),
--- a/src/gather/LostMakers.test.ts
+++ b/src/gather/LostMakers.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FakeClock } from "../../testing/FakeClock.js";
+import { centreId } from "../../testing/FleetFixtures.js";
 import type { EndpointId } from "../common/Types.js";
 import { LostMakers } from "./LostMakers.js";
 import type { PieceOutcome, PieceSource } from "./Types.js";
@@ -10,7 +11,7 @@
 const from = (...makers: string[]): PieceSource => ({
     kind: "results",
     handles: makers.map(maker => `${maker}/1`),
-    makers: makers as EndpointId[],
+    makers: makers.map(maker => ({ endpoint: maker as EndpointId, dataCentre: centreId("x") })),
 });
 const key: PieceSource = { kind: "key", key: "k" };
 
@@ -38,20 +39,18 @@
     test(`endpoints believed lost: ${name}`, () => {
         const makers = new LostMakers(new FakeClock());
         const ended = pieces.map(([request, source, outcome]) => ({ request, source, outcome }));
-        assert.deepEqual(makers.note(ended), lost);
+        assert.deepEqual(makers.note(ended, centreId("a")), lost);
     });
 }
 
-test("an endpoint counts as lost for a while only, since it may have been cut off", async () => {
+test("an endpoint counts as lost to one data centre and for a while only, since it may have been cut off", async () => {
     const clock = new FakeClock();
     const makers = new LostMakers(clock);
-    makers.note([{ request: "1", source: from("a"), outcome: gone }, {
-        request: "2",
-        source: from("a"),
-        outcome: gone,
-    }]);
-    assert.equal(makers.hasGone(from("b", "a")), true);
-    assert.equal(makers.hasGone(from("b")), false);
+    const missed = ["1", "2"].map(request => ({ request, source: from("a"), outcome: gone }));
+    makers.note(missed, centreId("x"));
+    assert.equal(makers.isLost(from("b", "a"), centreId("x")), true);
+    assert.equal(makers.isLost(from("a"), centreId("y")), false);
+    assert.equal(makers.isLost(from("b"), centreId("x")), false);
     await clock.advance(600);
-    assert.equal(makers.hasGone(from("a")), false);
+    assert.equal(makers.isLost(from("a"), centreId("x")), false);
 });
--- a/src/gather/PieceQueue.test.ts
+++ b/src/gather/PieceQueue.test.ts
@@ -14,6 +14,7 @@
         deadlineMs: nowMs + one.remainingMs,
         pieces: [...one.pieces],
         isBegun: false,
+        unreachableFrom: new Set(),
         dataCentre: one.dataCentre,
     };
 }
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -28,6 +28,8 @@
     isBegun: boolean;
     /** Where its pieces are to be made. */
     dataCentre: DataCentreId | undefined;
+    /** Data centres that can't reach its sources. */
+    readonly unreachableFrom: Set<DataCentreId>;
 }
 
 export interface TakenPiece {
@@ -92,7 +94,7 @@
     /** Takes the pieces of the next call of an endpoint. */
     public take(limits: TakeLimits, nowMs: number): TakenPiece[] {
         const taken: TakenPiece[] = [];
-        const inOrder = this.list(nowMs);
+        const inOrder = this.list(nowMs).filter(one => !one.unreachableFrom.has(limits.dataCentre));
         const isOwn = (one: Waiting) => one.dataCentre === undefined || one.dataCentre === limits.dataCentre;
         const leftBytes = this.takeFrom(inOrder.filter(isOwn), limits, limits.roomBytes, taken);
         const others = inOrder.filter(one => !isOwn(one) && mayLeave(one, limits, nowMs));
@@ -102,7 +104,8 @@
 
     /** The first piece that an endpoint might take; it waits on, since the endpoint may fail it. */
     public copyFirst({ roomBytes, dataCentre }: TakeLimits, nowMs: number): TakenPiece[] {
-        const fitting = this.list(nowMs).filter(one => one.submission.resultBytes <= roomBytes);
+        const fitting = this.list(nowMs)
+            .filter(one => one.submission.resultBytes <= roomBytes && !one.unreachableFrom.has(dataCentre));
         const waiting = fitting.find(one => one.dataCentre === dataCentre) ?? fitting[0];
         const piece = waiting?.pieces[0];
         return waiting === undefined || piece === undefined ? [] : [{ waiting, piece }];
--- a/src/gather/ServiceGatherer.test.ts
+++ b/src/gather/ServiceGatherer.test.ts
@@ -159,7 +159,7 @@
     const source = (maker: string): Submission["source"] => ({
         kind: "results",
         handles: [`${maker}/1`],
-        makers: [maker as EndpointId],
+        makers: [{ endpoint: maker as EndpointId, dataCentre: centreId("a") }],
     });
     const lost = Array.from({ length: 30 }, () => site.submit({ pieces: [0, 1], source: source("m1") }));
     const kept = Array.from({ length: 5 }, () => site.submit({ pieces: [0, 1], source: source("m2") }));
@@ -169,6 +169,25 @@
     assert.ok(site.endpoints.calls.length <= 4, `${site.endpoints.calls.length} calls`);
 });
 
+test("results that one data centre can't reach: their requests go to endpoints beside them", async () => {
+    const site = new Site(0);
+    site.gatherer.setEndpoints([
+        listed("e0", { dataCentre: centreId("a") }),
+        listed("e1", { dataCentre: centreId("b") }),
+    ]);
+    site.endpoints.cutFrom.set("m1", "e0");
+    const source: Submission["source"] = {
+        kind: "results",
+        handles: ["m1/1"],
+        makers: [{ endpoint: "m1" as EndpointId, dataCentre: centreId("b") }],
+    };
+    const sent = Array.from({ length: 12 }, () => site.submit({ pieces: [0, 1], source, startInMs: 2000 }));
+    await site.clock.advance(1500);
+    assert.deepEqual([...site.made()].sort(), [...sent].sort());
+    const missed = site.endpoints.calls.filter(call => call.endpoint === "e0");
+    assert.ok(missed.length <= 2, `${missed.length} calls where the results can't be had`);
+});
+
 test("room taken by results that are not known here: calls are made no larger than what finds room", async () => {
     const site = new Site(1, () => 100_000);
     site.endpoints.unknownBytes = 600_000;
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -4,7 +4,7 @@
  * queue: a piece may be made again, and the first result counts.
  */
 import { Left, Right } from "purify-ts";
-import type { Clock, Disposable } from "../common/Types.js";
+import type { Clock, DataCentreId, Disposable } from "../common/Types.js";
 import type { BatchTraits, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -13,7 +13,7 @@
 import { DemandMeter } from "./DemandMeter.js";
 import { DeskSet } from "./DeskSet.js";
 import { LostMakers } from "./LostMakers.js";
-import { isLate, PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
+import { PieceQueue, type TakenPiece, type Waiting } from "./PieceQueue.js";
 import type {
     CallEnd,
     PieceClient,
@@ -24,21 +24,13 @@
     Submission,
     SubmissionId,
 } from "./Types.js";
+import { shortestRetryMs, WaitEstimate } from "./WaitEstimate.js";
 
 /** A call is given up at this many times its expected time and a constant for the ways. */
 const giveUpFactor = 4;
 const giveUpExtraMs = 1000;
 /** Calls that may fail for one submission. */
 const mostFailures = 4;
-/** A caller is asked to come back no sooner and no later than this. */
-const shortestRetryMs = 200;
-const longestRetryMs = 1500;
-/** A submission that needs more of its remaining time than this is refused at once rather than at its end. */
-const sureShare = 0.8;
-/** With less of the service to spare than this, late submissions wait for the end of the burst. */
-const leastSpareShare = 0.05;
-/** Bursts of callers last about this long; a request with more time than that waits for the end of one. */
-const burstMs = 6000;
 /** How often what waits is looked through. */
 const wakeMs = 100;
 
@@ -63,6 +55,7 @@
     private readonly queue = new PieceQueue();
     private readonly demand: DemandMeter;
     private readonly desks: DeskSet;
+    private readonly estimate: WaitEstimate;
     private readonly lostMakers: LostMakers;
     private readonly open = new Map<SubmissionId, Open>();
     private wakeTimer: Disposable | undefined;
@@ -70,6 +63,7 @@
     public constructor(private readonly options: ServiceGathererOptions) {
         this.demand = new DemandMeter(options.clock);
         this.desks = new DeskSet(options.clock);
+        this.estimate = new WaitEstimate(this.queue, this.desks, this.demand, options.clock);
         this.lostMakers = new LostMakers(options.clock);
     }
 
@@ -93,10 +87,6 @@
         if (this.open.has(submission.id)) {
             return;
         }
-        if (this.lostMakers.hasGone(submission.source)) {
-            deliver(Left(sourceGone));
-            return;
-        }
         this.demand.note(submission.pieces.length);
         const waiting: Waiting = {
             submission,
@@ -105,12 +95,17 @@
             pieces: [...submission.pieces],
             isBegun: false,
             dataCentre: submission.dataCentre,
+            unreachableFrom: new Set(),
         };
-        const readyInMs = this.readyInMs(waiting);
-        const isTooLate = submission.onTimeOnly
-            && this.waitMs(waiting.startByMs, waiting.deadlineMs, submission.priority) > submission.startInMs;
-        if (readyInMs > submission.remainingMs * sureShare || isTooLate) {
-            deliver(Left(this.overloaded(readyInMs, submission.remainingMs)));
+        const lostFrom = [...this.desks.served()].filter(one => this.lostMakers.isLost(submission.source, one));
+        if (lostFrom.some(one => !this.leave(waiting, one))) {
+            deliver(Left(sourceGone));
+            return;
+        }
+        const traits = this.options.traits();
+        const refusal = traits === undefined ? undefined : this.estimate.refusalOf(waiting, traits);
+        if (refusal !== undefined) {
+            deliver(Left(refusal));
             return;
         }
         this.open.set(submission.id, { submission, waiting, results: new Map(), deliver, failures: 0 });
@@ -133,47 +128,10 @@
         this.pump();
     }
 
-    /** Estimated wait before the first call of a submission that would go after those that have their times. */
-    public waitMs(startByMs: number, deadlineMs: number, priority: number, isContinued: boolean = false): number {
-        const nowMs = this.options.clock.nowMs();
-        const traits = this.options.traits();
-        const piecesPerMs = traits === undefined ? 0 : this.desks.piecesPerMs(traits);
-        if (traits === undefined || piecesPerMs === 0) {
-            return 0;
-        }
-        const desks = this.desks.usable();
-        const isBusy = desks.every(desk => !desk.mayStart(traits));
-        const currentMs = isBusy ? this.callMs(traits.batch) / (2 * desks.length) : 0;
-        const waitMs = currentMs + this.queue.ahead(startByMs, deadlineMs, priority, nowMs) / piecesPerMs;
-        if (startByMs - nowMs >= waitMs) {
-            return waitMs;
-        }
-        // It can't be on time, and then goes after all that can: what comes until then is ahead of it too.
-        const late = this.queue.ahead(-Infinity, deadlineMs, priority, nowMs);
-        if (isContinued) {
-            return currentMs + late / piecesPerMs;
-        }
-        const sparePerMs = piecesPerMs - this.demand.perMs();
-        const hasSpare = sparePerMs > piecesPerMs * leastSpareShare;
-        return currentMs + (hasSpare ? Math.min(burstMs, late / sparePerMs) : burstMs);
-    }
-
-    /** Estimated time until the request of a submission can be answered. */
-    private readyInMs({ submission, startByMs, deadlineMs }: Waiting): number {
-        const waitMs = this.waitMs(startByMs, deadlineMs, submission.priority, isContinued(submission));
-        return waitMs + this.callMs(submission.pieces.length) + submission.restMs;
-    }
-
-    private overloaded(readyInMs: number, remainingMs: number): PiecesError {
-        const message = `${Math.round(readyInMs)} ms are needed, ${Math.round(remainingMs)} ms are left`;
-        const missingMs = readyInMs - remainingMs * sureShare;
-        const retryAfterMs = Math.min(longestRetryMs, Math.max(shortestRetryMs, missingMs));
-        return { kind: "overloaded", message, retryAfterMs };
-    }
-
-    private callMs(pieces: number): number {
+    /** Estimated wait of a new submission to this cell. */
+    public waitMs(startByMs: number, deadlineMs: number, priority: number): number {
         const traits = this.options.traits();
-        return traits === undefined ? 0 : traits.callMs + Math.min(pieces, traits.batch) * traits.pieceMs;
+        return traits === undefined ? 0 : this.estimate.waitMs(traits, startByMs, deadlineMs, priority);
     }
 
     /** Starts as many calls as there are free endpoints and waiting pieces. */
@@ -182,7 +140,9 @@
         if (traits === undefined) {
             return;
         }
-        this.refuseHopeless(traits);
+        for (const { waiting, error } of this.estimate.hopeless(traits)) {
+            this.end(waiting.submission.id, error);
+        }
         const served = this.desks.served();
         while (this.queue.size > 0) {
             const desk = this.desks.next(traits, this.queue.size);
@@ -217,24 +177,6 @@
         }
     }
 
-    /** Refuses what waits and can't be expected to end in time any more, as soon as that is seen. */
-    private refuseHopeless(traits: BatchTraits): void {
-        const nowMs = this.options.clock.nowMs();
-        const sparePerMs = this.desks.piecesPerMs(traits) - this.demand.perMs();
-        let ahead = 0;
-        for (const waiting of this.queue.list(nowMs)) {
-            ahead += waiting.pieces.length;
-            const { submission, deadlineMs, isBegun } = waiting;
-            const isLoose = isLate(waiting, nowMs) && !isBegun && !isContinued(submission);
-            const turnMs = sparePerMs > 0 ? Math.min(burstMs, ahead / sparePerMs) : burstMs;
-            const waitMs = isLoose ? turnMs : 0;
-            const readyMs = nowMs + waitMs + this.callMs(waiting.pieces.length) + submission.restMs;
-            if (readyMs > deadlineMs) {
-                this.end(submission.id, this.overloaded(readyMs - nowMs, deadlineMs - nowMs));
-            }
-        }
-    }
-
     private async call(desk: BatchDesk, taken: readonly TakenPiece[], traits: BatchTraits): Promise<void> {
         const { clock, log, metrics, service } = this.options;
         const bytes = taken.reduce((sum, { waiting }) => sum + waiting.submission.resultBytes, 0);
@@ -330,7 +272,7 @@
         // Pieces that are not made take no time, and tell nothing of how fast the endpoint is.
         desk.succeeded(isWhole ? takenMs / (traits.callMs + taken.length * traits.pieceMs) : undefined);
         taken.forEach((piece, at) => this.takeOutcome(desk, piece, end.outcomes[at], traits));
-        this.endLost(taken, end.outcomes);
+        this.leaveLost(desk, taken, end.outcomes);
         const faults = end.outcomes.flatMap(one => (one.kind === "fault" ? [one.fault] : []));
         if (faults.includes("room")) {
             const made = taken.filter((_, at) => end.outcomes[at]?.kind === "made");
@@ -363,7 +305,12 @@
         }
         const fault = outcome?.fault ?? "error";
         if (fault === "gone") {
-            this.end(submission.id, sourceGone);
+            if (this.leave(taken.waiting, desk.endpoint.dataCentre)) {
+                this.giveBack([taken], false);
+            }
+            else {
+                this.end(submission.id, sourceGone);
+            }
         }
         else if (fault === "late") {
             const message = "the deadline passed before the call's turn";
@@ -374,24 +321,45 @@
         }
     }
 
-    /** Ends what waits for results of endpoints that a call has shown to be lost. */
-    private endLost(taken: readonly TakenPiece[], outcomes: readonly PieceOutcome[]): void {
-        const lost = this.lostMakers.note(taken.map(({ waiting }, at) => ({
-            request: waiting.submission.request,
-            source: waiting.submission.source,
+    /** Takes what waits for results of endpoints that a call has shown to be lost to its data centre away from there. */
+    private leaveLost(desk: BatchDesk, taken: readonly TakenPiece[], outcomes: readonly PieceOutcome[]): void {
+        const { dataCentre } = desk.endpoint;
+        const ended = taken.map(({ waiting: { submission: { request, source } } }, at) => ({
+            request,
+            source,
             outcome: outcomes[at],
-        })));
+        }));
+        const lost = this.lostMakers.note(ended, dataCentre);
         if (lost.length === 0) {
             return;
         }
         const waiting = this.queue.list(this.options.clock.nowMs())
-            .filter(({ submission }) => this.lostMakers.hasGone(submission.source));
+            .filter(one => !one.unreachableFrom.has(dataCentre))
+            .filter(({ submission }) => this.lostMakers.isLost(submission.source, dataCentre));
+        const gone = waiting.filter(one => !this.leave(one, dataCentre));
         this.options.log.event(EventId.ResultsLost, {
             service: this.options.service,
             makers: lost,
+            dataCentre,
             requests: waiting.map(({ submission }) => submission.request),
+            ended: gone.length,
         });
-        waiting.forEach(({ submission }) => this.end(submission.id, sourceGone));
+        gone.forEach(({ submission }) => this.end(submission.id, sourceGone));
+    }
+
+    /**
+     * Takes a submission away from a data centre that can't reach its sources; false when no other one may reach them,
+     * since only an endpoint beside their makers is sure to.
+     */
+    private leave(waiting: Waiting, from: DataCentreId): boolean {
+        const { source } = waiting.submission;
+        waiting.unreachableFrom.add(from);
+        const served = this.desks.served();
+        const next = source.kind === "results"
+            ? source.makers.map(one => one.dataCentre).find(one => served.has(one) && !waiting.unreachableFrom.has(one))
+            : undefined;
+        waiting.dataCentre = next;
+        return next !== undefined;
     }
 
     private endIfWhole(open: Open): void {
@@ -449,8 +417,3 @@
 }
 
 const sourceGone: PiecesError = { kind: "source-gone", message: "a result of an earlier stage has gone" };
-
-/** True for pieces that continue earlier stages: refusing them throws away what those have made. */
-function isContinued({ source }: Submission): boolean {
-    return source.kind === "results";
-}
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -19,9 +19,15 @@
         readonly kind: "results";
         readonly handles: readonly string[];
         /** Endpoints that hold the results; empty from a host whose version does not tell. */
-        readonly makers: readonly EndpointId[];
+        readonly makers: readonly ResultMaker[];
     };
 
+/** An endpoint that holds results, and where it is. */
+export interface ResultMaker {
+    readonly endpoint: EndpointId;
+    readonly dataCentre: DataCentreId;
+}
+
 /** The pieces of one stage of one request. */
 export interface Submission {
     readonly id: SubmissionId;
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -138,6 +138,8 @@
     public readonly mute = new Set<string>();
     /** Endpoints whose results can't be fetched any more. */
     public readonly goneMakers = new Set<string>();
+    /** Makers whose results an endpoint can't reach, with that endpoint. */
+    public readonly cutFrom = new Map<string, string>();
     /** Room taken by results that the test's gatherer does not know. */
     public unknownBytes = 0;
     public noRoom = 0;
@@ -202,7 +204,8 @@
     private make(endpoint: EndpointId, piece: PieceCall) {
         const held = this.held.get(endpoint) ?? new Map<string, number>();
         this.held.set(endpoint, held);
-        if (piece.source.kind === "results" && piece.source.makers.some(maker => this.goneMakers.has(maker))) {
+        const makers = piece.source.kind === "results" ? piece.source.makers.map(one => one.endpoint) : [];
+        if (makers.some(maker => this.goneMakers.has(maker) || this.cutFrom.get(maker) === endpoint)) {
             return { kind: "fault", fault: "gone" } as const;
         }
         const usedBytes = [...held.values()].reduce((sum, bytes) => sum + bytes, this.unknownBytes);
