A request whose results no reachable endpoint can fetch has them made elsewhere; connections that rested are not trusted

Change: such results are given up once and the stages run again outside that data centre, at once instead of after half the objective. A request that must not run twice now goes on connections used within 250 ms (1,000 before): endpoints may forget those that rested for 300 ms.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -13,8 +13,9 @@
 
 /** Bound on a whole reply, in bytes. */
 const maxReplyBytes = 16 * 1024 * 1024;
-/** A request that must not run twice goes on connections that were used within this time. */
-const provenIdleMs = 1000;
+/** A request that must not run twice goes on connections that were used within this time: some endpoints forget those
+ * that rested for 300 ms, and a reset then does not tell whether the request has run. */
+const provenIdleMs = 250;
 
 export interface ExchangeOptions {
     readonly head: RequestHead;
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -58,6 +58,8 @@
     private results: StageResults | undefined;
     /** Data centres whose endpoints could not fetch the results. */
     private readonly unreachableFrom = new Set<DataCentreId>();
+    /** Data centres whose results are of no use, since none of their endpoints can be reached from here. */
+    private readonly cutOff = new Set<DataCentreId>();
     private isOver = false;
     private hasLeft = false;
     /** Attempts after which the request may have run. */
@@ -105,6 +107,9 @@
                 return { kind: "refused", refusal };
             }
             const choice = await this.choose();
+            if (choice === undefined && this.makeElsewhere()) {
+                continue;
+            }
             if (choice === undefined) {
                 return { kind: "refused", refusal: this.noEndpoint() };
             }
@@ -134,6 +139,7 @@
             deadlineMs: this.deadlineMs,
             replyMs: this.parts.replyTimes.expectedMs(route.id),
             dataCentre: this.expectedCentre(),
+            notIn: [...this.cutOff],
         };
         const hopeless = this.sent === 0 ? this.hopelessIn(plan) : undefined;
         if (hopeless !== undefined) {
@@ -180,6 +186,24 @@
         return chooser.choose(service, book.usable(service.id), this.tried, head.prompt)?.record.listed.dataCentre;
     }
 
+    /**
+     * Gives up results that only endpoints beside them can fetch, when none of those can be reached: the stages run again
+     * elsewhere. False when that is no way out, or was one before.
+     */
+    private makeElsewhere(): boolean {
+        const { results, unreachableFrom, cutOff } = this;
+        if (results === undefined || unreachableFrom.size === 0 || cutOff.size > 0 || this.abort.signal.aborted) {
+            return false;
+        }
+        results.dataCentres.forEach(one => cutOff.add(one));
+        results.free();
+        this.results = undefined;
+        unreachableFrom.clear();
+        this.tried.clear();
+        this.unsent = 0;
+        return true;
+    }
+
     /** Endpoints that may be given the request, once some could not fetch its results only those beside the results. */
     private usable(): readonly EndpointRecord[] {
         const { results, unreachableFrom } = this;
@@ -195,7 +219,8 @@
     private async choose(): Promise<Choice | undefined> {
         const { chooser } = this.parts;
         const { service, head, route } = this.admitted;
-        const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + route.objectiveMs * endpointWaitShare);
+        const waitMs = this.unreachableFrom.size > 0 ? 0 : route.objectiveMs * endpointWaitShare;
+        const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + waitMs);
         for (;;) {
             const choice = chooser.choose(service, this.usable(), this.tried, head.prompt);
             if (choice !== undefined || this.abort.signal.aborted || this.clock.nowMs() >= untilMs) {
@@ -305,11 +330,11 @@
 
     private judgeNotRun(status: number, { listed }: EndpointRecord): Ending | undefined {
         if (status === resultsGone) {
-            this.tried.clear();
             this.unreachableFrom.add(listed.dataCentre);
             if (this.usable().length === 0) {
                 this.results = undefined;
                 this.unreachableFrom.clear();
+                this.tried.clear();
             }
         }
         if (this.clock.nowMs() < this.deadlineMs && this.parts.retries.tryRepeat(this.admitted.service.id)) {
--- a/src/gateway/StageGraph.test.ts
+++ b/src/gateway/StageGraph.test.ts
@@ -88,6 +88,7 @@
             deadlineMs: startMs + 5000,
             replyMs: 50,
             dataCentre: undefined,
+            notIn: [],
         };
         const ended = graph.run(plan, new AbortController().signal);
         await clock.advance(2000);
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -23,6 +23,8 @@
     /** Estimate of the time from the last result to the first byte of the reply. */
     readonly replyMs: number;
     readonly dataCentre: DataCentreId | undefined;
+    /** Where no piece is to be made. */
+    readonly notIn: readonly DataCentreId[];
 }
 
 /** Results of the stages that no other stage follows, with the service that made each. */
@@ -136,6 +138,7 @@
             restMs,
             priority: plan.priority,
             dataCentre: placeOf(plan, run.index, results, count),
+            notIn: plan.notIn,
         }, signal);
     }
 }
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -33,6 +33,7 @@
     restMs: z.number(),
     priority: z.number(),
     dataCentre: dataCentreId.optional(),
+    notIn: z.array(dataCentreId).default([]),
 }) as unknown as z.ZodType<Submission>;
 
 const result = z.object({
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -95,7 +95,7 @@
             pieces: [...submission.pieces],
             isBegun: false,
             dataCentre: submission.dataCentre,
-            unreachableFrom: new Set(),
+            unreachableFrom: new Set(submission.notIn),
         };
         const lostFrom = [...this.desks.served()].filter(one => this.lostMakers.isLost(submission.source, one));
         if (lostFrom.some(one => !this.leave(waiting, one))) {
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -51,6 +51,8 @@
     readonly priority: number;
     /** Where the pieces are to be made if that costs no time; undefined for anywhere. */
     readonly dataCentre: DataCentreId | undefined;
+    /** Where they are not to be made, since the request's endpoints can't fetch them from there. */
+    readonly notIn: readonly DataCentreId[];
 }
 
 /** A submission for which no cell has been chosen yet. */
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -239,6 +239,7 @@
         restMs: 0,
         priority: 0,
         dataCentre: undefined,
+        notIn: [],
         ...fields,
     };
 }
--- a/testing/StagePipeline.ts
+++ b/testing/StagePipeline.ts
@@ -174,6 +174,7 @@
             deadlineMs: nowMs + leftMs,
             replyMs: kind.replyMs,
             dataCentre: undefined,
+            notIn: [],
         };
         const neededMs = expectedStagesMs(plan, id => this.waitMs(id) ?? 0) + plan.replyMs;
         if (neededMs > leftMs) {
