A stage that waited for a longer branch is not refused as a new request; what may not be made in a data centre is told at once

Cause (found in reading): a short branch that starts last has a key for its source, so that an overloaded service refused it like a new request, after the other branch had been made; and pieces ruled out of a cell's only data centre waited until their time was over. Change: the submission says whether other stages of its request are made; cells of ruled-out data centres are not asked. Tests: StageGraph.test.ts, ServiceGatherer.test.ts, GatherClient.test.ts.

--- a/src/gateway/StageGraph.test.ts
+++ b/src/gateway/StageGraph.test.ts
@@ -10,10 +10,13 @@
 /** Makes each stage in 100 ms and notes when it was asked; fails the stages that it is told to. */
 class NotingMaker implements PieceMaker {
     public readonly askedMs = new Map<number, number>();
+    /** Stages that were asked for as ones that continue others. */
+    public readonly continued: number[] = [];
 
     public constructor(private readonly clock: FakeClock, private readonly failing: ReadonlySet<number>) {}
 
-    public async make({ stage }: NewSubmission): Promise<PiecesEnd> {
+    public async make({ stage, isContinued }: NewSubmission): Promise<PiecesEnd> {
+        this.continued.push(...(isContinued ? [stage] : []));
         this.askedMs.set(stage, this.clock.nowMs());
         await this.clock.sleep(100);
         return this.failing.has(stage) ? Left({ kind: "failed", message: "told to" }) : Right([]);
@@ -44,12 +47,14 @@
     readonly failing?: readonly number[];
     /** When each stage is asked for, in milliseconds; undefined for never. */
     readonly askedMs: readonly (number | undefined)[];
+    readonly continued?: readonly number[];
 }[] = [
     { name: "a chain", stages: [stage(), stage(0), stage(1)], askedMs: [0, 100, 200] },
     {
         name: "a short branch waits for a longer one beside it",
         stages: [stage(), stage(), stage(1), stage(2)],
         askedMs: [200, 0, 100, 200],
+        continued: [0, 2, 3],
     },
     { name: "branches of the same length start together", stages: [stage(), stage()], askedMs: [0, 0] },
     {
@@ -71,7 +76,7 @@
     },
 ];
 
-for (const { name, stages, pieces, failing, askedMs } of cases) {
+for (const { name, stages, pieces, failing, askedMs, continued } of cases) {
     test(`start of stages: ${name}`, async () => {
         const clock = new FakeClock();
         const startMs = clock.nowMs();
@@ -98,5 +103,6 @@
             return atMs === undefined ? undefined : atMs - startMs;
         });
         assert.deepEqual(asked, askedMs);
+        assert.deepEqual(maker.continued.sort(), continued ?? maker.continued);
     });
 }
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -137,6 +137,7 @@
             remainingMs: plan.deadlineMs - nowMs,
             restMs,
             priority: plan.priority,
+            isContinued: run.stage.after.length > 0 || stagesBeside(plan, run.index).length > 0,
             dataCentre: placeOf(plan, run.index, results, count),
             notIn: plan.notIn,
         }, signal);
--- a/src/gather/GatherClient.test.ts
+++ b/src/gather/GatherClient.test.ts
@@ -19,7 +19,7 @@
 import { Cells, CellSource } from "./Cells.js";
 import { GatherClient } from "./GatherClient.js";
 import { Gatherer } from "./Gatherer.js";
-import type { PiecesEnd } from "./Types.js";
+import type { PiecesEnd, Submission } from "./Types.js";
 
 const traits: BatchTraits = {
     slots: 1,
@@ -31,7 +31,7 @@
 };
 
 function endpoints(count: number, dataCentre = "a"): ListedEndpoint[] {
-    return Array.from({ length: count }, (_, at) => listed(`e${at}`, { dataCentre: centreId(dataCentre) }));
+    return Array.from({ length: count }, (_, at) => listed(`${dataCentre}${at}`, { dataCentre: centreId(dataCentre) }));
 }
 
 /** Hosts that gather and submit, over one network and the same endpoints. */
@@ -71,11 +71,11 @@
     }
 
     /** Submits requests of one piece each at a host; gives their ends as they come. */
-    public submit(host: HostId, count: number): PiecesEnd[] {
+    public submit(host: HostId, count: number, fields: Partial<Submission> = {}): PiecesEnd[] {
         const ends: PiecesEnd[] = [];
         for (let at = 0; at < count; at++) {
             const signal = new AbortController().signal;
-            const asked = submission({ startInMs: 4000, remainingMs: 8000 });
+            const asked = submission({ startInMs: 4000, remainingMs: 8000, ...fields });
             void this.clients.get(host)?.make(asked, signal).then(end => ends.push(end));
         }
         return ends;
@@ -130,3 +130,13 @@
     assert.equal(madeOf(ends), 100);
     hosts.stop();
 });
+
+test("pieces that may not be made in a data centre go to cells of the others", async () => {
+    const hosts = new Hosts(1, [...endpoints(8, "a"), ...endpoints(8, "b")]);
+    const [host] = hosts.clients.keys();
+    const ends = hosts.submit(host!, 30, { notIn: [centreId("a")] });
+    await hosts.clock.advance(4000);
+    assert.equal(madeOf(ends), 30);
+    assert.ok(hosts.made.calls.every(call => call.endpoint.startsWith("b")));
+    hosts.stop();
+});
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -205,12 +205,13 @@
     }
 
     /** Cells of a service in the order in which a submission tries them. */
-    private cellsFor({ service, dataCentre, id }: NewSubmission): readonly CellId[] {
+    private cellsFor({ service, dataCentre, notIn, id }: NewSubmission): readonly CellId[] {
         const { cells, dataCentre: own } = this.options;
         const all = cells.current().ofService(service);
         const rankOf = (cell: Cell) => cell.dataCentre === (dataCentre ?? own) ? 0 : 1;
         // A cell that its own data centre's loss or order has emptied takes nothing.
-        const open = all.filter(cell => cells.current().usable(cell.id).length > 0);
+        const open = all.filter(cell => cells.current().usable(cell.id).length > 0)
+            .filter(cell => cell.dataCentre === undefined || !notIn.includes(cell.dataCentre));
         const spread = rankByWeight(id, open.map(cell => cell.id));
         return [...open].sort((a, b) => rankOf(a) - rankOf(b) || spread.indexOf(a.id) - spread.indexOf(b.id))
             .map(cell => cell.id);
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -32,6 +32,7 @@
     remainingMs: z.number(),
     restMs: z.number(),
     priority: z.number(),
+    isContinued: z.boolean().default(false),
     dataCentre: dataCentreId.optional(),
     notIn: z.array(dataCentreId).default([]),
 }) as unknown as z.ZodType<Submission>;
--- a/src/gather/ServiceGatherer.test.ts
+++ b/src/gather/ServiceGatherer.test.ts
@@ -161,8 +161,14 @@
         handles: [`${maker}/1`],
         makers: [{ endpoint: maker as EndpointId, dataCentre: centreId("a") }],
     });
-    const lost = Array.from({ length: 30 }, () => site.submit({ pieces: [0, 1], source: source("m1") }));
-    const kept = Array.from({ length: 5 }, () => site.submit({ pieces: [0, 1], source: source("m2") }));
+    const lost = Array.from(
+        { length: 30 },
+        () => site.submit({ pieces: [0, 1], source: source("m1"), isContinued: true }),
+    );
+    const kept = Array.from(
+        { length: 5 },
+        () => site.submit({ pieces: [0, 1], source: source("m2"), isContinued: true }),
+    );
     await site.clock.advance(800);
     assert.deepEqual(site.made(), kept);
     assert.ok(lost.every(request => site.ends.get(request)?.end.isLeft()));
@@ -188,6 +194,13 @@
     assert.ok(missed.length <= 2, `${missed.length} calls where the results can't be had`);
 });
 
+test("pieces that may not be made where the endpoints are: their request is told at once", async () => {
+    const site = new Site(2);
+    const request = site.submit({ notIn: [centreId("a")], startInMs: 3000, remainingMs: 8000 });
+    await site.clock.advance(10);
+    assert.equal(site.ends.get(request)?.end.isLeft(), true);
+});
+
 test("room taken by results that are not known here: calls are made no larger than what finds room", async () => {
     const site = new Site(1, () => 100_000);
     site.endpoints.unknownBytes = 600_000;
@@ -245,17 +258,17 @@
 });
 
 test("a service that is asked for more than it makes: requests with earlier stages behind them are kept while they can end", async () => {
-    const refusedOf = async (source: Submission["source"]) => {
+    const refusedOf = async (isContinued: boolean) => {
         const site = new Site(1);
         for (let at = 0; at < 30; at++) {
-            site.submit({ pieces: [0, 1, 2, 3, 4, 5, 6, 7], startInMs: 300, remainingMs: 6000, source });
+            site.submit({ pieces: [0, 1, 2, 3, 4, 5, 6, 7], startInMs: 300, remainingMs: 6000, isContinued });
             await site.clock.advance(150);
         }
         await site.clock.advance(8000);
         return 30 - site.made().length;
     };
-    const first = await refusedOf({ kind: "key", key: "k" });
-    const continued = await refusedOf({ kind: "results", handles: ["h"], makers: [] });
+    const first = await refusedOf(false);
+    const continued = await refusedOf(true);
     assert.ok(continued < first, `${continued} of 30 refused, against ${first} at their first stage`);
 });
 
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -97,8 +97,10 @@
             dataCentre: submission.dataCentre,
             unreachableFrom: new Set(submission.notIn),
         };
-        const lostFrom = [...this.desks.served()].filter(one => this.lostMakers.isLost(submission.source, one));
-        if (lostFrom.some(one => !this.leave(waiting, one))) {
+        const served = [...this.desks.served()];
+        const lostFrom = served.filter(one => this.lostMakers.isLost(submission.source, one));
+        const isNowhere = served.length > 0 && served.every(one => waiting.unreachableFrom.has(one));
+        if (isNowhere || lostFrom.some(one => !this.leave(waiting, one))) {
             deliver(Left(sourceGone));
             return;
         }
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -49,6 +49,8 @@
     readonly restMs: number;
     /** 0 goes first. */
     readonly priority: number;
+    /** True when other stages of the request are made already: refusing it throws away what they have made. */
+    readonly isContinued: boolean;
     /** Where the pieces are to be made if that costs no time; undefined for anywhere. */
     readonly dataCentre: DataCentreId | undefined;
     /** Where they are not to be made, since the request's endpoints can't fetch them from there. */
--- a/src/gather/WaitEstimate.ts
+++ b/src/gather/WaitEstimate.ts
@@ -7,7 +7,7 @@
 import type { DemandMeter } from "./DemandMeter.js";
 import type { DeskSet } from "./DeskSet.js";
 import { isLate, type PieceQueue, type Waiting } from "./PieceQueue.js";
-import type { PiecesError, Submission } from "./Types.js";
+import type { PiecesError } from "./Types.js";
 
 /** A caller is asked to come back no sooner and no later than this. */
 export const shortestRetryMs = 200;
@@ -66,8 +66,8 @@
     /** What a new submission is told when it is not to be taken; undefined for one that may wait. */
     public refusalOf(waiting: Waiting, traits: BatchTraits): PiecesError | undefined {
         const { submission, startByMs, deadlineMs } = waiting;
-        const { priority, onTimeOnly, startInMs, remainingMs } = submission;
-        const waitMs = this.waitMs(traits, startByMs, deadlineMs, priority, isContinued(submission));
+        const { priority, onTimeOnly, startInMs, remainingMs, isContinued } = submission;
+        const waitMs = this.waitMs(traits, startByMs, deadlineMs, priority, isContinued);
         const readyInMs = waitMs + callMs(traits, submission.pieces.length) + submission.restMs;
         const isTooLate = onTimeOnly && this.waitMs(traits, startByMs, deadlineMs, priority) > startInMs;
         return readyInMs > remainingMs * sureShare || isTooLate ? overloaded(readyInMs, remainingMs) : undefined;
@@ -81,7 +81,7 @@
         return this.queue.list(nowMs).flatMap(waiting => {
             ahead += waiting.pieces.length;
             const { submission, deadlineMs, isBegun } = waiting;
-            const isLoose = isLate(waiting, nowMs) && !isBegun && !isContinued(submission);
+            const isLoose = isLate(waiting, nowMs) && !isBegun && !submission.isContinued;
             const turnMs = sparePerMs > 0 ? Math.min(burstMs, ahead / sparePerMs) : burstMs;
             const readyInMs = (isLoose ? turnMs : 0) + callMs(traits, waiting.pieces.length) + submission.restMs;
             const leftMs = deadlineMs - nowMs;
@@ -100,8 +100,3 @@
 function callMs(traits: BatchTraits, pieces: number): number {
     return traits.callMs + Math.min(pieces, traits.batch) * traits.pieceMs;
 }
-
-/** True for pieces that continue earlier stages: refusing them throws away what those have made. */
-function isContinued({ source }: Submission): boolean {
-    return source.kind === "results";
-}
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -238,6 +238,7 @@
         remainingMs: 5000,
         restMs: 0,
         priority: 0,
+        isContinued: false,
         dataCentre: undefined,
         notIn: [],
         ...fields,
