A host that stops refuses at once what may outlast it, and answers what still waits before it ends

Change: 2.8 s after the stop begins a request that may last longer than the stop is refused as not run, to come back at once; what waits for its stages shortly before the end gets that answer too.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -15,7 +15,7 @@
 import { CallerReply } from "./CallerReply.js";
 import type { EndpointBook } from "./EndpointBook.js";
 import type { EndpointChooser } from "./EndpointChooser.js";
-import { type AdmittedRequest, GatewayRequest } from "./GatewayRequest.js";
+import { type AdmittedRequest, GatewayRequest, stoppingRetryMs } from "./GatewayRequest.js";
 import type { ColdShares, RetryShares } from "./LimitShares.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
 import { pickService, RouteTable } from "./RouteTable.js";
@@ -58,11 +58,27 @@
     readonly reportCrash: (admitted: AdmittedRequest) => void;
 }
 
+/** Times on the local clock. */
+interface PlannedStop {
+    /** Any request is taken until then; callers have not been told to leave before. */
+    readonly anyUntilMs: number;
+    /** What waits then is answered. */
+    readonly lastAnswersMs: number;
+}
+
+/** After the balancer's lag no new connection comes but where most hosts stop at once. */
+const anyRequestMs = 2800;
+const anyRequestShare = 0.4;
+/** Time for the last answers before the process ends, as a part of the time that it has. */
+const lastAnswersShare = 0.95;
+
 type Admission = { readonly admitted: AdmittedRequest; } | { readonly refusal: Refusal; };
 
 export class Gateway {
     private table: RouteTable | undefined;
     private activeCount = 0;
+    private readonly running = new Set<GatewayRequest>();
+    private stop: PlannedStop | undefined;
 
     public constructor(private readonly parts: GatewayParts) {
         parts.fleet.onChange(view => {
@@ -77,6 +93,18 @@
         return this.activeCount;
     }
 
+    /**
+     * A planned stop has begun: this host ends so much later. Requests that come late and may outlast it are refused at
+     * once; what still waits shortly before the end gets its answer then.
+     */
+    public stopIn(graceMs: number): void {
+        const { clock } = this.parts;
+        const nowMs = clock.nowMs();
+        const lastAnswersMs = nowMs + graceMs * lastAnswersShare;
+        this.stop = { anyUntilMs: nowMs + Math.min(anyRequestMs, graceMs * anyRequestShare), lastAnswersMs };
+        clock.setTimer(lastAnswersMs - nowMs, () => this.running.forEach(one => one.stopWaiting()));
+    }
+
     public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
         this.activeCount += 1;
         try {
@@ -128,7 +156,18 @@
             pieces: head.pieces,
         });
         this.parts.retries.noteRequest(service.id);
-        await new GatewayRequest(this.parts, admission.admitted, res).run();
+        const request = new GatewayRequest(this.parts, admission.admitted, res);
+        this.running.add(request);
+        await request.run();
+        this.running.delete(request);
+    }
+
+    /** True for a request that may last longer than this host, which stops. */
+    private mayOutlastStop(head: RequestHead, timeoutMs: number): boolean {
+        const nowMs = this.parts.clock.nowMs();
+        return this.stop !== undefined
+            && nowMs > this.stop.anyUntilMs
+            && nowMs + Math.min(timeoutMs, head.remainingMs ?? Infinity) > this.stop.lastAnswersMs;
     }
 
     /** Waits a little where the view is not certain now, as after a stall of this host. */
@@ -169,6 +208,9 @@
                 return isCertain ? refused("unknown-key", "the key belongs to no workspace") : unconfirmed;
             }
         }
+        if (this.mayOutlastStop(head, route.timeoutMs)) {
+            return refused("stopping", "this host stops, and the request may last longer", stoppingRetryMs);
+        }
         const serviceId = pickService(route, random());
         const service = serviceId === undefined ? undefined : deployment.services.get(serviceId);
         if (service === undefined) {
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -32,6 +32,8 @@
 /** A resumable stream is taken elsewhere after this much silence before its first event, and between two. */
 const streamSilentMs = 1500;
 const streamGapMs = 900;
+/** A caller that is refused by a host that stops reaches another one at once. */
+export const stoppingRetryMs = 50;
 /** Time kept for the last answer's way before the caller's deadline. */
 const answerMarginMs = 15;
 
@@ -61,6 +63,9 @@
     /** Data centres whose results are of no use, since none of their endpoints can be reached from here. */
     private readonly cutOff = new Set<DataCentreId>();
     private isOver = false;
+    /** True once this host's planned stop has ended the wait. */
+    private isStopped = false;
+    private isSent = false;
     private hasLeft = false;
     /** Attempts after which the request may have run. */
     private ran = 0;
@@ -100,6 +105,14 @@
         this.noteEnd(ending);
     }
 
+    /** Answers a request that is at no endpoint, since this host's process is about to end. */
+    public stopWaiting(): void {
+        if (!this.isSent) {
+            this.isStopped = true;
+            this.abort.abort();
+        }
+    }
+
     private async serve(): Promise<Ending> {
         for (;;) {
             const refusal = await this.prepare();
@@ -113,7 +126,9 @@
             if (choice === undefined) {
                 return { kind: "refused", refusal: this.noEndpoint() };
             }
+            this.isSent = true;
             const end = await this.attempt(choice);
+            this.isSent = false;
             const ending = this.judge(end, choice.record);
             if (ending !== undefined) {
                 return ending;
@@ -371,6 +386,9 @@
     }
 
     private ended(): Refusal {
+        if (this.isStopped) {
+            return { ...this.refusal("stopping", "this host stops"), retryAfterMs: stoppingRetryMs };
+        }
         return this.refusal("deadline", this.hasLeft ? "the caller has left" : "the time is over");
     }
 
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -93,6 +93,7 @@
         const startMs = clock.nowMs();
         const untilMs = startMs + graceMs * graceShare;
         this.isStopping = true;
+        gateway.stopIn(untilMs - startMs);
         this.noteReadiness();
         await clock.sleep(Math.min(graceMs * graceShare, balancerLagMs));
         this.isLeaving = true;
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -90,6 +90,7 @@
     /** Requests as endpoints received them, in order. */
     readonly received: http.IncomingMessage[];
     readonly endpoints: readonly http.Server[];
+    readonly gateway: Gateway;
 }
 
 /** A gateway before endpoints e0, e1, … of which the first is always the first choice. */
@@ -139,7 +140,7 @@
     });
     const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
     closers.push(() => connections.dispose());
-    return { address, fleet, received, endpoints };
+    return { address, fleet, received, endpoints, gateway };
 }
 
 export interface Answer {
