Serving HTTP, reading bodies and growing pauses: one piece of code each

The peer handler read bodies and wrote JSON with code of its own beside readBytes and writeJson, which stood in src/entry where src/peer may not look; both are in src/common now, with listen and what ends a server, which five servers wrote out each. A caller's refusal is written by writeJson too. A test's caller is the site's own. fleet and gateway import nothing of entry any more. Behaviour is the same.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,9 +12,9 @@
     membership: ["common", "telemetry", "peer", "config"],
     endpoints: ["common", "telemetry", "peer", "config", "membership"],
     records: ["common", "telemetry", "peer", "config", "replication"],
-    fleet: ["common", "telemetry", "supervise", "peer", "endpoints", "replication", "entry"],
+    fleet: ["common", "telemetry", "supervise", "peer", "endpoints", "replication"],
     gather: ["common", "telemetry", "supervise", "peer", "endpoints", "fleet"],
-    gateway: ["common", "telemetry", "supervise", "endpoints", "entry", "fleet", "gather"],
+    gateway: ["common", "telemetry", "supervise", "endpoints", "fleet", "gather"],
     routing: ["common", "telemetry", "config", "endpoints"],
     pipeline: ["common", "telemetry", "config", "endpoints", "records", "routing"],
     entry: [
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -7,8 +7,8 @@
 import { join } from "node:path";
 import { stringify } from "yaml";
 import { Processes } from "../bench/Processes.js";
+import { listen } from "../src/common/HttpServing.js";
 import type { Clock, Random } from "../src/common/Types.js";
-import { listen } from "../src/entry/CallerServer.js";
 import { answerOf, eventOf, type FleetHistory, streamEvents } from "./FleetHistory.js";
 
 const script = new URL("../platform/main.js", import.meta.url).pathname;
@@ -231,10 +231,11 @@
     readonly text: string;
 }
 
-function ask(options: http.RequestOptions, body: string): Promise<Asked> {
+/** Sends one request, on a connection of its own where no agent is named. */
+export function ask(options: http.RequestOptions, body: string): Promise<Asked> {
     return new Promise(resolve => {
         const none = { code: 0, text: "" };
-        const req = http.request({ ...options, agent: false }, res => {
+        const req = http.request({ agent: false, ...options }, res => {
             let text = "";
             res.on("data", (chunk: Buffer) => text += chunk.toString());
             res.on("error", () => resolve(none));
--- a/src/common/GrowingPause.ts
+++ b/src/common/GrowingPause.ts
@@ -25,10 +25,12 @@
         return this.clock.nowMs() >= this.untilMs;
     }
 
-    public failed(): void {
+    /** Begins the next pause and gives its length. */
+    public failed(): number {
         const pauseMs = Math.min(this.longestMs, this.firstMs * 2 ** this.failures);
         this.failures += 1;
         this.untilMs = this.clock.nowMs() + pauseMs;
+        return pauseMs;
     }
 
     /** Pauses at least so long for a reason that is no failure. */
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -3,13 +3,13 @@
  * they start and stop.
  */
 import * as http from "node:http";
+import { serveUntil } from "../common/HttpServing.js";
 import { nextIncarnation, parseHostId } from "../common/Ids.js";
 import type { InvariantError } from "../common/Invariant.js";
 import { SeededRandom } from "../common/SeededRandom.js";
 import { SystemClock } from "../common/SystemClock.js";
 import { hashOf } from "../common/TextHash.js";
 import type { Clock, HostId, Incarnation } from "../common/Types.js";
-import { listen } from "../entry/CallerServer.js";
 import type { FleetSettings } from "../fleet/Types.js";
 import { TrpcPeerServer } from "../peer/TrpcPeerServer.js";
 import { TrpcPeerTransport } from "../peer/TrpcPeerTransport.js";
@@ -130,8 +130,5 @@
             res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
         });
     });
-    await listen(server, address);
-    await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
-    server.closeAllConnections();
-    server.close();
+    await serveUntil(server, address, signal);
 }
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -1,9 +1,9 @@
 /** HTTP server for peers and operators, on the host's peer address. */
 import * as http from "node:http";
+import { serveUntil } from "../common/HttpServing.js";
 import { InvariantError } from "../common/Invariant.js";
-import { listen } from "../entry/CallerServer.js";
+import { writeJson } from "../common/WriteJson.js";
 import type { OperatorApi } from "../entry/OperatorApi.js";
-import { writeJson } from "../entry/WriteJson.js";
 import { peerPath, type TrpcPeerServer } from "../peer/TrpcPeerServer.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -41,10 +41,7 @@
             this.services.operators.handle(req, res).catch((err: unknown) => this.failed(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
-        await listen(server, this.services.address);
-        await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
-        server.closeAllConnections();
-        await new Promise<void>(resolve => server.close(() => resolve()));
+        await serveUntil(server, this.services.address, signal);
     }
 
     private failed(err: unknown, res: http.ServerResponse): void {
--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -4,7 +4,9 @@
  */
 import type * as http from "node:http";
 import type { Failure, Outcome } from "../common/Outcome.js";
+import { readJsonBody } from "../common/RequestBody.js";
 import type { Clock, RequestId } from "../common/Types.js";
+import { writeJson } from "../common/WriteJson.js";
 import type { ConfigSource, ConfigView } from "../config/Types.js";
 import type { PipelineAnswer, PipelineRequest, PipelineRunner } from "../pipeline/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -13,8 +15,6 @@
 import { bodyRefusal, checkTarget, pipelineRequest, refusal } from "./CallerRequest.js";
 import { failureBody, failureHeaders, outcomeHeader, requestHeader, statusOf } from "./HttpStatus.js";
 import type { JobApi } from "./JobApi.js";
-import { readJsonBody } from "./RequestBody.js";
-import { writeJson } from "./WriteJson.js";
 
 const pipelinePath = "/v1/pipelines/";
 const jobPath = "/v1/jobs";
--- a/src/entry/CallerRequest.ts
+++ b/src/entry/CallerRequest.ts
@@ -3,10 +3,10 @@
 import { type Either, Left, Right } from "purify-ts";
 import { parsePipelineId, parseWorkspaceId } from "../common/Ids.js";
 import { DispatchLedger, type Failure, failureFor, type FailureReason } from "../common/Outcome.js";
+import type { BodyError } from "../common/RequestBody.js";
 import type { PipelineId, RequestId, WorkspaceId } from "../common/Types.js";
 import type { PipelineSettings, Settings } from "../config/Schema.js";
 import type { PipelineRequest } from "../pipeline/Types.js";
-import type { BodyError } from "./RequestBody.js";
 
 export const workspaceHeader = "fireflykeel-workspace";
 export const deadlineHeader = "fireflykeel-deadline-ms";
--- a/src/entry/CallerServer.ts
+++ b/src/entry/CallerServer.ts
@@ -3,14 +3,15 @@
  * balancer's lag, and then ends when the last request has been answered.
  */
 import * as http from "node:http";
+import { serveUntil } from "../common/HttpServing.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
+import { writeJson } from "../common/WriteJson.js";
 import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { CallerApi } from "./CallerApi.js";
 import type { ReadinessSource } from "./Types.js";
-import { writeJson } from "./WriteJson.js";
 
 /** Idle connections stay open for longer than balancers keep theirs, so that none is reused while it closes. */
 const keepAliveMs = 75_000;
@@ -46,10 +47,7 @@
     }
 
     public async run(signal: AbortSignal): Promise<void> {
-        await listen(this.server, this.options.address);
-        await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
-        this.server.closeAllConnections();
-        await new Promise<void>(resolve => this.server.close(() => resolve()));
+        await serveUntil(this.server, this.options.address, signal);
     }
 
     /** Serves through the balancer's lag, then waits for requests in progress. Readiness is already off by then. */
@@ -101,17 +99,3 @@
         res.destroy();
     }
 }
-
-/** Starts listening on "ip:port". Rejects when the address can't be had. */
-export function listen(server: http.Server, address: string, backlog?: number): Promise<void> {
-    const split = address.lastIndexOf(":");
-    const ip = address.slice(0, split).replace(/^\[|\]$/g, "");
-    const port = Number(address.slice(split + 1));
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, ip, backlog, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
--- a/src/entry/JobApi.ts
+++ b/src/entry/JobApi.ts
@@ -7,13 +7,13 @@
 import { z } from "zod";
 import { parseJobId } from "../common/Ids.js";
 import type { Failure } from "../common/Outcome.js";
+import { readJsonBody } from "../common/RequestBody.js";
 import type { Clock, JobId, RequestId, WorkspaceId } from "../common/Types.js";
+import { writeJson } from "../common/WriteJson.js";
 import type { ConfigView } from "../config/Types.js";
 import type { JobRecord, Jobs, RecordsError } from "../records/Types.js";
 import { bodyRefusal, checkTarget, checkWorkspace, refusal } from "./CallerRequest.js";
 import { failureBody, failureHeaders, outcomeHeader, requestHeader, statusOf } from "./HttpStatus.js";
-import { readJsonBody } from "./RequestBody.js";
-import { writeJson } from "./WriteJson.js";
 
 const submissionSchema = z.strictObject({ pipeline: z.string(), input: z.unknown() });
 /** Bound on one access to the records group. */
--- a/src/entry/OperatorApi.ts
+++ b/src/entry/OperatorApi.ts
@@ -1,11 +1,11 @@
 /** The operators' API below /v1/operator/. A missing or wrong key gets 401 and nothing else. */
 import type * as http from "node:http";
+import { readJsonBody } from "../common/RequestBody.js";
+import { writeJson } from "../common/WriteJson.js";
 import { keyHeader, keyMatches } from "../peer/Keys.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
-import { readJsonBody } from "./RequestBody.js";
 import type { OperatorRoute } from "./Types.js";
-import { writeJson } from "./WriteJson.js";
 
 export const operatorPath = "/v1/operator/";
 const maxBodyBytes = 4 * 1024 * 1024;
--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -1,9 +1,9 @@
 /** HTTP server for operators on a control host. An adapter tells which request asks for what. */
 import * as http from "node:http";
+import { serveUntil } from "../common/HttpServing.js";
 import { InvariantError } from "../common/Invariant.js";
-import { listen } from "../entry/CallerServer.js";
-import { readBytes } from "../entry/RequestBody.js";
-import { writeJson } from "../entry/WriteJson.js";
+import { readBytes } from "../common/RequestBody.js";
+import { writeJson } from "../common/WriteJson.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
@@ -35,10 +35,7 @@
             this.serve(req, res).catch((err: unknown) => this.failed(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
-        await listen(server, this.options.address);
-        await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
-        server.closeAllConnections();
-        await new Promise<void>(resolve => server.close(() => resolve()));
+        await serveUntil(server, this.options.address, signal);
     }
 
     private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -4,6 +4,7 @@
  * that can't be ended as complete ends by breaking the connection.
  */
 import type * as http from "node:http";
+import { writeJson } from "../common/WriteJson.js";
 import type { RelayedEvent } from "./EventSplitter.js";
 import type { Refusal, ReplyHead } from "./Types.js";
 
@@ -103,14 +104,11 @@
         }
         const { reason, message, notRun, retryAfterMs } = refusal;
         const status = notRun && statusOf[reason] >= 500 ? notRunStatus : statusOf[reason];
-        const body = Buffer.from(JSON.stringify({ reason, message, notRun }));
-        this.res.writeHead(status, {
-            "content-type": "application/json",
-            "content-length": body.length,
+        const headers = {
             [outcomeHeader]: notRun ? "not-run" : "unknown",
             ...(retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1000).toFixed(2) }),
-        });
-        this.res.end(body);
+        };
+        writeJson(this.res, status, headers, { reason, message, notRun });
     }
 
     /** Ends the connection, so that what was written does not look complete. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -5,9 +5,9 @@
  */
 import { createHash } from "node:crypto";
 import type * as http from "node:http";
+import { readBytes } from "../common/RequestBody.js";
 import type { Clock } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
-import { readBytes } from "../entry/RequestBody.js";
 import type { FleetBounds, FleetSource, Workspace } from "../fleet/Types.js";
 import type { PieceMaker } from "../gather/Types.js";
 import { EventId } from "../telemetry/Events.js";
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,9 +4,9 @@
  * been told to leave and the last request has been answered.
  */
 import * as http from "node:http";
+import { endServer, listen } from "../common/HttpServing.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
-import { listen } from "../entry/CallerServer.js";
 import type { FleetSource } from "../fleet/Types.js";
 import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -81,10 +81,8 @@
             this.noteReadiness();
             await this.options.clock.sleep(readyPollMs, signal);
         }
-        for (const server of [this.server, this.readyServer]) {
-            server.closeAllConnections();
-            await new Promise<void>(resolve => server.close(() => resolve()));
-        }
+        await endServer(this.server);
+        await endServer(this.readyServer);
     }
 
     /** Serves through the balancer's lag, then asks callers to leave and waits for the last request. */
--- a/src/peer/TrpcHttpHandler.ts
+++ b/src/peer/TrpcHttpHandler.ts
@@ -6,6 +6,8 @@
 import { callTRPCProcedure, getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError } from "@trpc/server";
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
 import type * as http from "node:http";
+import { readBytes } from "../common/RequestBody.js";
+import { writeJson } from "../common/WriteJson.js";
 
 export interface TrpcHttpOptions {
     readonly router: AnyTRPCRouter;
@@ -37,14 +39,14 @@
             signal: undefined,
             batchIndex: 0,
         });
-        reply(res, 200, { result: { data } });
+        writeJson(res, 200, {}, { result: { data } });
     }
     catch (err) {
         const error = getTRPCErrorFromUnknown(err);
         onError(error);
         const { _config: config } = router._def;
         const shape: unknown = getTRPCErrorShape({ config, error, type, path, input: undefined, ctx: undefined });
-        reply(res, getHTTPStatusCodeFromError(error), { error: shape });
+        writeJson(res, getHTTPStatusCodeFromError(error), {}, { error: shape });
     }
 }
 
@@ -57,31 +59,12 @@
     }
 }
 
-function bodyOf(req: http.IncomingMessage, maxBytes: number): Promise<string> {
-    return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        req.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= maxBytes) {
-                chunks.push(chunk);
-            }
-            else {
-                reject(new TRPCError({ code: "PAYLOAD_TOO_LARGE" }));
-            }
-        });
-        req.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
-        req.on("error", reject);
-        req.on("close", () => {
-            if (!req.complete) {
-                reject(new TRPCError({ code: "CLIENT_CLOSED_REQUEST" }));
-            }
-        });
+async function bodyOf(req: http.IncomingMessage, maxBytes: number): Promise<string> {
+    const body = await readBytes(req, maxBytes);
+    return body.caseOf({
+        Left: error => {
+            throw new TRPCError({ code: error.kind === "too-large" ? "PAYLOAD_TOO_LARGE" : "CLIENT_CLOSED_REQUEST" });
+        },
+        Right: bytes => bytes.toString("utf8"),
     });
 }
-
-function reply(res: http.ServerResponse, status: number, value: unknown): void {
-    const text = JSON.stringify(value);
-    const headers = { "content-type": "application/json", "content-length": Buffer.byteLength(text) };
-    res.writeHead(status, headers).end(text);
-}
--- a/test/FleetProcesses.test.ts
+++ b/test/FleetProcesses.test.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { FleetHistory } from "../proof/FleetHistory.js";
-import { FleetSite } from "../proof/FleetSite.js";
+import { ask, FleetSite } from "../proof/FleetSite.js";
 import { FleetSoak } from "../proof/FleetSoak.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import { SystemClock } from "../src/common/SystemClock.js";
@@ -28,6 +28,7 @@
 /** Log bytes of a request are about 1,400, and a pipe holds 64 KiB: within a second nothing more can be written. */
 const callers = 8;
 const borneMs = 300;
+const callHeaders = { "Host": "h.example", "Fireflykeel-Deadline-Ms": "4000" };
 
 test("an entry host whose standard output is not read for 10 s delays and fails no request", async () => {
     const folder = mkdtempSync(join(tmpdir(), "fireflykeel-unread-"));
@@ -48,7 +49,9 @@
         const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
         for (let at = 0; clock.nowMs() < untilMs; at++) {
             const startMs = clock.nowMs();
-            statuses.add(await statusOf(site.callerAddress(entry), `u${caller}-${at}`, agent));
+            const headers = { ...callHeaders, "Fireflykeel-Request-Id": `u${caller}-${at}` };
+            const options = { ...site.callerAddress(entry), path: "/idempotent/a", method: "POST", headers, agent };
+            statuses.add((await ask(options, "")).code);
             takenMs.push(clock.nowMs() - startMs);
         }
         agent.destroy();
@@ -62,15 +65,3 @@
     assert.ok(mostMs < borneMs, `one in a thousand takes ${mostMs} ms or more`);
     rmSync(folder, { recursive: true, force: true });
 });
-
-function statusOf(address: { readonly host: string; readonly port: number; }, request: string, agent: http.Agent) {
-    const headers = { "Host": "h.example", "Fireflykeel-Request-Id": request, "Fireflykeel-Deadline-Ms": "4000" };
-    return new Promise<number>(resolve => {
-        const req = http.request({ ...address, path: "/idempotent/a", method: "POST", headers, agent }, res => {
-            res.resume();
-            res.on("close", () => resolve(res.complete ? res.statusCode ?? 0 : 0));
-        });
-        req.on("error", () => resolve(0));
-        req.end();
-    });
-}
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { PlatformGatewayCodec } from "../platform/RequestHeaders.js";
+import { listen } from "../src/common/HttpServing.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { DataCentreId, EndpointId, HostId, WorkspaceId } from "../src/common/Types.js";
@@ -50,7 +51,7 @@
 
 export async function startServer(listener: http.RequestListener): Promise<http.Server> {
     const server = http.createServer(listener);
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await listen(server, "127.0.0.1:0");
     closers.push(() => {
         server.closeAllConnections();
         server.close();
