Waits, hopeless requests and the board's tags are worked out in one place, and once

- The pipeline for load tests had its own copy of when a request is hopeless and of what gatherers tell; it uses the product's.
- A control host hashed the hosts and marks for each look and once more for the reply; one look serves both.
- A new submission's wait was estimated twice with the same inputs; a stage's longer branches were found twice.
- Which stages are last was asked in three forms; how old a told wait may be in two.
The order of cells reads straight down.
- The view before the first reply stood in the client and in the tests' fleet.

--- a/src/fleet/FleetBoard.ts
+++ b/src/fleet/FleetBoard.ts
@@ -12,10 +12,12 @@
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { EndpointListReader } from "./EndpointListReader.js";
 import {
+    type AgedEndpoints,
     type BoardReply,
     type BoardRequest,
     fleetMethods,
     type HeardHost,
+    type HeldTags,
     packText,
     type SyncReply,
     type SyncRequest,
@@ -33,6 +35,14 @@
 /** Bound on committing marks of crashes. */
 const markTimeoutMs = 2000;
 
+/** What entry hosts may be told at one moment, with the tags by which they say what they hold. */
+interface Board {
+    readonly endpoints: AgedEndpoints;
+    readonly hosts: readonly HeardHost[];
+    readonly marks: Pick<FleetState, "dataCentresOut" | "quarantined">;
+    readonly tags: HeldTags;
+}
+
 interface FleetBoardOptions {
     readonly self: HostId;
     readonly log: RaftLog;
@@ -150,10 +160,12 @@
         metrics.count("syncs");
         const startMs = clock.nowMs();
         const untilMs = startMs + Math.min(req.waitMs, maxHoldMs);
-        while (!this.hasNews(req) && clock.nowMs() < untilMs) {
+        let board = this.look();
+        while (!hasNews(board, req) && clock.nowMs() < untilMs) {
             await this.news.wait(untilMs - clock.nowMs());
+            board = this.look();
         }
-        return this.replyTo(req, clock.nowMs() - startMs);
+        return this.replyTo(req, board, clock.nowMs() - startMs);
     }
 
     private async markCrashes(fingerprints: readonly string[]): Promise<void> {
@@ -163,35 +175,36 @@
         marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, fingerprints }));
     }
 
-    private hasNews({ held }: SyncRequest): boolean {
+    /** What an entry host may be told now, with the tags of its parts. */
+    private look(): Board {
         const { state, reader } = this.options;
-        return state.version > held.config
-            || reader().current().tag !== held.endpoints
-            || this.marksTag() !== held.marks
-            || this.hostsTag() !== held.hosts;
-    }
-
-    private replyTo({ held }: SyncRequest, heldMs: number): SyncReply {
-        const { state, controls, reader } = this.options;
+        const { dataCentresOut, quarantined } = state;
         const endpoints = reader().current();
         const hosts = this.heard.list();
-        const hostsTag = this.hostsTag();
-        const marksTag = this.marksTag();
+        return {
+            endpoints,
+            hosts,
+            marks: { dataCentresOut, quarantined },
+            tags: {
+                config: state.version,
+                endpoints: endpoints.tag,
+                // Changes when a host comes or goes or falls silent, not with every call of a host.
+                hosts: tagOf(hosts.map(one => [one.host, one.incarnation, isLive(one)])),
+                marks: tagOf([dataCentresOut, quarantined]),
+            },
+        };
+    }
+
+    private replyTo({ held }: SyncRequest, { endpoints, hosts, marks, tags }: Board, heldMs: number): SyncReply {
         return {
             ageMs: this.ageMs,
             heldMs,
-            controls: controls(),
+            controls: this.options.controls(),
             endpointsAgeMs: endpoints.ageMs,
-            ...(state.version > held.config ? { config: this.packedConfig() } : {}),
-            ...(endpoints.tag === held.endpoints ? {} : { endpoints }),
-            ...(hostsTag === held.hosts ? {} : { hosts: { tag: hostsTag, hosts } }),
-            ...(marksTag === held.marks ? {} : {
-                marks: {
-                    tag: marksTag,
-                    dataCentresOut: state.dataCentresOut,
-                    quarantined: state.quarantined,
-                },
-            }),
+            ...(tags.config > held.config ? { config: this.packedConfig() } : {}),
+            ...(tags.endpoints === held.endpoints ? {} : { endpoints }),
+            ...(tags.hosts === held.hosts ? {} : { hosts: { tag: tags.hosts, hosts } }),
+            ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, ...marks } }),
         };
     }
 
@@ -203,16 +216,6 @@
         return { version, packed: this.packed.text };
     }
 
-    private marksTag(): string {
-        const { dataCentresOut, quarantined } = this.options.state;
-        return tagOf([dataCentresOut, quarantined]);
-    }
-
-    /** Changes when a host comes or goes or falls silent, not with every call of a host. */
-    private hostsTag(): string {
-        return tagOf(this.heard.list().map(one => [one.host, one.incarnation, isLive(one)]));
-    }
-
     private noteFreshness(fresh: boolean): void {
         if (fresh !== this.isFresh) {
             this.isFresh = fresh;
@@ -223,6 +226,13 @@
     }
 }
 
+function hasNews({ tags }: Board, { held }: SyncRequest): boolean {
+    return tags.config > held.config
+        || tags.endpoints !== held.endpoints
+        || tags.marks !== held.marks
+        || tags.hosts !== held.hosts;
+}
+
 /** True while a host may be given work by others. */
 export function isLive({ silentMs, isLeaving }: HeardHost): boolean {
     return silentMs < silentAfterMs && !isLeaving;
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -23,6 +23,16 @@
 /** Pause after all control hosts have been tried in vain. */
 const retryPauseMs = 100;
 
+/** What a host works by before it has heard from a control host. */
+export const emptyView: FleetView = {
+    deployment: undefined,
+    endpoints: [],
+    endpointsReadMs: 0,
+    hosts: [],
+    dataCentresOut: new Set(),
+    quarantined: new Set(),
+};
+
 interface FleetClientOptions {
     readonly self: HostId;
     readonly dataCentre: DataCentreId;
@@ -42,14 +52,7 @@
     public readonly name = "fleet-client";
     private readonly changes = new Emitter<FleetView>();
     public readonly onChange = this.changes.event;
-    private current: FleetView = {
-        deployment: undefined,
-        endpoints: [],
-        endpointsReadMs: 0,
-        hosts: [],
-        dataCentresOut: new Set(),
-        quarantined: new Set(),
-    };
+    private current = emptyView;
     private held: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "" };
     private freshUntilMs = -Infinity;
     private controls: readonly HostId[] = [];
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -13,7 +13,7 @@
 import type { Choice } from "./EndpointChooser.js";
 import { EndpointExchange } from "./EndpointExchange.js";
 import type { GatewayParts } from "./Gateway.js";
-import { expectedStagesMs, type StagePlan, type StageResults } from "./StageGraph.js";
+import { defaultRetryMs, hopelessStages, type StagePlan, type StageResults } from "./StageGraph.js";
 import type { AttemptEnd, Refusal, ReplyHead, RequestHead } from "./Types.js";
 
 /** Attempts that never reached an endpoint, for one request. */
@@ -22,10 +22,6 @@
 const noEndpointPauseMs = 40;
 /** A request waits for an endpoint at most for this part of its latency objective. */
 const endpointWaitShare = 0.5;
-/** What is advised where nothing tells when an endpoint is to be had. */
-const defaultRetryMs = 500;
-/** No caller is asked to stay away for longer: bursts end within seconds, and deadlines are seconds. */
-const longestRetryMs = 1500;
 /** A repeatable request is taken elsewhere after this many times its usual time, but no sooner than the least. */
 const silentFactor = 6;
 const leastSilentMs = 350;
@@ -184,13 +180,12 @@
     /** A refusal for a request whose stages can't be expected to end in time, by what gatherers told last. */
     private hopelessIn(plan: StagePlan): Refusal | undefined {
         const { pieces } = this.parts;
-        const neededMs = expectedStagesMs(plan, service => pieces.waitMs(service) ?? 0) + plan.replyMs;
-        const leftMs = this.deadlineMs - this.clock.nowMs();
-        if (neededMs <= leftMs) {
+        const hopeless = hopelessStages(plan, this.clock.nowMs(), service => pieces.waitMs(service));
+        if (hopeless === undefined) {
             return undefined;
         }
+        const { neededMs, leftMs, retryAfterMs } = hopeless;
         const message = `the stages need ${Math.round(neededMs)} ms, ${Math.round(leftMs)} ms are left`;
-        const retryAfterMs = Math.min(longestRetryMs, Math.max(defaultRetryMs, neededMs - leftMs));
         return { ...this.refusal("overloaded", message), retryAfterMs };
     }
 
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -68,7 +68,7 @@
             });
             return { run, results: end.orDefault([]) };
         }));
-        const last = ends.filter(({ run }) => followersOf(run, runs).length === 0);
+        const last = ends.filter(({ run }) => isLast(plan.route.stages, run.index));
         const freeAll = () => last.forEach(({ results }) => this.maker.free(results));
         if (firstError !== undefined) {
             freeAll();
@@ -88,9 +88,8 @@
     }
 
     /** Waits until the longer branches beside a stage have come as near to their ends; gives their failure, if any. */
-    private async longerBranch(plan: StagePlan, run: StageRun, runs: readonly StageRun[]) {
-        const beside = stagesBeside(plan, run.index).flatMap(index => runs[index]?.ended ?? []);
-        const ends = await Promise.all(beside);
+    private async longerBranches(beside: readonly number[], runs: readonly StageRun[]) {
+        const ends = await Promise.all(beside.flatMap(index => runs[index]?.ended ?? []));
         return ends.find(end => end.isLeft());
     }
 
@@ -107,7 +106,8 @@
         const before = await Promise.all(
             run.stage.after.map(index => runs[index]?.ended ?? Promise.resolve(Right([]))),
         );
-        const failure = before.find(end => end.isLeft()) ?? await this.longerBranch(plan, run, runs);
+        const beside = stagesBeside(plan, run.index);
+        const failure = before.find(end => end.isLeft()) ?? await this.longerBranches(beside, runs);
         if (failure !== undefined) {
             return failure;
         }
@@ -137,7 +137,7 @@
             remainingMs: plan.deadlineMs - nowMs,
             restMs,
             priority: plan.priority,
-            isContinued: run.stage.after.length > 0 || stagesBeside(plan, run.index).length > 0,
+            isContinued: run.stage.after.length > 0 || beside.length > 0,
             dataCentre: placeOf(plan, run.index, results, count),
             notIn: plan.notIn,
         }, signal);
@@ -159,8 +159,7 @@
         bytesAt.set(dataCentre, (bytesAt.get(dataCentre) ?? 0) + bytes * pieces);
     }
     const resultBytes = (plan.route.stages[index]?.resultBytes ?? 0) * pieces;
-    const isLast = plan.route.stages.every(stage => !stage.after.includes(index));
-    if (isLast && plan.dataCentre !== undefined) {
+    if (isLast(plan.route.stages, index) && plan.dataCentre !== undefined) {
         bytesAt.set(plan.dataCentre, (bytesAt.get(plan.dataCentre) ?? 0) + resultBytes);
     }
     const [best] = [...bytesAt].sort((a, b) => b[1] - a[1]);
@@ -205,12 +204,11 @@
  */
 function stagesBeside(plan: StagePlan, index: number): readonly number[] {
     const { stages } = plan.route;
-    const isLast = (at: number) => stages.every(stage => !stage.after.includes(at));
-    if (!isLast(index) || (plan.pieces[index] ?? 0) === 0) {
+    if (!isLast(stages, index) || (plan.pieces[index] ?? 0) === 0) {
         return [];
     }
     const ownMs = stageMs(plan, index) * sameTimeShare;
-    const others = stages.map((_, at) => at).filter(at => at !== index && isLast(at));
+    const others = stages.map((_, at) => at).filter(at => at !== index && isLast(stages, at));
     return others.flatMap(last => {
         const ancestors = ancestorsOf(stages, last).filter(at => restAfter(plan, at) >= ownMs);
         ancestors.sort((a, b) => restAfter(plan, a) - restAfter(plan, b));
@@ -221,13 +219,43 @@
 /** Stages count as equally long within this share, since waits differ more than that. */
 const sameTimeShare = 0.9;
 
+/** True for a stage that no other one needs. */
+function isLast(stages: readonly RouteStage[], index: number): boolean {
+    return stages.every(stage => !stage.after.includes(index));
+}
+
 function ancestorsOf(stages: readonly RouteStage[], index: number): readonly number[] {
     const after = stages[index]?.after ?? [];
     return [...new Set(after.flatMap(at => [at, ...ancestorsOf(stages, at)]))];
 }
 
+/** A request whose stages can't be expected to end in time. */
+interface HopelessStages {
+    readonly neededMs: number;
+    readonly leftMs: number;
+    /** When the caller may come back. */
+    readonly retryAfterMs: number;
+}
+
+/** Tells a request whose stages and reply need more time than is left; undefined for any other. */
+export function hopelessStages(
+    plan: StagePlan,
+    nowMs: number,
+    waitMs: (service: ServiceId) => number | undefined,
+): HopelessStages | undefined {
+    const neededMs = expectedStagesMs(plan, service => waitMs(service) ?? 0) + plan.replyMs;
+    const leftMs = plan.deadlineMs - nowMs;
+    const retryAfterMs = Math.min(longestRetryMs, Math.max(defaultRetryMs, neededMs - leftMs));
+    return neededMs <= leftMs ? undefined : { neededMs, leftMs, retryAfterMs };
+}
+
+/** What is advised where nothing tells when a request can be served. */
+export const defaultRetryMs = 500;
+/** No caller is asked to stay away for longer: bursts end within seconds, and deadlines are seconds. */
+const longestRetryMs = 1500;
+
 /** Time that a request's stages need, with full calls and the waits that `waitMs` gives for their services. */
-export function expectedStagesMs(plan: StagePlan, waitMs: (service: ServiceId) => number): number {
+function expectedStagesMs(plan: StagePlan, waitMs: (service: ServiceId) => number): number {
     const timeOf = (index: number): number => {
         const stage = plan.route.stages[index];
         const ownMs = stage === undefined || (plan.pieces[index] ?? 0) === 0
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -1,6 +1,8 @@
 /**
  * Sends pieces to the gatherer of a cell: the first live host in rendezvous order, which all hosts find without a
- * message. Pieces that no data centre binds stay in this one; a cell without time for them passes them on to another. A gatherer that fails or falls silent is passed by, and what it held is submitted to the next one.
+ * message. Pieces that no data centre binds go to a cell of this one unless another one has told a shorter wait; a cell
+ * without time for them passes them on. A gatherer that fails or falls silent is passed by, and what it held is submitted
+ * to the next one.
  */
 import { Left, Right } from "purify-ts";
 import type { Clock, DataCentreId, HostId } from "../common/Types.js";
@@ -10,7 +12,7 @@
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
-import type { CellSource } from "./Cells.js";
+import type { Cell, CellSource } from "./Cells.js";
 import type { Gatherer } from "./Gatherer.js";
 import { gatherMethods, type WorkRequest } from "./GatherMessages.js";
 import type {
@@ -142,10 +144,8 @@
     }
 
     public waitMs(service: ServiceId): number | undefined {
-        const recent = this.options.cells.current().ofService(service).flatMap(({ id }) => {
-            const known = this.waits.get(id);
-            return known !== undefined && this.options.clock.nowMs() - known.atMs < waitValidMs ? [known.waitMs] : [];
-        });
+        const recent = this.options.cells.current().ofService(service)
+            .flatMap(({ id }) => this.toldWaitMs(id, waitValidMs) ?? []);
         return recent.length === 0 ? undefined : Math.min(...recent);
     }
 
@@ -223,17 +223,19 @@
         const drawn = [...new Set(rankByWeight(id, [...cellOf.keys()]).map(one => cellOf.get(one)))]
             .filter(cell => cell !== undefined);
         const near = drawn.find(cell => cell.dataCentre === (dataCentre ?? own));
-        const [other] = drawn.filter(cell => cell !== near);
-        const isOtherSooner = near !== undefined && other !== undefined
-            && this.toldWaitMs(other.id) + leaveCentreMs < this.toldWaitMs(near.id);
-        const first = isOtherSooner ? [other, near] : [near ?? other];
-        return [...new Set([...first, ...drawn])].flatMap(cell => cell?.id ?? []);
+        const [other, ...others] = drawn.filter(cell => cell !== near);
+        if (near === undefined || other === undefined) {
+            return drawn.map(cell => cell.id);
+        }
+        const waitOf = (cell: Cell) => this.toldWaitMs(cell.id, waitHintMs) ?? 0;
+        const isOtherSooner = waitOf(other) + leaveCentreMs < waitOf(near);
+        return [...(isOtherSooner ? [other, near] : [near, other]), ...others].map(cell => cell.id);
     }
 
-    /** The wait that a cell has told last; none where it has told nothing lately. */
-    private toldWaitMs(cell: CellId): number {
+    /** The wait that a cell has told last; undefined when it has told none for so long. */
+    private toldWaitMs(cell: CellId, validMs: number): number | undefined {
         const told = this.waits.get(cell);
-        return told !== undefined && this.options.clock.nowMs() - told.atMs < waitHintMs ? told.waitMs : 0;
+        return told !== undefined && this.options.clock.nowMs() - told.atMs < validMs ? told.waitMs : undefined;
     }
 
     /** The first host in the cell's order that has not just failed; this host where none is left. */
--- a/src/gather/Gatherer.ts
+++ b/src/gather/Gatherer.ts
@@ -18,8 +18,6 @@
 /** Bound on handing results over; the submitter asks another host if they do not come. */
 const resultTimeoutMs = 1000;
 const resultTries = 3;
-/** Submitters are told the wait of a submission with this much time before its latest start. */
-const usualSlackMs = 500;
 
 interface GathererOptions {
     readonly self: HostId;
@@ -83,8 +81,7 @@
     }
 
     private waitMs(cell: CellId): number {
-        const waitMs = this.gatherers.get(cell)?.waitMs(this.options.clock.nowMs() + usualSlackMs, Infinity, 0) ?? 0;
-        return Math.round(waitMs);
+        return Math.round(this.gatherers.get(cell)?.usualWaitMs() ?? 0);
     }
 
     /** The gatherer of a cell; undefined for a cell that this host's list does not have. */
--- a/src/gather/ServiceGatherer.ts
+++ b/src/gather/ServiceGatherer.ts
@@ -33,6 +33,8 @@
 const mostFailures = 4;
 /** How often what waits is looked through. */
 const wakeMs = 100;
+/** Submitters are told the wait of a submission with this much time before its latest start. */
+const usualSlackMs = 500;
 
 interface Open {
     readonly submission: Submission;
@@ -130,10 +132,11 @@
         this.pump();
     }
 
-    /** Estimated wait of a new submission to this cell. */
-    public waitMs(startByMs: number, deadlineMs: number, priority: number): number {
+    /** Estimated wait of a new submission of the usual kind, as submitters are told it. */
+    public usualWaitMs(): number {
         const traits = this.options.traits();
-        return traits === undefined ? 0 : this.estimate.waitMs(traits, startByMs, deadlineMs, priority);
+        const startByMs = this.options.clock.nowMs() + usualSlackMs;
+        return traits === undefined ? 0 : this.estimate.waitMs(traits, startByMs, Infinity, 0);
     }
 
     /** Starts as many calls as there are free endpoints and waiting pieces. */
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -23,10 +23,7 @@
     };
 
 /** An endpoint that holds results, and where it is. */
-export interface ResultMaker {
-    readonly endpoint: EndpointId;
-    readonly dataCentre: DataCentreId;
-}
+export type ResultMaker = Pick<PieceResult, "endpoint" | "dataCentre">;
 
 /** The pieces of one stage of one request. */
 export interface Submission {
--- a/src/gather/WaitEstimate.ts
+++ b/src/gather/WaitEstimate.ts
@@ -69,7 +69,8 @@
         const { priority, onTimeOnly, startInMs, remainingMs, isContinued } = submission;
         const waitMs = this.waitMs(traits, startByMs, deadlineMs, priority, isContinued);
         const readyInMs = waitMs + callMs(traits, submission.pieces.length) + submission.restMs;
-        const isTooLate = onTimeOnly && this.waitMs(traits, startByMs, deadlineMs, priority) > startInMs;
+        const waitAsNewMs = () => isContinued ? this.waitMs(traits, startByMs, deadlineMs, priority) : waitMs;
+        const isTooLate = onTimeOnly && waitAsNewMs() > startInMs;
         return readyInMs > remainingMs * sureShare || isTooLate ? overloaded(readyInMs, remainingMs) : undefined;
     }
 
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -1,6 +1,7 @@
 /** Small fleets for tests: listed endpoints, deployments, a fixed view, and endpoints of stages that keep time. */
 import { Emitter } from "../src/common/Emitter.js";
 import type { Clock, DataCentreId, EndpointId, HostId, Incarnation } from "../src/common/Types.js";
+import { emptyView } from "../src/fleet/FleetClient.js";
 import type {
     BatchTraits,
     Deployment,
@@ -100,14 +101,7 @@
     public readonly onChange = this.changes.event;
     public readonly crashes: string[] = [];
     public age = 0;
-    private current: FleetView = {
-        deployment: undefined,
-        endpoints: [],
-        endpointsReadMs: 0,
-        hosts: [],
-        dataCentresOut: new Set(),
-        quarantined: new Set(),
-    };
+    private current = emptyView;
 
     public set(fields: Partial<FleetView>): void {
         this.current = { ...this.current, ...fields };
--- a/testing/StagePipeline.ts
+++ b/testing/StagePipeline.ts
@@ -5,7 +5,7 @@
 import { Left } from "purify-ts";
 import type { DataCentreId, Random } from "../src/common/Types.js";
 import type { BatchTraits, Deployment, Route, RouteStage, ServiceId } from "../src/fleet/Types.js";
-import { expectedStagesMs, StageGraph, type StagePlan } from "../src/gateway/StageGraph.js";
+import { defaultRetryMs, hopelessStages, StageGraph, type StagePlan } from "../src/gateway/StageGraph.js";
 import { ServiceGatherer } from "../src/gather/ServiceGatherer.js";
 import type { NewSubmission, PieceMaker, PieceResult, PiecesEnd, SubmissionId } from "../src/gather/Types.js";
 import { FakeClock } from "./FakeClock.js";
@@ -157,7 +157,7 @@
     }
 
     public waitMs(id: ServiceId): number | undefined {
-        return this.gatherers.get(id)?.waitMs(this.clock.nowMs() + usualSlackMs, Infinity, 0);
+        return this.gatherers.get(id)?.usualWaitMs();
     }
 
     /** Runs a request; undefined once it is served, else the advised time to come back. */
@@ -176,14 +176,14 @@
             dataCentre: undefined,
             notIn: [],
         };
-        const neededMs = expectedStagesMs(plan, id => this.waitMs(id) ?? 0) + plan.replyMs;
-        if (neededMs > leftMs) {
-            return Math.min(1500, Math.max(500, neededMs - leftMs));
+        const hopeless = hopelessStages(plan, nowMs, id => this.waitMs(id));
+        if (hopeless !== undefined) {
+            return hopeless.retryAfterMs;
         }
         const ended = await this.graph.run(plan, AbortSignal.any([]));
         if (ended.isLeft()) {
             const error = ended.swap().unsafeCoerce();
-            return error.kind === "overloaded" ? error.retryAfterMs : 500;
+            return error.kind === "overloaded" ? error.retryAfterMs : defaultRetryMs;
         }
         await this.clock.sleep(kind.replyMs);
         ended.ifRight(results => results.free());
@@ -204,6 +204,3 @@
     const [onTime, late] = kind.worth;
     return end === "on-time" ? onTime : end === "late" ? late : 0;
 }
-
-/** As gatherers tell it to other hosts. */
-const usualSlackMs = 500;
