Endpoints that leave or ask for a pause in their replies get nothing more until another start, or the end of the pause

Cause: the platform's endpoints now say in every answer when they leave (Server-Leaving: 1) and, with a 503, when they want requests again (Retry-After). Both were passed over: a leaving endpoint got requests until the list named it, and a full one was asked again after 150 ms. Change: EndpointNotices keeps what an endpoint has said of itself, by start, and is fed by every reply: requests, streams (their head), calls of pieces, frees and state queries. platform/NoticeHeaders decodes it. Unreadable and absurd pauses are ignored with a log line. The ends of pauses are spread over the hosts. When all endpoints of a service pause beyond what a request may wait, it is refused at once with the earliest end.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -5,6 +5,7 @@
 import { LeaseClock } from "../common/LeaseClock.js";
 import type { EndpointId } from "../common/Types.js";
 import { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import { EndpointNotices, type NoticeDecoder } from "../endpoints/EndpointNotices.js";
 import { FleetClient } from "../fleet/FleetClient.js";
 import type { DeploymentDecoder } from "../fleet/Types.js";
 import { EndpointChooser } from "../gateway/EndpointChooser.js";
@@ -36,6 +37,7 @@
     readonly decoder: DeploymentDecoder;
     readonly gatewayCodec: GatewayCodec;
     readonly pieceCodec: PieceCodec;
+    readonly noticeDecoder: NoticeDecoder;
 }
 
 /** Builds an entry host and starts it. */
@@ -43,7 +45,7 @@
     const { settings, decoder } = options;
     const { dataCentre, bounds } = settings;
     const host = new FleetHost(options);
-    const { self, incarnation, transport, peers: registry, clock, random, log, metrics } = host;
+    const { self, incarnation, transport, clock, random, log, metrics } = host;
     const signal = host.stopped.signal;
     const fleet = new FleetClient({
         self,
@@ -57,13 +59,12 @@
         metrics,
         stopping: host.stopping.signal,
     });
+    const notices = new EndpointNotices(options.noticeDecoder, clock, random, log, metrics);
     const addressOf = (endpoint: EndpointId) => tracker.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
-    const tracker: EndpointTracker = new EndpointTracker(fleet, clock, log, id => connections.closeIdleConnections(id));
-    const cells = new CellCache(() => fleet.view());
-    const client = new HttpPieceClient(connections, options.pieceCodec, clock, signal);
-    const local = new GatherServer({ self, fleet, cells, client, transport, registry, clock, log, metrics, signal });
-    const pieces = new GatherClient({ self, dataCentre, cells, local, transport, registry, clock, log });
+    const onRemoved = (id: EndpointId) => connections.closeIdleConnections(id);
+    const tracker: EndpointTracker = new EndpointTracker(fleet, notices, clock, log, onRemoved);
+    const pieces = buildGathering(host, { fleet, notices, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdStartQuota(self, bounds, fleet, clock);
     const gateway = new Gateway({
@@ -75,6 +76,7 @@
         stages: new StageGraph(pieces, clock, nextId),
         pieces,
         connections,
+        notices,
         retries: new FleetRetryBudget(bounds, fleet, clock),
         cold,
         replyTimes: new ReplyTimes(),
@@ -100,6 +102,25 @@
     return host;
 }
 
+interface GatheringParts {
+    readonly fleet: FleetClient;
+    readonly notices: EndpointNotices;
+    readonly connections: EndpointConnections;
+    readonly options: FleetEntryOptions;
+}
+
+/** Builds both roles of the host in batching pieces: the gatherer of some cells, and the client of all of them. */
+function buildGathering(host: FleetHost, { fleet, notices, connections, options }: GatheringParts): GatherClient {
+    const { self, transport, peers: registry, clock, log, metrics } = host;
+    const { dataCentre } = options.settings;
+    const signal = host.stopped.signal;
+    const cells = new CellCache(() => fleet.view());
+    const client = new HttpPieceClient(connections, options.pieceCodec, notices, clock, signal);
+    const common = { self, cells, transport, registry, clock, log };
+    const local = new GatherServer({ ...common, fleet, client, notices, metrics, signal });
+    return new GatherClient({ ...common, dataCentre, local });
+}
+
 /** Returns a generator of ids; the prefix of host and incarnation makes them unique across all hosts and restarts. */
 function submissionIds(prefix: string): () => SubmissionId {
     let count = 0;
--- /dev/null
+++ b/src/endpoints/EndpointNotices.ts
@@ -0,0 +1,100 @@
+/**
+ * What endpoints have said of themselves in the heads of their replies: that they are leaving, or that they want no
+ * request for a while. A leaving endpoint gets nothing more from this host whatever the endpoint list says, since the
+ * list lags; another start of it has another id. A pause ends by itself, a little later on some hosts than on others,
+ * so that a paused endpoint is not met by all hosts at once.
+ */
+import type { Clock, EndpointId, Random } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+
+/** A longer pause is ignored as absurd: the endpoint list tells of endpoints that are away for longer. */
+const maxPauseMs = 60_000;
+/** The end of a pause is spread over this share of its length, and over this time at least. */
+const spreadShare = 0.25;
+const minSpreadMs = 50;
+/** Maximum number of endpoints that are remembered; the oldest are forgotten first. */
+const maxRemembered = 4096;
+
+/** What one reply says of the endpoint that sent it. */
+export interface EndpointNotice {
+    /** True when the endpoint is about to end. */
+    readonly isLeaving: boolean;
+    /** For how long it wants no request; undefined when it does not say, NaN when that can't be read. */
+    readonly pauseMs: number | undefined;
+}
+
+/** The headers of a reply by lower-case name, as Node.js gives them. */
+export type ReplyHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Reads a platform's headers for {@link EndpointNotice}. */
+export interface NoticeDecoder {
+    decodeNotice(status: number, headers: ReplyHeaders): EndpointNotice;
+}
+
+export class EndpointNotices {
+    private readonly leaving = new Set<EndpointId>();
+    private readonly pauseEndsMs = new Map<EndpointId, number>();
+
+    public constructor(
+        private readonly decoder: NoticeDecoder,
+        private readonly clock: Clock,
+        private readonly random: Random,
+        private readonly log: EventLog,
+        private readonly metrics: Metrics,
+    ) {}
+
+    /** Reads the head of a reply, of whatever kind, that an endpoint has sent to this host. */
+    public observe(endpoint: EndpointId, status: number, headers: ReplyHeaders): void {
+        const { isLeaving, pauseMs } = this.decoder.decodeNotice(status, headers);
+        if (isLeaving && !this.leaving.has(endpoint)) {
+            this.leaving.add(endpoint);
+            forgetOldest(this.leaving);
+            this.metrics.count("endpoint_notices", { kind: "leaving" });
+            this.log.event(EventId.EndpointSaysLeaving, { endpoint, status });
+        }
+        if (pauseMs !== undefined) {
+            this.pause(endpoint, pauseMs);
+        }
+    }
+
+    /** True once the endpoint has said that it is leaving. */
+    public isLeaving(endpoint: EndpointId): boolean {
+        return this.leaving.has(endpoint);
+    }
+
+    /** When the endpoint may get requests again, on the local clock; a time in the past when it may now. */
+    public pauseEndMs(endpoint: EndpointId): number {
+        return this.pauseEndsMs.get(endpoint) ?? -Infinity;
+    }
+
+    public isPaused(endpoint: EndpointId): boolean {
+        return this.clock.nowMs() < this.pauseEndMs(endpoint);
+    }
+
+    private pause(endpoint: EndpointId, pauseMs: number): void {
+        if (!(pauseMs >= 0 && pauseMs <= maxPauseMs)) {
+            this.metrics.count("endpoint_notices", { kind: "ignored" });
+            this.log.event(EventId.EndpointPauseIgnored, { endpoint, pauseMs: String(pauseMs) });
+            return;
+        }
+        const spreadMs = Math.max(minSpreadMs, pauseMs * spreadShare) * this.random.next();
+        const endMs = this.clock.nowMs() + pauseMs + spreadMs;
+        if (endMs > this.pauseEndMs(endpoint)) {
+            this.pauseEndsMs.delete(endpoint);
+            this.pauseEndsMs.set(endpoint, endMs);
+            forgetOldest(this.pauseEndsMs);
+            this.metrics.count("endpoint_notices", { kind: "pause" });
+            this.log.event(EventId.EndpointPaused, { endpoint, pauseMs: Math.round(pauseMs) });
+        }
+    }
+}
+
+function forgetOldest<T extends Set<EndpointId> | Map<EndpointId, unknown>>(known: T): void {
+    if (known.size > maxRemembered) {
+        const [oldest] = known.keys();
+        if (oldest !== undefined) {
+            known.delete(oldest);
+        }
+    }
+}
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Clock, Disposable } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { CallerReply } from "./CallerReply.js";
 import type { RunningAttempt } from "./EndpointTracker.js";
 import { EventSplitter } from "./EventSplitter.js";
@@ -27,6 +28,7 @@
     readonly caller: CallerReply;
     readonly codec: GatewayCodec;
     readonly connections: EndpointConnections;
+    readonly notices: EndpointNotices;
     readonly clock: Clock;
     /** Aborted when the caller disconnects or the deadline passes. */
     readonly signal: AbortSignal;
@@ -86,9 +88,10 @@
     private readonly onAbort = () => this.finish({ kind: "cancelled" });
 
     private async read(res: IncomingMessage): Promise<void> {
-        const { codec, head, attempt } = this.options;
+        const { codec, head, attempt, notices } = this.options;
         this.res = res;
         const reply = codec.decodeReply(res);
+        notices.observe(attempt.record.id, reply.status, res.headers);
         attempt.recordActivity();
         res.on("error", err => this.fail(err.message));
         if (reply.requestId !== undefined && reply.requestId !== head.id) {
--- a/src/gateway/EndpointTracker.ts
+++ b/src/gateway/EndpointTracker.ts
@@ -5,6 +5,7 @@
  */
 import { Backoff } from "../common/Backoff.js";
 import type { Clock, DataCentreId, EndpointId } from "../common/Types.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { FleetSource, FleetView, ListedEndpoint, Service, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
@@ -76,6 +77,7 @@
         listed: ListedEndpoint,
         private readonly clock: Clock,
         private readonly dataCentreHealth: DataCentreHealth,
+        private readonly notices: EndpointNotices,
     ) {
         this.listed = listed;
         this.backoff = new Backoff(clock, initialBackoffMs, maxBackoffMs);
@@ -99,6 +101,11 @@
         return this.clock.nowMs() < this.coldUntilMs;
     }
 
+    /** True while it must get no requests, since it has asked for a pause. */
+    public get isPaused(): boolean {
+        return this.notices.isPaused(this.id);
+    }
+
     /** True while requests should go to other endpoints. */
     public get isSuspect(): boolean {
         return !this.backoff.isElapsed || this.isSilent || this.dataCentreHealth.isCutOff;
@@ -193,6 +200,7 @@
 
     public constructor(
         private readonly fleet: FleetSource,
+        private readonly notices: EndpointNotices,
         private readonly clock: Clock,
         private readonly log: EventLog,
         private readonly onRemoved: (endpoint: EndpointId) => void,
@@ -204,7 +212,14 @@
     public usable(service: ServiceId): readonly EndpointRecord[] {
         const { dataCentresOut } = this.fleet.view();
         return (this.byService.get(service) ?? [])
-            .filter(({ listed }) => !listed.isLeaving && !dataCentresOut.has(listed.dataCentre));
+            .filter(({ listed }) => !listed.isLeaving && !dataCentresOut.has(listed.dataCentre))
+            .filter(({ id }) => !this.notices.isLeaving(id));
+    }
+
+    /** Time until the first of some endpoints may get requests, in milliseconds; 0 when one may now or there is none. */
+    public pausedForMs(records: readonly EndpointRecord[]): number {
+        const ends = records.map(({ id }) => this.notices.pauseEndMs(id));
+        return ends.length === 0 ? 0 : Math.max(0, Math.min(...ends) - this.clock.nowMs());
     }
 
     /** Address of an endpoint; undefined when it is no longer listed. */
@@ -256,6 +271,6 @@
     private newRecord(endpoint: ListedEndpoint): EndpointRecord {
         const health = this.dataCentres.get(endpoint.dataCentre) ?? new DataCentreHealth(this.clock);
         this.dataCentres.set(endpoint.dataCentre, health);
-        return new EndpointRecord(endpoint, this.clock, health);
+        return new EndpointRecord(endpoint, this.clock, health, this.notices);
     }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -8,6 +8,7 @@
 import { readBytes } from "../common/RequestBody.js";
 import type { Clock } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { FleetBounds, FleetSource, Workspace } from "../fleet/Types.js";
 import type { PieceExecutor } from "../gather/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -46,6 +47,7 @@
     readonly stages: StageGraph;
     readonly pieces: PieceExecutor;
     readonly connections: EndpointConnections;
+    readonly notices: EndpointNotices;
     readonly retries: FleetRetryBudget;
     readonly cold: ColdStartQuota;
     readonly replyTimes: ReplyTimes;
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -4,7 +4,7 @@
  * and the fleet's retry budget allow.
  */
 import type * as http from "node:http";
-import type { Clock, DataCentreId } from "../common/Types.js";
+import type { Clock } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
@@ -13,7 +13,8 @@
 import { EndpointExchange } from "./EndpointExchange.js";
 import type { EndpointRecord } from "./EndpointTracker.js";
 import type { GatewayDependencies } from "./Gateway.js";
-import { defaultRetryMs, infeasibleStages, type StagePlan, type StageResults } from "./StageGraph.js";
+import { RequestStages } from "./RequestStages.js";
+import { defaultRetryMs } from "./StageGraph.js";
 import type { AttemptOutcome, Refusal, ReplyHead, RequestHead } from "./Types.js";
 
 /** Maximum number of attempts of a request that never reached an endpoint. */
@@ -53,11 +54,7 @@
     private readonly clock: Clock;
     private readonly log: EventLog;
     private readonly deadlineMs: number;
-    private results: StageResults | undefined;
-    /** Data centres whose endpoints could not fetch the stage results. */
-    private readonly unreachableFrom = new Set<DataCentreId>();
-    /** Data centres in which no stage may run again, since none of their endpoints could be reached from this host. */
-    private readonly excludedDataCentres = new Set<DataCentreId>();
+    private readonly stages: RequestStages;
     /** True once the deadline has passed; logged as `isOver`. */
     private hasTimedOut = false;
     /** True once the planned stop of this host has ended the request. */
@@ -83,6 +80,8 @@
         this.caller = new CallerReply(res, head.lastEvent);
         const callerRemainingMs = head.remainingMs === undefined ? Infinity : head.remainingMs - answerMarginMs;
         this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerRemainingMs);
+        const { stages, pieces, clock } = deps;
+        this.stages = new RequestStages({ stages, pieces, clock, signal: this.abortController.signal });
     }
 
     /** Runs the request until it has been answered or refused. */
@@ -102,7 +101,7 @@
         if (outcome.kind === "refused") {
             this.caller.refuse(outcome.refusal);
         }
-        this.results?.free();
+        this.stages.free();
         this.recordEnd(outcome);
     }
 
@@ -115,6 +114,10 @@
     }
 
     private async serve(): Promise<RequestOutcome> {
+        const paused = this.pausedRefusal();
+        if (paused !== undefined) {
+            return { kind: "refused", refusal: paused };
+        }
         for (;;) {
             const refusal = await this.runStages();
             if (refusal !== undefined) {
@@ -137,114 +140,72 @@
         }
     }
 
+    /** A refusal when all endpoints of the service have asked for pauses that outlast the latency objective. */
+    private pausedRefusal(): Refusal | undefined {
+        const { route, service } = this.admitted;
+        const { tracker } = this.deps;
+        return tracker.pausedForMs(tracker.usable(service.id)) > route.objectiveMs
+            ? this.noEndpointRefusal()
+            : undefined;
+    }
+
     /** Runs the stages unless their results are available; returns a refusal when the request can't continue. */
     private async runStages(): Promise<Refusal | undefined> {
-        const { route, head, workspace } = this.admitted;
-        const deployment = this.deps.fleet.view().deployment;
-        if (route.stages.length === 0 || this.results !== undefined || deployment === undefined) {
+        const { route, head, workspace, service, arrivedMs } = this.admitted;
+        const { fleet, replyTimes, tracker, chooser } = this.deps;
+        const { deployment } = fleet.view();
+        if (route.stages.length === 0 || this.stages.hasResults || deployment === undefined) {
             return this.abortController.signal.aborted ? this.endedRefusal() : undefined;
         }
-        const plan: StagePlan = {
+        const expected = chooser.choose(service, tracker.usable(service.id), this.tried, head.prompt);
+        const plan = {
             request: head.id,
             route,
             deployment,
             pieces: head.pieces,
             pieceKey: head.pieceKey,
             priority: workspace?.priority ?? route.priority,
-            objectiveMs: this.admitted.arrivedMs + route.objectiveMs,
+            objectiveMs: arrivedMs + route.objectiveMs,
             deadlineMs: this.deadlineMs,
-            replyMs: this.deps.replyTimes.expectedMs(route.id),
-            dataCentre: this.expectedDataCentre(),
-            notIn: [...this.excludedDataCentres],
+            replyMs: replyTimes.expectedMs(route.id),
+            dataCentre: expected?.record.listed.dataCentre,
         };
-        const infeasible = this.sentAttempts === 0 ? this.infeasibilityRefusal(plan) : undefined;
-        if (infeasible !== undefined) {
-            return infeasible;
+        const refused = await this.stages.run(plan, this.sentAttempts === 0);
+        if (this.abortController.signal.aborted) {
+            return this.endedRefusal();
         }
-        let outcome = await this.deps.stages.run(plan, this.abortController.signal);
-        const isSourceGone = outcome.caseOf({ Left: error => error.kind === "source-gone", Right: () => false });
-        if (isSourceGone && !this.abortController.signal.aborted) {
-            // The endpoint that held the result has ended, or the result has expired: all stages run again.
-            outcome = await this.deps.stages.run(plan, this.abortController.signal);
-        }
-        return outcome.caseOf<Refusal | undefined>({
-            Right: results => {
-                this.results = results;
-                return undefined;
-            },
-            Left: error => {
-                if (this.abortController.signal.aborted) {
-                    return this.endedRefusal();
-                }
-                const retryAfterMs = error.kind === "overloaded" ? error.retryAfterMs : defaultRetryMs;
-                return { ...this.refusal("overloaded", error.message), retryAfterMs };
-            },
-        });
+        return refused === undefined
+            ? undefined
+            : { ...this.refusal("overloaded", refused.message), retryAfterMs: refused.retryAfterMs };
     }
 
-    /** A refusal when the stages are not expected to end in time, based on the waits that gatherers reported last. */
-    private infeasibilityRefusal(plan: StagePlan): Refusal | undefined {
-        const { pieces } = this.deps;
-        const infeasible = infeasibleStages(plan, this.clock.nowMs(), service => pieces.waitMs(service));
-        if (infeasible === undefined) {
-            return undefined;
-        }
-        const { neededMs, leftMs, retryAfterMs } = infeasible;
-        const message = `the stages need ${Math.round(neededMs)} ms, ${Math.round(leftMs)} ms are left`;
-        return { ...this.refusal("overloaded", message), retryAfterMs };
-    }
-
-    /** Data centre of the endpoint that would be selected now. */
-    private expectedDataCentre(): DataCentreId | undefined {
-        const { tracker, chooser } = this.deps;
-        const { service, head } = this.admitted;
-        return chooser.choose(service, tracker.usable(service.id), this.tried, head.prompt)?.record.listed.dataCentre;
-    }
-
-    /**
-     * Frees results that only endpoints in their own data centres can fetch, when none of those can be reached, so that
-     * the stages run again elsewhere. Returns false when that does not help or has been done before.
-     */
+    /** Runs the stages elsewhere when no endpoint that can fetch their results is in reach; false when it can't help. */
     private rerunStagesElsewhere(): boolean {
-        const { results, unreachableFrom, excludedDataCentres } = this;
-        if (
-            results === undefined || unreachableFrom.size === 0 || excludedDataCentres.size > 0
-            || this.abortController.signal.aborted
-        ) {
+        if (this.abortController.signal.aborted || !this.stages.giveUpDataCentres()) {
             return false;
         }
-        results.dataCentres.forEach(one => excludedDataCentres.add(one));
-        results.free();
-        this.results = undefined;
-        unreachableFrom.clear();
         this.tried.clear();
         this.unsentAttempts = 0;
         return true;
     }
 
-    /**
-     * Endpoints that may get the request; once some could not fetch its results, only those in the results' data
-     * centres.
-     */
+    /** Endpoints that may get the request. */
     private usable(): readonly EndpointRecord[] {
-        const { results, unreachableFrom } = this;
-        const all = this.deps.tracker.usable(this.admitted.service.id);
-        return results === undefined || unreachableFrom.size === 0
-            ? all
-            : all.filter(({ listed: { dataCentre } }) =>
-                results.dataCentres.has(dataCentre) && !unreachableFrom.has(dataCentre)
-            );
+        return this.stages.reachable(this.deps.tracker.usable(this.admitted.service.id));
     }
 
     /** Selects an endpoint; waits for a limited time while none is available. */
     private async chooseEndpoint(): Promise<EndpointChoice | undefined> {
-        const { chooser } = this.deps;
+        const { chooser, tracker } = this.deps;
         const { service, head, route } = this.admitted;
-        const waitMs = this.unreachableFrom.size > 0 ? 0 : route.objectiveMs * endpointWaitShare;
+        const waitMs = this.stages.isBound ? 0 : route.objectiveMs * endpointWaitShare;
         const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + waitMs);
         for (;;) {
-            const choice = chooser.choose(service, this.usable(), this.tried, head.prompt);
-            if (choice !== undefined || this.abortController.signal.aborted || this.clock.nowMs() >= untilMs) {
+            const usable = this.usable();
+            const choice = chooser.choose(service, usable, this.tried, head.prompt);
+            const nowMs = this.clock.nowMs();
+            const isWaitInVain = nowMs >= untilMs || nowMs + tracker.pausedForMs(usable) > untilMs;
+            if (choice !== undefined || this.abortController.signal.aborted || isWaitInVain) {
                 return this.abortController.signal.aborted ? undefined : choice;
             }
             await this.clock.sleep(noEndpointPauseMs, this.abortController.signal);
@@ -252,7 +213,7 @@
     }
 
     private async runAttempt({ record, reason }: EndpointChoice): Promise<AttemptOutcome> {
-        const { tracker, codec, connections, cold, replyTimes } = this.deps;
+        const { tracker, codec, connections, notices, cold, replyTimes } = this.deps;
         const { head, service, workspace, body, route } = this.admitted;
         const startMs = this.clock.nowMs();
         if (record.isCold) {
@@ -264,7 +225,7 @@
             instance: record.listed.instance,
             remainingMs,
             workspace: workspace?.id,
-            results: route.stages.length > 0 ? this.results?.handles ?? [] : undefined,
+            results: route.stages.length > 0 ? this.stages.handles : undefined,
             lastEvent: this.caller.lastEvent,
             bodyBytes: body.length,
         });
@@ -274,8 +235,7 @@
                 hasReplied = true;
                 replyTimes.record(route.id, this.clock.nowMs() - startMs);
                 // The endpoint has fetched the results, and they occupy storage that others need.
-                this.results?.free();
-                this.results = undefined;
+                this.stages.free();
             }
         };
         const exchange = new EndpointExchange({
@@ -286,6 +246,7 @@
             caller: this.caller,
             codec,
             connections,
+            notices,
             clock: this.clock,
             signal: this.abortController.signal,
             isRepeatable: this.isRepeatable,
@@ -358,11 +319,10 @@
 
     private handleNotRun(status: number, { listed }: EndpointRecord): RequestOutcome | undefined {
         if (status === resultsGoneStatus) {
-            this.unreachableFrom.add(listed.dataCentre);
+            this.stages.recordUnreachable(listed.dataCentre);
             if (this.usable().length === 0) {
                 // No endpoint is left that could fetch the results, so the stages run again.
-                this.results = undefined;
-                this.unreachableFrom.clear();
+                this.stages.giveUp();
                 this.tried.clear();
             }
         }
@@ -413,8 +373,13 @@
     }
 
     private noEndpointRefusal(): Refusal {
-        return this.abortController.signal.aborted
-            ? this.endedRefusal()
+        if (this.abortController.signal.aborted) {
+            return this.endedRefusal();
+        }
+        const { tracker } = this.deps;
+        const pausedForMs = tracker.pausedForMs(tracker.usable(this.admitted.service.id));
+        return pausedForMs > 0
+            ? { ...this.refusal("no-endpoint", "all endpoints have asked for a pause"), retryAfterMs: pausedForMs }
             : {
                 ...this.refusal("no-endpoint", "no endpoint is available for the request"),
                 retryAfterMs: defaultRetryMs,
--- a/src/gather/BatchEndpoint.ts
+++ b/src/gather/BatchEndpoint.ts
@@ -4,6 +4,7 @@
  */
 import { Backoff } from "../common/Backoff.js";
 import type { Clock, EndpointId } from "../common/Types.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { BatchTraits, ListedEndpoint } from "../fleet/Types.js";
 
 /** Weight of the newest call in the moving average of call times. */
@@ -46,7 +47,11 @@
     /** Storage reserved for the results of running calls. */
     private reservedBytes = 0;
 
-    public constructor(listed: ListedEndpoint, private readonly clock: Clock) {
+    public constructor(
+        listed: ListedEndpoint,
+        private readonly clock: Clock,
+        private readonly notices: EndpointNotices,
+    ) {
         this.listed = listed;
         this.backoff = new Backoff(clock, initialBackoffMs, maxBackoffMs);
     }
@@ -55,14 +60,14 @@
         return this.listed.id;
     }
 
-    /** True when the endpoint has a free slot and is not in backoff. */
+    /** True when the endpoint has a free slot and is neither in backoff nor paused. */
     public canStartCall(traits: BatchTraits): boolean {
-        return this.runningCalls < traits.slots && this.backoff.isElapsed;
+        return this.runningCalls < traits.slots && this.clock.nowMs() >= this.nextCallMs;
     }
 
-    /** End of the current or last backoff, on the local clock. */
-    public get backoffUntilMs(): number {
-        return this.backoff.endMs;
+    /** End of the current or last backoff or pause, on the local clock. */
+    public get nextCallMs(): number {
+        return Math.max(this.backoff.endMs, this.notices.pauseEndMs(this.id));
     }
 
     /** True after a failure, until a call succeeds. A suspect endpoint gets one piece at a time. */
--- a/src/gather/BatchEndpoints.ts
+++ b/src/gather/BatchEndpoints.ts
@@ -1,5 +1,6 @@
 /** The endpoints of one cell: selects the endpoint of the next call and estimates the throughput of all of them. */
 import type { Clock, DataCentreId, EndpointId } from "../common/Types.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { BatchTraits, ListedEndpoint } from "../fleet/Types.js";
 import { BatchEndpoint } from "./BatchEndpoint.js";
 import type { PieceResult } from "./Types.js";
@@ -15,7 +16,7 @@
     /** Endpoints that may receive calls. The state of other endpoints is kept until their calls have ended. */
     private usableIds: ReadonlySet<EndpointId> = new Set();
 
-    public constructor(private readonly clock: Clock) {}
+    public constructor(private readonly clock: Clock, private readonly notices: EndpointNotices) {}
 
     /** Sets the endpoints that may receive calls. */
     public setEndpoints(endpoints: readonly ListedEndpoint[]): void {
@@ -28,7 +29,7 @@
         for (const endpoint of endpoints) {
             const known = this.byId.get(endpoint.id);
             if (known === undefined) {
-                this.byId.set(endpoint.id, new BatchEndpoint(endpoint, this.clock));
+                this.byId.set(endpoint.id, new BatchEndpoint(endpoint, this.clock, this.notices));
             }
             else {
                 known.listed = endpoint;
@@ -55,7 +56,7 @@
 
     /** Endpoints that may receive calls. */
     public usable(): BatchEndpoint[] {
-        return [...this.byId.values()].filter(endpoint => this.usableIds.has(endpoint.id));
+        return [...this.byId.values()].filter(({ id }) => this.usableIds.has(id) && !this.notices.isLeaving(id));
     }
 
     /** Data centres with at least one endpoint that is not suspect. */
--- a/src/gather/CellGatherer.test.ts
+++ b/src/gather/CellGatherer.test.ts
@@ -12,6 +12,7 @@
     serviceId,
     silentLog,
     submission,
+    testNotices,
     TimedEndpoints,
 } from "../../testing/FleetFixtures.js";
 import type { EndpointId } from "../common/Types.js";
@@ -33,6 +34,7 @@
 class Site {
     public readonly clock = new FakeClock();
     public readonly endpoints: TimedEndpoints;
+    public readonly notices = testNotices(this.clock);
     public readonly gatherer: CellGatherer;
     /** Expected durations of calls, in the order in which the calls ended. */
     public readonly expectedMs: number[] = [];
@@ -44,10 +46,12 @@
         private readonly batchTraits: BatchTraits = traits,
     ) {
         this.endpoints = new TimedEndpoints(this.clock, batchTraits, bytesOf);
+        this.endpoints.notices = this.notices;
         this.gatherer = new CellGatherer({
             service: serviceId("s"),
             traits: () => this.batchTraits,
             client: this.endpoints,
+            notices: this.notices,
             clock: this.clock,
             log: {
                 ...silentLog,
@@ -301,3 +305,30 @@
     assert.deepEqual(far.filter(request => !completed.includes(request)), []);
     assert.ok(near.some(request => !completed.includes(request)));
 });
+
+test("an endpoint that says it is leaving gets no further call, and its results are freed", async () => {
+    const site = new Site(2);
+    site.endpoints.says.set("e0", { leaving: "1" });
+    for (let at = 0; at < 20; at++) {
+        site.submit({ pieces: [0, 1, 2, 3, 4, 5, 6, 7, 8, 9], remainingMs: 20_000 });
+    }
+    await site.clock.advance(12_000);
+    const callsAt = (endpoint: string) => site.endpoints.calls.filter(one => one.endpoint === endpoint).length;
+    assert.equal(site.completed().length, 20);
+    assert.deepEqual([callsAt("e0"), callsAt("e1")], [1, 19]);
+    assert.equal(site.endpoints.freed.filter(handle => handle.startsWith("e0/")).length, 10);
+});
+
+test("an endpoint that asks for a pause gets no call until its end, and calls again afterwards", async () => {
+    const site = new Site(1);
+    site.endpoints.full.add("e0");
+    site.endpoints.says.set("e0", { pause: "1000" });
+    site.submit({ pieces: [0], remainingMs: 20_000 });
+    await site.clock.advance(10);
+    site.endpoints.full.clear();
+    site.endpoints.says.clear();
+    await site.clock.advance(980);
+    assert.equal(site.endpoints.calls.length, 1);
+    await site.clock.advance(1000);
+    assert.equal(site.completed().length, 1);
+});
--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -4,7 +4,8 @@
  * therefore run more than once; its first result counts.
  */
 import { Left, Right } from "purify-ts";
-import type { Clock, DataCentreId, Disposable } from "../common/Types.js";
+import type { Clock, Disposable } from "../common/Types.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { BatchTraits, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -13,6 +14,7 @@
 import { CallMonitor } from "./CallMonitor.js";
 import { DemandMeter } from "./DemandMeter.js";
 import { PieceQueue, type QueuedSubmission, type TakenPiece } from "./PieceQueue.js";
+import { SourcePlacement } from "./SourcePlacement.js";
 import type {
     CallOutcome,
     PieceClient,
@@ -23,7 +25,6 @@
     SubmissionId,
     SubmissionOutcome,
 } from "./Types.js";
-import { UnreachableSources } from "./UnreachableSources.js";
 import { minRetryMs, WaitEstimator } from "./WaitEstimator.js";
 
 /** A call is abandoned after its expected time times this factor plus a network allowance. */
@@ -50,6 +51,7 @@
     readonly service: ServiceId;
     readonly traits: () => BatchTraits | undefined;
     readonly client: PieceClient;
+    readonly notices: EndpointNotices;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -60,15 +62,15 @@
     private readonly demand: DemandMeter;
     private readonly endpoints: BatchEndpoints;
     private readonly estimator: WaitEstimator;
-    private readonly unreachableSources: UnreachableSources;
+    private readonly placement: SourcePlacement;
     private readonly open = new Map<SubmissionId, OpenSubmission>();
     private dispatchTimer: Disposable | undefined;
 
     public constructor(private readonly options: CellGathererOptions) {
         this.demand = new DemandMeter(options.clock);
-        this.endpoints = new BatchEndpoints(options.clock);
+        this.endpoints = new BatchEndpoints(options.clock, options.notices);
         this.estimator = new WaitEstimator(this.queue, this.endpoints, this.demand, options.clock);
-        this.unreachableSources = new UnreachableSources(options.clock);
+        this.placement = new SourcePlacement(this.queue, this.endpoints, options.clock);
     }
 
     /** Sets the endpoints that may receive calls, and dispatches to them. */
@@ -104,10 +106,7 @@
             dataCentre: submission.dataCentre,
             unreachableFrom: new Set(submission.notIn),
         };
-        const served = [...this.endpoints.healthyDataCentres()];
-        const unreachableFrom = served.filter(one => this.unreachableSources.isUnreachable(submission.source, one));
-        const isExcluded = served.length > 0 && served.every(one => waiting.unreachableFrom.has(one));
-        if (isExcluded || unreachableFrom.some(one => !this.moveElsewhere(waiting, one))) {
+        if (!this.placement.place(waiting)) {
             deliver(Left(sourceGoneError));
             return;
         }
@@ -186,7 +185,7 @@
         if (this.queue.size > 0) {
             const waits = this.endpoints.usable()
                 .filter(endpoint => endpoint.runningCalls < traits.slots)
-                .map(endpoint => endpoint.backoffUntilMs - this.options.clock.nowMs());
+                .map(endpoint => endpoint.nextCallMs - this.options.clock.nowMs());
             const waitMs = Math.max(1, Math.min(...waits, maxDispatchDelayMs));
             this.dispatchTimer = this.options.clock.setTimer(waitMs, () => this.dispatch());
         }
@@ -335,7 +334,7 @@
         }
         const fault = outcome?.fault ?? "error";
         if (fault === "gone") {
-            if (this.moveElsewhere(taken.waiting, endpoint.listed.dataCentre)) {
+            if (this.placement.moveElsewhere(taken.waiting, endpoint.listed.dataCentre)) {
                 this.requeue([taken], false);
             }
             else {
@@ -351,54 +350,27 @@
         }
     }
 
-    /**
-     * Detects endpoints that became unreachable from the data centre of a call, and moves queued submissions that need
-     * their results to other data centres, or ends them.
-     */
+    /** Moves queued submissions away from sources that a call could not fetch, and ends those that can't move. */
     private moveFromUnreachable(
         endpoint: BatchEndpoint,
         taken: readonly TakenPiece[],
         outcomes: readonly PieceOutcome[],
     ): void {
         const { dataCentre } = endpoint.listed;
-        const ended = taken.map(({ waiting: { submission: { request, source } } }, at) => ({
-            request,
-            source,
-            outcome: outcomes[at],
-        }));
-        const unreachable = this.unreachableSources.recordCall(ended, dataCentre);
-        if (unreachable.length === 0) {
+        const { makers, affected, unplaceable } = this.placement.recordCall(taken, outcomes, dataCentre);
+        if (makers.length === 0) {
             return;
         }
-        const waiting = this.queue.inOrder(this.options.clock.nowMs())
-            .filter(one => !one.unreachableFrom.has(dataCentre))
-            .filter(({ submission }) => this.unreachableSources.isUnreachable(submission.source, dataCentre));
-        const unplaceable = waiting.filter(one => !this.moveElsewhere(one, dataCentre));
         this.options.log.event(EventId.ResultsLost, {
             service: this.options.service,
-            makers: unreachable,
+            makers,
             dataCentre,
-            requests: waiting.map(({ submission }) => submission.request),
+            requests: affected.map(({ submission }) => submission.request),
             ended: unplaceable.length,
         });
         unplaceable.forEach(({ submission }) => this.fail(submission.id, sourceGoneError));
     }
 
-    /**
-     * Moves a submission out of a data centre that can't reach its sources. Returns false when no other one can: only
-     * endpoints in the data centre of a source are certain to reach it.
-     */
-    private moveElsewhere(waiting: QueuedSubmission, from: DataCentreId): boolean {
-        const { source } = waiting.submission;
-        waiting.unreachableFrom.add(from);
-        const served = this.endpoints.healthyDataCentres();
-        const next = source.kind === "results"
-            ? source.makers.map(one => one.dataCentre).find(one => served.has(one) && !waiting.unreachableFrom.has(one))
-            : undefined;
-        waiting.dataCentre = next;
-        return next !== undefined;
-    }
-
     private completeIfDone(open: OpenSubmission): void {
         const { submission, results } = open;
         if (results.size < submission.pieces.length) {
--- a/src/gather/GatherClient.test.ts
+++ b/src/gather/GatherClient.test.ts
@@ -16,6 +16,7 @@
     service,
     silentLog,
     submission,
+    testNotices,
     TimedEndpoints,
 } from "../../testing/FleetFixtures.js";
 import type { HostId } from "../common/Types.js";
@@ -56,7 +57,14 @@
             const peers = this.network.addHost(self);
             const { signal } = this.stopping;
             const own = { ...common, self, transport: peers, registry: peers };
-            const local = new GatherServer({ ...own, fleet, client, metrics: noMetrics, signal });
+            const local = new GatherServer({
+                ...own,
+                fleet,
+                client,
+                notices: testNotices(clock),
+                metrics: noMetrics,
+                signal,
+            });
             const submitter = new GatherClient({ ...own, dataCentre, local });
             void submitter.run(signal);
             this.clients.set(self, submitter);
--- a/src/gather/GatherServer.ts
+++ b/src/gather/GatherServer.ts
@@ -4,6 +4,7 @@
  */
 import { Left } from "purify-ts";
 import type { Clock, HostId } from "../common/Types.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { FleetSource } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -24,6 +25,7 @@
     readonly fleet: FleetSource;
     readonly cells: CellCache;
     readonly client: PieceClient;
+    readonly notices: EndpointNotices;
     readonly transport: PeerTransport;
     readonly registry: PeerRegistry;
     readonly clock: Clock;
@@ -93,14 +95,14 @@
      * not have the cell.
      */
     private gatherer(id: CellId): CellGatherer | undefined {
-        const { fleet, cells, client, clock, log, metrics } = this.options;
+        const { fleet, cells, client, notices, clock, log, metrics } = this.options;
         const known = this.gatherers.get(id);
         const service = cells.current().get(id)?.service;
         if (known !== undefined || service === undefined) {
             return known;
         }
         const traits = () => fleet.view().deployment?.services.get(service)?.pieces;
-        const added = new CellGatherer({ service, traits, client, clock, log, metrics });
+        const added = new CellGatherer({ service, traits, client, notices, clock, log, metrics });
         this.gatherers.set(id, added);
         added.setEndpoints(cells.current().usableEndpoints(id));
         return added;
--- a/src/gather/HttpPieceClient.ts
+++ b/src/gather/HttpPieceClient.ts
@@ -1,6 +1,7 @@
 /** Calls endpoints of stages over HTTP. */
 import type { Clock } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import { requestText, type TextRequest } from "../endpoints/RequestText.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
 import type { CallOutcome, PieceCall, PieceClient, PieceCodec, WorkState } from "./Types.js";
@@ -17,6 +18,7 @@
     public constructor(
         private readonly connections: EndpointConnections,
         private readonly codec: PieceCodec,
+        private readonly notices: EndpointNotices,
         private readonly clock: Clock,
         private readonly signal: AbortSignal,
     ) {}
@@ -75,8 +77,9 @@
             .extract();
     }
 
-    private request(endpoint: ListedEndpoint, options: Omit<TextRequest, "fresh" | "clock">) {
-        const { connections, clock } = this;
-        return requestText(connections, endpoint.id, { ...options, fresh: false, clock });
+    private async request(endpoint: ListedEndpoint, options: Omit<TextRequest, "fresh" | "clock">) {
+        const { connections, clock, notices } = this;
+        const reply = await requestText(connections, endpoint.id, { ...options, fresh: false, clock });
+        return reply.ifRight(({ status, headers }) => notices.observe(endpoint.id, status, headers));
     }
 }
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -46,6 +46,11 @@
     /** An engine accepted an order, such as to load a model. */
     EngineOrdered = 607,
     EngineOrderFailed = 608,
+    /** An endpoint has said in a reply that it is leaving. */
+    EndpointSaysLeaving = 609,
+    /** An endpoint has asked for a time without requests. */
+    EndpointPaused = 610,
+    EndpointPauseIgnored = 611,
     // 7xx: records
     RecordsSessionEnded = 700,
     RecordsSessionExpired = 701,
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -1,6 +1,8 @@
 /** Small fleets for tests: listed endpoints, deployments, a view that tests set, and simulated stage endpoints. */
 import { Emitter } from "../src/common/Emitter.js";
-import type { Clock, DataCentreId, EndpointId, HostId, Incarnation } from "../src/common/Types.js";
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import type { Clock, DataCentreId, EndpointId, HostId, Incarnation, Random } from "../src/common/Types.js";
+import { EndpointNotices, type ReplyHeaders } from "../src/endpoints/EndpointNotices.js";
 import { emptyView } from "../src/fleet/FleetClient.js";
 import type {
     BatchTraits,
@@ -30,6 +32,19 @@
     render: async () => "",
 };
 
+/** Notices of a host; replies carry them in the headers `leaving` ("1") and `pause` (milliseconds). */
+export function testNotices(
+    clock: Clock,
+    random: Random = new SeededRandom(1),
+    log: EventLog = silentLog,
+): EndpointNotices {
+    const decodeNotice = (_: number, { leaving, pause }: ReplyHeaders) => ({
+        isLeaving: leaving === "1",
+        pauseMs: pause === undefined ? undefined : Number(pause),
+    });
+    return new EndpointNotices({ decodeNotice }, clock, random, log, noMetrics);
+}
+
 export const defaultBounds: FleetBounds = {
     configApplyMs: 2000,
     revokeMs: 5000,
@@ -131,6 +146,8 @@
     /** Factor on the duration of calls, by endpoint; Infinity for one that never replies. */
     public readonly slowness = new Map<string, number>();
     public readonly broken = new Set<string>();
+    /** Endpoints that refuse calls for lack of a free slot. */
+    public readonly full = new Set<string>();
     /** Endpoints that run calls but whose replies are lost. */
     public readonly endpointsLosingReplies = new Set<string>();
     /** Endpoints whose results can't be fetched any more. */
@@ -141,6 +158,10 @@
     public untrackedBytes = 0;
     /** Pieces refused because their result did not fit. */
     public storageShortages = 0;
+    /** What endpoints say of themselves in each reply, by endpoint. */
+    public readonly says = new Map<string, ReplyHeaders>();
+    /** Receives what endpoints say; undefined for none. */
+    public notices: EndpointNotices | undefined;
     private readonly busyUntilMs = new Map<EndpointId, number>();
     private readonly held = new Map<EndpointId, Map<string, number>>();
     private resultCount = 0;
@@ -158,6 +179,21 @@
         signal: AbortSignal,
     ): Promise<CallOutcome> {
         this.calls.push({ endpoint: endpoint.id, pieces });
+        const outcome = await this.reply(endpoint, pieces, timeoutMs, signal);
+        this.notices?.observe(endpoint.id, outcome.kind === "full" ? 503 : 200, this.says.get(endpoint.id) ?? {});
+        return outcome;
+    }
+
+    private async reply(
+        endpoint: ListedEndpoint,
+        pieces: readonly PieceCall[],
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<CallOutcome> {
+        if (this.full.has(endpoint.id)) {
+            await this.clock.sleep(1);
+            return { kind: "full", message: "full" };
+        }
         if (this.broken.has(endpoint.id)) {
             await this.clock.sleep(1);
             return { kind: "broken", message: "reset" };
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -2,12 +2,14 @@
 import assert from "node:assert/strict";
 import * as http from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { PlatformNoticeDecoder } from "../platform/NoticeHeaders.js";
 import { PlatformGatewayCodec } from "../platform/RequestHeaders.js";
 import { listen } from "../src/common/HttpServers.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { DataCentreId, EndpointId, HostId, WorkspaceId } from "../src/common/Types.js";
 import { EndpointConnections } from "../src/endpoints/EndpointConnections.js";
+import { EndpointNotices } from "../src/endpoints/EndpointNotices.js";
 import type { RequestKind, ServiceId } from "../src/fleet/Types.js";
 import { EndpointChooser } from "../src/gateway/EndpointChooser.js";
 import { EndpointTracker } from "../src/gateway/EndpointTracker.js";
@@ -113,10 +115,12 @@
             serve(req, res, socket);
         })
     ));
+    const notices = new EndpointNotices(new PlatformNoticeDecoder(), clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf: currentAddress, connectMs: () => 500 }, clock);
     const tracker: EndpointTracker = new EndpointTracker(
         fleet,
+        notices,
         clock,
         silentLog,
         one => connections.closeIdleConnections(one),
@@ -137,6 +141,7 @@
         stages: new StageGraph(executor, clock, () => "s" as SubmissionId),
         pieces: executor,
         connections,
+        notices,
         retries: new FleetRetryBudget(defaultBounds, fleet, clock),
         cold,
         replyTimes: new ReplyTimes(),
--- a/testing/StageSimulation.ts
+++ b/testing/StageSimulation.ts
@@ -23,6 +23,7 @@
     service,
     serviceId,
     silentLog,
+    testNotices,
     TimedEndpoints,
 } from "./FleetFixtures.js";
 
@@ -81,6 +82,7 @@
                 service: serviceId(id),
                 traits: () => traits,
                 client,
+                notices: testNotices(this.clock),
                 clock: this.clock,
                 log: silentLog,
                 metrics: noMetrics,
