Replication: a term that a denial shows is adopted, so that a voter with a higher term and a shorter log can't block elections

Cause: a denied vote or pre-vote raised no term on either side, and a leader that stepped down for a higher term kept its own. A voter whose term is higher and whose log is shorter then denies the others for their term and is denied for its log. With the rest of a majority down nobody led, for good; with all voters up, each new leader was deposed until its term had climbed to the other's. Change: a candidate adopts the highest term in the replies to its vote requests, a leader the one for which it steps down.

--- a/src/replication/Elections.ts
+++ b/src/replication/Elections.ts
@@ -1,6 +1,8 @@
 /**
  * Elections of a group: replies to vote requests, and campaigns of this host. A campaign starts with pre-votes, which
- * change no term, so that a host that returns from a partition does not depose a working leader.
+ * raise no term, so that a host that returns from a partition does not depose a working leader. A candidate that finds a
+ * higher term in a denial adopts it: otherwise a voter with a higher term and a shorter log would deny it each time, and
+ * be denied by it.
  */
 import type { Clock } from "../common/Types.js";
 import type { PeerTransport } from "../peer/Types.js";
@@ -10,6 +12,9 @@
 import type { GroupTiming, Member } from "./Types.js";
 
 export class Elections {
+    /** Highest term in the replies to this host's vote requests. */
+    private highestTermSeen = 0;
+
     public constructor(
         private readonly replica: Replica,
         private readonly methods: GroupMethods,
@@ -33,6 +38,7 @@
         const { replica } = this;
         const nextTerm = replica.term + 1;
         if (!handover && !await this.requestVotes(nextTerm, true, false, signal)) {
+            await replica.adoptTerm(this.highestTermSeen);
             return false;
         }
         const isCandidate = await replica.exclusive(async () => {
@@ -51,6 +57,9 @@
         if (!isElected && replica.role === "candidate") {
             replica.setRole(replica.nonLeaderRole(), undefined);
         }
+        if (!isElected) {
+            await replica.adoptTerm(this.highestTermSeen);
+        }
         if (!isElected || replica.term !== nextTerm || replica.role !== "candidate") {
             return false;
         }
@@ -129,6 +138,11 @@
             timeoutMs: this.timing.electionMs / 2,
             signal,
         });
-        return reply.map(answer => answer.granted).orDefault(false);
+        return reply.map(answer => {
+            if (answer.replica === req.replica) {
+                this.highestTermSeen = Math.max(this.highestTermSeen, answer.term);
+            }
+            return answer.granted;
+        }).orDefault(false);
     }
 }
--- a/src/replication/Leadership.ts
+++ b/src/replication/Leadership.ts
@@ -298,7 +298,10 @@
                 this.advanceCommit();
                 this.contactNotifier.notify();
             },
-            onHigherTerm: () => this.stepDown(),
+            onHigherTerm: term => {
+                this.stepDown();
+                void this.context.replica.adoptTerm(term);
+            },
         });
         this.replicators.set(host, replicator);
         void replicator.run(this.stopped.signal);
--- a/src/replication/PeerReplicator.ts
+++ b/src/replication/PeerReplicator.ts
@@ -30,7 +30,7 @@
     /** Called after each reply of a follower in service, unless it has a higher term. */
     onReply(): void;
     /** Called when the follower replies with a higher term. */
-    onHigherTerm(): void;
+    onHigherTerm(term: number): void;
 }
 
 export class PeerReplicator {
@@ -174,7 +174,7 @@
         }
         this.replicaId = answer.replica;
         if (answer.term > this.context.term) {
-            this.context.onHigherTerm();
+            this.context.onHigherTerm(answer.term);
             return false;
         }
         if (answer.kind === "stale-term" || answer.kind === "other-replica") {
--- a/src/replication/RaftFaults.test.ts
+++ b/src/replication/RaftFaults.test.ts
@@ -6,6 +6,7 @@
 import { SeededRandom } from "../common/SeededRandom.js";
 import type { Clock } from "../common/Types.js";
 import type { HostId } from "../common/Types.js";
+import { GroupStorage } from "./GroupStorage.js";
 import { RemoteLog } from "./RemoteLog.js";
 import type { Json, StateMachine } from "./Types.js";
 
@@ -132,6 +133,47 @@
     await cluster.stopAll();
 });
 
+/** Stops a host and starts it again as one that has stood in term `term`, without the votes that it asked for. */
+async function restartAfterLostElection(cluster: Cluster, name: string, term: number): Promise<void> {
+    const disk = cluster.crash(name);
+    await new GroupStorage(disk, "data").saveVote({ term, votedFor: name as HostId });
+    cluster.start(name, disk);
+}
+
+for (const voters of [["a", "b", "c"], ["a", "b", "c", "d", "e"]]) {
+    test(`${voters.length} voters, a minority lost: a voter with a higher term and a shorter log does not keep the others from electing`, async () => {
+        const cluster = new RaftCluster({ voters, makeMachine: () => new ListMachine() });
+        const leader = await cluster.leader();
+        await cluster.settle(leader.raft.propose("first", 1000));
+        const [short, ...others] = cluster.followersOf(leader);
+        cluster.network.isolate(short!.id);
+        await write(cluster, "second");
+        const lost = others.slice(0, (voters.length - 1) / 2);
+        [leader, ...lost].forEach(host => cluster.crash(host.id));
+        const kept = cluster.start(leader.id, leader.disk.crash());
+        cluster.network.heal();
+        cluster.network.isolate(short!.id);
+        await restartAfterLostElection(cluster, short!.id, 9);
+        cluster.network.heal();
+        const next = await cluster.leader();
+        assert.notEqual(next.id, short!.id, "its log is shorter");
+        await write(cluster, "third");
+        assert.deepEqual(kept.machine.items, ["first", "second", "third"]);
+        await cluster.stopAll();
+    });
+}
+
+test("a voter that returns with a higher term after a cut leaves the group able to elect", async () => {
+    const cluster = await startThreeHosts();
+    const leader = await cluster.leader();
+    const [disturbing] = cluster.followersOf(leader);
+    await restartAfterLostElection(cluster, disturbing!.id, 7);
+    await write(cluster, "second");
+    cluster.crash((await cluster.leader()).id);
+    await write(cluster, "third");
+    await cluster.stopAll();
+});
+
 const diskFaults = [
     { name: "a full disk", set: (disk: FakeDisk, isOn: boolean) => disk.isFull = isOn },
     { name: "a failing sync", set: (disk: FakeDisk, isOn: boolean) => disk.failSync = isOn },
--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -172,6 +172,13 @@
         return true;
     }
 
+    /** Saves a higher term that another voter has reached, without a vote in it; does nothing for any other term. */
+    public async adoptTerm(term: number): Promise<void> {
+        if (term > this.term) {
+            await this.exclusive(async () => term > this.term && this.saveVote({ term, votedFor: undefined }));
+        }
+    }
+
     /**
      * Writes entries to the log from index `first` on. Resolves with true once they are durable, with false when the
      * disk failed. Called within {@link exclusive}.
