Replication: voters are released from their wait once all have said that they do not lead

Cause: after a start a voter grants no vote for an election time, since the leader before may rely on its lease. Change: a reply to a pre-vote tells whether its sender leads, and names its run. When all voters have replied that they do not lead, the candidate says so in its vote requests, and a voter accepts that if it is still in the same run, has heard from no leader since its reply and knows of no other voter. A start begins with such surveys. A lease read stays safe: a leader elected after the survey has a majority that has heard from it in its present run. Tests: restart of all, majority restarted behind a cut leader, releases of another run or without a voter.

--- a/src/replication/Elections.ts
+++ b/src/replication/Elections.ts
@@ -3,17 +3,40 @@
  * raise no term, so that a host that returns from a partition does not depose a working leader. A candidate that finds a
  * higher term in a denial adopts it: otherwise a voter with a higher term and a shorter log would deny it each time, and
  * be denied by it.
+ *
+ * A voter denies its vote for an election time after a leader's message, and after its own start, since a leader may
+ * rely on its lease for so long. A lease is held only by a process that leads. Once all voters have replied to a pre-vote
+ * that they do not lead, they are released from this wait: a group whose processes were all restarted elects at once. A
+ * leader that is elected after that survey has a majority of voters that have heard from it, and these deny.
  */
-import type { Clock } from "../common/Types.js";
+import type { Clock, HostId } from "../common/Types.js";
 import type { PeerTransport } from "../peer/Types.js";
 import type { GroupMethods, VoteReply, VoteRequest } from "./Messages.js";
 import { Notifier } from "./Notifier.js";
 import type { Replica } from "./Replica.js";
 import type { GroupTiming, Member } from "./Types.js";
 
+/** Outcome of one round of vote requests. */
+interface VoteRound {
+    readonly isWon: boolean;
+    /** Lives of the other voters if all have replied that they do not lead, and a majority then grants its vote. */
+    readonly lives: ReadonlyMap<HostId, string> | undefined;
+}
+
+/** What a candidate asks for in one round. */
+interface VoteRoundOptions {
+    readonly term: number;
+    readonly preVote: boolean;
+    readonly handover: boolean;
+    /** Lives of the other voters, when all have replied that they do not lead. */
+    readonly lives?: ReadonlyMap<HostId, string> | undefined;
+}
+
 export class Elections {
     /** Highest term in the replies to this host's vote requests. */
     private highestTermSeen = 0;
+    /** When this host last replied to a pre-vote of each candidate, on the local clock. */
+    private readonly surveyRepliesMs = new Map<HostId, number>();
 
     public constructor(
         private readonly replica: Replica,
@@ -23,44 +46,59 @@
         private readonly timing: GroupTiming,
         /** True while this host leads and a quorum has replied within the lease time. */
         private readonly hasLease: () => boolean,
+        /** Identifies this run of the process. */
+        private readonly life: string,
     ) {}
 
     /** Grants or denies a vote or pre-vote. */
     public handleVoteRequest(req: VoteRequest): Promise<VoteReply> {
-        return this.replica.exclusive(async () => {
-            const granted = this.canGrantVote(req) && (req.preVote || await this.grantVote(req));
-            return { granted, term: this.replica.term, replica: this.replica.replicaId ?? "" };
+        const { replica } = this;
+        return replica.exclusive(async () => {
+            const isGrantedOnRelease = this.isEligible(req);
+            const mayGrant = isGrantedOnRelease && (req.handover || this.isFree(req));
+            const granted = mayGrant && (req.preVote || await this.grantVote(req));
+            const isLeading = replica.role === "leader";
+            if (req.preVote && !isLeading) {
+                this.surveyRepliesMs.set(req.candidate, this.clock.nowMs());
+            }
+            const { term, replicaId = "" } = replica;
+            return { granted, term, replica: replicaId, isLeading, life: this.life, isGrantedOnRelease };
         });
     }
 
     /** Campaigns once. True when this host has won and leads the replica's current term. */
     public async campaign(handover: boolean, signal: AbortSignal): Promise<boolean> {
         const { replica } = this;
-        const nextTerm = replica.term + 1;
-        if (!handover && !await this.requestVotes(nextTerm, true, false, signal)) {
+        const term = replica.term + 1;
+        const startMs = this.clock.nowMs();
+        const survey = handover ? undefined : await this.requestVotes({ term, preVote: true, handover }, signal);
+        const lives = survey?.lives;
+        if (survey?.isWon === false && lives === undefined) {
             await replica.adoptTerm(this.highestTermSeen);
             return false;
         }
         const isCandidate = await replica.exclusive(async () => {
-            const mayStand = replica.term === nextTerm - 1 && replica.fault === undefined
-                && (handover || !this.hasLeaderContact());
+            const isReleased = lives !== undefined && replica.leaderContactMs <= startMs;
+            const mayStand = replica.term === term - 1 && replica.fault === undefined
+                && (handover || isReleased || !this.hasLeaderContact());
             if (!mayStand || replica.ownMember?.role !== "voter") {
                 return false;
             }
-            if (!await replica.saveVote({ term: nextTerm, votedFor: replica.self })) {
+            if (!await replica.saveVote({ term, votedFor: replica.self })) {
                 return false;
             }
             replica.setRole("candidate", undefined);
             return true;
         });
-        const isElected = isCandidate && await this.requestVotes(nextTerm, false, handover, signal);
+        const isElected = isCandidate
+            && (await this.requestVotes({ term, preVote: false, handover, lives }, signal)).isWon;
         if (!isElected && replica.role === "candidate") {
             replica.setRole(replica.nonLeaderRole(), undefined);
         }
         if (!isElected) {
             await replica.adoptTerm(this.highestTermSeen);
         }
-        if (!isElected || replica.term !== nextTerm || replica.role !== "candidate") {
+        if (!isElected || replica.term !== term || replica.role !== "candidate") {
             return false;
         }
         replica.setRole("leader", replica.self);
@@ -72,19 +110,34 @@
         return this.replica.joined && this.clock.nowMs() - this.replica.leaderContactMs < this.timing.electionMs;
     }
 
-    private canGrantVote(req: VoteRequest): boolean {
+    /** True when term, log and replica id allow a vote for the candidate. */
+    private isEligible(req: VoteRequest): boolean {
         const { replica } = this;
         if (replica.fault !== undefined || replica.replicaId !== req.replica) {
             return false;
         }
-        if (!req.handover && (this.hasLeaderContact() || this.hasLease())) {
-            return false;
-        }
         const { lastTerm, lastIndex } = replica.log;
         const isUpToDate = req.lastTerm > lastTerm || (req.lastTerm === lastTerm && req.lastIndex >= lastIndex);
         return isUpToDate && (req.term > replica.term || (req.term === replica.term && !req.preVote));
     }
 
+    /** True when no leader can rely on this host: it supports no lease, or is released from it. */
+    private isFree(req: VoteRequest): boolean {
+        return !this.hasLease() && (!this.hasLeaderContact() || this.isReleased(req));
+    }
+
+    /** True when the candidate has shown that no lease was in force, and this host has heard from no leader since. */
+    private isReleased({ candidate, release }: VoteRequest): boolean {
+        const { replica } = this;
+        const repliedMs = this.surveyRepliesMs.get(candidate);
+        if (release === undefined || release.life !== this.life || repliedMs === undefined) {
+            return false;
+        }
+        const known = [...replica.voters.map(one => one.host), replica.leader, replica.votedFor];
+        return replica.leaderContactMs < repliedMs
+            && known.every(host => host === undefined || release.surveyed.includes(host));
+    }
+
     private async grantVote(req: VoteRequest): Promise<boolean> {
         const { replica } = this;
         const isVoteFree = req.term > replica.term || replica.votedFor === undefined
@@ -96,53 +149,70 @@
         return isGranted;
     }
 
-    /** Requests votes from all voters in parallel; resolves once a majority has granted them or no longer can. */
-    private async requestVotes(
-        term: number,
-        preVote: boolean,
-        handover: boolean,
-        signal: AbortSignal,
-    ): Promise<boolean> {
+    /**
+     * Requests votes from all voters in parallel. Resolves once a majority has granted them or no longer can; for a
+     * pre-vote, also once all have replied that they do not lead.
+     */
+    private async requestVotes(options: VoteRoundOptions, signal: AbortSignal): Promise<VoteRound> {
         const { replica } = this;
         const others = replica.voters.filter(member => member.host !== replica.self);
         const needed = Math.floor(replica.voters.length / 2) + 1;
+        const lives = new Map<HostId, string>();
         let granted = 1;
+        let grantedOnRelease = 1;
         let outstanding = others.length;
         const replyNotifier = new Notifier(this.clock);
         const decided = new AbortController();
         const collectVote = async (member: Member) => {
-            const isGranted = await this.requestVote(member, term, preVote, handover, decided.signal);
-            granted += isGranted ? 1 : 0;
+            const reply = await this.requestVote(member, options, decided.signal);
+            granted += reply?.granted === true ? 1 : 0;
+            grantedOnRelease += reply?.isGrantedOnRelease === true ? 1 : 0;
             outstanding -= 1;
+            if (reply?.isLeading === false) {
+                lives.set(member.host, reply.life);
+            }
             replyNotifier.notify();
         };
         others.forEach(member => void collectVote(member));
-        while (granted < needed && granted + outstanding >= needed && !signal.aborted) {
+        const maySurveyAll = () => options.preVote && lives.size + outstanding === others.length;
+        const isOpen = () => outstanding > 0 && (granted + outstanding >= needed || maySurveyAll());
+        while (granted < needed && isOpen() && !signal.aborted) {
             await replyNotifier.wait(this.timing.electionMs, signal);
         }
         decided.abort();
-        return granted >= needed;
+        const isReleased = maySurveyAll() && outstanding === 0 && grantedOnRelease >= needed;
+        return { isWon: granted >= needed, lives: isReleased ? lives : undefined };
     }
 
     private async requestVote(
         member: Member,
-        term: number,
-        preVote: boolean,
-        handover: boolean,
+        { term, preVote, handover, lives }: VoteRoundOptions,
         signal: AbortSignal,
-    ): Promise<boolean> {
+    ): Promise<VoteReply | undefined> {
         const { log, self: candidate } = this.replica;
         const { lastIndex, lastTerm } = log;
-        const req = { candidate, replica: member.replica ?? "", term, lastIndex, lastTerm, preVote, handover };
+        const life = lives?.get(member.host);
+        const req = {
+            candidate,
+            replica: member.replica ?? "",
+            term,
+            lastIndex,
+            lastTerm,
+            preVote,
+            handover,
+            ...(lives === undefined || life === undefined
+                ? {}
+                : { release: { life, surveyed: [candidate, ...lives.keys()] } }),
+        };
         const reply = await this.transport.call(member.host, this.methods.vote, req, {
             timeoutMs: this.timing.electionMs / 2,
             signal,
         });
-        return reply.map(answer => {
-            if (answer.replica === req.replica) {
-                this.highestTermSeen = Math.max(this.highestTermSeen, answer.term);
-            }
-            return answer.granted;
-        }).orDefault(false);
+        reply.ifRight(({ replica, term: seen }) => {
+            this.highestTermSeen = replica === req.replica
+                ? Math.max(this.highestTermSeen, seen)
+                : this.highestTermSeen;
+        });
+        return reply.map<VoteReply | undefined>(one => one).orDefault(undefined);
     }
 }
--- a/src/replication/Messages.ts
+++ b/src/replication/Messages.ts
@@ -35,6 +35,16 @@
     preVote: z.boolean(),
     /** True when the leader has asked the candidate to take over. */
     handover: z.boolean(),
+    /**
+     * Set when all voters have replied to the candidate's pre-vote that they do not lead: no lease is in force then, and
+     * a voter need not wait for the end of one that it may have supported.
+     */
+    release: z.object({
+        /** Life of this voter as given in its reply; another life of it may have supported a later leader. */
+        life: z.string(),
+        /** All hosts that have replied, and the candidate. */
+        surveyed: z.array(hostId).readonly(),
+    }).optional(),
 });
 
 const appendRequest = z.object({
@@ -97,6 +107,12 @@
     readonly term: number;
     /** Replica id of the host that replies; empty while its replica is not open. */
     readonly replica: string;
+    /** True while the host that replies leads. */
+    readonly isLeading: boolean;
+    /** Identifies one run of the process that replies. */
+    readonly life: string;
+    /** True when the vote would be granted if no lease could be in force. */
+    readonly isGrantedOnRelease: boolean;
 }
 
 /** Reply to an append or to a part of a snapshot. */
--- a/src/replication/RaftFaults.test.ts
+++ b/src/replication/RaftFaults.test.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../common/Types.js";
 import type { HostId } from "../common/Types.js";
 import { GroupStorage } from "./GroupStorage.js";
+import { GroupMethods } from "./Messages.js";
 import { RemoteLog } from "./RemoteLog.js";
 import type { Json, StateMachine } from "./Types.js";
 
@@ -174,6 +175,74 @@
     await cluster.stopAll();
 });
 
+test("a group whose processes were all restarted elects before an election time has passed", async () => {
+    const cluster = await startThreeHosts();
+    const disks = ["a", "b", "c"].map(name => [name, cluster.crash(name)] as const);
+    disks.forEach(([name, disk]) => cluster.start(name, disk));
+    await cluster.leader(testTiming.electionMs * 0.6);
+    await write(cluster, "second");
+    assert.deepEqual(await assertAgreement(cluster), ["first", "second"]);
+    await cluster.stopAll();
+});
+
+test("the restarted majority of a leader that can't be reached waits until its lease has ended", async () => {
+    const cluster = await startThreeHosts();
+    const old = await cluster.leader();
+    const others = cluster.followersOf(old);
+    cluster.network.isolate(old.id);
+    others.forEach(host => cluster.restart(host.id));
+    for (let waitedMs = 0; waitedMs < testTiming.electionMs - testTiming.clockDriftMs; waitedMs += 50) {
+        const leaders = cluster.up().filter(host => host.raft.status().role === "leader").map(host => host.id);
+        assert.deepEqual(leaders, [old.id], `after ${waitedMs} ms`);
+        await cluster.clock.advance(50);
+    }
+    assert.notEqual((await cluster.leader()).id, old.id);
+    await cluster.stopAll();
+});
+
+const releases: readonly {
+    readonly name: string;
+    readonly surveyed?: readonly string[];
+    readonly life?: string;
+    readonly isGranted: boolean;
+}[] = [
+    { name: "one that names its life and all voters", isGranted: true },
+    { name: "one that names another life of the voter", life: "other", isGranted: false },
+    { name: "one that leaves out a voter", surveyed: ["b", "c"], isGranted: false },
+];
+for (const { name, surveyed = ["a", "b", "c"], life, isGranted } of releases) {
+    test(`a voter that has just started ${isGranted ? "accepts" : "rejects"} a release: ${name}`, async () => {
+        const cluster = await startThreeHosts();
+        ["a", "c"].forEach(host => cluster.crash(host));
+        cluster.restart("b");
+        await cluster.clock.advance(50);
+        const probe = cluster.network.addHost("probe" as HostId);
+        const ask = async (fields: object) => {
+            const req = {
+                candidate: "c" as HostId,
+                replica: "",
+                term: 9,
+                lastIndex: 99,
+                lastTerm: 8,
+                preVote: true,
+                handover: false,
+                ...fields,
+            };
+            const reply = await cluster.settle(
+                probe.call("b" as HostId, new GroupMethods("test").vote, req, { timeoutMs: 500 }),
+            );
+            return reply.unsafeCoerce();
+        };
+        const { replica } = await ask({});
+        const survey = await ask({ replica });
+        assert.deepEqual([survey.granted, survey.isGrantedOnRelease], [false, true]);
+        const release = { life: life ?? survey.life, surveyed: surveyed as HostId[] };
+        const vote = await ask({ replica, preVote: false, release });
+        assert.equal(vote.granted, isGranted);
+        await cluster.stopAll();
+    });
+}
+
 const diskFaults = [
     { name: "a full disk", set: (disk: FakeDisk, isOn: boolean) => disk.isFull = isOn },
     { name: "a failing sync", set: (disk: FakeDisk, isOn: boolean) => disk.failSync = isOn },
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -35,6 +35,11 @@
 const replicaIdChars = 24;
 /** Random part of an election timer, as a share of the election time, so that two hosts seldom campaign at once. */
 const electionSpread = 0.5;
+/** Length of the id of one run of the process, in hex digits. */
+const lifeChars = 12;
+/** Pause before a survey after a start, as a share of the election time, and its random part. */
+const surveyShare = 0.1;
+const surveySpread = 0.2;
 const defaultCompaction: CompactionLimits = { compactEntries: 4096, keepEntries: 1024 };
 
 export interface RaftLogOptions {
@@ -68,6 +73,8 @@
     private readonly log: EventLog;
     private leadership: Leadership | undefined;
     private changer: MemberChanger | undefined;
+    /** When the replica was last opened, on the local clock. */
+    private openedMs = 0;
     /** True when this host is to campaign at once, since the leader asked it to or it has bootstrapped the group. */
     private shouldCampaign = false;
 
@@ -81,7 +88,8 @@
         const { stateMachine, compaction = defaultCompaction } = options;
         this.replica = new Replica(self, storage, stateMachine, compaction, clock);
         const hasLease = () => this.leadership?.hasLease ?? false;
-        this.elections = new Elections(this.replica, this.methods, transport, clock, timing, hasLease);
+        const life = random.hex(lifeChars);
+        this.elections = new Elections(this.replica, this.methods, transport, clock, timing, hasLease, life);
         this.bootstrapper = new GroupBootstrapper(
             this.replica,
             options.initialMembers,
@@ -214,6 +222,7 @@
         const opened = await replica.exclusive(() => replica.open(() => random.hex(replicaIdChars)));
         opened.ifLeft(error => replica.fail(error));
         replica.leaderContactMs = clock.nowMs();
+        this.openedMs = replica.leaderContactMs;
         if (opened.isRight()) {
             this.log.event(EventId.ReplicaOpened, { lastIndex: replica.log.lastIndex, term: replica.term });
         }
@@ -260,9 +269,13 @@
         const startMs = clock.nowMs();
         const retryMs = timing.electionMs * (0.3 + 0.7 * random.next());
         const timeoutMs = timing.electionMs * (1 + electionSpread * random.next());
+        const surveyMs = timing.electionMs * (surveyShare + surveySpread * random.next());
         while (!signal.aborted && replica.fault === undefined && !this.shouldCampaign) {
             const contactMs = Math.max(replica.leaderContactMs, replica.voteGrantedMs);
-            const waitMs = Math.max(startMs + retryMs, contactMs + timeoutMs) - clock.nowMs();
+            const dueMs = this.awaitsFirstLeader()
+                ? startMs + surveyMs
+                : Math.max(startMs + retryMs, contactMs + timeoutMs);
+            const waitMs = dueMs - clock.nowMs();
             if (waitMs <= 0) {
                 return false;
             }
@@ -273,6 +286,16 @@
         return isRequested;
     }
 
+    /**
+     * True after a start until a leader is heard or an election time has passed. Meanwhile this host asks the others
+     * whether any of them leads, since all may have been restarted.
+     */
+    private awaitsFirstLeader(): boolean {
+        const { replica } = this;
+        const { clock, timing } = this.options;
+        return replica.leaderContactMs === this.openedMs && clock.nowMs() - this.openedMs < timing.electionMs;
+    }
+
     private async lead(signal: AbortSignal): Promise<void> {
         const { replica, methods } = this;
         const { transport, clock, timing } = this.options;
