--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -70,7 +70,7 @@
 }));
 
 export default tseslint.config(
-    { ignores: ["out/**", "target/**", "node_modules/**", "*.mjs", "platform/*.mjs"] },
+    { ignores: ["out/**", "target/**", "node_modules/**", "*.mjs", "platform/*.mjs", "platform/*.cjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/src/cli/Timeline.ts
+++ b/src/cli/Timeline.ts
@@ -5,7 +5,7 @@
 import { createReadStream } from "node:fs";
 import { createInterface } from "node:readline";
 import { type Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 
 const entrySchema = z.looseObject({
     hlc: z.string(),
--- a/src/config/ConfigMessages.ts
+++ b/src/config/ConfigMessages.ts
@@ -1,5 +1,5 @@
 /** Peer methods for configuration and leases, with the schemas and types of their messages. */
-import { z } from "zod";
+import * as z from "zod";
 import type { ChangeId, DataCentreId, EndpointId, HostId } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
 import type { LeaderReply } from "../replication/Messages.js";
--- a/src/config/Schema.ts
+++ b/src/config/Schema.ts
@@ -3,7 +3,7 @@
  * milliseconds and sizes in bytes, as the names say. The section `daemon` belongs to one process and is not allowed in
  * a committed document.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { DataCentreId, EndpointId, HostId, ModelId, PipelineId, StageId, WorkspaceId } from "../common/Types.js";
 
 const idText = z.string().regex(
--- a/src/daemon/ConfigRoutes.ts
+++ b/src/daemon/ConfigRoutes.ts
@@ -1,5 +1,5 @@
 /** Operators' routes for the configuration and for the members of the replicated groups. */
-import { z } from "zod";
+import * as z from "zod";
 import { parseChangeId, parseDataCentreId, parseEndpointId, parseHostId } from "../common/Ids.js";
 import type { ConfigOperations } from "../config/ConfigOperations.js";
 import type { OperatorReply, OperatorRequest, OperatorRoute } from "../entry/Types.js";
--- a/src/daemon/JobRoutes.ts
+++ b/src/daemon/JobRoutes.ts
@@ -1,5 +1,5 @@
 /** Operators' routes for jobs: list, show, cancel. */
-import { z } from "zod";
+import * as z from "zod";
 import { parseJobId, parseWorkspaceId } from "../common/Ids.js";
 import type { OperatorReply, OperatorRoute } from "../entry/Types.js";
 import type { JobRecord, Jobs, RecordsError } from "../records/Types.js";
--- a/src/endpoints/HandOver.ts
+++ b/src/endpoints/HandOver.ts
@@ -1,5 +1,5 @@
 /** Message by which an owner hands an endpoint over to the next owner; times are sent as durations. */
-import { z } from "zod";
+import * as z from "zod";
 import type { EndpointId } from "../common/Types.js";
 import { definePeerMethod, type PeerMethod } from "../peer/Types.js";
 import type { HealthRecord } from "./EndpointHealth.js";
--- a/src/endpoints/OwnerEpochs.ts
+++ b/src/endpoints/OwnerEpochs.ts
@@ -5,7 +5,7 @@
  * grant the slots of the former set. A host is named in the set only after it has reported that it follows the epoch,
  * and so has given up its static share. All other hosts keep to their static shares.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock, DataCentreId, HostId } from "../common/Types.js";
 import type { Lease, LeaseService } from "../config/Types.js";
 import type { Membership } from "../membership/Types.js";
--- a/src/endpoints/PlacementService.ts
+++ b/src/endpoints/PlacementService.ts
@@ -2,7 +2,7 @@
  * Runs model placement on the host that issues a data centre's orders: reads the engines' states and the demand, and
  * issues the planned orders. Model loads are limited to the throughput of the weight store.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock, EndpointId, HostId, ModelId } from "../common/Types.js";
 import type { ConfigSource, ConfigView } from "../config/Types.js";
 import type { Membership } from "../membership/Types.js";
--- a/src/endpoints/SlotMessages.ts
+++ b/src/endpoints/SlotMessages.ts
@@ -5,7 +5,7 @@
  * `exchange` the holder declares the number of slots that it won't exceed (`held`) until the answer to this message, or
  * a later push for it, allows a different number. The owner counts the larger of the declared and the granted number.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { EndpointId, HostId } from "../common/Types.js";
 import { definePeerMethod, type PeerMethod } from "../peer/Types.js";
 import type { EndpointState, HolderIdentity } from "./Types.js";
--- a/src/endpoints/Wire.ts
+++ b/src/endpoints/Wire.ts
@@ -12,7 +12,7 @@
  *   200 done, 409 outdated fencing number, 503 refused. `GET /v1/state` returns {@link engineStateSchema}.
  * - `POST /v1/cache/export` {blocks} and `POST /v1/cache/import` {blocks} move parts of a KV cache.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const stageCallSchema = z.object({
     request: z.string(),
--- a/src/entry/JobApi.ts
+++ b/src/entry/JobApi.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import type * as http from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJobId } from "../common/Ids.js";
 import type { Failure } from "../common/Outcome.js";
 import { readJsonBody } from "../common/RequestBody.js";
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -1,7 +1,7 @@
 /** Messages from entry hosts to control hosts, and between control hosts. */
 import { createHash } from "node:crypto";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import { z } from "zod";
+import * as z from "zod";
 import type { DataCentreId, HostId, Incarnation } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
 import type { ListedEndpoint } from "./Types.js";
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -3,7 +3,7 @@
  * the crash marks: when endpoints crashed while running a request. The highest version wins; a configuration with the
  * same or a lower version changes nothing.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Json, StateMachine } from "../replication/Types.js";
 
 /** Number of crashes within {@link crashWindowMs} after which a request is not sent to endpoints again. */
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the hosts that submit pieces and the gatherer of a cell. */
-import { z } from "zod";
+import * as z from "zod";
 import type { DataCentreId, EndpointId } from "../common/Types.js";
 import type { ServiceId } from "../fleet/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
--- a/src/membership/HeartbeatMembership.ts
+++ b/src/membership/HeartbeatMembership.ts
@@ -4,7 +4,7 @@
  * heartbeats, so that two hosts with a one-way cut between them agree that they can't reach each other.
  */
 import { setMaxListeners } from "node:events";
-import { z } from "zod";
+import * as z from "zod";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, DataCentreId, Event, HostId, Incarnation } from "../common/Types.js";
 import type { TimingSettings } from "../config/Schema.js";
--- a/src/membership/HttpPlatformList.ts
+++ b/src/membership/HttpPlatformList.ts
@@ -1,6 +1,6 @@
 /** Polls the platform's list of hosts and endpoints over HTTP. */
 import { get } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, Event } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
--- a/src/peer/TrpcPeer.test.ts
+++ b/src/peer/TrpcPeer.test.ts
@@ -3,7 +3,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import { z } from "zod";
+import * as z from "zod";
 import { MemoryLog, MemoryMetrics } from "../../testing/MemoryLog.js";
 import { parseHostId } from "../common/Ids.js";
 import { SystemClock } from "../common/SystemClock.js";
--- a/src/records/Commands.ts
+++ b/src/records/Commands.ts
@@ -2,7 +2,7 @@
  * Commands and replies of the records' state machine. A command is an envelope (the sender's session and the group time
  * that it has seen) around a body. Bodies are idempotent: applying one twice, or late, has no further effect.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { HostId, JobId, PipelineId, RequestId, WorkspaceId } from "../common/Types.js";
 import type { Json } from "../replication/Types.js";
 import type { JobRecord, RecordedOutcome } from "./Types.js";
--- a/src/records/PeerMarkAnnouncer.ts
+++ b/src/records/PeerMarkAnnouncer.ts
@@ -2,7 +2,7 @@
  * Sends a crash mark to the other hosts as soon as it is committed, so that a request that is resent through another
  * host is recognized there. Crashes are rare; hosts that can't be reached get the mark from the group later.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Emitter } from "../common/Emitter.js";
 import type { Event, HostId } from "../common/Types.js";
 import { definePeerMethod, type PeerRegistry, type PeerTransport } from "../peer/Types.js";
--- a/src/records/RecordsUpdates.ts
+++ b/src/records/RecordsUpdates.ts
@@ -2,7 +2,7 @@
  * Updates about queued jobs, job holders and crash marks for hosts without a replica, by long polling from a host with
  * one. Updates don't go through the log, so that the group commits nothing while it is idle.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, Event, HostId } from "../common/Types.js";
 import { definePeerMethod, type PeerRegistry, type PeerTransport } from "../peer/Types.js";
--- a/src/replication/Messages.ts
+++ b/src/replication/Messages.ts
@@ -2,7 +2,7 @@
  * Messages between the hosts of a group. The methods of a group contain its name, so that several groups can share one
  * registry.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { HostId } from "../common/Types.js";
 import { definePeerMethod, type PeerTransport } from "../peer/Types.js";
 import type { GroupMembers, GroupStatus, Json, LogEntry, Member } from "./Types.js";
--- a/src/routing/HttpCacheSource.ts
+++ b/src/routing/HttpCacheSource.ts
@@ -1,5 +1,5 @@
 /** Reads cache events of engines and moves blocks between their KV caches, over HTTP. */
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import { requestText } from "../endpoints/RequestText.js";
--- a/src/telemetry/MetricsRegistry.ts
+++ b/src/telemetry/MetricsRegistry.ts
@@ -2,7 +2,9 @@
  * Metrics of one daemon: counters and gauges by prom-client, latencies by hdr-histogram-js. Latencies are exported as
  * summaries with fixed percentiles, since the histograms are more precise than Prometheus buckets would be.
  */
-import * as hdr from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The package's index also loads its log writer, which sets up number formats of the locale when it is loaded.
+import int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
 import { Counter, Gauge, Registry } from "prom-client";
 import type { Labels, Metrics } from "./Types.js";
 
@@ -10,10 +12,14 @@
 /** Latencies are recorded in units of 0.01 ms. */
 const unitsPerMs = 100;
 const prefix = "fireflykeel_";
+/** Resolution and initial range of latency histograms, in recorded units. */
+const lowestValue = 1;
+const initialHighestValue = 2;
+const significantDigits = 2;
 
 interface LatencySeries {
     readonly labels: Labels;
-    readonly histogram: hdr.Histogram;
+    readonly histogram: Histogram;
     sumMs: number;
 }
 
@@ -64,7 +70,7 @@
         const key = formatLabels(labels);
         const series = byLabels.get(key) ?? {
             labels,
-            histogram: hdr.build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: 2 }),
+            histogram: newHistogram(),
             sumMs: 0,
         };
         byLabels.set(key, series);
@@ -108,3 +114,10 @@
     const total = `${name}_count${braces} ${series.histogram.totalCount}\n`;
     return quantiles.join("") + sum + total;
 }
+
+/** A histogram that grows with its values. */
+function newHistogram(): Histogram {
+    const histogram = new int32Histogram.default(lowestValue, initialHighestValue, significantDigits);
+    histogram.autoResize = true;
+    return histogram;
+}
--- a/standin/StandInPlatform.ts
+++ b/standin/StandInPlatform.ts
@@ -4,7 +4,7 @@
  * changes the list and its lag.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { Clock } from "../src/common/Types.js";
 import { sendJson, StandInHttpServer } from "./StandInHttpServer.js";
--- a/standin/Types.ts
+++ b/standin/Types.ts
@@ -1,5 +1,5 @@
 /** Options of stand-in endpoints, and the messages of their control path. */
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock } from "../src/common/Types.js";
 import type { EndpointKind } from "../src/endpoints/Types.js";
 
