Fleet: control hosts send changes of lists, and nothing is ranked or hashed anew without a change

Cause: each held poll of each entry host sorted and hashed all hosts at each notification, each join, stop or silence sent the whole list of hosts to all, a change of one endpoint the whole list of endpoints, and each new view ranked all hosts for each cell again: all of it grows with hosts squared. Change: ListVersions keeps recent versions of a list and sends what a holder lacks. EntryHostRegistry publishes a version only when a host joins, restarts, stops or falls silent; control hosts tell the leader only of hosts that have contacted them since. Orders of hosts are kept until a host joins or is removed, the senders to cold endpoints until the list changes.

--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -10,8 +10,9 @@
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
-import { decompressText, fleetMethods, type HeldTags, type SyncReply } from "./FleetMessages.js";
-import { isLive } from "./FleetPublisher.js";
+import { hostOf, isLive } from "./EntryHostRegistry.js";
+import { decompressText, type EntryHostStatus, fleetMethods, type HeldTags, type SyncReply } from "./FleetMessages.js";
+import { applyPart } from "./ListVersions.js";
 import type { DeploymentDecoder, FleetSource, FleetView } from "./Types.js";
 
 /** How long a control host may hold back its reply; bounds the view's age while nothing changes. */
@@ -54,6 +55,8 @@
     private readonly changes = new Emitter<FleetView>();
     public readonly onChange = this.changes.event;
     private current = emptyView;
+    /** Entry hosts with their status as of the message in which it last changed. */
+    private entryHosts: readonly EntryHostStatus[] = [];
     private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "" };
     /** Time until which the view is known to have been the latest, on the local clock. */
     private confirmedUntilMs = -Infinity;
@@ -128,7 +131,7 @@
             this.lostControl = undefined;
         }
         const answer = reply.unsafeCoerce();
-        this.applyReply(answer);
+        const isViewChanged = this.applyReply(answer);
         if (answer.ageMs !== undefined) {
             this.confirmedUntilMs = Math.max(this.confirmedUntilMs, sentMs + answer.heldMs - answer.ageMs);
         }
@@ -136,27 +139,21 @@
             await clock.sleep(retryPauseMs, signal);
             return false;
         }
+        if (!isViewChanged && answer.heldMs < req.waitMs / 2) {
+            // The control host has something that this host can't apply, such as an older list of endpoints.
+            await clock.sleep(retryPauseMs, signal);
+        }
         return true;
     }
 
-    private applyReply(reply: SyncReply): void {
+    /** Applies a reply; returns true when the view has changed. */
+    private applyReply(reply: SyncReply): boolean {
         const before = this.current;
         this.controls = reply.controls;
         this.applyConfig(reply);
         this.applyEndpoints(reply);
-        const { hosts, marks } = reply;
-        if (hosts !== undefined) {
-            this.heldTags = { ...this.heldTags, hosts: hosts.tag };
-            this.current = {
-                ...this.current,
-                hosts: hosts.hosts.map(one => ({
-                    host: one.host,
-                    dataCentre: one.dataCentre,
-                    incarnation: one.incarnation,
-                    isLive: isLive(one),
-                })),
-            };
-        }
+        this.applyHosts(reply);
+        const { marks } = reply;
         if (marks !== undefined) {
             this.heldTags = { ...this.heldTags, marks: marks.tag };
             this.current = {
@@ -169,6 +166,7 @@
             this.logChange(reply);
             this.changes.fire(this.current);
         }
+        return this.current !== before;
     }
 
     private applyConfig({ config }: SyncReply): void {
@@ -192,14 +190,38 @@
         });
     }
 
-    private applyEndpoints({ endpoints }: SyncReply): void {
+    private applyHosts({ hosts: part }: SyncReply): void {
+        if (part === undefined) {
+            return;
+        }
+        const known = applyPart(this.entryHosts, this.heldTags.hosts, part, hostOf);
+        this.heldTags = { ...this.heldTags, hosts: known === undefined ? "" : part.tag };
+        if (known !== undefined) {
+            this.entryHosts = known;
+            const hosts = known.map(one => ({
+                host: one.host,
+                dataCentre: one.dataCentre,
+                incarnation: one.incarnation,
+                isLive: isLive(one),
+            }));
+            this.current = { ...this.current, hosts };
+        }
+    }
+
+    private applyEndpoints({ endpoints: aged }: SyncReply): void {
         const { clock } = this.options;
-        if (endpoints !== undefined && endpoints.ageMs >= 0) {
-            const endpointsReadMs = clock.nowMs() - endpoints.ageMs;
-            if (endpointsReadMs > this.current.endpointsReadMs || this.heldTags.endpoints === "") {
-                this.heldTags = { ...this.heldTags, endpoints: endpoints.tag };
-                this.current = { ...this.current, endpoints: endpoints.endpoints, endpointsReadMs };
-            }
+        if (aged === undefined || aged.ageMs < 0) {
+            return;
+        }
+        const endpointsReadMs = clock.nowMs() - aged.ageMs;
+        const isNewer = endpointsReadMs > this.current.endpointsReadMs || this.heldTags.endpoints === "";
+        const endpoints = applyPart(this.current.endpoints, this.heldTags.endpoints, aged.part, ({ id }) => id);
+        if (endpoints === undefined) {
+            this.heldTags = { ...this.heldTags, endpoints: "" };
+        }
+        else if (isNewer) {
+            this.heldTags = { ...this.heldTags, endpoints: aged.part.tag };
+            this.current = { ...this.current, endpoints, endpointsReadMs };
         }
     }
 
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -4,6 +4,7 @@
 import * as z from "zod";
 import type { DataCentreId, HostId, Incarnation } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
+import type { ListPart } from "./ListVersions.js";
 import type { ListedEndpoint } from "./Types.js";
 
 const hostId = z.string() as unknown as z.ZodType<HostId>;
@@ -43,7 +44,8 @@
 
 const leaderSyncRequest = z.object({
     control: hostId,
-    hosts: z.array(entryHostStatus),
+    /** Hosts that have contacted the control host since its last exchange. */
+    hosts: z.array(entryHostStatus).readonly(),
     /** Tag of the list that the control host holds; the reply leaves out an equal list. */
     endpointsTag: z.string(),
 });
@@ -63,6 +65,12 @@
     readonly ageMs: number;
 }
 
+/** The list of endpoints, or its changes, with the age of the list when the message was sent. */
+export interface AgedEndpointsPart {
+    readonly part: ListPart<ListedEndpoint>;
+    readonly ageMs: number;
+}
+
 export interface SyncReply {
     /** Time since the control host's state was known to be the latest; undefined when it never was. */
     readonly ageMs: number | undefined;
@@ -72,10 +80,10 @@
     readonly controls: readonly HostId[];
     /** The configuration, compressed by {@link compressText}. */
     readonly config?: { readonly version: number; readonly packed: string; };
-    readonly endpoints?: AgedEndpoints;
+    readonly endpoints?: AgedEndpointsPart;
     /** Age of the control host's list, also when the list is left out; -1 when there is none. */
     readonly endpointsAgeMs: number;
-    readonly hosts?: { readonly tag: string; readonly hosts: readonly EntryHostStatus[]; };
+    readonly hosts?: ListPart<EntryHostStatus>;
     /** Data centres taken out of use and fingerprints of quarantined requests. */
     readonly marks?: {
         readonly tag: string;
@@ -90,6 +98,7 @@
         readonly kind: "board";
         /** A host that has applied this entry held the latest state as of its request. */
         readonly commitIndex: number;
+        /** All known hosts other than those of the request. */
         readonly hosts: readonly EntryHostStatus[];
         readonly endpoints?: AgedEndpoints;
         readonly endpointsAgeMs: number;
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -13,9 +13,7 @@
 import type { EndpointListReader } from "./EndpointListReader.js";
 import { EntryHostRegistry } from "./EntryHostRegistry.js";
 import {
-    type AgedEndpoints,
     compressText,
-    type EntryHostStatus,
     fleetMethods,
     type HeldTags,
     type LeaderSyncReply,
@@ -25,6 +23,8 @@
     tagOf,
 } from "./FleetMessages.js";
 import type { FleetState } from "./FleetState.js";
+import { ListVersions } from "./ListVersions.js";
+import type { ListedEndpoint } from "./Types.js";
 
 /** Interval of the exchanges with the leader; a small part of the time limit for applying a change. */
 const exchangeIntervalMs = 300;
@@ -35,14 +35,6 @@
 /** Time limit for committing crash marks. */
 const markTimeoutMs = 2000;
 
-/** The published state at one moment, with the tags by which entry hosts identify the parts that they hold. */
-interface FleetSnapshot {
-    readonly endpoints: AgedEndpoints;
-    readonly hosts: readonly EntryHostStatus[];
-    readonly marks: Pick<FleetState, "dataCentresOut" | "quarantined">;
-    readonly tags: HeldTags;
-}
-
 interface FleetPublisherOptions {
     readonly self: HostId;
     readonly log: RaftLog;
@@ -62,6 +54,9 @@
     /** Name in logs; "board" stands for the state that control hosts collect and publish. */
     public readonly name = "fleet-board";
     private readonly entryHosts: EntryHostRegistry;
+    private readonly endpointVersions = new ListVersions<ListedEndpoint>(idOf, endpoint => JSON.stringify(endpoint));
+    /** Tag of the crash marks and data centres out of use, as of an applied index. */
+    private markedAt: { readonly appliedIndex: number; readonly tag: string; } | undefined;
     private readonly changes: Notifier;
     /** Wakes the exchange when the leader has changed. */
     private readonly roleChanges: Notifier;
@@ -123,10 +118,12 @@
             return false;
         }
         const endpointsTag = reader().current().tag;
-        const req = { control: self, hosts: this.entryHosts.list(), endpointsTag };
+        const hosts = this.entryHosts.takeDirect();
+        const req = { control: self, hosts, endpointsTag };
         const reply = await transport.call(leader, fleetMethods.board, req, { timeoutMs: exchangeTimeoutMs });
         const leaderReply = reply.orDefault({ kind: "not-leader" });
         if (leaderReply.kind === "not-leader") {
+            this.entryHosts.returnDirect(hosts);
             return false;
         }
         leaderReply.hosts.forEach(host => this.entryHosts.record(host));
@@ -151,7 +148,7 @@
         return read === undefined || read.isLeft() ? { kind: "not-leader" } : {
             kind: "board",
             commitIndex: read.unsafeCoerce(),
-            hosts: this.entryHosts.list(),
+            hosts: this.entryHosts.others(req.hosts),
             ...(req.endpointsTag === reader().current().tag ? {} : { endpoints: reader().current() }),
             endpointsAgeMs: reader().current().ageMs,
         };
@@ -163,19 +160,19 @@
     private async handleSync(req: SyncRequest): Promise<SyncReply> {
         const { clock, metrics } = this.options;
         const { host, dataCentre, incarnation, isLeaving } = req;
-        this.entryHosts.record({ host, dataCentre, incarnation, isLeaving, silentMs: 0 });
+        this.entryHosts.recordContact({ host, dataCentre, incarnation, isLeaving });
         if (req.crashes.length > 0) {
             void this.markCrashes(req.crashes);
         }
         metrics.count("syncs");
         const startMs = clock.nowMs();
         const untilMs = startMs + Math.min(req.waitMs, maxHoldMs);
-        let snapshot = this.snapshot();
-        while (!hasChanges(snapshot, req) && clock.nowMs() < untilMs) {
+        let tags = this.tags();
+        while (!hasChanges(tags, req) && clock.nowMs() < untilMs) {
             await this.changes.wait(untilMs - clock.nowMs());
-            snapshot = this.snapshot();
+            tags = this.tags();
         }
-        return this.replyTo(req, snapshot, clock.nowMs() - startMs);
+        return this.replyTo(req, tags, clock.nowMs() - startMs);
     }
 
     private async markCrashes(fingerprints: readonly string[]): Promise<void> {
@@ -185,40 +182,39 @@
         marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, fingerprints }));
     }
 
-    /** The current state with the tags of its parts. */
-    private snapshot(): FleetSnapshot {
+    /** Tags of the parts of the current state. */
+    private tags(): HeldTags {
         const { state, reader } = this.options;
-        const { dataCentresOut, quarantined } = state;
-        const endpoints = reader().current();
-        const hosts = this.entryHosts.list();
-        return {
-            endpoints,
-            hosts,
-            marks: { dataCentresOut, quarantined },
-            tags: {
-                config: state.version,
-                endpoints: endpoints.tag,
-                // Changes when a host joins, leaves or becomes silent, not with every call of a host.
-                hosts: tagOf(hosts.map(one => [one.host, one.incarnation, isLive(one)])),
-                marks: tagOf([dataCentresOut, quarantined]),
-            },
-        };
+        const { tag, endpoints } = reader().current();
+        this.endpointVersions.add(tag, endpoints);
+        return { config: state.version, endpoints: tag, hosts: this.entryHosts.tag, marks: this.marksTag() };
     }
 
-    private replyTo(
-        { held }: SyncRequest,
-        { endpoints, hosts, marks, tags }: FleetSnapshot,
-        heldMs: number,
-    ): SyncReply {
+    /** Tag of the data centres taken out of use and the quarantined requests, which change only with the log. */
+    private marksTag(): string {
+        const { state, log } = this.options;
+        const { appliedIndex } = log.status();
+        if (this.markedAt?.appliedIndex !== appliedIndex) {
+            this.markedAt = { appliedIndex, tag: tagOf([state.dataCentresOut, state.quarantined]) };
+        }
+        return this.markedAt.tag;
+    }
+
+    private replyTo({ held }: SyncRequest, tags: HeldTags, heldMs: number): SyncReply {
+        const { state, reader, controls } = this.options;
+        const { dataCentresOut, quarantined } = state;
+        const { ageMs } = reader().current();
         return {
             ageMs: this.ageMs,
             heldMs,
-            controls: this.options.controls(),
-            endpointsAgeMs: endpoints.ageMs,
+            controls: controls(),
+            endpointsAgeMs: ageMs,
             ...(tags.config > held.config ? { config: this.compressedConfig() } : {}),
-            ...(tags.endpoints === held.endpoints ? {} : { endpoints }),
-            ...(tags.hosts === held.hosts ? {} : { hosts: { tag: tags.hosts, hosts } }),
-            ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, ...marks } }),
+            ...(tags.endpoints === held.endpoints
+                ? {}
+                : { endpoints: { part: this.endpointVersions.since(held.endpoints), ageMs } }),
+            ...(tags.hosts === held.hosts ? {} : { hosts: this.entryHosts.since(held.hosts) }),
+            ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, dataCentresOut, quarantined } }),
         };
     }
 
@@ -240,17 +236,13 @@
     }
 }
 
-function hasChanges({ tags }: FleetSnapshot, { held }: SyncRequest): boolean {
+function hasChanges(tags: HeldTags, { held }: SyncRequest): boolean {
     return tags.config > held.config
         || tags.endpoints !== held.endpoints
         || tags.marks !== held.marks
         || tags.hosts !== held.hosts;
 }
 
-/** True while other hosts may send work to the host. */
-export function isLive({ silentMs, isLeaving }: EntryHostStatus): boolean {
-    return silentMs < maxSilenceMs && !isLeaving;
+function idOf({ id }: ListedEndpoint): string {
+    return id;
 }
-
-/** An entry host that has been silent for this long counts as gone; it sends a request about once a second. */
-const maxSilenceMs = 2500;
--- a/src/gateway/FleetQuotas.ts
+++ b/src/gateway/FleetQuotas.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import { rankByWeight } from "../endpoints/Rendezvous.js";
-import type { FleetBounds, FleetSource, Service, ServiceId } from "../fleet/Types.js";
+import type { EntryHost, FleetBounds, FleetSource, Service, ServiceId } from "../fleet/Types.js";
 
 /** Number of hosts that may have joined without being known here yet. */
 const reserveHosts = 2;
@@ -61,6 +61,8 @@
  */
 export class ColdStartQuota {
     private readonly lastSentMs = new Map<EndpointId, number>();
+    private readonly senders = new Map<EndpointId, readonly HostId[]>();
+    private hosts: readonly EntryHost[] = [];
 
     public constructor(
         private readonly self: HostId,
@@ -71,8 +73,7 @@
 
     /** True when this host may send a request to a cold endpoint now; the caller then calls {@link recordSend}. */
     public maySend(endpoint: EndpointId, service: Service): boolean {
-        const hosts = this.fleet.view().hosts.map(one => one.host);
-        const senders = rankByWeight(endpoint, hosts).slice(0, maxColdSenders);
+        const senders = this.sendersTo(endpoint);
         if (!senders.includes(this.self)) {
             return false;
         }
@@ -86,4 +87,17 @@
     public recordSend(endpoint: EndpointId): void {
         this.lastSentMs.set(endpoint, this.clock.nowMs());
     }
+
+    /** The hosts that may send to a cold endpoint; worked out again only when the list of hosts has changed. */
+    private sendersTo(endpoint: EndpointId): readonly HostId[] {
+        const { hosts } = this.fleet.view();
+        if (hosts !== this.hosts) {
+            this.hosts = hosts;
+            this.senders.clear();
+        }
+        const known = this.senders.get(endpoint)
+            ?? rankByWeight(endpoint, hosts.map(one => one.host)).slice(0, maxColdSenders);
+        this.senders.set(endpoint, known);
+        return known;
+    }
 }
--- a/src/gather/Cells.ts
+++ b/src/gather/Cells.ts
@@ -27,9 +27,8 @@
     private readonly byId = new Map<CellId, Cell>();
     private readonly byService = new Map<ServiceId, Cell[]>();
     private readonly cellOfEndpoint = new Map<EndpointId, CellId>();
-    private readonly rankedByCell = new Map<CellId, readonly HostId[]>();
 
-    public constructor(private readonly view: FleetView) {
+    public constructor(private readonly view: FleetView, private readonly ranks: HostRanks = new HostRanks()) {
         const services = new Map<ServiceId, ListedEndpoint[]>();
         for (const endpoint of view.endpoints) {
             const known = services.get(endpoint.service);
@@ -65,18 +64,7 @@
      * each group in rendezvous order.
      */
     public rankedGatherers(id: CellId): readonly HostId[] {
-        const known = this.rankedByCell.get(id) ?? this.rankGatherers(id);
-        this.rankedByCell.set(id, known);
-        return known;
-    }
-
-    private rankGatherers(id: CellId): readonly HostId[] {
-        const centre = this.byId.get(id)?.dataCentre;
-        const live = this.view.hosts.filter(one => one.isLive);
-        const isNear = (one: EntryHost) => centre === undefined || one.dataCentre === centre;
-        const near = live.filter(isNear).map(one => one.host);
-        const far = live.filter(one => !isNear(one)).map(one => one.host);
-        return [...rankByWeight(id, near), ...rankByWeight(id, far)];
+        return this.ranks.live(id, this.byId.get(id)?.dataCentre, this.view.hosts);
     }
 
     /** Endpoints of a cell that may receive calls: not leaving, and in a data centre that is in use. */
@@ -120,16 +108,64 @@
     }
 }
 
+/**
+ * Hosts in their order for each cell. The order of all hosts is kept until a host joins or is removed, so that a change
+ * of endpoints, or of which hosts are live, ranks nothing anew.
+ */
+class HostRanks {
+    private readonly ranked = new Map<CellId, readonly HostId[]>();
+    private readonly liveRanked = new Map<CellId, readonly HostId[]>();
+    private hosts: readonly EntryHost[] = [];
+    private ids = "";
+    private liveIds: ReadonlySet<HostId> = new Set();
+
+    /** Live hosts in the order for a cell: those in its data centre first. */
+    public live(cell: CellId, centre: DataCentreId | undefined, hosts: readonly EntryHost[]): readonly HostId[] {
+        this.setHosts(hosts);
+        const known = this.liveRanked.get(cell) ?? this.rank(cell, centre).filter(host => this.liveIds.has(host));
+        this.liveRanked.set(cell, known);
+        return known;
+    }
+
+    private setHosts(hosts: readonly EntryHost[]): void {
+        if (hosts === this.hosts) {
+            return;
+        }
+        this.hosts = hosts;
+        this.liveIds = new Set(hosts.filter(one => one.isLive).map(one => one.host));
+        this.liveRanked.clear();
+        const ids = hosts.map(one => one.host).join(" ");
+        if (ids !== this.ids) {
+            this.ids = ids;
+            this.ranked.clear();
+        }
+    }
+
+    private rank(cell: CellId, centre: DataCentreId | undefined): readonly HostId[] {
+        const known = this.ranked.get(cell);
+        if (known !== undefined) {
+            return known;
+        }
+        const isNear = (one: EntryHost) => centre === undefined || one.dataCentre === centre;
+        const near = this.hosts.filter(isNear).map(one => one.host);
+        const far = this.hosts.filter(one => !isNear(one)).map(one => one.host);
+        const ranked = [...rankByWeight(cell, near), ...rankByWeight(cell, far)];
+        this.ranked.set(cell, ranked);
+        return ranked;
+    }
+}
+
 /** Caches the cells of the current view and rebuilds them when the view changes. */
 export class CellCache {
     private cached: { readonly view: FleetView; readonly cells: Cells; } | undefined;
+    private readonly ranks = new HostRanks();
 
     public constructor(private readonly view: () => FleetView) {}
 
     public current(): Cells {
         const view = this.view();
         if (this.cached?.view !== view) {
-            this.cached = { view, cells: new Cells(view) };
+            this.cached = { view, cells: new Cells(view, this.ranks) };
         }
         return this.cached.cells;
     }
