Fleet: hosts of a data centre share their time-outs towards a data centre that is cut off

Cause: each host had to meet two time-outs of its own, and forgot them after 1.5 s. With 195 hosts and about one request a second each, nearly every request that is first sent into a cut data centre waits for a connect timeout. Change: a host reports a time-out in a data centre that is otherwise quiet to its control host; control hosts pass the reports on with their exchange. When two hosts of a data centre name two endpoints of another one, all hosts beside them avoid it for 2.5 s: its endpoints, its cells and its gatherers. A host that has just reached it says so, which ends the belief; a single silent endpoint is no cut.

--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -7,7 +7,8 @@
 import { FakeDisk } from "../../testing/FakeDisk.js";
 import { FleetCluster } from "../../testing/FleetCluster.js";
 import { listed } from "../../testing/FleetFixtures.js";
-import type { HostId } from "../common/Types.js";
+import type { DataCentreId, HostId } from "../common/Types.js";
+import type { FleetClient } from "./FleetClient.js";
 
 const names = ["c1", "c2", "c3"];
 
@@ -187,3 +188,24 @@
     assert.equal(entry.view().quarantined.size, 0);
     await fleet.stopAll();
 });
+
+test("a data centre that two hosts can't reach is told to all hosts beside them, until one of them reaches it", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const near = ["h1", "h2", "h3"].map(name => fleet.startEntry(name));
+    const far = fleet.startEntry("h4", "b");
+    await fleet.clock.advance(2000);
+    const endpoint = (name: string) => listed(name, { dataCentre: "z" as DataCentreId });
+    const told = (entry: FleetClient) => [...entry.view().cutOff];
+    near[0]!.reportReach(endpoint("e1"), false);
+    await fleet.clock.advance(1000);
+    assert.deepEqual(near.map(told), [[], [], []], "one host is not enough");
+    near[1]!.reportReach(endpoint("e2"), false);
+    await fleet.clock.advance(1000);
+    assert.deepEqual(near.map(told), [["z"], ["z"], ["z"]]);
+    assert.deepEqual(told(far), []);
+    near[2]!.reportReach(endpoint("e3"), true);
+    await fleet.clock.advance(1000);
+    assert.deepEqual(near.map(told), [[], [], []]);
+    await fleet.stopAll();
+});
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -10,10 +10,11 @@
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { CutReport } from "./CutReports.js";
 import { hostOf, isLive } from "./EntryHostRegistry.js";
 import { decompressText, type EntryHostStatus, fleetMethods, type HeldTags, type SyncReply } from "./FleetMessages.js";
 import { applyPart } from "./ListVersions.js";
-import type { DeploymentDecoder, FleetSource, FleetView } from "./Types.js";
+import type { DeploymentDecoder, FleetSource, FleetView, ListedEndpoint } from "./Types.js";
 
 /** How long a control host may hold back its reply; bounds the view's age while nothing changes. */
 const pollWaitMs = 500;
@@ -23,6 +24,8 @@
 const maxStateAgeMs = 1500;
 /** Pause after all control hosts have been tried without success. */
 const retryPauseMs = 100;
+/** Interval between two reports of this host that a data centre was reached, or was not. */
+const reachReportIntervalMs = 300;
 
 /** The view before the first reply of a control host. */
 export const emptyView: FleetView = {
@@ -32,6 +35,7 @@
     hosts: [],
     dataCentresOut: new Set(),
     quarantined: new Set(),
+    cutOff: new Set(),
 };
 
 interface FleetClientOptions {
@@ -57,11 +61,13 @@
     private current = emptyView;
     /** Entry hosts with their status as of the message in which it last changed. */
     private entryHosts: readonly EntryHostStatus[] = [];
-    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "" };
+    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "", cuts: "" };
     /** Time until which the view is known to have been the latest, on the local clock. */
     private confirmedUntilMs = -Infinity;
     /** Control hosts that the last reply named. */
     private controls: readonly HostId[] = [];
+    /** When this host last reported on each data centre, on the local clock. */
+    private readonly reportedMs = new Map<string, number>();
     /** Fingerprints of crash reports that no control host has acknowledged. */
     private unreportedCrashes: string[] = [];
     /** Index of the control host to poll, modulo the number of candidates. */
@@ -83,10 +89,23 @@
         this.unreportedCrashes.push(fingerprint);
     }
 
+    public reportReach(
+        { id: endpoint, dataCentre: to }: Pick<ListedEndpoint, "id" | "dataCentre">,
+        isReached: boolean,
+    ) {
+        const { self: host, dataCentre: from, clock } = this.options;
+        const key = `${to} ${isReached}`;
+        const isDue = clock.nowMs() - (this.reportedMs.get(key) ?? -Infinity) >= reachReportIntervalMs;
+        if (to !== from && isDue) {
+            this.reportedMs.set(key, clock.nowMs());
+            void this.sendReachReport({ host, from, to, endpoint, isReached, ageMs: 0 });
+        }
+    }
+
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const candidates = this.candidates();
-            const control = candidates[this.candidateIndex % Math.max(1, candidates.length)];
+            const control = this.currentControl();
             const isServed = control !== undefined && await this.poll(control, signal);
             if (!isServed) {
                 this.candidateIndex += 1;
@@ -97,6 +116,21 @@
         }
     }
 
+    private async sendReachReport(report: CutReport): Promise<void> {
+        const { transport, metrics } = this.options;
+        const control = this.currentControl();
+        const options = { timeoutMs: replyMarginMs };
+        const sent = control === undefined
+            ? undefined
+            : await transport.call(control, fleetMethods.cut, report, options);
+        metrics.count("reach_reports", { outcome: sent?.isRight() === true ? "sent" : "lost" });
+    }
+
+    private currentControl(): HostId | undefined {
+        const candidates = this.candidates();
+        return candidates[this.candidateIndex % Math.max(1, candidates.length)];
+    }
+
     /** Control hosts in rendezvous order, so that entry hosts are spread over them. */
     private candidates(): readonly HostId[] {
         const known = this.controls.length > 0 ? [...this.controls, ...this.options.seeds()] : this.options.seeds();
@@ -153,7 +187,7 @@
         this.applyConfig(reply);
         this.applyEndpoints(reply);
         this.applyHosts(reply);
-        const { marks } = reply;
+        const { marks, cuts } = reply;
         if (marks !== undefined) {
             this.heldTags = { ...this.heldTags, marks: marks.tag };
             this.current = {
@@ -162,6 +196,10 @@
                 quarantined: new Set(marks.quarantined),
             };
         }
+        if (cuts !== undefined) {
+            this.heldTags = { ...this.heldTags, cuts: cuts.tag };
+            this.current = { ...this.current, cutOff: new Set(cuts.cutOff) };
+        }
         if (this.current !== before) {
             this.logChange(reply);
             this.changes.fire(this.current);
@@ -226,13 +264,14 @@
     }
 
     private logChange(reply: SyncReply): void {
-        const { deployment, endpoints, hosts, dataCentresOut } = this.current;
+        const { deployment, endpoints, hosts, dataCentresOut, cutOff } = this.current;
         this.options.log.event(EventId.FleetViewChanged, {
             config: deployment?.version,
             endpoints: endpoints.length,
             endpointsAgeMs: Math.round(reply.endpointsAgeMs),
             hosts: hosts.filter(host => host.isLive).length,
             dataCentresOut: [...dataCentresOut],
+            cutOff: [...cutOff],
             ageMs: Math.round(this.ageMs()),
         });
         this.options.metrics.gauge("fleet_config_version", deployment?.version ?? 0);
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -4,6 +4,7 @@
 import * as z from "zod";
 import type { DataCentreId, HostId, Incarnation } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
+import type { CutReport } from "./CutReports.js";
 import type { ListPart } from "./ListVersions.js";
 import type { ListedEndpoint } from "./Types.js";
 
@@ -28,6 +29,8 @@
     hosts: z.string(),
     /** Tag of the data centres taken out of use and the quarantined requests. */
     marks: z.string(),
+    /** Tag of the data centres that are cut off from the host's own. */
+    cuts: z.string().default(""),
 });
 
 const syncRequest = z.object({
@@ -42,12 +45,22 @@
     crashes: z.array(z.string()),
 });
 
+const cutReport = z.object({
+    host: hostId,
+    from: dataCentreId,
+    to: dataCentreId,
+    endpoint: z.string(),
+    isReached: z.boolean(),
+    ageMs: z.number(),
+}) as unknown as z.ZodType<CutReport>;
+
 const leaderSyncRequest = z.object({
     control: hostId,
     /** Hosts that have contacted the control host since its last exchange. */
     hosts: z.array(entryHostStatus).readonly(),
     /** Tag of the list that the control host holds; the reply leaves out an equal list. */
     endpointsTag: z.string(),
+    cuts: z.array(cutReport).readonly().default([]),
 });
 
 const joinRequest = z.object({ control: hostId });
@@ -90,6 +103,8 @@
         readonly dataCentresOut: readonly string[];
         readonly quarantined: readonly string[];
     };
+    /** Data centres that are cut off from the requesting host's own. */
+    readonly cuts?: { readonly tag: string; readonly cutOff: readonly DataCentreId[]; };
 }
 
 export type LeaderSyncReply =
@@ -102,6 +117,7 @@
         readonly hosts: readonly EntryHostStatus[];
         readonly endpoints?: AgedEndpoints;
         readonly endpointsAgeMs: number;
+        readonly cuts: readonly CutReport[];
     }
     | { readonly kind: "not-leader"; };
 
@@ -114,6 +130,8 @@
 export const fleetMethods = {
     /** Long poll of a control host by an entry host. */
     sync: definePeerMethod<SyncRequest, SyncReply>("fleet.sync", syncRequest),
+    /** Report of an entry host on a data centre that it could not reach, or has reached. */
+    cut: definePeerMethod<CutReport, Record<string, never>>("fleet.cut", cutReport),
     /** Exchange of collected state between a control host and the leader. */
     board: definePeerMethod<LeaderSyncRequest, LeaderSyncReply>("fleet.board", leaderSyncRequest),
     /** Request of a control host to join the control group. */
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -3,13 +3,14 @@
  * list of endpoints and the status of entry hosts are exchanged through the leader. Each exchange with the leader also
  * proves until when this host's state was the latest, on which the leases of entry hosts are based.
  */
-import type { Clock, HostId } from "../common/Types.js";
+import type { Clock, DataCentreId, HostId } from "../common/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import { Notifier } from "../replication/Notifier.js";
 import type { RaftLog } from "../replication/RaftLog.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { type CutReport, CutReports } from "./CutReports.js";
 import type { EndpointListReader } from "./EndpointListReader.js";
 import { EntryHostRegistry } from "./EntryHostRegistry.js";
 import {
@@ -54,6 +55,7 @@
     /** Name in logs; "board" stands for the state that control hosts collect and publish. */
     public readonly name = "fleet-board";
     private readonly entryHosts: EntryHostRegistry;
+    private readonly cuts: CutReports;
     private readonly endpointVersions = new ListVersions<ListedEndpoint>(idOf, endpoint => JSON.stringify(endpoint));
     /** Tag of the crash marks and data centres out of use, as of an applied index. */
     private markedAt: { readonly appliedIndex: number; readonly tag: string; } | undefined;
@@ -70,11 +72,16 @@
     public constructor(private readonly options: FleetPublisherOptions) {
         const { clock, registry, log } = options;
         this.entryHosts = new EntryHostRegistry(clock);
+        this.cuts = new CutReports(clock);
         this.changes = new Notifier(clock);
         this.roleChanges = new Notifier(clock);
         log.onApplied(() => this.changes.notify());
         log.onRoleChange(() => this.roleChanges.notify());
         registry.handle(fleetMethods.sync, req => this.handleSync(req));
+        registry.handle(fleetMethods.cut, async report => {
+            this.recordCuts([report]);
+            return {};
+        });
         registry.handle(fleetMethods.board, req => this.handleLeaderSync(req));
     }
 
@@ -119,7 +126,7 @@
         }
         const endpointsTag = reader().current().tag;
         const hosts = this.entryHosts.takeDirect();
-        const req = { control: self, hosts, endpointsTag };
+        const req = { control: self, hosts, endpointsTag, cuts: this.cuts.recent() };
         const reply = await transport.call(leader, fleetMethods.board, req, { timeoutMs: exchangeTimeoutMs });
         const leaderReply = reply.orDefault({ kind: "not-leader" });
         if (leaderReply.kind === "not-leader") {
@@ -127,6 +134,7 @@
             return false;
         }
         leaderReply.hosts.forEach(host => this.entryHosts.record(host));
+        this.recordCuts(leaderReply.cuts);
         if (leaderReply.endpoints !== undefined) {
             reader().adoptIfNewer(leaderReply.endpoints);
         }
@@ -144,6 +152,7 @@
     private async handleLeaderSync(req: LeaderSyncRequest): Promise<LeaderSyncReply> {
         const { log, reader } = this.options;
         req.hosts.forEach(host => this.entryHosts.record(host));
+        this.recordCuts(req.cuts);
         const read = log.status().role === "leader" ? await log.readBarrier(exchangeTimeoutMs) : undefined;
         return read === undefined || read.isLeft() ? { kind: "not-leader" } : {
             kind: "board",
@@ -151,9 +160,17 @@
             hosts: this.entryHosts.others(req.hosts),
             ...(req.endpointsTag === reader().current().tag ? {} : { endpoints: reader().current() }),
             endpointsAgeMs: reader().current().ageMs,
+            cuts: this.cuts.recent(),
         };
     }
 
+    private recordCuts(reports: readonly CutReport[]): void {
+        const isNew = reports.map(report => this.cuts.record(report)).includes(true);
+        if (isNew) {
+            this.changes.notify();
+        }
+    }
+
     /**
      * Answers an entry host as soon as something has changed for it, or after the time that it waits (long polling).
      */
@@ -167,10 +184,10 @@
         metrics.count("syncs");
         const startMs = clock.nowMs();
         const untilMs = startMs + Math.min(req.waitMs, maxHoldMs);
-        let tags = this.tags();
+        let tags = this.tags(dataCentre);
         while (!hasChanges(tags, req) && clock.nowMs() < untilMs) {
             await this.changes.wait(untilMs - clock.nowMs());
-            tags = this.tags();
+            tags = this.tags(dataCentre);
         }
         return this.replyTo(req, tags, clock.nowMs() - startMs);
     }
@@ -182,12 +199,18 @@
         marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, fingerprints }));
     }
 
-    /** Tags of the parts of the current state. */
-    private tags(): HeldTags {
+    /** Tags of the parts of the current state, as told to hosts of a data centre. */
+    private tags(dataCentre: DataCentreId): HeldTags {
         const { state, reader } = this.options;
         const { tag, endpoints } = reader().current();
         this.endpointVersions.add(tag, endpoints);
-        return { config: state.version, endpoints: tag, hosts: this.entryHosts.tag, marks: this.marksTag() };
+        return {
+            config: state.version,
+            endpoints: tag,
+            hosts: this.entryHosts.tag,
+            marks: this.marksTag(),
+            cuts: this.cuts.cutOffFrom(dataCentre).join(" "),
+        };
     }
 
     /** Tag of the data centres taken out of use and the quarantined requests, which change only with the log. */
@@ -200,7 +223,7 @@
         return this.markedAt.tag;
     }
 
-    private replyTo({ held }: SyncRequest, tags: HeldTags, heldMs: number): SyncReply {
+    private replyTo({ held, dataCentre }: SyncRequest, tags: HeldTags, heldMs: number): SyncReply {
         const { state, reader, controls } = this.options;
         const { dataCentresOut, quarantined } = state;
         const { ageMs } = reader().current();
@@ -215,6 +238,7 @@
                 : { endpoints: { part: this.endpointVersions.since(held.endpoints), ageMs } }),
             ...(tags.hosts === held.hosts ? {} : { hosts: this.entryHosts.since(held.hosts) }),
             ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, dataCentresOut, quarantined } }),
+            ...(tags.cuts === held.cuts ? {} : { cuts: { tag: tags.cuts, cutOff: this.cuts.cutOffFrom(dataCentre) } }),
         };
     }
 
@@ -240,7 +264,8 @@
     return tags.config > held.config
         || tags.endpoints !== held.endpoints
         || tags.marks !== held.marks
-        || tags.hosts !== held.hosts;
+        || tags.hosts !== held.hosts
+        || tags.cuts !== held.cuts;
 }
 
 function idOf({ id }: ListedEndpoint): string {
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -160,6 +160,8 @@
     readonly dataCentresOut: ReadonlySet<DataCentreId>;
     /** Fingerprints of requests that must not be sent to an endpoint again. */
     readonly quarantined: ReadonlySet<string>;
+    /** Data centres that several hosts of this host's data centre can't reach. */
+    readonly cutOff: ReadonlySet<DataCentreId>;
 }
 
 export interface FleetSource {
@@ -169,6 +171,8 @@
     ageMs(): number;
     /** Reports to the control hosts that a request was running on an endpoint when it crashed. */
     reportCrash(fingerprint: string): void;
+    /** Reports to the control hosts that an endpoint in another data centre was reached, or did not answer. */
+    reportReach(endpoint: Pick<ListedEndpoint, "id" | "dataCentre">, isReached: boolean): void;
 }
 
 /** Start settings of a process of the fleet. */
--- a/src/gateway/EndpointTracker.ts
+++ b/src/gateway/EndpointTracker.ts
@@ -34,10 +34,16 @@
 class DataCentreHealth {
     private lastActivityMs = -Infinity;
     private readonly timedOutMs = new Map<EndpointId, number>();
+    /** When other hosts were last found not to reach it either, on the local clock. */
+    private toldCutOffMs = -Infinity;
+    private isToldCutOff = false;
 
     public constructor(private readonly clock: Clock) {}
 
     public get isCutOff(): boolean {
+        if (this.isToldCutOff && this.lastActivityMs < this.toldCutOffMs) {
+            return true;
+        }
         const sinceMs = Math.max(this.lastActivityMs, this.clock.nowMs() - timeoutMemoryMs);
         let recent = 0;
         for (const atMs of this.timedOutMs.values()) {
@@ -53,11 +59,26 @@
     public recordTimeout(endpoint: EndpointId): void {
         this.timedOutMs.set(endpoint, this.clock.nowMs());
     }
+
+    /** True when data has arrived from it within `withinMs`. */
+    public isActive(withinMs: number): boolean {
+        return this.clock.nowMs() - this.lastActivityMs < withinMs;
+    }
+
+    /** Sets whether hosts of this data centre report that they can't reach it. */
+    public setToldCutOff(isToldCutOff: boolean): void {
+        this.toldCutOffMs = isToldCutOff && !this.isToldCutOff ? this.clock.nowMs() : this.toldCutOffMs;
+        this.isToldCutOff = isToldCutOff;
+    }
 }
 
 /** Number of endpoints with timeouts at which a data centre counts as cut off, and how long each timeout counts. */
 const timeoutsUntilCutOff = 2;
 const timeoutMemoryMs = 1500;
+/** Data from a data centre within this time contradicts reports that it can't be reached. */
+const contradictionMs = 1000;
+/** A time-out is reported if nothing has arrived from the data centre for this long; longer than a connect timeout. */
+const quietMs = 250;
 
 /** Observations of one endpoint. */
 export class EndpointRecord {
@@ -239,6 +260,7 @@
             recordOutcome: outcome => {
                 record.running.delete(attempt);
                 const reason = record.recordOutcome(outcome, this.clock.nowMs() - startMs, hasColdStart);
+                this.reportReach(record.listed, outcome);
                 if (reason !== undefined) {
                     this.log.event(EventId.EndpointSuspected, { endpoint: record.id, reason });
                 }
@@ -246,7 +268,34 @@
         };
     }
 
+    /** Reports a time-out in a data centre that is otherwise quiet, and a reply from one that is told to be cut off. */
+    private reportReach(listed: ListedEndpoint, outcome: AttemptOutcome): void {
+        const { dataCentre } = listed;
+        const isActive = this.dataCentres.get(dataCentre)?.isActive(quietMs) === true;
+        if (outcome.kind === "unsent" && outcome.isSilent && !isActive) {
+            this.fleet.reportReach(listed, false);
+        }
+        else if (outcome.kind === "replied" && this.fleet.view().cutOff.has(dataCentre)) {
+            this.fleet.reportReach(listed, true);
+        }
+    }
+
+    /** Takes over which data centres are told to be cut off; contradicts where this host has just reached one. */
+    private applyCuts({ cutOff }: FleetView): void {
+        for (const [dataCentre, health] of this.dataCentres) {
+            const isToldCutOff = cutOff.has(dataCentre);
+            const [endpoint] = isToldCutOff && health.isActive(contradictionMs)
+                ? [...this.records.values()].filter(one => one.listed.dataCentre === dataCentre)
+                : [];
+            health.setToldCutOff(isToldCutOff && endpoint === undefined);
+            if (endpoint !== undefined) {
+                this.fleet.reportReach(endpoint.listed, true);
+            }
+        }
+    }
+
     private applyView(view: FleetView): void {
+        this.applyCuts(view);
         const listed = new Set(view.endpoints.map(one => one.id));
         for (const id of this.records.keys()) {
             if (!listed.has(id)) {
--- a/src/gather/Cells.ts
+++ b/src/gather/Cells.ts
@@ -61,10 +61,17 @@
 
     /**
      * Live hosts that may be the gatherer of a cell, in order of preference: hosts in the cell's data centre first,
-     * each group in rendezvous order.
+     * each group in rendezvous order. Hosts in data centres that are cut off are left out.
      */
     public rankedGatherers(id: CellId): readonly HostId[] {
-        return this.ranks.live(id, this.byId.get(id)?.dataCentre, this.view.hosts);
+        const live = this.ranks.live(id, this.byId.get(id)?.dataCentre, this.view.hosts);
+        const { cutOff } = this.view;
+        return cutOff.size === 0 ? live : live.filter(host => !this.ranks.isIn(host, cutOff));
+    }
+
+    /** True when this host can't reach the data centre of a cell. */
+    public isCutOff({ dataCentre }: Cell): boolean {
+        return dataCentre !== undefined && this.view.cutOff.has(dataCentre);
     }
 
     /** Endpoints of a cell that may receive calls: not leaving, and in a data centre that is in use. */
@@ -117,22 +124,28 @@
     private readonly liveRanked = new Map<CellId, readonly HostId[]>();
     private hosts: readonly EntryHost[] = [];
     private ids = "";
-    private liveIds: ReadonlySet<HostId> = new Set();
+    private dataCentres: ReadonlyMap<HostId, DataCentreId> = new Map();
 
     /** Live hosts in the order for a cell: those in its data centre first. */
     public live(cell: CellId, centre: DataCentreId | undefined, hosts: readonly EntryHost[]): readonly HostId[] {
         this.setHosts(hosts);
-        const known = this.liveRanked.get(cell) ?? this.rank(cell, centre).filter(host => this.liveIds.has(host));
+        const known = this.liveRanked.get(cell) ?? this.rank(cell, centre).filter(host => this.dataCentres.has(host));
         this.liveRanked.set(cell, known);
         return known;
     }
 
+    /** True when a live host is in one of the data centres. */
+    public isIn(host: HostId, dataCentres: ReadonlySet<DataCentreId>): boolean {
+        const dataCentre = this.dataCentres.get(host);
+        return dataCentre !== undefined && dataCentres.has(dataCentre);
+    }
+
     private setHosts(hosts: readonly EntryHost[]): void {
         if (hosts === this.hosts) {
             return;
         }
         this.hosts = hosts;
-        this.liveIds = new Set(hosts.filter(one => one.isLive).map(one => one.host));
+        this.dataCentres = new Map(hosts.filter(one => one.isLive).map(one => [one.host, one.dataCentre]));
         this.liveRanked.clear();
         const ids = hosts.map(one => one.host).join(" ");
         if (ids !== this.ids) {
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -224,8 +224,10 @@
             .filter(cell => cell.dataCentre === undefined || !notIn.includes(cell.dataCentre))
             .flatMap(cell => current.usableEndpoints(cell.id).map(one => [one.id, cell] as const));
         const cellOf = new Map(endpoints);
-        const ranked = [...new Set(rankByWeight(id, [...cellOf.keys()]).map(one => cellOf.get(one)))]
+        const all = [...new Set(rankByWeight(id, [...cellOf.keys()]).map(one => cellOf.get(one)))]
             .filter(cell => cell !== undefined);
+        const reachable = all.filter(cell => !current.isCutOff(cell));
+        const ranked = reachable.length > 0 ? reachable : all;
         const preferred = ranked.find(cell => cell.dataCentre === (dataCentre ?? own));
         const [other, ...others] = ranked.filter(cell => cell !== preferred);
         if (preferred === undefined || other === undefined) {
--- a/testing/FleetCluster.ts
+++ b/testing/FleetCluster.ts
@@ -111,11 +111,11 @@
         return host;
     }
 
-    public startEntry(name: string): FleetClient {
+    public startEntry(name: string, dataCentre: string = "a"): FleetClient {
         const peers = this.network.addHost(name as HostId);
         const client = new FleetClient({
             self: name as HostId,
-            dataCentre: "a" as DataCentreId,
+            dataCentre: dataCentre as DataCentreId,
             incarnation: 1 as Incarnation,
             seeds: () => this.seeds as HostId[],
             decoder: versionDecoder,
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -115,6 +115,11 @@
     private readonly changes = new Emitter<FleetView>();
     public readonly onChange = this.changes.event;
     public readonly crashes: string[] = [];
+    public readonly reachReports: {
+        readonly endpoint: string;
+        readonly dataCentre: string;
+        readonly isReached: boolean;
+    }[] = [];
     public viewAgeMs = 0;
     private current = emptyView;
 
@@ -134,6 +139,10 @@
     public reportCrash(fingerprint: string): void {
         this.crashes.push(fingerprint);
     }
+
+    public reportReach({ id, dataCentre }: ListedEndpoint, isReached: boolean): void {
+        this.reachReports.push({ endpoint: id, dataCentre, isReached });
+    }
 }
 
 /**
