--- a/src/cli/Explain.ts
+++ b/src/cli/Explain.ts
@@ -18,6 +18,9 @@
 /** Events that report problems which may affect a request. */
 const problemEvents: ReadonlySet<string> = new Set([
     "EndpointSuspected",
+    "EndpointSaysLeaving",
+    "EndpointPaused",
+    "EndpointPauseIgnored",
     "BatchEndpointSuspected",
     "GathererLost",
     "ResultsNotFreed",
