Gather: the margin before the latest start follows what the request still needs afterwards

Cause: submissions are taken by latest start, so that under overload each starts with its last margin, 60 ms; the waits of the later stages use it up, and the request is late after all. Change: a submission counts as late from half of the time that its request needs afterwards before its latest start (60 ms at least), and yields to those that can still make it. The wait of a new submission is estimated by the same order.

--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -145,7 +145,8 @@
     public typicalWaitMs(): number {
         const traits = this.options.traits();
         const startByMs = this.options.clock.nowMs() + typicalSlackMs;
-        return traits === undefined ? 0 : this.estimator.waitMs(traits, startByMs, Infinity, 0);
+        const position = { startByMs, deadlineMs: Infinity, submission: { priority: 0, restMs: 0 } };
+        return traits === undefined ? 0 : this.estimator.waitMs(traits, position);
     }
 
     /** Dispatches queued pieces to free endpoints, after ending submissions that can't meet their deadline. */
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -15,8 +15,12 @@
 const relaxBindingMs = 250;
 /** One priority level counts as much as this much time before the latest start; about two calls. */
 const priorityStepMs = 700;
-/** A submission counts as late this long before its latest start, since the estimates of later stages vary. */
-const lateMarginMs = 60;
+/**
+ * A submission counts as late this long before its latest start, or this share of the time that its request needs
+ * afterwards: under load the waits of later stages add up, and a request that starts with no margin ends late.
+ */
+const minLateMarginMs = 60;
+const lateMarginShare = 0.5;
 
 /** A submission with pieces that have not been taken by a call. */
 export interface QueuedSubmission {
@@ -151,20 +155,22 @@
         return remainingBytes;
     }
 
-    /** Number of queued pieces that go before those of a new submission with these times and this priority. */
-    public piecesAhead(startByMs: number, deadlineMs: number, priority: number, nowMs: number): number {
-        const added = { startByMs, deadlineMs, submission: { priority }, isStarted: false };
+    /** Number of queued pieces that go before those of a new submission. */
+    public piecesAhead(added: QueuePosition, nowMs: number): number {
         let pieces = 0;
         for (const one of this.submissions.values()) {
-            pieces += compareUrgency(one, added, nowMs) <= 0 ? one.pieces.length : 0;
+            pieces += compareUrgency(one, { ...added, isStarted: false }, nowMs) <= 0 ? one.pieces.length : 0;
         }
         return pieces;
     }
 }
 
 /** True when a submission is no longer expected to meet its objective. */
-export function isLate({ startByMs }: Pick<QueuedSubmission, "startByMs">, nowMs: number): boolean {
-    return startByMs - lateMarginMs < nowMs;
+export function isLate(
+    { startByMs, submission }: Pick<QueuePosition, "startByMs" | "submission">,
+    nowMs: number,
+): boolean {
+    return startByMs - Math.max(minLateMarginMs, submission.restMs * lateMarginShare) < nowMs;
 }
 
 /** True when a submission bound to another data centre may be taken here. */
@@ -173,12 +179,15 @@
     return dataCentre === undefined || !served.has(dataCentre) || startByMs - nowMs < relaxBindingMs;
 }
 
-/** The properties by which submissions are ordered. */
-interface SortKey {
+/** The properties by which submissions that have not started are ordered. */
+export interface QueuePosition {
     readonly startByMs: number;
     readonly deadlineMs: number;
+    readonly submission: Pick<Submission, "priority" | "restMs">;
+}
+
+interface SortKey extends QueuePosition {
     readonly isStarted: boolean;
-    readonly submission: { readonly priority: number; };
 }
 
 /** Negative when the pieces of `a` go before those of `b`, positive when they go after them. */
--- a/src/gather/WaitEstimator.ts
+++ b/src/gather/WaitEstimator.ts
@@ -6,7 +6,7 @@
 import type { BatchTraits } from "../fleet/Types.js";
 import type { BatchEndpoints } from "./BatchEndpoints.js";
 import type { DemandMeter } from "./DemandMeter.js";
-import { isLate, type PieceQueue, type QueuedSubmission } from "./PieceQueue.js";
+import { isLate, type PieceQueue, type QueuedSubmission, type QueuePosition } from "./PieceQueue.js";
 import type { SubmissionError } from "./Types.js";
 
 /** Bounds of the retry advice to callers. */
@@ -34,13 +34,7 @@
     ) {}
 
     /** Estimated wait of a new submission for its first call, in milliseconds; 0 when no endpoint is usable. */
-    public waitMs(
-        traits: BatchTraits,
-        startByMs: number,
-        deadlineMs: number,
-        priority: number,
-        isContinued: boolean = false,
-    ): number {
+    public waitMs(traits: BatchTraits, position: QueuePosition, isContinued: boolean = false): number {
         const nowMs = this.clock.nowMs();
         const piecesPerMs = this.endpoints.piecesPerMs(traits);
         if (piecesPerMs === 0) {
@@ -50,12 +44,12 @@
         const isBusy = usable.every(endpoint => !endpoint.canStartCall(traits));
         // Approximate time until the first of the busy endpoints becomes free.
         const currentCallMs = isBusy ? callDurationMs(traits, traits.batch) / (2 * usable.length) : 0;
-        const waitMs = currentCallMs + this.queue.piecesAhead(startByMs, deadlineMs, priority, nowMs) / piecesPerMs;
-        if (startByMs - nowMs >= waitMs) {
+        const waitMs = currentCallMs + this.queue.piecesAhead(position, nowMs) / piecesPerMs;
+        if (position.startByMs - nowMs >= waitMs) {
             return waitMs;
         }
         // A late submission goes after all that can be on time, including those that arrive while it waits.
-        const piecesAhead = this.queue.piecesAhead(-Infinity, deadlineMs, priority, nowMs);
+        const piecesAhead = this.queue.piecesAhead({ ...position, startByMs: -Infinity }, nowMs);
         if (isContinued) {
             return currentCallMs + piecesAhead / piecesPerMs;
         }
@@ -66,11 +60,11 @@
 
     /** The error with which a new submission is refused; undefined when it may be queued. */
     public refusalFor(waiting: QueuedSubmission, traits: BatchTraits): SubmissionError | undefined {
-        const { submission, startByMs, deadlineMs } = waiting;
-        const { priority, onTimeOnly, startInMs, remainingMs, isContinued } = submission;
-        const waitMs = this.waitMs(traits, startByMs, deadlineMs, priority, isContinued);
+        const { submission } = waiting;
+        const { onTimeOnly, startInMs, remainingMs, isContinued } = submission;
+        const waitMs = this.waitMs(traits, waiting, isContinued);
         const readyInMs = waitMs + callDurationMs(traits, submission.pieces.length) + submission.restMs;
-        const waitAsNewMs = () => isContinued ? this.waitMs(traits, startByMs, deadlineMs, priority) : waitMs;
+        const waitAsNewMs = () => isContinued ? this.waitMs(traits, waiting) : waitMs;
         const isTooLate = onTimeOnly && waitAsNewMs() > startInMs;
         return readyInMs > remainingMs * maxTimeShare || isTooLate ? overloaded(readyInMs, remainingMs) : undefined;
     }
