Endpoints: a limit that an endpoint states on its request rate is decoded and logged

The logs could not tell whether a host had received a limit, from which endpoint, and when. The header is read with the other notices; EndpointLimitChanged and EndpointLimitUnreadable (612, 613) show it, and explain prints them for the endpoints that a request used. No decision uses it yet: what callers see is unchanged.

--- a/src/cli/Explain.ts
+++ b/src/cli/Explain.ts
@@ -21,6 +21,8 @@
     "EndpointSaysLeaving",
     "EndpointPaused",
     "EndpointPauseIgnored",
+    "EndpointLimitChanged",
+    "EndpointLimitUnreadable",
     "BatchEndpointSuspected",
     "GathererLost",
     "ResultsNotFreed",
--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -5,6 +5,7 @@
 import { LeaseClock } from "../common/LeaseClock.js";
 import type { EndpointId } from "../common/Types.js";
 import { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import { EndpointLimits } from "../endpoints/EndpointLimits.js";
 import { EndpointNotices, type NoticeDecoder } from "../endpoints/EndpointNotices.js";
 import { FleetClient } from "../fleet/FleetClient.js";
 import type { DeploymentDecoder } from "../fleet/Types.js";
@@ -59,11 +60,7 @@
         metrics,
         stopping: host.stopping.signal,
     });
-    const notices = new EndpointNotices(options.noticeDecoder, clock, random, log, metrics);
-    const addressOf = (endpoint: EndpointId) => tracker.addressOf(endpoint);
-    const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
-    const onRemoved = (id: EndpointId) => connections.closeIdleConnections(id);
-    const tracker: EndpointTracker = new EndpointTracker(fleet, notices, clock, log, onRemoved);
+    const { notices, connections, tracker } = followEndpoints(host, fleet, options);
     const pieces = buildGathering(host, { fleet, notices, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdStartQuota(self, bounds, fleet, clock);
@@ -102,6 +99,18 @@
     return host;
 }
 
+/** Builds what the host knows of endpoints, and its connections to them. */
+function followEndpoints(host: FleetHost, fleet: FleetClient, { noticeDecoder }: FleetEntryOptions) {
+    const { clock, random, log, metrics } = host;
+    const limits = new EndpointLimits(clock, log, metrics);
+    const notices = new EndpointNotices(noticeDecoder, limits, clock, random, log, metrics);
+    const addressOf = (endpoint: EndpointId) => tracker.addressOf(endpoint);
+    const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
+    const onRemoved = (id: EndpointId) => connections.closeIdleConnections(id);
+    const tracker: EndpointTracker = new EndpointTracker(fleet, notices, clock, log, onRemoved);
+    return { notices, connections, tracker };
+}
+
 interface GatheringParts {
     readonly fleet: FleetClient;
     readonly notices: EndpointNotices;
--- /dev/null
+++ b/src/endpoints/EndpointLimits.ts
@@ -0,0 +1,63 @@
+/**
+ * The request rates to which endpoints limit the fleet, as they state them in the heads of their replies. A limit holds
+ * for the sum of all hosts, from the first reply that states it until one of the same start of the endpoint without it.
+ */
+import type { Clock, EndpointId } from "../common/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+
+/** A limit that can't be read, or is smaller than this, counts as this: few requests, whose replies may lift it. */
+const minPerSecond = 0.25;
+/** Maximum number of endpoints that are remembered; the oldest are forgotten first. */
+const maxRemembered = 4096;
+
+/** What an endpoint has last stated. */
+export interface EndpointLimit {
+    /** Requests per second over all hosts; undefined for no limit. */
+    readonly perSecond: number | undefined;
+    /** When it was stated, on the local clock. */
+    readonly statedMs: number;
+}
+
+export class EndpointLimits {
+    private readonly limits = new Map<EndpointId, EndpointLimit>();
+
+    public constructor(
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+        private readonly metrics: Metrics,
+    ) {}
+
+    /** Records the limit in a reply: requests per second, undefined for none, NaN when it can't be read. */
+    public recordReply(endpoint: EndpointId, stated: number | undefined): void {
+        const known = this.limits.get(endpoint);
+        if (stated === undefined && known === undefined) {
+            return;
+        }
+        if (stated !== undefined && !(stated >= 0)) {
+            this.metrics.count("endpoint_notices", { kind: "ignored" });
+            this.log.event(EventId.EndpointLimitUnreadable, { endpoint, known: known?.perSecond });
+        }
+        const perSecond = stated === undefined ? undefined : readLimit(stated, known?.perSecond);
+        this.limits.delete(endpoint);
+        this.limits.set(endpoint, { perSecond, statedMs: this.clock.nowMs() });
+        if (this.limits.size > maxRemembered) {
+            const [oldest] = this.limits.keys();
+            this.limits.delete(oldest ?? endpoint);
+        }
+        if (perSecond !== known?.perSecond) {
+            this.metrics.count("endpoint_notices", { kind: "limit" });
+            this.log.event(EventId.EndpointLimitChanged, { endpoint, perSecond, before: known?.perSecond });
+        }
+    }
+
+    /** Requests per second that the endpoint takes from all hosts together; undefined for no limit. */
+    public perSecond(endpoint: EndpointId): number | undefined {
+        return this.limits.get(endpoint)?.perSecond;
+    }
+}
+
+/** A limit that can't be read leaves the known one unchanged. */
+function readLimit(stated: number, known: number | undefined): number {
+    return Math.max(minPerSecond, stated >= 0 ? stated : known ?? 0);
+}
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -1,12 +1,13 @@
 /**
- * What endpoints have said of themselves in the heads of their replies: that they are leaving, or that they want no
- * request for a while. A leaving endpoint gets nothing more from this host whatever the endpoint list says, since the
+ * What endpoints have said of themselves in the heads of their replies: that they are leaving, that they want no
+ * request for a while, or how many requests they take (kept by {@link EndpointLimits}). A leaving endpoint gets nothing more from this host whatever the endpoint list says, since the
  * list lags; another start of it has another id. A pause ends by itself, a little later on some hosts than on others,
  * so that a paused endpoint is not met by all hosts at once.
  */
 import type { Clock, EndpointId, Random } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { EndpointLimits } from "./EndpointLimits.js";
 
 /** A longer pause is ignored as absurd: the endpoint list tells of endpoints that are away for longer. */
 const maxPauseMs = 60_000;
@@ -22,6 +23,8 @@
     readonly isLeaving: boolean;
     /** For how long it wants no request; undefined when it does not say, NaN when that can't be read. */
     readonly pauseMs: number | undefined;
+    /** Requests per second that it takes from all hosts together; undefined for no limit, NaN when that can't be read. */
+    readonly limitPerSecond: number | undefined;
 }
 
 /** The headers of a reply by lower-case name, as Node.js gives them. */
@@ -38,6 +41,7 @@
 
     public constructor(
         private readonly decoder: NoticeDecoder,
+        private readonly limits: EndpointLimits,
         private readonly clock: Clock,
         private readonly random: Random,
         private readonly log: EventLog,
@@ -46,7 +50,8 @@
 
     /** Reads the head of a reply, of whatever kind, that an endpoint has sent to this host. */
     public observe(endpoint: EndpointId, status: number, headers: ReplyHeaders): void {
-        const { isLeaving, pauseMs } = this.decoder.decodeNotice(status, headers);
+        const { isLeaving, pauseMs, limitPerSecond } = this.decoder.decodeNotice(status, headers);
+        this.limits.recordReply(endpoint, limitPerSecond);
         if (isLeaving && !this.leaving.has(endpoint)) {
             this.leaving.add(endpoint);
             forgetOldest(this.leaving);
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -51,6 +51,8 @@
     /** An endpoint has asked for a time without requests. */
     EndpointPaused = 610,
     EndpointPauseIgnored = 611,
+    EndpointLimitChanged = 612,
+    EndpointLimitUnreadable = 613,
     // 7xx: records
     RecordsSessionEnded = 700,
     RecordsSessionExpired = 701,
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -2,6 +2,7 @@
 import { Emitter } from "../src/common/Emitter.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import type { Clock, DataCentreId, EndpointId, HostId, Incarnation, Random } from "../src/common/Types.js";
+import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import { EndpointNotices, type ReplyHeaders } from "../src/endpoints/EndpointNotices.js";
 import { emptyView } from "../src/fleet/FleetClient.js";
 import type {
@@ -32,17 +33,22 @@
     render: async () => "",
 };
 
-/** Notices of a host; replies carry them in the headers `leaving` ("1") and `pause` (milliseconds). */
+/**
+ * Notices of a host; replies carry them in the headers `leaving` ("1"), `pause` (milliseconds) and `limit` (requests
+ * per second).
+ */
 export function testNotices(
     clock: Clock,
     random: Random = new SeededRandom(1),
     log: EventLog = silentLog,
+    limits: EndpointLimits = new EndpointLimits(clock, log, noMetrics),
 ): EndpointNotices {
-    const decodeNotice = (_: number, { leaving, pause }: ReplyHeaders) => ({
+    const decodeNotice = (_: number, { leaving, pause, limit }: ReplyHeaders) => ({
         isLeaving: leaving === "1",
         pauseMs: pause === undefined ? undefined : Number(pause),
+        limitPerSecond: limit === undefined ? undefined : Number(limit),
     });
-    return new EndpointNotices({ decodeNotice }, clock, random, log, noMetrics);
+    return new EndpointNotices({ decodeNotice }, limits, clock, random, log, noMetrics);
 }
 
 export const defaultBounds: FleetBounds = {
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -9,6 +9,7 @@
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { DataCentreId, EndpointId, HostId, WorkspaceId } from "../src/common/Types.js";
 import { EndpointConnections } from "../src/endpoints/EndpointConnections.js";
+import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import { EndpointNotices } from "../src/endpoints/EndpointNotices.js";
 import type { RequestKind, ServiceId } from "../src/fleet/Types.js";
 import { EndpointChooser } from "../src/gateway/EndpointChooser.js";
@@ -115,7 +116,9 @@
             serve(req, res, socket);
         })
     ));
-    const notices = new EndpointNotices(new PlatformNoticeDecoder(), clock, new SeededRandom(1), silentLog, noMetrics);
+    const limits = new EndpointLimits(clock, silentLog, noMetrics);
+    const decoder = new PlatformNoticeDecoder();
+    const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf: currentAddress, connectMs: () => 500 }, clock);
     const tracker: EndpointTracker = new EndpointTracker(
