--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -22,6 +22,7 @@
 import {
     defaultBounds,
     deployment,
+    entryHosts,
     FixedFleet,
     listed,
     noMetrics,
@@ -107,8 +108,17 @@
     handlers: readonly RequestHandler[],
     stageExecutor?: PieceExecutor,
 ): Promise<GatewaySite> {
-    const clock = new SystemClock();
-    const fleet = new FixedFleet();
+    const [site] = await startGatewaySites(1, kind, handlers, stageExecutor);
+    return site!;
+}
+
+/** Starts several gateways, hosts of one fleet, in front of the same endpoints as {@link startGatewaySite}. */
+export async function startGatewaySites(
+    count: number,
+    kind: RequestKind,
+    handlers: readonly RequestHandler[],
+    stageExecutor?: PieceExecutor,
+): Promise<readonly GatewaySite[]> {
     const received: http.IncomingMessage[] = [];
     const endpoints = await Promise.all(handlers.map(serve =>
         startEndpoint((req, res, socket) => {
@@ -116,6 +126,31 @@
             serve(req, res, socket);
         })
     ));
+    const hosts = entryHosts(count);
+    return Promise.all(hosts.map(async ({ host }) => {
+        const { fleet, gateway, dispose } = startGateway(host, stageExecutor);
+        closers.push(dispose);
+        const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
+        const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs: 2000, stages });
+        const workspaces = new Map([["key", { id: "w" as WorkspaceId, priority: undefined }]]);
+        fleet.set({
+            hosts,
+            deployment: { ...deployment([testRoute], [service("s")]), workspaces },
+            endpoints: endpoints.map((server, at) =>
+                listed(`e${at}`, {
+                    address: addressOf(server),
+                    dataCentre: (at === 0 ? "a" : `far-${at}`) as DataCentreId,
+                })
+            ),
+        });
+        const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
+        return { address, fleet, received, endpoints, gateway };
+    }));
+}
+
+function startGateway(self: HostId, stageExecutor: PieceExecutor | undefined) {
+    const clock = new SystemClock();
+    const fleet = new FixedFleet();
     const limits = new EndpointLimits(clock, silentLog, noMetrics);
     const decoder = new PlatformNoticeDecoder();
     const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
@@ -134,7 +169,7 @@
         waitMs: () => undefined,
     } as PieceExecutor;
     const executor = stageExecutor ?? noExecutor;
-    const cold = new ColdStartQuota("h" as HostId, defaultBounds, fleet, clock);
+    const cold = new ColdStartQuota(self, defaultBounds, fleet, clock);
     const gateway = new Gateway({
         fleet,
         bounds: defaultBounds,
@@ -155,18 +190,7 @@
         stopped: new AbortController().signal,
         reportCrash: () => fleet.reportCrash("crash"),
     });
-    const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
-    const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs: 2000, stages });
-    const workspaces = new Map([["key", { id: "w" as WorkspaceId, priority: undefined }]]);
-    fleet.set({
-        deployment: { ...deployment([testRoute], [service("s")]), workspaces },
-        endpoints: endpoints.map((server, at) =>
-            listed(`e${at}`, { address: addressOf(server), dataCentre: (at === 0 ? "a" : `far-${at}`) as DataCentreId })
-        ),
-    });
-    const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
-    closers.push(() => connections.dispose());
-    return { address, fleet, received, endpoints, gateway };
+    return { fleet, gateway, dispose: () => connections.dispose() };
 }
 
 export interface Answer {
