--- a/src/gather/Cells.ts
+++ b/src/gather/Cells.ts
@@ -6,7 +6,8 @@
  */
 import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
 import { rankByWeight } from "../endpoints/Rendezvous.js";
-import type { EntryHost, FleetView, ListedEndpoint, ServiceId } from "../fleet/Types.js";
+import { HostRanks } from "../fleet/HostRanks.js";
+import type { FleetView, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import type { CellId } from "./Types.js";
 
 /** Largest number of endpoints of a service that forms a single cell. */
@@ -115,59 +116,6 @@
     }
 }
 
-/**
- * Hosts in their order for each cell. The order of all hosts is kept until a host joins or is removed, so that a change
- * of endpoints, or of which hosts are live, ranks nothing anew.
- */
-class HostRanks {
-    private readonly ranked = new Map<CellId, readonly HostId[]>();
-    private readonly liveRanked = new Map<CellId, readonly HostId[]>();
-    private hosts: readonly EntryHost[] = [];
-    private ids = "";
-    private dataCentres: ReadonlyMap<HostId, DataCentreId> = new Map();
-
-    /** Live hosts in the order for a cell: those in its data centre first. */
-    public live(cell: CellId, centre: DataCentreId | undefined, hosts: readonly EntryHost[]): readonly HostId[] {
-        this.setHosts(hosts);
-        const known = this.liveRanked.get(cell) ?? this.rank(cell, centre).filter(host => this.dataCentres.has(host));
-        this.liveRanked.set(cell, known);
-        return known;
-    }
-
-    /** True when a live host is in one of the data centres. */
-    public isIn(host: HostId, dataCentres: ReadonlySet<DataCentreId>): boolean {
-        const dataCentre = this.dataCentres.get(host);
-        return dataCentre !== undefined && dataCentres.has(dataCentre);
-    }
-
-    private setHosts(hosts: readonly EntryHost[]): void {
-        if (hosts === this.hosts) {
-            return;
-        }
-        this.hosts = hosts;
-        this.dataCentres = new Map(hosts.filter(one => one.isLive).map(one => [one.host, one.dataCentre]));
-        this.liveRanked.clear();
-        const ids = hosts.map(one => one.host).join(" ");
-        if (ids !== this.ids) {
-            this.ids = ids;
-            this.ranked.clear();
-        }
-    }
-
-    private rank(cell: CellId, centre: DataCentreId | undefined): readonly HostId[] {
-        const known = this.ranked.get(cell);
-        if (known !== undefined) {
-            return known;
-        }
-        const isNear = (one: EntryHost) => centre === undefined || one.dataCentre === centre;
-        const near = this.hosts.filter(isNear).map(one => one.host);
-        const far = this.hosts.filter(one => !isNear(one)).map(one => one.host);
-        const ranked = [...rankByWeight(cell, near), ...rankByWeight(cell, far)];
-        this.ranked.set(cell, ranked);
-        return ranked;
-    }
-}
-
 /** Caches the cells of the current view and rebuilds them when the view changes. */
 export class CellCache {
     private cached: { readonly view: FleetView; readonly cells: Cells; } | undefined;
