Fleet: control hosts tell all entry hosts the limits that endpoints have stated to any of them

A limit holds for all hosts together, but a host learnt it only from a reply to itself, so that each of 8 (or 195) hosts would first send a request of its own. Hosts report a statement that the control hosts do not tell already; the statement made last counts, the end of a limit is one, and a host keeps what it knows when control hosts forget. Told within a second in the simulated fleet. Nothing decides by it yet.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -22,6 +22,7 @@
 import { GatherServer } from "../gather/GatherServer.js";
 import { HttpPieceClient } from "../gather/HttpPieceClient.js";
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
+import { shareLimits } from "../limits/LimitSharing.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
 
 /** Connect timeout for endpoints: many times the round trip to the farthest one plus its connection setup. */
@@ -43,24 +44,15 @@
 
 /** Builds an entry host and starts it. */
 export function startFleetEntry(options: FleetEntryOptions): FleetHost {
-    const { settings, decoder } = options;
-    const { dataCentre, bounds } = settings;
+    const { dataCentre, bounds } = options.settings;
     const host = new FleetHost(options);
-    const { self, incarnation, transport, clock, random, log, metrics } = host;
+    const { self, incarnation, clock, random, log, metrics } = host;
     const signal = host.stopped.signal;
-    const fleet = new FleetClient({
-        self,
-        dataCentre,
-        incarnation,
-        seeds: host.seedHosts,
-        decoder,
-        transport,
-        clock: new LeaseClock(clock),
-        log,
-        metrics,
-        stopping: host.stopping.signal,
-    });
-    const { notices, connections, tracker } = followEndpoints(host, fleet, options);
+    const leaseClock = new LeaseClock(clock);
+    const fleet = followFleet(host, options, leaseClock);
+    const limits = new EndpointLimits(leaseClock, log, metrics);
+    shareLimits(limits, fleet);
+    const { notices, connections, tracker } = followEndpoints(host, fleet, limits, options);
     const pieces = buildGathering(host, { fleet, notices, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdStartQuota(self, bounds, fleet, clock);
@@ -99,10 +91,30 @@
     return host;
 }
 
+function followFleet(host: FleetHost, { settings, decoder }: FleetEntryOptions, clock: LeaseClock): FleetClient {
+    const { self, incarnation, transport, log, metrics } = host;
+    return new FleetClient({
+        self,
+        dataCentre: settings.dataCentre,
+        incarnation,
+        seeds: host.seedHosts,
+        decoder,
+        transport,
+        clock,
+        log,
+        metrics,
+        stopping: host.stopping.signal,
+    });
+}
+
 /** Builds what the host knows of endpoints, and its connections to them. */
-function followEndpoints(host: FleetHost, fleet: FleetClient, { noticeDecoder }: FleetEntryOptions) {
+function followEndpoints(
+    host: FleetHost,
+    fleet: FleetClient,
+    limits: EndpointLimits,
+    { noticeDecoder }: FleetEntryOptions,
+) {
     const { clock, random, log, metrics } = host;
-    const limits = new EndpointLimits(clock, log, metrics);
     const notices = new EndpointNotices(noticeDecoder, limits, clock, random, log, metrics);
     const addressOf = (endpoint: EndpointId) => tracker.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
--- a/src/endpoints/EndpointLimits.test.ts
+++ b/src/endpoints/EndpointLimits.test.ts
@@ -39,3 +39,31 @@
         assert.equal(limits.perSecond("e.2" as EndpointId), undefined, "another start of it is not limited");
     });
 }
+
+const told: readonly {
+    readonly name: string;
+    /** Limit in a reply 1 s ago; "none" when no reply has come. */
+    readonly read: number | "none";
+    readonly told: number | undefined;
+    readonly ageMs: number;
+    readonly limit: number | undefined;
+}[] = [
+    { name: "a limit that this host has not met", read: "none", told: 2, ageMs: 5000, limit: 2 },
+    { name: "the end of a limit that it has not met", read: "none", told: undefined, ageMs: 0, limit: undefined },
+    { name: "a later limit", read: 4, told: 2, ageMs: 500, limit: 2 },
+    { name: "an earlier limit", read: 4, told: 2, ageMs: 1500, limit: 4 },
+    { name: "the later end of a limit", read: 4, told: undefined, ageMs: 500, limit: undefined },
+    { name: "the earlier end of a limit", read: 4, told: undefined, ageMs: 1500, limit: 4 },
+];
+for (const { name, read, told: perSecond, ageMs, limit } of told) {
+    test(`other hosts tell of ${name}: ${limit ?? "no limit"}`, async () => {
+        const clock = new FakeClock();
+        const limits = new EndpointLimits(clock, silentLog, noMetrics);
+        if (read !== "none") {
+            limits.recordReply(endpoint, read);
+        }
+        await clock.advance(1000);
+        limits.adopt(endpoint, { perSecond, statedMs: clock.nowMs() - ageMs });
+        assert.equal(limits.perSecond(endpoint), limit);
+    });
+}
--- a/src/endpoints/EndpointLimits.ts
+++ b/src/endpoints/EndpointLimits.ts
@@ -1,7 +1,9 @@
 /**
  * The request rates to which endpoints limit the fleet, as they state them in the heads of their replies. A limit holds
  * for the sum of all hosts, from the first reply that states it until one of the same start of the endpoint without it.
+ * Hosts tell each other what they have read; for each endpoint the statement that was made last counts.
  */
+import { Emitter } from "../common/Emitter.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -19,9 +21,20 @@
     readonly statedMs: number;
 }
 
+/** Whether this host has read a limit in a reply, or was told of it by other hosts. */
+export type LimitOrigin = "reply" | "hosts";
+
+interface KnownLimit extends EndpointLimit {
+    readonly from: LimitOrigin;
+}
+
 export class EndpointLimits {
-    private readonly limits = new Map<EndpointId, EndpointLimit>();
+    private readonly limits = new Map<EndpointId, KnownLimit>();
+    private readonly replies = new Emitter<EndpointId>();
+    /** Fires when a reply to this host has stated a limit, or has stated none where one was known. */
+    public readonly onReply = this.replies.event;
 
+    /** `clock` must include the time in which the machine is suspended, since ages are compared between hosts. */
     public constructor(
         private readonly clock: Clock,
         private readonly log: EventLog,
@@ -39,22 +52,43 @@
             this.log.event(EventId.EndpointLimitUnreadable, { endpoint, known: known?.perSecond });
         }
         const perSecond = stated === undefined ? undefined : readLimit(stated, known?.perSecond);
+        this.set(endpoint, { perSecond, statedMs: this.clock.nowMs(), from: "reply" });
+        this.replies.fire(endpoint);
+    }
+
+    /** Takes over what other hosts tell of an endpoint, unless a later statement is known. */
+    public adopt(endpoint: EndpointId, told: EndpointLimit): void {
+        const known = this.limits.get(endpoint);
+        if (known === undefined ? told.perSecond !== undefined : told.statedMs > known.statedMs) {
+            this.set(endpoint, { ...told, from: "hosts" });
+        }
+    }
+
+    /** The last statement of an endpoint; undefined when none is known. */
+    public get(endpoint: EndpointId): KnownLimit | undefined {
+        return this.limits.get(endpoint);
+    }
+
+    /** Requests per second that the endpoint takes from all hosts together; undefined for no limit. */
+    public perSecond(endpoint: EndpointId): number | undefined {
+        return this.limits.get(endpoint)?.perSecond;
+    }
+
+    private set(endpoint: EndpointId, limit: KnownLimit): void {
+        const before = this.limits.get(endpoint)?.perSecond;
         this.limits.delete(endpoint);
-        this.limits.set(endpoint, { perSecond, statedMs: this.clock.nowMs() });
+        this.limits.set(endpoint, limit);
         if (this.limits.size > maxRemembered) {
             const [oldest] = this.limits.keys();
             this.limits.delete(oldest ?? endpoint);
         }
-        if (perSecond !== known?.perSecond) {
+        const { perSecond, statedMs, from } = limit;
+        if (perSecond !== before) {
+            const ageMs = Math.round(this.clock.nowMs() - statedMs);
             this.metrics.count("endpoint_notices", { kind: "limit" });
-            this.log.event(EventId.EndpointLimitChanged, { endpoint, perSecond, before: known?.perSecond });
+            this.log.event(EventId.EndpointLimitChanged, { endpoint, perSecond, before, from, ageMs });
         }
     }
-
-    /** Requests per second that the endpoint takes from all hosts together; undefined for no limit. */
-    public perSecond(endpoint: EndpointId): number | undefined {
-        return this.limits.get(endpoint)?.perSecond;
-    }
 }
 
 /** A limit that can't be read leaves the known one unchanged. */
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -6,8 +6,10 @@
 import { test } from "node:test";
 import { FakeDisk } from "../../testing/FakeDisk.js";
 import { FleetCluster } from "../../testing/FleetCluster.js";
-import { listed } from "../../testing/FleetFixtures.js";
-import type { DataCentreId, HostId } from "../common/Types.js";
+import { listed, noMetrics, silentLog } from "../../testing/FleetFixtures.js";
+import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
+import { EndpointLimits } from "../endpoints/EndpointLimits.js";
+import { shareLimits } from "../limits/LimitSharing.js";
 import type { FleetClient } from "./FleetClient.js";
 
 const names = ["c1", "c2", "c3"];
@@ -209,3 +211,45 @@
     assert.deepEqual(near.map(told), [[], [], []]);
     await fleet.stopAll();
 });
+
+test("the limit of an endpoint that one host has read is told to all hosts, and so is its end", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const entries = ["h1", "h2", "h3"].map(name => fleet.startEntry(name));
+    await fleet.clock.advance(2000);
+    const endpoint = "e1" as EndpointId;
+    const told = () => entries.map(entry => entry.view().limits.get(endpoint)?.perSecond);
+    entries[0]!.reportLimit(endpoint, 1.5);
+    await fleet.clock.advance(1000);
+    assert.deepEqual(told(), [1.5, 1.5, 1.5]);
+    entries[1]!.reportLimit(endpoint, 4);
+    await fleet.clock.advance(1000);
+    assert.deepEqual(told(), [4, 4, 4], "the latest statement counts, whichever host has read it");
+    entries[2]!.reportLimit(endpoint, undefined);
+    await fleet.clock.advance(1000);
+    assert.deepEqual(told(), [undefined, undefined, undefined]);
+    await fleet.stopAll();
+});
+
+test("a limit that the control hosts have lost stays known to the hosts, and is told again after the next reply", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const client = fleet.startEntry("h1");
+    const limits = new EndpointLimits(fleet.clock, silentLog, noMetrics);
+    shareLimits(limits, client);
+    const other = fleet.startEntry("h2");
+    await fleet.clock.advance(2000);
+    const endpoint = "e1" as EndpointId;
+    limits.recordReply(endpoint, 2);
+    await fleet.clock.advance(1000);
+    assert.equal(other.view().limits.get(endpoint)?.perSecond, 2);
+    const disks = names.map(name => [name, fleet.crash(name)] as const);
+    disks.forEach(([name, disk]) => fleet.startControl(name, false, disk));
+    await fleet.clock.advance(6000);
+    assert.equal(other.view().limits.size, 0);
+    assert.equal(limits.perSecond(endpoint), 2);
+    limits.recordReply(endpoint, 2);
+    await fleet.clock.advance(1000);
+    assert.equal(other.view().limits.get(endpoint)?.perSecond, 2);
+    await fleet.stopAll();
+});
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -4,15 +4,16 @@
  * returns to an older configuration.
  */
 import { Emitter } from "../common/Emitter.js";
-import type { Clock, DataCentreId, HostId, Incarnation } from "../common/Types.js";
+import type { Clock, DataCentreId, EndpointId, HostId, Incarnation } from "../common/Types.js";
+import type { EndpointLimit } from "../endpoints/EndpointLimits.js";
 import { rankByWeight } from "../endpoints/Rendezvous.js";
-import type { PeerTransport } from "../peer/Types.js";
+import type { PeerMethod, PeerTransport } from "../peer/Types.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
-import type { CutReport } from "./CutReports.js";
 import { hostOf, isLive } from "./EntryHostRegistry.js";
 import { decompressText, type EntryHostStatus, fleetMethods, type HeldTags, type SyncReply } from "./FleetMessages.js";
+import type { LimitReport } from "./LimitReports.js";
 import { applyPart } from "./ListVersions.js";
 import type { DeploymentDecoder, FleetSource, FleetView, ListedEndpoint } from "./Types.js";
 
@@ -24,8 +25,11 @@
 const maxStateAgeMs = 1500;
 /** Pause after all control hosts have been tried without success. */
 const retryPauseMs = 100;
-/** Interval between two reports of this host that a data centre was reached, or was not. */
-const reachReportIntervalMs = 300;
+/** Interval between two equal reports of this host: on the reach of a data centre, or the limit of an endpoint. */
+const reportIntervalMs = 300;
+
+/** Number of reports whose times are remembered; the oldest are forgotten first. */
+const maxKnownReports = 1024;
 
 /** The view before the first reply of a control host. */
 export const emptyView: FleetView = {
@@ -36,6 +40,7 @@
     dataCentresOut: new Set(),
     quarantined: new Set(),
     cutOff: new Set(),
+    limits: new Map(),
 };
 
 interface FleetClientOptions {
@@ -61,12 +66,12 @@
     private current = emptyView;
     /** Entry hosts with their status as of the message in which it last changed. */
     private entryHosts: readonly EntryHostStatus[] = [];
-    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "", cuts: "" };
+    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "", cuts: "", limits: "" };
     /** Time until which the view is known to have been the latest, on the local clock. */
     private confirmedUntilMs = -Infinity;
     /** Control hosts that the last reply named. */
     private controls: readonly HostId[] = [];
-    /** When this host last reported on each data centre, on the local clock. */
+    /** When this host last made each report, on the local clock. */
     private readonly reportedMs = new Map<string, number>();
     /** Fingerprints of crash reports that no control host has acknowledged. */
     private unreportedCrashes: string[] = [];
@@ -93,12 +98,15 @@
         { id: endpoint, dataCentre: to }: Pick<ListedEndpoint, "id" | "dataCentre">,
         isReached: boolean,
     ) {
-        const { self: host, dataCentre: from, clock } = this.options;
-        const key = `${to} ${isReached}`;
-        const isDue = clock.nowMs() - (this.reportedMs.get(key) ?? -Infinity) >= reachReportIntervalMs;
-        if (to !== from && isDue) {
-            this.reportedMs.set(key, clock.nowMs());
-            void this.sendReachReport({ host, from, to, endpoint, isReached, ageMs: 0 });
+        const { self: host, dataCentre: from } = this.options;
+        if (to !== from && this.isReportDue(`${to} ${isReached}`)) {
+            void this.sendReport(fleetMethods.cut, { host, from, to, endpoint, isReached, ageMs: 0 });
+        }
+    }
+
+    public reportLimit(endpoint: EndpointId, perSecond: number | undefined): void {
+        if (this.isReportDue(`${endpoint} ${perSecond}`)) {
+            void this.sendReport(fleetMethods.limit, { endpoint, perSecond, ageMs: 0 });
         }
     }
 
@@ -116,14 +124,27 @@
         }
     }
 
-    private async sendReachReport(report: CutReport): Promise<void> {
+    /** True, and counts as made, when a report was not made within the interval. */
+    private isReportDue(key: string): boolean {
+        const nowMs = this.options.clock.nowMs();
+        const isDue = nowMs - (this.reportedMs.get(key) ?? -Infinity) >= reportIntervalMs;
+        if (isDue) {
+            this.reportedMs.delete(key);
+            this.reportedMs.set(key, nowMs);
+        }
+        if (this.reportedMs.size > maxKnownReports) {
+            const [oldest] = this.reportedMs.keys();
+            this.reportedMs.delete(oldest ?? key);
+        }
+        return isDue;
+    }
+
+    private async sendReport<Report>(method: PeerMethod<Report, Record<string, never>>, report: Report): Promise<void> {
         const { transport, metrics } = this.options;
         const control = this.currentControl();
         const options = { timeoutMs: replyMarginMs };
-        const sent = control === undefined
-            ? undefined
-            : await transport.call(control, fleetMethods.cut, report, options);
-        metrics.count("reach_reports", { outcome: sent?.isRight() === true ? "sent" : "lost" });
+        const sent = control === undefined ? undefined : await transport.call(control, method, report, options);
+        metrics.count("reports", { method: method.name, outcome: sent?.isRight() === true ? "sent" : "lost" });
     }
 
     private currentControl(): HostId | undefined {
@@ -187,7 +208,7 @@
         this.applyConfig(reply);
         this.applyEndpoints(reply);
         this.applyHosts(reply);
-        const { marks, cuts } = reply;
+        const { marks, cuts, limits } = reply;
         if (marks !== undefined) {
             this.heldTags = { ...this.heldTags, marks: marks.tag };
             this.current = {
@@ -200,6 +221,10 @@
             this.heldTags = { ...this.heldTags, cuts: cuts.tag };
             this.current = { ...this.current, cutOff: new Set(cuts.cutOff) };
         }
+        if (limits !== undefined) {
+            this.heldTags = { ...this.heldTags, limits: limits.tag };
+            this.current = { ...this.current, limits: new Map(limits.stated.map(one => this.localLimit(one))) };
+        }
         if (this.current !== before) {
             this.logChange(reply);
             this.changes.fire(this.current);
@@ -263,8 +288,12 @@
         }
     }
 
+    private localLimit({ endpoint, perSecond, ageMs }: LimitReport): [EndpointId, EndpointLimit] {
+        return [endpoint, { perSecond, statedMs: this.options.clock.nowMs() - ageMs }];
+    }
+
     private logChange(reply: SyncReply): void {
-        const { deployment, endpoints, hosts, dataCentresOut, cutOff } = this.current;
+        const { deployment, endpoints, hosts, dataCentresOut, cutOff, limits } = this.current;
         this.options.log.event(EventId.FleetViewChanged, {
             config: deployment?.version,
             endpoints: endpoints.length,
@@ -272,6 +301,7 @@
             hosts: hosts.filter(host => host.isLive).length,
             dataCentresOut: [...dataCentresOut],
             cutOff: [...cutOff],
+            limits: [...limits.values()].filter(one => one.perSecond !== undefined).length,
             ageMs: Math.round(this.ageMs()),
         });
         this.options.metrics.gauge("fleet_config_version", deployment?.version ?? 0);
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -2,9 +2,10 @@
 import { createHash } from "node:crypto";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import * as z from "zod";
-import type { DataCentreId, HostId, Incarnation } from "../common/Types.js";
+import type { DataCentreId, EndpointId, HostId, Incarnation } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
 import type { CutReport } from "./CutReports.js";
+import type { LimitReport } from "./LimitReports.js";
 import type { ListPart } from "./ListVersions.js";
 import type { ListedEndpoint } from "./Types.js";
 
@@ -31,6 +32,8 @@
     marks: z.string(),
     /** Tag of the data centres that are cut off from the host's own. */
     cuts: z.string().default(""),
+    /** Tag of the limits that endpoints have stated. */
+    limits: z.string().default(""),
 });
 
 const syncRequest = z.object({
@@ -54,6 +57,12 @@
     ageMs: z.number(),
 }) as unknown as z.ZodType<CutReport>;
 
+const limitReport = z.object({
+    endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+    perSecond: z.number().optional(),
+    ageMs: z.number(),
+});
+
 const leaderSyncRequest = z.object({
     control: hostId,
     /** Hosts that have contacted the control host since its last exchange. */
@@ -61,6 +70,7 @@
     /** Tag of the list that the control host holds; the reply leaves out an equal list. */
     endpointsTag: z.string(),
     cuts: z.array(cutReport).readonly().default([]),
+    limits: z.array(limitReport).readonly().default([]),
 });
 
 const joinRequest = z.object({ control: hostId });
@@ -105,6 +115,8 @@
     };
     /** Data centres that are cut off from the requesting host's own. */
     readonly cuts?: { readonly tag: string; readonly cutOff: readonly DataCentreId[]; };
+    /** The last statements of endpoints on their limits. */
+    readonly limits?: { readonly tag: string; readonly stated: readonly LimitReport[]; };
 }
 
 export type LeaderSyncReply =
@@ -118,6 +130,8 @@
         readonly endpoints?: AgedEndpoints;
         readonly endpointsAgeMs: number;
         readonly cuts: readonly CutReport[];
+        /** Left out by a leader of an older version. */
+        readonly limits?: readonly LimitReport[];
     }
     | { readonly kind: "not-leader"; };
 
@@ -132,6 +146,8 @@
     sync: definePeerMethod<SyncRequest, SyncReply>("fleet.sync", syncRequest),
     /** Report of an entry host on a data centre that it could not reach, or has reached. */
     cut: definePeerMethod<CutReport, Record<string, never>>("fleet.cut", cutReport),
+    /** Report of an entry host on a limit that an endpoint has stated, or on its end. */
+    limit: definePeerMethod<LimitReport, Record<string, never>>("fleet.limit", limitReport),
     /** Exchange of collected state between a control host and the leader. */
     board: definePeerMethod<LeaderSyncRequest, LeaderSyncReply>("fleet.board", leaderSyncRequest),
     /** Request of a control host to join the control group. */
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -24,6 +24,7 @@
     tagOf,
 } from "./FleetMessages.js";
 import type { FleetState } from "./FleetState.js";
+import { type LimitReport, LimitReports } from "./LimitReports.js";
 import { ListVersions } from "./ListVersions.js";
 import type { ListedEndpoint } from "./Types.js";
 
@@ -56,6 +57,7 @@
     public readonly name = "fleet-board";
     private readonly entryHosts: EntryHostRegistry;
     private readonly cuts: CutReports;
+    private readonly limits: LimitReports;
     private readonly endpointVersions = new ListVersions<ListedEndpoint>(idOf, endpoint => JSON.stringify(endpoint));
     /** Tag of the crash marks and data centres out of use, as of an applied index. */
     private markedAt: { readonly appliedIndex: number; readonly tag: string; } | undefined;
@@ -73,6 +75,7 @@
         const { clock, registry, log } = options;
         this.entryHosts = new EntryHostRegistry(clock);
         this.cuts = new CutReports(clock);
+        this.limits = new LimitReports(clock);
         this.changes = new Notifier(clock);
         this.roleChanges = new Notifier(clock);
         log.onApplied(() => this.changes.notify());
@@ -82,6 +85,10 @@
             this.recordCuts([report]);
             return {};
         });
+        registry.handle(fleetMethods.limit, async report => {
+            this.recordLimits([report]);
+            return {};
+        });
         registry.handle(fleetMethods.board, req => this.handleLeaderSync(req));
     }
 
@@ -126,7 +133,7 @@
         }
         const endpointsTag = reader().current().tag;
         const hosts = this.entryHosts.takeDirect();
-        const req = { control: self, hosts, endpointsTag, cuts: this.cuts.recent() };
+        const req = { control: self, hosts, endpointsTag, cuts: this.cuts.recent(), limits: this.limits.all() };
         const reply = await transport.call(leader, fleetMethods.board, req, { timeoutMs: exchangeTimeoutMs });
         const leaderReply = reply.orDefault({ kind: "not-leader" });
         if (leaderReply.kind === "not-leader") {
@@ -135,6 +142,7 @@
         }
         leaderReply.hosts.forEach(host => this.entryHosts.record(host));
         this.recordCuts(leaderReply.cuts);
+        this.recordLimits(leaderReply.limits ?? []);
         if (leaderReply.endpoints !== undefined) {
             reader().adoptIfNewer(leaderReply.endpoints);
         }
@@ -153,6 +161,7 @@
         const { log, reader } = this.options;
         req.hosts.forEach(host => this.entryHosts.record(host));
         this.recordCuts(req.cuts);
+        this.recordLimits(req.limits);
         const read = log.status().role === "leader" ? await log.readBarrier(exchangeTimeoutMs) : undefined;
         return read === undefined || read.isLeft() ? { kind: "not-leader" } : {
             kind: "board",
@@ -161,6 +170,7 @@
             ...(req.endpointsTag === reader().current().tag ? {} : { endpoints: reader().current() }),
             endpointsAgeMs: reader().current().ageMs,
             cuts: this.cuts.recent(),
+            limits: this.limits.all(),
         };
     }
 
@@ -171,6 +181,13 @@
         }
     }
 
+    private recordLimits(reports: readonly LimitReport[]): void {
+        const isNew = reports.map(report => this.limits.record(report)).includes(true);
+        if (isNew) {
+            this.changes.notify();
+        }
+    }
+
     /**
      * Answers an entry host as soon as something has changed for it, or after the time that it waits (long polling).
      */
@@ -210,6 +227,7 @@
             hosts: this.entryHosts.tag,
             marks: this.marksTag(),
             cuts: this.cuts.cutOffFrom(dataCentre).join(" "),
+            limits: this.limits.tag,
         };
     }
 
@@ -239,6 +257,7 @@
             ...(tags.hosts === held.hosts ? {} : { hosts: this.entryHosts.since(held.hosts) }),
             ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, dataCentresOut, quarantined } }),
             ...(tags.cuts === held.cuts ? {} : { cuts: { tag: tags.cuts, cutOff: this.cuts.cutOffFrom(dataCentre) } }),
+            ...(tags.limits === held.limits ? {} : { limits: { tag: tags.limits, stated: this.limits.all() } }),
         };
     }
 
@@ -265,7 +284,8 @@
         || tags.endpoints !== held.endpoints
         || tags.marks !== held.marks
         || tags.hosts !== held.hosts
-        || tags.cuts !== held.cuts;
+        || tags.cuts !== held.cuts
+        || tags.limits !== held.limits;
 }
 
 function idOf({ id }: ListedEndpoint): string {
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -5,6 +5,7 @@
  */
 import type { Either } from "purify-ts";
 import type { Brand, DataCentreId, EndpointId, Event, HostId, Incarnation, WorkspaceId } from "../common/Types.js";
+import type { EndpointLimit } from "../endpoints/EndpointLimits.js";
 
 export type ServiceId = Brand<string, "ServiceId">;
 export type RouteId = Brand<string, "RouteId">;
@@ -162,6 +163,8 @@
     readonly quarantined: ReadonlySet<string>;
     /** Data centres that several hosts of this host's data centre can't reach. */
     readonly cutOff: ReadonlySet<DataCentreId>;
+    /** What endpoints have stated of their limits to any host; times on the local clock. */
+    readonly limits: ReadonlyMap<EndpointId, EndpointLimit>;
 }
 
 export interface FleetSource {
@@ -173,6 +176,8 @@
     reportCrash(fingerprint: string): void;
     /** Reports to the control hosts that an endpoint in another data centre was reached, or did not answer. */
     reportReach(endpoint: Pick<ListedEndpoint, "id" | "dataCentre">, isReached: boolean): void;
+    /** Reports to the control hosts what an endpoint has just stated of its limit; undefined for none. */
+    reportLimit(endpoint: EndpointId, perSecond: number | undefined): void;
 }
 
 /** Start settings of a process of the fleet. */
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -126,6 +126,7 @@
         readonly dataCentre: string;
         readonly isReached: boolean;
     }[] = [];
+    public readonly limitReports: (readonly [EndpointId, number | undefined])[] = [];
     public viewAgeMs = 0;
     private current = emptyView;
 
@@ -146,6 +147,10 @@
         this.crashes.push(fingerprint);
     }
 
+    public reportLimit(endpoint: EndpointId, perSecond: number | undefined): void {
+        this.limitReports.push([endpoint, perSecond]);
+    }
+
     public reportReach({ id, dataCentre }: ListedEndpoint, isReached: boolean): void {
         this.reachReports.push({ endpoint: id, dataCentre, isReached });
     }
