Endpoint limits: a request to a limited endpoint needs a permit, which one host lends for all of them

Cause: nothing read the limit, and no host can keep it by itself, since it holds for the sum of all hosts. Ruled out: retries or pieces as the source of the excess (all attempts in the window were first ones).

For each endpoint the first two live hosts in rendezvous order lend permits from a bucket that starts empty, the second only when the first can't be reached, at a quarter; a host that has just become first lends half for 4 s. Without a lender's answer nothing is sent, so the sum holds without a message in time. Requests pass over endpoints without a permit, wait for half of their objective where all are used up, and are refused with a time to come back behind those denied before. The most urgent come first; every fourth permit goes in turn.

Weighed: fixed shares (1.3 a second over 195 hosts is one request each 150 s, most hosts idle) and few senders for each endpoint (a host that sends to no limited endpoint refuses callers while limits idle, and two views of the hosts halve the rates).

A soak run now ends all limits before its last check, as it ends all other faults. A reply to another request, or of another endpoint at the same address, no longer says anything of the expected one.

--- a/proof/FleetHistory.test.ts
+++ b/proof/FleetHistory.test.ts
@@ -24,6 +24,17 @@
 const run = { request: "r1", endpoint: "e1", atMs: 150 };
 const stop = { host: "h1", fromMs: 150, toMs: 400 };
 
+/** A host answers a request at 0 s and sends more, one each `gapMs`, to an endpoint that takes one a second. */
+function sendToLimited(history: FleetHistory, count: number, gapMs: number, fromMs: number = 4000): void {
+    history.limits.push({ endpoint: "e1", perSecond: 1, fromMs: 0, toMs: 60_000 });
+    const times = [0, ...Array.from({ length: count }, (_, at) => fromMs + at * gapMs)];
+    times.forEach((atMs, at) => {
+        const request = `limited-${at}`;
+        history.arrivals.push({ request, endpoint: "e1", atMs });
+        history.ends.push(end({ request, kind: "idempotent", body: answerOf(request), endedMs: atMs + 10 }));
+    });
+}
+
 interface Case {
     readonly name: string;
     readonly change: (history: FleetHistory) => void;
@@ -113,6 +124,26 @@
                 one.ends.push(end({ status: 0, isWhole: false, isFresh: false, sentMs: 2100, endedMs: 2200 }))),
         isBroken: true,
     },
+    {
+        name: "as many requests as the limit of an endpoint allows",
+        change: one => sendToLimited(one, 11, 300),
+        isBroken: false,
+    },
+    {
+        name: "more requests in a window than the limit of an endpoint allows",
+        change: one => sendToLimited(one, 12, 300),
+        isBroken: true,
+    },
+    {
+        name: "too many requests just after an endpoint has stated its limit",
+        change: one => sendToLimited(one, 12, 100, 1000),
+        isBroken: false,
+    },
+    {
+        name: "too many requests to a limited endpoint from a host with a fault",
+        change: one => (one.faults.push({ host: "h1", fromMs: 4000, toMs: 5000 }), sendToLimited(one, 12, 300)),
+        isBroken: false,
+    },
     {
         name: "a request that was never sent to a stopping host",
         change: one => (one.stops.push(stop), one.ends.push(end({ status: 0, isWhole: false, wasSent: false }))),
--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -7,6 +7,14 @@
     readonly atMs: number;
 }
 
+/** A limit on the request rate over all hosts that an endpoint states in all replies of a period. */
+interface StatedLimit {
+    readonly endpoint: string;
+    readonly perSecond: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 /** Kind of a request: may run at most once, may be repeated, or is a stream that can be resumed. */
 export type CallerKind = "once" | "idempotent" | "resumable";
 
@@ -51,6 +59,13 @@
 const balancerLagMs = 2000;
 /** HTTP statuses that guarantee that a request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
+/** A limit counts from this long after it was first stated, in windows of this length, with this factor and slack. */
+const limitContactMs = 3000;
+const limitWindowMs = 4000;
+const limitOverrun = 1.5;
+const limitSlack = 5;
+/** A host knows a limit this long after it has answered a caller with a reply that states it. */
+const limitKnownMs = 500;
 /** Number of events in a complete stream of the stand-in endpoints. */
 export const streamEvents = 8;
 
@@ -66,6 +81,9 @@
 
 export class FleetHistory {
     public readonly runs: EndpointRun[] = [];
+    /** All requests that reached endpoints, run or refused. */
+    public readonly arrivals: EndpointRun[] = [];
+    public readonly limits: StatedLimit[] = [];
     public readonly ends: CallerEnd[] = [];
     public readonly stops: HostPeriod[] = [];
     public readonly acks: ConfigAck[] = [];
@@ -82,6 +100,7 @@
             ...this.brokenStreams(),
             ...this.staleReads(),
             ...this.requestsCutByStops(),
+            ...this.exceededLimits(),
         ];
     }
 
@@ -137,4 +156,43 @@
             return isCut && !isExcused ? [`${request} was cut off by the planned stop of ${host}`] : [];
         });
     }
+
+    /** Limits that the hosts which knew them have exceeded together; hosts with a fault in the window don't count. */
+    private exceededLimits(): string[] {
+        return this.limits.flatMap(limit => {
+            const times = this.countedArrivals(limit);
+            const allowed = Math.floor(limit.perSecond * limitWindowMs / 1000 * limitOverrun + limitSlack);
+            const counts = times.map(from => times.filter(at => at >= from && at < from + limitWindowMs).length);
+            const most = Math.max(0, ...counts);
+            return most > allowed
+                ? [`${limit.endpoint} got ${most} requests in 4 s at a limit of ${limit.perSecond}; allowed ${allowed}`]
+                : [];
+        });
+    }
+
+    /** Times at which requests reached a limited endpoint from hosts that knew the limit and had no fault nearby. */
+    private countedArrivals({ endpoint, fromMs, toMs }: StatedLimit): readonly number[] {
+        const ends = new Map(this.ends.map(end => [end.request, end]));
+        const arrivals = this.arrivals.filter(one =>
+            one.endpoint === endpoint && one.atMs >= fromMs && one.atMs < toMs
+        );
+        const knownMs = new Map<string, number>();
+        for (const { request } of arrivals) {
+            const end = ends.get(request);
+            if (end !== undefined && end.status !== 0) {
+                knownMs.set(end.host, Math.min(knownMs.get(end.host) ?? Infinity, end.endedMs + limitKnownMs));
+            }
+        }
+        const isCounted = (host: string, atMs: number) =>
+            atMs >= (knownMs.get(host) ?? Infinity)
+            && ![...this.faults, ...this.stops].some(one =>
+                one.host === host && one.fromMs <= atMs + limitWindowMs && one.toMs >= atMs - limitWindowMs
+            );
+        return arrivals
+            .filter(({ request, atMs }) => {
+                const end = ends.get(request);
+                return end !== undefined && atMs >= fromMs + limitContactMs && isCounted(end.host, atMs);
+            })
+            .map(one => one.atMs);
+    }
 }
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -1,6 +1,7 @@
 /**
  * Runs the programs of deploy/system.toml as processes on loopback addresses. The platform's endpoint list and the
- * endpoints are stand-ins in this process; the endpoints can refuse requests, lose responses and cut streams.
+ * endpoints are stand-ins in this process; the endpoints can refuse requests, lose responses, cut streams and limit
+ * their request rate.
  */
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import * as http from "node:http";
@@ -40,7 +41,9 @@
     public readonly controls: readonly string[];
     public readonly entries: readonly string[];
     public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0 };
-    private readonly endpoints: readonly string[];
+    public readonly endpoints: readonly string[];
+    /** Limits that endpoints state, in requests per second over all hosts, with the time of the first statement. */
+    private readonly limits = new Map<string, { readonly perSecond: number; readonly fromMs: number; }>();
     private readonly servers: http.Server[] = [];
     private version = 0;
 
@@ -108,6 +111,19 @@
         this.processes.start(host, script, [isControl ? "control" : "entry", "--settings", file]);
     }
 
+    /** Lets an endpoint limit its request rate over all hosts; undefined ends its limit. */
+    public setLimit(endpoint: string, perSecond: number | undefined): void {
+        const known = this.limits.get(endpoint);
+        const nowMs = this.clock.nowMs();
+        if (known !== undefined) {
+            this.history.limits.push({ endpoint, ...known, toMs: nowMs });
+            this.limits.delete(endpoint);
+        }
+        if (perSecond !== undefined) {
+            this.limits.set(endpoint, { perSecond, fromMs: nowMs });
+        }
+    }
+
     /** Deletes the data of a control host, which must not be running. */
     public wipe(host: string): void {
         rmSync(this.dataDir(host), { recursive: true, force: true });
@@ -190,7 +206,12 @@
     private serve(endpoint: string, req: http.IncomingMessage, res: http.ServerResponse): void {
         req.resume();
         const request = String(req.headers["fireflykeel-request-id"]);
-        const echo = { "Fireflykeel-Request-Id": request };
+        const limit = this.limits.get(endpoint);
+        const echo = {
+            "Fireflykeel-Request-Id": request,
+            ...(limit === undefined ? {} : { "Server-Limit": String(limit.perSecond) }),
+        };
+        this.history.arrivals.push({ request, endpoint, atMs: this.clock.nowMs() });
         if (this.random.next() < this.faults.refuse) {
             res.writeHead(503, { ...echo, "Fireflykeel-Not-Executed": "1", "content-length": 0 }).end();
             return;
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -14,6 +14,10 @@
 const callPauseMs = 20;
 const operatorPauseMs = 300;
 const callTimeoutMs = 6000;
+/** Largest limit that an endpoint states, in requests per second; far below what the callers send. */
+const maxLimitPerSecond = 8;
+/** Time after which hosts know that the limits of all endpoints have ended. */
+const limitEndMs = 3000;
 /** Time after the end of a fault during which its effects may still show, in milliseconds. */
 const faultEffectMs = 3000;
 const kinds: readonly CallerKind[] = ["once", "idempotent", "resumable"];
@@ -49,6 +53,7 @@
             await site.stop();
             return { broken: ["the fleet did not become ready in time"], counts: this.counts };
         }
+        site.setLimit(this.pick(site.endpoints), 1 + this.random.below(maxLimitPerSecond));
         const tasks = [this.runOperator(), ...site.entries.flatMap(host => this.runCallers(host))];
         const untilMs = clock.nowMs() + seconds * 1000;
         const faults: Promise<void>[] = [];
@@ -59,6 +64,8 @@
             await clock.sleep(500 + this.random.below(2000));
         }
         await Promise.all(faults);
+        site.endpoints.forEach(endpoint => site.setLimit(endpoint, undefined));
+        await clock.sleep(limitEndMs);
         await this.waitUntilReady();
         const unserved = await this.unservedHosts();
         this.endOfRun.abort();
@@ -126,6 +133,12 @@
         });
     }
 
+    /** Changes the limit that an endpoint states on its request rate, or ends it. */
+    public async changeLimit(): Promise<void> {
+        const perSecond = this.random.below(maxLimitPerSecond);
+        this.site.setLimit(this.pick(this.site.endpoints), perSecond === 0 ? undefined : perSecond);
+    }
+
     public get controls(): readonly string[] {
         return this.site.controls;
     }
@@ -269,4 +282,5 @@
     ["restart entry", soak => soak.restart(soak.entries)],
     ["restart control", soak => soak.restart(soak.controls)],
     ["break endpoints", soak => soak.breakEndpoints()],
+    ["change limit", soak => soak.changeLimit()],
 ];
--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -8,7 +8,7 @@
 import { EndpointLimits } from "../endpoints/EndpointLimits.js";
 import { EndpointNotices, type NoticeDecoder } from "../endpoints/EndpointNotices.js";
 import { FleetClient } from "../fleet/FleetClient.js";
-import type { DeploymentDecoder } from "../fleet/Types.js";
+import type { DeploymentDecoder, FleetBounds } from "../fleet/Types.js";
 import { EndpointChooser } from "../gateway/EndpointChooser.js";
 import { EndpointTracker } from "../gateway/EndpointTracker.js";
 import { ColdStartQuota, FleetRetryBudget } from "../gateway/FleetQuotas.js";
@@ -23,6 +23,8 @@
 import { HttpPieceClient } from "../gather/HttpPieceClient.js";
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
 import { shareLimits } from "../limits/LimitSharing.js";
+import { PermitLender } from "../limits/PermitLender.js";
+import { RatePermits } from "../limits/RatePermits.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
 
 /** Connect timeout for endpoints: many times the round trip to the farthest one plus its connection setup. */
@@ -52,6 +54,7 @@
     const fleet = followFleet(host, options, leaseClock);
     const limits = new EndpointLimits(leaseClock, log, metrics);
     shareLimits(limits, fleet);
+    const permits = buildPermits(host, { fleet, limits, clock: leaseClock, bounds });
     const { notices, connections, tracker } = followEndpoints(host, fleet, limits, options);
     const pieces = buildGathering(host, { fleet, notices, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
@@ -68,6 +71,7 @@
         notices,
         retries: new FleetRetryBudget(bounds, fleet, clock),
         cold,
+        permits,
         replyTimes: new ReplyTimes(),
         clock,
         log,
@@ -123,6 +127,20 @@
     return { notices, connections, tracker };
 }
 
+interface PermitParts {
+    readonly fleet: FleetClient;
+    readonly limits: EndpointLimits;
+    readonly clock: LeaseClock;
+    readonly bounds: FleetBounds;
+}
+
+/** Builds both roles of the host in limiting request rates: the lender for some endpoints, and the borrower for all. */
+function buildPermits(host: FleetHost, parts: PermitParts): RatePermits {
+    const { self, transport, peers: registry, log, metrics } = host;
+    const common = { ...parts, self, log, metrics };
+    return new RatePermits({ ...common, lender: new PermitLender({ ...common, registry }), transport });
+}
+
 interface GatheringParts {
     readonly fleet: FleetClient;
     readonly notices: EndpointNotices;
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -32,7 +32,8 @@
 
 /** Reads a platform's headers for {@link EndpointNotice}. */
 export interface NoticeDecoder {
-    decodeNotice(status: number, headers: ReplyHeaders): EndpointNotice;
+    /** Undefined when the reply is from another endpoint that has taken over the address. */
+    decodeNotice(status: number, headers: ReplyHeaders): EndpointNotice | undefined;
 }
 
 export class EndpointNotices {
@@ -50,7 +51,11 @@
 
     /** Reads the head of a reply, of whatever kind, that an endpoint has sent to this host. */
     public observe(endpoint: EndpointId, status: number, headers: ReplyHeaders): void {
-        const { isLeaving, pauseMs, limitPerSecond } = this.decoder.decodeNotice(status, headers);
+        const notice = this.decoder.decodeNotice(status, headers);
+        if (notice === undefined) {
+            return;
+        }
+        const { isLeaving, pauseMs, limitPerSecond } = notice;
         this.limits.recordReply(endpoint, limitPerSecond);
         if (isLeaving && !this.leaving.has(endpoint)) {
             this.leaving.add(endpoint);
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -19,6 +19,7 @@
     "quarantined": 503,
     "overloaded": 503,
     "no-endpoint": 503,
+    "limited": 503,
     "stopping": 503,
     "broken": 502,
     "deadline": 504,
--- a/src/gateway/EndpointChooser.ts
+++ b/src/gateway/EndpointChooser.ts
@@ -45,7 +45,7 @@
         prompt: PromptInfo | undefined,
     ): EndpointChoice | undefined {
         const available = usable.filter(one =>
-            !tried.has(one) && !one.isPaused && (!one.isCold || this.coldStarts.maySend(one.id, service))
+            !tried.has(one) && one.pausedForMs === 0 && (!one.isCold || this.coldStarts.maySend(one.id, service))
         );
         const trusted = available.filter(one => !one.isSuspect);
         if (trusted.length === 0) {
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -91,13 +91,13 @@
         const { codec, head, attempt, notices } = this.options;
         this.res = res;
         const reply = codec.decodeReply(res);
-        notices.observe(attempt.record.id, reply.status, res.headers);
         attempt.recordActivity();
         res.on("error", err => this.fail(err.message));
         if (reply.requestId !== undefined && reply.requestId !== head.id) {
             this.fail("the reply belongs to another request");
             return;
         }
+        notices.observe(attempt.record.id, reply.status, res.headers);
         if (reply.status < 400 && !reply.isSigned) {
             this.fail("the reply is not signed");
             return;
--- /dev/null
+++ b/src/gateway/EndpointSelection.ts
@@ -0,0 +1,126 @@
+/**
+ * Selects the endpoints of one request. Endpoints that have asked for a pause, or whose limit on their request rate is
+ * used up, are passed over; while there is no other, the request waits for a limited time.
+ */
+import type { Clock } from "../common/Types.js";
+import type { Service } from "../fleet/Types.js";
+import type { PermitOutcome, RatePermits } from "../limits/RatePermits.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { EndpointChoice, EndpointChooser } from "./EndpointChooser.js";
+import type { EndpointRecord } from "./EndpointTracker.js";
+import type { ColdStartQuota } from "./FleetQuotas.js";
+import type { PromptInfo } from "./Types.js";
+
+/** Pause before the next selection when no endpoint may get the request. */
+const noEndpointPauseMs = 40;
+
+/** An endpoint that may get the request now, once. */
+export interface PermittedChoice extends EndpointChoice {
+    readonly permit: PermitOutcome;
+    /** Endpoints that were passed over since their limits are used up. */
+    readonly heldOff: readonly EndpointRecord[];
+}
+
+/** Why no endpoint may get a request, and for how long: all have asked for a pause, or all limits are used up. */
+interface Unavailability {
+    readonly reason: "paused" | "limited";
+    readonly forMs: number;
+}
+
+interface EndpointSelectionOptions {
+    readonly chooser: EndpointChooser;
+    readonly permits: RatePermits;
+    readonly cold: ColdStartQuota;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    /** Aborted when the request has ended. */
+    readonly signal: AbortSignal;
+    /** Id of the request. */
+    readonly request: string;
+    readonly service: Service;
+    readonly prompt: PromptInfo | undefined;
+    /** 0 is the highest priority. */
+    readonly priority: number;
+}
+
+export class EndpointSelection {
+    public constructor(private readonly options: EndpointSelectionOptions) {}
+
+    /** The endpoint that would be chosen now, without a permit for it. */
+    public expected(
+        usable: readonly EndpointRecord[],
+        tried: ReadonlySet<EndpointRecord>,
+    ): EndpointChoice | undefined {
+        const { chooser, service, prompt } = this.options;
+        return chooser.choose(service, usable.filter(one => this.heldOffMs(one) === 0), tried, prompt);
+    }
+
+    /**
+     * Selects one of the endpoints that `usable` returns, and obtains a permit where it limits its request rate. While
+     * there is none, waits until `untilMs` on the local clock, or not at all when none can be expected by then.
+     */
+    public async choose(
+        usable: () => readonly EndpointRecord[],
+        tried: ReadonlySet<EndpointRecord>,
+        untilMs: number,
+    ): Promise<PermittedChoice | undefined> {
+        const { clock, cold, signal } = this.options;
+        while (!signal.aborted) {
+            const endpoints = usable();
+            const choice = this.expected(endpoints, tried);
+            if (choice === undefined) {
+                const nowMs = clock.nowMs();
+                if (nowMs >= untilMs || nowMs + this.earliestMs(endpoints, one => this.unavailableMs(one)) > untilMs) {
+                    return undefined;
+                }
+                await clock.sleep(noEndpointPauseMs, signal);
+                continue;
+            }
+            if (choice.record.isCold) {
+                cold.recordSend(choice.record.id);
+            }
+            const permit = await this.acquire(choice.record);
+            if (permit.kind !== "denied" && !signal.aborted) {
+                return { ...choice, permit, heldOff: endpoints.filter(one => this.heldOffMs(one) > 0) };
+            }
+        }
+        return undefined;
+    }
+
+    /** Why none of the endpoints may get the request, as far as that is known; undefined when one of them may. */
+    public unavailability(endpoints: readonly EndpointRecord[]): Unavailability | undefined {
+        const { permits, priority } = this.options;
+        const forMs = this.earliestMs(
+            endpoints,
+            one => Math.max(one.pausedForMs, permits.retryAfterMs(one.id, priority)),
+        );
+        const isPaused = this.earliestMs(endpoints, one => one.pausedForMs) > 0;
+        return forMs > 0 ? { reason: isPaused ? "paused" : "limited", forMs } : undefined;
+    }
+
+    private async acquire(record: EndpointRecord): Promise<PermitOutcome> {
+        const { permits, priority, request, log, metrics } = this.options;
+        const permit = await permits.acquire(record.listed, priority);
+        if (permit.kind === "denied") {
+            const { basis, waitMs } = permit;
+            metrics.count("requests_kept_off_limited_endpoints");
+            log.event(EventId.PermitDenied, { request, endpoint: record.id, ...basis, waitMs });
+        }
+        return permit;
+    }
+
+    private heldOffMs({ id }: EndpointRecord): number {
+        return this.options.permits.heldOffMs(id, this.options.priority);
+    }
+
+    private unavailableMs(record: EndpointRecord): number {
+        return Math.max(record.pausedForMs, this.heldOffMs(record));
+    }
+
+    /** The least of the endpoints' times; 0 when there are no endpoints. */
+    private earliestMs(endpoints: readonly EndpointRecord[], timeOf: (one: EndpointRecord) => number): number {
+        return endpoints.length === 0 ? 0 : Math.min(...endpoints.map(timeOf));
+    }
+}
--- a/src/gateway/EndpointTracker.ts
+++ b/src/gateway/EndpointTracker.ts
@@ -122,9 +122,9 @@
         return this.clock.nowMs() < this.coldUntilMs;
     }
 
-    /** True while it must get no requests, since it has asked for a pause. */
-    public get isPaused(): boolean {
-        return this.notices.isPaused(this.id);
+    /** Time for which it must get no requests, since it has asked for a pause; 0 when it may get them. */
+    public get pausedForMs(): number {
+        return Math.max(0, this.notices.pauseEndMs(this.id) - this.clock.nowMs());
     }
 
     /** True while requests should go to other endpoints. */
@@ -237,12 +237,6 @@
             .filter(({ id }) => !this.notices.isLeaving(id));
     }
 
-    /** Time until the first of some endpoints may get requests, in milliseconds; 0 when one may now or there is none. */
-    public pausedForMs(records: readonly EndpointRecord[]): number {
-        const ends = records.map(({ id }) => this.notices.pauseEndMs(id));
-        return ends.length === 0 ? 0 : Math.max(0, Math.min(...ends) - this.clock.nowMs());
-    }
-
     /** Address of an endpoint; undefined when it is no longer listed. */
     public addressOf(endpoint: EndpointId): string | undefined {
         return this.records.get(endpoint)?.listed.address;
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -11,6 +11,7 @@
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { FleetBounds, FleetSource, Workspace } from "../fleet/Types.js";
 import type { PieceExecutor } from "../gather/Types.js";
+import type { RatePermits } from "../limits/RatePermits.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CallerReply } from "./CallerReply.js";
@@ -50,6 +51,7 @@
     readonly notices: EndpointNotices;
     readonly retries: FleetRetryBudget;
     readonly cold: ColdStartQuota;
+    readonly permits: RatePermits;
     readonly replyTimes: ReplyTimes;
     readonly clock: Clock;
     readonly log: EventLog;
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -9,8 +9,8 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import { CallerReply } from "./CallerReply.js";
-import type { EndpointChoice } from "./EndpointChooser.js";
 import { EndpointExchange } from "./EndpointExchange.js";
+import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
 import type { EndpointRecord } from "./EndpointTracker.js";
 import type { GatewayDependencies } from "./Gateway.js";
 import { RequestStages } from "./RequestStages.js";
@@ -19,8 +19,6 @@
 
 /** Maximum number of attempts of a request that never reached an endpoint. */
 const maxUnsentAttempts = 4;
-/** Pause before the next selection when no endpoint may get the request. */
-const noEndpointPauseMs = 40;
 /** A request waits for an available endpoint for at most this share of its latency objective. */
 const endpointWaitShare = 0.5;
 /** A repeatable request goes to another endpoint after this multiple of the usual reply time, with a lower bound. */
@@ -54,7 +52,10 @@
     private readonly clock: Clock;
     private readonly log: EventLog;
     private readonly deadlineMs: number;
+    /** 0 is the highest priority. */
+    private readonly priority: number;
     private readonly stages: RequestStages;
+    private readonly selection: EndpointSelection;
     /** True once the deadline has passed; logged as `isOver`. */
     private hasTimedOut = false;
     /** True once the planned stop of this host has ended the request. */
@@ -74,14 +75,29 @@
         private readonly admitted: AdmittedRequest,
         private readonly res: http.ServerResponse,
     ) {
-        const { head, route, arrivedMs } = admitted;
+        const { head, route, service, workspace, arrivedMs } = admitted;
         this.clock = deps.clock;
         this.log = deps.log;
         this.caller = new CallerReply(res, head.lastEvent);
         const callerRemainingMs = head.remainingMs === undefined ? Infinity : head.remainingMs - answerMarginMs;
         this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerRemainingMs);
-        const { stages, pieces, clock } = deps;
-        this.stages = new RequestStages({ stages, pieces, clock, signal: this.abortController.signal });
+        const { stages, pieces, chooser, permits, cold, clock, log, metrics } = deps;
+        const { signal } = this.abortController;
+        this.stages = new RequestStages({ stages, pieces, clock, signal });
+        this.priority = workspace?.priority ?? route.priority;
+        this.selection = new EndpointSelection({
+            chooser,
+            permits,
+            cold,
+            clock,
+            log,
+            metrics,
+            signal,
+            request: head.id,
+            service,
+            prompt: head.prompt,
+            priority: this.priority,
+        });
     }
 
     /** Runs the request until it has been answered or refused. */
@@ -114,9 +130,9 @@
     }
 
     private async serve(): Promise<RequestOutcome> {
-        const paused = this.pausedRefusal();
-        if (paused !== undefined) {
-            return { kind: "refused", refusal: paused };
+        const unavailable = this.unavailableRefusal();
+        if (unavailable !== undefined) {
+            return { kind: "refused", refusal: unavailable };
         }
         for (;;) {
             const refusal = await this.runStages();
@@ -140,31 +156,35 @@
         }
     }
 
-    /** A refusal when all endpoints of the service have asked for pauses that outlast the latency objective. */
-    private pausedRefusal(): Refusal | undefined {
+    /**
+     * A refusal when no endpoint of the service may get the request before the time for which it would wait. With stages,
+     * that wait begins only after them.
+     */
+    private unavailableRefusal(): Refusal | undefined {
         const { route, service } = this.admitted;
-        const { tracker } = this.deps;
-        return tracker.pausedForMs(tracker.usable(service.id)) > route.objectiveMs
+        const waitShare = route.stages.length > 0 ? 1 : endpointWaitShare;
+        const unavailability = this.selection.unavailability(this.deps.tracker.usable(service.id));
+        return unavailability !== undefined && unavailability.forMs > route.objectiveMs * waitShare
             ? this.noEndpointRefusal()
             : undefined;
     }
 
     /** Runs the stages unless their results are available; returns a refusal when the request can't continue. */
     private async runStages(): Promise<Refusal | undefined> {
-        const { route, head, workspace, service, arrivedMs } = this.admitted;
-        const { fleet, replyTimes, tracker, chooser } = this.deps;
+        const { route, head, service, arrivedMs } = this.admitted;
+        const { fleet, replyTimes, tracker } = this.deps;
         const { deployment } = fleet.view();
         if (route.stages.length === 0 || this.stages.hasResults || deployment === undefined) {
             return this.abortController.signal.aborted ? this.endedRefusal() : undefined;
         }
-        const expected = chooser.choose(service, tracker.usable(service.id), this.tried, head.prompt);
+        const expected = this.selection.expected(tracker.usable(service.id), this.tried);
         const plan = {
             request: head.id,
             route,
             deployment,
             pieces: head.pieces,
             pieceKey: head.pieceKey,
-            priority: workspace?.priority ?? route.priority,
+            priority: this.priority,
             objectiveMs: arrivedMs + route.objectiveMs,
             deadlineMs: this.deadlineMs,
             replyMs: replyTimes.expectedMs(route.id),
@@ -195,30 +215,17 @@
     }
 
     /** Selects an endpoint; waits for a limited time while none is available. */
-    private async chooseEndpoint(): Promise<EndpointChoice | undefined> {
-        const { chooser, tracker } = this.deps;
-        const { service, head, route } = this.admitted;
-        const waitMs = this.stages.isBound ? 0 : route.objectiveMs * endpointWaitShare;
+    private chooseEndpoint(): Promise<PermittedChoice | undefined> {
+        const waitMs = this.stages.isBound ? 0 : this.admitted.route.objectiveMs * endpointWaitShare;
         const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + waitMs);
-        for (;;) {
-            const usable = this.usable();
-            const choice = chooser.choose(service, usable, this.tried, head.prompt);
-            const nowMs = this.clock.nowMs();
-            const isWaitInVain = nowMs >= untilMs || nowMs + tracker.pausedForMs(usable) > untilMs;
-            if (choice !== undefined || this.abortController.signal.aborted || isWaitInVain) {
-                return this.abortController.signal.aborted ? undefined : choice;
-            }
-            await this.clock.sleep(noEndpointPauseMs, this.abortController.signal);
-        }
+        return this.selection.choose(() => this.usable(), this.tried, untilMs);
     }
 
-    private async runAttempt({ record, reason }: EndpointChoice): Promise<AttemptOutcome> {
-        const { tracker, codec, connections, notices, cold, replyTimes } = this.deps;
+    private async runAttempt(choice: PermittedChoice): Promise<AttemptOutcome> {
+        const { record } = choice;
+        const { tracker, codec, connections, notices, replyTimes } = this.deps;
         const { head, service, workspace, body, route } = this.admitted;
         const startMs = this.clock.nowMs();
-        if (record.isCold) {
-            cold.recordSend(record.id);
-        }
         const attempt = tracker.startAttempt(record, service);
         const remainingMs = Math.max(1, Math.floor(this.deadlineMs - startMs));
         const headers = codec.encodeAttempt(head, {
@@ -261,7 +268,7 @@
         if (outcome.kind === "broken" && !outcome.isSilent) {
             void this.reportIfCrashed(record);
         }
-        this.recordAttempt(record, reason, outcome, startMs);
+        this.recordAttempt(choice, outcome, startMs);
         return outcome;
     }
 
@@ -377,20 +384,32 @@
             return this.endedRefusal();
         }
         const { tracker } = this.deps;
-        const pausedForMs = tracker.pausedForMs(tracker.usable(this.admitted.service.id));
-        return pausedForMs > 0
-            ? { ...this.refusal("no-endpoint", "all endpoints have asked for a pause"), retryAfterMs: pausedForMs }
-            : {
-                ...this.refusal("no-endpoint", "no endpoint is available for the request"),
-                retryAfterMs: defaultRetryMs,
-            };
+        const unavailability = this.selection.unavailability(tracker.usable(this.admitted.service.id));
+        switch (unavailability?.reason) {
+            case "paused":
+                return {
+                    ...this.refusal("no-endpoint", "all endpoints have asked for a pause"),
+                    retryAfterMs: unavailability.forMs,
+                };
+            case "limited":
+                return {
+                    ...this.refusal("limited", "the limits of all endpoints are used up"),
+                    retryAfterMs: unavailability.forMs,
+                };
+            case undefined:
+                return {
+                    ...this.refusal("no-endpoint", "no endpoint is available for the request"),
+                    retryAfterMs: defaultRetryMs,
+                };
+        }
     }
 
     private refusal(reason: Refusal["reason"], message: string): Refusal {
         return { reason, message, notRun: this.possibleRuns === 0 };
     }
 
-    private recordAttempt(record: EndpointRecord, reason: string, outcome: AttemptOutcome, startMs: number): void {
+    private recordAttempt(choice: PermittedChoice, outcome: AttemptOutcome, startMs: number): void {
+        const { record, reason, permit, heldOff } = choice;
         this.attempts.push(`${record.id}:${outcome.kind}`);
         this.tried.add(record);
         this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
@@ -401,6 +420,8 @@
             running: record.running.size,
             failureShare: Number(record.failureShare.toFixed(2)),
             isCold: record.isCold,
+            ...(permit.kind === "lent" ? { limit: permit.basis } : {}),
+            ...(heldOff.length > 0 ? { heldOff: heldOff.map(one => one.id) } : {}),
             end: outcome.kind,
             ...(outcome.kind === "replied" ? { status: outcome.reply.status } : {}),
             ...(outcome.kind === "not-run" ? { status: outcome.status } : {}),
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -107,6 +107,7 @@
     | "quarantined"
     | "overloaded"
     | "no-endpoint"
+    | "limited"
     | "broken"
     | "deadline"
     | "stopping";
--- /dev/null
+++ b/src/limits/LimitMessages.ts
@@ -0,0 +1,37 @@
+/** Messages between entry hosts about permits for requests to endpoints that limit their request rate. */
+import * as z from "zod";
+import type { DataCentreId, EndpointId } from "../common/Types.js";
+import { definePeerMethod } from "../peer/Types.js";
+
+const permitRequest = z.object({
+    endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+    /** Data centre of the endpoint. */
+    dataCentre: z.string() as unknown as z.ZodType<DataCentreId>,
+    /** Priority of the request; 0 is the highest. */
+    priority: z.number(),
+    /** The limit that the requesting host knows, in requests per second over all hosts. */
+    perSecond: z.number(),
+    /** Age of the reply that stated it. */
+    ageMs: z.number(),
+});
+
+export type PermitRequest = z.infer<typeof permitRequest>;
+
+export type PermitReply =
+    | { readonly kind: "lent"; }
+    /** The endpoint has meanwhile ended its limit. */
+    | { readonly kind: "unlimited"; readonly ageMs: number; }
+    | {
+        readonly kind: "denied";
+        /** Time until the next permit for this priority, unless another host gets it. */
+        readonly waitMs: number;
+        /** Time after which a caller is likely to get one, behind those that were denied before it. */
+        readonly retryAfterMs: number;
+    }
+    /** The replying host does not lend the endpoint's permits. */
+    | { readonly kind: "not-lender"; };
+
+export const limitMethods = {
+    /** Requests a permit for one request to an endpoint. It is to be used at once. */
+    permit: definePeerMethod<PermitRequest, PermitReply>("limits.permit", permitRequest),
+};
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -122,4 +122,8 @@
     ResultsLost = 1206,
     /** Results could not be sent to their submitter; they stay unused until they expire. */
     ResultsUndelivered = 1207,
+    // 13xx: limits
+    PermitLenderRole = 1300,
+    PermitLenderLost = 1301,
+    PermitDenied = 1302,
 }
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -19,7 +19,11 @@
     ServiceId,
 } from "../src/fleet/Types.js";
 import type { CallOutcome, PieceCall, PieceClient, Submission, SubmissionId, WorkState } from "../src/gather/Types.js";
+import { PermitLender } from "../src/limits/PermitLender.js";
+import { RatePermits } from "../src/limits/RatePermits.js";
+import type { PeerTransport } from "../src/peer/Types.js";
 import type { EventLog, Metrics } from "../src/telemetry/Types.js";
+import type { FakeNetwork } from "./FakeNetwork.js";
 
 export const serviceId = (text: string) => text as ServiceId;
 export const centreId = (text: string) => text as DataCentreId;
@@ -51,6 +55,25 @@
     return new EndpointNotices({ decodeNotice }, limits, clock, random, log, noMetrics);
 }
 
+interface TestPermitParts {
+    readonly self: HostId;
+    readonly fleet: FleetSource;
+    readonly limits: EndpointLimits;
+    readonly network: FakeNetwork;
+    readonly clock: Clock;
+    readonly log?: EventLog;
+    readonly metrics?: Metrics;
+}
+
+/** Starts a host on a simulated network that lends permits there, and borrows them there or through `transport`. */
+export function testPermits(parts: TestPermitParts, transport?: PeerTransport): RatePermits {
+    const { self, fleet, limits, network, clock, log = silentLog, metrics = noMetrics } = parts;
+    const peers = network.addHost(self);
+    const common = { self, fleet, limits, clock, log, metrics };
+    const lender = new PermitLender({ ...common, bounds: defaultBounds, registry: peers });
+    return new RatePermits({ ...common, lender, transport: transport ?? peers });
+}
+
 export const defaultBounds: FleetBounds = {
     configApplyMs: 2000,
     revokeMs: 5000,
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -19,6 +19,7 @@
 import { ReplyTimes } from "../src/gateway/ReplyTimes.js";
 import { StageGraph } from "../src/gateway/StageGraph.js";
 import type { PieceExecutor, SubmissionId } from "../src/gather/Types.js";
+import { FakeNetwork } from "./FakeNetwork.js";
 import {
     defaultBounds,
     deployment,
@@ -29,6 +30,7 @@
     route,
     service,
     silentLog,
+    testPermits,
 } from "./FleetFixtures.js";
 
 /** Signature that a complete reply of an endpoint carries. */
@@ -100,6 +102,7 @@
     readonly received: http.IncomingMessage[];
     readonly endpoints: readonly http.Server[];
     readonly gateway: Gateway;
+    readonly limits: EndpointLimits;
 }
 
 /** Starts a gateway in front of endpoints e0, e1, …; e0 is preferred, as only it is in the gateway's data centre. */
@@ -127,8 +130,9 @@
         })
     ));
     const hosts = entryHosts(count);
+    const network = new FakeNetwork(new SystemClock());
     return Promise.all(hosts.map(async ({ host }) => {
-        const { fleet, gateway, dispose } = startGateway(host, stageExecutor);
+        const { fleet, gateway, limits, dispose } = startGateway(host, network, stageExecutor);
         closers.push(dispose);
         const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
         const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs: 2000, stages });
@@ -144,14 +148,15 @@
             ),
         });
         const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
-        return { address, fleet, received, endpoints, gateway };
+        return { address, fleet, received, endpoints, gateway, limits };
     }));
 }
 
-function startGateway(self: HostId, stageExecutor: PieceExecutor | undefined) {
+function startGateway(self: HostId, network: FakeNetwork, stageExecutor: PieceExecutor | undefined) {
     const clock = new SystemClock();
     const fleet = new FixedFleet();
     const limits = new EndpointLimits(clock, silentLog, noMetrics);
+    const permits = testPermits({ self, fleet, limits, network, clock });
     const decoder = new PlatformNoticeDecoder();
     const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
@@ -182,6 +187,7 @@
         notices,
         retries: new FleetRetryBudget(defaultBounds, fleet, clock),
         cold,
+        permits,
         replyTimes: new ReplyTimes(),
         clock,
         log: silentLog,
@@ -190,7 +196,7 @@
         stopped: new AbortController().signal,
         reportCrash: () => fleet.reportCrash("crash"),
     });
-    return { fleet, gateway, dispose: () => connections.dispose() };
+    return { fleet, gateway, limits, dispose: () => connections.dispose() };
 }
 
 export interface Answer {
