--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -21,6 +21,7 @@
 import { GatherClient } from "../gather/GatherClient.js";
 import { GatherServer } from "../gather/GatherServer.js";
 import { HttpPieceClient } from "../gather/HttpPieceClient.js";
+import { PermittedPieceClient } from "../gather/PermittedPieceClient.js";
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
 import { shareLimits } from "../limits/LimitSharing.js";
 import { PermitLender } from "../limits/PermitLender.js";
@@ -56,7 +57,7 @@
     shareLimits(limits, fleet);
     const permits = buildPermits(host, { fleet, limits, clock: leaseClock, bounds });
     const { notices, connections, tracker } = followEndpoints(host, fleet, limits, options);
-    const pieces = buildGathering(host, { fleet, notices, connections, options });
+    const pieces = buildGathering(host, { fleet, notices, permits, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdStartQuota(self, bounds, fleet, clock);
     const gateway = new Gateway({
@@ -144,17 +145,20 @@
 interface GatheringParts {
     readonly fleet: FleetClient;
     readonly notices: EndpointNotices;
+    readonly permits: RatePermits;
     readonly connections: EndpointConnections;
     readonly options: FleetEntryOptions;
 }
 
 /** Builds both roles of the host in batching pieces: the gatherer of some cells, and the client of all of them. */
-function buildGathering(host: FleetHost, { fleet, notices, connections, options }: GatheringParts): GatherClient {
+function buildGathering(host: FleetHost, parts: GatheringParts): GatherClient {
+    const { fleet, notices, permits, connections, options } = parts;
     const { self, transport, peers: registry, clock, log, metrics } = host;
     const { dataCentre } = options.settings;
     const signal = host.stopped.signal;
     const cells = new CellCache(() => fleet.view());
-    const client = new HttpPieceClient(connections, options.pieceCodec, notices, clock, signal);
+    const http = new HttpPieceClient(connections, options.pieceCodec, notices, clock, signal);
+    const client = new PermittedPieceClient(http, permits, log);
     const common = { self, cells, transport, registry, clock, log };
     const local = new GatherServer({ ...common, fleet, client, notices, metrics, signal });
     return new GatherClient({ ...common, dataCentre, local });
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -82,6 +82,11 @@
         return this.clock.nowMs() < this.pauseEndMs(endpoint);
     }
 
+    /** Requests per second that the endpoint takes from all hosts together; undefined for no limit. */
+    public limitPerSecond(endpoint: EndpointId): number | undefined {
+        return this.limits.perSecond(endpoint);
+    }
+
     private pause(endpoint: EndpointId, pauseMs: number): void {
         if (!(pauseMs >= 0 && pauseMs <= maxPauseMs)) {
             this.metrics.count("endpoint_notices", { kind: "ignored" });
--- a/src/gather/BatchEndpoint.ts
+++ b/src/gather/BatchEndpoint.ts
@@ -23,6 +23,7 @@
 const unknownResultsTtlMs = 1000;
 /** Pause after no queued piece could be sent to the endpoint. */
 const idlePauseMs = 20;
+const msPerS = 1000;
 /** Added to the configured retention of a result before its storage counts as free. */
 const expiryMarginMs = 500;
 
@@ -95,6 +96,13 @@
         return (traits.callMs + pieces * traits.pieceMs) * this.slowness;
     }
 
+    /** Pieces per millisecond with full calls, as far as the endpoint limits its request rate. */
+    public piecesPerMs(traits: BatchTraits): number {
+        const callsPerMs = traits.slots / this.expectedMs(traits, traits.batch);
+        const limitPerMs = (this.notices.limitPerSecond(this.id) ?? Infinity) / msPerS;
+        return Math.min(callsPerMs, limitPerMs) * traits.batch;
+    }
+
     /** Counts a running call and reserves `bytes` of storage for its results. */
     public callStarted(bytes: number): void {
         this.runningCalls += 1;
@@ -143,6 +151,11 @@
         }
     }
 
+    /** Sends the endpoint no call for a time, since its limit on its request rate is used up. */
+    public waitAtLeast(waitMs: number): void {
+        this.backoff.waitAtLeast(waitMs);
+    }
+
     /** Records that the endpoint had no free slot, which is not a failure. */
     public recordBusy(): void {
         this.backoff.waitAtLeast(busyPauseMs);
--- a/src/gather/BatchEndpoints.ts
+++ b/src/gather/BatchEndpoints.ts
@@ -70,10 +70,7 @@
     public piecesPerMs(traits: BatchTraits): number {
         return this.usable()
             .filter(endpoint => !endpoint.isSuspect)
-            .reduce(
-                (sum, endpoint) => sum + traits.slots * traits.batch / endpoint.expectedMs(traits, traits.batch),
-                0,
-            );
+            .reduce((sum, endpoint) => sum + endpoint.piecesPerMs(traits), 0);
     }
 
     /**
--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -289,6 +289,9 @@
             if (callOutcome.kind === "full") {
                 endpoint.recordBusy();
             }
+            else if (callOutcome.kind === "limited") {
+                endpoint.waitAtLeast(callOutcome.waitMs);
+            }
             else {
                 endpoint.recordFailure();
             }
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -117,6 +117,8 @@
     | { readonly kind: "replied"; readonly outcomes: readonly PieceOutcome[]; }
     /** The endpoint had no free slot for the call, which is not a failure. */
     | { readonly kind: "full"; readonly message: string; }
+    /** The call was not sent, since the endpoint's limit on its request rate is used up for `waitMs`. */
+    | { readonly kind: "limited"; readonly message: string; readonly waitMs: number; }
     /** The endpoint did not run the call for another reason. */
     | { readonly kind: "not-run"; readonly message: string; }
     /** No valid reply arrived; the endpoint may have run the call. */
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -186,6 +186,8 @@
 export class TimedEndpoints implements PieceClient {
     public readonly calls: { readonly endpoint: EndpointId; readonly pieces: readonly PieceCall[]; }[] = [];
     public readonly freed: string[] = [];
+    /** Everything that has reached an endpoint: calls, freeing of results and queries of the state. */
+    public readonly arrivals: { readonly endpoint: EndpointId; readonly atMs: number; }[] = [];
     /** Factor on the duration of calls, by endpoint; Infinity for one that never replies. */
     public readonly slowness = new Map<string, number>();
     public readonly broken = new Set<string>();
@@ -222,6 +224,7 @@
         signal: AbortSignal,
     ): Promise<CallOutcome> {
         this.calls.push({ endpoint: endpoint.id, pieces });
+        this.arrivals.push({ endpoint: endpoint.id, atMs: this.clock.nowMs() });
         const outcome = await this.reply(endpoint, pieces, timeoutMs, signal);
         this.notices?.observe(endpoint.id, outcome.kind === "full" ? 503 : 200, this.says.get(endpoint.id) ?? {});
         return outcome;
@@ -266,6 +269,7 @@
     }
 
     public async free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined> {
+        this.arrivals.push({ endpoint: endpoint.id, atMs: this.clock.nowMs() });
         for (const handle of handles) {
             this.freed.push(handle);
             this.held.get(endpoint.id)?.delete(handle);
@@ -274,6 +278,7 @@
     }
 
     public async state(endpoint: ListedEndpoint): Promise<WorkState | undefined> {
+        this.arrivals.push({ endpoint: endpoint.id, atMs: this.clock.nowMs() });
         await this.clock.sleep(2);
         return { isWorking: (this.busyUntilMs.get(endpoint.id) ?? 0) > this.clock.nowMs() };
     }
