--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -158,7 +158,7 @@
     const signal = host.stopped.signal;
     const cells = new CellCache(() => fleet.view());
     const http = new HttpPieceClient(connections, options.pieceCodec, notices, clock, signal);
-    const client = new PermittedPieceClient(http, permits, log);
+    const client = new PermittedPieceClient(http, permits, clock, log);
     const common = { self, cells, transport, registry, clock, log };
     const local = new GatherServer({ ...common, fleet, client, notices, metrics, signal });
     return new GatherClient({ ...common, dataCentre, local });
--- a/src/gather/PermittedPieceClient.test.ts
+++ b/src/gather/PermittedPieceClient.test.ts
@@ -56,7 +56,7 @@
         const gatherer = new CellGatherer({
             service: serviceId("s"),
             traits: () => traits,
-            client: new PermittedPieceClient(endpoints, permits, silentLog),
+            client: new PermittedPieceClient(endpoints, permits, clock, silentLog),
             notices,
             clock,
             log: silentLog,
@@ -79,6 +79,9 @@
         assert.ok(most <= perSecond * 4 * 1.5 + 5, `${most} requests in 4 s`);
         // A slow endpoint gets calls only while no other is free.
         assert.ok(slowness > 1 || most >= perSecond * 2, "the limit is used");
+        const made = endpoints.calls.filter(one => one.endpoint === "e0").flatMap(one => one.pieces).length;
+        const freed = endpoints.freed.filter(handle => handle.startsWith("e0/")).length;
+        assert.ok(freed >= made * 0.9, `${freed} of ${made} results freed`);
         const served = ends.filter(end => end.isRight()).length / ends.length;
         assert.ok(served >= 0.95, `${(served * 100).toFixed(0)} % of the submissions completed`);
     });
