Endpoints: the software version is read from the list, and logs tell it and which requests resume a stream

The logs could not tell by which version an attempt ran, nor whether a caller took a stream up again and which request it named. EndpointAttemptEnded has the version and the last event that the caller has, GatewayRequestTaken the last event and the named request. Nothing decides by them yet.

--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -118,6 +118,8 @@
     /** "ip:port". */
     readonly address: string;
     readonly dataCentre: DataCentreId;
+    /** Version of its software, which other services may use for another software; undefined when the list has none. */
+    readonly version?: string | undefined;
     readonly slots: number;
     /** True while it drains before its end; it must get no new requests. */
     readonly isLeaving: boolean;
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -167,6 +167,7 @@
             viewAgeMs: Math.round(this.deps.fleet.ageMs()),
             remainingMs: head.remainingMs,
             pieces: head.pieces,
+            ...(head.lastEvent === undefined ? {} : { lastEvent: head.lastEvent, resumes: head.resumes }),
         });
         this.deps.retries.recordRequest(service.id);
         const request = new GatewayRequest(this.deps, admission.admitted, res);
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -416,7 +416,9 @@
         this.log.event(EventId.EndpointAttemptEnded, {
             request: this.admitted.head.id,
             endpoint: record.id,
+            version: record.listed.version,
             chosenBy: reason,
+            ...(this.caller.lastEvent === undefined ? {} : { lastEvent: this.caller.lastEvent }),
             running: record.running.size,
             failureShare: Number(record.failureShare.toFixed(2)),
             isCold: record.isCold,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -38,6 +38,8 @@
     readonly pieceKey: string;
     /** Id of the last event that the caller has of a stream that it resumes. */
     readonly lastEvent: string | undefined;
+    /** Id of the earlier request that brought the first event of that stream, if the caller names it. */
+    readonly resumes: string | undefined;
     /** Headers passed to the endpoint unchanged, as alternating names and values. */
     readonly forwarded: readonly string[];
 }
