Tests of the software version at which streams go on, failing: within one reply and over a caller's tries

Endpoints of two versions on loopback: a stream begun at v1 goes on at v1.1 within one reply, and at another host when the caller returns and names its first request.

--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -103,6 +103,8 @@
     readonly endpoints: readonly http.Server[];
     readonly gateway: Gateway;
     readonly limits: EndpointLimits;
+    /** Takes an endpoint off the list of this host. */
+    hide(endpoint: string): void;
 }
 
 /** Starts a gateway in front of endpoints e0, e1, …; e0 is preferred, as only it is in the gateway's data centre. */
@@ -111,16 +113,24 @@
     handlers: readonly RequestHandler[],
     stageExecutor?: PieceExecutor,
 ): Promise<GatewaySite> {
-    const [site] = await startGatewaySites(1, kind, handlers, stageExecutor);
+    const [site] = await startGatewaySites(1, kind, handlers, stageExecutor === undefined ? {} : { stageExecutor });
     return site!;
 }
 
-/** Starts several gateways, hosts of one fleet, in front of the same endpoints as {@link startGatewaySite}. */
+interface GatewaySiteOptions {
+    readonly stageExecutor?: PieceExecutor;
+    readonly versions?: readonly string[];
+}
+
+/**
+ * Starts several gateways, hosts of one fleet, in front of the same endpoints as {@link startGatewaySite}. `versions` are
+ * the software versions of the endpoints.
+ */
 export async function startGatewaySites(
     count: number,
     kind: RequestKind,
     handlers: readonly RequestHandler[],
-    stageExecutor?: PieceExecutor,
+    { stageExecutor, versions }: GatewaySiteOptions = {},
 ): Promise<readonly GatewaySite[]> {
     const received: http.IncomingMessage[] = [];
     const endpoints = await Promise.all(handlers.map(serve =>
@@ -143,12 +153,15 @@
             endpoints: endpoints.map((server, at) =>
                 listed(`e${at}`, {
                     address: addressOf(server),
+                    version: versions?.[at],
                     dataCentre: (at === 0 ? "a" : `far-${at}`) as DataCentreId,
                 })
             ),
         });
         const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
-        return { address, fleet, received, endpoints, gateway, limits };
+        const hide = (endpoint: string) =>
+            fleet.set({ endpoints: fleet.view().endpoints.filter(one => one.id !== endpoint) });
+        return { address, fleet, received, endpoints, gateway, limits, hide };
     }));
 }
 
