--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -6,13 +6,12 @@
 import type * as http from "node:http";
 import type { Clock } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
-import { EventId } from "../telemetry/Events.js";
-import type { EventLog } from "../telemetry/Types.js";
 import { CallerReply } from "./CallerReply.js";
 import { EndpointExchange } from "./EndpointExchange.js";
 import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
 import type { EndpointRecord } from "./EndpointTracker.js";
 import type { GatewayDependencies } from "./Gateway.js";
+import { type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
 import { RequestStages } from "./RequestStages.js";
 import { defaultRetryMs } from "./StageGraph.js";
 import type { AttemptOutcome, Refusal, ReplyHead, RequestHead } from "./Types.js";
@@ -42,15 +41,12 @@
     readonly arrivedMs: number;
 }
 
-type RequestOutcome = { readonly kind: "answered"; } | { readonly kind: "refused"; readonly refusal: Refusal; };
-
 export class GatewayRequest {
     private readonly caller: CallerReply;
     private readonly abortController = new AbortController();
     private readonly tried = new Set<EndpointRecord>();
-    private readonly attempts: string[] = [];
     private readonly clock: Clock;
-    private readonly log: EventLog;
+    private readonly recorder: RequestRecorder;
     private readonly deadlineMs: number;
     /** 0 is the highest priority. */
     private readonly priority: number;
@@ -77,7 +73,7 @@
     ) {
         const { head, route, service, workspace, arrivedMs } = admitted;
         this.clock = deps.clock;
-        this.log = deps.log;
+        this.recorder = new RequestRecorder(admitted, deps.clock, deps.log, deps.metrics);
         this.caller = new CallerReply(res, head.lastEvent);
         const callerRemainingMs = head.remainingMs === undefined ? Infinity : head.remainingMs - answerMarginMs;
         this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerRemainingMs);
@@ -118,7 +114,13 @@
             this.caller.refuse(outcome.refusal);
         }
         this.stages.free();
-        this.recordEnd(outcome);
+        this.recorder.recordEnd({
+            outcome,
+            config: this.deps.fleet.view().deployment?.version,
+            hasLeft: this.hasDisconnected,
+            isOver: this.hasTimedOut,
+            events: this.caller.events,
+        });
     }
 
     /** Refuses the request if it is not at an endpoint, since this process is about to end. */
@@ -268,7 +270,9 @@
         if (outcome.kind === "broken" && !outcome.isSilent) {
             void this.reportIfCrashed(record);
         }
-        this.recordAttempt(choice, outcome, startMs);
+        this.tried.add(record);
+        this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
+        this.recorder.recordAttempt(choice, outcome, startMs, this.caller.lastEvent);
         return outcome;
     }
 
@@ -407,50 +411,6 @@
     private refusal(reason: Refusal["reason"], message: string): Refusal {
         return { reason, message, notRun: this.possibleRuns === 0 };
     }
-
-    private recordAttempt(choice: PermittedChoice, outcome: AttemptOutcome, startMs: number): void {
-        const { record, reason, permit, heldOff } = choice;
-        this.attempts.push(`${record.id}:${outcome.kind}`);
-        this.tried.add(record);
-        this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
-        this.log.event(EventId.EndpointAttemptEnded, {
-            request: this.admitted.head.id,
-            endpoint: record.id,
-            version: record.listed.version,
-            chosenBy: reason,
-            ...(this.caller.lastEvent === undefined ? {} : { lastEvent: this.caller.lastEvent }),
-            running: record.running.size,
-            failureShare: Number(record.failureShare.toFixed(2)),
-            isCold: record.isCold,
-            ...(permit.kind === "lent" ? { limit: permit.basis } : {}),
-            ...(heldOff.length > 0 ? { heldOff: heldOff.map(one => one.id) } : {}),
-            end: outcome.kind,
-            ...(outcome.kind === "replied" ? { status: outcome.reply.status } : {}),
-            ...(outcome.kind === "not-run" ? { status: outcome.status } : {}),
-            ...(outcome.kind === "broken" || outcome.kind === "unsent" ? { message: outcome.message } : {}),
-            takenMs: Math.round(this.clock.nowMs() - startMs),
-        });
-    }
-
-    private recordEnd(requestOutcome: RequestOutcome): void {
-        const { head, route, arrivedMs } = this.admitted;
-        const durationMs = this.clock.nowMs() - arrivedMs;
-        const outcome = requestOutcome.kind === "answered" ? "answered" : requestOutcome.refusal.reason;
-        this.deps.metrics.count("gateway_requests", { outcome, kind: route.kind });
-        this.deps.metrics.latency("gateway_request", durationMs, { kind: route.kind });
-        this.log.event(EventId.GatewayRequestEnded, {
-            request: head.id,
-            route: route.id,
-            config: this.deps.fleet.view().deployment?.version,
-            outcome,
-            ...(requestOutcome.kind === "refused" ? requestOutcome.refusal : {}),
-            hasLeft: this.hasDisconnected,
-            isOver: this.hasTimedOut,
-            attempts: this.attempts,
-            events: this.caller.events,
-            durationMs: Math.round(durationMs),
-        });
-    }
 }
 
 /** Status with which an endpoint refuses a request whose stage results it could not fetch. */
