Streams: a host continues a broken stream only at the software version that brought its first event

What callers saw: a stream with events of two versions in one answer, which do not fit together. Cause: the choice of the next endpoint knew the service and not the version. An attempt that has brought no event binds nothing. When no endpoint of the version is left, the stream ends at once instead of after half of the objective, and its stages do not run again.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,8 +14,9 @@
     records: ["common", "telemetry", "peer", "config", "replication"],
     fleet: ["common", "telemetry", "supervise", "peer", "endpoints", "replication"],
     limits: ["common", "telemetry", "peer", "endpoints", "fleet"],
+    streams: ["common", "telemetry", "peer", "endpoints", "fleet"],
     gather: ["common", "telemetry", "supervise", "peer", "endpoints", "fleet", "limits"],
-    gateway: ["common", "telemetry", "supervise", "endpoints", "fleet", "limits", "gather"],
+    gateway: ["common", "telemetry", "supervise", "endpoints", "fleet", "limits", "streams", "gather"],
     routing: ["common", "telemetry", "config", "endpoints"],
     pipeline: ["common", "telemetry", "config", "endpoints", "records", "routing"],
     entry: [
@@ -45,6 +46,7 @@
         "entry",
         "fleet",
         "limits",
+        "streams",
         "gather",
         "gateway",
     ],
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -20,6 +20,7 @@
     "overloaded": 503,
     "no-endpoint": 503,
     "limited": 503,
+    "version-gone": 503,
     "stopping": 503,
     "broken": 502,
     "deadline": 504,
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -6,6 +6,7 @@
 import type * as http from "node:http";
 import type { Clock } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
+import { canContinue, originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
 import { CallerReply } from "./CallerReply.js";
 import { EndpointExchange } from "./EndpointExchange.js";
 import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
@@ -65,6 +66,8 @@
     private unsentAttempts = 0;
     /** Number of attempts that may have reached an endpoint. */
     private sentAttempts = 0;
+    /** Where the stream began; undefined until it has brought an event. */
+    private origin: StreamOrigin | undefined;
 
     public constructor(
         private readonly deps: GatewayDependencies,
@@ -137,6 +140,9 @@
             return { kind: "refused", refusal: unavailable };
         }
         for (;;) {
+            if (this.isOriginGone) {
+                return { kind: "refused", refusal: this.noEndpointRefusal() };
+            }
             const refusal = await this.runStages();
             if (refusal !== undefined) {
                 return { kind: "refused", refusal };
@@ -163,9 +169,9 @@
      * that wait begins only after them.
      */
     private unavailableRefusal(): Refusal | undefined {
-        const { route, service } = this.admitted;
+        const { route } = this.admitted;
         const waitShare = route.stages.length > 0 ? 1 : endpointWaitShare;
-        const unavailability = this.selection.unavailability(this.deps.tracker.usable(service.id));
+        const unavailability = this.selection.unavailability(this.suitable());
         return unavailability !== undefined && unavailability.forMs > route.objectiveMs * waitShare
             ? this.noEndpointRefusal()
             : undefined;
@@ -173,13 +179,13 @@
 
     /** Runs the stages unless their results are available; returns a refusal when the request can't continue. */
     private async runStages(): Promise<Refusal | undefined> {
-        const { route, head, service, arrivedMs } = this.admitted;
-        const { fleet, replyTimes, tracker } = this.deps;
+        const { route, head, arrivedMs } = this.admitted;
+        const { fleet, replyTimes } = this.deps;
         const { deployment } = fleet.view();
         if (route.stages.length === 0 || this.stages.hasResults || deployment === undefined) {
             return this.abortController.signal.aborted ? this.endedRefusal() : undefined;
         }
-        const expected = this.selection.expected(tracker.usable(service.id), this.tried);
+        const expected = this.selection.expected(this.suitable(), this.tried);
         const plan = {
             request: head.id,
             route,
@@ -211,14 +217,28 @@
         return true;
     }
 
+    /** Endpoints that may get the request, as far as its stages don't matter. */
+    private suitable(): readonly EndpointRecord[] {
+        const { origin } = this;
+        const endpoints = this.deps.tracker.usable(this.admitted.service.id);
+        return origin === undefined ? endpoints : endpoints.filter(({ listed }) => canContinue(origin, listed));
+    }
+
     /** Endpoints that may get the request. */
     private usable(): readonly EndpointRecord[] {
-        return this.stages.reachable(this.deps.tracker.usable(this.admitted.service.id));
+        return this.stages.reachable(this.suitable());
+    }
+
+    /** True when no endpoint is left at which a begun stream could go on. */
+    private get isOriginGone(): boolean {
+        return this.origin !== undefined && this.suitable().every(one => this.tried.has(one));
     }
 
     /** Selects an endpoint; waits for a limited time while none is available. */
     private chooseEndpoint(): Promise<PermittedChoice | undefined> {
-        const waitMs = this.stages.isBound ? 0 : this.admitted.route.objectiveMs * endpointWaitShare;
+        const waitMs = this.stages.isBound || this.isOriginGone
+            ? 0
+            : this.admitted.route.objectiveMs * endpointWaitShare;
         const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + waitMs);
         return this.selection.choose(() => this.usable(), this.tried, untilMs);
     }
@@ -240,6 +260,7 @@
         });
         let hasReplied = false;
         const onReply = () => {
+            this.origin ??= originOf(record.listed);
             if (!hasReplied) {
                 hasReplied = true;
                 replyTimes.record(route.id, this.clock.nowMs() - startMs);
@@ -387,8 +408,10 @@
         if (this.abortController.signal.aborted) {
             return this.endedRefusal();
         }
-        const { tracker } = this.deps;
-        const unavailability = this.selection.unavailability(tracker.usable(this.admitted.service.id));
+        if (this.isOriginGone) {
+            return this.refusal("version-gone", "no endpoint of the version that began the stream is left");
+        }
+        const unavailability = this.selection.unavailability(this.suitable());
         switch (unavailability?.reason) {
             case "paused":
                 return {
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -110,6 +110,7 @@
     | "overloaded"
     | "no-endpoint"
     | "limited"
+    | "version-gone"
     | "broken"
     | "deadline"
     | "stopping";
