Streams: a caller that takes a stream up again is bound to the version that began it, which hosts remember for each other

What callers saw: a stream taken up at another host went on with events of another version, mostly after hosts or endpoints had ended. Cause: the host that gets the caller has not seen the stream begin, and Resumes was not read. Ruled out: an id or address used again (ids hold the start).

A host tells three others, which follow from the stream's key, at the start of each attempt of a resumable request, before a first event can come; the host that takes the stream up asks five. No endpoint of the version left: refused at once. Equal versions of two services are two.

Weighed: a rule over the versions that serve (fails when lists lag by seconds during a roll), something the caller carries (it carries only ids of its own), records through the control hosts (every stream would pass three hosts).

--- a/proof/FleetHistory.test.ts
+++ b/proof/FleetHistory.test.ts
@@ -3,7 +3,9 @@
 import { test } from "node:test";
 import { answerOf, type CallerEnd, eventOf, FleetHistory, streamEvents } from "./FleetHistory.js";
 
-const whole = Array.from({ length: streamEvents }, (_, at) => eventOf("r1", at + 1)).join("");
+const events = (from: number, to: number, version: string = "v1") =>
+    Array.from({ length: to - from + 1 }, (_, at) => eventOf("r1", from + at, version)).join("");
+const whole = events(1, streamEvents);
 
 function end(fields: Partial<CallerEnd>): CallerEnd {
     return {
@@ -35,6 +37,14 @@
     });
 }
 
+/** A stream breaks off after two events, and its caller gets the rest from a version. */
+function resume(history: FleetHistory, version: string): void {
+    const resumed = { request: "r1", lastEvent: 2 };
+    const body = events(3, streamEvents, version);
+    history.ends.push(end({ kind: "resumable", body: events(1, 2), isWhole: false }));
+    history.ends.push(end({ request: "r2", kind: "resumable", resumed, body }));
+}
+
 interface Case {
     readonly name: string;
     readonly change: (history: FleetHistory) => void;
@@ -75,18 +85,32 @@
     },
     {
         name: "a stream that is cut after an event",
-        change: one => one.ends.push(end({ kind: "resumable", body: eventOf("r1", 1), isWhole: false })),
+        change: one => one.ends.push(end({ kind: "resumable", body: events(1, 1), isWhole: false })),
         isBroken: false,
     },
     {
         name: "a short stream that looks complete",
-        change: one => one.ends.push(end({ kind: "resumable", body: eventOf("r1", 1) })),
+        change: one => one.ends.push(end({ kind: "resumable", body: events(1, 1) })),
         isBroken: true,
     },
     {
         name: "a stream with a duplicate event",
-        change: one =>
-            one.ends.push(end({ kind: "resumable", body: eventOf("r1", 1) + eventOf("r1", 1), isWhole: false })),
+        change: one => one.ends.push(end({ kind: "resumable", body: events(1, 1) + events(1, 1), isWhole: false })),
+        isBroken: true,
+    },
+    {
+        name: "a stream with events of two versions",
+        change: one => one.ends.push(end({ kind: "resumable", body: events(1, 2) + events(3, streamEvents, "v2") })),
+        isBroken: true,
+    },
+    {
+        name: "a stream that a caller takes up again at the version that began it",
+        change: one => resume(one, "v1"),
+        isBroken: false,
+    },
+    {
+        name: "a stream that a caller takes up again at another version",
+        change: one => resume(one, "v2"),
         isBroken: true,
     },
     {
--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -22,6 +22,8 @@
 export interface CallerEnd {
     readonly request: string;
     readonly kind: CallerKind;
+    /** The stream that it takes up again: the request that brought its first event, and the last event before. */
+    readonly resumed?: { readonly request: string; readonly lastEvent: number; } | undefined;
     readonly host: string;
     readonly sentMs: number;
     readonly endedMs: number;
@@ -74,9 +76,14 @@
     return `answer to ${request}`;
 }
 
-/** One server-sent event of the response to a stream request. */
-export function eventOf(request: string, id: number): string {
-    return `id: ${id}\ndata: ${request} ${id}\n\n`;
+/** One server-sent event of the stream that a request began, as an endpoint of a software version writes it. */
+export function eventOf(request: string, id: number, version: string): string {
+    return `id: ${id}\ndata: ${request} ${id} ${version}\n\n`;
+}
+
+/** Version that has written the first complete event of a body; undefined when it has none. */
+function firstVersion(body: string): string | undefined {
+    return /^id: \d+\ndata: \S+ \d+ (\S+)\n\n/.exec(body)?.[1];
 }
 
 export class FleetHistory {
@@ -98,6 +105,7 @@
             ...this.untrueRefusals(),
             ...this.wrongAnswers(),
             ...this.brokenStreams(),
+            ...this.mixedStreams(),
             ...this.staleReads(),
             ...this.requestsCutByStops(),
             ...this.exceededLimits(),
@@ -127,16 +135,40 @@
     }
 
     private brokenStreams(): string[] {
-        return this.ends.filter(({ kind, status }) => kind === "resumable" && status === 200).flatMap(end => {
-            const { request, body, isWhole } = end;
-            const all = Array.from({ length: streamEvents }, (_, at) => eventOf(request, at + 1)).join("");
-            if (isWhole && body !== all) {
+        return this.streamEnds().flatMap(({ request, resumed, body, isWhole }) => {
+            const { request: stream, lastEvent } = resumed ?? { request, lastEvent: 0 };
+            const version = firstVersion(body) ?? "";
+            const rest = Array.from(
+                { length: streamEvents - lastEvent },
+                (_, at) => eventOf(stream, lastEvent + at + 1, version),
+            ).join("");
+            if (isWhole && body !== rest) {
                 return [`stream ${request} ended as complete, but is incomplete or wrong`];
             }
-            return all.startsWith(body) ? [] : [`stream ${request} has missing, duplicate or foreign events`];
+            return version === "" || rest.startsWith(body)
+                ? []
+                : [`stream ${request} has missing, duplicate or foreign events, or those of two versions`];
         });
     }
 
+    /** Streams that hold events of two versions over the tries of their caller. */
+    private mixedStreams(): string[] {
+        const versions = new Map<string, Set<string>>();
+        for (const { request, resumed, body } of this.streamEnds()) {
+            const stream = resumed?.request ?? request;
+            const version = firstVersion(body);
+            if (version !== undefined) {
+                versions.set(stream, (versions.get(stream) ?? new Set()).add(version));
+            }
+        }
+        return [...versions].filter(([, all]) => all.size > 1)
+            .map(([stream, all]) => `stream ${stream} has events of ${[...all].join(" and ")}`);
+    }
+
+    private streamEnds(): readonly CallerEnd[] {
+        return this.ends.filter(({ kind, status }) => kind === "resumable" && status === 200);
+    }
+
     private staleReads(): string[] {
         return this.reads.flatMap(({ version, sentMs }) => {
             const acked = Math.max(0, ...this.acks.filter(ack => ack.atMs < sentMs).map(ack => ack.version));
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -73,6 +73,7 @@
                 Address: `${address}:${ports.endpoint}`,
                 Zone: "a",
                 State: "ready",
+                Version: this.versionOf(address),
                 Slots: 16,
             }));
             res.end(JSON.stringify({ Instances: instances, Next: null }));
@@ -188,6 +189,11 @@
         });
     }
 
+    /** Software version of an endpoint: two of them in turn. */
+    private versionOf(endpoint: string): string {
+        return `v${this.endpoints.indexOf(endpoint) % 2 + 1}`;
+    }
+
     private dataDir(host: string): string {
         return join(this.folder, `data-${host}`);
     }
@@ -220,7 +226,7 @@
         const losesAnswer = this.random.next() < this.faults.loseAnswer;
         const responseHeaders = { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` };
         if (req.url?.startsWith("/resumable/") === true) {
-            void this.stream(req, res, request, responseHeaders);
+            void this.stream(req, res, this.versionOf(endpoint), responseHeaders);
             return;
         }
         this.clock.setTimer(processingMs, () => {
@@ -236,14 +242,16 @@
     private async stream(
         req: http.IncomingMessage,
         res: http.ServerResponse,
-        request: string,
+        version: string,
         responseHeaders: object,
     ) {
+        const request = String(req.headers["fireflykeel-request-id"]);
         const cutAt = this.random.next() < this.faults.cutStream ? 1 + this.random.below(streamEvents) : undefined;
         const last = Number(req.headers["last-event-id"] ?? 0);
+        const stream = String(req.headers["resumes"] ?? request);
         res.writeHead(200, { ...responseHeaders, "content-type": "text/event-stream" });
         for (let id = last + 1; id <= streamEvents && !res.destroyed; id++) {
-            const text = eventOf(request, id);
+            const text = eventOf(stream, id, version);
             if (id === cutAt) {
                 // Only part of the event is written before the connection is reset.
                 res.write(text.slice(0, text.length / 2));
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -6,7 +6,7 @@
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import { SystemClock } from "../src/common/SystemClock.js";
 import type { CallerEnd, CallerKind } from "./FleetHistory.js";
-import { FleetHistory } from "./FleetHistory.js";
+import { FleetHistory, streamEvents } from "./FleetHistory.js";
 import { FleetSite, type FleetSize } from "./FleetSite.js";
 
 const startTimeoutMs = 20_000;
@@ -20,6 +20,8 @@
 const limitEndMs = 3000;
 /** Time after the end of a fault during which its effects may still show, in milliseconds. */
 const faultEffectMs = 3000;
+/** Number of times that a caller takes a stream up again. */
+const maxResumes = 3;
 const kinds: readonly CallerKind[] = ["once", "idempotent", "resumable"];
 
 interface FleetSoakResult {
@@ -80,7 +82,9 @@
     /** Describes the entry hosts that fail to serve an idempotent request after all faults have ended. */
     private async unservedHosts(): Promise<string[]> {
         const agent = new http.Agent();
-        const ends = await Promise.all(this.site.entries.map(host => this.callOnce(host, agent, "idempotent")));
+        const ends = await Promise.all(
+            this.site.entries.map(host => this.callOnce(host, agent, { kind: "idempotent" })),
+        );
         return ends
             .filter(({ status }) => status !== 200)
             .map(({ host, status }) => `${host} answers with status ${status} after all faults have ended`);
@@ -202,14 +206,34 @@
     private async runCaller(host: string): Promise<void> {
         const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
         while (!this.endOfRun.signal.aborted) {
-            await this.callOnce(host, agent);
+            const end = await this.callOnce(host, agent, { kind: this.pick(kinds) });
+            if (end.kind === "resumable" && !end.isWhole) {
+                await this.resume(end);
+            }
             await this.clock.sleep(callPauseMs, this.endOfRun.signal);
         }
         agent.destroy();
     }
 
+    /** Takes a stream that broke off up again, at any host and on a new connection each time. */
+    private async resume(begun: CallerEnd): Promise<void> {
+        let lastEvent = lastEventOf(begun.body);
+        for (let tries = 0; tries < maxResumes && lastEvent > 0 && lastEvent < streamEvents; tries++) {
+            await this.clock.sleep(callPauseMs);
+            const host = this.pick(this.site.entries);
+            const resumed = { request: begun.request, lastEvent };
+            const end = await this.callOnce(host, new http.Agent(), { kind: "resumable", resumed });
+            lastEvent = Math.max(lastEvent, lastEventOf(end.body));
+            this.count(lastEvent > resumed.lastEvent ? "resumed" : "not resumed");
+        }
+    }
+
     /** Sends one request, and resolves to its end after recording it in the history. */
-    private callOnce(host: string, agent: http.Agent, kind: CallerKind = this.pick(kinds)): Promise<CallerEnd> {
+    private callOnce(
+        host: string,
+        agent: http.Agent,
+        { kind, resumed }: Pick<CallerEnd, "kind" | "resumed">,
+    ): Promise<CallerEnd> {
         this.requestCount += 1;
         const request = `r${this.requestCount}`;
         const sentMs = this.clock.nowMs();
@@ -226,6 +250,7 @@
                     const end = {
                         request,
                         kind,
+                        resumed,
                         host,
                         sentMs,
                         endedMs,
@@ -250,6 +275,9 @@
                     "fireflykeel-request-id": request,
                     "fireflykeel-deadline-ms": String(callTimeoutMs - 1000),
                     "content-length": 0,
+                    ...(resumed === undefined
+                        ? {}
+                        : { "resumes": resumed.request, "last-event-id": String(resumed.lastEvent) }),
                 },
             });
             req.on("finish", () => wasSent = true);
@@ -284,3 +312,9 @@
     ["break endpoints", soak => soak.breakEndpoints()],
     ["change limit", soak => soak.changeLimit()],
 ];
+
+/** Id of the last complete event of a stream's body; 0 when it has none. */
+function lastEventOf(body: string): number {
+    const complete = body.slice(0, body.lastIndexOf("\n\n") + 2);
+    return Math.max(0, ...[...complete.matchAll(/^id: (\d+)$/gm)].map(one => Number(one[1])));
+}
--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -16,6 +16,7 @@
 import { GatewayServer } from "../gateway/GatewayServer.js";
 import { ReplyTimes } from "../gateway/ReplyTimes.js";
 import { StageGraph } from "../gateway/StageGraph.js";
+import { StreamBinding } from "../gateway/StreamBinding.js";
 import type { GatewayCodec } from "../gateway/Types.js";
 import { CellCache } from "../gather/Cells.js";
 import { GatherClient } from "../gather/GatherClient.js";
@@ -26,6 +27,8 @@
 import { shareLimits } from "../limits/LimitSharing.js";
 import { PermitLender } from "../limits/PermitLender.js";
 import { RatePermits } from "../limits/RatePermits.js";
+import { ServiceVersions } from "../streams/ServiceVersions.js";
+import { StreamOrigins } from "../streams/StreamOrigins.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
 
 /** Connect timeout for endpoints: many times the round trip to the farthest one plus its connection setup. */
@@ -57,6 +60,7 @@
     shareLimits(limits, fleet);
     const permits = buildPermits(host, { fleet, limits, clock: leaseClock, bounds });
     const { notices, connections, tracker } = followEndpoints(host, fleet, limits, options);
+    const streams = buildStreams(host, fleet, options);
     const pieces = buildGathering(host, { fleet, notices, permits, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
     const cold = new ColdStartQuota(self, bounds, fleet, clock);
@@ -73,6 +77,7 @@
         retries: new FleetRetryBudget(bounds, fleet, clock),
         cold,
         permits,
+        ...streams,
         replyTimes: new ReplyTimes(),
         clock,
         log,
@@ -142,6 +147,14 @@
     return new RatePermits({ ...common, lender: new PermitLender({ ...common, registry }), transport });
 }
 
+/** Builds what finds and remembers where streams began. */
+function buildStreams(host: FleetHost, fleet: FleetClient, { settings }: FleetEntryOptions) {
+    const { self, transport, peers: registry, clock, log, metrics } = host;
+    const origins = new StreamOrigins({ self, fleet, transport, registry, clock, log, metrics });
+    const versions = new ServiceVersions(fleet, clock, settings.isFirstStart);
+    return { origins, binding: new StreamBinding({ origins, versions, log, metrics }) };
+}
+
 interface GatheringParts {
     readonly fleet: FleetClient;
     readonly notices: EndpointNotices;
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -21,6 +21,7 @@
     "no-endpoint": 503,
     "limited": 503,
     "version-gone": 503,
+    "unknown-origin": 503,
     "stopping": 503,
     "broken": 502,
     "deadline": 504,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -12,6 +12,7 @@
 import type { FleetBounds, FleetSource, Workspace } from "../fleet/Types.js";
 import type { PieceExecutor } from "../gather/Types.js";
 import type { RatePermits } from "../limits/RatePermits.js";
+import type { StreamOrigins } from "../streams/StreamOrigins.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CallerReply } from "./CallerReply.js";
@@ -22,6 +23,7 @@
 import type { ReplyTimes } from "./ReplyTimes.js";
 import { pickService, RouteTable } from "./RouteTable.js";
 import type { StageGraph } from "./StageGraph.js";
+import type { StreamBinding } from "./StreamBinding.js";
 import type { GatewayCodec, Refusal, RequestHead } from "./Types.js";
 
 /** The lease on keys ends this long before the time by which a revoked key must no longer be accepted. */
@@ -52,6 +54,8 @@
     readonly retries: FleetRetryBudget;
     readonly cold: ColdStartQuota;
     readonly permits: RatePermits;
+    readonly origins: StreamOrigins;
+    readonly binding: StreamBinding;
     readonly replyTimes: ReplyTimes;
     readonly clock: Clock;
     readonly log: EventLog;
@@ -152,7 +156,7 @@
             return;
         }
         await this.waitForConfirmedView(head.remainingMs ?? 0);
-        const admission = this.admit(head, body.unsafeCoerce(), arrivedMs);
+        const admission = await this.admitAndBind(head, body.unsafeCoerce(), arrivedMs);
         if ("refusal" in admission) {
             this.refuse(head, res, admission.refusal);
             return;
@@ -195,6 +199,13 @@
         }
     }
 
+    private async admitAndBind(head: RequestHead, body: Buffer, arrivedMs: number): Promise<Admission> {
+        const admission = this.admit(head, body, arrivedMs);
+        return "refusal" in admission || this.table === undefined
+            ? admission
+            : this.deps.binding.bind(admission.admitted, this.table.deployment);
+    }
+
     private admit(head: RequestHead, body: Buffer, arrivedMs: number): Admission {
         const { fleet, bounds, random } = this.deps;
         const { deployment, quarantined } = fleet.view();
@@ -230,7 +241,7 @@
         if (service === undefined) {
             return refused("no-endpoint", "the route has no service", unconfirmedRetryMs);
         }
-        const admitted = { head, route, service, workspace, body, arrivedMs };
+        const admitted = { head, route, service, workspace, body, arrivedMs, origin: undefined };
         if (quarantined.size > 0 && quarantined.has(fingerprintOf(admitted))) {
             return refused("quarantined", "the request has crashed endpoints");
         }
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -15,6 +15,7 @@
 import { type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
 import { RequestStages } from "./RequestStages.js";
 import { defaultRetryMs } from "./StageGraph.js";
+import { streamKey } from "./StreamBinding.js";
 import type { AttemptOutcome, Refusal, ReplyHead, RequestHead } from "./Types.js";
 
 /** Maximum number of attempts of a request that never reached an endpoint. */
@@ -40,6 +41,8 @@
     readonly workspace: Workspace | undefined;
     readonly body: Buffer;
     readonly arrivedMs: number;
+    /** Where the stream began that the request takes up; undefined when it begins anew. */
+    readonly origin: StreamOrigin | undefined;
 }
 
 export class GatewayRequest {
@@ -64,6 +67,7 @@
     /** Number of attempts in which the request may have run. */
     private possibleRuns = 0;
     private unsentAttempts = 0;
+    private startedAttempts = 0;
     /** Number of attempts that may have reached an endpoint. */
     private sentAttempts = 0;
     /** Where the stream began; undefined until it has brought an event. */
@@ -74,7 +78,8 @@
         private readonly admitted: AdmittedRequest,
         private readonly res: http.ServerResponse,
     ) {
-        const { head, route, service, workspace, arrivedMs } = admitted;
+        const { head, route, service, workspace, arrivedMs, origin } = admitted;
+        this.origin = origin;
         this.clock = deps.clock;
         this.recorder = new RequestRecorder(admitted, deps.clock, deps.log, deps.metrics);
         this.caller = new CallerReply(res, head.lastEvent);
@@ -140,7 +145,7 @@
             return { kind: "refused", refusal: unavailable };
         }
         for (;;) {
-            if (this.isOriginGone) {
+            if (this.isOriginUsedUp) {
                 return { kind: "refused", refusal: this.noEndpointRefusal() };
             }
             const refusal = await this.runStages();
@@ -229,14 +234,14 @@
         return this.stages.reachable(this.suitable());
     }
 
-    /** True when no endpoint is left at which a begun stream could go on. */
-    private get isOriginGone(): boolean {
+    /** True when a begun stream can go on at none of the endpoints that have not been tried. */
+    private get isOriginUsedUp(): boolean {
         return this.origin !== undefined && this.suitable().every(one => this.tried.has(one));
     }
 
     /** Selects an endpoint; waits for a limited time while none is available. */
     private chooseEndpoint(): Promise<PermittedChoice | undefined> {
-        const waitMs = this.stages.isBound || this.isOriginGone
+        const waitMs = this.stages.isBound || this.isOriginUsedUp
             ? 0
             : this.admitted.route.objectiveMs * endpointWaitShare;
         const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + waitMs);
@@ -248,6 +253,8 @@
         const { tracker, codec, connections, notices, replyTimes } = this.deps;
         const { head, service, workspace, body, route } = this.admitted;
         const startMs = this.clock.nowMs();
+        this.startedAttempts += 1;
+        this.recordOrigin(record);
         const attempt = tracker.startAttempt(record, service);
         const remainingMs = Math.max(1, Math.floor(this.deadlineMs - startMs));
         const headers = codec.encodeAttempt(head, {
@@ -297,6 +304,14 @@
         return outcome;
     }
 
+    /** Records at which version the stream begins, if the attempt brings its first event. */
+    private recordOrigin({ listed }: EndpointRecord): void {
+        const { route, workspace, head } = this.admitted;
+        if (route.kind === "resumable" && this.origin === undefined) {
+            this.deps.origins.record(streamKey(workspace?.id, head.id), originOf(listed), this.startedAttempts);
+        }
+    }
+
     /** A broken connection alone does not mean a crash; an endpoint that refuses new connections has crashed. */
     private async reportIfCrashed(record: EndpointRecord): Promise<void> {
         const { connections, reportCrash, stopped } = this.deps;
@@ -408,10 +423,11 @@
         if (this.abortController.signal.aborted) {
             return this.endedRefusal();
         }
-        if (this.isOriginGone) {
+        const suitable = this.suitable();
+        if (this.origin !== undefined && suitable.length === 0) {
             return this.refusal("version-gone", "no endpoint of the version that began the stream is left");
         }
-        const unavailability = this.selection.unavailability(this.suitable());
+        const unavailability = this.selection.unavailability(suitable);
         switch (unavailability?.reason) {
             case "paused":
                 return {
--- /dev/null
+++ b/src/gateway/StreamBinding.test.ts
@@ -0,0 +1,186 @@
+/** Checks to which version a request is bound with which a caller takes a stream up again, and when it is refused. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeClock } from "../../testing/FakeClock.js";
+import { FakeNetwork } from "../../testing/FakeNetwork.js";
+import {
+    deployment,
+    entryHosts,
+    FixedFleet,
+    listed,
+    noMetrics,
+    route,
+    service,
+    serviceId,
+    silentLog,
+} from "../../testing/FleetFixtures.js";
+import type { WorkspaceId } from "../common/Types.js";
+import { ServiceVersions } from "../streams/ServiceVersions.js";
+import { StreamOrigins } from "../streams/StreamOrigins.js";
+import { StreamBinding, streamKey } from "./StreamBinding.js";
+import type { RequestHead } from "./Types.js";
+
+const workspace = { id: "w" as WorkspaceId, priority: undefined };
+const stream = route({ kind: "resumable", timeoutMs: 5000, targets: [{ service: serviceId("s"), weight: 1 }] });
+const split = { ...stream, targets: [...stream.targets, { service: serviceId("t"), weight: 1 }] };
+
+const head: RequestHead = {
+    id: "again",
+    method: "POST",
+    target: "/a/x",
+    host: "h.example",
+    key: undefined,
+    remainingMs: 5000,
+    prompt: undefined,
+    pieces: [],
+    pieceKey: "",
+    lastEvent: "2",
+    resumes: "begun",
+    forwarded: [],
+};
+
+interface Case {
+    readonly name: string;
+    readonly head?: Partial<RequestHead>;
+    readonly route?: typeof stream;
+    /** Service and version that began the stream `begun` of the workspace; undefined when nobody remembers. */
+    readonly begun?: readonly [service: string, version: string];
+    /** Versions that the endpoints of the service have had for a minute. */
+    readonly versions: readonly string[];
+    /** Service and version that the request is bound to, "free", or the reason of the refusal. */
+    readonly outcome: readonly [service: string, version: string] | string;
+}
+
+const cases: readonly Case[] = [
+    { name: "a stream whose version is remembered", begun: ["s", "v1"], versions: ["v1", "v2"], outcome: ["s", "v1"] },
+    {
+        name: "a stream of a version that is gone from the list",
+        begun: ["s", "v0"],
+        versions: ["v1", "v2"],
+        outcome: ["s", "v0"],
+    },
+    {
+        name: "a stream that another service of the route began",
+        route: split,
+        begun: ["t", "v1"],
+        versions: ["v1"],
+        outcome: ["t", "v1"],
+    },
+    {
+        name: "a stream of a service that the route has left",
+        begun: ["t", "v1"],
+        versions: ["v1"],
+        outcome: "version-gone",
+    },
+    { name: "a stream that nobody remembers, of two versions", versions: ["v1", "v2"], outcome: "unknown-origin" },
+    { name: "a stream that nobody remembers, of one version", versions: ["v1"], outcome: ["s", "v1"] },
+    {
+        name: "a stream that nobody remembers, of one of two services",
+        route: split,
+        versions: ["v1"],
+        outcome: "unknown-origin",
+    },
+    {
+        name: "a stream that the caller does not name, of two versions",
+        head: { resumes: undefined },
+        versions: ["v1", "v2"],
+        outcome: "unknown-origin",
+    },
+    {
+        name: "a stream that the caller does not name, of one version",
+        head: { resumes: undefined },
+        versions: ["v1"],
+        outcome: ["s", "v1"],
+    },
+    {
+        name: "a stream of another workspace's request of that name",
+        head: { resumes: "other" },
+        begun: ["s", "v1"],
+        versions: ["v1", "v2"],
+        outcome: "unknown-origin",
+    },
+    { name: "a stream that has brought no event", head: { lastEvent: undefined }, versions: ["v1"], outcome: "free" },
+    { name: "a stream from its first event on", head: { lastEvent: "0" }, versions: ["v1", "v2"], outcome: "free" },
+    {
+        name: "a stream that may not be resumed",
+        route: { ...stream, kind: "stream" },
+        versions: ["v1", "v2"],
+        outcome: "free",
+    },
+];
+
+for (const { name, head: fields = {}, route: taken = stream, begun, versions: all, outcome } of cases) {
+    test(`a caller takes up ${name}: ${outcome}`, async () => {
+        const clock = new FakeClock();
+        const network = new FakeNetwork(clock);
+        const [self, other] = entryHosts(2);
+        const fleet = new FixedFleet();
+        const startOrigins = (host: typeof self) => {
+            const peers = network.addHost(host!.host);
+            const common = { fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
+            return new StreamOrigins({ ...common, self: host!.host });
+        };
+        const [origins, otherOrigins] = [startOrigins(self), startOrigins(other)];
+        const versions = new ServiceVersions(fleet, clock, false);
+        fleet.set({
+            hosts: [self!, other!],
+            endpoints: all.map((version, at) => listed(`e${at}`, { version })),
+        });
+        await clock.advance(60_000);
+        if (begun !== undefined) {
+            const [id, version] = begun;
+            otherOrigins.record(streamKey(workspace.id, "begun"), { service: serviceId(id), version }, 1);
+            await clock.advance(50);
+        }
+        const binding = new StreamBinding({ origins, versions, log: silentLog, metrics: noMetrics });
+        const admitted = {
+            head: { ...head, ...fields },
+            route: taken,
+            service: service("s"),
+            workspace,
+            body: Buffer.alloc(0),
+            arrivedMs: 0,
+            origin: undefined,
+        };
+        const bound = binding.bind(admitted, deployment([taken], [service("s"), service("t")]));
+        await clock.advance(500);
+        const result = await bound;
+        if ("refusal" in result) {
+            assert.deepEqual([result.refusal.reason, result.refusal.notRun], [outcome, true]);
+            return;
+        }
+        const { origin, service: served } = result.admitted;
+        const seen = origin === undefined ? "free" : [origin.service, origin.version];
+        assert.deepEqual(seen, outcome);
+        assert.equal(served.id, origin?.service ?? "s");
+    });
+}
+
+test("a caller is told to come back when a host that may know its stream did not reply", async () => {
+    const clock = new FakeClock();
+    const network = new FakeNetwork(clock);
+    const hosts = entryHosts(3);
+    const fleet = new FixedFleet();
+    fleet.set({ hosts, endpoints: ["v1", "v2"].map((version, at) => listed(`e${at}`, { version })) });
+    const [origins] = hosts.map(({ host: self }) => {
+        const peers = network.addHost(self);
+        const common = { fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
+        return new StreamOrigins({ ...common, self });
+    });
+    network.isolate(hosts[2]!.host);
+    const versions = new ServiceVersions(fleet, clock, false);
+    const binding = new StreamBinding({ origins: origins!, versions, log: silentLog, metrics: noMetrics });
+    const admitted = {
+        head,
+        route: stream,
+        service: service("s"),
+        workspace,
+        body: Buffer.alloc(0),
+        arrivedMs: 0,
+        origin: undefined,
+    };
+    const bound = binding.bind(admitted, deployment([stream], [service("s")]));
+    await clock.advance(500);
+    const result = await bound;
+    assert.ok("refusal" in result && result.refusal.retryAfterMs !== undefined);
+});
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -111,6 +111,7 @@
     | "no-endpoint"
     | "limited"
     | "version-gone"
+    | "unknown-origin"
     | "broken"
     | "deadline"
     | "stopping";
--- a/src/gather/PermittedPieceClient.test.ts
+++ b/src/gather/PermittedPieceClient.test.ts
@@ -48,7 +48,13 @@
         const [self] = entryHosts(1);
         const fleet = new FixedFleet();
         fleet.set({ hosts: [self!] });
-        const permits = testPermits({ self: self!.host, fleet, limits, network: new FakeNetwork(clock), clock });
+        const permits = testPermits({
+            self: self!.host,
+            fleet,
+            limits,
+            peers: new FakeNetwork(clock).addHost(self!.host),
+            clock,
+        });
         const endpoints = new TimedEndpoints(clock, traits);
         endpoints.notices = notices;
         endpoints.says.set("e0", { limit: String(perSecond) });
--- a/src/streams/StreamOrigin.ts
+++ b/src/streams/StreamOrigin.ts
@@ -7,7 +7,7 @@
 export interface StreamOrigin {
     readonly service: ServiceId;
     /** Undefined when the platform's list names no version. */
-    readonly version: string | undefined;
+    readonly version?: string | undefined;
 }
 
 export function originOf({ service, version }: ListedEndpoint): StreamOrigin {
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -126,4 +126,8 @@
     PermitLenderRole = 1300,
     PermitLenderLost = 1301,
     PermitDenied = 1302,
+    // 14xx: streams
+    StreamOriginFound = 1400,
+    StreamOriginUnknown = 1401,
+    StreamOriginsNotKept = 1402,
 }
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -21,9 +21,8 @@
 import type { CallOutcome, PieceCall, PieceClient, Submission, SubmissionId, WorkState } from "../src/gather/Types.js";
 import { PermitLender } from "../src/limits/PermitLender.js";
 import { RatePermits } from "../src/limits/RatePermits.js";
-import type { PeerTransport } from "../src/peer/Types.js";
+import type { PeerRegistry, PeerTransport } from "../src/peer/Types.js";
 import type { EventLog, Metrics } from "../src/telemetry/Types.js";
-import type { FakeNetwork } from "./FakeNetwork.js";
 
 export const serviceId = (text: string) => text as ServiceId;
 export const centreId = (text: string) => text as DataCentreId;
@@ -59,16 +58,15 @@
     readonly self: HostId;
     readonly fleet: FleetSource;
     readonly limits: EndpointLimits;
-    readonly network: FakeNetwork;
+    readonly peers: PeerRegistry & PeerTransport;
     readonly clock: Clock;
     readonly log?: EventLog;
     readonly metrics?: Metrics;
 }
 
-/** Starts a host on a simulated network that lends permits there, and borrows them there or through `transport`. */
+/** The permits of a host, which it lends through `peers`, and borrows there or through `transport`. */
 export function testPermits(parts: TestPermitParts, transport?: PeerTransport): RatePermits {
-    const { self, fleet, limits, network, clock, log = silentLog, metrics = noMetrics } = parts;
-    const peers = network.addHost(self);
+    const { self, fleet, limits, peers, clock, log = silentLog, metrics = noMetrics } = parts;
     const common = { self, fleet, limits, clock, log, metrics };
     const lender = new PermitLender({ ...common, bounds: defaultBounds, registry: peers });
     return new RatePermits({ ...common, lender, transport: transport ?? peers });
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -18,7 +18,10 @@
 import { Gateway } from "../src/gateway/Gateway.js";
 import { ReplyTimes } from "../src/gateway/ReplyTimes.js";
 import { StageGraph } from "../src/gateway/StageGraph.js";
+import { StreamBinding } from "../src/gateway/StreamBinding.js";
 import type { PieceExecutor, SubmissionId } from "../src/gather/Types.js";
+import { ServiceVersions } from "../src/streams/ServiceVersions.js";
+import { StreamOrigins } from "../src/streams/StreamOrigins.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import {
     defaultBounds,
@@ -169,7 +172,11 @@
     const clock = new SystemClock();
     const fleet = new FixedFleet();
     const limits = new EndpointLimits(clock, silentLog, noMetrics);
-    const permits = testPermits({ self, fleet, limits, network, clock });
+    const peers = network.addHost(self);
+    const permits = testPermits({ self, fleet, limits, peers, clock });
+    const common = { self, fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
+    const origins = new StreamOrigins(common);
+    const versions = new ServiceVersions(fleet, clock, false);
     const decoder = new PlatformNoticeDecoder();
     const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
@@ -201,6 +208,8 @@
         retries: new FleetRetryBudget(defaultBounds, fleet, clock),
         cold,
         permits,
+        origins,
+        binding: new StreamBinding({ origins, versions, log: silentLog, metrics: noMetrics }),
         replyTimes: new ReplyTimes(),
         clock,
         log: silentLog,
--- a/testing/PermitSite.ts
+++ b/testing/PermitSite.ts
@@ -117,6 +117,6 @@
         const { clock, network } = this;
         const limits = new EndpointLimits(clock, silentLog, noMetrics);
         this.endpoints.forEach(({ id }) => limits.recordReply(id, this.perSecond));
-        return testPermits({ self, fleet, limits, network, clock }, transport);
+        return testPermits({ self, fleet, limits, peers: network.addHost(self), clock }, transport);
     }
 }
--- a/testing/PromptSimulation.ts
+++ b/testing/PromptSimulation.ts
@@ -145,7 +145,7 @@
             const fleet = new FixedFleet();
             const limits = new EndpointLimits(this.clock, silentLog, noMetrics);
             shareLimits(limits, fleet);
-            const permits = testPermits({ self: host, fleet, limits, network, clock: this.clock });
+            const permits = testPermits({ self: host, fleet, limits, peers: network.addHost(host), clock: this.clock });
             const started = new SimulatedHost(this, fleet, limits, permits, at);
             fleet.set({ hosts: all, endpoints });
             return started;
