--- a/src/cli/Explain.ts
+++ b/src/cli/Explain.ts
@@ -23,6 +23,7 @@
     "EndpointPauseIgnored",
     "EndpointLimitChanged",
     "EndpointLimitUnreadable",
+    "PermitLenderLost",
     "BatchEndpointSuspected",
     "GathererLost",
     "ResultsNotFreed",
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -254,6 +254,9 @@
         const { head, service, workspace, body, route } = this.admitted;
         const startMs = this.clock.nowMs();
         this.startedAttempts += 1;
+        if (this.caller.events > 0) {
+            this.deps.metrics.count("streams_continued");
+        }
         this.recordOrigin(record);
         const attempt = tracker.startAttempt(record, service);
         const remainingMs = Math.max(1, Math.floor(this.deadlineMs - startMs));
