Streams: the origin of a stream that was taken up again is remembered anew

The record made then had the lowest number of attempt, so that hosts which knew the stream did not renew it: a stream taken up a second time more than two minutes after it began was unknown (test).

--- a/src/gateway/StreamBinding.test.ts
+++ b/src/gateway/StreamBinding.test.ts
@@ -156,10 +156,12 @@
     });
 }
 
-test("a caller is told to come back when a host that may know its stream did not reply", async () => {
+const hosts = entryHosts(3);
+
+/** The first of three hosts, of a fleet whose service has endpoints of two versions. */
+function startBinding() {
     const clock = new FakeClock();
     const network = new FakeNetwork(clock);
-    const hosts = entryHosts(3);
     const fleet = new FixedFleet();
     fleet.set({ hosts, endpoints: ["v1", "v2"].map((version, at) => listed(`e${at}`, { version })) });
     const [origins] = hosts.map(({ host: self }) => {
@@ -167,7 +169,6 @@
         const common = { fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
         return new StreamOrigins({ ...common, self });
     });
-    network.isolate(hosts[2]!.host);
     const versions = new ServiceVersions(fleet, clock, false);
     const binding = new StreamBinding({ origins: origins!, versions, log: silentLog, metrics: noMetrics });
     const admitted = {
@@ -179,8 +180,27 @@
         arrivedMs: 0,
         origin: undefined,
     };
-    const bound = binding.bind(admitted, deployment([stream], [service("s")]));
-    await clock.advance(500);
-    const result = await bound;
+    const bind = async () => {
+        const bound = binding.bind(admitted, deployment([stream], [service("s")]));
+        await clock.advance(500);
+        return bound;
+    };
+    return { clock, network, origins: origins!, bind };
+}
+
+test("a stream that is taken up again and again is not forgotten", async () => {
+    const { clock, origins, bind } = startBinding();
+    origins.record(streamKey(workspace.id, "begun"), { service: serviceId("s"), version: "v1" }, 1);
+    for (let tries = 0; tries < 3; tries++) {
+        await clock.advance(100_000);
+        const result = await bind();
+        assert.ok("admitted" in result && result.admitted.origin?.version === "v1");
+    }
+});
+
+test("a caller is told to come back when a host that may know its stream did not reply", async () => {
+    const { network, bind } = startBinding();
+    network.isolate(hosts[2]!.host);
+    const result = await bind();
     assert.ok("refusal" in result && result.refusal.retryAfterMs !== undefined);
 });
--- a/src/gateway/StreamBinding.ts
+++ b/src/gateway/StreamBinding.ts
@@ -16,6 +16,8 @@
 const maxTries = 2;
 /** By this time all hosts have seen a change of the endpoint list. */
 const listLagMs = 5000;
+/** Number of attempt for an origin that no attempt can change any more. */
+const finalAttempt = Number.MAX_SAFE_INTEGER;
 /** Retry advice when a host that may know the stream did not reply. */
 const silentRetryMs = 500;
 
@@ -64,7 +66,7 @@
         }
         if (head.resumes !== undefined) {
             // The stream may be taken up once more.
-            this.options.origins.record(streamKey(workspace?.id, head.resumes), origin, 0);
+            this.options.origins.record(streamKey(workspace?.id, head.resumes), origin, finalAttempt);
         }
         return { admitted: { ...admitted, service, origin: { service: origin.service, version: origin.version } } };
     }
