Endpoints: that one is leaving is told to all hosts; the process soak's endpoints leave and ask for pauses

Each host learnt that an endpoint leaves from a reply of its own, so that 195 hosts would each send it a request within the second until the list says so. It is told like a limit, in the same message (StatementReports, before LimitReports); pauses are not, being short and many.

--- a/proof/FleetHistory.test.ts
+++ b/proof/FleetHistory.test.ts
@@ -37,6 +37,16 @@
     });
 }
 
+/** A host answers a request with a reply of a leaving endpoint, and sends it more after it has known that for long. */
+function sendUnwanted(history: FleetHistory, count: number): void {
+    history.unwanted.push({ endpoint: "e1", fromMs: 0, toMs: 5000 });
+    [0, ...Array.from({ length: count }, (_, at) => 1000 + at)].forEach((atMs, at) => {
+        const request = `unwanted-${at}`;
+        history.arrivals.push({ request, endpoint: "e1", atMs });
+        history.ends.push(end({ request, kind: "idempotent", body: answerOf(request), endedMs: atMs + 10 }));
+    });
+}
+
 /** A stream breaks off after two events, and its caller gets the rest from a version. */
 function resume(history: FleetHistory, version: string): void {
     const resumed = { request: "r1", lastEvent: 2 };
@@ -168,6 +178,21 @@
         change: one => (one.faults.push({ host: "h1", fromMs: 4000, toMs: 5000 }), sendToLimited(one, 12, 300)),
         isBroken: false,
     },
+    {
+        name: "two requests to an endpoint from a host that knows that it is leaving",
+        change: one => sendUnwanted(one, 2),
+        isBroken: false,
+    },
+    {
+        name: "three requests to an endpoint from a host that knows that it is leaving",
+        change: one => sendUnwanted(one, 3),
+        isBroken: true,
+    },
+    {
+        name: "three requests to a leaving endpoint from a host that has been started anew",
+        change: one => (one.faults.push({ host: "h1", fromMs: 500, toMs: 900 }), sendUnwanted(one, 3)),
+        isBroken: false,
+    },
     {
         name: "a request that was never sent to a stopping host",
         change: one => (one.stops.push(stop), one.ends.push(end({ status: 0, isWhole: false, wasSent: false }))),
--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -15,6 +15,13 @@
     readonly toMs: number;
 }
 
+/** A period in which an endpoint says in all replies that it wants no request: it is leaving, or asks for a pause. */
+interface UnwantedPeriod {
+    readonly endpoint: string;
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 /** Kind of a request: may run at most once, may be repeated, or is a stream that can be resumed. */
 export type CallerKind = "once" | "idempotent" | "resumable";
 
@@ -66,8 +73,10 @@
 const limitWindowMs = 4000;
 const limitOverrun = 1.5;
 const limitSlack = 5;
-/** A host knows a limit this long after it has answered a caller with a reply that states it. */
-const limitKnownMs = 500;
+/** A host knows what an endpoint states this long after it has answered a caller with a reply that states it. */
+const knownAfterMs = 500;
+/** Number of requests that a host may send to an endpoint that it knows to want none. */
+const maxUnwanted = 2;
 /** Number of events in a complete stream of the stand-in endpoints. */
 export const streamEvents = 8;
 
@@ -91,6 +100,7 @@
     /** All requests that reached endpoints, run or refused. */
     public readonly arrivals: EndpointRun[] = [];
     public readonly limits: StatedLimit[] = [];
+    public readonly unwanted: UnwantedPeriod[] = [];
     public readonly ends: CallerEnd[] = [];
     public readonly stops: HostPeriod[] = [];
     public readonly acks: ConfigAck[] = [];
@@ -109,6 +119,7 @@
             ...this.staleReads(),
             ...this.requestsCutByStops(),
             ...this.exceededLimits(),
+            ...this.unwantedRequests(),
         ];
     }
 
@@ -202,29 +213,54 @@
         });
     }
 
-    /** Times at which requests reached a limited endpoint from hosts that knew the limit and had no fault nearby. */
-    private countedArrivals({ endpoint, fromMs, toMs }: StatedLimit): readonly number[] {
+    /** Requests to endpoints from hosts that knew that none were wanted; hosts with a fault in the period don't count. */
+    private unwantedRequests(): string[] {
+        return this.unwanted.flatMap(period => {
+            const counts = new Map<string, number>();
+            for (const { host } of this.knowingArrivals(period, () => [period.fromMs, period.toMs])) {
+                counts.set(host, (counts.get(host) ?? 0) + 1);
+            }
+            return [...counts].filter(([, count]) => count > maxUnwanted)
+                .map(([host, count]) =>
+                    `${period.endpoint} got ${count} requests from ${host}, which it had told to send none`
+                );
+        });
+    }
+
+    /** Times at which requests count against a limit. */
+    private countedArrivals(limit: StatedLimit): readonly number[] {
+        return this.knowingArrivals(limit, atMs => [atMs - limitWindowMs, atMs + limitWindowMs])
+            .map(one => one.atMs)
+            .filter(atMs => atMs >= limit.fromMs + limitContactMs);
+    }
+
+    /**
+     * Requests that reached an endpoint from hosts that knew what it states, and had no fault in a time that depends on
+     * that of the request.
+     */
+    private knowingArrivals(
+        { endpoint, fromMs, toMs }: UnwantedPeriod,
+        calmTime: (atMs: number) => readonly [fromMs: number, toMs: number],
+    ) {
         const ends = new Map(this.ends.map(end => [end.request, end]));
-        const arrivals = this.arrivals.filter(one =>
-            one.endpoint === endpoint && one.atMs >= fromMs && one.atMs < toMs
-        );
+        const arrivals = this.arrivals
+            .filter(one => one.endpoint === endpoint && one.atMs >= fromMs && one.atMs < toMs)
+            .flatMap(({ request, atMs }) => {
+                const end = ends.get(request);
+                return end === undefined ? [] : [{ host: end.host, atMs, end }];
+            });
         const knownMs = new Map<string, number>();
-        for (const { request } of arrivals) {
-            const end = ends.get(request);
-            if (end !== undefined && end.status !== 0) {
-                knownMs.set(end.host, Math.min(knownMs.get(end.host) ?? Infinity, end.endedMs + limitKnownMs));
+        for (const { host, end } of arrivals) {
+            if (end.status !== 0) {
+                knownMs.set(host, Math.min(knownMs.get(host) ?? Infinity, end.endedMs + knownAfterMs));
             }
         }
-        const isCounted = (host: string, atMs: number) =>
-            atMs >= (knownMs.get(host) ?? Infinity)
-            && ![...this.faults, ...this.stops].some(one =>
-                one.host === host && one.fromMs <= atMs + limitWindowMs && one.toMs >= atMs - limitWindowMs
+        const isDisturbed = (host: string, atMs: number) => {
+            const [calmFromMs, calmToMs] = calmTime(atMs);
+            return [...this.faults, ...this.stops].some(one =>
+                one.host === host && one.fromMs <= calmToMs && one.toMs >= calmFromMs
             );
-        return arrivals
-            .filter(({ request, atMs }) => {
-                const end = ends.get(request);
-                return end !== undefined && atMs >= fromMs + limitContactMs && isCounted(end.host, atMs);
-            })
-            .map(one => one.atMs);
+        };
+        return arrivals.filter(({ host, atMs }) => atMs >= (knownMs.get(host) ?? Infinity) && !isDisturbed(host, atMs));
     }
 }
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the programs of deploy/system.toml as processes on loopback addresses. The platform's endpoint list and the
- * endpoints are stand-ins in this process; the endpoints can refuse requests, lose responses, cut streams and limit
- * their request rate.
+ * endpoints are stand-ins in this process; the endpoints can refuse requests, lose responses, cut streams, limit their
+ * request rate, leave, and ask for pauses.
  */
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import * as http from "node:http";
@@ -44,6 +44,11 @@
     public readonly endpoints: readonly string[];
     /** Limits that endpoints state, in requests per second over all hosts, with the time of the first statement. */
     private readonly limits = new Map<string, { readonly perSecond: number; readonly fromMs: number; }>();
+    /** Endpoints that are leaving, and those that ask for a pause with its end; each with the time since when. */
+    private readonly leavingMs = new Map<string, number>();
+    private readonly pauses = new Map<string, { readonly fromMs: number; readonly toMs: number; }>();
+    /** Start times of endpoints that have been started anew. */
+    private readonly bornMs = new Map<string, number>();
     private readonly servers: http.Server[] = [];
     private version = 0;
 
@@ -74,6 +79,7 @@
                 Zone: "a",
                 State: "ready",
                 Version: this.versionOf(address),
+                ...(this.bornMs.has(address) ? { born: this.bornMs.get(address) } : {}),
                 Slots: 16,
             }));
             res.end(JSON.stringify({ Instances: instances, Next: null }));
@@ -125,6 +131,29 @@
         }
     }
 
+    /** Lets an endpoint say that it is leaving. */
+    public leave(endpoint: string): void {
+        this.leavingMs.set(endpoint, this.clock.nowMs());
+    }
+
+    /** Starts an endpoint anew that was leaving. */
+    public restartEndpoint(endpoint: string): void {
+        const fromMs = this.leavingMs.get(endpoint);
+        if (fromMs !== undefined) {
+            this.history.unwanted.push({ endpoint, fromMs, toMs: this.clock.nowMs() });
+            this.leavingMs.delete(endpoint);
+            this.bornMs.set(endpoint, this.clock.wallMs());
+        }
+    }
+
+    /** Lets an endpoint refuse all requests for a time, and say for how long. */
+    public pause(endpoint: string, forMs: number): void {
+        const fromMs = this.clock.nowMs();
+        const toMs = fromMs + forMs;
+        this.pauses.set(endpoint, { fromMs, toMs });
+        this.history.unwanted.push({ endpoint, fromMs, toMs });
+    }
+
     /** Deletes the data of a control host, which must not be running. */
     public wipe(host: string): void {
         rmSync(this.dataDir(host), { recursive: true, force: true });
@@ -216,8 +245,15 @@
         const echo = {
             "Fireflykeel-Request-Id": request,
             ...(limit === undefined ? {} : { "Server-Limit": String(limit.perSecond) }),
+            ...(this.leavingMs.has(endpoint) ? { "Server-Leaving": "1" } : {}),
         };
         this.history.arrivals.push({ request, endpoint, atMs: this.clock.nowMs() });
+        const pausedMs = (this.pauses.get(endpoint)?.toMs ?? 0) - this.clock.nowMs();
+        if (pausedMs > 0) {
+            const refusal = { "Fireflykeel-Not-Executed": "1", "Retry-After": (pausedMs / 1000).toFixed(3) };
+            res.writeHead(503, { ...echo, ...refusal, "content-length": 0 }).end();
+            return;
+        }
         if (this.random.next() < this.faults.refuse) {
             res.writeHead(503, { ...echo, "Fireflykeel-Not-Executed": "1", "content-length": 0 }).end();
             return;
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -38,7 +38,7 @@
     private readonly site: FleetSite;
     private readonly counts: Record<string, number> = {};
     private readonly endOfRun = new AbortController();
-    /** Hosts with an active fault; each has at most one at a time. */
+    /** Hosts and endpoints with an active fault; each has at most one at a time. */
     private readonly faultyHosts = new Set<string>();
     private requestCount = 0;
 
@@ -143,6 +143,24 @@
         this.site.setLimit(this.pick(this.site.endpoints), perSecond === 0 ? undefined : perSecond);
     }
 
+    /** Lets an endpoint leave, and starts it anew after a while. */
+    public leaveEndpoint(): Promise<void> {
+        return this.applyToOne(this.site.endpoints, async endpoint => {
+            this.site.leave(endpoint);
+            await this.clock.sleep(1000 + this.random.below(2000));
+            this.site.restartEndpoint(endpoint);
+        });
+    }
+
+    /** Lets an endpoint ask for a pause. */
+    public pauseEndpoint(): Promise<void> {
+        return this.applyToOne(this.site.endpoints, async endpoint => {
+            const forMs = 500 + this.random.below(2000);
+            this.site.pause(endpoint, forMs);
+            await this.clock.sleep(forMs);
+        });
+    }
+
     public get controls(): readonly string[] {
         return this.site.controls;
     }
@@ -311,6 +329,8 @@
     ["restart control", soak => soak.restart(soak.controls)],
     ["break endpoints", soak => soak.breakEndpoints()],
     ["change limit", soak => soak.changeLimit()],
+    ["leave endpoint", soak => soak.leaveEndpoint()],
+    ["pause endpoint", soak => soak.pauseEndpoint()],
 ];
 
 /** Id of the last complete event of a stream's body; 0 when it has none. */
--- a/src/endpoints/EndpointLimits.ts
+++ b/src/endpoints/EndpointLimits.ts
@@ -21,11 +21,11 @@
     readonly statedMs: number;
 }
 
-/** Whether this host has read a limit in a reply, or was told of it by other hosts. */
-export type LimitOrigin = "reply" | "hosts";
+/** Whether this host has read a statement in a reply, or was told of it by other hosts. */
+export type StatementOrigin = "reply" | "hosts";
 
 interface KnownLimit extends EndpointLimit {
-    readonly from: LimitOrigin;
+    readonly from: StatementOrigin;
 }
 
 export class EndpointLimits {
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -4,10 +4,11 @@
  * list lags; another start of it has another id. A pause ends by itself, a little later on some hosts than on others,
  * so that a paused endpoint is not met by all hosts at once.
  */
+import { Emitter } from "../common/Emitter.js";
 import type { Clock, EndpointId, Random } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
-import type { EndpointLimits } from "./EndpointLimits.js";
+import type { EndpointLimits, StatementOrigin } from "./EndpointLimits.js";
 
 /** A longer pause is ignored as absurd: the endpoint list tells of endpoints that are away for longer. */
 const maxPauseMs = 60_000;
@@ -39,6 +40,9 @@
 export class EndpointNotices {
     private readonly leaving = new Set<EndpointId>();
     private readonly pauseEndsMs = new Map<EndpointId, number>();
+    private readonly leavingReplies = new Emitter<EndpointId>();
+    /** Fires when a reply to this host is the first to say that an endpoint is leaving. */
+    public readonly onLeaving = this.leavingReplies.event;
 
     public constructor(
         private readonly decoder: NoticeDecoder,
@@ -58,16 +62,21 @@
         const { isLeaving, pauseMs, limitPerSecond } = notice;
         this.limits.recordReply(endpoint, limitPerSecond);
         if (isLeaving && !this.leaving.has(endpoint)) {
-            this.leaving.add(endpoint);
-            forgetOldest(this.leaving);
-            this.metrics.count("endpoint_notices", { kind: "leaving" });
-            this.log.event(EventId.EndpointSaysLeaving, { endpoint, status });
+            this.addLeaving(endpoint, "reply");
+            this.leavingReplies.fire(endpoint);
         }
         if (pauseMs !== undefined) {
             this.pause(endpoint, pauseMs);
         }
     }
 
+    /** Takes over from other hosts that an endpoint has said that it is leaving. */
+    public adoptLeaving(endpoint: EndpointId): void {
+        if (!this.leaving.has(endpoint)) {
+            this.addLeaving(endpoint, "hosts");
+        }
+    }
+
     /** True once the endpoint has said that it is leaving. */
     public isLeaving(endpoint: EndpointId): boolean {
         return this.leaving.has(endpoint);
@@ -87,6 +96,13 @@
         return this.limits.perSecond(endpoint);
     }
 
+    private addLeaving(endpoint: EndpointId, from: StatementOrigin): void {
+        this.leaving.add(endpoint);
+        forgetOldest(this.leaving);
+        this.metrics.count("endpoint_notices", { kind: "leaving" });
+        this.log.event(EventId.EndpointSaysLeaving, { endpoint, from });
+    }
+
     private pause(endpoint: EndpointId, pauseMs: number): void {
         if (!(pauseMs >= 0 && pauseMs <= maxPauseMs)) {
             this.metrics.count("endpoint_notices", { kind: "ignored" });
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -6,11 +6,11 @@
 import { test } from "node:test";
 import { FakeDisk } from "../../testing/FakeDisk.js";
 import { FleetCluster } from "../../testing/FleetCluster.js";
-import { listed, noMetrics, silentLog } from "../../testing/FleetFixtures.js";
+import { listed, noMetrics, silentLog, testNotices } from "../../testing/FleetFixtures.js";
 import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
 import { EndpointLimits } from "../endpoints/EndpointLimits.js";
-import { shareLimits } from "../limits/LimitSharing.js";
 import type { FleetClient } from "./FleetClient.js";
+import { shareStatements } from "./StatementSharing.js";
 
 const names = ["c1", "c2", "c3"];
 
@@ -219,13 +219,13 @@
     await fleet.clock.advance(2000);
     const endpoint = "e1" as EndpointId;
     const told = () => entries.map(entry => entry.view().limits.get(endpoint)?.perSecond);
-    entries[0]!.reportLimit(endpoint, 1.5);
+    entries[0]!.reportStatement({ endpoint, matter: "limit", perSecond: 1.5 });
     await fleet.clock.advance(1000);
     assert.deepEqual(told(), [1.5, 1.5, 1.5]);
-    entries[1]!.reportLimit(endpoint, 4);
+    entries[1]!.reportStatement({ endpoint, matter: "limit", perSecond: 4 });
     await fleet.clock.advance(1000);
     assert.deepEqual(told(), [4, 4, 4], "the latest statement counts, whichever host has read it");
-    entries[2]!.reportLimit(endpoint, undefined);
+    entries[2]!.reportStatement({ endpoint, matter: "limit" });
     await fleet.clock.advance(1000);
     assert.deepEqual(told(), [undefined, undefined, undefined]);
     await fleet.stopAll();
@@ -236,7 +236,7 @@
     await fleet.put("c1", 1);
     const client = fleet.startEntry("h1");
     const limits = new EndpointLimits(fleet.clock, silentLog, noMetrics);
-    shareLimits(limits, client);
+    shareStatements(limits, testNotices(fleet.clock, undefined, silentLog, limits), client);
     const other = fleet.startEntry("h2");
     await fleet.clock.advance(2000);
     const endpoint = "e1" as EndpointId;
@@ -253,3 +253,22 @@
     assert.equal(other.view().limits.get(endpoint)?.perSecond, 2);
     await fleet.stopAll();
 });
+
+test("an endpoint that tells one host that it is leaving gets nothing more from the others, though the list calls it ready", async () => {
+    const fleet = await startFleet();
+    fleet.listed = [listed("e1"), listed("e2")];
+    await fleet.put("c1", 1);
+    const hosts = ["h1", "h2", "h3"].map(name => {
+        const client = fleet.startEntry(name);
+        const limits = new EndpointLimits(fleet.clock, silentLog, noMetrics);
+        const notices = testNotices(fleet.clock, undefined, silentLog, limits);
+        shareStatements(limits, notices, client);
+        return notices;
+    });
+    await fleet.clock.advance(2000);
+    hosts[0]!.observe("e1" as EndpointId, 200, { leaving: "1" });
+    await fleet.clock.advance(1000);
+    assert.deepEqual(hosts.map(one => one.isLeaving("e1" as EndpointId)), [true, true, true]);
+    assert.deepEqual(hosts.map(one => one.isLeaving("e2" as EndpointId)), [false, false, false]);
+    await fleet.stopAll();
+});
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -13,8 +13,8 @@
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { hostOf, isLive } from "./EntryHostRegistry.js";
 import { decompressText, type EntryHostStatus, fleetMethods, type HeldTags, type SyncReply } from "./FleetMessages.js";
-import type { LimitReport } from "./LimitReports.js";
 import { applyPart } from "./ListVersions.js";
+import type { Statement, StatementReport } from "./StatementReports.js";
 import type { DeploymentDecoder, FleetSource, FleetView, ListedEndpoint } from "./Types.js";
 
 /** How long a control host may hold back its reply; bounds the view's age while nothing changes. */
@@ -25,7 +25,7 @@
 const maxStateAgeMs = 1500;
 /** Pause after all control hosts have been tried without success. */
 const retryPauseMs = 100;
-/** Interval between two equal reports of this host: on the reach of a data centre, or the limit of an endpoint. */
+/** Interval between two equal reports of this host: on the reach of a data centre, or what an endpoint states. */
 const reportIntervalMs = 300;
 
 /** Number of reports whose times are remembered; the oldest are forgotten first. */
@@ -41,6 +41,7 @@
     quarantined: new Set(),
     cutOff: new Set(),
     limits: new Map(),
+    leaving: new Set(),
 };
 
 interface FleetClientOptions {
@@ -66,7 +67,7 @@
     private current = emptyView;
     /** Entry hosts with their status as of the message in which it last changed. */
     private entryHosts: readonly EntryHostStatus[] = [];
-    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "", cuts: "", limits: "" };
+    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "", cuts: "", statements: "" };
     /** Time until which the view is known to have been the latest, on the local clock. */
     private confirmedUntilMs = -Infinity;
     /** Control hosts that the last reply named. */
@@ -104,9 +105,10 @@
         }
     }
 
-    public reportLimit(endpoint: EndpointId, perSecond: number | undefined): void {
-        if (this.isReportDue(`${endpoint} ${perSecond}`)) {
-            void this.sendReport(fleetMethods.limit, { endpoint, perSecond, ageMs: 0 });
+    public reportStatement(statement: Statement): void {
+        const { endpoint, matter, perSecond } = statement;
+        if (this.isReportDue(`${matter} ${endpoint} ${perSecond}`)) {
+            void this.sendReport(fleetMethods.statement, { ...statement, ageMs: 0 });
         }
     }
 
@@ -208,7 +210,7 @@
         this.applyConfig(reply);
         this.applyEndpoints(reply);
         this.applyHosts(reply);
-        const { marks, cuts, limits } = reply;
+        const { marks, cuts, statements } = reply;
         if (marks !== undefined) {
             this.heldTags = { ...this.heldTags, marks: marks.tag };
             this.current = {
@@ -221,9 +223,9 @@
             this.heldTags = { ...this.heldTags, cuts: cuts.tag };
             this.current = { ...this.current, cutOff: new Set(cuts.cutOff) };
         }
-        if (limits !== undefined) {
-            this.heldTags = { ...this.heldTags, limits: limits.tag };
-            this.current = { ...this.current, limits: new Map(limits.stated.map(one => this.localLimit(one))) };
+        if (statements !== undefined) {
+            this.heldTags = { ...this.heldTags, statements: statements.tag };
+            this.current = { ...this.current, ...this.decodeStatements(statements.all) };
         }
         if (this.current !== before) {
             this.logChange(reply);
@@ -288,8 +290,19 @@
         }
     }
 
-    private localLimit({ endpoint, perSecond, ageMs }: LimitReport): [EndpointId, EndpointLimit] {
-        return [endpoint, { perSecond, statedMs: this.options.clock.nowMs() - ageMs }];
+    private decodeStatements(reports: readonly StatementReport[]): Pick<FleetView, "limits" | "leaving"> {
+        const nowMs = this.options.clock.nowMs();
+        const limits = new Map<EndpointId, EndpointLimit>();
+        const leaving = new Set<EndpointId>();
+        for (const { endpoint, matter, perSecond, ageMs } of reports) {
+            if (matter === "limit") {
+                limits.set(endpoint, { perSecond, statedMs: nowMs - ageMs });
+            }
+            else {
+                leaving.add(endpoint);
+            }
+        }
+        return { limits, leaving };
     }
 
     private logChange(reply: SyncReply): void {
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -5,8 +5,8 @@
 import type { DataCentreId, EndpointId, HostId, Incarnation } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
 import type { CutReport } from "./CutReports.js";
-import type { LimitReport } from "./LimitReports.js";
 import type { ListPart } from "./ListVersions.js";
+import type { StatementReport } from "./StatementReports.js";
 import type { ListedEndpoint } from "./Types.js";
 
 const hostId = z.string() as unknown as z.ZodType<HostId>;
@@ -32,8 +32,8 @@
     marks: z.string(),
     /** Tag of the data centres that are cut off from the host's own. */
     cuts: z.string().default(""),
-    /** Tag of the limits that endpoints have stated. */
-    limits: z.string().default(""),
+    /** Tag of what endpoints have stated of themselves. */
+    statements: z.string().default(""),
 });
 
 const syncRequest = z.object({
@@ -57,8 +57,9 @@
     ageMs: z.number(),
 }) as unknown as z.ZodType<CutReport>;
 
-const limitReport = z.object({
+const statementReport = z.object({
     endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+    matter: z.enum(["limit", "leaving"]),
     perSecond: z.number().optional(),
     ageMs: z.number(),
 });
@@ -70,7 +71,7 @@
     /** Tag of the list that the control host holds; the reply leaves out an equal list. */
     endpointsTag: z.string(),
     cuts: z.array(cutReport).readonly().default([]),
-    limits: z.array(limitReport).readonly().default([]),
+    statements: z.array(statementReport).readonly().default([]),
 });
 
 const joinRequest = z.object({ control: hostId });
@@ -115,8 +116,8 @@
     };
     /** Data centres that are cut off from the requesting host's own. */
     readonly cuts?: { readonly tag: string; readonly cutOff: readonly DataCentreId[]; };
-    /** The last statements of endpoints on their limits. */
-    readonly limits?: { readonly tag: string; readonly stated: readonly LimitReport[]; };
+    /** The last statements of endpoints on themselves. */
+    readonly statements?: { readonly tag: string; readonly all: readonly StatementReport[]; };
 }
 
 export type LeaderSyncReply =
@@ -131,7 +132,7 @@
         readonly endpointsAgeMs: number;
         readonly cuts: readonly CutReport[];
         /** Left out by a leader of an older version. */
-        readonly limits?: readonly LimitReport[];
+        readonly statements?: readonly StatementReport[];
     }
     | { readonly kind: "not-leader"; };
 
@@ -146,8 +147,8 @@
     sync: definePeerMethod<SyncRequest, SyncReply>("fleet.sync", syncRequest),
     /** Report of an entry host on a data centre that it could not reach, or has reached. */
     cut: definePeerMethod<CutReport, Record<string, never>>("fleet.cut", cutReport),
-    /** Report of an entry host on a limit that an endpoint has stated, or on its end. */
-    limit: definePeerMethod<LimitReport, Record<string, never>>("fleet.limit", limitReport),
+    /** Report of an entry host on what an endpoint has stated of itself in a reply. */
+    statement: definePeerMethod<StatementReport, Record<string, never>>("fleet.statement", statementReport),
     /** Exchange of collected state between a control host and the leader. */
     board: definePeerMethod<LeaderSyncRequest, LeaderSyncReply>("fleet.board", leaderSyncRequest),
     /** Request of a control host to join the control group. */
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -24,8 +24,8 @@
     tagOf,
 } from "./FleetMessages.js";
 import type { FleetState } from "./FleetState.js";
-import { type LimitReport, LimitReports } from "./LimitReports.js";
 import { ListVersions } from "./ListVersions.js";
+import { type StatementReport, StatementReports } from "./StatementReports.js";
 import type { ListedEndpoint } from "./Types.js";
 
 /** Interval of the exchanges with the leader; a small part of the time limit for applying a change. */
@@ -57,7 +57,7 @@
     public readonly name = "fleet-board";
     private readonly entryHosts: EntryHostRegistry;
     private readonly cuts: CutReports;
-    private readonly limits: LimitReports;
+    private readonly statements: StatementReports;
     private readonly endpointVersions = new ListVersions<ListedEndpoint>(idOf, endpoint => JSON.stringify(endpoint));
     /** Tag of the crash marks and data centres out of use, as of an applied index. */
     private markedAt: { readonly appliedIndex: number; readonly tag: string; } | undefined;
@@ -75,7 +75,7 @@
         const { clock, registry, log } = options;
         this.entryHosts = new EntryHostRegistry(clock);
         this.cuts = new CutReports(clock);
-        this.limits = new LimitReports(clock);
+        this.statements = new StatementReports(clock);
         this.changes = new Notifier(clock);
         this.roleChanges = new Notifier(clock);
         log.onApplied(() => this.changes.notify());
@@ -85,8 +85,8 @@
             this.recordCuts([report]);
             return {};
         });
-        registry.handle(fleetMethods.limit, async report => {
-            this.recordLimits([report]);
+        registry.handle(fleetMethods.statement, async report => {
+            this.recordStatements([report]);
             return {};
         });
         registry.handle(fleetMethods.board, req => this.handleLeaderSync(req));
@@ -133,7 +133,13 @@
         }
         const endpointsTag = reader().current().tag;
         const hosts = this.entryHosts.takeDirect();
-        const req = { control: self, hosts, endpointsTag, cuts: this.cuts.recent(), limits: this.limits.all() };
+        const req = {
+            control: self,
+            hosts,
+            endpointsTag,
+            cuts: this.cuts.recent(),
+            statements: this.statements.all(),
+        };
         const reply = await transport.call(leader, fleetMethods.board, req, { timeoutMs: exchangeTimeoutMs });
         const leaderReply = reply.orDefault({ kind: "not-leader" });
         if (leaderReply.kind === "not-leader") {
@@ -142,7 +148,7 @@
         }
         leaderReply.hosts.forEach(host => this.entryHosts.record(host));
         this.recordCuts(leaderReply.cuts);
-        this.recordLimits(leaderReply.limits ?? []);
+        this.recordStatements(leaderReply.statements ?? []);
         if (leaderReply.endpoints !== undefined) {
             reader().adoptIfNewer(leaderReply.endpoints);
         }
@@ -161,7 +167,7 @@
         const { log, reader } = this.options;
         req.hosts.forEach(host => this.entryHosts.record(host));
         this.recordCuts(req.cuts);
-        this.recordLimits(req.limits);
+        this.recordStatements(req.statements);
         const read = log.status().role === "leader" ? await log.readBarrier(exchangeTimeoutMs) : undefined;
         return read === undefined || read.isLeft() ? { kind: "not-leader" } : {
             kind: "board",
@@ -170,7 +176,7 @@
             ...(req.endpointsTag === reader().current().tag ? {} : { endpoints: reader().current() }),
             endpointsAgeMs: reader().current().ageMs,
             cuts: this.cuts.recent(),
-            limits: this.limits.all(),
+            statements: this.statements.all(),
         };
     }
 
@@ -181,8 +187,8 @@
         }
     }
 
-    private recordLimits(reports: readonly LimitReport[]): void {
-        const isNew = reports.map(report => this.limits.record(report)).includes(true);
+    private recordStatements(reports: readonly StatementReport[]): void {
+        const isNew = reports.map(report => this.statements.record(report)).includes(true);
         if (isNew) {
             this.changes.notify();
         }
@@ -227,7 +233,7 @@
             hosts: this.entryHosts.tag,
             marks: this.marksTag(),
             cuts: this.cuts.cutOffFrom(dataCentre).join(" "),
-            limits: this.limits.tag,
+            statements: this.statements.tag,
         };
     }
 
@@ -257,7 +263,9 @@
             ...(tags.hosts === held.hosts ? {} : { hosts: this.entryHosts.since(held.hosts) }),
             ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, dataCentresOut, quarantined } }),
             ...(tags.cuts === held.cuts ? {} : { cuts: { tag: tags.cuts, cutOff: this.cuts.cutOffFrom(dataCentre) } }),
-            ...(tags.limits === held.limits ? {} : { limits: { tag: tags.limits, stated: this.limits.all() } }),
+            ...(tags.statements === held.statements
+                ? {}
+                : { statements: { tag: tags.statements, all: this.statements.all() } }),
         };
     }
 
@@ -285,7 +293,7 @@
         || tags.marks !== held.marks
         || tags.hosts !== held.hosts
         || tags.cuts !== held.cuts
-        || tags.limits !== held.limits;
+        || tags.statements !== held.statements;
 }
 
 function idOf({ id }: ListedEndpoint): string {
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -6,6 +6,7 @@
 import type { Either } from "purify-ts";
 import type { Brand, DataCentreId, EndpointId, Event, HostId, Incarnation, WorkspaceId } from "../common/Types.js";
 import type { EndpointLimit } from "../endpoints/EndpointLimits.js";
+import type { Statement } from "./StatementReports.js";
 
 export type ServiceId = Brand<string, "ServiceId">;
 export type RouteId = Brand<string, "RouteId">;
@@ -167,6 +168,8 @@
     readonly cutOff: ReadonlySet<DataCentreId>;
     /** What endpoints have stated of their limits to any host; times on the local clock. */
     readonly limits: ReadonlyMap<EndpointId, EndpointLimit>;
+    /** Endpoints that have said to any host that they are about to end. */
+    readonly leaving: ReadonlySet<EndpointId>;
 }
 
 export interface FleetSource {
@@ -178,8 +181,8 @@
     reportCrash(fingerprint: string): void;
     /** Reports to the control hosts that an endpoint in another data centre was reached, or did not answer. */
     reportReach(endpoint: Pick<ListedEndpoint, "id" | "dataCentre">, isReached: boolean): void;
-    /** Reports to the control hosts what an endpoint has just stated of its limit; undefined for none. */
-    reportLimit(endpoint: EndpointId, perSecond: number | undefined): void;
+    /** Reports to the control hosts what an endpoint has just stated of itself. */
+    reportStatement(statement: Statement): void;
 }
 
 /** Start settings of a process of the fleet. */
--- a/src/limits/RatePermits.ts
+++ b/src/limits/RatePermits.ts
@@ -4,7 +4,7 @@
  */
 import { Right } from "purify-ts";
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
-import type { EndpointLimits, LimitOrigin } from "../endpoints/EndpointLimits.js";
+import type { EndpointLimits, StatementOrigin } from "../endpoints/EndpointLimits.js";
 import { HostRanks } from "../fleet/HostRanks.js";
 import type { FleetSource, ListedEndpoint } from "../fleet/Types.js";
 import type { PeerTransport } from "../peer/Types.js";
@@ -29,7 +29,7 @@
 export interface PermitBasis {
     readonly perSecond: number;
     readonly statedAgeMs: number;
-    readonly from: LimitOrigin;
+    readonly from: StatementOrigin;
     /** The host that replied; undefined when none did. */
     readonly lender: HostId | undefined;
 }
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -5,6 +5,7 @@
 import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import { EndpointNotices, type ReplyHeaders } from "../src/endpoints/EndpointNotices.js";
 import { emptyView } from "../src/fleet/FleetClient.js";
+import type { Statement } from "../src/fleet/StatementReports.js";
 import type {
     BatchTraits,
     Deployment,
@@ -147,7 +148,7 @@
         readonly dataCentre: string;
         readonly isReached: boolean;
     }[] = [];
-    public readonly limitReports: (readonly [EndpointId, number | undefined])[] = [];
+    public readonly statements: Statement[] = [];
     public viewAgeMs = 0;
     private current = emptyView;
 
@@ -168,8 +169,8 @@
         this.crashes.push(fingerprint);
     }
 
-    public reportLimit(endpoint: EndpointId, perSecond: number | undefined): void {
-        this.limitReports.push([endpoint, perSecond]);
+    public reportStatement(statement: Statement): void {
+        this.statements.push(statement);
     }
 
     public reportReach({ id, dataCentre }: ListedEndpoint, isReached: boolean): void {
--- a/testing/PromptSimulation.ts
+++ b/testing/PromptSimulation.ts
@@ -11,7 +11,6 @@
 import { EndpointTracker } from "../src/gateway/EndpointTracker.js";
 import { ColdStartQuota } from "../src/gateway/FleetQuotas.js";
 import type { ReplyHead } from "../src/gateway/Types.js";
-import { shareLimits } from "../src/limits/LimitSharing.js";
 import type { RatePermits } from "../src/limits/RatePermits.js";
 import { FakeClock } from "./FakeClock.js";
 import { FakeNetwork } from "./FakeNetwork.js";
@@ -144,7 +143,6 @@
         this.hosts = all.map(({ host }, at) => {
             const fleet = new FixedFleet();
             const limits = new EndpointLimits(this.clock, silentLog, noMetrics);
-            shareLimits(limits, fleet);
             const permits = testPermits({ self: host, fleet, limits, peers: network.addHost(host), clock: this.clock });
             const started = new SimulatedHost(this, fleet, limits, permits, at);
             fleet.set({ hosts: all, endpoints });
