Endpoints: a request that waits for its turn to connect ends when it is aborted

What callers saw: while connections to an endpoint time out, a request behind others in the queue got its final answer only at its turn, also after its deadline or after its caller had left. Cause: the queue did not look at the signal. Test: ends 511 ms after its start before, although aborted after 50 ms; now at once. An aborted entry leaves the queue.

--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -62,6 +62,8 @@
     }
 }
 
+const abortedError: ConnectError = { kind: "aborted", message: "aborted before the request was sent" };
+
 interface Pool {
     readonly address: string;
     readonly agent: http.Agent;
@@ -85,7 +87,9 @@
         if (pool === undefined) {
             return Left({ kind: "no-address", message: `endpoint "${endpoint}" is not configured` });
         }
-        await this.beginConnect(endpoint);
+        if (!await this.beginConnect(endpoint, options.signal)) {
+            return Left(abortedError);
+        }
         try {
             let connected = await this.connectOnce(pool, options);
             while (connected.isRight() && this.isIdleTooLong(connected.unsafeCoerce(), options)) {
@@ -155,15 +159,30 @@
         return this.clock.nowMs() - (this.idleSinceMs.get(req.socket) ?? 0) > maxIdleMs;
     }
 
-    private async beginConnect(endpoint: EndpointId): Promise<void> {
+    /** Waits for its turn to connect; false when `signal` was aborted before. */
+    private async beginConnect(endpoint: EndpointId, signal: AbortSignal): Promise<boolean> {
+        if (signal.aborted) {
+            return false;
+        }
         const count = this.connectCounts.get(endpoint) ?? 0;
         if (count < maxConcurrentConnects) {
             this.connectCounts.set(endpoint, count + 1);
-            return;
+            return true;
         }
         const queue = this.connectQueues.get(endpoint) ?? [];
         this.connectQueues.set(endpoint, queue);
-        await new Promise<void>(resolve => queue.push(resolve));
+        return new Promise(resolve => {
+            const begin = () => {
+                signal.removeEventListener("abort", leave);
+                resolve(true);
+            };
+            const leave = () => {
+                queue.splice(queue.indexOf(begin), 1);
+                resolve(false);
+            };
+            queue.push(begin);
+            signal.addEventListener("abort", leave, { once: true });
+        });
     }
 
     private endConnect(endpoint: EndpointId): void {
@@ -193,7 +212,7 @@
                 }
                 resolve(result);
             };
-            const aborted = () => finish(Left({ kind: "aborted", message: "aborted before the request was sent" }));
+            const aborted = () => finish(Left(abortedError));
             const failed = (err: Error) => finish(Left({ kind: "refused", message: err.message }));
             const timeOut = () => finish(Left({ kind: "timeout", message: `no connection within ${connectMs} ms` }));
             // After a stall of this process, timers run before a connection that was made meanwhile is noticed.
