Common: one bounded map instead of seven hand-written bounds

No change of behaviour: what hosts remember of endpoints, permits, statements, reports and streams dropped its oldest entry in the same three lines each.

--- a/src/endpoints/EndpointLimits.ts
+++ b/src/endpoints/EndpointLimits.ts
@@ -3,6 +3,7 @@
  * for the sum of all hosts, from the first reply that states it until one of the same start of the endpoint without it.
  * Hosts tell each other what they have read; for each endpoint the statement that was made last counts.
  */
+import { BoundedMap } from "../common/BoundedMap.js";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -29,7 +30,7 @@
 }
 
 export class EndpointLimits {
-    private readonly limits = new Map<EndpointId, KnownLimit>();
+    private readonly limits = new BoundedMap<EndpointId, KnownLimit>(maxRemembered);
     private readonly replies = new Emitter<EndpointId>();
     /** Fires when a reply to this host has stated a limit, or has stated none where one was known. */
     public readonly onReply = this.replies.event;
@@ -76,12 +77,7 @@
 
     private set(endpoint: EndpointId, limit: KnownLimit): void {
         const before = this.limits.get(endpoint)?.perSecond;
-        this.limits.delete(endpoint);
         this.limits.set(endpoint, limit);
-        if (this.limits.size > maxRemembered) {
-            const [oldest] = this.limits.keys();
-            this.limits.delete(oldest ?? endpoint);
-        }
         const { perSecond, statedMs, from } = limit;
         if (perSecond !== before) {
             const ageMs = Math.round(this.clock.nowMs() - statedMs);
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -1,9 +1,11 @@
 /**
  * What endpoints have said of themselves in the heads of their replies: that they are leaving, that they want no
- * request for a while, or how many requests they take (kept by {@link EndpointLimits}). A leaving endpoint gets nothing more from this host whatever the endpoint list says, since the
- * list lags; another start of it has another id. A pause ends by itself, a little later on some hosts than on others,
- * so that a paused endpoint is not met by all hosts at once.
+ * request for a while, or how many requests they take (kept by {@link EndpointLimits}). A leaving endpoint gets nothing
+ * more from this host whatever the endpoint list says, since the list lags; another start of it has another id. A pause
+ * ends by itself, a little later on some hosts than on others, so that a paused endpoint is not met by all hosts at
+ * once.
  */
+import { BoundedMap } from "../common/BoundedMap.js";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, EndpointId, Random } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -38,8 +40,9 @@
 }
 
 export class EndpointNotices {
-    private readonly leaving = new Set<EndpointId>();
-    private readonly pauseEndsMs = new Map<EndpointId, number>();
+    /** Times at which this host learnt that endpoints are leaving, on the local clock. */
+    private readonly leaving = new BoundedMap<EndpointId, number>(maxRemembered);
+    private readonly pauseEndsMs = new BoundedMap<EndpointId, number>(maxRemembered);
     private readonly leavingReplies = new Emitter<EndpointId>();
     /** Fires when a reply to this host is the first to say that an endpoint is leaving. */
     public readonly onLeaving = this.leavingReplies.event;
@@ -97,8 +100,7 @@
     }
 
     private addLeaving(endpoint: EndpointId, from: StatementOrigin): void {
-        this.leaving.add(endpoint);
-        forgetOldest(this.leaving);
+        this.leaving.set(endpoint, this.clock.nowMs());
         this.metrics.count("endpoint_notices", { kind: "leaving" });
         this.log.event(EventId.EndpointSaysLeaving, { endpoint, from });
     }
@@ -112,20 +114,9 @@
         const spreadMs = Math.max(minSpreadMs, pauseMs * spreadShare) * this.random.next();
         const endMs = this.clock.nowMs() + pauseMs + spreadMs;
         if (endMs > this.pauseEndMs(endpoint)) {
-            this.pauseEndsMs.delete(endpoint);
             this.pauseEndsMs.set(endpoint, endMs);
-            forgetOldest(this.pauseEndsMs);
             this.metrics.count("endpoint_notices", { kind: "pause" });
             this.log.event(EventId.EndpointPaused, { endpoint, pauseMs: Math.round(pauseMs) });
         }
     }
 }
-
-function forgetOldest<T extends Set<EndpointId> | Map<EndpointId, unknown>>(known: T): void {
-    if (known.size > maxRemembered) {
-        const [oldest] = known.keys();
-        if (oldest !== undefined) {
-            known.delete(oldest);
-        }
-    }
-}
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -3,6 +3,7 @@
  * age, switches to another control host when one fails, stops responding or has lost contact with the group, and never
  * returns to an older configuration.
  */
+import { BoundedMap } from "../common/BoundedMap.js";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, DataCentreId, EndpointId, HostId, Incarnation } from "../common/Types.js";
 import type { EndpointLimit } from "../endpoints/EndpointLimits.js";
@@ -73,7 +74,7 @@
     /** Control hosts that the last reply named. */
     private controls: readonly HostId[] = [];
     /** When this host last made each report, on the local clock. */
-    private readonly reportedMs = new Map<string, number>();
+    private readonly reportedMs = new BoundedMap<string, number>(maxKnownReports);
     /** Fingerprints of crash reports that no control host has acknowledged. */
     private unreportedCrashes: string[] = [];
     /** Index of the control host to poll, modulo the number of candidates. */
@@ -131,13 +132,8 @@
         const nowMs = this.options.clock.nowMs();
         const isDue = nowMs - (this.reportedMs.get(key) ?? -Infinity) >= reportIntervalMs;
         if (isDue) {
-            this.reportedMs.delete(key);
             this.reportedMs.set(key, nowMs);
         }
-        if (this.reportedMs.size > maxKnownReports) {
-            const [oldest] = this.reportedMs.keys();
-            this.reportedMs.delete(oldest ?? key);
-        }
         return isDue;
     }
 
--- a/src/fleet/StatementReports.ts
+++ b/src/fleet/StatementReports.ts
@@ -4,6 +4,7 @@
  * Of each matter the statement that was made last counts. The end of a limit is kept like a limit, so that an older
  * report does not revive it.
  */
+import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import { tagOf } from "./FleetMessages.js";
 
@@ -31,7 +32,7 @@
 }
 
 export class StatementReports {
-    private readonly stated = new Map<string, DatedStatement>();
+    private readonly stated = new BoundedMap<string, DatedStatement>(maxStatements);
     private currentTag = "";
 
     public constructor(private readonly clock: Clock) {}
@@ -50,7 +51,6 @@
         if (ageMs >= keptMs || (known !== undefined && known.statedMs >= statedMs)) {
             return false;
         }
-        this.stated.delete(key);
         this.stated.set(key, { statement, statedMs });
         const isChanged = known === undefined || known.statement.perSecond !== perSecond;
         if (isChanged) {
@@ -71,7 +71,7 @@
     private forgetOld(): void {
         const sinceMs = this.clock.nowMs() - keptMs;
         for (const [key, { statedMs }] of this.stated) {
-            if (statedMs <= sinceMs || this.stated.size > maxStatements) {
+            if (statedMs <= sinceMs) {
                 this.stated.delete(key);
             }
         }
--- a/src/limits/PermitLender.ts
+++ b/src/limits/PermitLender.ts
@@ -4,6 +4,7 @@
  * can't be reached. Each lends by itself, and no message passes between them. The rates below keep the sum within one
  * and a half times the limit while hosts restart, are suspended or cut off, or have different views of the fleet.
  */
+import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import type { EndpointLimits } from "../endpoints/EndpointLimits.js";
 import { HostRanks } from "../fleet/HostRanks.js";
@@ -51,7 +52,7 @@
 }
 
 export class PermitLender {
-    private readonly lent = new Map<EndpointId, LentEndpoint>();
+    private readonly lent = new BoundedMap<EndpointId, LentEndpoint>(maxBuckets);
     private readonly ranks = new HostRanks();
     private liveHosts = "";
     /** Since when the live hosts in this host's view have been the same. */
@@ -106,12 +107,7 @@
             one.role = role;
             this.options.log.event(EventId.PermitLenderRole, { endpoint, role, share: lenderShares[role] });
         }
-        this.lent.delete(endpoint);
         this.lent.set(endpoint, one);
-        if (this.lent.size > maxBuckets) {
-            const [oldest] = this.lent.keys();
-            this.lent.delete(oldest ?? endpoint);
-        }
         return one;
     }
 
--- a/src/limits/RatePermits.ts
+++ b/src/limits/RatePermits.ts
@@ -3,6 +3,7 @@
  * once. Without an answer of a lender nothing is sent, so that a host which is cut off exceeds no limit.
  */
 import { Right } from "purify-ts";
+import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import type { EndpointLimits, StatementOrigin } from "../endpoints/EndpointLimits.js";
 import { HostRanks } from "../fleet/HostRanks.js";
@@ -63,7 +64,7 @@
 
 export class RatePermits {
     private readonly ranks = new HostRanks();
-    private readonly denials = new Map<EndpointId, readonly Denial[]>();
+    private readonly denials = new BoundedMap<EndpointId, readonly Denial[]>(maxDenials);
     private readonly lostUntilMs = new Map<HostId, number>();
 
     public constructor(private readonly options: RatePermitsOptions) {}
@@ -137,12 +138,7 @@
     private remember(endpoint: EndpointId, denial: Denial): void {
         const others = (this.denials.get(endpoint) ?? [])
             .filter(one => one.priority !== denial.priority && one.retryAtMs > this.options.clock.nowMs());
-        this.denials.delete(endpoint);
         this.denials.set(endpoint, [...others, denial]);
-        if (this.denials.size > maxDenials) {
-            const [oldest] = this.denials.keys();
-            this.denials.delete(oldest ?? endpoint);
-        }
     }
 
     private maxMs(endpoint: EndpointId, priority: number, timeOf: (denial: Denial) => number): number {
--- a/src/streams/OriginStore.ts
+++ b/src/streams/OriginStore.ts
@@ -1,4 +1,5 @@
 /** Keeps where streams began, in memory, for a bounded time and number of streams. */
+import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock } from "../common/Types.js";
 import type { OriginRecord } from "./StreamMessages.js";
 
@@ -9,7 +10,9 @@
 
 export class OriginStore {
     /** In the order of their times. */
-    private readonly records = new Map<string, { readonly record: OriginRecord; readonly atMs: number; }>();
+    private readonly records = new BoundedMap<string, { readonly record: OriginRecord; readonly atMs: number; }>(
+        maxRecords,
+    );
 
     public constructor(private readonly clock: Clock) {}
 
@@ -18,10 +21,9 @@
         if (known !== undefined && known.attempt > record.attempt) {
             return;
         }
-        this.records.delete(record.key);
         this.records.set(record.key, { record, atMs: this.clock.nowMs() });
         for (const [key, { atMs }] of this.records) {
-            if (!this.isExpired(atMs) && this.records.size <= maxRecords) {
+            if (!this.isExpired(atMs)) {
                 break;
             }
             this.records.delete(key);
