Gateway: a request that could not be sent once more uses no connection that was idle for long

Cause: whether a pooled connection of any idle time may be used was decided by the kind of the request alone. A repeatable request that had lost one run to a dropped connection could lose its last allowed run to another, and its caller got 502 though no endpoint had failed. Now the last allowed run is treated like the run of a request that must not be repeated.

Callers saw: 502 (outcome unknown) on an idempotent or resumable request.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -15,7 +15,7 @@
 /** Maximum size of a reply that is not streamed. */
 const maxReplyBytes = 16 * 1024 * 1024;
 /**
- * A request that must not run twice uses only connections with less idle time than this. Some endpoints drop
+ * A request that could not be sent once more uses only connections with less idle time than this. Some endpoints drop
  * connections after 300 ms of idle time, and after the reset it is unknown whether the request has run.
  */
 const maxSafeIdleMs = 250;
@@ -32,8 +32,8 @@
     readonly clock: Clock;
     /** Aborted when the caller disconnects or the deadline passes. */
     readonly signal: AbortSignal;
-    /** True when the request may run more than once. */
-    readonly isRepeatable: boolean;
+    /** True when the request may be sent once more if this attempt breaks. */
+    readonly mayRepeat: boolean;
     /** Time limits for the first byte and between two events; undefined for no limit. */
     readonly firstByteTimeoutMs: number | undefined;
     readonly gapMs: number | undefined;
@@ -52,14 +52,14 @@
 
     /** Runs the attempt and resolves with its outcome. */
     public async run(): Promise<AttemptOutcome> {
-        const { attempt, connections, head, headers, signal, isRepeatable } = this.options;
+        const { attempt, connections, head, headers, signal, mayRepeat } = this.options;
         const connected = await connections.connect(attempt.record.id, {
             method: head.method,
             path: head.target,
             headers,
             fresh: false,
             signal,
-            ...(isRepeatable ? {} : { maxIdleMs: maxSafeIdleMs }),
+            ...(mayRepeat ? {} : { maxIdleMs: maxSafeIdleMs }),
         });
         if (connected.isLeft()) {
             const { kind, message } = connected.extract();
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -289,11 +289,9 @@
             notices,
             clock: this.clock,
             signal: this.abortController.signal,
-            isRepeatable: this.isRepeatable,
+            mayRepeat: this.mayRepeat,
             firstByteTimeoutMs: this.firstByteTimeoutMs(record),
-            gapMs: route.kind === "resumable" && this.possibleRuns + 1 < route.maxEndpoints
-                ? streamGapTimeoutMs
-                : undefined,
+            gapMs: route.kind === "resumable" && this.mayRepeat ? streamGapTimeoutMs : undefined,
             onReply,
         });
         const outcome = await exchange.run();
@@ -390,6 +388,11 @@
         return kind === "idempotent" || kind === "resumable";
     }
 
+    /** True when the request may be sent once more after the attempt that is about to begin. */
+    private get mayRepeat(): boolean {
+        return this.isRepeatable && this.possibleRuns + 1 < this.admitted.route.maxEndpoints;
+    }
+
     private mayRetry(): boolean {
         const { route, service } = this.admitted;
         return !this.abortController.signal.aborted
@@ -399,7 +402,7 @@
 
     /** Time limit for the first byte, after which another endpoint is tried; undefined when that is not allowed. */
     private firstByteTimeoutMs(record: EndpointRecord): number | undefined {
-        if (this.possibleRuns + 1 >= this.admitted.route.maxEndpoints) {
+        if (!this.mayRepeat) {
             return undefined;
         }
         switch (this.admitted.route.kind) {
