Gateway: a request without a retry left is not given up on, and uses no connection that was idle for long

Callers saw: 502 (outcome unknown). Large fleets are more exposed, as the budget of each of their hosts is small.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -32,9 +32,9 @@
     readonly clock: Clock;
     /** Aborted when the caller disconnects or the deadline passes. */
     readonly signal: AbortSignal;
-    /** True when the request may be sent once more if this attempt breaks. */
-    readonly mayRepeat: boolean;
-    /** Time limits for the first byte and between two events; undefined for no limit. */
+    /** True when the request may be sent once more if this attempt breaks now. */
+    readonly mayRepeat: () => boolean;
+    /** Time limits for the first byte and between two events, while the request may be repeated; undefined for none. */
     readonly firstByteTimeoutMs: number | undefined;
     readonly gapMs: number | undefined;
     /** Called for each event of a stream, before it is written to the caller. */
@@ -59,7 +59,7 @@
             headers,
             fresh: false,
             signal,
-            ...(mayRepeat ? {} : { maxIdleMs: maxSafeIdleMs }),
+            ...(mayRepeat() ? {} : { maxIdleMs: maxSafeIdleMs }),
         });
         if (connected.isLeft()) {
             const { kind, message } = connected.extract();
@@ -164,12 +164,19 @@
     private restartSilenceTimer(timeoutMs: number | undefined): void {
         this.silenceTimer?.dispose();
         if (timeoutMs !== undefined && !this.isFinished) {
-            this.silenceTimer = this.options.clock.setTimer(timeoutMs, () => {
-                this.finish({ kind: "broken", message: `no data for ${Math.round(timeoutMs)} ms`, isSilent: true });
-            });
+            this.silenceTimer = this.options.clock.setTimer(timeoutMs, () => this.handleSilence(timeoutMs));
         }
     }
 
+    /** Gives the attempt up if the request may go elsewhere; a slow answer is better than none. */
+    private handleSilence(timeoutMs: number): void {
+        if (this.options.mayRepeat()) {
+            this.finish({ kind: "broken", message: `no data for ${Math.round(timeoutMs)} ms`, isSilent: true });
+            return;
+        }
+        this.restartSilenceTimer(timeoutMs);
+    }
+
     /** Handles a closed connection. After a complete reply it may close while the reply is still being relayed. */
     private handleClose(): void {
         if (this.res?.complete !== true) {
--- a/src/gateway/FleetQuotas.ts
+++ b/src/gateway/FleetQuotas.ts
@@ -32,18 +32,22 @@
         this.recentTimes(this.requests, service).push(this.clock.nowMs());
     }
 
-    /** Returns true, and counts the retry, when a request may be sent again. */
-    public tryAcquire(service: ServiceId): boolean {
+    /** True when a request may be sent again. */
+    public isAvailable(service: ServiceId): boolean {
         const { retryShare, retrySlack } = this.bounds;
         const hosts = this.fleet.view().hosts.length + reserveHosts;
         const requests = this.recentTimes(this.requests, service).length;
-        const retries = this.recentTimes(this.retries, service);
-        const allowed = usedShare * (retryShare * requests + retrySlack / hosts);
-        if (retries.length + 1 > allowed) {
-            return false;
+        const retries = this.recentTimes(this.retries, service).length;
+        return retries + 1 <= usedShare * (retryShare * requests + retrySlack / hosts);
+    }
+
+    /** Returns true, and counts the retry, when a request may be sent again. */
+    public tryAcquire(service: ServiceId): boolean {
+        const isAvailable = this.isAvailable(service);
+        if (isAvailable) {
+            this.recentTimes(this.retries, service).push(this.clock.nowMs());
         }
-        retries.push(this.clock.nowMs());
-        return true;
+        return isAvailable;
     }
 
     private recentTimes(times: Map<ServiceId, number[]>, service: ServiceId): number[] {
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -289,9 +289,9 @@
             notices,
             clock: this.clock,
             signal: this.abortController.signal,
-            mayRepeat: this.mayRepeat,
+            mayRepeat: () => this.mayRepeat,
             firstByteTimeoutMs: this.firstByteTimeoutMs(record),
-            gapMs: route.kind === "resumable" && this.mayRepeat ? streamGapTimeoutMs : undefined,
+            gapMs: route.kind === "resumable" ? streamGapTimeoutMs : undefined,
             onReply,
         });
         const outcome = await exchange.run();
@@ -388,9 +388,12 @@
         return kind === "idempotent" || kind === "resumable";
     }
 
-    /** True when the request may be sent once more after the attempt that is about to begin. */
+    /** True when the request may be sent once more after the attempt that is running or about to begin. */
     private get mayRepeat(): boolean {
-        return this.isRepeatable && this.possibleRuns + 1 < this.admitted.route.maxEndpoints;
+        const { route, service } = this.admitted;
+        return this.isRepeatable
+            && this.possibleRuns + 1 < route.maxEndpoints
+            && this.deps.retries.isAvailable(service.id);
     }
 
     private mayRetry(): boolean {
@@ -402,9 +405,6 @@
 
     /** Time limit for the first byte, after which another endpoint is tried; undefined when that is not allowed. */
     private firstByteTimeoutMs(record: EndpointRecord): number | undefined {
-        if (!this.mayRepeat) {
-            return undefined;
-        }
         switch (this.admitted.route.kind) {
             case "idempotent":
                 return Math.max(minSilenceMs, (record.replyMs ?? 0) * silenceFactor);
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -11,7 +11,7 @@
 import { EndpointConnections } from "../src/endpoints/EndpointConnections.js";
 import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import { EndpointNotices } from "../src/endpoints/EndpointNotices.js";
-import type { RequestKind, ServiceId } from "../src/fleet/Types.js";
+import type { FleetBounds, RequestKind, ServiceId } from "../src/fleet/Types.js";
 import { EndpointChooser } from "../src/gateway/EndpointChooser.js";
 import { EndpointTracker } from "../src/gateway/EndpointTracker.js";
 import { ColdStartQuota, FleetRetryBudget } from "../src/gateway/FleetQuotas.js";
@@ -123,6 +123,8 @@
 interface GatewaySiteOptions {
     readonly stageExecutor?: PieceExecutor;
     readonly versions?: readonly string[];
+    /** Bounds of the fleet that differ from the default ones. */
+    readonly bounds?: Partial<FleetBounds>;
 }
 
 /**
@@ -133,7 +135,7 @@
     count: number,
     kind: RequestKind,
     handlers: readonly RequestHandler[],
-    { stageExecutor, versions }: GatewaySiteOptions = {},
+    { stageExecutor, versions, bounds }: GatewaySiteOptions = {},
 ): Promise<readonly GatewaySite[]> {
     const received: http.IncomingMessage[] = [];
     const endpoints = await Promise.all(handlers.map(serve =>
@@ -145,7 +147,12 @@
     const hosts = entryHosts(count);
     const network = new FakeNetwork(new SystemClock());
     return Promise.all(hosts.map(async ({ host }) => {
-        const { fleet, gateway, limits, dispose } = startGateway(host, network, stageExecutor);
+        const { fleet, gateway, limits, dispose } = startGateway(
+            host,
+            network,
+            { ...defaultBounds, ...bounds },
+            stageExecutor,
+        );
         closers.push(dispose);
         const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
         const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs: 2000, stages });
@@ -168,7 +175,12 @@
     }));
 }
 
-function startGateway(self: HostId, network: FakeNetwork, stageExecutor: PieceExecutor | undefined) {
+function startGateway(
+    self: HostId,
+    network: FakeNetwork,
+    bounds: FleetBounds,
+    stageExecutor: PieceExecutor | undefined,
+) {
     const clock = new SystemClock();
     const fleet = new FixedFleet();
     const limits = new EndpointLimits(clock, silentLog, noMetrics);
@@ -194,10 +206,10 @@
         waitMs: () => undefined,
     } as PieceExecutor;
     const executor = stageExecutor ?? noExecutor;
-    const cold = new ColdStartQuota(self, defaultBounds, fleet, clock);
+    const cold = new ColdStartQuota(self, bounds, fleet, clock);
     const gateway = new Gateway({
         fleet,
-        bounds: defaultBounds,
+        bounds,
         codec: new PlatformGatewayCodec(),
         tracker: tracker,
         chooser: new EndpointChooser("a" as DataCentreId, cold, new SeededRandom(1)),
@@ -205,7 +217,7 @@
         pieces: executor,
         connections,
         notices,
-        retries: new FleetRetryBudget(defaultBounds, fleet, clock),
+        retries: new FleetRetryBudget(bounds, fleet, clock),
         cold,
         permits,
         origins,
