Gather: submissions to a cell that is gone are answered as moved, also by a host that has served the cell

Cause: a gatherer is kept when its cell leaves the endpoint list, since results are still freed through it. It ended the submissions that it held as moved, but took new ones from hosts with older lists, which then waited without an endpoint until they timed out. Such a submission now moves at once.

--- a/src/gather/GatherServer.ts
+++ b/src/gather/GatherServer.ts
@@ -76,8 +76,8 @@
                 }
             };
             const gatherer = this.gatherer(cell);
-            if (gatherer === undefined) {
-                deliver(Left({ kind: "moved", message: "the gatherer does not know the cell" }));
+            if (gatherer === undefined || this.options.cells.current().get(cell) === undefined) {
+                deliver(Left({ kind: "moved", message: "the gatherer's endpoint list does not have the cell" }));
                 continue;
             }
             usedCells.add(cell);
@@ -92,7 +92,7 @@
 
     /**
      * The gatherer of a cell, created on first use; undefined when there is none yet and this host's endpoint list does
-     * not have the cell.
+     * not have the cell. A gatherer outlives its cell, since results of the cell are still freed through it.
      */
     private gatherer(id: CellId): CellGatherer | undefined {
         const { fleet, cells, client, notices, clock, log, metrics } = this.options;
