--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -213,7 +213,9 @@
         });
     }
 
-    /** Requests to endpoints from hosts that knew that none were wanted; hosts with a fault in the period don't count. */
+    /**
+     * Requests to endpoints from hosts that knew that none were wanted; hosts with a fault in the period don't count.
+     */
     private unwantedRequests(): string[] {
         return this.unwanted.flatMap(period => {
             const counts = new Map<string, number>();
--- a/src/fleet/CutReports.ts
+++ b/src/fleet/CutReports.ts
@@ -1,8 +1,8 @@
 /**
  * What entry hosts report of data centres that they can't reach, collected by control hosts and told to all entry hosts
  * of the reporting data centre, so that not each of them has to wait for time-outs of its own. A data centre counts as
- * cut off from another one when several hosts there have met time-outs at several of its endpoints, and none has reached
- * it since.
+ * cut off from another one when several hosts there have met time-outs at several of its endpoints, and none has
+ * reached it since.
  */
 import type { Clock, DataCentreId, EndpointId, HostId } from "../common/Types.js";
 
--- a/src/fleet/HostRanks.ts
+++ b/src/fleet/HostRanks.ts
@@ -1,7 +1,7 @@
 /**
- * Entry hosts in a rendezvous order for each key, such as a cell or an endpoint, those of a preferred data centre first.
- * The order of all hosts is kept until a host joins or is removed, so that nothing is ranked anew when only endpoints
- * change or a host falls silent.
+ * Entry hosts in a rendezvous order for each key, such as a cell or an endpoint, those of a preferred data centre
+ * first. The order of all hosts is kept until a host joins or is removed, so that nothing is ranked anew when only
+ * endpoints change or a host falls silent.
  */
 import type { DataCentreId, HostId } from "../common/Types.js";
 import { rankByWeight } from "../endpoints/Rendezvous.js";
--- a/src/fleet/StatementReports.ts
+++ b/src/fleet/StatementReports.ts
@@ -1,8 +1,8 @@
 /**
  * What endpoints have stated of themselves in replies to entry hosts, collected by control hosts and told to all entry
- * hosts, so that a host acts on it before it has met it itself: limits on their request rates, and that they are leaving.
- * Of each matter the statement that was made last counts. The end of a limit is kept like a limit, so that an older
- * report does not revive it.
+ * hosts, so that a host acts on it before it has met it itself: limits on their request rates, and that they are
+ * leaving. Of each matter the statement that was made last counts. The end of a limit is kept like a limit, so that an
+ * older report does not revive it.
  */
 import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, EndpointId } from "../common/Types.js";
@@ -15,7 +15,9 @@
 
 export interface Statement {
     readonly endpoint: EndpointId;
-    /** "limit": how many requests it takes; "leaving": it is about to end, which this start of it does not take back. */
+    /**
+     * "limit": how many requests it takes; "leaving": it is about to end, which this start of it does not take back.
+     */
     readonly matter: "limit" | "leaving";
     /** Requests per second over all hosts; left out when the endpoint has no limit. */
     readonly perSecond?: number | undefined;
--- a/src/fleet/StatementSharing.ts
+++ b/src/fleet/StatementSharing.ts
@@ -6,8 +6,8 @@
 import type { FleetSource } from "./Types.js";
 
 /**
- * Reports to the control hosts what a reply has stated when they do not tell so, and takes over what they tell. A report
- * that got lost is made again with the next reply.
+ * Reports to the control hosts what a reply has stated when they do not tell so, and takes over what they tell. A
+ * report that got lost is made again with the next reply.
  */
 export function shareStatements(limits: EndpointLimits, notices: EndpointNotices, fleet: FleetSource): Disposable {
     const shared = new DisposableStore();
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -170,8 +170,8 @@
     }
 
     /**
-     * A refusal when no endpoint of the service may get the request before the time for which it would wait. With stages,
-     * that wait begins only after them.
+     * A refusal when no endpoint of the service may get the request before the time for which it would wait. With
+     * stages, that wait begins only after them.
      */
     private unavailableRefusal(): Refusal | undefined {
         const { route } = this.admitted;
@@ -212,7 +212,9 @@
             : { ...this.refusal("overloaded", refused.message), retryAfterMs: refused.retryAfterMs };
     }
 
-    /** Runs the stages elsewhere when no endpoint that can fetch their results is in reach; false when it can't help. */
+    /**
+     * Runs the stages elsewhere when no endpoint that can fetch their results is in reach; false when it can't help.
+     */
     private rerunStagesElsewhere(): boolean {
         if (this.abortController.signal.aborted || !this.stages.giveUpDataCentres()) {
             return false;
--- a/src/gateway/StageLoad.test.ts
+++ b/src/gateway/StageLoad.test.ts
@@ -163,7 +163,9 @@
     }
 }
 
-/** One data centre of a large deployment: its endpoints as one cell, or split into two halves with their own requests. */
+/**
+ * One data centre of a large deployment: its endpoints as one cell, or split into two halves with their own requests.
+ */
 function dataCentreLoad(share: number) {
     const common = { slots: 1, callMs: 150, resultKeptMs: 4000 };
     const endpoints = (count: number) => Math.round(count * share);
--- a/src/gateway/StreamBinding.ts
+++ b/src/gateway/StreamBinding.ts
@@ -1,6 +1,7 @@
 /**
- * Binds a request with which a caller takes a stream up again to the service and software version that began the stream.
- * Where nobody knows them, the request is refused: at another version the stream would go on with what does not fit.
+ * Binds a request with which a caller takes a stream up again to the service and software version that began the
+ * stream. Where nobody knows them, the request is refused: at another version the stream would go on with what does not
+ * fit.
  */
 import type { WorkspaceId } from "../common/Types.js";
 import type { Deployment, Route } from "../fleet/Types.js";
@@ -33,7 +34,9 @@
 export class StreamBinding {
     public constructor(private readonly options: StreamBindingOptions) {}
 
-    /** Returns the request with its stream's origin, unchanged when it takes up no stream, or why it can't be served. */
+    /**
+     * Returns the request with its stream's origin, unchanged when it takes up no stream, or why it can't be served.
+     */
     public async bind(admitted: AdmittedRequest, { services }: Deployment): Promise<BindingOutcome> {
         const { head, route, workspace } = admitted;
         if (!takesUpStream(head, route)) {
--- a/src/gather/PermittedPieceClient.test.ts
+++ b/src/gather/PermittedPieceClient.test.ts
@@ -1,4 +1,6 @@
-/** Checks what reaches endpoints of stages that limit their request rate, and that the other endpoints take the rest. */
+/**
+ * Checks what reaches endpoints of stages that limit their request rate, and that the other endpoints take the rest.
+ */
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FakeClock } from "../../testing/FakeClock.js";
--- a/src/gather/PermittedPieceClient.ts
+++ b/src/gather/PermittedPieceClient.ts
@@ -1,6 +1,6 @@
 /**
- * Sends what goes to endpoints of stages only with a permit, where an endpoint limits its request rate. Calls come first.
- * Results to be freed wait and are freed together; a query of the state is left out when the limit is used up.
+ * Sends what goes to endpoints of stages only with a permit, where an endpoint limits its request rate. Calls come
+ * first. Results to be freed wait and are freed together; a query of the state is left out when the limit is used up.
  */
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
--- a/src/limits/RatePermits.ts
+++ b/src/limits/RatePermits.ts
@@ -1,6 +1,6 @@
 /**
- * Obtains permits for requests to endpoints that limit their request rate. A permit is for one request, which is sent at
- * once. Without an answer of a lender nothing is sent, so that a host which is cut off exceeds no limit.
+ * Obtains permits for requests to endpoints that limit their request rate. A permit is for one request, which is sent
+ * at once. Without an answer of a lender nothing is sent, so that a host which is cut off exceeds no limit.
  */
 import { Right } from "purify-ts";
 import { BoundedMap } from "../common/BoundedMap.js";
@@ -70,8 +70,8 @@
     public constructor(private readonly options: RatePermitsOptions) {}
 
     /**
-     * Time until a request of the given priority may ask for a permit again, in milliseconds; 0 when it may now. Requests
-     * of a higher priority may be lent a permit where others are denied one.
+     * Time until a request of the given priority may ask for a permit again, in milliseconds; 0 when it may now.
+     * Requests of a higher priority may be lent a permit where others are denied one.
      */
     public heldOffMs(endpoint: EndpointId, priority: number): number {
         return this.maxMs(endpoint, priority, one => one.untilMs);
--- a/src/streams/ServiceVersions.ts
+++ b/src/streams/ServiceVersions.ts
@@ -1,6 +1,6 @@
 /**
- * Which software versions a service has had lately. Where it has had only one, a stream whose beginning nobody names was
- * begun by that one.
+ * Which software versions a service has had lately. Where it has had only one, a stream whose beginning nobody names
+ * was begun by that one.
  */
 import type { Clock } from "../common/Types.js";
 import type { FleetSource, FleetView, ServiceId } from "../fleet/Types.js";
--- a/src/streams/StreamMessages.ts
+++ b/src/streams/StreamMessages.ts
@@ -8,7 +8,9 @@
     key: z.string(),
     service: z.string() as unknown as z.ZodType<ServiceId>,
     version: z.string().optional(),
-    /** Number of the request's attempt; a later attempt of a request that has brought no event replaces an earlier one. */
+    /**
+     * Number of the request's attempt; a later attempt of a request that has brought no event replaces an earlier one.
+     */
     attempt: z.number(),
 });
 
--- a/src/streams/StreamOrigins.test.ts
+++ b/src/streams/StreamOrigins.test.ts
@@ -1,4 +1,6 @@
-/** Checks that hosts find where a stream began after the host that began it and others have ended, and what that costs. */
+/**
+ * Checks that hosts find where a stream began after the host that began it and others have ended, and what that costs.
+ */
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FakeClock } from "../../testing/FakeClock.js";
--- a/src/streams/StreamOrigins.ts
+++ b/src/streams/StreamOrigins.ts
@@ -1,7 +1,7 @@
 /**
- * Remembers where streams began, so that any host can go on with a stream at the right version after the host that began
- * it has ended. A host tells three others at the start of each attempt, before the first event can arrive; they follow
- * from the stream's key, so that a host which takes it up knows whom to ask.
+ * Remembers where streams began, so that any host can go on with a stream at the right version after the host that
+ * began it has ended. A host tells three others at the start of each attempt, before the first event can arrive; they
+ * follow from the stream's key, so that a host which takes it up knows whom to ask.
  */
 import { hashText } from "../common/TextHash.js";
 import type { Clock, HostId } from "../common/Types.js";
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -128,8 +128,8 @@
 }
 
 /**
- * Starts several gateways, hosts of one fleet, in front of the same endpoints as {@link startGatewaySite}. `versions` are
- * the software versions of the endpoints.
+ * Starts several gateways, hosts of one fleet, in front of the same endpoints as {@link startGatewaySite}. `versions`
+ * are the software versions of the endpoints.
  */
 export async function startGatewaySites(
     count: number,
--- a/testing/PermitSite.ts
+++ b/testing/PermitSite.ts
@@ -1,4 +1,6 @@
-/** Entry hosts that share the limits of endpoints, over simulated network and time. A send is a request with a permit. */
+/**
+ * Entry hosts that share the limits of endpoints, over simulated network and time. A send is a request with a permit.
+ */
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import type { DataCentreId, HostId } from "../src/common/Types.js";
 import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
@@ -110,8 +112,8 @@
     }
 
     /**
-     * Starts a process of a host, to which all endpoints have stated their limits. With `transport`, its requests to other
-     * hosts go there.
+     * Starts a process of a host, to which all endpoints have stated their limits. With `transport`, its requests to
+     * other hosts go there.
      */
     public startPermits(self: HostId, fleet: FixedFleet, transport?: PeerTransport): RatePermits {
         const { clock, network } = this;
--- a/testing/PromptSimulation.ts
+++ b/testing/PromptSimulation.ts
@@ -1,6 +1,7 @@
 /**
- * Simulates hosts that choose model endpoints for requests with prompts, in one process and without network. An endpoint
- * processes one prompt after the other, without the shared parts that it has cached, and may limit its request rate.
+ * Simulates hosts that choose model endpoints for requests with prompts, in one process and without network. An
+ * endpoint processes one prompt after the other, without the shared parts that it has cached, and may limit its request
+ * rate.
  */
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import type { DataCentreId } from "../src/common/Types.js";
