Test of slow endpoints without a retry left: a deadline that no busy machine reaches

At load average 23 the test ended at its deadline, 200 ms after the endpoint's reply was due: 504 instead of 200.

--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -125,6 +125,8 @@
     readonly versions?: readonly string[];
     /** Bounds of the fleet that differ from the default ones. */
     readonly bounds?: Partial<FleetBounds>;
+    /** Longest time that a request may take. */
+    readonly timeoutMs?: number;
 }
 
 /**
@@ -135,7 +137,7 @@
     count: number,
     kind: RequestKind,
     handlers: readonly RequestHandler[],
-    { stageExecutor, versions, bounds }: GatewaySiteOptions = {},
+    { stageExecutor, versions, bounds, timeoutMs = 2000 }: GatewaySiteOptions = {},
 ): Promise<readonly GatewaySite[]> {
     const received: http.IncomingMessage[] = [];
     const endpoints = await Promise.all(handlers.map(serve =>
@@ -155,7 +157,7 @@
         );
         closers.push(dispose);
         const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
-        const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs: 2000, stages });
+        const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs, stages });
         const workspaces = new Map([["key", { id: "w" as WorkspaceId, priority: undefined }]]);
         fleet.set({
             hosts,
