Endpoint limits: callers are refused early only when no permit can be asked for in time

Cause: a request was refused at once when the advice for callers, which counts all that were denied before, lay beyond half of its objective. The advice also counted each waiting request as often as it asked again. So hosts refused everything for up to 2 s while the bucket was full after 0.6 s, and limits idled.

Change: an early refusal asks when a permit may be asked for again; the advice counts each request once and drops it when it gets its permit.

Callers saw: refusals while limited endpoints had permits left. Ruled out: lost lenders and lenders at half rate (none in the traced runs).

--- a/src/gateway/EndpointSelection.test.ts
+++ b/src/gateway/EndpointSelection.test.ts
@@ -68,6 +68,31 @@
     });
 }
 
+/** Share of the limits that requests use under about twice the load that the limits allow. */
+const allButFull = 0.95;
+
+for (
+    const { hosts, limited, rate } of [
+        { hosts: 3, limited: 2, rate: 5 },
+        { hosts: 8, limited: 2, rate: 5 },
+        { hosts: 8, limited: 6, rate: 1.5 },
+    ]
+) {
+    // Guards against callers that are refused early while permits are left (limits that idle under twice their load).
+    test(`limits of ${limited} endpoints to ${rate} requests a second do not idle under twice the load of ${hosts} hosts`, async () => {
+        const kind = { ...chat, perSecond: 2 * limited * rate, objectiveMs: 1000, outputMs: 50 };
+        const site = new PromptSimulation(hosts, limited, 3);
+        await site.run(5, [kind]);
+        site.limitEngines(limited, rate);
+        await site.run(8, [kind]);
+        const fromMs = site.clock.nowMs();
+        await site.run(16, [kind]);
+        const arrivals = [...site.engines.values()].flatMap(one => one.arrivalsMs).filter(at => at >= fromMs);
+        const used = arrivals.length / (limited * rate * 16);
+        assert.ok(used >= allButFull, `${(used * 100).toFixed(0)} % of the limits used`);
+    });
+}
+
 test("all model endpoints limit their rate: their limits are used, and the most urgent requests come first", async () => {
     const site = await runLimited(endpoints, 7);
     const arrivals = [...site.engines.values()].flatMap(one => one.arrivalsMs);
--- a/src/gateway/EndpointSelection.ts
+++ b/src/gateway/EndpointSelection.ts
@@ -67,6 +67,7 @@
         untilMs: number,
     ): Promise<PermittedChoice | undefined> {
         const { clock, cold, signal } = this.options;
+        let wasDenied = false;
         while (!signal.aborted) {
             const endpoints = usable();
             const choice = this.expected(endpoints, tried);
@@ -81,7 +82,8 @@
             if (choice.record.isCold) {
                 cold.recordSend(choice.record.id);
             }
-            const permit = await this.acquire(choice.record);
+            const permit = await this.acquire(choice.record, wasDenied);
+            wasDenied ||= permit.kind === "denied";
             if (permit.kind !== "denied" && !signal.aborted) {
                 return { ...choice, permit, heldOff: endpoints.filter(one => this.heldOffMs(one) > 0) };
             }
@@ -89,6 +91,11 @@
         return undefined;
     }
 
+    /** Time until one of the endpoints may get a request, in milliseconds; 0 when that may be now. */
+    public unavailableForMs(endpoints: readonly EndpointRecord[]): number {
+        return this.earliestMs(endpoints, one => this.unavailableMs(one));
+    }
+
     /** Why none of the endpoints may get the request, as far as that is known; undefined when one of them may. */
     public unavailability(endpoints: readonly EndpointRecord[]): Unavailability | undefined {
         const { permits, priority } = this.options;
@@ -100,9 +107,9 @@
         return forMs > 0 ? { reason: isPaused ? "paused" : "limited", forMs } : undefined;
     }
 
-    private async acquire(record: EndpointRecord): Promise<PermitOutcome> {
+    private async acquire(record: EndpointRecord, wasDenied: boolean): Promise<PermitOutcome> {
         const { permits, priority, request, log, metrics } = this.options;
-        const permit = await permits.acquire(record.listed, priority);
+        const permit = await permits.acquire(record.listed, priority, wasDenied);
         if (permit.kind === "denied") {
             const { basis, waitMs } = permit;
             metrics.count("requests_kept_off_limited_endpoints");
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -176,8 +176,7 @@
     private unavailableRefusal(): Refusal | undefined {
         const { route } = this.admitted;
         const waitShare = route.stages.length > 0 ? 1 : endpointWaitShare;
-        const unavailability = this.selection.unavailability(this.suitable());
-        return unavailability !== undefined && unavailability.forMs > route.objectiveMs * waitShare
+        return this.selection.unavailableForMs(this.suitable()) > route.objectiveMs * waitShare
             ? this.noEndpointRefusal()
             : undefined;
     }
--- a/src/limits/LimitMessages.ts
+++ b/src/limits/LimitMessages.ts
@@ -13,6 +13,8 @@
     perSecond: z.number(),
     /** Age of the reply that stated it. */
     ageMs: z.number(),
+    /** True when the request was denied a permit before, at this or another endpoint. */
+    wasDenied: z.boolean().optional(),
 });
 
 export type PermitRequest = z.infer<typeof permitRequest>;
--- a/src/limits/PermitBucket.ts
+++ b/src/limits/PermitBucket.ts
@@ -19,7 +19,7 @@
 export interface BucketDenial {
     /** Time until enough tokens are there, unless another request takes them. */
     readonly waitMs: number;
-    /** Time until those that were denied lately could have been served as well. */
+    /** Time until the requests that were denied lately, and have got no permit since, could have been served as well. */
     readonly retryAfterMs: number;
 }
 
@@ -33,25 +33,31 @@
 
     /**
      * Adds the tokens since the last call at `perSecond`, and takes one for a request if it may have it. Returns
-     * undefined when it was taken.
+     * undefined when it was taken. A request that `wasDenied` before is not counted once more.
      */
-    public take(nowMs: number, perSecond: number, priority: number): BucketDenial | undefined {
+    public take(nowMs: number, perSecond: number, priority: number, wasDenied = false): BucketDenial | undefined {
         this.fill(nowMs, perSecond);
         const isUrgent = this.recordPriority(nowMs, priority);
         const needed = isUrgent || this.urgentTaken >= urgentInRow
             ? 1
             : Math.min(tokensForLower, capacityOf(perSecond));
+        this.deniedMs = this.deniedMs.filter(atMs => atMs > nowMs - memoryMs);
         if (this.tokens >= needed) {
             this.tokens -= 1;
+            if (wasDenied) {
+                this.deniedMs.shift();
+            }
             this.urgentTaken = isUrgent ? this.urgentTaken + 1 : 0;
             return undefined;
         }
-        this.deniedMs = this.deniedMs.filter(atMs => atMs > nowMs - memoryMs);
-        this.deniedMs.push(nowMs);
+        if (!wasDenied) {
+            this.deniedMs.push(nowMs);
+        }
+        const ahead = Math.max(0, this.deniedMs.length - 1);
         const msPerToken = msPerS / perSecond;
         return {
             waitMs: Math.ceil((needed - this.tokens) * msPerToken),
-            retryAfterMs: Math.ceil((needed - this.tokens + this.deniedMs.length - 1) * msPerToken),
+            retryAfterMs: Math.ceil((needed - this.tokens + ahead) * msPerToken),
         };
     }
 
--- a/src/limits/PermitLender.ts
+++ b/src/limits/PermitLender.ts
@@ -66,7 +66,7 @@
     }
 
     /** Lends a permit for one request, or says when to ask again. */
-    public lend({ endpoint, dataCentre, priority, perSecond, ageMs }: PermitRequest): PermitReply {
+    public lend({ endpoint, dataCentre, priority, perSecond, ageMs, wasDenied }: PermitRequest): PermitReply {
         const { self, fleet, limits, clock, metrics } = this.options;
         const nowMs = clock.nowMs();
         limits.adopt(endpoint, { perSecond, statedMs: nowMs - ageMs });
@@ -81,7 +81,7 @@
         }
         const one = this.lentEndpoint(endpoint, position, nowMs);
         const lentPerSecond = limit.perSecond * lenderShares[one.role];
-        const denial = one.bucket.take(nowMs, lentPerSecond, priority);
+        const denial = one.bucket.take(nowMs, lentPerSecond, priority, wasDenied);
         const countedMs = Math.min(nowMs - one.askedMs, settledMs);
         metrics.count("permit_allowance", {}, countedMs * limit.perSecond / msPerS);
         metrics.count("permits", { outcome: denial === undefined ? "lent" : "denied" });
--- a/src/limits/RatePermits.test.ts
+++ b/src/limits/RatePermits.test.ts
@@ -170,3 +170,14 @@
     assert.deepEqual(denials.map(one => one.retryAfterMs), [500, 1000, 1500, 2000, 2500]);
     assert.deepEqual(denials.map(one => one.waitMs), [500, 500, 500, 500, 500]);
 });
+
+// Guards against advice that grows with how often waiting requests ask again.
+test("a caller is told to come back behind requests that wait, each counted once", () => {
+    const bucket = new PermitBucket(0);
+    bucket.take(0, 2, 0);
+    const again = Array.from({ length: 5 }, (_, at) => bucket.take(20 * at, 2, 0, true)?.retryAfterMs);
+    assert.deepEqual(again, [500, 480, 460, 440, 420]);
+    assert.equal(bucket.take(100, 2, 0)?.retryAfterMs, 900, "behind one");
+    assert.equal(bucket.take(500, 2, 0, true), undefined, "the first one gets its permit");
+    assert.equal(bucket.take(500, 2, 0)?.retryAfterMs, 1000, "behind one again");
+});
--- a/src/limits/RatePermits.ts
+++ b/src/limits/RatePermits.ts
@@ -82,8 +82,11 @@
         return this.maxMs(endpoint, priority, one => one.retryAtMs);
     }
 
-    /** Obtains a permit for a request to an endpoint; it is used at once, or is lost. */
-    public async acquire(endpoint: ListedEndpoint, priority: number): Promise<PermitOutcome> {
+    /**
+     * Obtains a permit for a request to an endpoint; it is used at once, or is lost. `wasDenied` is true when the
+     * request was denied one before, at this or another endpoint.
+     */
+    public async acquire(endpoint: ListedEndpoint, priority: number, wasDenied = false): Promise<PermitOutcome> {
         const { limits, clock, metrics } = this.options;
         const limit = limits.get(endpoint.id);
         if (limit?.perSecond === undefined) {
@@ -92,7 +95,8 @@
         const askedMs = clock.nowMs();
         const { perSecond, from } = limit;
         const ageMs = askedMs - limit.statedMs;
-        const req = { endpoint: endpoint.id, dataCentre: endpoint.dataCentre, priority, perSecond, ageMs };
+        const { id, dataCentre } = endpoint;
+        const req = { endpoint: id, dataCentre, priority, perSecond, ageMs, wasDenied };
         const { lender, reply } = await this.ask(req);
         const basis = { perSecond, statedAgeMs: Math.round(ageMs), from, lender };
         const nowMs = clock.nowMs();
--- a/testing/PromptSimulation.ts
+++ b/testing/PromptSimulation.ts
@@ -106,6 +106,9 @@
             priority: profile.priority,
         });
         const usable = () => this.tracker.usable(id);
+        if (selection.unavailableForMs(usable()) > profile.objectiveMs / 2) {
+            return undefined;
+        }
         const choice = await selection.choose(usable, new Set(), startMs + profile.objectiveMs / 2);
         if (choice === undefined) {
             return undefined;
