--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -1,4 +1,5 @@
 /** Records what callers, endpoints and operators of a fleet observe, and checks the fleet's guarantees against it. */
+import { allowedInWindow, limitContactMs, limitWindowMs, mostInWindow } from "../testing/LimitRule.js";
 
 /** An execution of a request on an endpoint. */
 interface EndpointRun {
@@ -68,11 +69,6 @@
 const balancerLagMs = 2000;
 /** HTTP statuses that guarantee that a request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
-/** A limit counts from this long after it was first stated, in windows of this length, with this factor and slack. */
-const limitContactMs = 3000;
-const limitWindowMs = 4000;
-const limitOverrun = 1.5;
-const limitSlack = 5;
 /** A host knows what an endpoint states this long after it has answered a caller with a reply that states it. */
 const knownAfterMs = 500;
 /** Number of requests that a host may send to an endpoint that it knows to want none. */
@@ -203,10 +199,8 @@
     /** Limits that the hosts which knew them have exceeded together; hosts with a fault in the window don't count. */
     private exceededLimits(): string[] {
         return this.limits.flatMap(limit => {
-            const times = this.countedArrivals(limit);
-            const allowed = Math.floor(limit.perSecond * limitWindowMs / 1000 * limitOverrun + limitSlack);
-            const counts = times.map(from => times.filter(at => at >= from && at < from + limitWindowMs).length);
-            const most = Math.max(0, ...counts);
+            const allowed = allowedInWindow(limit.perSecond);
+            const most = mostInWindow(this.countedArrivals(limit));
             return most > allowed
                 ? [`${limit.endpoint} got ${most} requests in 4 s at a limit of ${limit.perSecond}; allowed ${allowed}`]
                 : [];
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -40,8 +40,7 @@
 }
 
 export class EndpointNotices {
-    /** Times at which this host learnt that endpoints are leaving, on the local clock. */
-    private readonly leaving = new BoundedMap<EndpointId, number>(maxRemembered);
+    private readonly leaving = new BoundedMap<EndpointId, true>(maxRemembered);
     private readonly pauseEndsMs = new BoundedMap<EndpointId, number>(maxRemembered);
     private readonly leavingReplies = new Emitter<EndpointId>();
     /** Fires when a reply to this host is the first to say that an endpoint is leaving. */
@@ -100,7 +99,7 @@
     }
 
     private addLeaving(endpoint: EndpointId, from: StatementOrigin): void {
-        this.leaving.set(endpoint, this.clock.nowMs());
+        this.leaving.set(endpoint, true);
         this.metrics.count("endpoint_notices", { kind: "leaving" });
         this.log.event(EventId.EndpointSaysLeaving, { endpoint, from });
     }
--- a/src/gateway/EndpointSelection.test.ts
+++ b/src/gateway/EndpointSelection.test.ts
@@ -1,6 +1,7 @@
 /** Simulates load with prompts on model endpoints of which some limit their request rate, without a network. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { allowedInWindow, limitContactMs, mostInWindow } from "../../testing/LimitRule.js";
 import { type PromptProfile, PromptSimulation } from "../../testing/PromptSimulation.js";
 
 /** Kinds of one deployment, with the part of the objective that is left after the stages. */
@@ -41,8 +42,6 @@
 const endpoints = 6;
 /** Requests per second that a limited endpoint takes; about a third of what it gets before. */
 const perSecond = 1.5;
-const contactMs = 3000;
-const windowMs = 4000;
 
 async function runLimited(count: number, seed: number): Promise<PromptSimulation> {
     const site = new PromptSimulation(8, endpoints, seed);
@@ -51,9 +50,8 @@
     site.limitEngines(count, perSecond);
     await site.run(limitedS, profiles);
     for (const { arrivalsMs } of [...site.engines.values()].slice(0, count)) {
-        const counted = arrivalsMs.filter(at => at >= fromMs + contactMs);
-        const most = Math.max(0, ...counted.map(one => counted.filter(at => at >= one && at < one + windowMs).length));
-        assert.ok(most <= perSecond * 4 * 1.5 + 5, `${most} requests in 4 s`);
+        const most = mostInWindow(arrivalsMs.filter(at => at >= fromMs + limitContactMs));
+        assert.ok(most <= allowedInWindow(perSecond), `${most} requests in 4 s`);
     }
     return site;
 }
--- a/src/gateway/EndpointSelection.ts
+++ b/src/gateway/EndpointSelection.ts
@@ -73,7 +73,7 @@
             const choice = this.expected(endpoints, tried);
             if (choice === undefined) {
                 const nowMs = clock.nowMs();
-                if (nowMs >= untilMs || nowMs + this.earliestMs(endpoints, one => this.unavailableMs(one)) > untilMs) {
+                if (nowMs >= untilMs || nowMs + this.unavailableForMs(endpoints) > untilMs) {
                     return undefined;
                 }
                 await clock.sleep(noEndpointPauseMs, signal);
@@ -93,7 +93,7 @@
 
     /** Time until one of the endpoints may get a request, in milliseconds; 0 when that may be now. */
     public unavailableForMs(endpoints: readonly EndpointRecord[]): number {
-        return this.earliestMs(endpoints, one => this.unavailableMs(one));
+        return this.earliestMs(endpoints, one => Math.max(one.pausedForMs, this.heldOffMs(one)));
     }
 
     /** Why none of the endpoints may get the request, as far as that is known; undefined when one of them may. */
@@ -122,10 +122,6 @@
         return this.options.permits.heldOffMs(id, this.options.priority);
     }
 
-    private unavailableMs(record: EndpointRecord): number {
-        return Math.max(record.pausedForMs, this.heldOffMs(record));
-    }
-
     /** The least of the endpoints' times; 0 when there are no endpoints. */
     private earliestMs(endpoints: readonly EndpointRecord[], timeOf: (one: EndpointRecord) => number): number {
         return endpoints.length === 0 ? 0 : Math.min(...endpoints.map(timeOf));
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -404,7 +404,7 @@
             && this.deps.retries.tryAcquire(service.id);
     }
 
-    /** Time limit for the first byte, after which another endpoint is tried; undefined when that is not allowed. */
+    /** Time limit for the first byte, after which a request that may be repeated goes elsewhere; undefined for none. */
     private firstByteTimeoutMs(record: EndpointRecord): number | undefined {
         switch (this.admitted.route.kind) {
             case "idempotent":
--- a/src/gather/PermittedPieceClient.test.ts
+++ b/src/gather/PermittedPieceClient.test.ts
@@ -17,6 +17,7 @@
     testPermits,
     TimedEndpoints,
 } from "../../testing/FleetFixtures.js";
+import { allowedInWindow, limitContactMs, mostInWindow } from "../../testing/LimitRule.js";
 import { EndpointLimits } from "../endpoints/EndpointLimits.js";
 import type { BatchTraits } from "../fleet/Types.js";
 import { CellGatherer } from "./CellGatherer.js";
@@ -31,8 +32,6 @@
     resultRoomBytes: 1_000_000,
     resultKeptMs: 4000,
 };
-const contactMs = 3000;
-const windowMs = 4000;
 const seconds = 20;
 
 const cases: readonly { readonly name: string; readonly perSecond: number; readonly slowness: number; }[] = [
@@ -82,9 +81,8 @@
         }
         await clock.advance(5000);
         const limited = endpoints.arrivals.filter(one => one.endpoint === "e0").map(one => one.atMs);
-        const counted = limited.filter(atMs => atMs >= limited[0]! + contactMs);
-        const most = Math.max(...counted.map(from => counted.filter(at => at >= from && at < from + windowMs).length));
-        assert.ok(most <= perSecond * 4 * 1.5 + 5, `${most} requests in 4 s`);
+        const most = mostInWindow(limited.filter(atMs => atMs >= limited[0]! + limitContactMs));
+        assert.ok(most <= allowedInWindow(perSecond), `${most} requests in 4 s`);
         // A slow endpoint gets calls only while no other is free.
         assert.ok(slowness > 1 || most >= perSecond * 2, "the limit is used");
         const made = endpoints.calls.filter(one => one.endpoint === "e0").flatMap(one => one.pieces).length;
--- a/src/limits/RatePermits.test.ts
+++ b/src/limits/RatePermits.test.ts
@@ -5,20 +5,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Right } from "purify-ts";
+import { allowedInWindow } from "../../testing/LimitRule.js";
 import { PermitSite } from "../../testing/PermitSite.js";
 import { rankByWeight } from "../endpoints/Rendezvous.js";
 import type { PeerTransport } from "../peer/Types.js";
 import { PermitBucket } from "./PermitBucket.js";
 
-const windowMs = 4000;
 /** Share of the limits that must be used while callers are refused. */
 const minUsedShare = 0.8;
 
-/** Requests that an endpoint may get within the window. */
-function allowedAt(perSecond: number): number {
-    return perSecond * windowMs / 1000 * 1.5 + 5;
-}
-
 /** The first lender of the first endpoint. */
 function lenderOf(site: PermitSite): string | undefined {
     return rankByWeight(site.endpoints[0]?.id ?? "", site.hosts.map(one => one.id))[0];
@@ -119,8 +114,8 @@
         const seconds = 16;
         const site = new PermitSite(hosts, endpoints, perSecond, dataCentres);
         await site.run(seconds, 2 * endpoints * perSecond / hosts, [0], atMs => disturb?.(site, atMs));
-        const most = site.mostIn(windowMs);
-        assert.ok(most <= allowedAt(perSecond), `${most} requests in 4 s, ${allowedAt(perSecond)} allowed`);
+        const most = site.mostInWindow();
+        assert.ok(most <= allowedInWindow(perSecond), `${most} requests in 4 s, ${allowedInWindow(perSecond)} allowed`);
         const used = site.sends.length / (seconds * endpoints * perSecond);
         assert.ok(used >= usedShare, `${(used * 100).toFixed(0)} % of the limits used`);
     });
--- a/src/streams/StreamOrigins.ts
+++ b/src/streams/StreamOrigins.ts
@@ -65,7 +65,7 @@
     public record(key: string, { service, version }: StreamOrigin, attempt: number): void {
         const record = { key, service, version, attempt };
         this.store.put(record);
-        this.order(key).slice(0, keepers).forEach(host => this.queue(host, record));
+        this.firstHosts(key, keepers).forEach(host => this.queue(host, record));
     }
 
     /** Finds where a stream began; the first host that knows it decides. */
@@ -75,7 +75,7 @@
         if (own !== undefined) {
             return { kind: "found", origin: own, from: self };
         }
-        const hosts = this.order(key).slice(0, askedHosts);
+        const hosts = this.firstHosts(key, askedHosts);
         let waiting = hosts.length;
         let silent = 0;
         return new Promise(resolve => {
@@ -95,11 +95,12 @@
         });
     }
 
-    /** The other live hosts in the order for a stream. */
-    private order(key: string): readonly HostId[] {
+    /** The first other live hosts in the order for a stream. */
+    private firstHosts(key: string, count: number): readonly HostId[] {
         const { self, fleet } = this.options;
         const group = hashText(key) % groups;
-        return this.ranks.live(`streams ${group}`, undefined, fleet.view().hosts).filter(host => host !== self);
+        const ranked = this.ranks.live(`streams ${group}`, undefined, fleet.view().hosts);
+        return ranked.slice(0, count + 1).filter(host => host !== self).slice(0, count);
     }
 
     private queue(host: HostId, record: OriginRecord): void {
--- a/testing/PermitSite.ts
+++ b/testing/PermitSite.ts
@@ -10,6 +10,7 @@
 import { FakeClock } from "./FakeClock.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import { entryHosts, FixedFleet, listed, noMetrics, silentLog, testPermits } from "./FleetFixtures.js";
+import { mostInWindow } from "./LimitRule.js";
 
 const stepMs = 20;
 
@@ -86,14 +87,10 @@
     }
 
     /** Largest number of requests that an endpoint has got within a window. */
-    public mostIn(windowMs: number): number {
-        return Math.max(
-            0,
-            ...this.sends.map(({ atMs: from, endpoint }) =>
-                this.sends.filter(one => one.endpoint === endpoint && one.atMs >= from && one.atMs < from + windowMs)
-                    .length
-            ),
-        );
+    public mostInWindow(): number {
+        const timesAt = (endpoint: ListedEndpoint) =>
+            this.sends.filter(one => one.endpoint === endpoint).map(one => one.atMs);
+        return Math.max(...this.endpoints.map(endpoint => mostInWindow(timesAt(endpoint))));
     }
 
     private async send(host: PermitHost, priority: number): Promise<void> {
