--- a/src/gather/Cells.test.ts
+++ b/src/gather/Cells.test.ts
@@ -68,6 +68,30 @@
     }
 });
 
+// Guards against a host that can't keep up with several cells while other hosts gather for none.
+test("no host gathers for two cells while another of their data centre gathers for none", () => {
+    const names = Array.from({ length: 4 }, (_, at) => `s${at}`);
+    for (const hosts of [12, 15, 24, 60]) {
+        const fleet = new FixedFleet();
+        fleet.set({
+            deployment: deployment([], names.map(name => service(name, { pieces }))),
+            endpoints: names.flatMap(name =>
+                Array.from(
+                    { length: 9 },
+                    (_, at) =>
+                        listed(`${name}-${at}`, { service: serviceId(name), dataCentre: centreId(centres[at % 3]!) }),
+                )
+            ),
+            hosts: entryHosts(hosts).map((one, at) => ({ ...one, dataCentre: centreId(centres[at % 3]!) })),
+        });
+        const cells = new Cells(fleet.view());
+        const gatherers = names.flatMap(name => cells.ofService(serviceId(name)))
+            .map(cell => cells.rankedGatherers(cell.id)[0]);
+        assert.equal(gatherers.length, 12);
+        assert.equal(new Set(gatherers).size, 12, `${hosts} hosts`);
+    }
+});
+
 test("endpoints that are leaving or in a data centre taken out of use are not usable", () => {
     const fleet = new FixedFleet();
     fleet.set({
--- a/src/gather/GatherClient.test.ts
+++ b/src/gather/GatherClient.test.ts
@@ -133,6 +133,40 @@
     });
 }
 
+/** The pieces that endpoints were asked to run, each as often as it was. */
+function askedPieces({ stageEndpoints }: Hosts): string[] {
+    return stageEndpoints.calls.flatMap(call => call.pieces.map(one => `${one.request}/${one.piece}`));
+}
+
+// Guards against hosts that take a busy gatherer for a lost one, so that two gatherers fill the same endpoints.
+test("a gatherer that takes half a second to reply is not given up, and no piece runs twice", async () => {
+    const hosts = new Hosts(4, endpoints(1));
+    hosts.network.faults.minDelayMs = 250;
+    hosts.network.faults.maxDelayMs = 260;
+    const submitter = [...hosts.clients.keys()].find(host => host !== hosts.gatherer())!;
+    const outcomes = hosts.submit(submitter, 30);
+    await hosts.clock.advance(6000);
+    assert.equal(completedCount(outcomes), 30);
+    assert.deepEqual(askedPieces(hosts).length, new Set(askedPieces(hosts)).size);
+    hosts.stop();
+});
+
+// Guards against work for requests that have been answered: a gatherer that was given up still holds their pieces.
+test("pieces that were sent to another gatherer are withdrawn from the one that was given up", async () => {
+    const hosts = new Hosts(4, endpoints(1));
+    const gatherer = hosts.gatherer();
+    const submitter = [...hosts.clients.keys()].find(host => host !== gatherer)!;
+    const outcomes = hosts.submit(submitter, 60, { remainingMs: 20_000, startInMs: 20_000 });
+    await hosts.clock.advance(100);
+    hosts.network.cutOneWay(gatherer, submitter);
+    await hosts.clock.advance(20_000);
+    assert.equal(completedCount(outcomes), 60);
+    const twice = askedPieces(hosts).length - new Set(askedPieces(hosts)).size;
+    // What the first gatherer runs until it is given up may run again.
+    assert.ok(twice <= 24, `${twice} of 60 pieces ran twice`);
+    hosts.stop();
+});
+
 test("pieces queued in a cell that a new endpoint list removes complete in the new cells", async () => {
     const hosts = new Hosts(1, endpoints(8));
     const [host] = hosts.clients.keys();
