--- a/src/gather/Cells.ts
+++ b/src/gather/Cells.ts
@@ -28,6 +28,8 @@
     private readonly byId = new Map<CellId, Cell>();
     private readonly byService = new Map<ServiceId, Cell[]>();
     private readonly cellOfEndpoint = new Map<EndpointId, CellId>();
+    /** The first gatherer of each cell, worked out on first use. */
+    private assigned: ReadonlyMap<CellId, HostId> | undefined;
 
     public constructor(private readonly view: FleetView, private readonly ranks: HostRanks = new HostRanks()) {
         const services = new Map<ServiceId, ListedEndpoint[]>();
@@ -61,13 +63,15 @@
     }
 
     /**
-     * Live hosts that may be the gatherer of a cell, in order of preference: hosts in the cell's data centre first,
-     * each group in rendezvous order. Hosts in data centres that are cut off are left out.
+     * Live hosts that may be the gatherer of a cell, in order of preference: first the one that gathers for fewer cells
+     * than the others, then hosts in the cell's data centre, then all others, each group in rendezvous order. Hosts in
+     * data centres that are cut off are left out.
      */
     public rankedGatherers(id: CellId): readonly HostId[] {
-        const live = this.ranks.live(id, this.byId.get(id)?.dataCentre, this.view.hosts);
-        const { cutOff } = this.view;
-        return cutOff.size === 0 ? live : live.filter(host => !this.ranks.isIn(host, cutOff));
+        this.assigned ??= this.assignGatherers();
+        const first = this.assigned.get(id);
+        const order = this.gathererOrder(id);
+        return first === undefined || first === order[0] ? order : [first, ...order.filter(host => host !== first)];
     }
 
     /** True when this host can't reach the data centre of a cell. */
@@ -82,6 +86,34 @@
             .filter(one => !one.isLeaving && !dataCentresOut.has(one.dataCentre));
     }
 
+    private gathererOrder(id: CellId): readonly HostId[] {
+        const live = this.ranks.live(id, this.byId.get(id)?.dataCentre, this.view.hosts);
+        const { cutOff } = this.view;
+        return cutOff.size === 0 ? live : live.filter(host => !this.ranks.isIn(host, cutOff));
+    }
+
+    /** Spreads the cells over the hosts of their data centres, since a gatherer of several can't keep up under load. */
+    private assignGatherers(): ReadonlyMap<CellId, HostId> {
+        const assigned = new Map<CellId, HostId>();
+        const counts = new Map<HostId, number>();
+        for (const id of [...this.byId.keys()].sort()) {
+            const order = this.gathererOrder(id);
+            const dataCentre = this.byId.get(id)?.dataCentre;
+            const near = dataCentre === undefined
+                ? []
+                : order.filter(host => this.ranks.isIn(host, new Set([dataCentre])));
+            let best: HostId | undefined;
+            for (const host of near.length > 0 ? near : order) {
+                best = best === undefined || (counts.get(host) ?? 0) < (counts.get(best) ?? 0) ? host : best;
+            }
+            if (best !== undefined) {
+                assigned.set(id, best);
+                counts.set(best, (counts.get(best) ?? 0) + 1);
+            }
+        }
+        return assigned;
+    }
+
     private partition(service: ServiceId, endpoints: readonly ListedEndpoint[]): void {
         if (endpoints.length <= maxSingleCellEndpoints) {
             this.add(service, undefined, `${service}`, endpoints);
