Gather: a gatherer is given up after 0.7 s without a reply, not 0.3 s

A process that has ended refuses connections and is still given up at once; one that is frozen or cut off is passed by 0.4 s later than before.

--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -28,8 +28,12 @@
 
 /** Messages to a host are collected for this long and sent together. */
 const sendDelayMs = 2;
-/** Time limit for a message to a gatherer: many times the latency within a region plus the delay of a busy host. */
-const sendTimeoutMs = 300;
+/**
+ * Time limit for a message to a gatherer. A busy host may be late by several hundred milliseconds; to give it up costs
+ * more than to wait, since its pieces then run twice and two gatherers fill the same endpoints. One whose process has
+ * ended refuses connections and is given up at once.
+ */
+const sendTimeoutMs = 700;
 /** A gatherer with pending submissions is probed after this long without a message from it. */
 const maxSilenceMs = 300;
 const probeIntervalMs = 100;
--- a/src/gather/GatherServer.ts
+++ b/src/gather/GatherServer.ts
@@ -17,8 +17,8 @@
 /** Results for a host are collected for this long and sent together. */
 const deliveryDelayMs = 2;
 /** Time limit for delivering results, over all attempts; without results the submitter uses another gatherer. */
-const deliveryTimeoutMs = 1000;
-const maxDeliveryAttempts = 3;
+const deliveryTimeoutMs = 1400;
+const maxDeliveryAttempts = 2;
 
 interface GatherServerOptions {
     readonly self: HostId;
