--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -313,9 +313,23 @@
         this.avoidUntilMs.set(host, clock.nowMs() + avoidMs);
         const affected = [...this.pending.values()].filter(one => one.gatherer === host);
         log.event(EventId.GathererLost, { gatherer: host, message, submissions: affected.length });
+        if (affected.length > 0) {
+            void this.withdraw(host, affected);
+        }
         affected.forEach(pending => this.submit(pending));
     }
 
+    /** Cancels submissions at a gatherer that was given up; it may only be slow, or out of reach in one direction. */
+    private async withdraw(host: HostId, affected: readonly PendingSubmission[]): Promise<void> {
+        const { transport, log } = this.options;
+        const cancels = affected.flatMap(({ cell, submission: { id } }) => cell === undefined ? [] : [{ cell, id }]);
+        const work = { submissions: [], cancels, frees: [] };
+        const sent = await transport.call(host, gatherMethods.work, work, { timeoutMs: sendTimeoutMs });
+        sent.ifLeft(({ message }) =>
+            log.event(EventId.SubmissionsNotWithdrawn, { gatherer: host, message, submissions: cancels.length })
+        );
+    }
+
     private receiveOutcome({ id, cell, results, error }: EndedSubmission, from: HostId): void {
         if (this.pending.has(id)) {
             this.handleOutcome(id, error === undefined ? Right(results) : Left(error));
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -122,6 +122,7 @@
     ResultsLost = 1206,
     /** Results could not be sent to their submitter; they stay unused until they expire. */
     ResultsUndelivered = 1207,
+    SubmissionsNotWithdrawn = 1208,
     // 13xx: limits
     PermitLenderRole = 1300,
     PermitLenderLost = 1301,
