--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -92,6 +92,8 @@
 }
 
 export class FleetHistory {
+    /** When endpoints crashed, in order. */
+    public readonly crashesMs: number[] = [];
     public readonly runs: EndpointRun[] = [];
     /** All requests that reached endpoints, run or refused. */
     public readonly arrivals: EndpointRun[] = [];
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -19,6 +19,8 @@
 const eventPauseMs = 15;
 /** Processing time of a request that is not a stream. */
 const processingMs = 10;
+/** How long an endpoint that has crashed refuses connections. */
+const crashMs = 1200;
 
 export interface FleetSize {
     readonly controls: number;
@@ -49,8 +51,10 @@
     private readonly pauses = new Map<string, { readonly fromMs: number; readonly toMs: number; }>();
     /** Start times of endpoints that have been started anew. */
     private readonly bornMs = new Map<string, number>();
-    private readonly servers: http.Server[] = [];
+    private readonly servers = new Map<string, http.Server>();
     private version = 0;
+    /** Parts of prompts that crash each endpoint that begins to answer on them; the last part never does. */
+    public readonly crashingParts = new Set<string>();
 
     public constructor(
         size: FleetSize,
@@ -216,6 +220,7 @@
             server.closeAllConnections();
             server.close();
         });
+        this.servers.clear();
     }
 
     /** Software version of an endpoint: two of them in turn. */
@@ -234,7 +239,26 @@
     private async listen(address: string, port: number, listener: http.RequestListener): Promise<void> {
         const server = http.createServer(listener);
         await listen(server, `${address}:${port}`);
-        this.servers.push(server);
+        this.servers.set(address, server);
+    }
+
+    /** Ends an endpoint with all its connections; it comes back as a new start. */
+    private async crash(endpoint: string): Promise<void> {
+        const server = this.servers.get(endpoint);
+        this.servers.delete(endpoint);
+        server?.close();
+        server?.closeAllConnections();
+        this.history.crashesMs.push(this.clock.nowMs());
+        await this.clock.sleep(crashMs);
+        this.bornMs.set(endpoint, this.clock.wallMs());
+        if (server !== undefined) {
+            await this.listen(endpoint, ports.endpoint, (req, res) => this.serve(endpoint, req, res));
+        }
+    }
+
+    private crashesOn(req: http.IncomingMessage): boolean {
+        const parts = String(req.headers["fireflykeel-prompt-prefix"] ?? "").split(",").slice(0, -1);
+        return parts.some(part => this.crashingParts.has(part.split(":")[0] ?? ""));
     }
 
     /** Handles one request as an endpoint, with the current faults. */
@@ -259,6 +283,11 @@
             return;
         }
         this.history.runs.push({ request, endpoint, atMs: this.clock.nowMs() });
+        if (this.crashesOn(req)) {
+            res.writeHead(200, { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` }).flushHeaders();
+            this.clock.setTimer(processingMs, () => void this.crash(endpoint));
+            return;
+        }
         const losesAnswer = this.random.next() < this.faults.loseAnswer;
         const responseHeaders = { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` };
         if (req.url?.startsWith("/resumable/") === true) {
