Parts of prompts that crash endpoints are condemned by the whole fleet, and requests with them kept back

Cause: crashes were attributed to the exact request, by key, target and body, and no two of these requests are alike. Change: a host that sees an endpoint crash reports the parts of the prompt that ran there, but for the last, at once and not with its next poll. Control hosts agree on the endpoints that crashed with each part; an answer completed on a part clears it, which any host reports, so that parts which sound requests share are not blamed. A part that three endpoints have crashed with and that has stayed suspected for 1.5 s is condemned by the leader; crashes that it explains no longer count against others. Requests with a condemned part are refused as not run, without a time to come back. It is released after ten minutes. All of it is bounded.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -13,9 +13,10 @@
 import { EndpointChooser } from "../gateway/EndpointChooser.js";
 import { EndpointTracker } from "../gateway/EndpointTracker.js";
 import { ColdStartQuota, FleetRetryBudget } from "../gateway/FleetQuotas.js";
-import { fingerprintOf, Gateway } from "../gateway/Gateway.js";
+import { Gateway } from "../gateway/Gateway.js";
 import { GatewayServer } from "../gateway/GatewayServer.js";
 import { ReplyTimes } from "../gateway/ReplyTimes.js";
+import { RequestQuarantine } from "../gateway/RequestQuarantine.js";
 import { StageGraph } from "../gateway/StageGraph.js";
 import { StreamBinding } from "../gateway/StreamBinding.js";
 import type { GatewayCodec } from "../gateway/Types.js";
@@ -84,7 +85,7 @@
         metrics,
         random: () => random.next(),
         stopped: signal,
-        reportCrash: admitted => fleet.reportCrash(fingerprintOf(admitted)),
+        quarantine: new RequestQuarantine(fleet, metrics),
     });
     const { callerAddress, readyAddress, isReadyPath } = options;
     const server = new GatewayServer({
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -171,7 +171,7 @@
     await fleet.clock.advance(1000);
     for (let crash = 1; crash <= 3; crash++) {
         assert.equal(entries[1]!.view().quarantined.has("mark"), false, `after ${crash - 1} crashes`);
-        entries[crash % 2]!.reportCrash("mark");
+        entries[crash % 2]!.reportCrash({ fingerprint: "mark", endpoint: "e" as EndpointId, parts: [] });
         await fleet.clock.advance(2000);
     }
     entries.forEach(entry => assert.equal(entry.view().quarantined.has("mark"), true));
@@ -184,7 +184,7 @@
     const entry = fleet.startEntry("h1");
     for (let crash = 1; crash <= 4; crash++) {
         await fleet.clock.advance(40_000);
-        entry.reportCrash("mark");
+        entry.reportCrash({ fingerprint: "mark", endpoint: "e" as EndpointId, parts: [] });
         await fleet.clock.advance(1000);
     }
     assert.equal(entry.view().quarantined.size, 0);
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -13,10 +13,17 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { hostOf, isLive } from "./EntryHostRegistry.js";
-import { decompressText, type EntryHostStatus, fleetMethods, type HeldTags, type SyncReply } from "./FleetMessages.js";
+import {
+    type CrashReports,
+    decompressText,
+    type EntryHostStatus,
+    fleetMethods,
+    type HeldTags,
+    type SyncReply,
+} from "./FleetMessages.js";
 import { applyPart } from "./ListVersions.js";
 import type { Statement, StatementReport } from "./StatementReports.js";
-import type { DeploymentDecoder, FleetSource, FleetView, ListedEndpoint } from "./Types.js";
+import type { DeploymentDecoder, EndpointCrash, FleetSource, FleetView, ListedEndpoint, PartKey } from "./Types.js";
 
 /** How long a control host may hold back its reply; bounds the view's age while nothing changes. */
 const pollWaitMs = 500;
@@ -40,6 +47,8 @@
     hosts: [],
     dataCentresOut: new Set(),
     quarantined: new Set(),
+    suspectedParts: new Set(),
+    condemnedParts: new Set(),
     cutOff: new Set(),
     limits: new Map(),
     leaving: new Set(),
@@ -68,15 +77,23 @@
     private current = emptyView;
     /** Entry hosts with their status as of the message in which it last changed. */
     private entryHosts: readonly EntryHostStatus[] = [];
-    private heldTags: HeldTags = { config: 0, endpoints: "", hosts: "", marks: "", cuts: "", statements: "" };
+    private heldTags: HeldTags = {
+        config: 0,
+        endpoints: "",
+        hosts: "",
+        marks: "",
+        cuts: "",
+        statements: "",
+        parts: "",
+    };
     /** Time until which the view is known to have been the latest, on the local clock. */
     private confirmedUntilMs = -Infinity;
     /** Control hosts that the last reply named. */
     private controls: readonly HostId[] = [];
     /** When this host last made each report, on the local clock. */
     private readonly reportedMs = new BoundedMap<string, number>(maxKnownReports);
-    /** Fingerprints of crash reports that no control host has acknowledged. */
-    private unreportedCrashes: string[] = [];
+    /** Crash reports that no control host has acknowledged. */
+    private unreportedCrashes: EndpointCrash[] = [];
     /** Index of the control host to poll, modulo the number of candidates. */
     private candidateIndex = 0;
     /** The control host whose poll failed last; undefined after a successful poll. */
@@ -92,8 +109,17 @@
         return this.options.clock.nowMs() - this.confirmedUntilMs;
     }
 
-    public reportCrash(fingerprint: string): void {
-        this.unreportedCrashes.push(fingerprint);
+    /** Reports at once, and again with the next poll if that fails. */
+    public reportCrash(crash: EndpointCrash): void {
+        this.unreportedCrashes.push(crash);
+        void this.sendCrashes();
+    }
+
+    public reportSoundParts(parts: readonly PartKey[]): void {
+        const keys = parts.filter(key => this.isReportDue(`sound ${key}`));
+        if (keys.length > 0) {
+            void this.sendReport(fleetMethods.sound, { keys });
+        }
     }
 
     public reportReach(
@@ -137,12 +163,25 @@
         return isDue;
     }
 
-    private async sendReport<Report>(method: PeerMethod<Report, Record<string, never>>, report: Report): Promise<void> {
+    private async sendCrashes(): Promise<void> {
+        const crashes = this.unreportedCrashes.splice(0);
+        if (!await this.sendReport(fleetMethods.crash, crashReportsOf(crashes))) {
+            this.unreportedCrashes.unshift(...crashes);
+        }
+    }
+
+    /** Sends a report to the current control host; true when it was acknowledged. */
+    private async sendReport<Report>(
+        method: PeerMethod<Report, Record<string, never>>,
+        report: Report,
+    ): Promise<boolean> {
         const { transport, metrics } = this.options;
         const control = this.currentControl();
         const options = { timeoutMs: replyMarginMs };
         const sent = control === undefined ? undefined : await transport.call(control, method, report, options);
-        metrics.count("reports", { method: method.name, outcome: sent?.isRight() === true ? "sent" : "lost" });
+        const isSent = sent?.isRight() === true;
+        metrics.count("reports", { method: method.name, outcome: isSent ? "sent" : "lost" });
+        return isSent;
     }
 
     private currentControl(): HostId | undefined {
@@ -164,9 +203,14 @@
         const isStale = this.ageMs() > maxStateAgeMs;
         const isLeaving = this.options.stopping.aborted;
         const { heldTags: held } = this;
-        const req = { host, dataCentre, incarnation, isLeaving, held, waitMs: isStale ? 0 : pollWaitMs, crashes };
+        const req = { host, dataCentre, incarnation, isLeaving, held, waitMs: isStale ? 0 : pollWaitMs };
         const options = { timeoutMs: pollWaitMs + replyMarginMs, signal };
-        const reply = await transport.call(control, fleetMethods.sync, req, options);
+        const reply = await transport.call(
+            control,
+            fleetMethods.sync,
+            { ...req, ...crashReportsOf(crashes) },
+            options,
+        );
         if (reply.isLeft()) {
             this.unreportedCrashes.unshift(...crashes);
             if (this.lostControl === undefined && !signal.aborted) {
@@ -206,7 +250,7 @@
         this.applyConfig(reply);
         this.applyEndpoints(reply);
         this.applyHosts(reply);
-        const { marks, cuts, statements } = reply;
+        const { marks, cuts, statements, parts } = reply;
         if (marks !== undefined) {
             this.heldTags = { ...this.heldTags, marks: marks.tag };
             this.current = {
@@ -215,6 +259,14 @@
                 quarantined: new Set(marks.quarantined),
             };
         }
+        if (parts !== undefined) {
+            this.heldTags = { ...this.heldTags, parts: parts.tag };
+            this.current = {
+                ...this.current,
+                suspectedParts: new Set(parts.suspected),
+                condemnedParts: new Set(parts.condemned),
+            };
+        }
         if (cuts !== undefined) {
             this.heldTags = { ...this.heldTags, cuts: cuts.tag };
             this.current = { ...this.current, cutOff: new Set(cuts.cutOff) };
@@ -302,7 +354,8 @@
     }
 
     private logChange(reply: SyncReply): void {
-        const { deployment, endpoints, hosts, dataCentresOut, cutOff, limits } = this.current;
+        const { deployment, endpoints, hosts, dataCentresOut, cutOff, limits, suspectedParts, condemnedParts } =
+            this.current;
         this.options.log.event(EventId.FleetViewChanged, {
             config: deployment?.version,
             endpoints: endpoints.length,
@@ -311,8 +364,17 @@
             dataCentresOut: [...dataCentresOut],
             cutOff: [...cutOff],
             limits: [...limits.values()].filter(one => one.perSecond !== undefined).length,
+            suspectedParts: suspectedParts.size,
+            condemnedParts: [...condemnedParts],
             ageMs: Math.round(this.ageMs()),
         });
         this.options.metrics.gauge("fleet_config_version", deployment?.version ?? 0);
     }
 }
+
+function crashReportsOf(crashes: readonly EndpointCrash[]): CrashReports {
+    return {
+        crashes: crashes.map(one => one.fingerprint),
+        partCrashes: crashes.map(({ endpoint, parts }) => ({ endpoint, keys: [...parts] })),
+    };
+}
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -7,7 +7,11 @@
 import type { CutReport } from "./CutReports.js";
 import type { ListPart } from "./ListVersions.js";
 import type { StatementReport } from "./StatementReports.js";
-import type { ListedEndpoint } from "./Types.js";
+import type { ListedEndpoint, PartKey } from "./Types.js";
+
+/** Bounds on what one request may report of its prompt. */
+export const maxPartsOfRequest = 8;
+export const maxPartKeyLength = 256;
 
 const hostId = z.string() as unknown as z.ZodType<HostId>;
 const dataCentreId = z.string() as unknown as z.ZodType<DataCentreId>;
@@ -34,8 +38,27 @@
     cuts: z.string().default(""),
     /** Tag of what endpoints have stated of themselves. */
     statements: z.string().default(""),
+    /** Tag of the parts of prompts that are suspected or condemned. */
+    parts: z.string().default(""),
+});
+
+const partKey = z.string().max(maxPartKeyLength) as unknown as z.ZodType<PartKey>;
+const partKeys = z.array(partKey).max(maxPartsOfRequest);
+
+const partCrash = z.object({
+    endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+    keys: partKeys,
+});
+
+const crashReports = z.object({
+    /** Fingerprints of requests that were running on an endpoint when it crashed. */
+    crashes: z.array(z.string()),
+    /** The parts of their prompts, by endpoint. */
+    partCrashes: z.array(partCrash).default([]),
 });
 
+const soundParts = z.object({ keys: partKeys });
+
 const syncRequest = z.object({
     host: hostId,
     dataCentre: dataCentreId,
@@ -44,8 +67,7 @@
     held: heldTags,
     /** How long the reply may be held back until something changes. */
     waitMs: z.number(),
-    /** Fingerprints of requests that were running on an endpoint when it crashed. */
-    crashes: z.array(z.string()),
+    ...crashReports.shape,
 });
 
 const cutReport = z.object({
@@ -76,6 +98,7 @@
 
 const joinRequest = z.object({ control: hostId });
 
+export type CrashReports = z.infer<typeof crashReports>;
 export type EntryHostStatus = z.infer<typeof entryHostStatus>;
 export type HeldTags = z.infer<typeof heldTags>;
 export type SyncRequest = z.infer<typeof syncRequest>;
@@ -118,6 +141,11 @@
     readonly cuts?: { readonly tag: string; readonly cutOff: readonly DataCentreId[]; };
     /** The last statements of endpoints on themselves. */
     readonly statements?: { readonly tag: string; readonly all: readonly StatementReport[]; };
+    readonly parts?: {
+        readonly tag: string;
+        readonly suspected: readonly PartKey[];
+        readonly condemned: readonly PartKey[];
+    };
 }
 
 export type LeaderSyncReply =
@@ -149,6 +177,10 @@
     cut: definePeerMethod<CutReport, Record<string, never>>("fleet.cut", cutReport),
     /** Report of an entry host on what an endpoint has stated of itself in a reply. */
     statement: definePeerMethod<StatementReport, Record<string, never>>("fleet.statement", statementReport),
+    /** Report of an entry host on requests that were running on an endpoint when it crashed. */
+    crash: definePeerMethod<CrashReports, Record<string, never>>("fleet.crash", crashReports),
+    /** Report of an entry host on suspected parts on which an answer was completed. */
+    sound: definePeerMethod<z.infer<typeof soundParts>, Record<string, never>>("fleet.sound", soundParts),
     /** Exchange of collected state between a control host and the leader. */
     board: definePeerMethod<LeaderSyncRequest, LeaderSyncReply>("fleet.board", leaderSyncRequest),
     /** Request of a control host to join the control group. */
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -15,6 +15,7 @@
 import { EntryHostRegistry } from "./EntryHostRegistry.js";
 import {
     compressText,
+    type CrashReports,
     fleetMethods,
     type HeldTags,
     type LeaderSyncReply,
@@ -23,10 +24,11 @@
     type SyncRequest,
     tagOf,
 } from "./FleetMessages.js";
-import type { FleetState } from "./FleetState.js";
+import type { FleetCommand, FleetState } from "./FleetState.js";
 import { ListVersions } from "./ListVersions.js";
+import { PartJudge } from "./PartJudge.js";
 import { type StatementReport, StatementReports } from "./StatementReports.js";
-import type { ListedEndpoint } from "./Types.js";
+import type { ListedEndpoint, PartKey } from "./Types.js";
 
 /** Interval of the exchanges with the leader; a small part of the time limit for applying a change. */
 const exchangeIntervalMs = 300;
@@ -59,8 +61,9 @@
     private readonly cuts: CutReports;
     private readonly statements: StatementReports;
     private readonly endpointVersions = new ListVersions<ListedEndpoint>(idOf, endpoint => JSON.stringify(endpoint));
-    /** Tag of the crash marks and data centres out of use, as of an applied index. */
-    private markedAt: { readonly appliedIndex: number; readonly tag: string; } | undefined;
+    private readonly judge: PartJudge;
+    /** Tags of the crash marks and data centres out of use, and of the parts of prompts, as of an applied index. */
+    private markedAt: { readonly appliedIndex: number; readonly marks: string; readonly parts: string; } | undefined;
     private readonly changes: Notifier;
     /** Wakes the exchange when the leader has changed. */
     private readonly roleChanges: Notifier;
@@ -76,6 +79,7 @@
         this.entryHosts = new EntryHostRegistry(clock);
         this.cuts = new CutReports(clock);
         this.statements = new StatementReports(clock);
+        this.judge = new PartJudge(options.state.parts, clock);
         this.changes = new Notifier(clock);
         this.roleChanges = new Notifier(clock);
         log.onApplied(() => this.changes.notify());
@@ -89,6 +93,14 @@
             this.recordStatements([report]);
             return {};
         });
+        registry.handle(fleetMethods.crash, async (reports, from) => {
+            void this.markCrashes(reports, from);
+            return {};
+        });
+        registry.handle(fleetMethods.sound, async ({ keys }, from) => {
+            void this.clearParts(keys, from);
+            return {};
+        });
         registry.handle(fleetMethods.board, req => this.handleLeaderSync(req));
     }
 
@@ -113,6 +125,12 @@
                 this.confirmedUntilMs = startMs;
             }
             this.logConfirmation(confirmed);
+            if (log.status().role === "leader") {
+                void this.judgeParts();
+            }
+            else {
+                this.judge.reset();
+            }
             await this.roleChanges.wait(exchangeIntervalMs, signal);
         }
     }
@@ -202,7 +220,7 @@
         const { host, dataCentre, incarnation, isLeaving } = req;
         this.entryHosts.recordContact({ host, dataCentre, incarnation, isLeaving });
         if (req.crashes.length > 0) {
-            void this.markCrashes(req.crashes);
+            void this.markCrashes(req, host);
         }
         metrics.count("syncs");
         const startMs = clock.nowMs();
@@ -215,11 +233,39 @@
         return this.replyTo(req, tags, clock.nowMs() - startMs);
     }
 
-    private async markCrashes(fingerprints: readonly string[]): Promise<void> {
-        const { log, events, clock } = this.options;
-        const command = { kind: "mark-crashes", fingerprints, atMs: clock.wallMs() };
+    private async markCrashes({ crashes: fingerprints, partCrashes: parts }: CrashReports, from: HostId) {
+        const { events, clock } = this.options;
+        events.event(EventId.CrashesReported, { from, parts });
+        await this.proposeMark({ kind: "mark-crashes", fingerprints, atMs: clock.wallMs(), parts });
+    }
+
+    /** Ends the suspicion of parts on which an answer was completed. */
+    private async clearParts(keys: readonly PartKey[], from: HostId): Promise<void> {
+        const suspected = new Set(this.options.state.parts.suspected.map(one => one.key));
+        const cleared = keys.filter(key => suspected.has(key));
+        if (cleared.length > 0) {
+            this.options.events.event(EventId.PartsCleared, { from, parts: cleared });
+            await this.proposeMark({ kind: "clear-parts", keys: cleared });
+        }
+    }
+
+    /** Condemns or releases the part that is due, if any. */
+    private async judgeParts(): Promise<void> {
+        const { events, metrics, state: { parts } } = this.options;
+        const verdict = this.judge.verdict();
+        metrics.gauge("suspected_parts", parts.suspected.length);
+        metrics.gauge("condemned_parts", parts.condemned.length);
+        if (verdict !== undefined) {
+            const record = [...parts.suspected, ...parts.condemned].find(one => one.key === verdict.key);
+            events.event(EventId.PartJudged, { verdict: verdict.kind, part: verdict.key, crashed: record?.endpoints });
+            await this.proposeMark(verdict);
+        }
+    }
+
+    private async proposeMark(command: FleetCommand): Promise<void> {
+        const { log, events } = this.options;
         const marked = await log.propose(command, markTimeoutMs);
-        marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, fingerprints }));
+        marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, command: command.kind }));
     }
 
     /** Tags of the parts of the current state, as told to hosts of a data centre. */
@@ -231,20 +277,31 @@
             config: state.version,
             endpoints: tag,
             hosts: this.entryHosts.tag,
-            marks: this.marksTag(),
+            ...this.markTags(),
             cuts: this.cuts.cutOffFrom(dataCentre).join(" "),
             statements: this.statements.tag,
         };
     }
 
-    /** Tag of the data centres taken out of use and the quarantined requests, which change only with the log. */
-    private marksTag(): string {
+    /** Tags of what changes only with the log. */
+    private markTags(): Pick<HeldTags, "marks" | "parts"> {
         const { state, log } = this.options;
         const { appliedIndex } = log.status();
         if (this.markedAt?.appliedIndex !== appliedIndex) {
-            this.markedAt = { appliedIndex, tag: tagOf([state.dataCentresOut, state.quarantined]) };
+            const { suspected, condemned } = this.partKeys();
+            this.markedAt = {
+                appliedIndex,
+                marks: tagOf([state.dataCentresOut, state.quarantined]),
+                parts: suspected.length + condemned.length === 0 ? "" : tagOf([suspected, condemned]),
+            };
         }
-        return this.markedAt.tag;
+        const { marks, parts } = this.markedAt;
+        return { marks, parts };
+    }
+
+    private partKeys() {
+        const { suspected, condemned } = this.options.state.parts;
+        return { suspected: suspected.map(one => one.key), condemned: condemned.map(one => one.key) };
     }
 
     private replyTo({ held, dataCentre }: SyncRequest, tags: HeldTags, heldMs: number): SyncReply {
@@ -262,6 +319,7 @@
                 : { endpoints: { part: this.endpointVersions.since(held.endpoints), ageMs } }),
             ...(tags.hosts === held.hosts ? {} : { hosts: this.entryHosts.since(held.hosts) }),
             ...(tags.marks === held.marks ? {} : { marks: { tag: tags.marks, dataCentresOut, quarantined } }),
+            ...(tags.parts === held.parts ? {} : { parts: { tag: tags.parts, ...this.partKeys() } }),
             ...(tags.cuts === held.cuts ? {} : { cuts: { tag: tags.cuts, cutOff: this.cuts.cutOffFrom(dataCentre) } }),
             ...(tags.statements === held.statements
                 ? {}
@@ -293,7 +351,8 @@
         || tags.marks !== held.marks
         || tags.hosts !== held.hosts
         || tags.cuts !== held.cuts
-        || tags.statements !== held.statements;
+        || tags.statements !== held.statements
+        || tags.parts !== held.parts;
 }
 
 function idOf({ id }: ListedEndpoint): string {
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -1,10 +1,12 @@
 /**
  * The replicated state of the fleet: the text and version of the configuration, the data centres taken out of use, and
- * the crash marks: when endpoints crashed while running a request. The highest version wins; a configuration with the
+ * the crash marks: when endpoints crashed while running a request, and with which parts of prompts. The highest version wins; a configuration with the
  * same or a lower version changes nothing.
  */
 import * as z from "zod";
 import type { Json, StateMachine } from "../replication/Types.js";
+import { PartCrashes } from "./PartCrashes.js";
+import type { PartKey } from "./Types.js";
 
 /** Number of crashes within {@link crashWindowMs} after which a request is not sent to endpoints again. */
 const crashesUntilQuarantine = 3;
@@ -16,6 +18,8 @@
 /** Maximum number of marked requests; the oldest are dropped first. */
 const maxMarkedRequests = 2048;
 
+const partKey = z.string() as unknown as z.ZodType<PartKey>;
+
 const commandSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("put-config"), version: z.number(), text: z.string() }),
     z.object({ kind: z.literal("set-data-centre"), dataCentre: z.string(), isOut: z.boolean() }),
@@ -24,20 +28,33 @@
         fingerprints: z.array(z.string()),
         /** Wall time of the control host that received the report. */
         atMs: z.number(),
+        parts: z.array(z.object({ endpoint: z.string(), keys: z.array(partKey) })).default([]),
     }),
+    z.object({ kind: z.literal("clear-parts"), keys: z.array(partKey) }),
+    z.object({ kind: z.literal("condemn-part"), key: partKey }),
+    z.object({ kind: z.literal("release-part"), key: partKey }),
 ]);
 
 /** A command in the replicated log. */
 export type FleetCommand = z.infer<typeof commandSchema>;
 
+const partRecords = z.array(z.object({
+    key: partKey,
+    endpoints: z.array(z.string()),
+    position: z.number(),
+    serial: z.number(),
+}));
+
 const snapshotSchema = z.object({
     version: z.number(),
     text: z.string(),
     dataCentresOut: z.array(z.string()),
     crashes: z.array(z.tuple([z.string(), z.array(z.number())])),
+    parts: z.object({ suspected: partRecords, condemned: partRecords }).default({ suspected: [], condemned: [] }),
 });
 
 export class FleetState implements StateMachine {
+    public readonly parts = new PartCrashes();
     private configVersion = 0;
     private configText = "";
     private readonly outDataCentres = new Set<string>();
@@ -77,7 +94,17 @@
             case "set-data-centre":
                 return this.setDataCentre(parsed.data.dataCentre, parsed.data.isOut);
             case "mark-crashes":
+                parsed.data.parts.forEach(({ endpoint, keys }) => this.parts.recordCrash(endpoint, keys));
                 return this.markCrashes(parsed.data.fingerprints, parsed.data.atMs);
+            case "clear-parts":
+                this.parts.clear(parsed.data.keys);
+                return { kind: "cleared" };
+            case "condemn-part":
+                this.parts.condemn(parsed.data.key);
+                return { kind: "condemned" };
+            case "release-part":
+                this.parts.release(parsed.data.key);
+                return { kind: "released" };
         }
     }
 
@@ -87,17 +114,19 @@
             text: this.configText,
             dataCentresOut: this.dataCentresOut,
             crashes: [...this.crashes],
+            parts: this.parts.snapshot() as unknown as Json,
         };
     }
 
     public restore(snapshot: Json): void {
-        const { version, text, dataCentresOut, crashes } = snapshotSchema.parse(snapshot);
+        const { version, text, dataCentresOut, crashes, parts } = snapshotSchema.parse(snapshot);
         this.configVersion = version;
         this.configText = text;
         this.outDataCentres.clear();
         dataCentresOut.forEach(dataCentre => this.outDataCentres.add(dataCentre));
         this.crashes.clear();
         crashes.forEach(([fingerprint, times]) => this.crashes.set(fingerprint, times));
+        this.parts.restore(parts.suspected, parts.condemned);
     }
 
     private putConfig(version: number, text: string): Json {
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -11,6 +11,9 @@
 export type ServiceId = Brand<string, "ServiceId">;
 export type RouteId = Brand<string, "RouteId">;
 
+/** Identifies a part of prompts: service, model and the part's id. */
+export type PartKey = Brand<string, "PartKey">;
+
 /**
  * How a request of a route may be repeated: "idempotent" may run more than once, "once" at most once; a "resumable"
  * stream may continue at another endpoint after the last delivered event, a "stream" may not.
@@ -164,6 +167,10 @@
     readonly dataCentresOut: ReadonlySet<DataCentreId>;
     /** Fingerprints of requests that must not be sent to an endpoint again. */
     readonly quarantined: ReadonlySet<string>;
+    /** Parts of prompts with which endpoints have crashed, until an answer on them is reported as completed. */
+    readonly suspectedParts: ReadonlySet<PartKey>;
+    /** Parts of prompts that crash endpoints; requests with them must not be sent to an endpoint. */
+    readonly condemnedParts: ReadonlySet<PartKey>;
     /** Data centres that several hosts of this host's data centre can't reach. */
     readonly cutOff: ReadonlySet<DataCentreId>;
     /** What endpoints have stated of their limits to any host; times on the local clock. */
@@ -172,13 +179,24 @@
     readonly leaving: ReadonlySet<EndpointId>;
 }
 
+/** A request that was running on an endpoint when it crashed. */
+export interface EndpointCrash {
+    /** Of the request. */
+    readonly fingerprint: string;
+    readonly endpoint: EndpointId;
+    /** Parts of its prompt, in order, that may be the cause. */
+    readonly parts: readonly PartKey[];
+}
+
 export interface FleetSource {
     view(): FleetView;
     readonly onChange: Event<FleetView>;
     /** Age of the view in milliseconds: the time for which a newer state may have existed. Infinity without a view. */
     ageMs(): number;
     /** Reports to the control hosts that a request was running on an endpoint when it crashed. */
-    reportCrash(fingerprint: string): void;
+    reportCrash(crash: EndpointCrash): void;
+    /** Reports to the control hosts that an answer on suspected parts was completed. */
+    reportSoundParts(parts: readonly PartKey[]): void;
     /** Reports to the control hosts that an endpoint in another data centre was reached, or did not answer. */
     reportReach(endpoint: Pick<ListedEndpoint, "id" | "dataCentre">, isReached: boolean): void;
     /** Reports to the control hosts what an endpoint has just stated of itself. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -3,7 +3,6 @@
  * can't be served, and runs the others, each as a {@link GatewayRequest}. While the configuration may be out of date,
  * no request is refused permanently, and after the lease on the configuration has ended no key is accepted.
  */
-import { createHash } from "node:crypto";
 import type * as http from "node:http";
 import { readBytes } from "../common/RequestBody.js";
 import type { Clock } from "../common/Types.js";
@@ -21,6 +20,7 @@
 import type { ColdStartQuota, FleetRetryBudget } from "./FleetQuotas.js";
 import { type AdmittedRequest, GatewayRequest, stoppingRetryMs } from "./GatewayRequest.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
+import type { RequestQuarantine } from "./RequestQuarantine.js";
 import { pickService, RouteTable } from "./RouteTable.js";
 import type { StageGraph } from "./StageGraph.js";
 import type { StreamBinding } from "./StreamBinding.js";
@@ -64,8 +64,7 @@
     readonly random: () => number;
     /** Aborted once this process has stopped. */
     readonly stopped: AbortSignal;
-    /** Called when an endpoint has crashed while running the request. */
-    readonly reportCrash: (admitted: AdmittedRequest) => void;
+    readonly quarantine: RequestQuarantine;
 }
 
 /** Times on the local clock. */
@@ -208,7 +207,7 @@
 
     private admit(head: RequestHead, body: Buffer, arrivedMs: number): Admission {
         const { fleet, bounds, random } = this.deps;
-        const { deployment, quarantined } = fleet.view();
+        const { deployment } = fleet.view();
         if (deployment === undefined || this.table === undefined) {
             return refused("no-configuration", "this host has no configuration yet", unconfirmedRetryMs);
         }
@@ -242,10 +241,8 @@
             return refused("no-endpoint", "the route has no service", unconfirmedRetryMs);
         }
         const admitted = { head, route, service, workspace, body, arrivedMs, origin: undefined };
-        if (quarantined.size > 0 && quarantined.has(fingerprintOf(admitted))) {
-            return refused("quarantined", "the request has crashed endpoints");
-        }
-        return { admitted };
+        const cause = this.deps.quarantine.causeFor(admitted);
+        return cause === undefined ? { admitted } : refused("quarantined", cause);
     }
 
     private refuse(head: RequestHead | undefined, res: http.ServerResponse, refusal: Refusal): void {
@@ -267,10 +264,3 @@
 function refused(reason: Refusal["reason"], message: string, retryAfterMs?: number): Admission {
     return { refusal: { reason, message, notRun: true, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) } };
 }
-
-/** Hash of a request's key, method, host, target and body; equal for repeats of a request. */
-export function fingerprintOf({ head, body }: Pick<AdmittedRequest, "head" | "body">): string {
-    const hash = createHash("sha1");
-    hash.update(`${head.key ?? ""}\n${head.method}\n${head.host}\n${head.target}\n`).update(body);
-    return hash.digest("base64");
-}
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
 import { canContinue, originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
+import { EventId } from "../telemetry/Events.js";
 import { CallerReply } from "./CallerReply.js";
 import { EndpointExchange } from "./EndpointExchange.js";
 import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
@@ -300,6 +301,9 @@
         if (outcome.kind === "broken" && !outcome.isSilent) {
             void this.reportIfCrashed(record);
         }
+        else if (outcome.kind === "replied" && outcome.reply.status < 400) {
+            this.deps.quarantine.recordAnswer(this.admitted);
+        }
         this.tried.add(record);
         this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
         this.recorder.recordAttempt(choice, outcome, startMs, this.caller.lastEvent);
@@ -314,11 +318,16 @@
         }
     }
 
-    /** A broken connection alone does not mean a crash; an endpoint that refuses new connections has crashed. */
+    /**
+     * A broken connection alone does not mean a crash; an endpoint that refuses new connections has crashed, unless it
+     * was about to end.
+     */
     private async reportIfCrashed(record: EndpointRecord): Promise<void> {
-        const { connections, reportCrash, stopped } = this.deps;
-        if (await connections.refusesConnections(record.id, stopped)) {
-            reportCrash(this.admitted);
+        const { connections, quarantine, notices, log, stopped } = this.deps;
+        const isLeaving = record.listed.isLeaving || notices.isLeaving(record.id);
+        if (!isLeaving && await connections.refusesConnections(record.id, stopped)) {
+            const crash = quarantine.reportCrash(this.admitted, record.id);
+            log.event(EventId.EndpointCrashed, { request: this.admitted.head.id, ...crash });
         }
     }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -13,6 +13,8 @@
 }
 
 export interface PromptInfo {
+    /** The model that the request names. */
+    readonly model?: string | undefined;
     readonly parts: readonly PromptPart[];
     readonly inputTokens: number;
     /** Maximum number of tokens of the answer. */
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -105,6 +105,9 @@
     DeploymentChangeEnded = 1012,
     SettingsReloaded = 1013,
     SettingsUnreadable = 1014,
+    CrashesReported = 1015,
+    PartsCleared = 1016,
+    PartJudged = 1017,
     // 11xx: gateway
     GatewayRequestTaken = 1100,
     GatewayRequestEnded = 1101,
@@ -112,6 +115,7 @@
     EndpointSuspected = 1103,
     /** The HTTP server reported an error on a caller's connection. */
     CallerBroken = 1104,
+    EndpointCrashed = 1105,
     // 12xx: gather
     PiecesSubmitted = 1200,
     PiecesEnded = 1201,
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -9,11 +9,13 @@
 import type {
     BatchTraits,
     Deployment,
+    EndpointCrash,
     EntryHost,
     FleetBounds,
     FleetSource,
     FleetView,
     ListedEndpoint,
+    PartKey,
     Route,
     RouteId,
     Service,
@@ -142,7 +144,8 @@
 export class FixedFleet implements FleetSource {
     private readonly changes = new Emitter<FleetView>();
     public readonly onChange = this.changes.event;
-    public readonly crashes: string[] = [];
+    public readonly crashes: EndpointCrash[] = [];
+    public readonly soundParts: PartKey[] = [];
     public readonly reachReports: {
         readonly endpoint: string;
         readonly dataCentre: string;
@@ -165,8 +168,12 @@
         return this.viewAgeMs;
     }
 
-    public reportCrash(fingerprint: string): void {
-        this.crashes.push(fingerprint);
+    public reportCrash(crash: EndpointCrash): void {
+        this.crashes.push(crash);
+    }
+
+    public reportSoundParts(parts: readonly PartKey[]): void {
+        this.soundParts.push(...parts);
     }
 
     public reportStatement(statement: Statement): void {
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -17,6 +17,7 @@
 import { ColdStartQuota, FleetRetryBudget } from "../src/gateway/FleetQuotas.js";
 import { Gateway } from "../src/gateway/Gateway.js";
 import { ReplyTimes } from "../src/gateway/ReplyTimes.js";
+import { RequestQuarantine } from "../src/gateway/RequestQuarantine.js";
 import { StageGraph } from "../src/gateway/StageGraph.js";
 import { StreamBinding } from "../src/gateway/StreamBinding.js";
 import type { PieceExecutor, SubmissionId } from "../src/gather/Types.js";
@@ -230,7 +231,7 @@
         metrics: noMetrics,
         random: () => 0,
         stopped: new AbortController().signal,
-        reportCrash: () => fleet.reportCrash("crash"),
+        quarantine: new RequestQuarantine(fleet, noMetrics),
     });
     return { fleet, gateway, limits, dispose: () => connections.dispose() };
 }
