Gateway: no 503 for a request that may have run

A request that an endpoint had broken off and for which no other endpoint was left got a 503, which promises that it has not run. It gets a 502 now.

--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -28,9 +28,19 @@
 };
 /** Replaces statuses of 500 and above when the request has certainly not run. */
 const notRunStatus = 503;
+/** Replaces it in turn when the request may have run: callers take it as a promise that it has not. */
+const mayHaveRunStatus = 502;
 /** Header of a refusal: "not-run" when the request has certainly not run, else "unknown". */
 const outcomeHeader = "fireflykeel-outcome";
 
+function statusOf(reason: Refusal["reason"], notRun: boolean): number {
+    const status = statusByReason[reason];
+    if (notRun) {
+        return status >= 500 ? notRunStatus : status;
+    }
+    return status === notRunStatus ? mayHaveRunStatus : status;
+}
+
 export class CallerReply {
     private begun = false;
     private lastEventId: string | undefined;
@@ -109,7 +119,7 @@
             return;
         }
         const { reason, message, notRun, retryAfterMs } = refusal;
-        const status = notRun && statusByReason[reason] >= 500 ? notRunStatus : statusByReason[reason];
+        const status = statusOf(reason, notRun);
         const headers = {
             [outcomeHeader]: notRun ? "not-run" : "unknown",
             ...(retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1000).toFixed(2) }),
