--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -160,6 +160,11 @@
             if (choice === undefined) {
                 return { kind: "refused", refusal: this.noEndpointRefusal() };
             }
+            // The request may have been admitted before its cause was known.
+            const cause = this.deps.quarantine.causeFor(this.admitted);
+            if (cause !== undefined) {
+                return { kind: "refused", refusal: this.refusal("quarantined", cause) };
+            }
             this.isAtEndpoint = true;
             const attemptOutcome = await this.runAttempt(choice);
             this.isAtEndpoint = false;
