Gateway: a stream that ends with its connection inside an event has been broken off

It was passed on as complete. Now it goes on elsewhere or is broken off. A reply that ends with its connection clears no suspected part of a prompt, since a crash ends it in the same way; whether the endpoint has crashed is asked instead.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -155,6 +155,10 @@
             this.fail(err instanceof Error ? err.message : String(err));
             return;
         }
+        if (!reply.isFramed && splitter.remainder.length > 0) {
+            this.fail("the stream ended inside an event");
+            return;
+        }
         if (res.complete && !this.isFinished) {
             await caller.endStream(splitter.remainder);
             this.finish({ kind: "replied", reply, body: undefined });
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -307,7 +307,7 @@
             void this.reportIfCrashed(record);
         }
         else if (outcome.kind === "replied" && outcome.reply.status < 400) {
-            this.deps.quarantine.recordAnswer(this.admitted);
+            this.recordAnswer(record, outcome.reply);
         }
         this.tried.add(record);
         this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
@@ -323,6 +323,16 @@
         }
     }
 
+    /** A crash ends a reply without framing as its end does, so that such a reply clears nothing. */
+    private recordAnswer(record: EndpointRecord, { isFramed }: ReplyHead): void {
+        if (isFramed) {
+            this.deps.quarantine.recordAnswer(this.admitted);
+        }
+        else if (this.deps.quarantine.isSuspected(this.admitted)) {
+            void this.reportIfCrashed(record);
+        }
+    }
+
     /**
      * A broken connection alone does not mean a crash; an endpoint that refuses new connections has crashed, unless it
      * was about to end.
--- a/src/gateway/RequestQuarantine.ts
+++ b/src/gateway/RequestQuarantine.ts
@@ -38,11 +38,21 @@
 
     /** Takes note that an answer to a request was completed. */
     public recordAnswer(request: QuarantinedRequest): void {
-        const { suspectedParts } = this.fleet.view();
-        if (suspectedParts.size > 0) {
-            this.fleet.reportSoundParts(partKeysOf(request).filter(key => suspectedParts.has(key)));
+        const parts = this.suspectedPartsOf(request);
+        if (parts.length > 0) {
+            this.fleet.reportSoundParts(parts);
         }
     }
+
+    /** True when a part of a request's prompt is suspected to crash endpoints. */
+    public isSuspected(request: QuarantinedRequest): boolean {
+        return this.suspectedPartsOf(request).length > 0;
+    }
+
+    private suspectedPartsOf(request: QuarantinedRequest): readonly PartKey[] {
+        const { suspectedParts } = this.fleet.view();
+        return suspectedParts.size === 0 ? [] : partKeysOf(request).filter(key => suspectedParts.has(key));
+    }
 }
 
 /** The parts of a prompt that may crash endpoints. The last one is the request's own. */
