--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -84,8 +84,7 @@
         log,
         metrics,
         random: () => random.next(),
-        stopped: signal,
-        quarantine: new RequestQuarantine(fleet, metrics),
+        quarantine: new RequestQuarantine({ fleet, connections, notices, log, metrics, stopped: signal }),
     });
     const { callerAddress, readyAddress, isReadyPath } = options;
     const server = new GatewayServer({
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -62,8 +62,6 @@
     readonly metrics: Metrics;
     /** Returns a random number in [0, 1). */
     readonly random: () => number;
-    /** Aborted once this process has stopped. */
-    readonly stopped: AbortSignal;
     readonly quarantine: RequestQuarantine;
 }
 
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -7,7 +7,6 @@
 import type { Clock } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
 import { canContinue, originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
-import { EventId } from "../telemetry/Events.js";
 import { CallerReply } from "./CallerReply.js";
 import { EndpointExchange } from "./EndpointExchange.js";
 import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
@@ -303,12 +302,7 @@
         });
         const outcome = await exchange.run();
         attempt.recordOutcome(outcome);
-        if (outcome.kind === "broken" && !outcome.isSilent) {
-            void this.reportIfCrashed(record);
-        }
-        else if (outcome.kind === "replied" && outcome.reply.status < 400) {
-            this.recordAnswer(record, outcome.reply);
-        }
+        void this.deps.quarantine.observe(this.admitted, record, outcome);
         this.tried.add(record);
         this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
         this.recorder.recordAttempt(choice, outcome, startMs, this.caller.lastEvent);
@@ -323,29 +317,6 @@
         }
     }
 
-    /** A crash ends a reply without framing as its end does, so that such a reply clears nothing. */
-    private recordAnswer(record: EndpointRecord, { isFramed }: ReplyHead): void {
-        if (isFramed) {
-            this.deps.quarantine.recordAnswer(this.admitted);
-        }
-        else if (this.deps.quarantine.isSuspected(this.admitted)) {
-            void this.reportIfCrashed(record);
-        }
-    }
-
-    /**
-     * A broken connection alone does not mean a crash; an endpoint that refuses new connections has crashed, unless it
-     * was about to end.
-     */
-    private async reportIfCrashed(record: EndpointRecord): Promise<void> {
-        const { connections, quarantine, notices, log, stopped } = this.deps;
-        const isLeaving = record.listed.isLeaving || notices.isLeaving(record.id);
-        if (!isLeaving && await connections.refusesConnections(record.id, stopped)) {
-            const crash = quarantine.reportCrash(this.admitted, record.id);
-            log.event(EventId.EndpointCrashed, { request: this.admitted.head.id, ...crash });
-        }
-    }
-
     /** Decides what follows from an attempt's outcome; undefined to make another attempt. */
     private handleOutcome(outcome: AttemptOutcome, record: EndpointRecord): RequestOutcome | undefined {
         switch (outcome.kind) {
--- a/src/gateway/RequestQuarantine.ts
+++ b/src/gateway/RequestQuarantine.ts
@@ -3,54 +3,86 @@
  * what this host sees of it: endpoints that crashed while running a request, and answers that were completed.
  */
 import { createHash } from "node:crypto";
-import type { EndpointId } from "../common/Types.js";
+import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import { maxPartKeyLength, maxPartsOfRequest } from "../fleet/FleetMessages.js";
-import type { EndpointCrash, FleetSource, PartKey } from "../fleet/Types.js";
-import type { Metrics } from "../telemetry/Types.js";
+import type { FleetSource, PartKey } from "../fleet/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { EndpointRecord } from "./EndpointTracker.js";
 import type { AdmittedRequest } from "./GatewayRequest.js";
+import type { AttemptOutcome } from "./Types.js";
+
+interface RequestQuarantineOptions {
+    readonly fleet: FleetSource;
+    readonly connections: EndpointConnections;
+    readonly notices: EndpointNotices;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    /** Aborted once this process has stopped. */
+    readonly stopped: AbortSignal;
+}
 
 type QuarantinedRequest = Pick<AdmittedRequest, "head" | "body" | "service">;
 
+/** Replies with this status or a higher one are failures, which clear nothing. */
+const failureStatus = 400;
+
 export class RequestQuarantine {
-    public constructor(private readonly fleet: FleetSource, private readonly metrics: Metrics) {}
+    public constructor(private readonly options: RequestQuarantineOptions) {}
 
     /** Why a request must not be sent to an endpoint; undefined when it may. */
     public causeFor(request: QuarantinedRequest): string | undefined {
-        const { quarantined, condemnedParts } = this.fleet.view();
+        const { fleet, metrics } = this.options;
+        const { quarantined, condemnedParts } = fleet.view();
         if (quarantined.size > 0 && quarantined.has(fingerprintOf(request))) {
-            this.metrics.count("requests_kept_back", { by: "request" });
+            metrics.count("requests_kept_back", { by: "request" });
             return "the request has crashed endpoints";
         }
         const part = condemnedParts.size === 0 ? undefined : partKeysOf(request).find(key => condemnedParts.has(key));
         if (part === undefined) {
             return undefined;
         }
-        this.metrics.count("requests_kept_back", { by: "part" });
+        metrics.count("requests_kept_back", { by: "part" });
         return `a part of the prompt has crashed endpoints: ${part}`;
     }
 
-    /** Reports that an endpoint crashed while it was running a request; returns what is reported. */
-    public reportCrash(request: QuarantinedRequest, endpoint: EndpointId): EndpointCrash {
-        const crash = { fingerprint: fingerprintOf(request), endpoint, parts: partKeysOf(request) };
-        this.fleet.reportCrash(crash);
-        return crash;
-    }
-
-    /** Takes note that an answer to a request was completed. */
-    public recordAnswer(request: QuarantinedRequest): void {
-        const parts = this.suspectedPartsOf(request);
-        if (parts.length > 0) {
-            this.fleet.reportSoundParts(parts);
+    /** Takes note of how an attempt ended. */
+    public async observe(request: QuarantinedRequest, record: EndpointRecord, outcome: AttemptOutcome): Promise<void> {
+        if (outcome.kind === "broken" && !outcome.isSilent) {
+            await this.reportIfCrashed(request, record);
+        }
+        else if (outcome.kind === "replied" && outcome.reply.status < failureStatus) {
+            const parts = this.suspectedPartsOf(request);
+            if (parts.length > 0 && outcome.reply.isFramed) {
+                this.options.fleet.reportSoundParts(parts);
+            }
+            else if (parts.length > 0) {
+                // A crash ends a reply without framing in the same way as its end does.
+                await this.reportIfCrashed(request, record);
+            }
         }
     }
 
-    /** True when a part of a request's prompt is suspected to crash endpoints. */
-    public isSuspected(request: QuarantinedRequest): boolean {
-        return this.suspectedPartsOf(request).length > 0;
+    /**
+     * A broken connection alone does not mean a crash; an endpoint that refuses new connections has crashed, unless it
+     * was about to end.
+     */
+    private async reportIfCrashed(
+        request: QuarantinedRequest,
+        { id: endpoint, listed }: EndpointRecord,
+    ): Promise<void> {
+        const { fleet, connections, notices, log, stopped } = this.options;
+        const isLeaving = listed.isLeaving || notices.isLeaving(endpoint);
+        if (!isLeaving && await connections.refusesConnections(endpoint, stopped)) {
+            const crash = { fingerprint: fingerprintOf(request), endpoint, parts: partKeysOf(request) };
+            fleet.reportCrash(crash);
+            log.event(EventId.EndpointCrashed, { request: request.head.id, ...crash });
+        }
     }
 
     private suspectedPartsOf(request: QuarantinedRequest): readonly PartKey[] {
-        const { suspectedParts } = this.fleet.view();
+        const { suspectedParts } = this.options.fleet.view();
         return suspectedParts.size === 0 ? [] : partKeysOf(request).filter(key => suspectedParts.has(key));
     }
 }
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -230,8 +230,14 @@
         log: silentLog,
         metrics: noMetrics,
         random: () => 0,
-        stopped: new AbortController().signal,
-        quarantine: new RequestQuarantine(fleet, noMetrics),
+        quarantine: new RequestQuarantine({
+            fleet,
+            connections,
+            notices,
+            log: silentLog,
+            metrics: noMetrics,
+            stopped: new AbortController().signal,
+        }),
     });
     return { fleet, gateway, limits, dispose: () => connections.dispose() };
 }
