Gateway: the size of an event is limited

An endpoint that sent an event without end filled the host's memory, and each chunk was searched from the start, until the deadline of the request. The attempt is broken off at 1 MiB. The test failed before.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -14,6 +14,8 @@
 
 /** Maximum size of a reply that is not streamed. */
 const maxReplyBytes = 16 * 1024 * 1024;
+/** Maximum size of one event of a stream. */
+const maxEventBytes = 1024 * 1024;
 /**
  * A request that could not be sent once more uses only connections with less idle time than this. Some endpoints drop
  * connections after 300 ms of idle time, and after the reset it is unknown whether the request has run.
@@ -146,6 +148,9 @@
                     onReply(reply);
                     await caller.writeEvent(event);
                 }
+                if (splitter.remainder.length > maxEventBytes) {
+                    this.fail("an event exceeds the size limit");
+                }
                 if (this.isFinished) {
                     return;
                 }
