--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -15,6 +15,9 @@
 /** A pooled connection that has been idle for longer is closed. */
 const defaultPoolIdleMs = 4000;
 
+/** Number of interim replies (1xx) to one request after which its connection is closed. */
+const maxInterimReplies = 16;
+
 /** A failure to connect; no byte of the request was written. */
 export interface ConnectError {
     readonly kind: "refused" | "timeout" | "aborted" | "no-address";
@@ -96,6 +99,7 @@
                 connected.ifRight(discard);
                 connected = await this.connectOnce(pool, options);
             }
+            connected.ifRight(limitInterimReplies);
             return connected;
         }
         finally {
@@ -236,6 +240,17 @@
     }
 }
 
+/** Ends a request whose endpoint sends interim replies without end. */
+function limitInterimReplies({ req }: ReadyRequest): void {
+    let count = 0;
+    req.on("information", () => {
+        count += 1;
+        if (count > maxInterimReplies) {
+            req.destroy(new Error("too many interim replies"));
+        }
+    });
+}
+
 /** Destroys a request of which no byte was written; later errors of its socket are ignored. */
 function discard({ req }: ReadyRequest): void {
     req.on("error", () => undefined);
