--- a/src/gather/GatherClient.test.ts
+++ b/src/gather/GatherClient.test.ts
@@ -213,3 +213,27 @@
     assert.ok(medianMs < 380, `the median of the submissions is ${medianMs} ms`);
     hosts.stop();
 });
+
+// Guards against callers of one data centre whose pieces wait there while endpoints of another one are free.
+test("late pieces go to another data centre when all those queued in their own would go first", async () => {
+    const hosts = new Hosts(2, [...endpoints(4, "a"), ...endpoints(4, "b")]);
+    const [host] = hosts.clients.keys();
+    // 1.5 times what the endpoints of one data centre run.
+    const perSecond = 1.5 * 4 * traits.batch / ((traits.callMs + traits.batch * traits.pieceMs) / 1000);
+    const startInMs = 250;
+    const fields = { startInMs, restMs: 475, remainingMs: 5000 };
+    const total = 600;
+    let inTime = 0;
+    for (let at = 0; at < total; at++) {
+        const startMs = hosts.clock.nowMs();
+        const signal = new AbortController().signal;
+        void hosts.clients.get(host!)?.execute(submission(fields), signal).then(end => {
+            const limitMs = startInMs + traits.callMs + traits.batch * traits.pieceMs;
+            inTime += end.isRight() && hosts.clock.nowMs() - startMs <= limitMs ? 1 : 0;
+        });
+        await hosts.clock.advance(1000 / perSecond);
+    }
+    await hosts.clock.advance(6000);
+    assert.ok(inTime >= total * 0.95, `${inTime} of ${total} in time, with three quarters of the capacity in use`);
+    hosts.stop();
+});
