Gather: a submission goes to the data centre where it would wait least, also when it is late

Cells reported the wait of a submission that can be on time, which goes before all late ones: a data centre with hundreds of late pieces looked as free as one with none, and late submissions stayed where they were, at the end of the longest queue. Cells report the wait of a late submission as well, and each submission is compared by the wait that would be its own.

--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -17,6 +17,7 @@
 import { SourcePlacement } from "./SourcePlacement.js";
 import type {
     CallOutcome,
+    CellWaits,
     PieceClient,
     PieceOutcome,
     PieceResult,
@@ -141,12 +142,19 @@
         this.dispatch();
     }
 
-    /** Estimated wait of a typical new submission, in milliseconds, as reported to submitters. */
-    public typicalWaitMs(): number {
+    /** Estimated waits of typical new submissions, as reported to submitters. */
+    public typicalWaits(): CellWaits {
         const traits = this.options.traits();
+        if (traits === undefined) {
+            return { onTimeMs: 0, lateMs: 0 };
+        }
         const startByMs = this.options.clock.nowMs() + typicalSlackMs;
-        const position = { startByMs, deadlineMs: Infinity, submission: { priority: 0, restMs: 0 } };
-        return traits === undefined ? 0 : this.estimator.waitMs(traits, position);
+        const onTime = { startByMs, deadlineMs: Infinity, submission: { priority: 0, restMs: 0 } };
+        const late = { startByMs: -Infinity, deadlineMs: Infinity, submission: { priority: Infinity, restMs: 0 } };
+        return {
+            onTimeMs: this.estimator.waitMs(traits, onTime),
+            lateMs: this.estimator.waitMs(traits, late, true),
+        };
     }
 
     /** Dispatches queued pieces to free endpoints, after ending submissions that can't meet their deadline. */
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -1,7 +1,7 @@
 /**
  * Submits pieces to the gatherer of a cell: the first live host in rendezvous order, which all hosts determine without
- * exchanging messages. Submissions that are not bound to a data centre go to a cell of the local one, unless another
- * cell has reported a shorter wait. A cell that can't start a submission in time refuses it, and another cell is tried.
+ * exchanging messages. Submissions that are not bound to a data centre go to a cell of the local one, unless they would
+ * wait less in another cell, by what it has reported. A cell that can't start a submission in time refuses it, and another cell is tried.
  * When a gatherer fails or stops responding, its submissions go to the next host in the order.
  */
 import { Left, Right } from "purify-ts";
@@ -13,10 +13,12 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { Cell, CellCache } from "./Cells.js";
-import { gatherMethods, type WorkRequest } from "./GatherMessages.js";
+import { gatherMethods, type WorkReply, type WorkRequest } from "./GatherMessages.js";
 import type { GatherServer } from "./GatherServer.js";
+import { lateMarginMs } from "./PieceQueue.js";
 import type {
     CellId,
+    CellWaits,
     EndedSubmission,
     NewSubmission,
     PieceExecutor,
@@ -91,12 +93,12 @@
     private readonly outboxes = new Map<HostId, Outbox>();
     private readonly lastContactMs = new Map<HostId, number>();
     private readonly avoidUntilMs = new Map<HostId, number>();
-    private readonly reportedWaits = new Map<CellId, { readonly waitMs: number; readonly atMs: number; }>();
+    private readonly reportedWaits = new Map<CellId, CellWaits & { readonly atMs: number; }>();
     /** Hosts to which a message is in flight. */
     private readonly inFlight = new Set<HostId>();
 
     public constructor(private readonly options: GatherClientOptions) {
-        options.registry.handle(gatherMethods.ended, async ({ ended, waits }, from) => {
+        options.registry.handle(gatherMethods.ended, async ({ ended, ...waits }, from) => {
             this.lastContactMs.set(from, options.clock.nowMs());
             this.recordWaits(waits);
             ended.forEach(one => this.receiveOutcome(one, from));
@@ -152,7 +154,7 @@
 
     public waitMs(service: ServiceId): number | undefined {
         const recent = this.options.cells.current().ofService(service)
-            .flatMap(({ id }) => this.reportedWaitMs(id, waitValidMs) ?? []);
+            .flatMap(({ id }) => this.reportedWaitsOf(id, waitValidMs)?.onTimeMs ?? []);
         return recent.length === 0 ? undefined : Math.min(...recent);
     }
 
@@ -175,7 +177,10 @@
     private submit(pending: PendingSubmission): void {
         const { clock, log } = this.options;
         const { submission, submittedMs, refused: refusedBy } = pending;
-        const choices = this.candidateCells(submission).filter(cell => !refusedBy.includes(cell));
+        const elapsedMs = clock.nowMs() - submittedMs;
+        const startInMs = submission.startInMs - elapsedMs;
+        const choices = this.candidateCells(submission, startInMs - lateMarginMs(submission))
+            .filter(cell => !refusedBy.includes(cell));
         const [cell] = choices;
         if (cell === undefined) {
             const message = "no endpoint of the service is known";
@@ -186,9 +191,7 @@
         pending.onTimeOnly = refusedBy.length < maxRefusals && choices.length > 1;
         pending.cell = cell;
         pending.gatherer = this.gathererOf(cell);
-        const elapsedMs = clock.nowMs() - submittedMs;
         const { id, service, request, stage, pieces } = submission;
-        const startInMs = submission.startInMs - elapsedMs;
         log.event(EventId.PiecesSubmitted, {
             request,
             submission: id,
@@ -217,10 +220,13 @@
 
     /**
      * Cells of a service in the order in which a submission tries them: the cell in its data centre first, unless
-     * another one, picked pseudo-randomly in proportion to its endpoints, has reported a wait that is shorter by more
-     * than {@link minRemoteGainMs}.
+     * the expected wait in another one, picked pseudo-randomly in proportion to its endpoints, is shorter by more than
+     * {@link minRemoteGainMs}. `slackMs` is the time before the submission counts as late.
      */
-    private candidateCells({ service, dataCentre, notIn, id }: NewSubmission): readonly CellId[] {
+    private candidateCells(
+        { service, dataCentre, notIn, id }: NewSubmission,
+        slackMs: number,
+    ): readonly CellId[] {
         const { cells, dataCentre: own } = this.options;
         const current = cells.current();
         // A cell without usable endpoints, as when its data centre is lost or taken out of use, takes no submissions.
@@ -237,17 +243,18 @@
         if (preferred === undefined || other === undefined) {
             return ranked.map(cell => cell.id);
         }
-        const waitOf = (cell: Cell) => this.reportedWaitMs(cell.id, waitHintValidMs) ?? 0;
+        const waitOf = (cell: Cell) => {
+            const { onTimeMs, lateMs } = this.reportedWaitsOf(cell.id, waitHintValidMs) ?? { onTimeMs: 0, lateMs: 0 };
+            return onTimeMs <= slackMs ? onTimeMs : lateMs;
+        };
         const isOtherSooner = waitOf(other) + minRemoteGainMs < waitOf(preferred);
         return [...(isOtherSooner ? [other, preferred] : [preferred, other]), ...others].map(cell => cell.id);
     }
 
-    /** The wait that a cell has reported last; undefined when that was more than `validMs` ago. */
-    private reportedWaitMs(cell: CellId, validMs: number): number | undefined {
+    /** The waits that a cell has reported last; undefined when that was more than `validMs` ago. */
+    private reportedWaitsOf(cell: CellId, validMs: number): CellWaits | undefined {
         const reported = this.reportedWaits.get(cell);
-        return reported !== undefined && this.options.clock.nowMs() - reported.atMs < validMs
-            ? reported.waitMs
-            : undefined;
+        return reported !== undefined && this.options.clock.nowMs() - reported.atMs < validMs ? reported : undefined;
     }
 
     /** The first host in the cell's order that is not being avoided; this host when there is none. */
@@ -287,7 +294,7 @@
         const { self, local, transport, clock } = this.options;
         if (host === self) {
             const reply = local.work(work, self, (id, end) => this.handleOutcome(id, end));
-            this.recordWaits(reply.waits);
+            this.recordWaits(reply);
             return;
         }
         this.inFlight.add(host);
@@ -297,14 +304,17 @@
             Left: error => this.handleGathererLoss(host, error.message),
             Right: reply => {
                 this.lastContactMs.set(host, clock.nowMs());
-                this.recordWaits(reply.waits);
+                this.recordWaits(reply);
             },
         });
     }
 
-    private recordWaits(waits: readonly (readonly [CellId, number])[]): void {
+    private recordWaits({ waits, lateWaits }: WorkReply): void {
         const atMs = this.options.clock.nowMs();
-        waits.forEach(([cell, waitMs]) => this.reportedWaits.set(cell, { waitMs, atMs }));
+        const late = new Map(lateWaits);
+        waits.forEach(([cell, onTimeMs]) =>
+            this.reportedWaits.set(cell, { onTimeMs, lateMs: late.get(cell) ?? onTimeMs, atMs })
+        );
     }
 
     /** Avoids a gatherer for a while and sends its pending submissions to other gatherers. */
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -64,6 +64,8 @@
     ended: z.array(ended),
     /** Estimated wait of a new submission to each cell, in milliseconds. */
     waits: z.array(z.tuple([cellId, z.number()])),
+    /** The same for a late submission. */
+    lateWaits: z.array(z.tuple([cellId, z.number()])).default([]),
 });
 
 export type WorkRequest = z.infer<typeof workRequest>;
@@ -72,6 +74,8 @@
 export interface WorkReply {
     /** Estimated wait of a new submission to each cell that was named, in milliseconds. */
     readonly waits: readonly (readonly [CellId, number])[];
+    /** The same for a late submission; left out by a host of an older version. */
+    readonly lateWaits?: readonly (readonly [CellId, number])[] | undefined;
 }
 
 export const gatherMethods = {
--- a/src/gather/GatherServer.ts
+++ b/src/gather/GatherServer.ts
@@ -83,11 +83,18 @@
             usedCells.add(cell);
             gatherer.submit(submission, deliver);
         }
-        return { waits: [...usedCells].map(cell => [cell, this.waitMs(cell)]) };
+        return this.waitsOf(usedCells);
     }
 
-    private waitMs(cell: CellId): number {
-        return Math.round(this.gatherers.get(cell)?.typicalWaitMs() ?? 0);
+    private waitsOf(cells: ReadonlySet<CellId>) {
+        const waits: [CellId, number][] = [];
+        const lateWaits: [CellId, number][] = [];
+        for (const cell of cells) {
+            const { onTimeMs, lateMs } = this.gatherers.get(cell)?.typicalWaits() ?? { onTimeMs: 0, lateMs: 0 };
+            waits.push([cell, Math.round(onTimeMs)]);
+            lateWaits.push([cell, Math.round(lateMs)]);
+        }
+        return { waits, lateWaits };
     }
 
     /**
@@ -126,12 +133,11 @@
         const { transport, signal, log } = this.options;
         const ended = this.outbox.get(to) ?? [];
         this.outbox.delete(to);
-        const cells = new Set(ended.map(one => one.cell));
-        const waits = [...cells].map((cell): [CellId, number] => [cell, this.waitMs(cell)]);
+        const waits = this.waitsOf(new Set(ended.map(one => one.cell)));
         let message = "stopped";
         for (let attempts = 0; attempts < maxDeliveryAttempts && !signal.aborted; attempts++) {
             const options = { timeoutMs: deliveryTimeoutMs / maxDeliveryAttempts, signal };
-            const sent = await transport.call(to, gatherMethods.ended, { ended, waits }, options);
+            const sent = await transport.call(to, gatherMethods.ended, { ended, ...waits }, options);
             if (sent.isRight()) {
                 return;
             }
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -170,7 +170,12 @@
     { startByMs, submission }: Pick<QueuePosition, "startByMs" | "submission">,
     nowMs: number,
 ): boolean {
-    return startByMs - Math.max(minLateMarginMs, submission.restMs * lateMarginShare) < nowMs;
+    return startByMs - lateMarginMs(submission) < nowMs;
+}
+
+/** How long before its latest start a submission counts as late. */
+export function lateMarginMs({ restMs }: Pick<Submission, "restMs">): number {
+    return Math.max(minLateMarginMs, restMs * lateMarginShare);
 }
 
 /** True when a submission bound to another data centre may be taken here. */
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -162,6 +162,14 @@
     isNotRun(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean;
 }
 
+/** Estimated waits for the first call of a new submission to a cell, in milliseconds. */
+export interface CellWaits {
+    /** Of one that can still meet its objective. */
+    readonly onTimeMs: number;
+    /** Of one that can't: it goes after all that are queued. */
+    readonly lateMs: number;
+}
+
 /** Outcome of a submission as sent to the host that submitted it. */
 export interface EndedSubmission {
     readonly id: SubmissionId;
--- a/testing/StageSimulation.ts
+++ b/testing/StageSimulation.ts
@@ -165,7 +165,7 @@
     }
 
     public waitMs(id: ServiceId): number | undefined {
-        return this.gatherers.get(id)?.typicalWaitMs();
+        return this.gatherers.get(id)?.typicalWaits().onTimeMs;
     }
 
     /** Runs a request; returns undefined if it was served, else the advised delay before a retry in milliseconds. */
