--- a/src/gather/CellGatherer.test.ts
+++ b/src/gather/CellGatherer.test.ts
@@ -74,7 +74,7 @@
         const startMs = this.clock.nowMs();
         this.gatherer.submit(one, end => {
             this.outcomes.set(one.request, { end, atMs: this.clock.nowMs() - startMs });
-            end.ifRight(results => void this.gatherer.free(results));
+            end.ifRight(results => this.gatherer.free(results));
         });
         return one.request;
     }
@@ -266,6 +266,21 @@
     assert.ok(site.endpoints.calls.filter(call => call.endpoint === "e0").length <= 4);
 });
 
+// Guards against a gatherer that spends its time on one message to an endpoint for each request whose results are used.
+test("the results of many requests that are used at about the same time are freed by few messages", async () => {
+    const site = new Site(2);
+    for (let at = 0; at < 100; at++) {
+        site.submit({ startInMs: 3000 });
+    }
+    await site.clock.advance(3000);
+    assert.equal(site.endpoints.freed.length, 100);
+    const messages = site.endpoints.arrivals.length - site.endpoints.calls.length;
+    assert.ok(
+        messages <= site.endpoints.calls.length * 2,
+        `${messages} messages for ${site.endpoints.calls.length} calls`,
+    );
+});
+
 test("the results of a cancelled submission are freed at their endpoint", async () => {
     const site = new Site(1);
     const one = submission({ pieces: [0, 1], startInMs: 1000 });
--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -14,6 +14,7 @@
 import { CallMonitor } from "./CallMonitor.js";
 import { DemandMeter } from "./DemandMeter.js";
 import { PieceQueue, type QueuedSubmission, type TakenPiece } from "./PieceQueue.js";
+import { ResultRelease } from "./ResultRelease.js";
 import { SourcePlacement } from "./SourcePlacement.js";
 import type {
     CallOutcome,
@@ -65,6 +66,7 @@
     private readonly estimator: WaitEstimator;
     private readonly placement: SourcePlacement;
     private readonly open = new Map<SubmissionId, OpenSubmission>();
+    private readonly release: ResultRelease;
     private dispatchTimer: Disposable | undefined;
 
     public constructor(private readonly options: CellGathererOptions) {
@@ -72,6 +74,7 @@
         this.endpoints = new BatchEndpoints(options.clock, options.notices);
         this.estimator = new WaitEstimator(this.queue, this.endpoints, this.demand, options.clock);
         this.placement = new SourcePlacement(this.queue, this.endpoints, options.clock);
+        this.release = new ResultRelease({ ...options, onFreed: () => this.dispatch() });
     }
 
     /** Sets the endpoints that may receive calls, and dispatches to them. */
@@ -128,18 +131,13 @@
         const open = this.open.get(id);
         this.open.delete(id);
         if (open !== undefined) {
-            void this.free([...open.results.values()]);
+            this.free([...open.results.values()]);
         }
     }
 
     /** Frees results at the endpoints that hold them. */
-    public async free(results: readonly PieceResult[]): Promise<void> {
-        await Promise.all(
-            [...this.endpoints.groupHandles(results)].map(([endpoint, handles]) =>
-                this.freeAtEndpoint(endpoint, handles)
-            ),
-        );
-        this.dispatch();
+    public free(results: readonly PieceResult[]): void {
+        this.endpoints.groupHandles(results).forEach((handles, endpoint) => this.release.add(endpoint, handles));
     }
 
     /** Estimated waits of typical new submissions, as reported to submitters. */
@@ -336,7 +334,7 @@
             const result = { handle: outcome.handle, endpoint: endpoint.id, dataCentre, bytes };
             endpoint.addResult(outcome.handle, submission.resultBytes, traits);
             if (open === undefined || open.results.has(taken.piece)) {
-                void this.free([result]);
+                this.free([result]);
                 return;
             }
             open.results.set(taken.piece, result);
@@ -399,7 +397,7 @@
         this.queue.remove(id);
         this.open.delete(id);
         if (open !== undefined) {
-            void this.free([...open.results.values()]);
+            this.free([...open.results.values()]);
             open.deliver(Left(error));
         }
     }
@@ -423,18 +421,6 @@
             this.queue.requeue(open.waiting, piece);
         }
     }
-
-    private async freeAtEndpoint(endpoint: BatchEndpoint, handles: readonly string[]): Promise<void> {
-        const { client, log, service } = this.options;
-        const message = await client.free(endpoint.listed, handles);
-        if (message === undefined) {
-            handles.forEach(handle => endpoint.removeResult(handle));
-        }
-        else {
-            const fields = { service, endpoint: endpoint.id, handles: handles.length, message };
-            log.event(EventId.ResultsNotFreed, fields);
-        }
-    }
 }
 
 const sourceGoneError: SubmissionError = {
--- a/src/gather/GatherServer.ts
+++ b/src/gather/GatherServer.ts
@@ -60,7 +60,7 @@
     public work(req: WorkRequest, from: HostId, local?: (id: SubmissionId, end: SubmissionOutcome) => void): WorkReply {
         const usedCells = new Set<CellId>();
         for (const { cell, results } of req.frees) {
-            void this.gatherer(cell)?.free(results);
+            this.gatherer(cell)?.free(results);
         }
         for (const { cell, id } of req.cancels) {
             this.gatherers.get(cell)?.cancel(id);
--- /dev/null
+++ b/src/gather/ResultRelease.ts
@@ -0,0 +1,59 @@
+/**
+ * Frees results at their endpoints, with one message at a time to each endpoint: those of requests that end at about the
+ * same time are freed together, since otherwise these messages would outnumber all others of a gatherer.
+ */
+import type { EndpointId } from "../common/Types.js";
+import type { ServiceId } from "../fleet/Types.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
+import type { BatchEndpoint } from "./BatchEndpoint.js";
+import type { PieceClient } from "./Types.js";
+
+interface ResultReleaseOptions {
+    readonly service: ServiceId;
+    readonly client: PieceClient;
+    readonly log: EventLog;
+    /** Called when an endpoint has freed results. */
+    readonly onFreed: () => void;
+}
+
+export class ResultRelease {
+    /** Handles to be freed by the next message to an endpoint; an entry exists while a message is in flight. */
+    private readonly collected = new Map<EndpointId, string[]>();
+
+    public constructor(private readonly options: ResultReleaseOptions) {}
+
+    public add(endpoint: BatchEndpoint, handles: readonly string[]): void {
+        const known = this.collected.get(endpoint.id);
+        if (known !== undefined) {
+            known.push(...handles);
+            return;
+        }
+        this.collected.set(endpoint.id, [...handles]);
+        void this.releaseAll(endpoint);
+    }
+
+    private async releaseAll(endpoint: BatchEndpoint): Promise<void> {
+        for (;;) {
+            const handles = this.collected.get(endpoint.id) ?? [];
+            if (handles.length === 0) {
+                this.collected.delete(endpoint.id);
+                return;
+            }
+            this.collected.set(endpoint.id, []);
+            await this.release(endpoint, handles);
+        }
+    }
+
+    private async release(endpoint: BatchEndpoint, handles: readonly string[]): Promise<void> {
+        const { service, client, log, onFreed } = this.options;
+        const message = await client.free(endpoint.listed, handles);
+        if (message === undefined) {
+            handles.forEach(handle => endpoint.removeResult(handle));
+        }
+        else {
+            log.event(EventId.ResultsNotFreed, { service, endpoint: endpoint.id, handles: handles.length, message });
+        }
+        onFreed();
+    }
+}
--- a/testing/StageSimulation.ts
+++ b/testing/StageSimulation.ts
@@ -161,7 +161,7 @@
     }
 
     public free(results: readonly PieceResult[]): void {
-        this.gatherers.forEach(one => void one.free(results));
+        this.gatherers.forEach(one => one.free(results));
     }
 
     public waitMs(id: ServiceId): number | undefined {
