--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -1,7 +1,7 @@
 /**
  * The replicated state of the fleet: the text and version of the configuration, the data centres taken out of use, and
- * the crash marks: when endpoints crashed while running a request, and with which parts of prompts. The highest version wins; a configuration with the
- * same or a lower version changes nothing.
+ * the crash marks: when endpoints crashed while running a request, and with which parts of prompts. The highest version
+ * wins; a configuration with the same or a lower version changes nothing.
  */
 import * as z from "zod";
 import type { Json, StateMachine } from "../replication/Types.js";
--- a/src/gather/Cells.ts
+++ b/src/gather/Cells.ts
@@ -30,6 +30,7 @@
     private readonly cellOfEndpoint = new Map<EndpointId, CellId>();
     /** The first gatherer of each cell, worked out on first use. */
     private assigned: ReadonlyMap<CellId, HostId> | undefined;
+    private readonly ranked = new Map<CellId, readonly HostId[]>();
 
     public constructor(private readonly view: FleetView, private readonly ranks: HostRanks = new HostRanks()) {
         const services = new Map<ServiceId, ListedEndpoint[]>();
@@ -68,10 +69,16 @@
      * data centres that are cut off are left out.
      */
     public rankedGatherers(id: CellId): readonly HostId[] {
+        const known = this.ranked.get(id);
+        if (known !== undefined) {
+            return known;
+        }
         this.assigned ??= this.assignGatherers();
         const first = this.assigned.get(id);
         const order = this.gathererOrder(id);
-        return first === undefined || first === order[0] ? order : [first, ...order.filter(host => host !== first)];
+        const ranked = first === undefined ? order : [first, ...order.filter(host => host !== first)];
+        this.ranked.set(id, ranked);
+        return ranked;
     }
 
     /** True when this host can't reach the data centre of a cell. */
