--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -44,6 +44,7 @@
     public readonly entries: readonly string[];
     public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0 };
     public readonly endpoints: readonly string[];
+    private readonly listAddress: string;
     /** Limits that endpoints state, in requests per second over all hosts, with the time of the first statement. */
     private readonly limits = new Map<string, { readonly perSecond: number; readonly fromMs: number; }>();
     /** Endpoints that are leaving, and those that ask for a pause with its end; each with the time since when. */
@@ -62,12 +63,15 @@
         private readonly history: FleetHistory,
         private readonly clock: Clock,
         private readonly random: Random,
+        /** Second number of the first loopback addresses; sites that run at the same time need different ones. */
+        firstNet: number = 11,
     ) {
         const addressesIn = (net: number, count: number) =>
             Array.from({ length: count }, (_, at) => `127.${net}.0.${at + 1}`);
-        this.controls = addressesIn(11, size.controls);
-        this.entries = addressesIn(12, size.entries);
-        this.endpoints = addressesIn(13, size.endpoints);
+        this.controls = addressesIn(firstNet, size.controls);
+        this.entries = addressesIn(firstNet + 1, size.entries);
+        this.endpoints = addressesIn(firstNet + 2, size.endpoints);
+        this.listAddress = `127.${firstNet + 3}.0.1`;
         this.processes = new Processes(folder, clock);
     }
 
@@ -75,7 +79,7 @@
         for (const endpoint of this.endpoints) {
             await this.listen(endpoint, ports.endpoint, (req, res) => this.serve(endpoint, req, res));
         }
-        await this.listen("127.14.0.1", ports.list, (_, res) => {
+        await this.listen(this.listAddress, ports.list, (_, res) => {
             const instances = this.endpoints.map(address => ({
                 Id: address,
                 Service: "s",
@@ -104,7 +108,7 @@
             ...(isControl
                 ? { dataDir: this.dataDir(host), operatorAddress: `${host}:${ports.operator}` }
                 : { callerAddress: `${host}:${ports.caller}`, readyAddress: `${host}:${ports.ready}` }),
-            endpointListAddress: `127.14.0.1:${ports.list}`,
+            endpointListAddress: `${this.listAddress}:${ports.list}`,
             bounds: {
                 configApplyMs: 2000,
                 revokeMs: 5000,
--- a/test/CrashingParts.test.ts
+++ b/test/CrashingParts.test.ts
@@ -17,6 +17,8 @@
 const crashesUntilKnown = 5;
 const maxRequestsAfter = 3;
 const runMs = 14_000;
+/** Other addresses than those of tests that may run at the same time. */
+const firstNet = 21;
 const crashingPauseMs = 300;
 const soundPauseMs = 25;
 /** Sound requests must begin at least half as often as without crashes. */
@@ -27,7 +29,8 @@
     const folder = mkdtempSync(join(tmpdir(), "fireflykeel-parts-"));
     const clock = new SystemClock();
     const history = new FleetHistory();
-    const site = new FleetSite({ controls: 3, entries: 3, endpoints: 6 }, folder, history, clock, new SeededRandom(1));
+    const size = { controls: 3, entries: 3, endpoints: 6 };
+    const site = new FleetSite(size, folder, history, clock, new SeededRandom(1), firstNet);
     await site.start();
     for (const entry of site.entries) {
         while (!await site.isReady(entry)) {
