Gateway: replies that end with their connection go on in the same form again, and are reset when broken off

The tests check that by the error that the caller sees, since Node.js counts such a response as complete also after a reset.

--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -1,8 +1,7 @@
 /**
  * Writes the reply to a caller. A complete reply is written at once. A stream is written event by event and may be
  * continued by another endpoint: the caller keeps the head of the first endpoint, and events that it already has are
- * skipped. When a stream can't be completed, the connection is destroyed, so that the caller sees it as incomplete:
- * replies to callers have a length or chunks also where the endpoint's reply ended with its connection.
+ * skipped. When a stream can't be completed, the connection is broken off, so that the caller sees it as incomplete.
  */
 import type * as http from "node:http";
 import { writeJson } from "../common/WriteJson.js";
@@ -44,6 +43,8 @@
 
 export class CallerReply {
     private begun = false;
+    /** True when the reply has neither a length nor chunks. */
+    private endsWithConnection = false;
     private lastEventId: string | undefined;
     private eventCount = 0;
 
@@ -71,7 +72,12 @@
         if (this.res.destroyed) {
             return;
         }
-        this.res.writeHead(reply.status, [...reply.forwarded, "content-length", String(body.length)]);
+        if (reply.isFramed) {
+            this.res.writeHead(reply.status, [...reply.forwarded, "content-length", String(body.length)]);
+        }
+        else {
+            this.writeUnframedHead(reply);
+        }
         this.res.end(body);
     }
 
@@ -81,7 +87,12 @@
             return;
         }
         this.begun = true;
-        this.res.writeHead(reply.status, [...reply.forwarded]);
+        if (reply.isFramed) {
+            this.res.writeHead(reply.status, [...reply.forwarded]);
+        }
+        else {
+            this.writeUnframedHead(reply);
+        }
         this.res.flushHeaders();
     }
 
@@ -118,11 +129,25 @@
         writeJson(this.res, status, headers, { reason, message, notRun });
     }
 
-    /** Destroys the connection, so that a partial reply does not look complete. */
+    /** Breaks the connection off, so that a partial reply does not look complete: one without framing by a reset. */
     public destroy(): void {
+        if (this.endsWithConnection) {
+            this.res.socket?.resetAndDestroy();
+        }
         this.res.destroy();
     }
 
+    /**
+     * Writes the head of a reply whose body ends with the connection. The reply to the caller ends in the same way,
+     * since a body that a crash has truncated can't be told from a whole one, and would look complete with framing.
+     */
+    private writeUnframedHead(reply: ReplyHead): void {
+        this.endsWithConnection = true;
+        this.res.useChunkedEncodingByDefault = false;
+        this.res.shouldKeepAlive = false;
+        this.res.writeHead(reply.status, [...reply.forwarded, "connection", "close"]);
+    }
+
     /** True when the caller has the event. Ids are compared as numbers; an event counts as new if either is not one. */
     private hasEvent(id: string): boolean {
         const number = Number(id);
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -73,7 +73,7 @@
     /** True when it states that the request was not run. */
     readonly isNotRun: boolean;
     readonly isEventStream: boolean;
-    /** False when the body ends with the connection; it is complete unless the connection is reset. */
+    /** False when the body ends with the connection, so that a truncated body can't be detected unless it is reset. */
     readonly isFramed: boolean;
     /** Headers passed to the caller unchanged, as alternating names and values. */
     readonly forwarded: readonly string[];
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -263,13 +263,27 @@
                 ...headers,
             },
         });
-        req.on("error", reject);
+        let hasResponse = false;
+        let isBroken = false;
+        req.on("error", err => {
+            // Node.js takes a response that ends with its connection for complete, also when that was reset.
+            isBroken = true;
+            if (!hasResponse) {
+                reject(err);
+            }
+        });
         req.on("response", res => {
+            hasResponse = true;
             let body = "";
             res.on("data", (chunk: Buffer) => body += chunk.toString());
             res.on("error", () => undefined);
             res.on("close", () => {
-                resolve({ status: res.statusCode ?? 0, headers: res.headers, body, isWhole: res.complete });
+                resolve({
+                    status: res.statusCode ?? 0,
+                    headers: res.headers,
+                    body,
+                    isWhole: res.complete && !isBroken,
+                });
             });
         });
         req.end("body");
