--- a/src/endpoints/EndpointConnections.test.ts
+++ b/src/endpoints/EndpointConnections.test.ts
@@ -1,8 +1,7 @@
 /** Checks connections to an endpoint that does not complete them, over loopback. */
 import assert from "node:assert/strict";
-import * as net from "node:net";
 import { after, test } from "node:test";
-import { Worker } from "node:worker_threads";
+import { listenWithoutAccepting } from "../../testing/SilentListener.js";
 import { SystemClock } from "../common/SystemClock.js";
 import type { EndpointId } from "../common/Types.js";
 import { EndpointConnections } from "./EndpointConnections.js";
@@ -11,33 +10,12 @@
 const closers: (() => void)[] = [];
 after(() => closers.forEach(close => close()));
 
-/** Listens with a full queue, so that the kernel answers no further connection; returns the port. */
-async function listenWithoutAccepting(): Promise<number> {
-    const worker = new Worker(
-        `const { parentPort } = require("node:worker_threads");
-        const server = require("node:net").createServer();
-        server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
-            parentPort.postMessage(server.address().port);
-            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
-        });`,
-        { eval: true },
-    );
-    closers.push(() => void worker.terminate());
-    const port = await new Promise<number>(resolve => worker.once("message", resolve));
-    for (let at = 0; at < 8; at++) {
-        const socket = net.connect(port, "127.0.0.1");
-        socket.on("error", () => undefined);
-        closers.push(() => socket.destroy());
-    }
-    await new Promise(resolve => setTimeout(resolve, 50));
-    return port;
-}
-
 // Guards against a request that outlasts its deadline or its caller while it waits for its turn to connect.
 test("a request that waits for its turn to connect ends as soon as it is aborted", async () => {
-    const port = await listenWithoutAccepting();
+    const listener = await listenWithoutAccepting("127.0.0.1:0");
+    closers.push(() => void listener.stop());
     const connections = new EndpointConnections(
-        { addressOf: () => `127.0.0.1:${port}`, connectMs: () => 500 },
+        { addressOf: () => listener.address, connectMs: () => 500 },
         new SystemClock(),
     );
     closers.push(() => connections.dispose());
--- a/standin/TcpRelay.ts
+++ b/standin/TcpRelay.ts
@@ -18,6 +18,8 @@
 export class TcpRelay {
     private readonly connections = new Set<Connection>();
     private server: Server | undefined;
+    /** Address that it listens on, as resolved by {@link start}. */
+    private address = "";
     private delayMs = 0;
     private cut = false;
     /** Direction in which new connections are silent; undefined if they are not. */
@@ -34,11 +36,25 @@
             server.once("error", reject);
             server.listen(port, host, () => {
                 const bound = server.address();
-                resolve(`${host}:${typeof bound === "object" && bound !== null ? bound.port : port}`);
+                this.address = `${host}:${typeof bound === "object" && bound !== null ? bound.port : port}`;
+                resolve(this.address);
             });
         });
     }
 
+    /** Refuses new connections; open ones go on. */
+    public refuseNew(): void {
+        this.server?.close();
+        this.server = undefined;
+    }
+
+    /** Takes connections again, at the same address as before. */
+    public async acceptNew(): Promise<void> {
+        if (this.server === undefined) {
+            await this.start(this.address);
+        }
+    }
+
     public async stop(): Promise<void> {
         const server = this.server;
         this.server = undefined;
--- /dev/null
+++ b/testing/EndpointLinks.ts
@@ -0,0 +1,51 @@
+/** The links of one host to endpoints, which can be cut in the ways in which a network partition shows. */
+import { TcpRelay } from "../standin/TcpRelay.js";
+import { listenWithoutAccepting, type SilentListener } from "./SilentListener.js";
+
+/**
+ * "refused": new connections are refused, open ones go on. "reset": open ones are reset as well. "silent": new
+ * connections get no answer, and nothing passes on open ones.
+ */
+export type CutForm = "refused" | "reset" | "silent";
+
+export class EndpointLinks {
+    /** Addresses to use instead of the endpoints' own, in their order. */
+    public readonly addresses: string[] = [];
+    private readonly relays: TcpRelay[] = [];
+    private listeners: SilentListener[] = [];
+
+    public async start(targets: readonly string[]): Promise<void> {
+        for (const target of targets) {
+            const relay = new TcpRelay(target);
+            this.relays.push(relay);
+            this.addresses.push(await relay.start("127.0.0.1:0"));
+        }
+    }
+
+    /** Cuts the links to the endpoints with the given indexes, or to all. */
+    public async cut(form: CutForm, indexes: readonly number[] = [...this.relays.keys()]): Promise<void> {
+        for (const at of indexes) {
+            this.relays[at]?.refuseNew();
+        }
+        for (const at of indexes) {
+            if (form === "silent") {
+                this.relays[at]?.silenceOpen();
+                this.listeners.push(await listenWithoutAccepting(this.addresses[at] ?? ""));
+            }
+            if (form === "reset") {
+                this.relays[at]?.drop();
+            }
+        }
+    }
+
+    public async heal(): Promise<void> {
+        await Promise.all(this.listeners.map(one => one.stop()));
+        this.listeners = [];
+        await Promise.all(this.relays.map(relay => relay.acceptNew()));
+    }
+
+    public async stop(): Promise<void> {
+        await Promise.all(this.listeners.map(one => one.stop()));
+        await Promise.all(this.relays.map(relay => relay.stop()));
+    }
+}
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -23,6 +23,7 @@
 import type { PieceExecutor, SubmissionId } from "../src/gather/Types.js";
 import { ServiceVersions } from "../src/streams/ServiceVersions.js";
 import { StreamOrigins } from "../src/streams/StreamOrigins.js";
+import { EndpointLinks } from "./EndpointLinks.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import {
     defaultBounds,
@@ -107,6 +108,8 @@
     readonly endpoints: readonly http.Server[];
     readonly gateway: Gateway;
     readonly limits: EndpointLimits;
+    /** Links of this host to the endpoints; undefined when it connects to them without any. */
+    readonly links: EndpointLinks | undefined;
     /** Takes an endpoint off the list of this host. */
     hide(endpoint: string): void;
 }
@@ -128,6 +131,8 @@
     readonly bounds?: Partial<FleetBounds>;
     /** Longest time that a request may take. */
     readonly timeoutMs?: number;
+    /** True when each host has links to the endpoints, which can be cut. */
+    readonly hasLinks?: boolean;
 }
 
 /**
@@ -138,7 +143,7 @@
     count: number,
     kind: RequestKind,
     handlers: readonly RequestHandler[],
-    { stageExecutor, versions, bounds, timeoutMs = 2000 }: GatewaySiteOptions = {},
+    { stageExecutor, versions, bounds, timeoutMs = 2000, hasLinks = false }: GatewaySiteOptions = {},
 ): Promise<readonly GatewaySite[]> {
     const received: http.IncomingMessage[] = [];
     const endpoints = await Promise.all(handlers.map(serve =>
@@ -157,6 +162,7 @@
             stageExecutor,
         );
         closers.push(dispose);
+        const links = hasLinks ? await startLinks(endpoints) : undefined;
         const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
         const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs, stages });
         const workspaces = new Map([["key", { id: "w" as WorkspaceId, priority: undefined }]]);
@@ -165,7 +171,7 @@
             deployment: { ...deployment([testRoute], [service("s")]), workspaces },
             endpoints: endpoints.map((server, at) =>
                 listed(`e${at}`, {
-                    address: addressOf(server),
+                    address: links?.addresses[at] ?? addressOf(server),
                     version: versions?.[at],
                     dataCentre: (at === 0 ? "a" : `far-${at}`) as DataCentreId,
                 })
@@ -174,10 +180,17 @@
         const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
         const hide = (endpoint: string) =>
             fleet.set({ endpoints: fleet.view().endpoints.filter(one => one.id !== endpoint) });
-        return { address, fleet, received, endpoints, gateway, limits, hide };
+        return { address, fleet, received, endpoints, gateway, limits, links, hide };
     }));
 }
 
+async function startLinks(endpoints: readonly http.Server[]): Promise<EndpointLinks> {
+    const links = new EndpointLinks();
+    closers.push(() => void links.stop());
+    await links.start(endpoints.map(addressOf));
+    return links;
+}
+
 function startGateway(
     self: HostId,
     network: FakeNetwork,
