--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -28,6 +28,8 @@
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
 import { PermitLender } from "../limits/PermitLender.js";
 import { RatePermits } from "../limits/RatePermits.js";
+import { DirectDialer } from "../paths/DirectDialer.js";
+import { EndpointPaths } from "../paths/EndpointPaths.js";
 import { ServiceVersions } from "../streams/ServiceVersions.js";
 import { StreamOrigins } from "../streams/StreamOrigins.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
@@ -59,7 +61,8 @@
     const fleet = followFleet(host, options, leaseClock);
     const limits = new EndpointLimits(leaseClock, log, metrics);
     const permits = buildPermits(host, { fleet, limits, clock: leaseClock, bounds });
-    const { notices, connections, tracker } = followEndpoints(host, fleet, limits, options);
+    const paths = buildPaths(host, fleet, options);
+    const { notices, connections, tracker } = followEndpoints(host, fleet, limits, paths, options);
     shareStatements(limits, notices, fleet);
     const streams = buildStreams(host, fleet, options);
     const pieces = buildGathering(host, { fleet, notices, permits, connections, options });
@@ -97,7 +100,7 @@
         log,
         onFatal: host.onFatal,
     });
-    host.start([fleet, pieces, server]);
+    host.start([fleet, paths, pieces, server]);
     return host;
 }
 
@@ -117,17 +120,26 @@
     });
 }
 
+/** Builds the ways to endpoints: this host's own, which it lends to others, and those through others. */
+function buildPaths(host: FleetHost, fleet: FleetClient, { settings }: FleetEntryOptions): EndpointPaths {
+    const { self, tunnels, tunnelServer, clock, log, metrics } = host;
+    const dialer = new DirectDialer(fleet, clock);
+    tunnelServer.serve(dialer);
+    return new EndpointPaths({ self, dataCentre: settings.dataCentre, fleet, dialer, tunnels, clock, log, metrics });
+}
+
 /** Builds what the host knows of endpoints, and its connections to them. */
 function followEndpoints(
     host: FleetHost,
     fleet: FleetClient,
     limits: EndpointLimits,
+    paths: EndpointPaths,
     { noticeDecoder }: FleetEntryOptions,
 ) {
     const { clock, random, log, metrics } = host;
     const notices = new EndpointNotices(noticeDecoder, limits, clock, random, log, metrics);
     const addressOf = (endpoint: EndpointId) => tracker.addressOf(endpoint);
-    const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs);
+    const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs, paths);
     const onRemoved = (id: EndpointId) => connections.closeIdleConnections(id);
     const tracker: EndpointTracker = new EndpointTracker(fleet, notices, clock, log, onRemoved);
     return { notices, connections, tracker };
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -12,6 +12,8 @@
 import type { FleetSettings } from "../fleet/Types.js";
 import { TrpcPeerServer } from "../peer/TrpcPeerServer.js";
 import { TrpcPeerTransport } from "../peer/TrpcPeerTransport.js";
+import { TunnelClient } from "../peer/TunnelClient.js";
+import { TunnelServer } from "../peer/TunnelServer.js";
 import { Supervisor } from "../supervise/Supervisor.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
@@ -46,6 +48,9 @@
     public readonly metrics = new MetricsRegistry();
     public readonly peers: TrpcPeerServer;
     public readonly transport: TrpcPeerTransport;
+    /** Tunnels to endpoints: those that this host opens, and those that it serves. */
+    public readonly tunnels: TunnelClient;
+    public readonly tunnelServer: TunnelServer;
     /** Aborted once a planned stop has ended all services. */
     public readonly stopped = new AbortController();
     /** Aborted when a planned stop begins, before anything is drained. */
@@ -71,6 +76,8 @@
         this.peers = new TrpcPeerServer({ key: peerKey, clock: hybridClock, log, metrics, onFatal: fatal });
         const addressOf = (host: HostId) => `${host}:${settings.peerPort}`;
         this.transport = new TrpcPeerTransport({ self, key: peerKey, addressOf, clock, hybridClock, log });
+        this.tunnels = new TunnelClient({ key: peerKey, addressOf, clock });
+        this.tunnelServer = new TunnelServer({ key: peerKey, clock, metrics, stopping: this.stopping.signal });
         this.supervisor = new Supervisor({ clock, log, onFatal: fatal });
         this.onFatal = fatal;
     }
@@ -90,9 +97,9 @@
     /** Starts the peer server, the given services, loop-delay measurement and, if configured, the metrics server. */
     public start(services: readonly Service[]): void {
         const { settings, metricsAddress } = this.options;
-        const { log, metrics, peers } = this;
+        const { log, metrics, peers, tunnelServer: tunnels, onFatal } = this;
         const address = `${settings.ip}:${settings.peerPort}`;
-        this.supervisor.start(new PeerServer({ address, peers, operators: undefined, log, onFatal: this.onFatal }));
+        this.supervisor.start(new PeerServer({ address, peers, tunnels, operators: undefined, log, onFatal }));
         services.forEach(service => this.supervisor.start(service));
         this.supervisor.start({ name: "loop-delay", run: signal => this.measureLoopDelay(signal) });
         if (metricsAddress !== undefined) {
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -5,7 +5,8 @@
 import { writeJson } from "../common/WriteJson.js";
 import type { OperatorApi } from "../entry/OperatorApi.js";
 import { peerPath, type TrpcPeerServer } from "../peer/TrpcPeerServer.js";
-import type { Service } from "../supervise/Types.js";
+import type { TunnelServer } from "../peer/TunnelServer.js";
+import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 
@@ -16,6 +17,8 @@
     /** "ip:port". */
     readonly address: string;
     readonly peers: TrpcPeerServer;
+    /** Undefined when this host serves no tunnels. */
+    readonly tunnels?: TunnelServer;
     /** Undefined when operators are served elsewhere. */
     readonly operators: OperatorApi | undefined;
     readonly log: EventLog;
@@ -42,7 +45,16 @@
             this.services.operators.handle(req, res).catch((err: unknown) => this.handleError(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
-        await serveUntil(server, this.services.address, signal);
+        const { address, tunnels } = this.services;
+        tunnels?.attach(server);
+        // The server does not close until they are closed.
+        signal.addEventListener("abort", () => tunnels?.dispose(), { once: true });
+        await serveUntil(server, address, signal);
+    }
+
+    /** Waits for the exchanges that other hosts have through this one. */
+    public async drain(graceMs: number): Promise<DrainReport> {
+        return { unfinished: await this.services.tunnels?.drain(graceMs) ?? 0, what: "tunnels" };
     }
 
     private handleError(err: unknown, res: http.ServerResponse): void {
--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -1,12 +1,14 @@
 /**
  * HTTP connections to endpoints: a keep-alive pool for each endpoint, a connect timeout, and a limit on concurrent
- * connection attempts to one endpoint.
+ * connection attempts to one endpoint. Where there are detours, an endpoint that can't be reached directly is reached
+ * through another host.
  */
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
-import type { Clock, Disposable, EndpointId } from "../common/Types.js";
+import type { Clock, Disposable, EndpointId, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
+import { DetourAgent, DetourError, detourMs, type EndpointDetours } from "./DetourAgent.js";
 
 /** Maximum concurrent connection attempts to one endpoint; more would flood an endpoint that is coming back. */
 const maxConcurrentConnects = 4;
@@ -22,6 +24,8 @@
 export interface ConnectError {
     readonly kind: "refused" | "timeout" | "aborted" | "no-address";
     readonly message: string;
+    /** False when the cause may be this host's own path, as no other host could tell whether it reaches the endpoint. */
+    readonly isConfirmed?: boolean;
 }
 
 export interface ConnectOptions {
@@ -41,6 +45,8 @@
     readonly req: http.ClientRequest;
     /** True when an earlier request has used the connection. */
     readonly reused: boolean;
+    /** The host through which the connection goes; undefined for a direct one. */
+    readonly through?: HostId | undefined;
 }
 
 /** Addresses of endpoints and the timeout for connecting to them. */
@@ -69,7 +75,10 @@
 
 interface Pool {
     readonly address: string;
+    /** Direct connections. */
     readonly agent: http.Agent;
+    /** Connections through other hosts. */
+    readonly detours: DetourAgent | undefined;
 }
 
 export class EndpointConnections implements Disposable {
@@ -82,6 +91,7 @@
         private readonly addresses: EndpointAddresses,
         private readonly clock: Clock,
         private readonly poolIdleMs: number = defaultPoolIdleMs,
+        private readonly detours?: EndpointDetours,
     ) {}
 
     /** Connects and returns a request ready to be written; the caller ends or destroys it. */
@@ -94,11 +104,7 @@
             return Left(abortedError);
         }
         try {
-            let connected = await this.connectOnce(pool, options);
-            while (connected.isRight() && this.isIdleTooLong(connected.unsafeCoerce(), options)) {
-                connected.ifRight(discard);
-                connected = await this.connectOnce(pool, options);
-            }
+            const connected = await this.connectAnyWay(endpoint, pool, options);
             connected.ifRight(limitInterimReplies);
             return connected;
         }
@@ -111,23 +117,24 @@
     public async refusesConnections(endpoint: EndpointId, signal: AbortSignal): Promise<boolean> {
         const connected = await this.connect(endpoint, { method: "GET", path: "/", fresh: true, signal });
         connected.ifRight(discard);
-        return connected.caseOf({ Left: error => error.kind === "refused", Right: () => false });
+        return connected.caseOf({
+            Left: error => error.kind === "refused" && error.isConfirmed !== false,
+            Right: () => false,
+        });
     }
 
     /** Closes idle connections to an endpoint, for when one of its connections fell silent and others may have too. */
     public closeIdleConnections(endpoint: EndpointId): void {
         const pool = this.pools.get(endpoint);
         this.pools.delete(endpoint);
-        for (const sockets of Object.values(pool?.agent.freeSockets ?? {})) {
-            for (const socket of sockets ?? []) {
-                socket.destroy();
-            }
-        }
+        closeFreeSockets(pool?.agent);
+        closeFreeSockets(pool?.detours);
     }
 
     public dispose(): void {
         for (const pool of this.pools.values()) {
             pool.agent.destroy();
+            pool.detours?.destroy();
         }
         this.pools.clear();
     }
@@ -142,13 +149,20 @@
         if (address === undefined) {
             return undefined;
         }
-        const pool = { address, agent: this.newAgent() };
+        const options = { keepAlive: true, timeout: this.poolIdleMs };
+        const { detours } = this;
+        const pool = {
+            address,
+            agent: this.prepare(new http.Agent(options)),
+            detours: detours === undefined
+                ? undefined
+                : this.prepare(new DetourAgent(endpoint, detours, options)),
+        };
         this.pools.set(endpoint, pool);
         return pool;
     }
 
-    private newAgent(): http.Agent {
-        const agent = new http.Agent({ keepAlive: true, timeout: this.poolIdleMs });
+    private prepare<Agent extends http.Agent>(agent: Agent): Agent {
         agent.on("free", (socket: Socket) => {
             this.idleSinceMs.set(socket, this.clock.nowMs());
             socket.on("data", destroyOnData);
@@ -198,12 +212,78 @@
         this.connectCounts.set(endpoint, (this.connectCounts.get(endpoint) ?? 1) - 1);
     }
 
-    private connectOnce(pool: Pool, options: ConnectOptions): Promise<Either<ConnectError, ReadyRequest>> {
-        const connectMs = this.addresses.connectMs();
+    /** Connects directly, and through another host where that fails, or first where it has failed before. */
+    private async connectAnyWay(
+        endpoint: EndpointId,
+        pool: Pool,
+        options: ConnectOptions,
+    ): Promise<Either<ConnectError, ReadyRequest>> {
+        const { detours } = this;
+        const isDetourFirst = detours?.isPreferred(endpoint) === true;
+        if (isDetourFirst) {
+            const detoured = await this.connectThrough(pool, options);
+            if (!detoured.isLeft() || detoured.extract().isConfirmed !== false) {
+                return detoured;
+            }
+        }
+        const direct = await this.connectVia(pool.agent, pool, options, this.addresses.connectMs());
+        if (!direct.isLeft()) {
+            direct.ifRight(({ reused }) => reused || detours?.recordConnected(endpoint));
+            return direct;
+        }
+        const error = direct.extract();
+        if (error.kind === "aborted" || detours?.isAvailable !== true) {
+            return direct;
+        }
+        if (isDetourFirst) {
+            return Left({ ...error, isConfirmed: false });
+        }
+        const detoured = await this.connectThrough(pool, options);
+        detoured.ifRight(({ through }) => {
+            detours.recordDetour(endpoint, error, through);
+            closeFreeSockets(pool.agent);
+        });
+        return detoured.mapLeft(({ kind, isConfirmed = true }) =>
+            kind === "aborted" ? abortedError : { ...error, isConfirmed }
+        );
+    }
+
+    private async connectThrough(pool: Pool, options: ConnectOptions): Promise<Either<ConnectError, ReadyRequest>> {
+        if (pool.detours === undefined) {
+            return Left({ kind: "timeout", message: "there are no detours", isConfirmed: false });
+        }
+        const connected = await this.connectVia(pool.detours, pool, options, detourMs);
+        return connected.map(ready => ({
+            ...ready,
+            through: ready.req.socket === null ? undefined : this.detours?.throughOf(ready.req.socket),
+        }));
+    }
+
+    /** Connects through an agent; pooled connections that have been idle for too long are discarded. */
+    private async connectVia(
+        agent: http.Agent,
+        pool: Pool,
+        options: ConnectOptions,
+        limitMs: number,
+    ): Promise<Either<ConnectError, ReadyRequest>> {
+        let connected = await this.connectOnce(agent, pool, options, limitMs);
+        while (connected.isRight() && this.isIdleTooLong(connected.unsafeCoerce(), options)) {
+            connected.ifRight(discard);
+            connected = await this.connectOnce(agent, pool, options, limitMs);
+        }
+        return connected;
+    }
+
+    private connectOnce(
+        agent: http.Agent,
+        pool: Pool,
+        options: ConnectOptions,
+        connectMs: number,
+    ): Promise<Either<ConnectError, ReadyRequest>> {
         return new Promise(resolve => {
             const req = http.request(`http://${pool.address}${options.path}`, {
                 method: options.method,
-                agent: options.fresh ? false : pool.agent,
+                agent: !options.fresh ? agent : agent instanceof DetourAgent ? agent.unpooled() : false,
                 headers: headersOf(options),
             });
             const finish = (result: Either<ConnectError, ReadyRequest>) => {
@@ -217,7 +297,7 @@
                 resolve(result);
             };
             const aborted = () => finish(Left(abortedError));
-            const failed = (err: Error) => finish(Left({ kind: "refused", message: err.message }));
+            const failed = (err: Error) => finish(Left(connectErrorOf(err)));
             const timeOut = () => finish(Left({ kind: "timeout", message: `no connection within ${connectMs} ms` }));
             // After a stall of this process, timers run before a connection that was made meanwhile is noticed.
             let timer = this.clock.setTimer(connectMs, () => timer = this.clock.setTimer(stallGraceMs, timeOut));
@@ -240,6 +320,23 @@
     }
 }
 
+function connectErrorOf(err: Error): ConnectError {
+    if (!(err instanceof DetourError)) {
+        return { kind: "refused", message: err.message };
+    }
+    const { kind, message } = err.error;
+    return kind === "unavailable" ? { kind: "timeout", message, isConfirmed: false } : { kind, message };
+}
+
+/** Closes an agent's idle connections. */
+function closeFreeSockets(agent: http.Agent | undefined): void {
+    for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+        for (const socket of sockets ?? []) {
+            socket.destroy();
+        }
+    }
+}
+
 /** Ends a request whose endpoint sends interim replies without end. */
 function limitInterimReplies({ req }: ReadyRequest): void {
     let count = 0;
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -4,7 +4,7 @@
  * it could not be attributed to a request.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
-import type { Clock, Disposable } from "../common/Types.js";
+import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { CallerReply } from "./CallerReply.js";
@@ -47,11 +47,17 @@
     private silenceTimer: Disposable | undefined;
     private isFinished = false;
     private req: ClientRequest | undefined;
+    private throughHost: HostId | undefined;
     private res: IncomingMessage | undefined;
     private resolve: (outcome: AttemptOutcome) => void = () => undefined;
 
     public constructor(private readonly options: ExchangeOptions) {}
 
+    /** The host through which the request was sent; undefined when it was sent directly, or not yet. */
+    public get through(): HostId | undefined {
+        return this.throughHost;
+    }
+
     /** Runs the attempt and resolves with its outcome. */
     public async run(): Promise<AttemptOutcome> {
         const { attempt, connections, head, headers, signal, mayRepeat } = this.options;
@@ -69,7 +75,8 @@
                 ? { kind: "cancelled" }
                 : { kind: "unsent", message, isSilent: kind === "timeout" };
         }
-        const { req } = connected.unsafeCoerce();
+        const { req, through } = connected.unsafeCoerce();
+        this.throughHost = through;
         return this.send(req);
     }
 
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -305,7 +305,12 @@
         void this.deps.quarantine.observe(this.admitted, record, outcome);
         this.tried.add(record);
         this.sentAttempts += outcome.kind === "unsent" ? 0 : 1;
-        this.recorder.recordAttempt(choice, outcome, startMs, this.caller.lastEvent);
+        this.recorder.recordAttempt(choice, {
+            outcome,
+            startMs,
+            lastEvent: this.caller.lastEvent,
+            through: exchange.through,
+        });
         return outcome;
     }
 
--- a/src/gateway/RequestRecorder.ts
+++ b/src/gateway/RequestRecorder.ts
@@ -1,5 +1,5 @@
 /** Writes the log lines and metrics of one request: the end of each attempt, and its final answer. */
-import type { Clock } from "../common/Types.js";
+import type { Clock, HostId } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { PermittedChoice } from "./EndpointSelection.js";
@@ -21,6 +21,15 @@
     readonly events: number;
 }
 
+interface AttemptEnd {
+    readonly outcome: AttemptOutcome;
+    readonly startMs: number;
+    /** The last event that the caller has. */
+    readonly lastEvent: string | undefined;
+    /** The host through which the request was sent; undefined when it was sent directly or not at all. */
+    readonly through: HostId | undefined;
+}
+
 export class RequestRecorder {
     private readonly attempts: string[] = [];
 
@@ -31,12 +40,10 @@
         private readonly metrics: Metrics,
     ) {}
 
-    /** Records an attempt that has ended; `lastEvent` is the last event that the caller has. */
+    /** Records an attempt that has ended. */
     public recordAttempt(
         { record, reason, permit, heldOff }: PermittedChoice,
-        outcome: AttemptOutcome,
-        startMs: number,
-        lastEvent: string | undefined,
+        { outcome, startMs, lastEvent, through }: AttemptEnd,
     ): void {
         this.attempts.push(`${record.id}:${outcome.kind}`);
         this.log.event(EventId.EndpointAttemptEnded, {
@@ -44,6 +51,7 @@
             endpoint: record.id,
             version: record.listed.version,
             chosenBy: reason,
+            ...(through === undefined ? {} : { through }),
             ...(lastEvent === undefined ? {} : { lastEvent }),
             running: record.running.size,
             failureShare: Number(record.failureShare.toFixed(2)),
--- /dev/null
+++ b/src/peer/TunnelClient.ts
@@ -0,0 +1,78 @@
+/**
+ * Opens byte streams to endpoints through another host, for a host that can't connect to them by itself. The host sends
+ * an HTTP CONNECT request to a peer, which connects to the endpoint directly and then copies bytes both ways.
+ */
+import * as http from "node:http";
+import type { Socket } from "node:net";
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock, HostId } from "../common/Types.js";
+import { keyHeader } from "./Keys.js";
+
+/** Header with the reason why a tunnel was not opened. */
+export const tunnelReasonHeader = "fireflykeel-tunnel";
+
+/**
+ * Why no tunnel was opened. "refused" and "timeout": a sound peer could not connect to the target either.
+ * "unavailable": the peer was not reached, serves too many tunnels, or has no path to the target itself.
+ */
+export interface TunnelError {
+    readonly kind: "refused" | "timeout" | "unavailable" | "aborted";
+    readonly message: string;
+}
+
+export interface TunnelClientOptions {
+    readonly key: string;
+    /** Returns "ip:port" of a peer. */
+    readonly addressOf: (host: HostId) => string;
+    readonly clock: Clock;
+}
+
+export class TunnelClient {
+    public constructor(private readonly options: TunnelClientOptions) {}
+
+    /** Opens a tunnel to `target` through a peer. The caller closes the socket. */
+    public open(
+        through: HostId,
+        target: string,
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<Either<TunnelError, Socket>> {
+        const { key, addressOf, clock } = this.options;
+        return new Promise(resolve => {
+            const req = http.request(`http://${addressOf(through)}`, {
+                method: "CONNECT",
+                path: encodeURIComponent(target),
+                agent: false,
+                headers: { [keyHeader]: key },
+            });
+            const finish = (result: Either<TunnelError, Socket>) => {
+                timer.dispose();
+                signal.removeEventListener("abort", onAbort);
+                resolve(result);
+            };
+            const fail = (kind: TunnelError["kind"], message: string) => {
+                finish(Left({ kind, message }));
+                req.destroy();
+            };
+            const onAbort = () => fail("aborted", "aborted before the tunnel was open");
+            const timer = clock.setTimer(timeoutMs, () => fail("unavailable", `no tunnel within ${timeoutMs} ms`));
+            signal.addEventListener("abort", onAbort);
+            req.on("error", err => fail("unavailable", err.message));
+            req.on("response", res => fail("unavailable", `the peer replied with status ${res.statusCode ?? 0}`));
+            req.on("connect", (res, socket) => {
+                if (res.statusCode === 200) {
+                    finish(Right(socket));
+                    return;
+                }
+                const reason = String(res.headers[tunnelReasonHeader]);
+                fail(reason === "refused" || reason === "timeout" ? reason : "unavailable", reason);
+                socket.destroy();
+            });
+            if (signal.aborted) {
+                onAbort();
+                return;
+            }
+            req.end();
+        });
+    }
+}
--- /dev/null
+++ b/src/peer/TunnelServer.ts
@@ -0,0 +1,139 @@
+/**
+ * Serves tunnels for peers: connects to an endpoint directly and copies bytes both ways. Closing or resetting one end
+ * does the same to the other. The end of a stream without framing is its only mark, so a reset must not look like one.
+ */
+import type * as http from "node:http";
+import { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { Either } from "purify-ts";
+import type { Clock, Disposable } from "../common/Types.js";
+import type { Metrics } from "../telemetry/Types.js";
+import { keyHeader, keyMatches } from "./Keys.js";
+import { type TunnelError, tunnelReasonHeader } from "./TunnelClient.js";
+
+/** Maximum number of open tunnels. */
+const maxTunnels = 1024;
+/** A tunnel without data for this long carries no exchange that a planned stop would have to wait for. */
+const quietMs = 1000;
+const drainPollMs = 50;
+
+/** Connects to endpoints from this host. */
+export interface TunnelDialer {
+    dial(target: string): Promise<Either<TunnelError, Socket>>;
+}
+
+interface TunnelServerOptions {
+    readonly key: string;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    /** Aborted when a planned stop of this host begins. */
+    readonly stopping: AbortSignal;
+}
+
+interface Tunnel {
+    readonly peer: Duplex;
+    readonly target: Socket;
+    lastDataMs: number;
+}
+
+export class TunnelServer implements Disposable {
+    private readonly tunnels = new Set<Tunnel>();
+    private dialer: TunnelDialer | undefined;
+    private dialing = 0;
+
+    public constructor(private readonly options: TunnelServerOptions) {}
+
+    /** Starts to serve tunnels; before that, they are refused. */
+    public serve(dialer: TunnelDialer): void {
+        this.dialer = dialer;
+    }
+
+    /** Takes the CONNECT requests of a server. */
+    public attach(server: http.Server): void {
+        server.on("connect", (req, peer) => {
+            // Errors are followed by "close".
+            peer.on("error", () => undefined);
+            void this.accept(req, peer);
+        });
+    }
+
+    /** Waits until no tunnel carries an exchange; resolves to the number of those that still do. */
+    public async drain(graceMs: number): Promise<number> {
+        const { clock } = this.options;
+        const untilMs = clock.nowMs() + graceMs;
+        const busy = () => [...this.tunnels].filter(one => clock.nowMs() - one.lastDataMs < quietMs).length;
+        while (busy() > 0 && clock.nowMs() < untilMs) {
+            await clock.sleep(drainPollMs);
+        }
+        return busy();
+    }
+
+    public dispose(): void {
+        for (const { peer, target } of this.tunnels) {
+            reset(peer);
+            target.destroy();
+        }
+    }
+
+    private async accept(req: http.IncomingMessage, peer: Duplex): Promise<void> {
+        const { key, metrics, stopping } = this.options;
+        const refuse = (reason: string) => {
+            metrics.count("tunnels_served", { outcome: reason });
+            peer.end(`HTTP/1.1 502 Bad Gateway\r\n${tunnelReasonHeader}: ${reason}\r\nContent-Length: 0\r\n\r\n`);
+        };
+        const target = Either.encase(() => decodeURIComponent(req.url ?? ""));
+        if (!keyMatches(key, req.headers[keyHeader]) || target.isLeft()) {
+            refuse("rejected");
+            return;
+        }
+        if (this.dialer === undefined || stopping.aborted || this.tunnels.size + this.dialing >= maxTunnels) {
+            refuse("busy");
+            return;
+        }
+        this.dialing += 1;
+        const dialed = await this.dialer.dial(target.orDefault(""));
+        this.dialing -= 1;
+        dialed.caseOf({
+            Left: ({ kind }) => refuse(kind),
+            Right: socket => {
+                metrics.count("tunnels_served", { outcome: "open" });
+                peer.write("HTTP/1.1 200 OK\r\n\r\n");
+                this.join(peer, socket);
+            },
+        });
+    }
+
+    private join(peer: Duplex, target: Socket): void {
+        const { clock } = this.options;
+        const tunnel = { peer, target, lastDataMs: clock.nowMs() };
+        this.tunnels.add(tunnel);
+        const onData = () => tunnel.lastDataMs = clock.nowMs();
+        target.setNoDelay(true);
+        if (peer instanceof Socket) {
+            peer.setNoDelay(true);
+        }
+        peer.on("data", onData).pipe(target, { end: false });
+        target.on("data", onData).pipe(peer, { end: false });
+        // A peer closes its end only after the exchange, or to give it up.
+        peer.once("end", () => target.destroy());
+        peer.once("close", () => target.destroy());
+        target.once("error", () => reset(peer));
+        target.once("end", () => peer.end());
+        target.once("close", () => {
+            this.tunnels.delete(tunnel);
+            peer.end();
+        });
+        if (peer.destroyed) {
+            target.destroy();
+        }
+    }
+}
+
+function reset(stream: Duplex): void {
+    if (stream instanceof Socket) {
+        stream.resetAndDestroy();
+    }
+    else {
+        stream.destroy();
+    }
+}
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -135,4 +135,9 @@
     StreamOriginFound = 1400,
     StreamOriginUnknown = 1401,
     StreamOriginsNotKept = 1402,
+    // 15xx: paths
+    EndpointPathLost = 1500,
+    CutOffFromEndpoints = 1501,
+    EndpointPathRegained = 1502,
+    DetourTried = 1503,
 }
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -21,6 +21,10 @@
 import { StageGraph } from "../src/gateway/StageGraph.js";
 import { StreamBinding } from "../src/gateway/StreamBinding.js";
 import type { PieceExecutor, SubmissionId } from "../src/gather/Types.js";
+import { DirectDialer } from "../src/paths/DirectDialer.js";
+import { EndpointPaths } from "../src/paths/EndpointPaths.js";
+import { TunnelClient } from "../src/peer/TunnelClient.js";
+import { TunnelServer } from "../src/peer/TunnelServer.js";
 import { ServiceVersions } from "../src/streams/ServiceVersions.js";
 import { StreamOrigins } from "../src/streams/StreamOrigins.js";
 import { EndpointLinks } from "./EndpointLinks.js";
@@ -154,14 +158,19 @@
     ));
     const hosts = entryHosts(count);
     const network = new FakeNetwork(new SystemClock());
+    const peerAddresses = new Map<HostId, string>();
     return Promise.all(hosts.map(async ({ host }) => {
-        const { fleet, gateway, limits, dispose } = startGateway(
+        const { fleet, gateway, limits, tunnelServer, dispose } = startGateway(
             host,
             network,
+            peerAddresses,
             { ...defaultBounds, ...bounds },
             stageExecutor,
         );
         closers.push(dispose);
+        const peerServer = await startServer((_, res) => void res.writeHead(404).end());
+        tunnelServer.attach(peerServer);
+        peerAddresses.set(host, addressOf(peerServer));
         const links = hasLinks ? await startLinks(endpoints) : undefined;
         const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
         const testRoute = route({ kind, maxEndpoints: 2, isPublic: false, timeoutMs, stages });
@@ -194,6 +203,7 @@
 function startGateway(
     self: HostId,
     network: FakeNetwork,
+    peerAddresses: ReadonlyMap<HostId, string>,
     bounds: FleetBounds,
     stageExecutor: PieceExecutor | undefined,
 ) {
@@ -208,7 +218,21 @@
     const decoder = new PlatformNoticeDecoder();
     const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
-    const connections = new EndpointConnections({ addressOf: currentAddress, connectMs: () => 500 }, clock);
+    const stop = new AbortController();
+    const key = "test-key-of-peers";
+    const tunnelServer = new TunnelServer({ key, clock, metrics: noMetrics, stopping: stop.signal });
+    const dialer = new DirectDialer(fleet, clock);
+    tunnelServer.serve(dialer);
+    const tunnels = new TunnelClient({ key, addressOf: host => peerAddresses.get(host) ?? "", clock });
+    const dataCentre = "a" as DataCentreId;
+    const paths = new EndpointPaths({ ...common, dataCentre, dialer, tunnels });
+    void paths.run(stop.signal);
+    const connections = new EndpointConnections(
+        { addressOf: currentAddress, connectMs: () => 500 },
+        clock,
+        undefined,
+        paths,
+    );
     const tracker: EndpointTracker = new EndpointTracker(
         fleet,
         notices,
@@ -249,10 +273,15 @@
             notices,
             log: silentLog,
             metrics: noMetrics,
-            stopped: new AbortController().signal,
+            stopped: stop.signal,
         }),
     });
-    return { fleet, gateway, limits, dispose: () => connections.dispose() };
+    const dispose = () => {
+        stop.abort();
+        tunnelServer.dispose();
+        connections.dispose();
+    };
+    return { fleet, gateway, limits, tunnelServer, dispose };
 }
 
 export interface Answer {
