--- a/testing/EndpointLinks.ts
+++ b/testing/EndpointLinks.ts
@@ -38,6 +38,11 @@
         }
     }
 
+    /** Number of open connections through the links. */
+    public get open(): number {
+        return this.relays.reduce((sum, relay) => sum + relay.open, 0);
+    }
+
     public async heal(): Promise<void> {
         await Promise.all(this.listeners.map(one => one.stop()));
         this.listeners = [];
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -114,6 +114,10 @@
     readonly limits: EndpointLimits;
     /** Links of this host to the endpoints; undefined when it connects to them without any. */
     readonly links: EndpointLinks | undefined;
+    /** Serves tunnels to endpoints for other hosts. */
+    readonly tunnelServer: TunnelServer;
+    /** Begins a planned stop of this host. */
+    stop(): void;
     /** Takes an endpoint off the list of this host. */
     hide(endpoint: string): void;
 }
@@ -128,6 +132,26 @@
     return site!;
 }
 
+/** Starts a gateway as {@link startGatewaySite} does, which reaches the endpoints through another host only. */
+export async function startDetouredSite(
+    kind: RequestKind,
+    handlers: readonly RequestHandler[],
+): Promise<GatewaySite> {
+    const [site] = await startGatewaySites(2, kind, handlers);
+    const endpoints = site!.fleet.view().endpoints.map(one => ({ ...one, address: closedAddress }));
+    site!.fleet.set({ endpoints });
+    return site!;
+}
+
+/** Refuses connections. */
+const closedAddress = "127.0.0.1:1";
+
+/** Ways in which requests reach endpoints, with the words that a test's name gets for them. */
+export const siteStarts = [
+    { way: "", start: startGatewaySite },
+    { way: ", through another host", start: startDetouredSite },
+] as const;
+
 interface GatewaySiteOptions {
     readonly stageExecutor?: PieceExecutor;
     readonly versions?: readonly string[];
@@ -160,7 +184,7 @@
     const network = new FakeNetwork(new SystemClock());
     const peerAddresses = new Map<HostId, string>();
     return Promise.all(hosts.map(async ({ host }) => {
-        const { fleet, gateway, limits, tunnelServer, dispose } = startGateway(
+        const { fleet, gateway, limits, tunnelServer, stop, dispose } = startGateway(
             host,
             network,
             peerAddresses,
@@ -189,7 +213,7 @@
         const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
         const hide = (endpoint: string) =>
             fleet.set({ endpoints: fleet.view().endpoints.filter(one => one.id !== endpoint) });
-        return { address, fleet, received, endpoints, gateway, limits, links, hide };
+        return { address, fleet, received, endpoints, gateway, limits, links, tunnelServer, stop, hide };
     }));
 }
 
@@ -218,15 +242,16 @@
     const decoder = new PlatformNoticeDecoder();
     const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
-    const stop = new AbortController();
+    const stopping = new AbortController();
+    const stopped = new AbortController();
     const key = "test-key-of-peers";
-    const tunnelServer = new TunnelServer({ key, clock, metrics: noMetrics, stopping: stop.signal });
+    const tunnelServer = new TunnelServer({ key, clock, metrics: noMetrics, stopping: stopping.signal });
     const dialer = new DirectDialer(fleet, clock);
     tunnelServer.serve(dialer);
     const tunnels = new TunnelClient({ key, addressOf: host => peerAddresses.get(host) ?? "", clock });
     const dataCentre = "a" as DataCentreId;
     const paths = new EndpointPaths({ ...common, dataCentre, dialer, tunnels });
-    void paths.run(stop.signal);
+    void paths.run(stopped.signal);
     const connections = new EndpointConnections(
         { addressOf: currentAddress, connectMs: () => 500 },
         clock,
@@ -273,15 +298,15 @@
             notices,
             log: silentLog,
             metrics: noMetrics,
-            stopped: stop.signal,
+            stopped: stopped.signal,
         }),
     });
     const dispose = () => {
-        stop.abort();
+        stopped.abort();
         tunnelServer.dispose();
         connections.dispose();
     };
-    return { fleet, gateway, limits, tunnelServer, dispose };
+    return { fleet, gateway, limits, tunnelServer, stop: () => stopping.abort(), dispose };
 }
 
 export interface Answer {
