--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -161,6 +161,8 @@
     readonly timeoutMs?: number;
     /** True when each host has links to the endpoints, which can be cut. */
     readonly hasLinks?: boolean;
+    /** Requests that each endpoint runs at the same time, as the list says. */
+    readonly slots?: number;
 }
 
 /**
@@ -171,7 +173,7 @@
     count: number,
     kind: RequestKind,
     handlers: readonly RequestHandler[],
-    { stageExecutor, versions, bounds, timeoutMs = 2000, hasLinks = false }: GatewaySiteOptions = {},
+    { stageExecutor, versions, bounds, timeoutMs = 2000, hasLinks = false, slots = 1 }: GatewaySiteOptions = {},
 ): Promise<readonly GatewaySite[]> {
     const received: http.IncomingMessage[] = [];
     const endpoints = await Promise.all(handlers.map(serve =>
@@ -206,6 +208,7 @@
                 listed(`e${at}`, {
                     address: links?.addresses[at] ?? addressOf(server),
                     version: versions?.[at],
+                    slots,
                     dataCentre: (at === 0 ? "a" : `far-${at}`) as DataCentreId,
                 })
             ),
