--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -9,7 +9,7 @@
 import { EndpointNotices, type NoticeDecoder } from "../endpoints/EndpointNotices.js";
 import { FleetClient } from "../fleet/FleetClient.js";
 import { shareStatements } from "../fleet/StatementSharing.js";
-import type { DeploymentDecoder, FleetBounds } from "../fleet/Types.js";
+import type { DeploymentDecoder } from "../fleet/Types.js";
 import { EndpointChooser } from "../gateway/EndpointChooser.js";
 import { EndpointTracker } from "../gateway/EndpointTracker.js";
 import { ColdStartQuota, FleetRetryBudget } from "../gateway/FleetQuotas.js";
@@ -26,8 +26,7 @@
 import { HttpPieceClient } from "../gather/HttpPieceClient.js";
 import { PermittedPieceClient } from "../gather/PermittedPieceClient.js";
 import type { PieceCodec, SubmissionId } from "../gather/Types.js";
-import { PermitLender } from "../limits/PermitLender.js";
-import { RatePermits } from "../limits/RatePermits.js";
+import { createEndpointPermits, type EndpointPermits } from "../limits/EndpointPermits.js";
 import { DirectDialer } from "../paths/DirectDialer.js";
 import { EndpointPaths } from "../paths/EndpointPaths.js";
 import { ServiceVersions } from "../streams/ServiceVersions.js";
@@ -60,10 +59,13 @@
     const leaseClock = new LeaseClock(clock);
     const fleet = followFleet(host, options, leaseClock);
     const limits = new EndpointLimits(leaseClock, log, metrics);
-    const permits = buildPermits(host, { fleet, limits, clock: leaseClock, bounds });
+    const brittle = new EndpointLimits(leaseClock, log, metrics, "brittle");
+    const { transport, peers: registry } = host;
+    const common = { self, fleet, transport, registry, log, metrics };
+    const permits = createEndpointPermits({ ...common, bounds, limits, brittle, clock: leaseClock });
     const paths = buildPaths(host, fleet, options);
-    const { notices, connections, tracker } = followEndpoints(host, fleet, limits, paths, options);
-    shareStatements(limits, notices, fleet);
+    const { notices, connections, tracker } = followEndpoints(host, { fleet, limits, brittle, paths }, options);
+    shareStatements([limits, brittle], notices, fleet);
     const streams = buildStreams(host, fleet, options);
     const pieces = buildGathering(host, { fleet, notices, permits, connections, options });
     const nextId = submissionIds(`${self}.${incarnation.toString(36)}`);
@@ -128,16 +130,21 @@
     return new EndpointPaths({ self, dataCentre: settings.dataCentre, fleet, dialer, tunnels, clock, log, metrics });
 }
 
+interface EndpointParts {
+    readonly fleet: FleetClient;
+    readonly limits: EndpointLimits;
+    readonly brittle: EndpointLimits;
+    readonly paths: EndpointPaths;
+}
+
 /** Builds what the host knows of endpoints, and its connections to them. */
 function followEndpoints(
     host: FleetHost,
-    fleet: FleetClient,
-    limits: EndpointLimits,
-    paths: EndpointPaths,
+    { fleet, limits, brittle, paths }: EndpointParts,
     { noticeDecoder }: FleetEntryOptions,
 ) {
     const { clock, random, log, metrics } = host;
-    const notices = new EndpointNotices(noticeDecoder, limits, clock, random, log, metrics);
+    const notices = new EndpointNotices(noticeDecoder, limits, brittle, clock, random, log, metrics);
     const addressOf = (endpoint: EndpointId) => tracker.addressOf(endpoint);
     const connections = new EndpointConnections({ addressOf, connectMs: () => connectMs }, clock, idleMs, paths);
     const onRemoved = (id: EndpointId) => connections.closeIdleConnections(id);
@@ -145,20 +152,6 @@
     return { notices, connections, tracker };
 }
 
-interface PermitParts {
-    readonly fleet: FleetClient;
-    readonly limits: EndpointLimits;
-    readonly clock: LeaseClock;
-    readonly bounds: FleetBounds;
-}
-
-/** Builds both roles of the host in limiting request rates: the lender for some endpoints, and the borrower for all. */
-function buildPermits(host: FleetHost, parts: PermitParts): RatePermits {
-    const { self, transport, peers: registry, log, metrics } = host;
-    const common = { ...parts, self, log, metrics };
-    return new RatePermits({ ...common, lender: new PermitLender({ ...common, registry }), transport });
-}
-
 /** Builds what finds and remembers where streams began. */
 function buildStreams(host: FleetHost, fleet: FleetClient, { settings }: FleetEntryOptions) {
     const { self, transport, peers: registry, clock, log, metrics } = host;
@@ -170,7 +163,7 @@
 interface GatheringParts {
     readonly fleet: FleetClient;
     readonly notices: EndpointNotices;
-    readonly permits: RatePermits;
+    readonly permits: EndpointPermits;
     readonly connections: EndpointConnections;
     readonly options: FleetEntryOptions;
 }
--- a/src/endpoints/EndpointLimits.ts
+++ b/src/endpoints/EndpointLimits.ts
@@ -1,7 +1,8 @@
 /**
- * The request rates to which endpoints limit the fleet, as they state them in the heads of their replies. A limit holds
- * for the sum of all hosts, from the first reply that states it until one of the same start of the endpoint without it.
- * Hosts tell each other what they have read; for each endpoint the statement that was made last counts.
+ * Figures with which endpoints limit the fleet, as they state them in the heads of their replies: how many requests they
+ * take in a second, or how many they can turn away. A figure holds for the sum of all hosts, from the first reply that
+ * states it until one of the same start of the endpoint without it. Hosts tell each other what they have read; for each
+ * endpoint the statement that was made last counts.
  */
 import { BoundedMap } from "../common/BoundedMap.js";
 import { Emitter } from "../common/Emitter.js";
@@ -14,6 +15,11 @@
 /** Maximum number of endpoints that are remembered; the oldest are forgotten first. */
 const maxRemembered = 4096;
 
+/** "limit": requests that an endpoint takes; "brittle": requests beyond its room that it can turn away, or it ends. */
+export type LimitMatter = "limit" | "brittle";
+
+const changeEvents = { limit: EventId.EndpointLimitChanged, brittle: EventId.EndpointBrittlenessChanged };
+
 /** What an endpoint has last stated. */
 export interface EndpointLimit {
     /** Requests per second over all hosts; undefined for no limit. */
@@ -40,6 +46,7 @@
         private readonly clock: Clock,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
+        public readonly matter: LimitMatter = "limit",
     ) {}
 
     /** Records the limit in a reply: requests per second, undefined for none, NaN when it can't be read. */
@@ -50,7 +57,11 @@
         }
         if (stated !== undefined && !(stated >= 0)) {
             this.metrics.count("endpoint_notices", { kind: "ignored" });
-            this.log.event(EventId.EndpointLimitUnreadable, { endpoint, known: known?.perSecond });
+            this.log.event(EventId.EndpointLimitUnreadable, {
+                endpoint,
+                matter: this.matter,
+                known: known?.perSecond,
+            });
         }
         const perSecond = stated === undefined ? undefined : readLimit(stated, known?.perSecond);
         this.set(endpoint, { perSecond, statedMs: this.clock.nowMs(), from: "reply" });
@@ -81,8 +92,8 @@
         const { perSecond, statedMs, from } = limit;
         if (perSecond !== before) {
             const ageMs = Math.round(this.clock.nowMs() - statedMs);
-            this.metrics.count("endpoint_notices", { kind: "limit" });
-            this.log.event(EventId.EndpointLimitChanged, { endpoint, perSecond, before, from, ageMs });
+            this.metrics.count("endpoint_notices", { kind: this.matter });
+            this.log.event(changeEvents[this.matter], { endpoint, perSecond, before, from, ageMs });
         }
     }
 }
--- a/src/endpoints/EndpointNotices.ts
+++ b/src/endpoints/EndpointNotices.ts
@@ -1,6 +1,6 @@
 /**
  * What endpoints have said of themselves in the heads of their replies: that they are leaving, that they want no
- * request for a while, or how many requests they take (kept by {@link EndpointLimits}). A leaving endpoint gets nothing
+ * request for a while, how many requests they take, or how many they can turn away (kept by {@link EndpointLimits}). A leaving endpoint gets nothing
  * more from this host whatever the endpoint list says, since the list lags; another start of it has another id. A pause
  * ends by itself, a little later on some hosts than on others, so that a paused endpoint is not met by all hosts at
  * once.
@@ -28,6 +28,8 @@
     readonly pauseMs: number | undefined;
     /** Requests per second that it takes from all hosts together; undefined for no limit, NaN when that can't be read. */
     readonly limitPerSecond: number | undefined;
+    /** Requests per second that it can turn away for want of room; undefined for any, NaN when that can't be read. */
+    readonly turnAwaysPerSecond: number | undefined;
 }
 
 /** The headers of a reply by lower-case name, as Node.js gives them. */
@@ -49,6 +51,7 @@
     public constructor(
         private readonly decoder: NoticeDecoder,
         private readonly limits: EndpointLimits,
+        private readonly brittle: EndpointLimits,
         private readonly clock: Clock,
         private readonly random: Random,
         private readonly log: EventLog,
@@ -61,8 +64,9 @@
         if (notice === undefined) {
             return;
         }
-        const { isLeaving, pauseMs, limitPerSecond } = notice;
+        const { isLeaving, pauseMs, limitPerSecond, turnAwaysPerSecond } = notice;
         this.limits.recordReply(endpoint, limitPerSecond);
+        this.brittle.recordReply(endpoint, turnAwaysPerSecond);
         if (isLeaving && !this.leaving.has(endpoint)) {
             this.addLeaving(endpoint, "reply");
             this.leavingReplies.fire(endpoint);
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -8,7 +8,7 @@
 import { FleetCluster } from "../../testing/FleetCluster.js";
 import { listed, noMetrics, silentLog, testNotices } from "../../testing/FleetFixtures.js";
 import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
-import { EndpointLimits } from "../endpoints/EndpointLimits.js";
+import { EndpointLimits, type LimitMatter } from "../endpoints/EndpointLimits.js";
 import type { FleetClient } from "./FleetClient.js";
 import { shareStatements } from "./StatementSharing.js";
 
@@ -231,28 +231,32 @@
     await fleet.stopAll();
 });
 
-test("a limit that the control hosts have lost stays known to the hosts, and is told again after the next reply", async () => {
-    const fleet = await startFleet();
-    await fleet.put("c1", 1);
-    const client = fleet.startEntry("h1");
-    const limits = new EndpointLimits(fleet.clock, silentLog, noMetrics);
-    shareStatements(limits, testNotices(fleet.clock, undefined, silentLog, limits), client);
-    const other = fleet.startEntry("h2");
-    await fleet.clock.advance(2000);
-    const endpoint = "e1" as EndpointId;
-    limits.recordReply(endpoint, 2);
-    await fleet.clock.advance(1000);
-    assert.equal(other.view().limits.get(endpoint)?.perSecond, 2);
-    const disks = names.map(name => [name, fleet.crash(name)] as const);
-    disks.forEach(([name, disk]) => fleet.startControl(name, false, disk));
-    await fleet.clock.advance(6000);
-    assert.equal(other.view().limits.size, 0);
-    assert.equal(limits.perSecond(endpoint), 2);
-    limits.recordReply(endpoint, 2);
-    await fleet.clock.advance(1000);
-    assert.equal(other.view().limits.get(endpoint)?.perSecond, 2);
-    await fleet.stopAll();
-});
+const matters: readonly LimitMatter[] = ["limit", "brittle"];
+for (const matter of matters) {
+    test(`what control hosts have lost stays known to the hosts, and is told again after the next reply: ${matter}`, async () => {
+        const fleet = await startFleet();
+        await fleet.put("c1", 1);
+        const client = fleet.startEntry("h1");
+        const stated = new EndpointLimits(fleet.clock, silentLog, noMetrics, matter);
+        shareStatements([stated], testNotices(fleet.clock), client);
+        const other = fleet.startEntry("h2");
+        const told = () => matter === "limit" ? other.view().limits : other.view().brittle;
+        await fleet.clock.advance(2000);
+        const endpoint = "e1" as EndpointId;
+        stated.recordReply(endpoint, 2);
+        await fleet.clock.advance(1000);
+        assert.equal(told().get(endpoint)?.perSecond, 2);
+        const disks = names.map(name => [name, fleet.crash(name)] as const);
+        disks.forEach(([name, disk]) => fleet.startControl(name, false, disk));
+        await fleet.clock.advance(6000);
+        assert.equal(told().size, 0);
+        assert.equal(stated.perSecond(endpoint), 2);
+        stated.recordReply(endpoint, 2);
+        await fleet.clock.advance(1000);
+        assert.equal(told().get(endpoint)?.perSecond, 2);
+        await fleet.stopAll();
+    });
+}
 
 test("an endpoint that tells one host that it is leaving gets nothing more from the others, though the list calls it ready", async () => {
     const fleet = await startFleet();
@@ -262,7 +266,7 @@
         const client = fleet.startEntry(name);
         const limits = new EndpointLimits(fleet.clock, silentLog, noMetrics);
         const notices = testNotices(fleet.clock, undefined, silentLog, limits);
-        shareStatements(limits, notices, client);
+        shareStatements([limits], notices, client);
         return notices;
     });
     await fleet.clock.advance(2000);
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -51,6 +51,7 @@
     condemnedParts: new Set(),
     cutOff: new Set(),
     limits: new Map(),
+    brittle: new Map(),
     leaving: new Set(),
 };
 
@@ -338,24 +339,26 @@
         }
     }
 
-    private decodeStatements(reports: readonly StatementReport[]): Pick<FleetView, "limits" | "leaving"> {
+    private decodeStatements(reports: readonly StatementReport[]): Pick<FleetView, "limits" | "brittle" | "leaving"> {
         const nowMs = this.options.clock.nowMs();
         const limits = new Map<EndpointId, EndpointLimit>();
+        const brittle = new Map<EndpointId, EndpointLimit>();
         const leaving = new Set<EndpointId>();
         for (const { endpoint, matter, perSecond, ageMs } of reports) {
-            if (matter === "limit") {
-                limits.set(endpoint, { perSecond, statedMs: nowMs - ageMs });
+            if (matter === "leaving") {
+                leaving.add(endpoint);
             }
             else {
-                leaving.add(endpoint);
+                (matter === "limit" ? limits : brittle).set(endpoint, { perSecond, statedMs: nowMs - ageMs });
             }
         }
-        return { limits, leaving };
+        return { limits, brittle, leaving };
     }
 
     private logChange(reply: SyncReply): void {
-        const { deployment, endpoints, hosts, dataCentresOut, cutOff, limits, suspectedParts, condemnedParts } =
-            this.current;
+        const { deployment, endpoints, hosts, dataCentresOut, cutOff, suspectedParts, condemnedParts } = this.current;
+        const countStated = (stated: FleetView["limits"]) =>
+            [...stated.values()].filter(one => one.perSecond !== undefined).length;
         this.options.log.event(EventId.FleetViewChanged, {
             config: deployment?.version,
             endpoints: endpoints.length,
@@ -363,7 +366,8 @@
             hosts: hosts.filter(host => host.isLive).length,
             dataCentresOut: [...dataCentresOut],
             cutOff: [...cutOff],
-            limits: [...limits.values()].filter(one => one.perSecond !== undefined).length,
+            limits: countStated(this.current.limits),
+            brittle: countStated(this.current.brittle),
             suspectedParts: suspectedParts.size,
             condemnedParts: [...condemnedParts],
             ageMs: Math.round(this.ageMs()),
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -81,7 +81,7 @@
 
 const statementReport = z.object({
     endpoint: z.string() as unknown as z.ZodType<EndpointId>,
-    matter: z.enum(["limit", "leaving"]),
+    matter: z.enum(["limit", "brittle", "leaving"]),
     perSecond: z.number().optional(),
     ageMs: z.number(),
 });
--- a/src/fleet/StatementReports.ts
+++ b/src/fleet/StatementReports.ts
@@ -1,11 +1,12 @@
 /**
  * What endpoints have stated of themselves in replies to entry hosts, collected by control hosts and told to all entry
- * hosts, so that a host acts on it before it has met it itself: limits on their request rates, and that they are
- * leaving. Of each matter the statement that was made last counts. The end of a limit is kept like a limit, so that an
+ * hosts, so that a host acts on it before it has met it itself: limits on their request rates, that they are brittle, and
+ * that they are leaving. Of each matter the statement that was made last counts. The end of a limit is kept like a limit, so that an
  * older report does not revive it.
  */
 import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, EndpointId } from "../common/Types.js";
+import type { LimitMatter } from "../endpoints/EndpointLimits.js";
 import { tagOf } from "./FleetMessages.js";
 
 /** Hosts that meet what control hosts no longer tell report it again, so that forgetting costs little. */
@@ -16,10 +17,11 @@
 export interface Statement {
     readonly endpoint: EndpointId;
     /**
-     * "limit": how many requests it takes; "leaving": it is about to end, which this start of it does not take back.
+     * "limit": how many requests it takes; "brittle": how many it can turn away; "leaving": it is about to end, which
+     * this start of it does not take back.
      */
-    readonly matter: "limit" | "leaving";
-    /** Requests per second over all hosts; left out when the endpoint has no limit. */
+    readonly matter: LimitMatter | "leaving";
+    /** Requests per second over all hosts; left out when the endpoint has no limit, or is no longer brittle. */
     readonly perSecond?: number | undefined;
 }
 
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -175,6 +175,8 @@
     readonly cutOff: ReadonlySet<DataCentreId>;
     /** What endpoints have stated of their limits to any host; times on the local clock. */
     readonly limits: ReadonlyMap<EndpointId, EndpointLimit>;
+    /** How many requests endpoints that are brittle can turn away, as they have stated to any host. */
+    readonly brittle: ReadonlyMap<EndpointId, EndpointLimit>;
     /** Endpoints that have said to any host that they are about to end. */
     readonly leaving: ReadonlySet<EndpointId>;
 }
--- a/src/gateway/EndpointSelection.ts
+++ b/src/gateway/EndpointSelection.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from "../common/Types.js";
 import type { Service } from "../fleet/Types.js";
-import type { PermitOutcome, RatePermits } from "../limits/RatePermits.js";
+import type { EndpointPermit, EndpointPermits } from "../limits/EndpointPermits.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { EndpointChoice, EndpointChooser } from "./EndpointChooser.js";
@@ -15,9 +15,9 @@
 /** Pause before the next selection when no endpoint may get the request. */
 const noEndpointPauseMs = 40;
 
-/** An endpoint that may get the request now, once. */
+/** An endpoint that may get the request now, once. A place that the permit holds is released when the request ends. */
 export interface PermittedChoice extends EndpointChoice {
-    readonly permit: PermitOutcome;
+    readonly permit: Exclude<EndpointPermit, { readonly kind: "denied"; }>;
     /** Endpoints that were passed over since their limits are used up. */
     readonly heldOff: readonly EndpointRecord[];
 }
@@ -30,7 +30,7 @@
 
 interface EndpointSelectionOptions {
     readonly chooser: EndpointChooser;
-    readonly permits: RatePermits;
+    readonly permits: EndpointPermits;
     readonly cold: ColdStartQuota;
     readonly clock: Clock;
     readonly log: EventLog;
@@ -43,6 +43,8 @@
     readonly prompt: PromptInfo | undefined;
     /** 0 is the highest priority. */
     readonly priority: number;
+    /** Deadline of the request, on the local clock. */
+    readonly deadlineMs: number;
 }
 
 export class EndpointSelection {
@@ -84,9 +86,13 @@
             }
             const permit = await this.acquire(choice.record, wasDenied);
             wasDenied ||= permit.kind === "denied";
-            if (permit.kind !== "denied" && !signal.aborted) {
+            if (permit.kind === "denied") {
+                continue;
+            }
+            if (!signal.aborted) {
                 return { ...choice, permit, heldOff: endpoints.filter(one => this.heldOffMs(one) > 0) };
             }
+            permit.place?.release(false);
         }
         return undefined;
     }
@@ -107,9 +113,10 @@
         return forMs > 0 ? { reason: isPaused ? "paused" : "limited", forMs } : undefined;
     }
 
-    private async acquire(record: EndpointRecord, wasDenied: boolean): Promise<PermitOutcome> {
-        const { permits, priority, request, log, metrics } = this.options;
-        const permit = await permits.acquire(record.listed, priority, wasDenied);
+    private async acquire(record: EndpointRecord, wasDenied: boolean): Promise<EndpointPermit> {
+        const { permits, priority, request, deadlineMs, clock, log, metrics } = this.options;
+        const holdMs = Math.max(1, deadlineMs - clock.nowMs());
+        const permit = await permits.acquire(record.listed, priority, { wasDenied, holdMs });
         if (permit.kind === "denied") {
             const { basis, waitMs } = permit;
             metrics.count("requests_kept_off_limited_endpoints");
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -10,7 +10,7 @@
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { FleetBounds, FleetSource, Workspace } from "../fleet/Types.js";
 import type { PieceExecutor } from "../gather/Types.js";
-import type { RatePermits } from "../limits/RatePermits.js";
+import type { EndpointPermits } from "../limits/EndpointPermits.js";
 import type { StreamOrigins } from "../streams/StreamOrigins.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -53,7 +53,7 @@
     readonly notices: EndpointNotices;
     readonly retries: FleetRetryBudget;
     readonly cold: ColdStartQuota;
-    readonly permits: RatePermits;
+    readonly permits: EndpointPermits;
     readonly origins: StreamOrigins;
     readonly binding: StreamBinding;
     readonly replyTimes: ReplyTimes;
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -101,6 +101,7 @@
             service,
             prompt: head.prompt,
             priority: this.priority,
+            deadlineMs: this.deadlineMs,
         });
     }
 
@@ -162,6 +163,7 @@
             // The request may have been admitted before its cause was known.
             const cause = this.deps.quarantine.causeFor(this.admitted);
             if (cause !== undefined) {
+                choice.permit.place?.release(false);
                 return { kind: "refused", refusal: this.refusal("quarantined", cause) };
             }
             this.isAtEndpoint = true;
@@ -301,6 +303,7 @@
             onReply,
         });
         const outcome = await exchange.run();
+        choice.permit.place?.release(outcome.kind === "not-run" && outcome.status === noRoomStatus);
         attempt.recordOutcome(outcome);
         void this.deps.quarantine.observe(this.admitted, record, outcome);
         this.tried.add(record);
@@ -459,6 +462,8 @@
     }
 }
 
+/** Status with which an endpoint refuses a request that it has no room for. */
+const noRoomStatus = 503;
 /** Status with which an endpoint refuses a request whose stage results it could not fetch. */
 const resultsGoneStatus = 409;
 /** Statuses that callers take to mean that the request has not run. */
--- a/src/gather/PermittedPieceClient.ts
+++ b/src/gather/PermittedPieceClient.ts
@@ -1,10 +1,10 @@
 /**
- * Sends what goes to endpoints of stages only with a permit, where an endpoint limits its request rate. Calls come
- * first. Results to be freed wait and are freed together; a query of the state is left out when the limit is used up.
+ * Sends what goes to endpoints of stages only with a permit, where an endpoint limits its request rate or is brittle.
+ * Calls come first. Results to be freed wait and are freed together; a query of the state is left out when the limit is used up.
  */
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
-import type { RatePermits } from "../limits/RatePermits.js";
+import type { EndpointPermits } from "../limits/EndpointPermits.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { CallOutcome, PieceCall, PieceClient, WorkState } from "./Types.js";
@@ -29,7 +29,7 @@
 
     public constructor(
         private readonly client: PieceClient,
-        private readonly permits: RatePermits,
+        private readonly permits: EndpointPermits,
         private readonly clock: Clock,
         private readonly log: EventLog,
     ) {}
@@ -40,14 +40,16 @@
         timeoutMs: number,
         signal: AbortSignal,
     ): Promise<CallOutcome> {
-        const permit = await this.permits.acquire(endpoint, callPriority);
+        const permit = await this.permits.acquire(endpoint, callPriority, { holdMs: timeoutMs });
         if (permit.kind === "denied") {
             const { basis, waitMs } = permit;
             const requests = [...new Set(calls.map(one => one.request))];
             this.log.event(EventId.PermitDenied, { requests, endpoint: endpoint.id, ...basis, waitMs });
             return { kind: "limited", message: usedUp, waitMs };
         }
-        return this.client.run(endpoint, calls, timeoutMs, signal);
+        const outcome = await this.client.run(endpoint, calls, timeoutMs, signal);
+        permit.place?.release(outcome.kind === "full");
+        return outcome;
     }
 
     public async free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined> {
@@ -86,6 +88,7 @@
 
     private async isPermitted(endpoint: ListedEndpoint): Promise<boolean> {
         const isHeldOff = this.permits.heldOffMs(endpoint.id, upkeepPriority) > 0;
-        return !isHeldOff && (await this.permits.acquire(endpoint, upkeepPriority)).kind !== "denied";
+        return !isHeldOff
+            && (await this.permits.acquire(endpoint, upkeepPriority, { holdMs: undefined })).kind !== "denied";
     }
 }
--- a/src/limits/LimitMessages.ts
+++ b/src/limits/LimitMessages.ts
@@ -1,4 +1,7 @@
-/** Messages between entry hosts about permits for requests to endpoints that limit their request rate. */
+/**
+ * Messages between entry hosts about permits for requests to endpoints that limit their request rate, and about places
+ * at brittle endpoints.
+ */
 import * as z from "zod";
 import type { DataCentreId, EndpointId } from "../common/Types.js";
 import { definePeerMethod } from "../peer/Types.js";
@@ -33,7 +36,43 @@
     /** The replying host does not lend the endpoint's permits. */
     | { readonly kind: "not-lender"; };
 
+const placeRequest = z.object({
+    endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+    /** Data centre of the endpoint. */
+    dataCentre: z.string() as unknown as z.ZodType<DataCentreId>,
+    /** Requests that the endpoint runs at the same time. */
+    slots: z.number(),
+    /** The place ends by itself after this time. */
+    holdMs: z.number(),
+    /** Requests that the endpoint can turn away in a second, as the requesting host knows. */
+    perSecond: z.number(),
+    /** Age of the reply that stated it. */
+    ageMs: z.number(),
+});
+
+export type PlaceRequest = z.infer<typeof placeRequest>;
+
+export type PlaceReply =
+    | { readonly kind: "lent"; readonly place: string; }
+    /** The endpoint is no longer brittle. */
+    | { readonly kind: "unlimited"; readonly ageMs: number; }
+    | { readonly kind: "denied"; readonly waitMs: number; }
+    /** The replying host does not lend the endpoint's places. */
+    | { readonly kind: "not-lender"; };
+
+const placeReturn = z.object({
+    endpoint: z.string() as unknown as z.ZodType<EndpointId>,
+    place: z.string(),
+    /** True when the endpoint had no room for the request. */
+    wasTurnedAway: z.boolean(),
+});
+
+export type PlaceReturn = z.infer<typeof placeReturn>;
+
 export const limitMethods = {
+    /** Requests a place at an endpoint, which the host holds until it returns it. */
+    place: definePeerMethod<PlaceRequest, PlaceReply>("limits.place", placeRequest),
+    returnPlace: definePeerMethod<PlaceReturn, Record<string, never>>("limits.return", placeReturn),
     /** Requests a permit for one request to an endpoint. It is to be used at once. */
     permit: definePeerMethod<PermitRequest, PermitReply>("limits.permit", permitRequest),
 };
--- a/src/limits/RatePermits.test.ts
+++ b/src/limits/RatePermits.test.ts
@@ -154,7 +154,7 @@
             return Right({ kind: "lent" } as never);
         },
     };
-    const outcome = site.startPermits(other.id, other.fleet, late).acquire(endpoint!, 0);
+    const outcome = site.startPermits(other.id, other.fleet, late).acquire(endpoint!, 0, { holdMs: undefined });
     await site.clock.advance(600);
     assert.equal((await outcome).kind, "denied");
 });
--- a/src/limits/RatePermits.ts
+++ b/src/limits/RatePermits.ts
@@ -2,22 +2,15 @@
  * Obtains permits for requests to endpoints that limit their request rate. A permit is for one request, which is sent
  * at once. Without an answer of a lender nothing is sent, so that a host which is cut off exceeds no limit.
  */
-import { Right } from "purify-ts";
 import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, EndpointId, HostId } from "../common/Types.js";
 import type { EndpointLimits, StatementOrigin } from "../endpoints/EndpointLimits.js";
-import { HostRanks } from "../fleet/HostRanks.js";
-import type { FleetSource, ListedEndpoint } from "../fleet/Types.js";
-import type { PeerTransport } from "../peer/Types.js";
-import { EventId } from "../telemetry/Events.js";
-import type { EventLog, Metrics } from "../telemetry/Types.js";
-import { limitMethods, type PermitReply, type PermitRequest } from "./LimitMessages.js";
-import { lendersPerEndpoint, type PermitLender } from "./PermitLender.js";
+import type { ListedEndpoint } from "../fleet/Types.js";
+import type { Metrics } from "../telemetry/Types.js";
+import type { LenderClient } from "./LenderClient.js";
+import { limitMethods } from "./LimitMessages.js";
+import type { PermitLender } from "./PermitLender.js";
 
-/** Time limit for a lender's reply: many round trips, and short against a request's objective. */
-const replyTimeoutMs = 150;
-/** A lender that did not reply is passed over for this long. */
-const lenderLostMs = 1000;
 /** Time without requests to an endpoint when none of its lenders replies. */
 const noLenderPauseMs = 250;
 /** A permit is void after this time, which passes only when this host was suspended. */
@@ -50,22 +43,17 @@
 }
 
 interface RatePermitsOptions {
-    readonly self: HostId;
-    readonly fleet: FleetSource;
     readonly limits: EndpointLimits;
+    readonly lenders: LenderClient;
     /** Of this host. */
     readonly lender: PermitLender;
-    readonly transport: PeerTransport;
     /** Includes time in system suspension. */
     readonly clock: Clock;
-    readonly log: EventLog;
     readonly metrics: Metrics;
 }
 
 export class RatePermits {
-    private readonly ranks = new HostRanks();
     private readonly denials = new BoundedMap<EndpointId, readonly Denial[]>(maxDenials);
-    private readonly lostUntilMs = new Map<HostId, number>();
 
     public constructor(private readonly options: RatePermitsOptions) {}
 
@@ -87,7 +75,7 @@
      * request was denied one before, at this or another endpoint.
      */
     public async acquire(endpoint: ListedEndpoint, priority: number, wasDenied = false): Promise<PermitOutcome> {
-        const { limits, clock, metrics } = this.options;
+        const { limits, lenders, lender: own, clock, metrics } = this.options;
         const limit = limits.get(endpoint.id);
         if (limit?.perSecond === undefined) {
             return { kind: "unlimited" };
@@ -97,7 +85,7 @@
         const ageMs = askedMs - limit.statedMs;
         const { id, dataCentre } = endpoint;
         const req = { endpoint: id, dataCentre, priority, perSecond, ageMs, wasDenied };
-        const { lender, reply } = await this.ask(req);
+        const { lender, reply } = await lenders.ask(limitMethods.permit, req, one => own.lend(one));
         const basis = { perSecond, statedAgeMs: Math.round(ageMs), from, lender };
         const nowMs = clock.nowMs();
         if (reply.kind === "unlimited") {
@@ -116,29 +104,6 @@
         return { kind: "denied", basis, waitMs };
     }
 
-    /** Asks the endpoint's lenders in their order; the next one only when one can't be reached. */
-    private async ask(req: PermitRequest): Promise<{ readonly lender?: HostId; readonly reply: PermitReply; }> {
-        const { self, fleet, lender: own, transport, clock, log } = this.options;
-        const lenders = this.ranks.live(req.endpoint, req.dataCentre, fleet.view().hosts).slice(0, lendersPerEndpoint);
-        for (const lender of lenders) {
-            if (clock.nowMs() < (this.lostUntilMs.get(lender) ?? -Infinity)) {
-                continue;
-            }
-            const replied = lender === self
-                ? Right(own.lend(req))
-                : await transport.call(lender, limitMethods.permit, req, { timeoutMs: replyTimeoutMs });
-            replied.ifLeft(error => {
-                this.lostUntilMs.set(lender, clock.nowMs() + lenderLostMs);
-                log.event(EventId.PermitLenderLost, { lender, endpoint: req.endpoint, ...error });
-            });
-            const reply = replied.toMaybe().extract();
-            if (reply !== undefined && reply.kind !== "not-lender") {
-                return { lender, reply };
-            }
-        }
-        return { reply: { kind: "not-lender" } };
-    }
-
     private remember(endpoint: EndpointId, denial: Denial): void {
         const others = (this.denials.get(endpoint) ?? [])
             .filter(one => one.priority !== denial.priority && one.retryAtMs > this.options.clock.nowMs());
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -53,6 +53,7 @@
     EndpointPauseIgnored = 611,
     EndpointLimitChanged = 612,
     EndpointLimitUnreadable = 613,
+    EndpointBrittlenessChanged = 614,
     // 7xx: records
     RecordsSessionEnded = 700,
     RecordsSessionExpired = 701,
@@ -131,6 +132,8 @@
     PermitLenderRole = 1300,
     PermitLenderLost = 1301,
     PermitDenied = 1302,
+    /** A brittle endpoint has turned a request away, and fewer of its places are lent. */
+    PlacesReduced = 1303,
     // 14xx: streams
     StreamOriginFound = 1400,
     StreamOriginUnknown = 1401,
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -22,8 +22,7 @@
     ServiceId,
 } from "../src/fleet/Types.js";
 import type { CallOutcome, PieceCall, PieceClient, Submission, SubmissionId, WorkState } from "../src/gather/Types.js";
-import { PermitLender } from "../src/limits/PermitLender.js";
-import { RatePermits } from "../src/limits/RatePermits.js";
+import { createEndpointPermits, type EndpointPermits } from "../src/limits/EndpointPermits.js";
 import type { PeerRegistry, PeerTransport } from "../src/peer/Types.js";
 import type { EventLog, Metrics } from "../src/telemetry/Types.js";
 
@@ -48,19 +47,22 @@
     random: Random = new SeededRandom(1),
     log: EventLog = silentLog,
     limits: EndpointLimits = new EndpointLimits(clock, log, noMetrics),
+    brittle: EndpointLimits = new EndpointLimits(clock, log, noMetrics, "brittle"),
 ): EndpointNotices {
     const decodeNotice = (_: number, { leaving, pause, limit }: ReplyHeaders) => ({
         isLeaving: leaving === "1",
         pauseMs: pause === undefined ? undefined : Number(pause),
         limitPerSecond: limit === undefined ? undefined : Number(limit),
+        turnAwaysPerSecond: undefined,
     });
-    return new EndpointNotices({ decodeNotice }, limits, clock, random, log, noMetrics);
+    return new EndpointNotices({ decodeNotice }, limits, brittle, clock, random, log, noMetrics);
 }
 
 interface TestPermitParts {
     readonly self: HostId;
     readonly fleet: FleetSource;
     readonly limits: EndpointLimits;
+    readonly brittle?: EndpointLimits;
     readonly peers: PeerRegistry & PeerTransport;
     readonly clock: Clock;
     readonly log?: EventLog;
@@ -68,11 +70,18 @@
 }
 
 /** The permits of a host, which it lends through `peers`, and borrows there or through `transport`. */
-export function testPermits(parts: TestPermitParts, transport?: PeerTransport): RatePermits {
-    const { self, fleet, limits, peers, clock, log = silentLog, metrics = noMetrics } = parts;
-    const common = { self, fleet, limits, clock, log, metrics };
-    const lender = new PermitLender({ ...common, bounds: defaultBounds, registry: peers });
-    return new RatePermits({ ...common, lender, transport: transport ?? peers });
+export function testPermits(parts: TestPermitParts, transport?: PeerTransport): EndpointPermits {
+    const { peers, clock, log = silentLog, metrics = noMetrics } = parts;
+    const brittle = parts.brittle ?? new EndpointLimits(clock, log, metrics, "brittle");
+    return createEndpointPermits({
+        ...parts,
+        bounds: defaultBounds,
+        brittle,
+        registry: peers,
+        transport: transport ?? peers,
+        log,
+        metrics,
+    });
 }
 
 export const defaultBounds: FleetBounds = {
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -237,13 +237,14 @@
     const clock = new SystemClock();
     const fleet = new FixedFleet();
     const limits = new EndpointLimits(clock, silentLog, noMetrics);
+    const brittle = new EndpointLimits(clock, silentLog, noMetrics, "brittle");
     const peers = network.addHost(self);
-    const permits = testPermits({ self, fleet, limits, peers, clock });
+    const permits = testPermits({ self, fleet, limits, brittle, peers, clock });
     const common = { self, fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
     const origins = new StreamOrigins(common);
     const versions = new ServiceVersions(fleet, clock, false);
     const decoder = new PlatformNoticeDecoder();
-    const notices = new EndpointNotices(decoder, limits, clock, new SeededRandom(1), silentLog, noMetrics);
+    const notices = new EndpointNotices(decoder, limits, brittle, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
     const stopping = new AbortController();
     const stopped = new AbortController();
--- a/testing/PermitSite.ts
+++ b/testing/PermitSite.ts
@@ -5,7 +5,7 @@
 import type { DataCentreId, HostId } from "../src/common/Types.js";
 import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import type { EntryHost, ListedEndpoint } from "../src/fleet/Types.js";
-import type { RatePermits } from "../src/limits/RatePermits.js";
+import type { EndpointPermits } from "../src/limits/EndpointPermits.js";
 import type { PeerTransport } from "../src/peer/Types.js";
 import { FakeClock } from "./FakeClock.js";
 import { FakeNetwork } from "./FakeNetwork.js";
@@ -17,7 +17,7 @@
 interface PermitHost {
     readonly id: HostId;
     readonly fleet: FixedFleet;
-    permits: RatePermits;
+    permits: EndpointPermits;
 }
 
 export interface Send {
@@ -99,7 +99,7 @@
             if (host.permits.heldOffMs(endpoint.id, priority) > 0) {
                 continue;
             }
-            const outcome = await host.permits.acquire(endpoint, priority);
+            const outcome = await host.permits.acquire(endpoint, priority, { holdMs: undefined });
             if (outcome.kind !== "denied") {
                 this.sends.push({ host: host.id, endpoint, priority, atMs: this.clock.nowMs() });
                 return;
@@ -112,7 +112,7 @@
      * Starts a process of a host, to which all endpoints have stated their limits. With `transport`, its requests to
      * other hosts go there.
      */
-    public startPermits(self: HostId, fleet: FixedFleet, transport?: PeerTransport): RatePermits {
+    public startPermits(self: HostId, fleet: FixedFleet, transport?: PeerTransport): EndpointPermits {
         const { clock, network } = this;
         const limits = new EndpointLimits(clock, silentLog, noMetrics);
         this.endpoints.forEach(({ id }) => limits.recordReply(id, this.perSecond));
--- a/testing/PromptSimulation.ts
+++ b/testing/PromptSimulation.ts
@@ -12,7 +12,7 @@
 import { EndpointTracker } from "../src/gateway/EndpointTracker.js";
 import { ColdStartQuota } from "../src/gateway/FleetQuotas.js";
 import type { ReplyHead } from "../src/gateway/Types.js";
-import type { RatePermits } from "../src/limits/RatePermits.js";
+import type { EndpointPermits } from "../src/limits/EndpointPermits.js";
 import { FakeClock } from "./FakeClock.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import {
@@ -76,7 +76,7 @@
         private readonly site: PromptSimulation,
         fleet: FleetSource,
         private readonly limits: EndpointLimits,
-        private readonly permits: RatePermits,
+        private readonly permits: EndpointPermits,
         at: number,
     ) {
         const { clock } = site;
@@ -104,6 +104,7 @@
             service: service("s"),
             prompt: { parts: [{ id: subject, tokens: 1 }, { id: "own", tokens: 1 }], inputTokens: 1, outputTokens: 1 },
             priority: profile.priority,
+            deadlineMs: Infinity,
         });
         const usable = () => this.tracker.usable(id);
         if (selection.unavailableForMs(usable()) > profile.objectiveMs / 2) {
