--- a/src/gateway/StreamBinding.test.ts
+++ b/src/gateway/StreamBinding.test.ts
@@ -15,6 +15,7 @@
     silentLog,
 } from "../../testing/FleetFixtures.js";
 import type { WorkspaceId } from "../common/Types.js";
+import type { RouteId } from "../fleet/Types.js";
 import { ServiceVersions } from "../streams/ServiceVersions.js";
 import { StreamOrigins } from "../streams/StreamOrigins.js";
 import { StreamBinding, streamKey } from "./StreamBinding.js";
@@ -124,6 +125,7 @@
         const versions = new ServiceVersions(fleet, clock, false);
         fleet.set({
             hosts: [self!, other!],
+            deployment: deployment([taken], [service("s"), service("t")]),
             endpoints: all.map((version, at) => listed(`e${at}`, { version })),
         });
         await clock.advance(60_000);
@@ -204,3 +206,83 @@
     const result = await bind();
     assert.ok("refusal" in result && result.refusal.retryAfterMs !== undefined);
 });
+
+/** What happens to a host in the last seconds before a caller takes up a stream that nobody remembers. */
+const doubts: readonly {
+    readonly name: string;
+    readonly isFirstStart?: boolean;
+    readonly startedMsAgo?: number;
+    readonly disturb?: (fleet: FixedFleet, clock: FakeClock) => Promise<void> | void;
+}[] = [
+    {
+        name: "the route has led to another service until a second ago",
+        disturb: async (fleet, clock) => {
+            fleet.set({ deployment: deployment([{ ...stream, targets: split.targets.slice(1) }], [service("t")]) });
+            await clock.advance(2000);
+            fleet.set({ deployment: deployment([stream], [service("s")]) });
+            await clock.advance(1000);
+        },
+    },
+    {
+        name: "the route is new, and may have taken over paths of another one",
+        disturb: async (fleet, clock) => {
+            fleet.set({ deployment: deployment([{ ...stream, id: "other" as RouteId }], [service("s")]) });
+            await clock.advance(20_000);
+            fleet.set({ deployment: deployment([stream], [service("s")]) });
+            await clock.advance(1000);
+        },
+    },
+    {
+        name: "the route's limit was longer until a second ago, and a stream of another version may still run",
+        disturb: async (fleet, clock) => {
+            fleet.set({
+                deployment: deployment([{ ...stream, timeoutMs: 30_000 }], [service("s")]),
+                endpoints: ["v0", "v1"].map((version, at) => listed(`e${at}`, { version })),
+            });
+            await clock.advance(1000);
+            fleet.set({ endpoints: [listed("e1", { version: "v1" })] });
+            await clock.advance(20_000);
+            fleet.set({ deployment: deployment([stream], [service("s")]) });
+            await clock.advance(1000);
+        },
+    },
+    {
+        name: "the view has not been confirmed for ten seconds",
+        disturb: fleet => {
+            fleet.viewAgeMs = 10_000;
+        },
+    },
+    { name: "the host has started three seconds ago", startedMsAgo: 3000 },
+    {
+        name:
+            "the host has started three seconds ago with the settings of a first start, and others have a configuration",
+        startedMsAgo: 3000,
+        isFirstStart: true,
+    },
+];
+
+for (const { name, isFirstStart = false, startedMsAgo = 60_000, disturb } of doubts) {
+    // Guards against streams joined from two versions, since a host takes the only version that it knows for theirs.
+    test(`a stream that nobody remembers is refused when ${name}`, async () => {
+        const clock = new FakeClock();
+        const network = new FakeNetwork(clock);
+        const fleet = new FixedFleet();
+        const peers = network.addHost(hosts[0]!.host);
+        const common = { fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
+        const origins = new StreamOrigins({ ...common, self: hosts[0]!.host });
+        const versions = new ServiceVersions(fleet, clock, isFirstStart);
+        fleet.set({
+            hosts: hosts.slice(0, 1),
+            deployment: deployment([stream], [service("s")]),
+            endpoints: [listed("e1", { version: "v1" })],
+        });
+        await clock.advance(startedMsAgo);
+        await disturb?.(fleet, clock);
+        const binding = new StreamBinding({ origins, versions, log: silentLog, metrics: noMetrics });
+        const admitted = { head, route: stream, service: service("s"), workspace, body: Buffer.alloc(0), arrivedMs: 0 };
+        const bound = binding.bind({ ...admitted, origin: undefined }, fleet.view().deployment!);
+        await clock.advance(500);
+        const result = await bound;
+        assert.equal("refusal" in result ? result.refusal.reason : result.admitted.origin?.version, "unknown-origin");
+    });
+}
