--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -29,6 +29,8 @@
 import { createEndpointPermits, type EndpointPermits } from "../limits/EndpointPermits.js";
 import { DirectDialer } from "../paths/DirectDialer.js";
 import { EndpointPaths } from "../paths/EndpointPaths.js";
+import { FirstStart } from "../streams/FirstStart.js";
+import { RouteHistory } from "../streams/RouteHistory.js";
 import { ServiceVersions } from "../streams/ServiceVersions.js";
 import { StreamOrigins } from "../streams/StreamOrigins.js";
 import { FleetHost, type FleetHostOptions } from "./FleetHost.js";
@@ -156,8 +158,10 @@
 function buildStreams(host: FleetHost, fleet: FleetClient, { settings }: FleetEntryOptions) {
     const { self, transport, peers: registry, clock, log, metrics } = host;
     const origins = new StreamOrigins({ self, fleet, transport, registry, clock, log, metrics });
-    const versions = new ServiceVersions(fleet, clock, settings.isFirstStart);
-    return { origins, binding: new StreamBinding({ origins, versions, log, metrics }) };
+    const firstStart = new FirstStart(fleet, settings.isFirstStart);
+    const versions = new ServiceVersions(fleet, clock, firstStart);
+    const routes = new RouteHistory(fleet, clock, firstStart);
+    return { origins, binding: new StreamBinding({ origins, versions, routes, log, metrics }) };
 }
 
 interface GatheringParts {
--- a/src/gateway/StreamBinding.test.ts
+++ b/src/gateway/StreamBinding.test.ts
@@ -16,6 +16,8 @@
 } from "../../testing/FleetFixtures.js";
 import type { WorkspaceId } from "../common/Types.js";
 import type { RouteId } from "../fleet/Types.js";
+import { FirstStart } from "../streams/FirstStart.js";
+import { RouteHistory } from "../streams/RouteHistory.js";
 import { ServiceVersions } from "../streams/ServiceVersions.js";
 import { StreamOrigins } from "../streams/StreamOrigins.js";
 import { StreamBinding, streamKey } from "./StreamBinding.js";
@@ -40,6 +42,15 @@
     forwarded: [],
 };
 
+/** What a host knows of versions and routes. */
+function history(fleet: FixedFleet, clock: FakeClock, isFirstStart: boolean = false) {
+    const firstStart = new FirstStart(fleet, isFirstStart);
+    return {
+        versions: new ServiceVersions(fleet, clock, firstStart),
+        routes: new RouteHistory(fleet, clock, firstStart),
+    };
+}
+
 interface Case {
     readonly name: string;
     readonly head?: Partial<RequestHead>;
@@ -122,7 +133,7 @@
             return new StreamOrigins({ ...common, self: host!.host });
         };
         const [origins, otherOrigins] = [startOrigins(self), startOrigins(other)];
-        const versions = new ServiceVersions(fleet, clock, false);
+        const known = history(fleet, clock);
         fleet.set({
             hosts: [self!, other!],
             deployment: deployment([taken], [service("s"), service("t")]),
@@ -134,7 +145,7 @@
             otherOrigins.record(streamKey(workspace.id, "begun"), { service: serviceId(id), version }, 1);
             await clock.advance(50);
         }
-        const binding = new StreamBinding({ origins, versions, log: silentLog, metrics: noMetrics });
+        const binding = new StreamBinding({ origins, ...known, log: silentLog, metrics: noMetrics });
         const admitted = {
             head: { ...head, ...fields },
             route: taken,
@@ -171,8 +182,8 @@
         const common = { fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
         return new StreamOrigins({ ...common, self });
     });
-    const versions = new ServiceVersions(fleet, clock, false);
-    const binding = new StreamBinding({ origins: origins!, versions, log: silentLog, metrics: noMetrics });
+    const known = history(fleet, clock);
+    const binding = new StreamBinding({ origins: origins!, ...known, log: silentLog, metrics: noMetrics });
     const admitted = {
         head,
         route: stream,
@@ -270,7 +281,7 @@
         const peers = network.addHost(hosts[0]!.host);
         const common = { fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
         const origins = new StreamOrigins({ ...common, self: hosts[0]!.host });
-        const versions = new ServiceVersions(fleet, clock, isFirstStart);
+        const known = history(fleet, clock, isFirstStart);
         fleet.set({
             hosts: hosts.slice(0, 1),
             deployment: deployment([stream], [service("s")]),
@@ -278,7 +289,7 @@
         });
         await clock.advance(startedMsAgo);
         await disturb?.(fleet, clock);
-        const binding = new StreamBinding({ origins, versions, log: silentLog, metrics: noMetrics });
+        const binding = new StreamBinding({ origins, ...known, log: silentLog, metrics: noMetrics });
         const admitted = { head, route: stream, service: service("s"), workspace, body: Buffer.alloc(0), arrivedMs: 0 };
         const bound = binding.bind({ ...admitted, origin: undefined }, fleet.view().deployment!);
         await clock.advance(500);
--- a/src/gateway/StreamBinding.ts
+++ b/src/gateway/StreamBinding.ts
@@ -5,6 +5,7 @@
  */
 import type { WorkspaceId } from "../common/Types.js";
 import type { Deployment, Route } from "../fleet/Types.js";
+import type { RouteHistory } from "../streams/RouteHistory.js";
 import type { ServiceVersions } from "../streams/ServiceVersions.js";
 import type { StreamOrigin } from "../streams/StreamOrigin.js";
 import type { OriginSearch, StreamOrigins } from "../streams/StreamOrigins.js";
@@ -13,10 +14,6 @@
 import type { AdmittedRequest } from "./GatewayRequest.js";
 import type { Refusal, RequestHead } from "./Types.js";
 
-/** A stream may be as old as several tries of its caller, each of which may last for the route's limit. */
-const maxTries = 2;
-/** By this time all hosts have seen a change of the endpoint list. */
-const listLagMs = 5000;
 /** Number of attempt for an origin that no attempt can change any more. */
 const finalAttempt = Number.MAX_SAFE_INTEGER;
 /** Retry advice when a host that may know the stream did not reply. */
@@ -25,6 +22,7 @@
 interface StreamBindingOptions {
     readonly origins: StreamOrigins;
     readonly versions: ServiceVersions;
+    readonly routes: RouteHistory;
     readonly log: EventLog;
     readonly metrics: Metrics;
 }
@@ -75,9 +73,9 @@
     }
 
     private onlyOrigin({ route, service }: AdmittedRequest): StreamOrigin | undefined {
-        const isOnlyService = route.targets.filter(one => one.weight > 0).length === 1;
-        const forMs = route.timeoutMs * maxTries + listLagMs;
-        return isOnlyService ? this.options.versions.only(service.id, forMs) : undefined;
+        const { routes, versions } = this.options;
+        const forMs = routes.longestStreamMs(route.id);
+        return routes.hasLedOnlyTo(service.id, route.id, forMs) ? versions.only(service.id, forMs) : undefined;
     }
 
     private refuseUnknown({ id, resumes }: RequestHead, search: OriginSearch | undefined): Refusal {
--- a/src/streams/ServiceVersions.test.ts
+++ b/src/streams/ServiceVersions.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { FakeClock } from "../../testing/FakeClock.js";
 import { FixedFleet, listed, serviceId } from "../../testing/FleetFixtures.js";
+import { FirstStart } from "./FirstStart.js";
 import { ServiceVersions } from "./ServiceVersions.js";
 
 const forMs = 15_000;
@@ -28,7 +29,7 @@
     test(`the only version of a service: ${name}`, async () => {
         const clock = new FakeClock();
         const fleet = new FixedFleet();
-        const versions = new ServiceVersions(fleet, clock, isFirstStart);
+        const versions = new ServiceVersions(fleet, clock, new FirstStart(fleet, isFirstStart));
         for (const list of lists) {
             fleet.set({ endpoints: of(...list) });
             await clock.advance(10_000);
@@ -40,7 +41,7 @@
 test("versions of another service don't count", async () => {
     const clock = new FakeClock();
     const fleet = new FixedFleet();
-    const versions = new ServiceVersions(fleet, clock, false);
+    const versions = new ServiceVersions(fleet, clock, new FirstStart(fleet, false));
     fleet.set({ endpoints: [...of("v1"), listed("o", { service: serviceId("other"), version: "v2" })] });
     await clock.advance(20_000);
     assert.equal(versions.only(serviceId("s"), forMs)?.version, "v1");
@@ -50,7 +51,7 @@
 test("a list without versions is a service of one version, and without an endpoint there is none", async () => {
     const clock = new FakeClock();
     const fleet = new FixedFleet();
-    const versions = new ServiceVersions(fleet, clock, false);
+    const versions = new ServiceVersions(fleet, clock, new FirstStart(fleet, false));
     fleet.set({ endpoints: [listed("e0"), listed("e1")] });
     await clock.advance(20_000);
     assert.deepEqual(versions.only(serviceId("s"), forMs), { service: "s", version: undefined });
--- a/src/streams/ServiceVersions.ts
+++ b/src/streams/ServiceVersions.ts
@@ -4,17 +4,24 @@
  */
 import type { Clock } from "../common/Types.js";
 import type { FleetSource, FleetView, ServiceId } from "../fleet/Types.js";
+import type { FirstStart } from "./FirstStart.js";
 import type { StreamOrigin } from "./StreamOrigin.js";
 
+/** In an older view another version may be missing that serves by now. */
+const maxViewAgeMs = 3000;
+
 export class ServiceVersions {
     /** For each service: its versions, with the time at which each was listed last. */
     private readonly seenMs = new Map<ServiceId, Map<string | undefined, number>>();
     private lastView: FleetView;
-    private readonly sinceMs: number;
+    private readonly startedMs: number;
 
-    /** `isFirstStart` is true when no streams exist from before this process has started. */
-    public constructor(private readonly fleet: FleetSource, private readonly clock: Clock, isFirstStart: boolean) {
-        this.sinceMs = isFirstStart ? -Infinity : clock.nowMs();
+    public constructor(
+        private readonly fleet: FleetSource,
+        private readonly clock: Clock,
+        private readonly firstStart: FirstStart,
+    ) {
+        this.startedMs = clock.nowMs();
         this.lastView = fleet.view();
         fleet.onChange(view => {
             if (view.endpoints !== this.lastView.endpoints) {
@@ -28,7 +35,8 @@
     /** The only version that a service has had for `forMs`; undefined when it has had several, or that is not known. */
     public only(service: ServiceId, forMs: number): StreamOrigin | undefined {
         const fromMs = this.clock.nowMs() - forMs;
-        if (this.sinceMs > fromMs) {
+        const isKnownSince = this.firstStart.isProven || this.startedMs <= fromMs;
+        if (!isKnownSince || this.fleet.ageMs() > maxViewAgeMs) {
             return undefined;
         }
         this.note(this.fleet.view());
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -25,6 +25,8 @@
 import { EndpointPaths } from "../src/paths/EndpointPaths.js";
 import { TunnelClient } from "../src/peer/TunnelClient.js";
 import { TunnelServer } from "../src/peer/TunnelServer.js";
+import { FirstStart } from "../src/streams/FirstStart.js";
+import { RouteHistory } from "../src/streams/RouteHistory.js";
 import { ServiceVersions } from "../src/streams/ServiceVersions.js";
 import { StreamOrigins } from "../src/streams/StreamOrigins.js";
 import { EndpointLinks } from "./EndpointLinks.js";
@@ -242,7 +244,9 @@
     const permits = testPermits({ self, fleet, limits, brittle, peers, clock });
     const common = { self, fleet, transport: peers, registry: peers, clock, log: silentLog, metrics: noMetrics };
     const origins = new StreamOrigins(common);
-    const versions = new ServiceVersions(fleet, clock, false);
+    const firstStart = new FirstStart(fleet, false);
+    const versions = new ServiceVersions(fleet, clock, firstStart);
+    const routes = new RouteHistory(fleet, clock, firstStart);
     const decoder = new PlatformNoticeDecoder();
     const notices = new EndpointNotices(decoder, limits, brittle, clock, new SeededRandom(1), silentLog, noMetrics);
     const currentAddress = (endpoint: EndpointId) => tracker.addressOf(endpoint);
@@ -290,7 +294,7 @@
         cold,
         permits,
         origins,
-        binding: new StreamBinding({ origins, versions, log: silentLog, metrics: noMetrics }),
+        binding: new StreamBinding({ origins, versions, routes, log: silentLog, metrics: noMetrics }),
         replyTimes: new ReplyTimes(),
         clock,
         log: silentLog,
