--- a/src/gateway/EndpointTracker.ts
+++ b/src/gateway/EndpointTracker.ts
@@ -24,8 +24,11 @@
 const assumedColdMs = 1500;
 /** Consecutive broken requests that make an endpoint suspect; a single one may be caused by that request. */
 const breaksUntilSuspect = 2;
-/** Half-life of the failure share; its decay lets an unused endpoint be tried again. */
+/** Half-life of the failure share, and of what slows an endpoint; their decay lets an unused one be tried again. */
 const failureHalfLifeMs = 3000;
+const slownessHalfLifeMs = 1500;
+/** Share by which a slower reply raises an endpoint's best time at most, so that this follows lasting changes only. */
+const bestRiseShare = 0.02;
 
 /**
  * Reachability of a data centre. When connections to several of its endpoints time out and none shows activity, it
@@ -90,6 +93,8 @@
     private averageFailure = 0;
     private failureUpdatedMs = 0;
     private averageReplyMs: number | undefined;
+    private bestReplyMs: number | undefined;
+    private repliedMs = 0;
     private readonly backoff: Backoff;
     private consecutiveBreaks = 0;
     private lastActivityMs = 0;
@@ -113,9 +118,16 @@
         return this.averageFailure * 0.5 ** ((this.clock.nowMs() - this.failureUpdatedMs) / failureHalfLifeMs);
     }
 
-    /** Moving average of the time to a complete reply, in milliseconds; undefined before the first one. */
+    /**
+     * Expected time to a complete reply, in milliseconds: the moving average, which approaches the best time while no
+     * reply renews it. Undefined before the first one.
+     */
     public get replyMs(): number | undefined {
-        return this.averageReplyMs;
+        const { averageReplyMs: averageMs, bestReplyMs: bestMs } = this;
+        if (averageMs === undefined || bestMs === undefined || averageMs <= bestMs) {
+            return averageMs;
+        }
+        return bestMs + (averageMs - bestMs) * 0.5 ** ((this.clock.nowMs() - this.repliedMs) / slownessHalfLifeMs);
     }
 
     public get isCold(): boolean {
@@ -178,7 +190,7 @@
                 this.consecutiveBreaks = 0;
                 this.backoff.recordSuccess();
                 this.updateFailureShare(outcome.reply.status >= serverError ? 1 : 0);
-                this.averageReplyMs = (this.averageReplyMs ?? takenMs) * (1 - newestWeight) + takenMs * newestWeight;
+                this.recordReplyTime(takenMs);
                 return undefined;
             case "cancelled":
                 return undefined;
@@ -191,6 +203,13 @@
         }
     }
 
+    private recordReplyTime(takenMs: number): void {
+        this.averageReplyMs = (this.replyMs ?? takenMs) * (1 - newestWeight) + takenMs * newestWeight;
+        const bestMs = this.bestReplyMs ?? takenMs;
+        this.bestReplyMs = Math.min(takenMs, bestMs * (1 + bestRiseShare));
+        this.repliedMs = this.clock.nowMs();
+    }
+
     private updateFailureShare(failed: number): void {
         this.averageFailure = this.failureShare * (1 - newestWeight) + failed * newestWeight;
         this.failureUpdatedMs = this.clock.nowMs();
