--- a/src/paths/EndpointPaths.ts
+++ b/src/paths/EndpointPaths.ts
@@ -61,6 +61,8 @@
         maxFruitless,
     );
     private readonly throughHost = new WeakMap<Socket, HostId>();
+    /** Wakes the task that tries lost paths. */
+    private notifyLost: () => void = () => undefined;
     /** Service whose path was tried last. */
     private probed: ServiceId | undefined;
 
@@ -126,6 +128,7 @@
             return;
         }
         this.lost.set(id, { endpoint, sinceMs: clock.nowMs() });
+        this.notifyLost();
         log.event(EventId.EndpointPathLost, { endpoint: id, kind, message, through });
         const losses = [...this.lost.values()].filter(one => one.sinceMs > this.connectedMs);
         if (this.cutOffMs === undefined && losses.length >= lossesUntilCutOff) {
@@ -139,14 +142,30 @@
     /** Tries lost paths until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
+            if (this.lost.size === 0) {
+                await this.whenLost(signal);
+            }
             await this.options.clock.sleep(probeIntervalMs, signal);
-            // A path that works suggests that others do.
-            while (!signal.aborted && await this.probe()) {
-                // Each probe that succeeds leaves fewer lost paths.
+            // A path that works suggests that others do; each success leaves fewer lost ones.
+            let isRegained = !signal.aborted;
+            while (isRegained) {
+                isRegained = await this.probe() && !signal.aborted;
             }
         }
     }
 
+    /** Resolves once a path is lost, or the signal is aborted. */
+    private whenLost(signal: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            const end = () => {
+                signal.removeEventListener("abort", end);
+                resolve();
+            };
+            this.notifyLost = end;
+            signal.addEventListener("abort", end);
+        });
+    }
+
     /** Tries the path to an endpoint of the next service with lost paths; true when it works again. */
     private async probe(): Promise<boolean> {
         const { fleet, dialer, clock, log, metrics } = this.options;
