--- /dev/null
+++ b/src/paths/EndpointPaths.test.ts
@@ -0,0 +1,128 @@
+/** Checks when a host goes through others, whom it asks, and when it goes by itself again, without network. */
+import assert from "node:assert/strict";
+import { Socket } from "node:net";
+import { test } from "node:test";
+import { Left, Right } from "purify-ts";
+import { FakeClock } from "../../testing/FakeClock.js";
+import {
+    centreId,
+    entryHosts,
+    FixedFleet,
+    listed,
+    noMetrics,
+    serviceId,
+    silentLog,
+} from "../../testing/FleetFixtures.js";
+import type { DataCentreId, EndpointId, HostId } from "../common/Types.js";
+import type { TunnelError } from "../peer/TunnelClient.js";
+import { EndpointPaths } from "./EndpointPaths.js";
+
+const refused = { kind: "refused", message: "refused" } as const;
+const endpoints = ["e0", "e1", "e2"].map(id => listed(id)).concat(listed("o0", { service: serviceId("other") }));
+const id = (text: string) => text as EndpointId;
+
+/** A host in data centre a, of a fleet whose other hosts are in the given data centres. */
+function startPaths(dataCentres: readonly string[] = ["a", "b"]) {
+    const clock = new FakeClock();
+    const fleet = new FixedFleet();
+    const hosts = entryHosts(dataCentres.length + 1).map((one, at) => ({
+        ...one,
+        dataCentre: centreId(at === 0 ? "a" : dataCentres[at - 1] ?? "a"),
+    }));
+    fleet.set({ hosts, endpoints });
+    const asked: HostId[] = [];
+    /** Answers of hosts; without one, a tunnel is opened. */
+    const failures = new Map<HostId, TunnelError["kind"]>();
+    const reached = new Set<string>();
+    const paths = new EndpointPaths({
+        self: hosts[0]!.host,
+        dataCentre: "a" as DataCentreId,
+        fleet,
+        dialer: { reaches: async ({ id: one }) => reached.has(one), recordConnected: () => undefined },
+        tunnels: {
+            open: async host => {
+                asked.push(host);
+                const kind = failures.get(host);
+                return kind === undefined ? Right(new Socket()) : Left({ kind, message: kind });
+            },
+        },
+        clock,
+        log: silentLog,
+        metrics: noMetrics,
+    });
+    const open = (endpoint: string) => paths.open(id(endpoint), new AbortController().signal);
+    const lose = (endpoint: string) => paths.recordDetour(id(endpoint), refused, hosts[1]!.host);
+    const preferred = () => endpoints.filter(one => paths.isPreferred(one.id)).map(one => one.id);
+    return { clock, paths, hosts, asked, failures, reached, open, lose, preferred };
+}
+
+test("one lost path leads through others to its endpoint only, two lead there to all", () => {
+    const { lose, preferred } = startPaths();
+    lose("e0");
+    assert.deepEqual(preferred(), ["e0"]);
+    lose("e1");
+    assert.deepEqual(preferred(), ["e0", "e1", "e2", "o0"]);
+});
+
+test("a direct connection between two lost paths shows that this host reaches others", async () => {
+    const { clock, paths, lose, preferred } = startPaths();
+    lose("e0");
+    await clock.advance(10);
+    paths.recordConnected(id("e2"));
+    await clock.advance(10);
+    lose("e1");
+    assert.deepEqual(preferred(), ["e0", "e1"]);
+});
+
+test("a path that works again frees its service, and a service that is still out of reach stays", async () => {
+    const { clock, paths, reached, lose, preferred } = startPaths();
+    const stop = new AbortController();
+    void paths.run(stop.signal);
+    ["e0", "e1", "o0"].forEach(lose);
+    await clock.advance(600);
+    assert.deepEqual(preferred(), ["e0", "e1", "e2", "o0"]);
+    reached.add("e0");
+    await clock.advance(600);
+    assert.deepEqual(preferred(), ["o0"]);
+    reached.add("o0");
+    await clock.advance(300);
+    assert.deepEqual(preferred(), []);
+    stop.abort();
+});
+
+test("a host of this data centre and one of another are asked first", async () => {
+    const { hosts, asked, open } = startPaths(["a", "a", "b", "b"]);
+    await open("e0");
+    const centres = asked.map(host => hosts.find(one => one.host === host)?.dataCentre);
+    assert.deepEqual(centres, ["a", "b"]);
+});
+
+test("hosts that can't help are asked last for a while", async () => {
+    const { clock, hosts, asked, failures, open } = startPaths(["a", "a", "b", "b"]);
+    hosts.slice(1).forEach(one => failures.set(one.host, "unavailable"));
+    assert.equal((await open("e0")).swap().map(one => one.kind).extract(), "unavailable");
+    const [first, second, ...others] = asked.splice(0);
+    others.forEach(host => failures.delete(host));
+    await clock.advance(1100);
+    failures.set(first!, "unavailable");
+    await open("e0");
+    assert.deepEqual(asked.splice(0).slice(0, 2), [first, second], "their time is over");
+    await open("e0");
+    assert.deepEqual(new Set(asked.splice(0)), new Set(others), "those that helped come first");
+});
+
+test("what a sound host has not reached either is not asked of others for a while", async () => {
+    const { clock, asked, failures, hosts, open } = startPaths();
+    hosts.slice(1).forEach(one => failures.set(one.host, "refused"));
+    const kinds = [await open("e0"), await open("e0")].map(one => one.swap().map(({ kind }) => kind).extract());
+    assert.deepEqual([kinds, asked.length], [["refused", "refused"], 2]);
+    await clock.advance(600);
+    await open("e0");
+    assert.equal(asked.length, 4);
+});
+
+test("without another host there is no way but the direct one", async () => {
+    const { paths, open } = startPaths([]);
+    assert.equal(paths.isAvailable, false);
+    assert.equal((await open("e0")).isLeft(), true);
+});
--- a/src/paths/EndpointPaths.ts
+++ b/src/paths/EndpointPaths.ts
@@ -42,8 +42,8 @@
     readonly self: HostId;
     readonly dataCentre: DataCentreId;
     readonly fleet: FleetSource;
-    readonly dialer: DirectDialer;
-    readonly tunnels: TunnelClient;
+    readonly dialer: Pick<DirectDialer, "reaches" | "recordConnected">;
+    readonly tunnels: Pick<TunnelClient, "open">;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
--- /dev/null
+++ b/src/peer/Tunnels.test.ts
@@ -0,0 +1,105 @@
+/** Checks what a host answers that is asked for tunnels, over loopback. */
+import assert from "node:assert/strict";
+import * as http from "node:http";
+import * as net from "node:net";
+import { after, test } from "node:test";
+import { type Either, Left, Right } from "purify-ts";
+import { noMetrics } from "../../testing/FleetFixtures.js";
+import { listen } from "../common/HttpServers.js";
+import { SystemClock } from "../common/SystemClock.js";
+import type { HostId } from "../common/Types.js";
+import { TunnelClient, type TunnelError } from "./TunnelClient.js";
+import { TunnelServer } from "./TunnelServer.js";
+
+const closers: (() => void)[] = [];
+after(() => closers.forEach(close => close()));
+
+const key = "a key of the fleet's hosts";
+const clock = new SystemClock();
+
+async function startEcho(): Promise<number> {
+    const server = net.createServer(socket => socket.pipe(socket));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    closers.push(() => void server.close());
+    return (server.address() as net.AddressInfo).port;
+}
+
+/** Starts a host that serves tunnels with the given outcome of its own connection. */
+async function startHelper(dial: (target: string) => Promise<Either<TunnelError, net.Socket>>) {
+    const dialed: string[] = [];
+    const stopping = new AbortController();
+    const tunnels = new TunnelServer({ key, clock, metrics: noMetrics, stopping: stopping.signal });
+    tunnels.serve({
+        dial: target => {
+            dialed.push(target);
+            return dial(target);
+        },
+    });
+    const server = http.createServer((_, res) => void res.writeHead(404).end());
+    tunnels.attach(server);
+    await listen(server, "127.0.0.1:0");
+    closers.push(() => {
+        tunnels.dispose();
+        server.close();
+    });
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    const open = (target: string, presented: string = key) =>
+        new TunnelClient({ key: presented, addressOf: () => address, clock })
+            .open("h" as HostId, target, 1000, new AbortController().signal);
+    return { address, dialed, open };
+}
+
+const kindOf = (opened: Either<TunnelError, net.Socket>) =>
+    opened.caseOf({ Left: ({ kind }) => kind as string, Right: () => "open" });
+
+test("a tunnel carries bytes both ways, to a target with any name", async () => {
+    const port = await startEcho();
+    const { dialed, open } = await startHelper(async () => {
+        const socket = net.connect(port, "127.0.0.1");
+        await new Promise(resolve => socket.once("connect", resolve));
+        return Right(socket);
+    });
+    const socket = (await open("e 1/%")).unsafeCoerce();
+    closers.push(() => void socket.destroy());
+    const answer = new Promise(resolve => socket.once("data", (chunk: Buffer) => resolve(chunk.toString())));
+    socket.write("hello");
+    assert.equal(await answer, "hello");
+    assert.deepEqual(dialed, ["e 1/%"]);
+});
+
+const errors: readonly TunnelError["kind"][] = ["refused", "timeout", "unavailable"];
+for (const kind of errors) {
+    test(`the reason why a host has no connection itself is passed on: ${kind}`, async () => {
+        const { open } = await startHelper(async () => Left({ kind, message: kind }));
+        assert.equal(kindOf(await open("e1")), kind);
+    });
+}
+
+test("without the fleet's key nothing is dialed", async () => {
+    const { dialed, open } = await startHelper(async () => Left({ kind: "refused", message: "" }));
+    assert.equal(kindOf(await open("e1", "another key")), "unavailable");
+    assert.deepEqual(dialed, []);
+});
+
+test("a target that can't be read is refused, and the host goes on", async () => {
+    const { address, dialed, open } = await startHelper(async () => Left({ kind: "refused", message: "" }));
+    const port = Number(address.split(":")[1]);
+    const status = await new Promise(resolve => {
+        const req = http.request({
+            port,
+            host: "127.0.0.1",
+            method: "CONNECT",
+            path: "%E0%A4%A",
+            headers: {
+                "fireflykeel-key": key,
+            },
+        });
+        req.on("connect", (res, socket) => {
+            socket.destroy();
+            resolve(res.statusCode);
+        });
+        req.end();
+    });
+    assert.deepEqual([status, dialed], [502, []]);
+    assert.equal(kindOf(await open("e1")), "refused");
+});
