--- a/src/cli/Explain.test.ts
+++ b/src/cli/Explain.test.ts
@@ -45,6 +45,22 @@
     );
 });
 
+test("of a request that went through another host, the lost path and the helper's own troubles are shown", () => {
+    const lines = explainRequest([
+        entry(0, "h3", "CutOffFromEndpoints", { endpoints: ["e7"] }),
+        entry(10, "h1", "EndpointPathLost", { endpoint: "e1", through: "h3" }),
+        entry(15, "h1", "EndpointPathLost", { endpoint: "e8", through: "h4" }),
+        entry(20, "h1", "DetourTried", { endpoint: "e1", through: "h3" }),
+        entry(90, "h1", "EndpointAttemptEnded", { request: "r1", endpoint: "e1", through: "h3" }),
+    ], "r1").map(({ entry: one }) => `${one.host} ${one.name}`);
+    assert.deepEqual(lines, [
+        "h3 CutOffFromEndpoints",
+        "h1 EndpointPathLost",
+        "h1 DetourTried",
+        "h1 EndpointAttemptEnded",
+    ]);
+});
+
 test("a request that no event names has no entries", () => {
     assert.deepEqual(explainRequest(entries, "r7"), []);
 });
--- a/src/cli/Explain.ts
+++ b/src/cli/Explain.ts
@@ -23,7 +23,13 @@
     "EndpointPauseIgnored",
     "EndpointLimitChanged",
     "EndpointLimitUnreadable",
+    "EndpointBrittlenessChanged",
+    "PlacesReduced",
     "PermitLenderLost",
+    "EndpointPathLost",
+    "EndpointPathRegained",
+    "CutOffFromEndpoints",
+    "DetourTried",
     "BatchEndpointSuspected",
     "GathererLost",
     "ResultsNotFreed",
@@ -91,7 +97,7 @@
 function namesOf(entries: readonly TimelineEntry[]): ReadonlySet<string> {
     const names = new Set<string>();
     for (const entry of entries) {
-        for (const name of [entry.host, entry["endpoint"], entry["gatherer"]]) {
+        for (const name of [entry.host, entry["endpoint"], entry["gatherer"], entry["through"]]) {
             if (typeof name === "string") {
                 names.add(name);
             }
