--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -24,7 +24,10 @@
 export interface ConnectError {
     readonly kind: "refused" | "timeout" | "aborted" | "no-address";
     readonly message: string;
-    /** False when the cause may be this host's own path, as no other host could tell whether it reaches the endpoint. */
+    /**
+     * True when a sound host could not connect either; false when the cause may be this host's own path, as no other host
+     * could tell; undefined where there are no detours.
+     */
     readonly isConfirmed?: boolean;
 }
 
@@ -222,7 +225,11 @@
         const isDetourFirst = detours?.isPreferred(endpoint) === true;
         if (isDetourFirst) {
             const detoured = await this.connectThrough(pool, options);
-            if (!detoured.isLeft() || detoured.extract().isConfirmed !== false) {
+            if (!detoured.isLeft()) {
+                return detoured;
+            }
+            const { kind, isConfirmed = false } = detoured.extract();
+            if (kind === "aborted" || isConfirmed) {
                 return detoured;
             }
         }
@@ -243,14 +250,14 @@
             detours.recordDetour(endpoint, error, through);
             closeFreeSockets(pool.agent);
         });
-        return detoured.mapLeft(({ kind, isConfirmed = true }) =>
+        return detoured.mapLeft(({ kind, isConfirmed = false }) =>
             kind === "aborted" ? abortedError : { ...error, isConfirmed }
         );
     }
 
     private async connectThrough(pool: Pool, options: ConnectOptions): Promise<Either<ConnectError, ReadyRequest>> {
         if (pool.detours === undefined) {
-            return Left({ kind: "timeout", message: "there are no detours", isConfirmed: false });
+            return Left({ kind: "timeout", message: "there are no detours" });
         }
         const connected = await this.connectVia(pool.detours, pool, options, detourMs);
         return connected.map(ready => ({
@@ -325,7 +332,9 @@
         return { kind: "refused", message: err.message };
     }
     const { kind, message } = err.error;
-    return kind === "unavailable" ? { kind: "timeout", message, isConfirmed: false } : { kind, message };
+    return kind === "unavailable"
+        ? { kind: "timeout", message, isConfirmed: false }
+        : { kind, message, isConfirmed: kind !== "aborted" };
 }
 
 /** Closes an agent's idle connections. */
--- a/src/paths/DirectDialer.ts
+++ b/src/paths/DirectDialer.ts
@@ -48,14 +48,16 @@
     }
 
     /** True when this host reaches another endpoint of the service, or any other when the service has no other. */
-    private async isProven({ id, service }: ListedEndpoint): Promise<boolean> {
+    private async isProven({ id, service, dataCentre }: ListedEndpoint): Promise<boolean> {
         const { fleet, clock, connectedMs } = this;
         const others = fleet.view().endpoints.filter(one => one.id !== id);
         const ofService = others.filter(one => one.service === service);
         if (ofService.length > 0 && clock.nowMs() - (connectedMs.get(service) ?? -Infinity) < proofMs) {
             return true;
         }
-        const candidates = ofService.length > 0 ? ofService : others;
+        // The endpoint's data centre may be cut off as a whole.
+        const candidates = (ofService.length > 0 ? ofService : others)
+            .toSorted((a, b) => Number(a.dataCentre === dataCentre) - Number(b.dataCentre === dataCentre));
         const reached = await Promise.all(candidates.slice(0, maxProofs).map(one => this.reaches(one)));
         return reached.includes(true);
     }
--- a/src/paths/EndpointPaths.test.ts
+++ b/src/paths/EndpointPaths.test.ts
@@ -50,10 +50,11 @@
         log: silentLog,
         metrics: noMetrics,
     });
+    const cutOff = (dataCentre: string) => fleet.set({ cutOff: new Set([centreId(dataCentre)]) });
     const open = (endpoint: string) => paths.open(id(endpoint), new AbortController().signal);
     const lose = (endpoint: string) => paths.recordDetour(id(endpoint), refused, hosts[1]!.host);
     const preferred = () => endpoints.filter(one => paths.isPreferred(one.id)).map(one => one.id);
-    return { clock, paths, hosts, asked, failures, reached, open, lose, preferred };
+    return { clock, paths, hosts, asked, failures, reached, open, lose, preferred, cutOff };
 }
 
 test("one lost path leads through others to its endpoint only, two lead there to all", () => {
@@ -121,6 +122,17 @@
     assert.equal(asked.length, 4);
 });
 
+// Guards against waits for hosts that can't reach an endpoint's data centre either.
+test("nobody is asked for an endpoint in a data centre that is told to be cut off, nor are hosts there", async () => {
+    const { asked, open, cutOff } = startPaths(["b", "c"]);
+    cutOff("a");
+    assert.equal((await open("e0")).swap().map(one => one.kind).extract(), "timeout");
+    assert.equal(asked.length, 0);
+    cutOff("b");
+    await open("e0");
+    assert.equal(asked.length, 1);
+});
+
 test("without another host there is no way but the direct one", async () => {
     const { paths, open } = startPaths([]);
     assert.equal(paths.isAvailable, false);
--- a/src/paths/EndpointPaths.ts
+++ b/src/paths/EndpointPaths.ts
@@ -31,7 +31,9 @@
 const lossesUntilCutOff = 2;
 /** Interval at which lost paths are tried. */
 const probeIntervalMs = 250;
+/** Maximum numbers of endpoints and hosts that are remembered; the oldest are forgotten first. */
 const maxFruitless = 512;
+const maxAvoided = 512;
 
 interface LostPath {
     readonly endpoint: ListedEndpoint;
@@ -55,7 +57,7 @@
     /** When all paths were lost; undefined while they are not. */
     private cutOffMs: number | undefined;
     private connectedMs = -Infinity;
-    private readonly avoidUntilMs = new Map<HostId, number>();
+    private readonly avoidUntilMs = new BoundedMap<HostId, number>(maxAvoided);
     /** Times until which no detour to an endpoint is tried, with how it failed for another host. */
     private readonly fruitless = new BoundedMap<EndpointId, { readonly untilMs: number; readonly error: TunnelError; }>(
         maxFruitless,
@@ -85,6 +87,10 @@
     public async open(id: EndpointId, signal: AbortSignal): Promise<Either<TunnelError, Socket>> {
         const { clock, log, metrics } = this.options;
         const startMs = clock.nowMs();
+        const endpoint = this.find(id);
+        if (endpoint !== undefined && this.options.fleet.view().cutOff.has(endpoint.dataCentre)) {
+            return Left({ kind: "timeout", message: "no host of this data centre reaches that of the endpoint" });
+        }
         const known = this.fruitless.get(id);
         if (known !== undefined && known.untilMs > clock.nowMs()) {
             return Left(known.error);
--- a/src/peer/TunnelClient.ts
+++ b/src/peer/TunnelClient.ts
@@ -11,6 +11,9 @@
 /** Header with the reason why a tunnel was not opened. */
 export const tunnelReasonHeader = "fireflykeel-tunnel";
 
+/** Time limit for a connection to a peer: many times the round trip to the farthest one. */
+const connectMs = 80;
+
 /**
  * Why no tunnel was opened. "refused" and "timeout": a sound peer could not connect to the target either.
  * "unavailable": the peer was not reached, serves too many tunnels, or has no path to the target itself.
@@ -47,6 +50,7 @@
             });
             const finish = (result: Either<TunnelError, Socket>) => {
                 timer.dispose();
+                connectTimer.dispose();
                 signal.removeEventListener("abort", onAbort);
                 resolve(result);
             };
@@ -56,7 +60,9 @@
             };
             const onAbort = () => fail("aborted", "aborted before the tunnel was open");
             const timer = clock.setTimer(timeoutMs, () => fail("unavailable", `no tunnel within ${timeoutMs} ms`));
+            const connectTimer = clock.setTimer(connectMs, () => fail("unavailable", "the peer can't be reached"));
             signal.addEventListener("abort", onAbort);
+            req.on("socket", socket => socket.once("connect", () => connectTimer.dispose()));
             req.on("error", err => fail("unavailable", err.message));
             req.on("response", res => fail("unavailable", `the peer replied with status ${res.statusCode ?? 0}`));
             req.on("connect", (res, socket) => {
--- a/src/peer/TunnelServer.ts
+++ b/src/peer/TunnelServer.ts
@@ -16,6 +16,7 @@
 /** A tunnel without data for this long carries no exchange that a planned stop would have to wait for. */
 const quietMs = 1000;
 const drainPollMs = 50;
+const keepAliveMs = 2000;
 
 /** Connects to endpoints from this host. */
 export interface TunnelDialer {
@@ -108,9 +109,12 @@
         const tunnel = { peer, target, lastDataMs: clock.nowMs() };
         this.tunnels.add(tunnel);
         const onData = () => tunnel.lastDataMs = clock.nowMs();
-        target.setNoDelay(true);
-        if (peer instanceof Socket) {
-            peer.setNoDelay(true);
+        for (const socket of [peer, target]) {
+            if (socket instanceof Socket) {
+                socket.setNoDelay(true);
+                // An end that has fallen silent for good would keep the tunnel open.
+                socket.setKeepAlive(true, keepAliveMs);
+            }
         }
         peer.on("data", onData).pipe(target, { end: false });
         target.on("data", onData).pipe(peer, { end: false });
--- a/src/peer/Tunnels.test.ts
+++ b/src/peer/Tunnels.test.ts
@@ -5,6 +5,7 @@
 import { after, test } from "node:test";
 import { type Either, Left, Right } from "purify-ts";
 import { noMetrics } from "../../testing/FleetFixtures.js";
+import { listenWithoutAccepting } from "../../testing/SilentListener.js";
 import { listen } from "../common/HttpServers.js";
 import { SystemClock } from "../common/SystemClock.js";
 import type { HostId } from "../common/Types.js";
@@ -103,3 +104,14 @@
     assert.deepEqual([status, dialed], [502, []]);
     assert.equal(kindOf(await open("e1")), "refused");
 });
+
+// Guards against requests that wait for a host which can't be reached, as behind a partition.
+test("a host that can't be reached is given up early", async () => {
+    const silent = await listenWithoutAccepting("127.0.0.1:0");
+    closers.push(() => void silent.stop());
+    const client = new TunnelClient({ key, addressOf: () => silent.address, clock });
+    const startMs = performance.now();
+    const opened = await client.open("h" as HostId, "e1", 1000, new AbortController().signal);
+    assert.equal(kindOf(opened), "unavailable");
+    assert.ok(performance.now() - startMs < 400, `after ${performance.now() - startMs} ms`);
+});
