--- a/src/paths/DirectDialer.ts
+++ b/src/paths/DirectDialer.ts
@@ -58,8 +58,15 @@
         // The endpoint's data centre may be cut off as a whole.
         const candidates = (ofService.length > 0 ? ofService : others)
             .toSorted((a, b) => Number(a.dataCentre === dataCentre) - Number(b.dataCentre === dataCentre));
-        const reached = await Promise.all(candidates.slice(0, maxProofs).map(one => this.reaches(one)));
-        return reached.includes(true);
+        return this.reachesAny(candidates.slice(0, maxProofs));
+    }
+
+    /** Resolves as soon as one of the endpoints is reached. */
+    private reachesAny(endpoints: readonly ListedEndpoint[]): Promise<boolean> {
+        return new Promise(resolve => {
+            const attempts = endpoints.map(async one => await this.reaches(one) && resolve(true));
+            void Promise.all(attempts).then(() => resolve(false));
+        });
     }
 
     private connect(endpoint: ListedEndpoint): Promise<Either<TunnelError, net.Socket>> {
