List of endpoints: check the values of each entry, and name the bad ones

Callers lost requests without an answer while another writer's entry was in the list: an entry with the address "127.0.0.1:99999" or "999.1.1.1:80" was taken as an endpoint of its service, and opening a connection to it throws (ERR_INVALID_URL, ERR_SOCKET_BAD_PORT) instead of failing. "...:80" led to a name look-up. Slots of 1e308, negative slots and cold times of years reached sums and times of the gateway.

The decoder checked types and a loose pattern only. An entry that fails costs itself alone. The reader logs it with its name (event 1018) once, and a few lines at most for each read, instead of a bare count.

--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -19,6 +19,8 @@
 export type RequestId = Brand<string, "RequestId">;
 export type JobId = Brand<string, "JobId">;
 export type ChangeId = Brand<string, "ChangeId">;
+/** "ip:port" of an endpoint; see `EndpointAddress.ts`. */
+export type EndpointAddress = Brand<string, "EndpointAddress">;
 /** A number that increases with each start of a host's process, to tell a restarted host from its previous run. */
 export type Incarnation = Brand<number, "Incarnation">;
 
--- a/src/fleet/EndpointListReader.ts
+++ b/src/fleet/EndpointListReader.ts
@@ -7,6 +7,7 @@
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { EntryFaultLog } from "./EntryFaultLog.js";
 import { type AgedEndpoints, tagOf } from "./FleetMessages.js";
 import type { EndpointListSource, ListedEndpoint } from "./Types.js";
 
@@ -42,8 +43,11 @@
     public readonly name = "endpoint-list";
     private known: KnownList | undefined;
     private isFailing = false;
+    private readonly faults: EntryFaultLog;
 
-    public constructor(private readonly options: EndpointListReaderOptions) {}
+    public constructor(private readonly options: EndpointListReaderOptions) {
+        this.faults = new EntryFaultLog(options.log);
+    }
 
     /** Age of the list in milliseconds; Infinity while there is none. */
     public get ageMs(): number {
@@ -93,12 +97,13 @@
                 this.isFailing = true;
                 return error.kind === "too-many-reads" ? rateLimitedPauseMs : readIntervalMs;
             },
-            Right: ({ endpoints, unreadable }) => {
+            Right: ({ endpoints, faults }) => {
                 if (this.isFailing) {
                     log.event(EventId.EndpointListRegained, { endpoints: endpoints.length });
                 }
                 this.isFailing = false;
-                metrics.gauge("endpoint_list_unreadable", unreadable);
+                metrics.gauge("endpoint_list_unreadable", faults.length);
+                this.faults.record(faults);
                 this.replace(tagOf(endpoints.map(one => comparableFields(one, startMs))), endpoints, startMs);
                 return readIntervalMs;
             },
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -7,6 +7,7 @@
 import type {
     Brand,
     DataCentreId,
+    EndpointAddress,
     EndpointId,
     Event,
     HostId,
@@ -131,8 +132,7 @@
     /** The endpoint's own name; it refuses requests that expect another instance. */
     readonly instance: string;
     readonly service: ServiceId;
-    /** "ip:port". */
-    readonly address: string;
+    readonly address: EndpointAddress;
     readonly dataCentre: DataCentreId;
     /** Version of its software, which other services may use for another software; undefined when the list has none. */
     readonly version?: string | undefined;
@@ -145,8 +145,16 @@
 
 export interface EndpointList {
     readonly endpoints: readonly ListedEndpoint[];
-    /** Number of entries that could not be decoded. */
-    readonly unreadable: number;
+    /** The entries that name no endpoint. */
+    readonly faults: readonly EntryFault[];
+}
+
+/** An entry of a list that names no endpoint. */
+export interface EntryFault {
+    /** Its name, or its first characters. */
+    readonly entry: string;
+    /** The fields that can't be read, or why the whole entry can't be. */
+    readonly cause: string;
 }
 
 export type ListError =
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -127,6 +127,8 @@
     CrashesReported = 1015,
     PartsCleared = 1016,
     PartJudged = 1017,
+    /** An entry of a list of endpoints names no endpoint and is left out. */
+    EndpointEntryUnreadable = 1018,
     // 11xx: gateway
     GatewayRequestTaken = 1100,
     GatewayRequestEnded = 1101,
--- a/testing/FleetCluster.ts
+++ b/testing/FleetCluster.ts
@@ -82,7 +82,7 @@
         const source: EndpointListSource = {
             read: async () => {
                 this.listReads += 1;
-                return Right({ endpoints: this.listed, unreadable: 0 });
+                return Right({ endpoints: this.listed, faults: [] });
             },
         };
         const quiet = { log: silentLog, metrics: noMetrics };
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -1,7 +1,15 @@
 /** Small fleets for tests: listed endpoints, deployments, a view that tests set, and simulated stage endpoints. */
 import { Emitter } from "../src/common/Emitter.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
-import type { Clock, DataCentreId, EndpointId, HostId, Incarnation, Random } from "../src/common/Types.js";
+import type {
+    Clock,
+    DataCentreId,
+    EndpointAddress,
+    EndpointId,
+    HostId,
+    Incarnation,
+    Random,
+} from "../src/common/Types.js";
 import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import { EndpointNotices, type ReplyHeaders } from "../src/endpoints/EndpointNotices.js";
 import { emptyView } from "../src/fleet/FleetClient.js";
@@ -95,12 +103,14 @@
     coldSlack: 5,
 };
 
-export function listed(id: string, fields: Partial<ListedEndpoint> = {}): ListedEndpoint {
+type EndpointFields = Partial<Omit<ListedEndpoint, "address">> & { readonly address?: string; };
+
+export function listed(id: string, { address = "127.0.0.1:1", ...fields }: EndpointFields = {}): ListedEndpoint {
     return {
         id: id as EndpointId,
         instance: id,
         service: serviceId("s"),
-        address: "127.0.0.1:1",
+        address: address as EndpointAddress,
         dataCentre: centreId("a"),
         slots: 1,
         isLeaving: false,
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -8,7 +8,7 @@
 import { listen } from "../src/common/HttpServers.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import { SystemClock } from "../src/common/SystemClock.js";
-import type { Clock, DataCentreId, EndpointId, HostId, WorkspaceId } from "../src/common/Types.js";
+import type { Clock, DataCentreId, EndpointAddress, EndpointId, HostId, WorkspaceId } from "../src/common/Types.js";
 import { EndpointConnections } from "../src/endpoints/EndpointConnections.js";
 import { EndpointLimits } from "../src/endpoints/EndpointLimits.js";
 import { EndpointNotices } from "../src/endpoints/EndpointNotices.js";
@@ -157,7 +157,7 @@
 }
 
 /** Refuses connections. */
-const closedAddress = "127.0.0.1:1";
+const closedAddress = "127.0.0.1:1" as EndpointAddress;
 
 /** Ways in which requests reach endpoints, with the words that a test's name gets for them. */
 export const siteStarts = [
