--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -243,6 +243,12 @@
             return true;
         }
         const { index, term, members } = snapshot;
+        if (this.log.termAt(index) === term) {
+            // The entries after it stay, since this host may have acknowledged them and count as one of a majority.
+            this.commitTo(index);
+            await this.persistCommitIndex();
+            return this.storageFault === undefined;
+        }
         const saved = await this.storage.saveSnapshot(snapshot);
         const log = { index, term, members, entries: [], commitIndex: index };
         const rewritten = saved.isLeft() ? saved : await this.storage.rewriteLog(log);
