Log output: the last lines of a stop reach a reader that pauses

What was seen: after a planned stop the log of a process could end before `GatewayRequestEnded` of its last request and `ProcessStopped`. Callers saw nothing of it, but a request's end could not be found.

Cause: on closing, the output waited 200 ms, while the library under it tries a full pipe again only after 100 ms. Six entry hosts as processes, stopped four times each, with a reader that takes what is there each 150 ms: 23 of 24 logs had lost their end; with a reader that takes all at once, or a file, none of 24. Besides, the library reports a failed write as an "error" event, and there was no listener: a reader that went away ended the process (EPIPE, uncaught).

Now the output waits up to 700 ms, which a planned stop leaves of its grace period, and tries a full pipe with each flush while it closes. Failed writes keep their lines in the bounded buffer, from which they are dropped and counted.

Before: "all lines are written when the output is closed while its reader pauses" failed (the output was closed with lines left; then EBADF, uncaught), "an output whose reader has gone away drops lines" failed (EPIPE, uncaught).

--- a/src/telemetry/LogOutput.ts
+++ b/src/telemetry/LogOutput.ts
@@ -11,8 +11,14 @@
 /** Lines are written when this many bytes are collected, or after this time. */
 const writeBytes = 8 * 1024;
 const maxDelayMs = 100;
-/** Time limit for writing the last lines before the process ends. */
-const closeTimeoutMs = 200;
+/**
+ * Time limit for writing the last lines before the process ends. A reader on a busy machine pauses for some tenths of a
+ * second; the time has to fit into what a planned stop leaves of the grace period.
+ */
+const closeTimeoutMs = 700;
+
+/** Error codes of a write to a pipe that takes no more at the moment. */
+const fullPipeCodes: readonly string[] = ["EAGAIN", "EBUSY"];
 
 interface LogOutputOptions {
     /** File descriptor to which lines are written. */
@@ -27,15 +33,25 @@
     private dropped = 0;
     private bufferedBytes = 0;
     private flushTimer: Disposable | undefined;
+    private isClosing = false;
+    /** True after a write has failed for another reason than a full pipe, as after the reader has gone away. */
+    private hasFailed = false;
 
     public constructor(private readonly options: LogOutputOptions) {
         const { fd, maxBufferedBytes: maxLength } = options;
-        this.out = new sonicBoom.SonicBoom({ fd, sync: false, minLength: writeBytes, maxLength });
+        // The library tries a full pipe again only after 100 ms; on closing, the next flush does.
+        const retryEAGAIN = () => !this.isClosing;
+        this.out = new sonicBoom.SonicBoom({ fd, sync: false, minLength: writeBytes, maxLength, retryEAGAIN });
         this.out.on("drop", (text: string) => {
             this.dropped += 1;
             this.bufferedBytes -= Buffer.byteLength(text);
         });
         this.out.on("write", (bytes: number) => this.bufferedBytes -= bytes);
+        // The lines stay in the buffer, and are dropped and counted once it is full.
+        this.out.on(
+            "error",
+            (err: NodeJS.ErrnoException) => this.hasFailed ||= !fullPipeCodes.includes(err.code ?? ""),
+        );
     }
 
     /** Adds a line, without its line terminator. */
@@ -58,8 +74,9 @@
     public async close(): Promise<void> {
         const { clock } = this.options;
         const untilMs = clock.nowMs() + closeTimeoutMs;
+        this.isClosing = true;
         this.flush();
-        while (this.bufferedBytes > 0 && clock.nowMs() < untilMs) {
+        while (this.bufferedBytes > 0 && !this.hasFailed && clock.nowMs() < untilMs) {
             await clock.sleep(1);
             this.flush();
         }
