Gateway: one line and a counter for each request that the host cuts off

A request that was read whole, and whose connection this host closed before its answer was complete, left no trace of its own: `GatewayRequestEnded` is written whether or not the answer reached the caller's connection, and a connection that Node.js or the server destroyed had no line at all.

`CallerConnections` follows the callers' connections and the requests that are open on them, from their heads until the system has taken the whole answer. `RequestCutOff` (1106, `fireflykeel_requests_cut_off_total`) says the cause and how far the request got, `CallerConnectionClosed` (1107) why any other connection was closed by this host. A caller that leaves by itself is neither. The gateway's test site serves callers through the real server now.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -112,21 +112,19 @@
         random: () => random.next(),
         quarantine: buildQuarantine(host, fleet, connections, notices),
     });
-    const { callerAddress, readyAddress, isReadyPath } = options;
-    const server = new GatewayServer({
-        address: callerAddress,
-        readyAddress,
-        isReadyPath,
-        gateway,
-        fleet,
-        clock,
-        log,
-        onFatal: host.onFatal,
-    });
-    host.start([fleet, paths, pieces, server]);
+    host.start([fleet, paths, pieces, buildServer(host, fleet, gateway, options)]);
     return host;
 }
 
+function buildServer(
+    { clock, log, metrics, onFatal }: FleetHost,
+    fleet: FleetClient,
+    gateway: Gateway,
+    { callerAddress: address, readyAddress, isReadyPath }: FleetEntryOptions,
+): GatewayServer {
+    return new GatewayServer({ address, readyAddress, isReadyPath, gateway, fleet, clock, log, metrics, onFatal });
+}
+
 /** Undefined where the settings do not switch admission control on. */
 function buildAdmission(
     { clock, random, log, metrics }: FleetHost,
--- /dev/null
+++ b/src/gateway/CallerConnections.ts
@@ -0,0 +1,107 @@
+/**
+ * The connections of callers, and the requests that are open on them. A request is open until the system has taken its
+ * whole answer, or its connection is closed. Records each connection that this host closes, and each request that it
+ * had read whole and whose connection it closed before the answer was complete.
+ */
+import type * as http from "node:http";
+import type { Socket } from "node:net";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { RequestProgress } from "./RequestProgress.js";
+
+interface OpenRequest {
+    readonly res: http.ServerResponse;
+    readonly progress: RequestProgress;
+}
+
+interface CallerConnection {
+    readonly open: Set<OpenRequest>;
+    requests: number;
+    /** True once the caller has closed or reset the connection. */
+    hasLeft: boolean;
+    /** Why this host closes the connection; undefined while it does not. */
+    closeCause: string | undefined;
+}
+
+/** Cause of a connection that this host closed without saying why, as Node.js does. */
+const unknownCause = "unknown";
+/** Cause of a connection that is closed after an answer that said so. */
+const answeredCause = "answered";
+
+export class CallerConnections {
+    private readonly connections = new Map<Socket, CallerConnection>();
+
+    public constructor(private readonly log: EventLog, private readonly metrics: Metrics) {
+        // The series exists from the start, so that its absence can't be taken for a zero.
+        metrics.count("requests_cut_off", {}, 0);
+    }
+
+    /** Follows the connections of a server from now on. */
+    public attach(server: http.Server): void {
+        server.on("connection", socket => this.follow(socket));
+    }
+
+    /** Follows a request until its answer is complete or its connection is closed. */
+    public begin(req: http.IncomingMessage, res: http.ServerResponse): RequestProgress {
+        const progress = new RequestProgress();
+        const connection = this.connections.get(req.socket);
+        const request = { res, progress };
+        connection?.open.add(request);
+        if (connection !== undefined) {
+            connection.requests += 1;
+        }
+        res.once("finish", () => {
+            connection?.open.delete(request);
+            if (connection !== undefined && !res.shouldKeepAlive) {
+                connection.closeCause ??= answeredCause;
+            }
+        });
+        return progress;
+    }
+
+    /** Records why this host is about to close a connection. The first cause counts. */
+    public recordClose(socket: Socket, cause: string): void {
+        const connection = this.connections.get(socket);
+        if (connection !== undefined) {
+            connection.closeCause ??= cause;
+        }
+    }
+
+    private follow(socket: Socket): void {
+        const connection: CallerConnection = { open: new Set(), requests: 0, hasLeft: false, closeCause: undefined };
+        this.connections.set(socket, connection);
+        socket.once("end", () => connection.hasLeft = true);
+        socket.once("error", () => connection.hasLeft = true);
+        socket.once("close", () => {
+            this.connections.delete(socket);
+            this.recordClosed(connection);
+        });
+    }
+
+    private recordClosed(connection: CallerConnection): void {
+        const { open, requests, hasLeft, closeCause } = connection;
+        const cutCauses = [...open].map(one => this.recordOpenRequest(one, connection)).filter(one =>
+            one !== undefined
+        );
+        const cause = cutCauses[0] ?? closeCause ?? (hasLeft ? undefined : unknownCause);
+        if (cause === undefined) {
+            return;
+        }
+        this.metrics.count("caller_connections_closed", { cause });
+        if (cause !== answeredCause) {
+            this.log.event(EventId.CallerConnectionClosed, { cause, requests });
+        }
+    }
+
+    /** Records a request that is still open when its connection is closed; returns the cause if this host closed it. */
+    private recordOpenRequest({ res, progress }: OpenRequest, connection: CallerConnection): string | undefined {
+        const { request, stage, endCause } = progress;
+        const cause = endCause ?? connection.closeCause ?? (connection.hasLeft ? undefined : unknownCause);
+        if (cause !== undefined && stage !== "reading") {
+            const at = res.headersSent ? "answer" : stage;
+            this.metrics.count("requests_cut_off", { cause, at });
+            this.log.event(EventId.RequestCutOff, { request, cause, at });
+        }
+        return cause;
+    }
+}
--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -34,6 +34,9 @@
     readonly metrics: Metrics;
 }
 
+/** Why a slow caller is disconnected: it takes nothing for too long, or its data takes memory that others need. */
+export type SlowCallerReason = "stalled" | "memory";
+
 export class CallerMemory {
     private heldBytes = 0;
     /** Outputs with data that their callers have not taken. */
@@ -49,7 +52,11 @@
     }
 
     /** Opens the output of one reply. `disconnect` ends the caller's connection so that the reply looks incomplete. */
-    public open(res: ServerResponse, request: string | undefined, disconnect: () => void): CallerOutput {
+    public open(
+        res: ServerResponse,
+        request: string | undefined,
+        disconnect: (reason: SlowCallerReason) => void,
+    ): CallerOutput {
         const { clock, settings } = this.options;
         const output: CallerOutput = new CallerOutput({
             res,
@@ -103,7 +110,7 @@
         return true;
     }
 
-    private end(output: CallerOutput, reason: "stalled" | "memory"): void {
+    private end(output: CallerOutput, reason: SlowCallerReason): void {
         const { log, metrics } = this.options;
         metrics.count("slow_callers_disconnected", { reason });
         log.event(EventId.SlowCallerDisconnected, {
@@ -113,7 +120,7 @@
             stalledMs: Math.round(output.stalledMs),
             heldBytes: this.heldBytes,
         });
-        output.end();
+        output.end(reason);
     }
 
     private updateHeld(output: CallerOutput, change: number): void {
--- a/src/gateway/CallerOutput.ts
+++ b/src/gateway/CallerOutput.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock, Disposable } from "../common/Types.js";
+import type { SlowCallerReason } from "./CallerMemory.js";
 
 /** Size of the parts in which a body is written. */
 const partBytes = 64 * 1024;
@@ -23,7 +24,7 @@
     readonly onHeldChange: (change: number) => void;
     readonly onStalled: () => void;
     /** Ends the caller's connection. */
-    readonly disconnect: () => void;
+    readonly disconnect: (reason: SlowCallerReason) => void;
 }
 
 export class CallerOutput {
@@ -67,9 +68,9 @@
     }
 
     /** Disconnects the caller. */
-    public end(): void {
+    public end(reason: SlowCallerReason): void {
         this.close();
-        this.options.disconnect();
+        this.options.disconnect(reason);
     }
 
     private async sendParts(body: Buffer): Promise<void> {
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -8,6 +8,7 @@
 import type { CallerMemory } from "./CallerMemory.js";
 import type { CallerOutput } from "./CallerOutput.js";
 import type { RelayedEvent } from "./EventSplitter.js";
+import type { RequestProgress } from "./RequestProgress.js";
 import type { Refusal, ReplyHead, RequestHead } from "./Types.js";
 
 /** HTTP status by reason of the refusal; see also {@link notRunStatus}. */
@@ -66,9 +67,10 @@
         private readonly res: http.ServerResponse,
         memory: CallerMemory,
         { id, lastEvent }: Pick<RequestHead, "id" | "lastEvent">,
+        private readonly progress: RequestProgress,
     ) {
         this.lastEventId = lastEvent;
-        this.output = memory.open(res, id, () => this.reset());
+        this.output = memory.open(res, id, reason => this.reset(reason));
     }
 
     /** True once a stream has begun. */
@@ -136,14 +138,15 @@
     /** Writes a refusal; destroys the connection when the reply has begun. */
     public refuse(refusal: Refusal): void {
         if (this.res.destroyed || this.res.headersSent) {
-            this.destroy();
+            this.destroy(refusal.reason);
             return;
         }
         writeRefusal(this.res, refusal);
     }
 
     /** Breaks the connection off, so that a partial reply does not look complete: one without framing by a reset. */
-    public destroy(): void {
+    private destroy(cause: string): void {
+        this.progress.recordEnd(cause);
         if (this.endsWithConnection) {
             this.res.socket?.resetAndDestroy();
         }
@@ -151,7 +154,8 @@
     }
 
     /** Resets the connection of a caller that does not read, so that the system keeps no data for it either. */
-    private reset(): void {
+    private reset(cause: string): void {
+        this.progress.recordEnd(cause);
         this.res.socket?.resetAndDestroy();
         this.res.destroy();
     }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -26,6 +26,7 @@
 import { GatewayRequest } from "./GatewayRequest.js";
 import { stoppingRetryMs } from "./RefusalCauses.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
+import { RequestProgress } from "./RequestProgress.js";
 import type { RequestQuarantine } from "./RequestQuarantine.js";
 import { pickService, RouteTable } from "./RouteTable.js";
 import { type StageGraph, stagesAndReplyMs } from "./StageGraph.js";
@@ -132,7 +133,11 @@
     }
 
     /** Serves a request of a caller; resolves once it has been answered. */
-    public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    public async handle(
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+        progress: RequestProgress = new RequestProgress(),
+    ): Promise<void> {
         this.activeCount += 1;
         try {
             const arrivedMs = this.deps.clock.nowMs();
@@ -142,7 +147,7 @@
                 this.refuse(undefined, res, { reason: "bad-request", message, notRun: true });
                 return;
             }
-            await this.serve(req, res, head.unsafeCoerce(), arrivedMs);
+            await this.serve(req, res, head.unsafeCoerce(), arrivedMs, progress);
         }
         finally {
             this.activeCount -= 1;
@@ -154,7 +159,9 @@
         res: http.ServerResponse,
         head: RequestHead,
         arrivedMs: number,
+        progress: RequestProgress,
     ): Promise<void> {
+        progress.request = head.id;
         const limit = this.table?.deployment.limits.maxBodyBytes ?? Infinity;
         const body = await readBytes(req, limit);
         if (body.isLeft()) {
@@ -165,6 +172,7 @@
             }
             return;
         }
+        progress.stage = "admission";
         await this.waitForConfirmedView(head.remainingMs ?? 0);
         const admission = await this.admitAndBind(head, body.unsafeCoerce(), arrivedMs);
         if ("refusal" in admission) {
@@ -196,7 +204,8 @@
         });
         this.deps.retries.recordRequest(service.id);
         this.deps.hedging.recordRequest(route.id);
-        const request = new GatewayRequest(this.deps, admission.admitted, res, held);
+        progress.stage = "waiting";
+        const request = new GatewayRequest(this.deps, admission.admitted, res, held, progress);
         this.running.add(request);
         await request.run();
         this.running.delete(request);
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -17,6 +17,7 @@
 import { deadlineCause, disconnectedCause, impatientCause, stoppingCause, unavailableCause } from "./RefusalCauses.js";
 import { RequestAttempts } from "./RequestAttempts.js";
 import { RequestHedges } from "./RequestHedges.js";
+import type { RequestProgress } from "./RequestProgress.js";
 import { type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
 import { RequestStages } from "./RequestStages.js";
 import {
@@ -52,8 +53,6 @@
     private hasTimedOut = false;
     /** True once the planned stop of this host has ended the request. */
     private isStopped = false;
-    /** True during an attempt, which a planned stop does not end. */
-    private isAtEndpoint = false;
     /** True once the caller has disconnected; logged as `hasLeft`. */
     private hasDisconnected = false;
     /** Number of attempts in which the request may have run. */
@@ -65,11 +64,12 @@
         private readonly admitted: AdmittedRequest,
         private readonly res: http.ServerResponse,
         held: HeldBytes,
+        private readonly progress: RequestProgress,
     ) {
         const { head, route, service, workspace, arrivedMs } = admitted;
         this.clock = deps.clock;
         this.recorder = new RequestRecorder(admitted, deps.clock, deps.log, deps.metrics);
-        this.caller = new CallerReply(res, deps.memory, head);
+        this.caller = new CallerReply(res, deps.memory, head, progress);
         const callerRemainingMs = head.remainingMs === undefined ? Infinity : head.remainingMs - answerMarginMs;
         this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerRemainingMs);
         const { stages, pieces, chooser, permits, cold, clock, log, metrics } = deps;
@@ -161,6 +161,11 @@
         });
     }
 
+    /** True during an attempt, which a planned stop does not end. */
+    private get isAtEndpoint(): boolean {
+        return this.progress.stage === "endpoint";
+    }
+
     /** Refuses the request if it is not at an endpoint, since this process is about to end. */
     public stopWaiting(): void {
         if (!this.isAtEndpoint) {
@@ -195,9 +200,9 @@
                 choice.permit.place?.release(false);
                 return { kind: "refused", refusal: this.refusal({ reason: "quarantined", message: cause }) };
             }
-            this.isAtEndpoint = true;
+            this.progress.stage = "endpoint";
             const { decisive, others } = await this.attempts.run(choice);
-            this.isAtEndpoint = false;
+            this.progress.stage = "waiting";
             this.possibleRuns += others.filter(one => mayHaveRun(one.outcome)).length;
             others.forEach(one => this.recordResultsGone(one));
             const outcome = this.handleOutcome(decisive);
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,14 +4,17 @@
  * have been told to disconnect and the last request has been answered.
  */
 import * as http from "node:http";
+import { Socket } from "node:net";
 import { closeServer, listen } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
 import type { FleetSource } from "../fleet/Types.js";
 import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog } from "../telemetry/Types.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { CallerConnections } from "./CallerConnections.js";
 import type { Gateway } from "./Gateway.js";
+import type { RequestProgress } from "./RequestProgress.js";
 
 /** Idle connections stay open this much longer than callers may reuse them. */
 const idleMarginMs = 1000;
@@ -40,6 +43,7 @@
     readonly fleet: FleetSource;
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     readonly onFatal: (err: InvariantError) => void;
 }
 
@@ -47,17 +51,24 @@
     public readonly name = "gateway-server";
     private readonly server: http.Server;
     private readonly readyServer: http.Server;
+    private readonly connections: CallerConnections;
     private isStopping = false;
     private isClosingIdle = false;
     private wasReady = false;
 
     public constructor(private readonly options: GatewayServerOptions) {
         this.server = http.createServer({ connectionsCheckingInterval: headerCheckIntervalMs }, (req, res) => {
-            this.serve(req, res).catch((err: unknown) => this.handleError(err, res));
+            const progress = this.connections.begin(req, res);
+            this.serve(req, res, progress).catch((err: unknown) => this.handleError(err, res, progress));
         });
+        this.connections = new CallerConnections(options.log, options.metrics);
+        this.connections.attach(this.server);
         this.server.requestTimeout = 0;
         this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
             options.log.event(EventId.CallerBroken, { code: err.code, message: err.message });
+            if (socket instanceof Socket && err.code !== "ECONNRESET") {
+                this.connections.recordClose(socket, "invalid");
+            }
             if (socket.writable && err.code !== "ECONNRESET") {
                 const status = err.code === "HPE_HEADER_OVERFLOW"
                     ? "431 Request Header Fields Too Large"
@@ -75,6 +86,12 @@
         this.applyLimits();
     }
 
+    /** Port on which callers are served; undefined while it is not open. */
+    public get port(): number | undefined {
+        const address = this.server.address();
+        return typeof address === "object" ? address?.port : undefined;
+    }
+
     public async run(signal: AbortSignal): Promise<void> {
         await listen(this.server, this.options.address, listenBacklog);
         await listen(this.readyServer, this.options.readyAddress);
@@ -128,17 +145,21 @@
         }
     }
 
-    private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    private async serve(
+        req: http.IncomingMessage,
+        res: http.ServerResponse,
+        progress: RequestProgress,
+    ): Promise<void> {
         if (this.isStopping) {
             res.setHeader("connection", "close");
         }
-        await this.options.gateway.handle(req, res);
+        await this.options.gateway.handle(req, res, progress);
         if (this.isClosingIdle) {
             this.server.closeIdleConnections();
         }
     }
 
-    private handleError(err: unknown, res: http.ServerResponse): void {
+    private handleError(err: unknown, res: http.ServerResponse, progress: RequestProgress): void {
         if (err instanceof InvariantError) {
             this.options.onFatal(err);
         }
@@ -146,6 +167,7 @@
             const message = err instanceof Error ? err.stack : String(err);
             this.options.log.event(EventId.ServiceFailed, { service: this.name, message });
         }
+        progress.recordEnd("error");
         res.destroy();
     }
 }
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -135,6 +135,10 @@
     /** The HTTP server reported an error on a caller's connection. */
     CallerBroken = 1104,
     EndpointCrashed = 1105,
+    /** This host closed the connection of a request that it had read whole, before the answer was complete. */
+    RequestCutOff = 1106,
+    /** This host closed a caller's connection, other than after an answer that said so. */
+    CallerConnectionClosed = 1107,
     /** A second attempt was started beside a slow one. */
     RequestHedged = 1110,
     /** A caller took none of its data for too long, or its data took up memory that others need. */
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -20,6 +20,7 @@
 import { ColdStartQuota, FleetRetryBudget } from "../src/gateway/FleetQuotas.js";
 import { Gateway } from "../src/gateway/Gateway.js";
 import { GatewayHedging } from "../src/gateway/GatewayHedging.js";
+import { GatewayServer } from "../src/gateway/GatewayServer.js";
 import { ReplyTimes } from "../src/gateway/ReplyTimes.js";
 import { RequestQuarantine } from "../src/gateway/RequestQuarantine.js";
 import { StageGraph } from "../src/gateway/StageGraph.js";
@@ -53,6 +54,8 @@
     testPermits,
 } from "./FleetFixtures.js";
 
+export { type Answer, sendRequest } from "./GatewayCaller.js";
+
 /** Signature that a complete reply of an endpoint carries. */
 export const signatureHeader = { "Fireflykeel-Server-Stamp": "stamp" };
 const closers: (() => void)[] = [];
@@ -122,6 +125,7 @@
     readonly received: http.IncomingMessage[];
     readonly endpoints: readonly http.Server[];
     readonly gateway: Gateway;
+    readonly server: GatewayServer;
     readonly hedging: GatewayHedging;
     readonly memory: CallerMemory;
     readonly limits: EndpointLimits;
@@ -189,7 +193,7 @@
     /** Share of the requests that may be hedged. */
     readonly hedgeShare?: () => number;
     readonly callerMemory?: CallerMemorySettings;
-    /** Receives the events of the callers' memory. */
+    /** Receives the events of the callers' connections and memory. */
     readonly log?: EventLog;
 }
 
@@ -257,15 +261,16 @@
                 })
             ),
         });
-        const address = addressOf(await startServer((req, res) => void gateway.handle(req, res)));
+        const server = await startGatewayServer(gateway, fleet, clock, log);
         const hide = (endpoint: string) =>
             fleet.set({ endpoints: fleet.view().endpoints.filter(one => one.id !== endpoint) });
         return {
-            address,
+            address: `127.0.0.1:${server.port}`,
             fleet,
             received,
             endpoints,
             gateway,
+            server,
             hedging,
             memory,
             limits,
@@ -277,6 +282,32 @@
     }));
 }
 
+async function startGatewayServer(
+    gateway: Gateway,
+    fleet: FixedFleet,
+    clock: Clock,
+    log: EventLog,
+): Promise<GatewayServer> {
+    const server = new GatewayServer({
+        address: "127.0.0.1:0",
+        readyAddress: "127.0.0.1:0",
+        isReadyPath: () => true,
+        gateway,
+        fleet,
+        clock,
+        log,
+        metrics: noMetrics,
+        onFatal: err => assert.fail(err),
+    });
+    const closing = new AbortController();
+    closers.push(() => closing.abort());
+    void server.run(closing.signal);
+    while (server.port === undefined) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    return server;
+}
+
 async function startLinks(endpoints: readonly http.Server[]): Promise<EndpointLinks> {
     const links = new EndpointLinks();
     closers.push(() => void links.stop());
@@ -390,59 +421,3 @@
     };
     return { fleet, gateway, hedging, memory, limits, tunnelServer, stop: () => stopping.abort(), dispose };
 }
-
-export interface Answer {
-    readonly status: number;
-    readonly headers: http.IncomingHttpHeaders;
-    readonly body: string;
-    /** False if the connection ended before the reply was complete. */
-    readonly isWhole: boolean;
-}
-
-export function sendRequest(
-    site: GatewaySite,
-    headers: Record<string, string> = {},
-    path = "/a/x",
-    onBody: (received: string) => void = () => undefined,
-): Promise<Answer> {
-    return new Promise((resolve, reject) => {
-        const req = http.request(`http://${site.address}${path}`, {
-            method: "POST",
-            agent: false,
-            headers: {
-                "host": "H.example:80",
-                "fireflykeel-request-id": "id-1",
-                "fireflykeel-deadline-ms": "1500",
-                "x-api-key": "key",
-                ...headers,
-            },
-        });
-        let hasResponse = false;
-        let isBroken = false;
-        req.on("error", err => {
-            // Node.js takes a response that ends with its connection for complete, also when that was reset.
-            isBroken = true;
-            if (!hasResponse) {
-                reject(err);
-            }
-        });
-        req.on("response", res => {
-            hasResponse = true;
-            let body = "";
-            res.on("data", (chunk: Buffer) => {
-                body += chunk.toString();
-                onBody(body);
-            });
-            res.on("error", () => undefined);
-            res.on("close", () => {
-                resolve({
-                    status: res.statusCode ?? 0,
-                    headers: res.headers,
-                    body,
-                    isWhole: res.complete && !isBroken,
-                });
-            });
-        });
-        req.end("body");
-    });
-}
