LOST: a request whose handling throws an exception is answered

What callers saw: the connection was destroyed without an answer, whether or not the request had been sent to an endpoint. What follows `request.run()` was skipped as well: its memory stayed in use for good, and an attempt that threw left its endpoint's running count and place as they were.

An attempt that throws ends as broken now, a value like any other outcome: what may be repeated goes elsewhere, and places, counts and work are given back. Everywhere else a request is refused as failed: with 503 and a retry while no attempt has been started, so that it certainly has not run, with 502 after that, broken off once the answer has begun. Memory and the set of running requests are released in any case, also after a refusal by admission control, which kept the bytes of each body that it turned away. One line, `RequestFailed` (1108), names the exception. A refusal carries no header of an endpoint whose head could not be written. A broken invariant still stops the process, with all of its connections.

--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -27,6 +27,7 @@
     "unknown-origin": 503,
     "stopping": 503,
     "broken": 502,
+    "failed": 502,
     "deadline": 504,
 };
 /** Replaces statuses of 500 and above when the request has certainly not run. */
@@ -47,6 +48,8 @@
 /** Writes a refusal as a complete reply. */
 export function writeRefusal(res: http.ServerResponse, { reason, message, notRun, retryAfterMs }: Refusal): void {
     const status = statusOf(reason, notRun);
+    // A head that could not be written may have left headers of an endpoint, which the refusal must not carry.
+    res.getHeaderNames().filter(name => name !== "connection").forEach(name => res.removeHeader(name));
     const headers = {
         [outcomeHeader]: notRun ? "not-run" : "unknown",
         ...(retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1000).toFixed(2) }),
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -17,17 +17,18 @@
 import type { StreamOrigins } from "../streams/StreamOrigins.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
-import type { CallerMemory } from "./CallerMemory.js";
+import type { CallerMemory, HeldBytes } from "./CallerMemory.js";
 import { writeRefusal } from "./CallerReply.js";
 import type { EndpointChooser } from "./EndpointChooser.js";
 import type { EndpointTracker } from "./EndpointTracker.js";
 import type { ColdStartQuota, FleetRetryBudget } from "./FleetQuotas.js";
 import type { GatewayHedging } from "./GatewayHedging.js";
 import { GatewayRequest } from "./GatewayRequest.js";
-import { stoppingRetryMs } from "./RefusalCauses.js";
+import { failedRefusal, stoppingRetryMs } from "./RefusalCauses.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
 import { RequestProgress } from "./RequestProgress.js";
 import type { RequestQuarantine } from "./RequestQuarantine.js";
+import { recordFailure } from "./RequestRecorder.js";
 import { pickService, RouteTable } from "./RouteTable.js";
 import { type StageGraph, stagesAndReplyMs } from "./StageGraph.js";
 import type { StreamBinding } from "./StreamBinding.js";
@@ -149,6 +150,10 @@
             }
             await this.serve(req, res, head.unsafeCoerce(), arrivedMs, progress);
         }
+        catch (err) {
+            recordFailure(this.deps.log, err, progress);
+            this.refuseFailed(res, progress);
+        }
         finally {
             this.activeCount -= 1;
         }
@@ -180,13 +185,28 @@
             return;
         }
         const held = this.deps.memory.account();
-        if (!held.add(admission.admitted.body.length)) {
+        try {
+            await this.run(head, admission.admitted, res, held, progress);
+        }
+        finally {
+            held.release();
+        }
+    }
+
+    private async run(
+        head: RequestHead,
+        admitted: AdmittedRequest,
+        res: http.ServerResponse,
+        held: HeldBytes,
+        progress: RequestProgress,
+    ): Promise<void> {
+        if (!held.add(admitted.body.length)) {
             const message = "this host holds as much data for callers as it may";
             this.refuse(head, res, { reason: "overloaded", message, notRun: true, retryAfterMs: unconfirmedRetryMs });
             return;
         }
-        const { route, service, workspace } = admission.admitted;
-        const refusal = this.enter(admission.admitted);
+        const { route, service, workspace } = admitted;
+        const refusal = this.enter(admitted);
         if (refusal !== undefined) {
             this.refuse(head, res, refusal);
             return;
@@ -205,11 +225,14 @@
         this.deps.retries.recordRequest(service.id);
         this.deps.hedging.recordRequest(route.id);
         progress.stage = "waiting";
-        const request = new GatewayRequest(this.deps, admission.admitted, res, held, progress);
+        const request = new GatewayRequest(this.deps, admitted, res, held, progress);
         this.running.add(request);
-        await request.run();
-        this.running.delete(request);
-        held.release();
+        try {
+            await request.run();
+        }
+        finally {
+            this.running.delete(request);
+        }
     }
 
     /** Asks admission control, which a stream that has begun elsewhere and a request without stages do not need. */
@@ -308,6 +331,19 @@
         return cause === undefined ? { admitted } : refused("quarantined", cause);
     }
 
+    /** Answers a request after an exception, with nothing that could throw it again. */
+    private refuseFailed(res: http.ServerResponse, progress: RequestProgress): void {
+        const notRun = progress.stage === "reading" || progress.stage === "admission";
+        const refusal = failedRefusal(notRun);
+        this.deps.metrics.count("gateway_requests", { outcome: refusal.reason, kind: "none" });
+        if (res.headersSent) {
+            progress.recordEnd(refusal.reason);
+            res.destroy();
+            return;
+        }
+        writeRefusal(res, refusal);
+    }
+
     private refuse(head: RequestHead | undefined, res: http.ServerResponse, refusal: Refusal): void {
         const { log, metrics, fleet } = this.deps;
         metrics.count("gateway_requests", { outcome: refusal.reason, kind: "none" });
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -14,11 +14,18 @@
 import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
 import type { EndpointRecord } from "./EndpointTracker.js";
 import type { GatewayDependencies } from "./Gateway.js";
-import { deadlineCause, disconnectedCause, impatientCause, stoppingCause, unavailableCause } from "./RefusalCauses.js";
+import {
+    deadlineCause,
+    disconnectedCause,
+    failedRefusal,
+    impatientCause,
+    stoppingCause,
+    unavailableCause,
+} from "./RefusalCauses.js";
 import { RequestAttempts } from "./RequestAttempts.js";
 import { RequestHedges } from "./RequestHedges.js";
 import type { RequestProgress } from "./RequestProgress.js";
-import { type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
+import { recordFailure, type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
 import { RequestStages } from "./RequestStages.js";
 import {
     type AdmittedRequest,
@@ -144,14 +151,14 @@
         };
         this.res.on("close", onClose);
         this.patience.start();
-        const outcome = await this.serve();
+        const outcome = await this.serve().catch((err: unknown) => this.handleError(err));
         timer.dispose();
         this.patience.stop();
         this.res.off("close", onClose);
+        this.stages.free();
         if (outcome.kind === "refused") {
             this.caller.refuse(outcome.refusal);
         }
-        this.stages.free();
         this.recorder.recordEnd({
             outcome,
             config: this.deps.fleet.view().deployment?.version,
@@ -161,6 +168,13 @@
         });
     }
 
+    /** Ends everything that still runs; the request has certainly not run only if no attempt has been started. */
+    private handleError(err: unknown): RequestOutcome {
+        this.abortController.abort();
+        recordFailure(this.deps.log, err, this.progress);
+        return { kind: "refused", refusal: failedRefusal(!this.attempts.hasStarted) };
+    }
+
     /** True during an attempt, which a planned stop does not end. */
     private get isAtEndpoint(): boolean {
         return this.progress.stage === "endpoint";
--- a/src/gateway/RefusalCauses.ts
+++ b/src/gateway/RefusalCauses.ts
@@ -1,6 +1,6 @@
 /** Why a request is refused and when its caller may come back, for causes that depend on no more than the request. */
 import { defaultRetryMs } from "./StageGraph.js";
-import type { RefusalCause } from "./Types.js";
+import type { Refusal, RefusalCause } from "./Types.js";
 
 /** Retry advice of a stopping host; a caller reaches another host at once. */
 export const stoppingRetryMs = 50;
@@ -11,6 +11,12 @@
     retryAfterMs: stoppingRetryMs,
 };
 
+/** An exception ended the handling of a request. */
+export function failedRefusal(notRun: boolean): Refusal {
+    const message = "this host failed to handle the request";
+    return { reason: "failed", message, notRun, ...(notRun ? { retryAfterMs: defaultRetryMs } : {}) };
+}
+
 export const disconnectedCause: RefusalCause = { reason: "deadline", message: "the caller has disconnected" };
 export const deadlineCause: RefusalCause = { reason: "deadline", message: "the deadline has passed" };
 
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -2,9 +2,11 @@
  * The attempts of one request at endpoints: sends the request to a chosen endpoint, and records what the attempt shows
  * of the endpoint, of the request and of the stream that it begins.
  */
+import { InvariantError } from "../common/Invariant.js";
 import type { Route } from "../fleet/Types.js";
 import type { RequestVersions } from "../rollouts/VersionRouter.js";
 import { originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
+import { EventId } from "../telemetry/Events.js";
 import { AttemptRace, type Contender, type RaceEnd } from "./AttemptRace.js";
 import { AttemptReply } from "./AttemptReply.js";
 import type { HeldBytes } from "./CallerMemory.js";
@@ -57,6 +59,11 @@
         this.streamOrigin = options.admitted.origin;
     }
 
+    /** True once an attempt has been started, whatever its outcome. */
+    public get hasStarted(): boolean {
+        return this.startedCount > 0;
+    }
+
     /** Number of attempts that may have reached an endpoint. */
     public get sent(): number {
         return this.sentCount;
@@ -115,7 +122,7 @@
         deps.chooser.recordSend(record, admitted.head.prompt);
         const firstByte = new FirstByteTimes(deps, admitted.route, startMs);
         const exchange = this.exchangeFor(attempt, contender, firstByte, mayLose, () => work.begin());
-        const ended = await exchange.run();
+        const ended = await exchange.run().catch((err: unknown) => this.recordFailure(err));
         work.end();
         const hasLostRace = ended.kind === "cancelled" && contender.hasLostRace;
         const outcome = hasLostRace ? { ...ended, hasLostRace } : ended;
@@ -136,6 +143,17 @@
         return outcome;
     }
 
+    /** The outcome of an exchange that an exception has ended: it is unknown what was sent. */
+    private recordFailure(err: unknown): AttemptOutcome {
+        if (err instanceof InvariantError) {
+            throw err;
+        }
+        const { deps: { log }, admitted: { head } } = this.options;
+        const message = err instanceof Error ? err.stack : String(err);
+        log.event(EventId.RequestFailed, { request: head.id, at: "endpoint", message });
+        return { kind: "broken", message: "this host failed to handle the attempt", isSilent: false };
+    }
+
     private exchangeFor(
         attempt: RunningAttempt,
         contender: Contender,
--- a/src/gateway/RequestRecorder.ts
+++ b/src/gateway/RequestRecorder.ts
@@ -1,8 +1,10 @@
 /** Writes the log lines and metrics of one request: the end of each attempt, and its final answer. */
+import { InvariantError } from "../common/Invariant.js";
 import type { Clock, HostId } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { PermittedChoice } from "./EndpointSelection.js";
+import type { RequestProgress } from "./RequestProgress.js";
 import type { AdmittedRequest, AttemptOutcome, Refusal } from "./Types.js";
 
 export type RequestOutcome =
@@ -30,6 +32,14 @@
     readonly isHedge: boolean;
 }
 
+/** Records that an exception has ended the handling of a request. Throws a broken invariant on, which stops the process. */
+export function recordFailure(log: EventLog, err: unknown, { request, stage }: RequestProgress): void {
+    if (err instanceof InvariantError) {
+        throw err;
+    }
+    log.event(EventId.RequestFailed, { request, at: stage, message: err instanceof Error ? err.stack : String(err) });
+}
+
 export class RequestRecorder {
     private readonly attempts: string[] = [];
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -148,6 +148,7 @@
     | "version-gone"
     | "unknown-origin"
     | "broken"
+    | "failed"
     | "deadline"
     | "stopping";
 
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -139,6 +139,8 @@
     RequestCutOff = 1106,
     /** This host closed a caller's connection, other than after an answer that said so. */
     CallerConnectionClosed = 1107,
+    /** An exception ended the handling of a request, which is answered all the same. */
+    RequestFailed = 1108,
     /** A second attempt was started beside a slow one. */
     RequestHedged = 1110,
     /** A caller took none of its data for too long, or its data took up memory that others need. */
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -193,7 +193,7 @@
     /** Share of the requests that may be hedged. */
     readonly hedgeShare?: () => number;
     readonly callerMemory?: CallerMemorySettings;
-    /** Receives the events of the callers' connections and memory. */
+    /** Receives the events of the gateway and of its callers. */
     readonly log?: EventLog;
 }
 
@@ -404,7 +404,7 @@
         replyTimes: new ReplyTimes(),
         load,
         clock,
-        log: silentLog,
+        log,
         metrics: noMetrics,
         random: () => 0,
         quarantine: new RequestQuarantine({
