Lists passed on by other hosts: check their entries as well

A control host of an older build passes on entries that this build leaves out, so that an entry host of this build would still take the address "10.0.0.1:99999" or 1e308 slots from it during an update of the fleet, and a control host from such a leader.

FleetClient and EndpointListReader.adoptIfNewer now check a received list or its changes by the same schema as the platform's. An endpoint whose entry has become bad counts as gone rather than staying as it was. The part keeps its tag, or the sender would send it again with each poll.

Before: "an entry host leaves out a bad entry of a control host, also one that was good before" failed, as the entry host held both bad entries.

--- a/src/fleet/EndpointListReader.ts
+++ b/src/fleet/EndpointListReader.ts
@@ -9,6 +9,7 @@
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { EntryFaultLog } from "./EntryFaultLog.js";
 import { type AgedEndpoints, tagOf } from "./FleetMessages.js";
+import { checkListPart } from "./ListedEndpoints.js";
 import type { EndpointListSource, ListedEndpoint } from "./Types.js";
 
 /**
@@ -63,7 +64,9 @@
     /** Adopts a list that another control host has read, if it is newer. */
     public adoptIfNewer({ tag, endpoints, ageMs }: AgedEndpoints): void {
         if (ageMs >= 0 && ageMs < this.ageMs) {
-            this.replace(tag, endpoints, this.options.clock.nowMs() - ageMs);
+            const { part, faults } = checkListPart({ tag, items: endpoints, gone: [] });
+            this.faults.record(faults, "leader");
+            this.replace(tag, part.items, this.options.clock.nowMs() - ageMs);
         }
     }
 
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -11,6 +11,7 @@
 import { EndpointLimits, type LimitMatter } from "../endpoints/EndpointLimits.js";
 import type { FleetClient } from "./FleetClient.js";
 import { shareStatements } from "./StatementSharing.js";
+import type { ListedEndpoint } from "./Types.js";
 
 const names = ["c1", "c2", "c3"];
 
@@ -36,6 +37,23 @@
     await fleet.stopAll();
 });
 
+// Guards against an entry host that takes over a bad entry which a control host of an older build has passed on.
+test("an entry host leaves out a bad entry of a control host, also one that was good before", async () => {
+    const fleet = await startFleet();
+    const bad = [listed("odd", { address: "10.0.0.1:99999" }), listed("odder", { slots: 1e308 })];
+    fleet.listed = [listed("i-1"), ...bad, listed("i-2")];
+    const entry = fleet.startEntry("e1");
+    await fleet.clock.advance(4000);
+    const idsAt = (host: { readonly endpoints: readonly ListedEndpoint[]; }) => host.endpoints.map(one => one.id);
+    assert.deepEqual(idsAt(entry.view()), ["i-1", "i-2"]);
+    fleet.listed = [listed("i-1"), listed("i-2", { coldLeftMs: -1 }), listed("i-3")];
+    await fleet.clock.advance(4000);
+    assert.deepEqual(idsAt(entry.view()), ["i-1", "i-3"]);
+    const follower = [...fleet.controls.values()].find(one => one !== fleet.leader());
+    assert.deepEqual(idsAt(follower!.reader.current()), ["i-1", "i-3"]);
+    await fleet.stopAll();
+});
+
 test("hosts with empty disks do not bootstrap a group when it is not the first start", async () => {
     const fleet = new FleetCluster(names);
     names.forEach(name => fleet.startControl(name, false));
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -13,6 +13,7 @@
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { EntryFaultLog } from "./EntryFaultLog.js";
 import { hostOf, isLive } from "./EntryHostRegistry.js";
 import {
     type CrashReports,
@@ -22,6 +23,7 @@
     type HeldTags,
     type SyncReply,
 } from "./FleetMessages.js";
+import { checkListPart } from "./ListedEndpoints.js";
 import { applyPart } from "./ListVersions.js";
 import type { Statement, StatementReport } from "./StatementReports.js";
 import type {
@@ -116,8 +118,11 @@
     private candidateIndex = 0;
     /** The control host whose poll failed last; undefined after a successful poll. */
     private lostControl: HostId | undefined;
+    private readonly entryFaults: EntryFaultLog;
 
-    public constructor(private readonly options: FleetClientOptions) {}
+    public constructor(private readonly options: FleetClientOptions) {
+        this.entryFaults = new EntryFaultLog(options.log);
+    }
 
     public view(): FleetView {
         return this.current;
@@ -388,12 +393,14 @@
         }
         const endpointsReadMs = clock.nowMs() - aged.ageMs;
         const isNewer = endpointsReadMs > this.current.endpointsReadMs || this.heldTags.endpoints === "";
-        const endpoints = applyPart(this.current.endpoints, this.heldTags.endpoints, aged.part, ({ id }) => id);
+        const { part, faults } = checkListPart(aged.part);
+        this.entryFaults.record(faults, this.currentControl());
+        const endpoints = applyPart(this.current.endpoints, this.heldTags.endpoints, part, ({ id }) => id);
         if (endpoints === undefined) {
             this.heldTags = { ...this.heldTags, endpoints: "" };
         }
         else if (isNewer) {
-            this.heldTags = { ...this.heldTags, endpoints: aged.part.tag };
+            this.heldTags = { ...this.heldTags, endpoints: part.tag };
             this.current = { ...this.current, endpoints, endpointsReadMs };
         }
     }
--- a/src/fleet/ListedEndpoints.ts
+++ b/src/fleet/ListedEndpoints.ts
@@ -3,11 +3,12 @@
  * well, and from other hosts, whose builds may have checked less. An entry that fails the check names no endpoint, and
  * the others hold.
  */
-import { type Either, Left, Right } from "purify-ts";
+import { Either, Left, Right } from "purify-ts";
 import * as z from "zod";
 import { parseEndpointAddress } from "../common/EndpointAddress.js";
 import { parseEndpointId } from "../common/Ids.js";
 import type { DataCentreId, IdParser, ServiceId } from "../common/Types.js";
+import type { ListPart } from "./ListVersions.js";
 import type { EntryFault, ListedEndpoint } from "./Types.js";
 
 /** Far above any endpoint; sums over all endpoints of a fleet stay exact. */
@@ -42,6 +43,23 @@
     return parsed.success ? Right(parsed.data) : Left(entryFault(name, parsed.error));
 }
 
+/**
+ * Checks a list, or its changes, as another host has passed it on. An endpoint whose entry has become bad counts as gone,
+ * and the part keeps its tag, so that its sender does not send it again.
+ */
+export function checkListPart(part: ListPart<ListedEndpoint>): {
+    readonly part: ListPart<ListedEndpoint>;
+    readonly faults: readonly EntryFault[];
+} {
+    const checked = part.items.map((item: Partial<ListedEndpoint> | null) => ({
+        id: String(item?.id),
+        entry: parseListedEndpoint(item, String(item?.id)),
+    }));
+    const entries = checked.map(one => one.entry);
+    const gone = [...part.gone, ...checked.filter(one => one.entry.isLeft()).map(one => one.id)];
+    return { part: { ...part, items: Either.rights(entries), gone }, faults: Either.lefts(entries) };
+}
+
 /** The fault of an entry that a schema rejects. */
 export function entryFault(name: string, { issues }: z.ZodError): EntryFault {
     const fields = new Set(issues.map(({ path }) => String(path[0] ?? "")).filter(field => field !== ""));
