Connections: a request that can't be made of foreign data fails as a value

Callers' connections were closed without an answer, and no other endpoint was asked, when a request met an endpoint with the address "127.0.0.1:99999" or "999.1.1.1:80". A host that was asked for a tunnel to such an endpoint, or tried it as a candidate to judge another one by, ended: nobody handles the rejection of that task.

http.request and net.connect throw for an address, a path or a header that they can't write, while they report every other failure by an event. ConnectError has the kind "invalid" for it: no byte was written, another way to the endpoint would not help, and it proves nothing of the endpoint, since a header may be the cause (a handle of a stage's result, the id of an event). A request goes on to the next endpoint.

--- a/src/endpoints/EndpointConnections.test.ts
+++ b/src/endpoints/EndpointConnections.test.ts
@@ -1,4 +1,4 @@
-/** Checks connections to an endpoint that does not complete them, over loopback. */
+/** Checks connections to an endpoint that does not complete them, or has no valid address, over loopback. */
 import assert from "node:assert/strict";
 import { after, test } from "node:test";
 import { listenWithoutAccepting } from "../../testing/SilentListener.js";
@@ -36,3 +36,31 @@
     const ends = await Promise.all(next);
     assert.ok(ends.every(end => end.isLeft()));
 });
+
+const invalid: readonly { readonly name: string; readonly address: string; readonly headers?: readonly string[]; }[] = [
+    { name: "a port out of range", address: "127.0.0.1:99999" },
+    { name: "numbers that are no IP address", address: "999.1.1.1:80" },
+    { name: "no address", address: "" },
+    { name: "a header that can't be written", address: "127.0.0.1:1", headers: ["a", "b\nc"] },
+];
+for (const { name, address, headers = [] } of invalid) {
+    // Guards against an exception, after which a request is lost without an answer, or the process ends.
+    test(`a connection with ${name} fails with a value, and leaves the turns to connect to others`, async () => {
+        const connections = new EndpointConnections(
+            { addressOf: () => address, connectMs: () => 500 },
+            new SystemClock(),
+        );
+        closers.push(() => connections.dispose());
+        const { signal } = new AbortController();
+        for (let at = 0; at < 5; at++) {
+            const failed = await connections.connect(endpoint, {
+                method: "GET",
+                path: "/",
+                fresh: false,
+                signal,
+                headers,
+            });
+            assert.equal(failed.caseOf({ Left: error => error.kind, Right: () => "connected" }), "invalid");
+        }
+    });
+}
--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -6,6 +6,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
+import { openRequest } from "../common/HttpRequests.js";
 import type { Clock, Disposable, EndpointId, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
 import { judgeFailure } from "./ConnectEvidence.js";
@@ -21,9 +22,12 @@
 /** Number of interim replies (1xx) to one request after which its connection is closed. */
 const maxInterimReplies = 16;
 
-/** A failure to connect; no byte of the request was written. */
+/**
+ * A failure to connect; no byte of the request was written. "invalid": no request can be made of the address, the path or
+ * a header, some of which come from other hosts and endpoints.
+ */
 export interface ConnectError {
-    readonly kind: "refused" | "timeout" | "aborted" | "no-address";
+    readonly kind: "refused" | "timeout" | "aborted" | "no-address" | "invalid";
     readonly message: string;
     /**
      * True when a sound host has met the same, or has been refused; false when the cause may be this host's own path, as no
@@ -243,7 +247,7 @@
                 return detoured;
             }
             const { kind, isConfirmed = false, isCutOff = false } = detoured.extract();
-            if (kind === "aborted" || isConfirmed || isCutOff) {
+            if (isFinal(kind) || isConfirmed || isCutOff) {
                 return detoured;
             }
         }
@@ -253,7 +257,7 @@
             return direct;
         }
         const error = direct.extract();
-        if (error.kind === "aborted" || detours?.isAvailable !== true) {
+        if (isFinal(error.kind) || detours?.isAvailable !== true) {
             return direct;
         }
         if (isDetourFirst) {
@@ -298,13 +302,25 @@
         pool: Pool,
         options: ConnectOptions,
         connectMs: number,
+    ): Promise<Either<ConnectError, ReadyRequest>> {
+        const opened = openRequest(`http://${pool.address}${options.path}`, {
+            method: options.method,
+            agent: !options.fresh ? agent : agent instanceof DetourAgent ? agent.unpooled() : false,
+            headers: headersOf(options),
+        });
+        return opened.caseOf({
+            // Proves nothing of the endpoint: the fault may be in the request.
+            Left: async message => Left<ConnectError>({ kind: "invalid", message, isConfirmed: false }),
+            Right: req => this.whenConnected(req, options, connectMs),
+        });
+    }
+
+    private whenConnected(
+        req: http.ClientRequest,
+        options: ConnectOptions,
+        connectMs: number,
     ): Promise<Either<ConnectError, ReadyRequest>> {
         return new Promise(resolve => {
-            const req = http.request(`http://${pool.address}${options.path}`, {
-                method: options.method,
-                agent: !options.fresh ? agent : agent instanceof DetourAgent ? agent.unpooled() : false,
-                headers: headersOf(options),
-            });
             const finish = (result: Either<ConnectError, ReadyRequest>) => {
                 timer.dispose();
                 options.signal.removeEventListener("abort", aborted);
@@ -339,6 +355,11 @@
     }
 }
 
+/** True for a failure that another way to the endpoint would not change. */
+function isFinal(kind: ConnectError["kind"]): boolean {
+    return kind === "aborted" || kind === "invalid";
+}
+
 function connectErrorOf(err: Error): ConnectError {
     if (!(err instanceof DetourError)) {
         return { kind: "refused", message: err.message };
--- a/src/endpoints/HttpStageClient.ts
+++ b/src/endpoints/HttpStageClient.ts
@@ -106,7 +106,8 @@
     }
 
     private failConnect(slot: Slot, error: ConnectError): Either<StageCallError, StageReply> {
-        slot.release(error.kind === "aborted" || error.kind === "no-address" ? "never-sent" : "refused");
+        const isTried = error.kind === "refused" || error.kind === "timeout";
+        slot.release(isTried ? "refused" : "never-sent");
         if (error.kind === "aborted") {
             return Left({ kind: "cancelled", message: error.message });
         }
--- a/src/paths/DirectDialer.test.ts
+++ b/src/paths/DirectDialer.test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { FakeClock } from "../../testing/FakeClock.js";
 import { FixedFleet, listed } from "../../testing/FleetFixtures.js";
+import { SystemClock } from "../common/SystemClock.js";
 import { DirectDialer } from "./DirectDialer.js";
 
 /** What happens to a connection to an endpoint, and after which time; Infinity for never. */
@@ -112,3 +113,14 @@
     sockets[1]!.emit("connect");
     assert.equal((await made).isRight(), true);
 });
+
+// Guards against an unhandled rejection, which ends the process, for an endpoint or a candidate with a bad port.
+test("an endpoint with a port out of range is not reached, and costs no judgement of another one", async () => {
+    const fleet = new FixedFleet();
+    fleet.set({ endpoints: [listed("odd", { address: "127.0.0.1:99999" }), listed("e1", { address: "127.0.0.1:1" })] });
+    const dialer = new DirectDialer(fleet, new SystemClock());
+    const kinds = [await dialer.dial("odd"), await dialer.dial("e1")].map(one =>
+        one.swap().map(({ kind }) => kind).extract()
+    );
+    assert.deepEqual(kinds, ["unavailable", "unavailable"]);
+});
--- a/src/paths/DirectDialer.ts
+++ b/src/paths/DirectDialer.ts
@@ -5,7 +5,7 @@
  * gives no verdict.
  */
 import * as net from "node:net";
-import { type Either, Left, Right } from "purify-ts";
+import { Either, Left, Right } from "purify-ts";
 import type { Clock } from "../common/Types.js";
 import type { FleetSource, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import type { TunnelError } from "../peer/TunnelClient.js";
@@ -95,10 +95,22 @@
         });
     }
 
-    private connect(endpoint: ListedEndpoint, limitMs: number): Promise<Either<TunnelError, net.Socket>> {
+    private async connect(endpoint: ListedEndpoint, limitMs: number): Promise<Either<TunnelError, net.Socket>> {
         const { address } = endpoint;
         const colon = address.lastIndexOf(":");
-        const socket = this.connectTo(address.slice(0, colon), Number(address.slice(colon + 1)));
+        // Node throws for a port that there is not.
+        const opened = Either.encase(() => this.connectTo(address.slice(0, colon), Number(address.slice(colon + 1))));
+        return opened.caseOf({
+            Left: async ({ message }) => Left<TunnelError>({ kind: "unavailable", message }),
+            Right: socket => this.whenConnected(socket, endpoint, limitMs),
+        });
+    }
+
+    private whenConnected(
+        socket: net.Socket,
+        endpoint: ListedEndpoint,
+        limitMs: number,
+    ): Promise<Either<TunnelError, net.Socket>> {
         return new Promise(resolve => {
             const fail = (kind: TunnelError["kind"], message: string) => {
                 timer.dispose();
--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -2,7 +2,8 @@
  * A minimal `fetch` over node:http with a keep-alive agent, for tRPC's HTTP link. Unlike the built-in fetch, it
  * distinguishes a request that was never delivered from one that may have been.
  */
-import * as http from "node:http";
+import type * as http from "node:http";
+import { openRequest } from "../common/HttpRequests.js";
 
 /**
  * A failed request. `delivered` is false only when no connection was made, `refused` is true after a 401, and
@@ -47,11 +48,16 @@
     return new Promise((resolve, reject) => {
         let connected = false;
         const signal = init.signal ?? undefined;
-        const req = http.request(url, {
+        const opened = openRequest(url, {
             agent,
             method: init.method ?? "GET",
             headers: init.headers as http.OutgoingHttpHeaders,
         });
+        if (opened.isLeft()) {
+            reject(new HttpFetchError(opened.extract(), false));
+            return;
+        }
+        const req = opened.unsafeCoerce();
         const abort = () => req.destroy(new Error("aborted"));
         const fail = (err: NodeJS.ErrnoException) => {
             signal?.removeEventListener("abort", abort);
--- a/src/peer/TunnelClient.ts
+++ b/src/peer/TunnelClient.ts
@@ -2,9 +2,10 @@
  * Opens byte streams to endpoints through another host, for a host that can't connect to them by itself. The host sends
  * an HTTP CONNECT request to a peer, which connects to the endpoint directly and then copies bytes both ways.
  */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
+import { openRequest } from "../common/HttpRequests.js";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import { keyHeader } from "./Keys.js";
 
@@ -37,20 +38,32 @@
     public constructor(private readonly options: TunnelClientOptions) {}
 
     /** Opens a tunnel to `target` through a peer. The caller closes the socket. */
-    public open(
+    public async open(
         through: HostId,
         target: string,
         timeoutMs: number,
         signal: AbortSignal,
     ): Promise<Either<TunnelError, Socket>> {
-        const { key, addressOf, clock } = this.options;
+        const { key, addressOf } = this.options;
+        const opened = openRequest(`http://${addressOf(through)}`, {
+            method: "CONNECT",
+            path: encodeURIComponent(target),
+            agent: false,
+            headers: { [keyHeader]: key },
+        });
+        return opened.caseOf({
+            Left: async message => Left<TunnelError>({ kind: "unavailable", message }),
+            Right: req => this.whenOpen(req, timeoutMs, signal),
+        });
+    }
+
+    private whenOpen(
+        req: http.ClientRequest,
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<Either<TunnelError, Socket>> {
+        const { clock } = this.options;
         return new Promise(resolve => {
-            const req = http.request(`http://${addressOf(through)}`, {
-                method: "CONNECT",
-                path: encodeURIComponent(target),
-                agent: false,
-                headers: { [keyHeader]: key },
-            });
             const finish = (result: Either<TunnelError, Socket>) => {
                 timer.dispose();
                 connectTimer.dispose();
--- a/src/peer/Tunnels.test.ts
+++ b/src/peer/Tunnels.test.ts
@@ -116,6 +116,12 @@
     assert.ok(performance.now() - startMs < 400, `after ${performance.now() - startMs} ms`);
 });
 
+// Guards against an exception for the address of a host, which ends the process.
+test("a host whose address is none is not available", async () => {
+    const client = new TunnelClient({ key, addressOf: () => "10.0.0.1:99999", clock });
+    assert.equal(kindOf(await client.open("h" as HostId, "e1", 1000, new AbortController().signal)), "unavailable");
+});
+
 // Guards against helper hosts that count as out of reach, since this process was stalled while they replied.
 test("a connection to a host that was made during a stall of this process is used", async () => {
     const { address } = await startHelper(async () => Left({ kind: "refused", message: "" }));
