Gateway: a reply counts only if it carries the request's id

Callers of requests that must not run twice got 503 "not run" for a request that an endpoint was running, or the request ran at a second endpoint; one whose answer carried no id got an earlier request's answer.

Cause: EndpointExchange took a reply without an id for the reply to the request that was sent last. A faulty endpoint may write an earlier refusal once more on a kept connection, where the reply to the next request is due.

With the earlier request's id the attempt was broken off already.

Endpoints echo the id in every reply, and the gateway forwards no request without one, so a reply without an id is not a sound one to any request here. Such a reply, refusal or not, now ends the attempt as broken; event 1112 says so. Closing the connection after each refusal instead would open a new one for each, and prove nothing that the id does not prove.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -2,11 +2,16 @@
  * One attempt of a request at one endpoint: sends the request, verifies that the reply belongs to it, and reads the
  * reply completely or relays its events as they arrive. An incomplete reply closes the connection, since later bytes on
  * it could not be attributed to a request.
+ *
+ * A reply belongs to the request only if it carries its id. A faulty endpoint may write an earlier reply once more on a
+ * kept connection, and a refusal in it would pass for one of a request that is running.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog } from "../telemetry/Types.js";
 import type { AttemptReply } from "./AttemptReply.js";
 import type { HeldBytes } from "./CallerMemory.js";
 import type { RunningAttempt } from "./EndpointTracker.js";
@@ -22,6 +27,8 @@
  * connections after 300 ms of idle time, and after the reset it is unknown whether the request has run.
  */
 const maxSafeIdleMs = 250;
+/** Maximum length of a foreign id in the log. */
+const maxLoggedIdLength = 64;
 
 export interface ExchangeOptions {
     readonly head: RequestHead;
@@ -35,6 +42,7 @@
     readonly connections: EndpointConnections;
     readonly notices: EndpointNotices;
     readonly clock: Clock;
+    readonly log: EventLog;
     /** Aborted when the caller disconnects, the deadline passes or another attempt has won. */
     readonly signal: AbortSignal;
     /** True when the request may be sent once more if this attempt breaks now. */
@@ -53,6 +61,7 @@
     private isFinished = false;
     private req: ClientRequest | undefined;
     private throughHost: HostId | undefined;
+    private isReused = false;
     private res: IncomingMessage | undefined;
     private resolve: (outcome: AttemptOutcome) => void = () => undefined;
 
@@ -80,8 +89,9 @@
                 ? { kind: "cancelled" }
                 : { kind: "unsent", message, isSilent: kind === "timeout", isConfirmed };
         }
-        const { req, through } = connected.unsafeCoerce();
+        const { req, through, reused } = connected.unsafeCoerce();
         this.throughHost = through;
+        this.isReused = reused;
         if (signal.aborted) {
             // The abort came after the connection was made, and a listener would not be told of it any more.
             req.on("error", () => undefined);
@@ -113,8 +123,8 @@
         const reply = codec.decodeReply(res);
         attempt.recordActivity();
         res.on("error", err => this.fail(err.message));
-        if (reply.requestId !== undefined && reply.requestId !== head.id) {
-            this.fail("the reply belongs to another request");
+        if (reply.requestId !== head.id) {
+            this.rejectForeign(reply);
             return;
         }
         notices.observe(attempt.record.id, reply.status, res.headers);
@@ -130,6 +140,20 @@
         this.readComplete(res, reply);
     }
 
+    private rejectForeign({ requestId, status, isNotRun }: ReplyHead): void {
+        const { log, head, attempt } = this.options;
+        log.event(EventId.EndpointReplyRejected, {
+            request: head.id,
+            endpoint: attempt.record.id,
+            status,
+            isNotRun,
+            replyTo: requestId?.slice(0, maxLoggedIdLength),
+            isReused: this.isReused,
+            ...(this.throughHost === undefined ? {} : { through: this.throughHost }),
+        });
+        this.fail(requestId === undefined ? "the reply names no request" : "the reply belongs to another request");
+    }
+
     private readComplete(res: IncomingMessage, reply: ReplyHead): void {
         const chunks: Buffer[] = [];
         let bytes = 0;
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -144,7 +144,7 @@
         onBegin: () => void,
     ): EndpointExchange {
         const { deps, admitted, caller, held, stages, mayRepeat, onEvent } = this.options;
-        const { codec, connections, notices, clock } = deps;
+        const { codec, connections, notices, clock, log } = deps;
         const { head, body, route } = admitted;
         const { record } = attempt;
         return new EndpointExchange({
@@ -158,6 +158,7 @@
             connections,
             notices,
             clock,
+            log,
             signal: contender.signal,
             mayRepeat,
             firstByteTimeoutMs: firstByteTimeoutMs(route.kind, record.replyMs),
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -139,6 +139,8 @@
     RequestHedged = 1110,
     /** A caller took none of its data for too long, or its data took up memory that others need. */
     SlowCallerDisconnected = 1111,
+    /** A reply of an endpoint did not carry the id of the request that was sent last. */
+    EndpointReplyRejected = 1112,
     // 12xx: gather
     PiecesSubmitted = 1200,
     PiecesEnded = 1201,
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -149,8 +149,9 @@
 export async function startDetouredSite(
     kind: RequestKind,
     handlers: readonly RequestHandler[],
+    options: GatewaySiteOptions = {},
 ): Promise<GatewaySite> {
-    const [site] = await startGatewaySites(2, kind, handlers);
+    const [site] = await startGatewaySites(2, kind, handlers, options);
     const endpoints = site!.fleet.view().endpoints.map(one => ({ ...one, address: closedAddress }));
     site!.fleet.set({ endpoints });
     return site!;
@@ -189,7 +190,7 @@
     /** Share of the requests that may be hedged. */
     readonly hedgeShare?: () => number;
     readonly callerMemory?: CallerMemorySettings;
-    /** Receives the events of the callers' memory. */
+    /** Receives the events of the gateway and of the callers' memory. */
     readonly log?: EventLog;
 }
 
@@ -373,7 +374,7 @@
         replyTimes: new ReplyTimes(),
         load,
         clock,
-        log: silentLog,
+        log,
         metrics: noMetrics,
         random: () => 0,
         quarantine: new RequestQuarantine({
