Gateway: a second attempt at the same endpoint uses a new connection

A request that must not run twice ran again and again at one endpoint, and its caller was told 503 "not run".

Cause: after a refusal for stage results that could not be fetched (409), the stages run again and the request may go to the same endpoint once more, on the same kept connection. The earlier refusal, written once more there, carries the id of the request that is now running.

An endpoint that may have got the request before now gets it on a connection of its own, which carries no earlier reply.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -35,6 +35,8 @@
     readonly headers: readonly string[];
     readonly body: Buffer;
     readonly attempt: RunningAttempt;
+    /** True when the endpoint has got the request before: its earlier reply, written once more, has the same id. */
+    readonly isRepeat: boolean;
     readonly caller: AttemptReply;
     /** Counts the bytes of a reply that is read completely. */
     readonly held: HeldBytes;
@@ -74,12 +76,12 @@
 
     /** Runs the attempt and resolves with its outcome. */
     public async run(): Promise<AttemptOutcome> {
-        const { attempt, connections, head, headers, signal, mayRepeat } = this.options;
+        const { attempt, connections, head, headers, signal, mayRepeat, isRepeat } = this.options;
         const connected = await connections.connect(attempt.record.id, {
             method: head.method,
             path: head.target,
             headers,
-            fresh: false,
+            fresh: isRepeat,
             signal,
             ...(mayRepeat() ? {} : { maxIdleMs: maxSafeIdleMs }),
         });
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -48,6 +48,8 @@
 export class RequestAttempts {
     /** Endpoints that get no further attempt. */
     public readonly tried = new Set<EndpointRecord>();
+    /** Endpoints that may have got the request; unlike {@link tried}, it only grows. */
+    private readonly reached = new Set<EndpointRecord>();
     private startedCount = 0;
     private sentCount = 0;
     private streamOrigin: StreamOrigin | undefined;
@@ -129,7 +131,10 @@
         deps.hedging.recordOutcome(admitted.service.id, outcome);
         void deps.quarantine.observe(admitted, record, outcome);
         this.tried.add(record);
-        this.sentCount += outcome.kind === "unsent" ? 0 : 1;
+        if (outcome.kind !== "unsent") {
+            this.sentCount += 1;
+            this.reached.add(record);
+        }
         const { isHedge } = contender;
         const { through } = exchange;
         recorder.recordAttempt(choice, { outcome, startMs, lastEvent: caller.lastEvent, through, isHedge });
@@ -152,6 +157,7 @@
             headers: this.headersFor(record.listed.instance, firstByte.startMs),
             body,
             attempt,
+            isRepeat: this.reached.has(record),
             caller: new AttemptReply(caller, contender, mayLose),
             held,
             codec,
