--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -153,8 +153,9 @@
 export async function startDetouredSite(
     kind: RequestKind,
     handlers: readonly RequestHandler[],
+    options: GatewaySiteOptions = {},
 ): Promise<GatewaySite> {
-    const [site] = await startGatewaySites(2, kind, handlers);
+    const [site] = await startGatewaySites(2, kind, handlers, options);
     const endpoints = site!.fleet.view().endpoints.map(one => ({ ...one, address: closedAddress }));
     site!.fleet.set({ endpoints });
     return site!;
