Attempts at silent endpoints: given up only once another endpoint takes the request

Callers saw resumable streams broken off in the middle, or refused with 502 before the first event, and idempotent requests refused, although their endpoint went on after a second.

An attempt was given up after 0.9 s between two events (1.5 s before the first, 350 ms for idempotent requests) whenever kind, attempts and retry budget allowed another one. Whether an endpoint could take the request was found out afterwards: with all tried, another version only, none reachable, no time left before the caller leaves, or stages that could not run again, the request was refused.

RequestTakeover now reserves what the next attempt needs before the running one is given up: results of the stages, an endpoint that is not suspect and accepts a connection, its permit, a retry, and time before the caller leaves. Without these, or when data arrives meanwhile, the attempt goes on and is looked at again after the same time. The first attempt's connection is closed before the second attempt begins.

When a stream's stages run again, their deadline now follows the last event instead of the request's arrival. Later than the patience after its arrival, a stream that could still be continued was refused.

--- a/src/gateway/AttemptRace.ts
+++ b/src/gateway/AttemptRace.ts
@@ -63,6 +63,11 @@
         return this.entries.filter(({ outcome }) => outcome === undefined || mayHaveRun(outcome)).length;
     }
 
+    /** Number of attempts that have not ended. */
+    public get running(): number {
+        return this.entries.filter(({ outcome }) => outcome === undefined).length;
+    }
+
     /** Starts an attempt; the second one is a hedge, which must not start once the race is {@link closed}. */
     public enter(choice: Choice): void {
         const abortController = new AbortController();
--- a/src/gateway/CallerPatience.ts
+++ b/src/gateway/CallerPatience.ts
@@ -18,6 +18,11 @@
 const minMarginMs = 150;
 /** Share of the patience that is reserved at most for the reply of the endpoint. */
 const maxReplyShare = 0.25;
+/**
+ * Silence of an endpoint for which every caller of a stream waits, with enough time left for another endpoint to bring
+ * the next event.
+ */
+export const bearableSilenceMs = minPatienceMs * (1 - maxReplyShare) - minMarginMs;
 /** Bounds of the retry advice: bursts end within seconds. */
 const minRetryMs = 500;
 const maxRetryMs = 1500;
@@ -50,6 +55,8 @@
     public readonly firstEventByMs: number;
     private readonly patienceMs: number;
     private readonly marginMs: number;
+    /** Time reserved for the reply of an endpoint. */
+    private readonly replyMs: number;
     /** An attempt that begins later is not expected to bring the first event in time. */
     private readonly startByMs: number;
     private lastEventMs: number | undefined;
@@ -59,10 +66,11 @@
     public constructor(private readonly options: CallerPatienceOptions) {
         const { route, arrivedMs, deadlineMs, replyMs } = options;
         this.patienceMs = patienceMs(route) ?? Infinity;
-        this.marginMs = Math.max(minMarginMs, this.patienceMs * marginShare);
-        const limitMs = Number.isFinite(this.patienceMs) ? arrivedMs + this.patienceMs - this.marginMs : Infinity;
+        this.marginMs = Number.isFinite(this.patienceMs) ? Math.max(minMarginMs, this.patienceMs * marginShare) : 0;
+        const limitMs = arrivedMs + this.patienceMs - this.marginMs;
         this.firstEventByMs = Math.min(deadlineMs, limitMs);
-        this.startByMs = limitMs - Math.min(replyMs, this.patienceMs * maxReplyShare);
+        this.replyMs = Math.min(replyMs, this.patienceMs * maxReplyShare);
+        this.startByMs = limitMs - this.replyMs;
     }
 
     /** True once waiting has become useless. */
@@ -75,6 +83,17 @@
         return this.lastEventMs === undefined && this.options.clock.nowMs() >= this.startByMs;
     }
 
+    /** By when the next event must come, on the local clock. At most the deadline. */
+    public get nextEventByMs(): number {
+        const { arrivedMs, deadlineMs } = this.options;
+        return Math.min(deadlineMs, (this.lastEventMs ?? arrivedMs) + this.patienceMs - this.marginMs);
+    }
+
+    /** True while an attempt that begins now is expected to bring the next event in time. */
+    public get leavesTimeForAttempt(): boolean {
+        return this.options.clock.nowMs() < this.nextEventByMs - this.replyMs;
+    }
+
     /** Begins to watch the time. */
     public start(): void {
         if (this.startByMs < this.options.deadlineMs) {
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -42,6 +42,11 @@
     /** Time limits for the first byte and between two events, while the request may be repeated; undefined for none. */
     readonly firstByteTimeoutMs: number | undefined;
     readonly gapMs: number | undefined;
+    /**
+     * Called when the endpoint has been silent for the time limit; true when the attempt must be given up since another
+     * endpoint takes the request. `isSilent` tells whether the silence goes on.
+     */
+    readonly onSilence: (isSilent: () => boolean) => Promise<boolean>;
     /** Called when the body of a reply that is not streamed begins. */
     readonly onCompleteReply: (reply: ReplyHead) => void;
     /** Called for each event of a stream, before it is written to the caller; false when it must not be written. */
@@ -212,17 +217,20 @@
     private restartSilenceTimer(timeoutMs: number | undefined): void {
         this.silenceTimer?.dispose();
         if (timeoutMs !== undefined && !this.isFinished) {
-            this.silenceTimer = this.options.clock.setTimer(timeoutMs, () => this.handleSilence(timeoutMs));
+            const timer = this.options.clock.setTimer(timeoutMs, () => void this.handleSilence(timeoutMs, timer));
+            this.silenceTimer = timer;
         }
     }
 
-    /** Gives the attempt up if the request may go elsewhere; a slow answer is better than none. */
-    private handleSilence(timeoutMs: number): void {
-        if (this.options.mayRepeat()) {
+    /** Gives the attempt up if another endpoint takes the request; a slow answer is better than none. */
+    private async handleSilence(timeoutMs: number, timer: Disposable): Promise<void> {
+        const isSilent = () => !this.isFinished && this.silenceTimer === timer;
+        if (await this.options.onSilence(isSilent)) {
             this.finish({ kind: "broken", message: `no data for ${Math.round(timeoutMs)} ms`, isSilent: true });
-            return;
         }
-        this.restartSilenceTimer(timeoutMs);
+        else if (isSilent()) {
+            this.restartSilenceTimer(timeoutMs);
+        }
     }
 
     /** Handles a closed connection. After a complete reply it may close while the reply is still being relayed. */
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -19,6 +19,7 @@
 import { RequestHedges } from "./RequestHedges.js";
 import { type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
 import { RequestStages } from "./RequestStages.js";
+import { RequestTakeover } from "./RequestTakeover.js";
 import {
     type AdmittedRequest,
     isRepeatable,
@@ -47,6 +48,7 @@
     private readonly attempts: RequestAttempts;
     private readonly selection: EndpointSelection;
     private readonly patience: CallerPatience;
+    private readonly takeover: RequestTakeover;
     private readonly versions: RequestVersions;
     /** True once the deadline has passed; logged as `isOver`. */
     private hasTimedOut = false;
@@ -93,6 +95,7 @@
             deadlineMs: this.deadlineMs,
             onWait: () => deps.hedging.recordWait(service.id),
         });
+        this.takeover = this.createTakeover();
         const hedges = new RequestHedges({
             deps,
             admitted,
@@ -115,6 +118,7 @@
             deadlineMs: this.deadlineMs,
             signal,
             mayRepeat: () => this.mayRepeat,
+            onSilence: (silent, isSilent) => this.takeover.reserve(silent, isSilent),
             onEvent: () => this.patience.recordEvent(),
         });
     }
@@ -132,6 +136,22 @@
         });
     }
 
+    private createTakeover(): RequestTakeover {
+        const { connections, clock, retries } = this.deps;
+        return new RequestTakeover({
+            selection: this.selection,
+            clock,
+            stages: this.stages,
+            runStages: async () => await this.runStages() === undefined,
+            probe: endpoint => connections.probe(endpoint, this.abortController.signal),
+            usable: () => this.usable(),
+            tried: () => this.attempts.tried,
+            running: () => this.attempts.running,
+            mayMove: () => this.mayRepeat && this.patience.leavesTimeForAttempt,
+            acquireRetry: () => retries.tryAcquire(this.admitted.service.id),
+        });
+    }
+
     /** Runs the request until it has been answered or refused. */
     public async run(): Promise<void> {
         const timer = this.clock.setTimer(Math.max(0, this.deadlineMs - this.clock.nowMs()), () => {
@@ -151,6 +171,7 @@
         if (outcome.kind === "refused") {
             this.caller.refuse(outcome.refusal);
         }
+        this.takeover.release();
         this.stages.free();
         this.recorder.recordEnd({
             outcome,
@@ -182,7 +203,7 @@
             if (refusal !== undefined) {
                 return { kind: "refused", refusal };
             }
-            const choice = await this.chooseEndpoint();
+            const choice = this.takeover.take() ?? await this.chooseEndpoint();
             if (choice === undefined && this.rerunStagesElsewhere()) {
                 continue;
             }
@@ -204,7 +225,7 @@
             if (outcome !== undefined) {
                 return outcome;
             }
-            if (this.patience.isTooLateToStart) {
+            if (!this.takeover.isReserved && this.patience.isTooLateToStart) {
                 return { kind: "refused", refusal: this.impatientRefusal() };
             }
         }
@@ -239,7 +260,7 @@
             pieceKey: head.pieceKey,
             priority: this.priority,
             objectiveMs: arrivedMs + route.objectiveMs,
-            deadlineMs: this.patience.firstEventByMs,
+            deadlineMs: this.patience.nextEventByMs,
             replyMs: replyTimes.expectedMs(route.id),
             dataCentre: expected?.record.listed.dataCentre,
         };
@@ -311,7 +332,7 @@
                 return this.handleNotRun(outcome.status);
             case "broken":
                 this.possibleRuns += 1;
-                if (this.mayRetry()) {
+                if (this.takeover.isReserved || this.mayRetry()) {
                     return undefined;
                 }
                 return { kind: "refused", refusal: this.refusal({ reason: "broken", message: outcome.message }) };
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -16,7 +16,7 @@
 import type { RequestHedges } from "./RequestHedges.js";
 import type { RequestRecorder } from "./RequestRecorder.js";
 import type { RequestStages } from "./RequestStages.js";
-import { firstByteTimeoutMs, streamGapTimeoutMs } from "./SilenceLimits.js";
+import { firstByteTimeoutMs, gapTimeoutMs } from "./SilenceLimits.js";
 import { streamKey } from "./StreamBinding.js";
 import type { AdmittedRequest, AttemptOutcome } from "./Types.js";
 import { endVersionAttempt } from "./VersionOutcome.js";
@@ -41,6 +41,8 @@
     readonly signal: AbortSignal;
     /** True when the request may be sent once more after the attempt that is running or about to begin. */
     readonly mayRepeat: () => boolean;
+    /** Called when an endpoint is silent; see {@link RequestTakeover.reserve}. */
+    readonly onSilence: (silent: EndpointRecord, isSilent: () => boolean) => Promise<boolean>;
     /** Called at each event of a streamed reply. */
     readonly onEvent: () => void;
 }
@@ -72,6 +74,11 @@
         return this.race?.possibleRuns ?? 1;
     }
 
+    /** Number of attempts that are running. */
+    public get running(): number {
+        return this.race?.running ?? 0;
+    }
+
     /** Runs an attempt at an endpoint, with a hedge where it is slow; resolves once the outcomes have been recorded. */
     public async run(choice: PermittedChoice): Promise<RaceEnd<PermittedChoice>> {
         const { signal, hedges } = this.options;
@@ -143,7 +150,7 @@
         mayLose: boolean,
         onBegin: () => void,
     ): EndpointExchange {
-        const { deps, admitted, caller, held, stages, mayRepeat, onEvent } = this.options;
+        const { deps, admitted, caller, held, stages, mayRepeat, onSilence, onEvent } = this.options;
         const { codec, connections, notices, clock } = deps;
         const { head, body, route } = admitted;
         const { record } = attempt;
@@ -160,8 +167,9 @@
             clock,
             signal: contender.signal,
             mayRepeat,
-            firstByteTimeoutMs: firstByteTimeoutMs(route.kind, record.replyMs),
-            gapMs: route.kind === "resumable" ? streamGapTimeoutMs : undefined,
+            firstByteTimeoutMs: firstByteTimeoutMs(route, record.replyMs),
+            gapMs: gapTimeoutMs(route),
+            onSilence: isSilent => onSilence(record, isSilent),
             onCompleteReply: ({ status, isNotRun }) => {
                 if (status < failureStatus && !isNotRun) {
                     contender.recordFirstByte();
--- /dev/null
+++ b/src/gateway/RequestTakeover.ts
@@ -0,0 +1,102 @@
+/**
+ * Finds the endpoint that takes a request over from a silent one. A sound endpoint may be silent for a while, so an
+ * attempt is given up only once all that the next one needs is there: the results of the stages, a reachable endpoint,
+ * its permit and a retry.
+ */
+import type { Clock, EndpointId } from "../common/Types.js";
+import type { ProbeResult } from "../endpoints/EndpointConnections.js";
+import type { EndpointSelection, PermittedChoice } from "./EndpointSelection.js";
+import type { EndpointRecord } from "./EndpointTracker.js";
+import type { RequestStages } from "./RequestStages.js";
+
+interface RequestTakeoverOptions {
+    readonly selection: EndpointSelection;
+    readonly clock: Clock;
+    readonly stages: Pick<RequestStages, "hasResults" | "free">;
+    /** Runs the stages unless their results are available; false when that is not possible. */
+    readonly runStages: () => Promise<boolean>;
+    /** Finds out whether an endpoint accepts connections. */
+    readonly probe: (endpoint: EndpointId) => Promise<ProbeResult>;
+    /** Endpoints that may get the request. */
+    readonly usable: () => readonly EndpointRecord[];
+    /** Endpoints that get no further attempt. */
+    readonly tried: () => ReadonlySet<EndpointRecord>;
+    /** Number of attempts that are running. */
+    readonly running: () => number;
+    /** True while another attempt is allowed and could bring its answer before the caller leaves. */
+    readonly mayMove: () => boolean;
+    /** Counts a retry; false when the budget does not allow it. */
+    readonly acquireRetry: () => boolean;
+}
+
+export class RequestTakeover {
+    private choice: PermittedChoice | undefined;
+
+    public constructor(private readonly options: RequestTakeoverOptions) {}
+
+    /** True when an endpoint has been reserved, and a retry counted, for the next attempt. */
+    public get isReserved(): boolean {
+        return this.choice !== undefined;
+    }
+
+    /**
+     * Reserves an endpoint that can take the request from `silent` now. When it returns true, the attempt there must be
+     * given up. It returns false when there is no such endpoint, or when `isSilent` no longer holds.
+     */
+    public async reserve(silent: EndpointRecord, isSilent: () => boolean): Promise<boolean> {
+        const { running, mayMove, stages, runStages } = this.options;
+        const excluded = new Set([...this.options.tried(), silent]);
+        if (!mayMove() || running() > 1) {
+            return mayMove();
+        }
+        if (this.trusted().every(one => excluded.has(one))) {
+            return false;
+        }
+        const hadResults = stages.hasResults;
+        const isReserved = await runStages() && await this.reserveOther(excluded, isSilent);
+        if (!isReserved && !hadResults) {
+            stages.free();
+        }
+        return isReserved;
+    }
+
+    private async reserveOther(excluded: Set<EndpointRecord>, isSilent: () => boolean): Promise<boolean> {
+        const { mayMove, acquireRetry } = this.options;
+        const choice = await this.findReachable(excluded);
+        if (choice === undefined || !isSilent() || !mayMove() || !acquireRetry()) {
+            choice?.permit.place?.release(false);
+            return false;
+        }
+        this.choice = choice;
+        return true;
+    }
+
+    /** Returns the reserved endpoint, once. */
+    public take(): PermittedChoice | undefined {
+        const { choice } = this;
+        this.choice = undefined;
+        return choice;
+    }
+
+    /** Releases what is reserved. */
+    public release(): void {
+        this.take()?.permit.place?.release(false);
+    }
+
+    /** Suspect endpoints are no better than the silent one. */
+    private trusted(): readonly EndpointRecord[] {
+        return this.options.usable().filter(one => !one.isSuspect);
+    }
+
+    private async findReachable(excluded: Set<EndpointRecord>): Promise<PermittedChoice | undefined> {
+        const { selection, clock, probe } = this.options;
+        for (;;) {
+            const choice = await selection.choose(() => this.trusted(), excluded, clock.nowMs());
+            if (choice === undefined || await probe(choice.record.id) === "reached") {
+                return choice;
+            }
+            choice.permit.place?.release(false);
+            excluded.add(choice.record);
+        }
+    }
+}
