Exchange: a complete reply is waited for as long as its data arrives

Callers of idempotent requests waited twice for long answers: one whose body took longer than the time for its first byte (350 ms, or six usual reply times) was thrown away while it arrived, and the request ran again elsewhere.

The timer for the first byte went on after the head of a reply that is read completely. Each part of the body now starts it anew, as each event of a stream does.

The test in platform/SilentStreams.test.ts failed before: the second endpoint's answer came, after 2 requests, where the first one's body was due.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -39,7 +39,10 @@
     readonly signal: AbortSignal;
     /** True when the request may be sent once more if this attempt breaks now. */
     readonly mayRepeat: () => boolean;
-    /** Time limits for the first byte and between two events, while the request may be repeated; undefined for none. */
+    /**
+     * Time limits while the request may be repeated, undefined for none: for the first byte or event, which holds within
+     * a complete reply too, and between two events.
+     */
     readonly firstByteTimeoutMs: number | undefined;
     readonly gapMs: number | undefined;
     /**
@@ -140,6 +143,7 @@
         let bytes = 0;
         res.on("data", (chunk: Buffer) => {
             this.options.attempt.recordActivity();
+            this.restartSilenceTimer(this.options.firstByteTimeoutMs);
             bytes += chunk.length;
             chunks.push(chunk);
             if (bytes > maxReplyBytes) {
