--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -27,6 +27,7 @@
 import type { RequestProgress } from "./RequestProgress.js";
 import { recordFailure, type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
 import { RequestStages } from "./RequestStages.js";
+import { RequestTakeover } from "./RequestTakeover.js";
 import {
     type AdmittedRequest,
     isRepeatable,
@@ -55,6 +56,7 @@
     private readonly attempts: RequestAttempts;
     private readonly selection: EndpointSelection;
     private readonly patience: CallerPatience;
+    private readonly takeover: RequestTakeover;
     private readonly versions: RequestVersions;
     /** True once the deadline has passed; logged as `isOver`. */
     private hasTimedOut = false;
@@ -100,16 +102,7 @@
             deadlineMs: this.deadlineMs,
             onWait: () => deps.hedging.recordWait(service.id),
         });
-        const hedges = new RequestHedges({
-            deps,
-            admitted,
-            isQuarantined: () => deps.quarantine.causeFor(admitted) !== undefined,
-            selection: this.selection,
-            usable: () => this.usable(),
-            tried: () => this.attempts.tried,
-            runsLeft: () => this.runsLeft,
-            deadlineMs: this.patience.firstEventByMs,
-        });
+        this.takeover = this.createTakeover();
         this.attempts = new RequestAttempts({
             deps,
             admitted,
@@ -118,10 +111,11 @@
             stages: this.stages,
             recorder: this.recorder,
             versions: this.versions,
-            hedges,
+            hedges: this.createHedges(),
             deadlineMs: this.deadlineMs,
             signal,
             mayRepeat: () => this.mayRepeat,
+            onSilence: (silent, isSilent) => this.takeover.reserve(silent, isSilent),
             onEvent: () => this.patience.recordEvent(),
         });
     }
@@ -139,6 +133,36 @@
         });
     }
 
+    private createHedges(): RequestHedges {
+        const { deps, admitted } = this;
+        return new RequestHedges({
+            deps,
+            admitted,
+            isQuarantined: () => deps.quarantine.causeFor(admitted) !== undefined,
+            selection: this.selection,
+            usable: () => this.usable(),
+            tried: () => this.attempts.tried,
+            runsLeft: () => this.runsLeft,
+            deadlineMs: this.patience.firstEventByMs,
+        });
+    }
+
+    private createTakeover(): RequestTakeover {
+        const { connections, clock, retries } = this.deps;
+        return new RequestTakeover({
+            selection: this.selection,
+            clock,
+            stages: this.stages,
+            runStages: async () => await this.runStages() === undefined,
+            probe: endpoint => connections.probe(endpoint, this.abortController.signal),
+            usable: () => this.usable(),
+            tried: () => this.attempts.tried,
+            running: () => this.attempts.running,
+            mayMove: () => this.mayRepeat && this.patience.leavesTimeForAttempt,
+            acquireRetry: () => retries.tryAcquire(this.admitted.service.id),
+        });
+    }
+
     /** Runs the request until it has been answered or refused. */
     public async run(): Promise<void> {
         const timer = this.clock.setTimer(Math.max(0, this.deadlineMs - this.clock.nowMs()), () => {
@@ -155,6 +179,7 @@
         timer.dispose();
         this.patience.stop();
         this.res.off("close", onClose);
+        this.takeover.release();
         this.stages.free();
         if (outcome.kind === "refused") {
             this.caller.refuse(outcome.refusal);
@@ -201,7 +226,7 @@
             if (refusal !== undefined) {
                 return { kind: "refused", refusal };
             }
-            const choice = await this.chooseEndpoint();
+            const choice = this.takeover.take() ?? await this.chooseEndpoint();
             if (choice === undefined && this.rerunStagesElsewhere()) {
                 continue;
             }
@@ -223,7 +248,7 @@
             if (outcome !== undefined) {
                 return outcome;
             }
-            if (this.patience.isTooLateToStart) {
+            if (!this.takeover.isReserved && this.patience.isTooLateToStart) {
                 return { kind: "refused", refusal: this.impatientRefusal() };
             }
         }
@@ -258,7 +283,7 @@
             pieceKey: head.pieceKey,
             priority: this.priority,
             objectiveMs: arrivedMs + route.objectiveMs,
-            deadlineMs: this.patience.firstEventByMs,
+            deadlineMs: this.patience.nextEventByMs,
             replyMs: replyTimes.expectedMs(route.id),
             dataCentre: expected?.record.listed.dataCentre,
         };
@@ -330,7 +355,7 @@
                 return this.handleNotRun(outcome.status);
             case "broken":
                 this.possibleRuns += 1;
-                if (this.mayRetry()) {
+                if (this.takeover.isReserved || this.mayRetry()) {
                     return undefined;
                 }
                 return { kind: "refused", refusal: this.refusal({ reason: "broken", message: outcome.message }) };
