Control group: a removed voter is replaced before its successor's time has passed

What callers saw: after a control host had been removed whose successor had been added before, the loss of as many disks as may be lost left the group without a majority for good. No configuration could be read back, though the newest one had been acknowledged.

Cause: a host that was removed counts as lost only until its successor has had its time to catch up (4 s). Where the successor is added 2 s before, 2 s remain from the removal to the next loss that must be borne. The leader replaced a voter after 2.5 s of silence, checked each 400 ms, and a leader that had just been elected counted the silence of the removed leader from its own election. For up to 4.5 s the group held 2f + 1 voters of which one never returned.

Fix: a voter that is silent for 1.2 s is replaced, checked each 100 ms. A new leader counts the silence of the one before it from the last message that it has received from it.

The fake disk can now keep, lose or tear each unsynced write and name independently of the others.

--- a/src/fleet/ControlGroupManager.ts
+++ b/src/fleet/ControlGroupManager.ts
@@ -12,14 +12,19 @@
 import type { EventLog } from "../telemetry/Types.js";
 import { fleetMethods, type JoinReply } from "./FleetMessages.js";
 
-/** Interval of the membership checks. */
-const checkIntervalMs = 400;
+/** Interval of the membership checks of a leader, and of join requests. */
+const checkIntervalMs = 100;
+const joinIntervalMs = 400;
 /** How long a join request is valid; also the longest silence of a learner that may become a voter. */
 const joinValidMs = 2000;
 /** A host without a known leader for this long asks to join, since it may have been removed meanwhile. */
 const maxLeaderlessMs = 1500;
-/** A voter that has been silent for this long is replaced; longer than an election and a restart take. */
-const replaceAfterMs = 2500;
+/**
+ * A voter that has been silent for this long is replaced. A host that was removed for good counts as a loss only until
+ * another one that was started before or after it has caught up, which may be 2 s after the removal: from then on, as
+ * many further disks may be lost as the group tolerates.
+ */
+const replaceAfterMs = 1200;
 /** A learner that has been silent for this long is removed; it may join again. */
 const removeLearnerAfterMs = 15_000;
 /** Time limit for a join request to one host. */
@@ -67,7 +72,7 @@
             else if (this.shouldJoin()) {
                 await this.requestJoin(signal);
             }
-            await clock.sleep(checkIntervalMs, signal);
+            await clock.sleep(role === "leader" ? checkIntervalMs : joinIntervalMs, signal);
         }
     }
 
--- a/src/replication/Follower.ts
+++ b/src/replication/Follower.ts
@@ -56,6 +56,7 @@
         });
         replica.leaderContactMs = this.clock.nowMs();
         replica.heardLeaderMs = replica.leaderContactMs;
+        replica.heardLeader = req.leader;
         replica.setRole(replica.nonLeaderRole(), req.leader);
         return undefined;
     }
--- a/src/replication/RaftLog.ts
+++ b/src/replication/RaftLog.ts
@@ -195,16 +195,18 @@
     }
 
     /**
-     * How long a member has not replied to this host as leader, in milliseconds; at most the time since this host began
-     * to lead, and 0 for this host or while it does not lead.
+     * How long a member has not replied to this host as leader, in milliseconds; 0 for this host or while it does not
+     * lead. Counted at most from the moment at which this host began to lead; for the leader before it, from its last
+     * message.
      */
     public silentMs(host: HostId): number {
         const leadership = this.currentLeadership();
         if (leadership === undefined || host === this.options.self) {
             return 0;
         }
-        const contactMs = leadership.follower(host)?.contactMs ?? leadership.startMs;
-        return this.options.clock.nowMs() - Math.max(contactMs, leadership.startMs);
+        const { heardLeader, heardLeaderMs = leadership.startMs } = this.replica;
+        const sinceMs = host === heardLeader ? heardLeaderMs : leadership.startMs;
+        return this.options.clock.nowMs() - Math.max(leadership.follower(host)?.contactMs ?? sinceMs, sinceMs);
     }
 
     /** The status of this host and of each other member that replies. */
--- a/src/replication/Replica.ts
+++ b/src/replication/Replica.ts
@@ -44,6 +44,8 @@
     public leaderContactMs = 0;
     /** When this run of the process last heard from a leader, on the local clock; undefined if it has not. */
     public heardLeaderMs: number | undefined;
+    /** The leader that this run of the process has heard last. */
+    public heardLeader: HostId | undefined;
     /** When this host last granted its vote to a candidate, on the local clock. */
     public voteGrantedMs = 0;
     private currentRole: GroupRole = "stopped";
--- a/testing/FakeDisk.ts
+++ b/testing/FakeDisk.ts
@@ -4,6 +4,7 @@
  * flipped bits, and a last write that is torn at a chosen byte.
  */
 import { type Either, Left, Right } from "purify-ts";
+import type { Random } from "../src/common/Types.js";
 import type { Disk, DiskError } from "../src/replication/Types.js";
 
 interface FakeFile {
@@ -16,7 +17,9 @@
 export type CrashLoss =
     | { readonly kind: "lose-all"; }
     /** Keeps the first `bytes` bytes of the unsynced tail; with `zeros`, the rest of the tail reads as zeros. */
-    | { readonly kind: "keep"; readonly bytes: number; readonly zeros: boolean; };
+    | { readonly kind: "keep"; readonly bytes: number; readonly zeros: boolean; }
+    /** Loses, tears or keeps each unsynced tail and each unsynced change of a name, independently of the others. */
+    | { readonly kind: "random"; readonly random: Random; };
 
 export type DiskOperation = "append" | "write" | "sync" | "syncDir" | "rename" | "remove" | "truncate";
 
@@ -39,9 +42,13 @@
     /** Returns the disk as the next start finds it; operations on this one never complete any more. */
     public crash(loss: CrashLoss = { kind: "lose-all" }): FakeDisk {
         this.isCrashed = true;
-        return new FakeDisk(
-            new Map([...this.syncedNames].map(([path, file]) => [path, contentAfterCrash(file, loss)])),
-        );
+        const paths = [...new Set([...this.syncedNames.keys(), ...this.files.keys()])];
+        const kept = paths.flatMap(path => {
+            const isChangeKept = loss.kind === "random" && loss.random.next() < 0.5;
+            const file = (isChangeKept ? this.files : this.syncedNames).get(path);
+            return file === undefined ? [] : [[path, contentAfterCrash(file, loss)] as const];
+        });
+        return new FakeDisk(new Map(kept));
     }
 
     public paths(): readonly string[] {
@@ -156,6 +163,11 @@
     if (loss.kind === "lose-all" || file.data.length <= file.synced.length) {
         return file.synced;
     }
+    if (loss.kind === "random") {
+        const { random } = loss;
+        const bytes = random.below(file.data.length - file.synced.length + 1);
+        return contentAfterCrash(file, { kind: "keep", bytes, zeros: random.next() < 0.5 });
+    }
     const kept = file.data.subarray(0, file.synced.length + loss.bytes);
     const rest = loss.zeros ? new Uint8Array(file.data.length - kept.length) : new Uint8Array();
     return Buffer.concat([kept, rest]);
--- a/testing/FleetCluster.ts
+++ b/testing/FleetCluster.ts
@@ -13,10 +13,11 @@
 import { HostLoad } from "../src/load/HostLoad.js";
 import { LoadBoard } from "../src/load/LoadBoard.js";
 import { RaftLog } from "../src/replication/RaftLog.js";
+import type { CompactionLimits } from "../src/replication/Replica.js";
 import type { RolloutBounds } from "../src/rollouts/Types.js";
 import type { EventLog } from "../src/telemetry/Types.js";
 import { FakeClock } from "./FakeClock.js";
-import { FakeDisk } from "./FakeDisk.js";
+import { type CrashLoss, FakeDisk } from "./FakeDisk.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import { deployment, noMetrics, silentLog } from "./FleetFixtures.js";
 
@@ -52,6 +53,8 @@
     /** Bounds of roll-outs; undefined for a deployment without them. */
     public rolloutBounds: RolloutBounds | undefined;
     public decoder = versionDecoder;
+    /** When control hosts that are started from now on compact their logs. */
+    public compaction: CompactionLimits | undefined;
     /** Receives the log events of control hosts that roll-outs write. */
     public events: EventLog = silentLog;
     private starts = 0;
@@ -78,6 +81,7 @@
             log: silentLog,
             stateMachine: state,
             timing,
+            ...(this.compaction === undefined ? {} : { compaction: this.compaction }),
         });
         const source: EndpointListSource = {
             read: async () => {
@@ -168,12 +172,12 @@
     }
 
     /** Stops a control host as a power loss does, and returns its disk as the next start finds it. */
-    public crash(name: string): FakeDisk {
+    public crash(name: string, loss?: CrashLoss): FakeDisk {
         const host = this.controls.get(name);
         this.network.kill(name as HostId);
         host?.stop.abort();
         this.controls.delete(name);
-        return host?.disk.crash() ?? new FakeDisk();
+        return host?.disk.crash(loss) ?? new FakeDisk();
     }
 
     public leader(): ControlHost | undefined {
