Control group: a silent voter is removed where there are more voters than needed

What callers saw: nothing yet; found by reading for LOST. The loss of one disk could leave the group without a majority for good, though one may be lost.

Cause: a silent voter is replaced in two changes: its successor is added, then it is removed. If the second change fails (its time ends, or the leader does), the group has one voter too many, of which one is dead. The leader then waited for another learner to replace it by. Where all other control hosts are voters there is none: two of four voters are left after the loss of one disk.

Evidence: src/fleet/Fleet.test.ts, "a silent voter is removed without a successor while there are more voters than needed": before, the acknowledged configuration could not be read after the loss of one disk.

Fix: while there are more voters than needed, a silent one is removed at once. The members after the change include a majority in contact, which the change itself checks.

--- a/src/fleet/ControlGroupManager.ts
+++ b/src/fleet/ControlGroupManager.ts
@@ -149,6 +149,10 @@
             return { kind: "add", host: standby, role: "voter" };
         }
         const silentVoter = voters.find(host => this.silentMs(host) > replaceAfterMs);
+        if (silentVoter !== undefined && voters.length > wantedVoters) {
+            // A replacement that adds the new voter may have ended before it removed the old one.
+            return { kind: "remove", host: silentVoter };
+        }
         if (silentVoter !== undefined && standby !== undefined) {
             return { kind: "replace", host: silentVoter, by: standby };
         }
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -72,6 +72,26 @@
     await fleet.stopAll();
 });
 
+// A replacement that ended between its two changes left a dead voter in the group: the next lost disk ended its majority.
+test("a silent voter is removed without a successor while there are more voters than needed", async () => {
+    const fleet = await startFleet(["c4"]);
+    const { log, id: leader } = fleet.leader()!;
+    const added = log.changeMembers({ kind: "add", host: "c4" as HostId }, 2000);
+    await fleet.clock.advance(1000);
+    assert.equal((await added).unsafeCoerce().voters.length, 4);
+    const [gone, emptied] = names.filter(name => name !== leader);
+    fleet.crash(gone!);
+    await fleet.clock.advance(4000);
+    assert.equal(await fleet.put("c4", 5), true);
+    const disks = [leader, "c4"].map(name => [name, fleet.crash(name)] as const);
+    fleet.crash(emptied!);
+    disks.forEach(([name, disk]) => fleet.startControl(name, false, disk));
+    fleet.startControl(emptied!, false);
+    await fleet.clock.advance(6000);
+    assert.equal(await fleet.get("c4"), "5");
+    await fleet.stopAll();
+});
+
 test("a voter that was replaced while it was isolated returns as a member of the group", async () => {
     const fleet = await startFleet(["c4"]);
     const cut = names.find(name => name !== fleet.leader()!.id)!;
