Control group: a voter's successor is the learner that has replied last

What callers saw: nothing yet; found by reading for LOST. After the loss of a data centre with two control hosts the group could go on for over 3 s with a voter that never returned, and no further loss was borne meanwhile.

Cause: the leader replaced a silent voter by the first learner that had replied within 2 s. A learner that was lost together with the voter still counts then. The leader added it and waited 3 s for it to catch up.

Evidence: src/fleet/Fleet.test.ts, "a voter is replaced by a learner that replies, where another learner was lost with it": before, the voters were unchanged 2 s after the loss.

Fix: of the learners that have replied recently, the one with the newest reply is taken.

--- a/src/fleet/ControlGroupManager.ts
+++ b/src/fleet/ControlGroupManager.ts
@@ -141,7 +141,9 @@
             .map(([host]) => host)
             .find(host => !learners.includes(host));
         const wantedVoters = Math.max(minVoters, 2 * lossesBorne + 1);
-        const standby = learners.find(host => this.silentMs(host) < joinValidMs);
+        const [standby] = learners
+            .filter(host => this.silentMs(host) < joinValidMs)
+            .sort((a, b) => this.silentMs(a) - this.silentMs(b));
         if (joiner !== undefined) {
             return { kind: "add", host: joiner, role: voters.length < wantedVoters ? "voter" : "learner" };
         }
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -92,6 +92,19 @@
     await fleet.stopAll();
 });
 
+// The leader waited 3 s for a learner that had been lost with the voter, as with their data centre.
+test("a voter is replaced by a learner that replies, where another learner was lost with it", async () => {
+    const fleet = await startFleet(["c4", "c5"]);
+    const { log, id } = fleet.leader()!;
+    const [lost, kept] = log.status().members.learners;
+    const gone = names.find(name => name !== id)!;
+    [gone, lost!].forEach(name => fleet.crash(name));
+    await fleet.clock.advance(2000);
+    const { voters } = log.status().members;
+    assert.deepEqual([voters.includes(kept!), voters.includes(gone as HostId)], [true, false], voters.join());
+    await fleet.stopAll();
+});
+
 test("a voter that was replaced while it was isolated returns as a member of the group", async () => {
     const fleet = await startFleet(["c4"]);
     const cut = names.find(name => name !== fleet.leader()!.id)!;
