Background tasks: a rejection is logged, and ends no process

Processes ended by themselves, with all requests that they were running: tasks that nobody awaits were started by "void", nobody handles their rejections, and Node then ends the process. Several work on data of endpoints and other hosts: reports of stage endpoints, crash evidence, tunnels, calls with pieces, replies of endpoints.

inBackground logs the rejection with the name of the task (event 109); a broken invariant still ends the process. It replaces "void" in the folders that handle data of other processes, and a lint rule keeps it out of them. Where more than the log line is needed, the task says so: a call with pieces that throws is a broken call, whose pieces go elsewhere; an endpoint whose report can't be read is used without it; an examination of a crash is not kept as the answer for good; a tunnel is closed; a reply that can't be handled is a broken attempt. StageGraph.run awaits the tasks that free results, which nobody did.

Before: "pieces of an endpoint whose calls throw are run by another one" and "a host whose own connection throws ends the tunnel with a log line" failed by an unhandled rejection.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -79,6 +79,21 @@
 
 const folders = Object.keys(allowedImports);
 
+/** Folders with background tasks on data of other processes. */
+const foreignDataFolders = [
+    "admission",
+    "fleet",
+    "gateway",
+    "gather",
+    "limits",
+    "load",
+    "paths",
+    "peer",
+    "rollouts",
+    "streams",
+    "telemetry",
+];
+
 const arrows = folders.map(folder => ({
     files: [`src/${folder}/**/*.ts`],
     ignores: ["**/*.test.ts"],
@@ -137,5 +152,15 @@
             "@typescript-eslint/no-unsafe-member-access": "off",
         },
     },
+    {
+        files: [...foreignDataFolders.map(folder => `src/${folder}/**/*.ts`), "platform/**/*.ts"],
+        ignores: ["**/*.test.ts"],
+        rules: {
+            "no-restricted-syntax": ["error", {
+                selector: "UnaryExpression[operator='void']",
+                message: "A rejection would end the process: use inBackground of src/telemetry/BackgroundTask.ts.",
+            }],
+        },
+    },
     ...arrows,
 );
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -77,7 +77,7 @@
         const addressOf = (host: HostId) => `${host}:${settings.peerPort}`;
         this.transport = new TrpcPeerTransport({ self, key: peerKey, addressOf, clock, hybridClock, log });
         this.tunnels = new TunnelClient({ key: peerKey, addressOf, clock });
-        this.tunnelServer = new TunnelServer({ key: peerKey, clock, metrics, stopping: this.stopping.signal });
+        this.tunnelServer = new TunnelServer({ key: peerKey, clock, log, metrics, stopping: this.stopping.signal });
         this.supervisor = new Supervisor({ clock, log, onFatal: fatal });
         this.onFatal = fatal;
     }
--- a/src/endpoints/DetourAgent.ts
+++ b/src/endpoints/DetourAgent.ts
@@ -5,6 +5,7 @@
 import type { Either } from "purify-ts";
 import type { EndpointId, HostId } from "../common/Types.js";
 import type { TunnelError } from "../peer/TunnelClient.js";
+import { failureMessage } from "../telemetry/BackgroundTask.js";
 import type { ConnectError } from "./EndpointConnections.js";
 
 /** Time limit for a connection through another host, several of which may be asked. */
@@ -51,11 +52,10 @@
         callback?: (err: Error | null, socket: Duplex) => void,
     ): undefined {
         // Independent of the request, since the agent gives the connection to the next one when that is aborted.
-        void this.detours.open(this.endpoint, AbortSignal.timeout(detourMs)).then(opened =>
-            opened.caseOf({
-                Left: error => callback?.(new DetourError(error), undefined as never),
-                Right: socket => callback?.(null, socket),
-            })
+        const fail = (error: TunnelError) => callback?.(new DetourError(error), undefined as never);
+        this.detours.open(this.endpoint, AbortSignal.timeout(detourMs)).then(
+            opened => opened.caseOf({ Left: fail, Right: socket => callback?.(null, socket) }),
+            (err: unknown) => fail({ kind: "unavailable", message: failureMessage(err) }),
         );
         return undefined;
     }
--- a/src/fleet/FleetClient.ts
+++ b/src/fleet/FleetClient.ts
@@ -11,6 +11,7 @@
 import type { PeerMethod, PeerTransport } from "../peer/Types.js";
 import { rolloutViewSchema, type ServiceReport } from "../rollouts/Types.js";
 import type { Service } from "../supervise/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { EntryFaultLog } from "./EntryFaultLog.js";
@@ -144,13 +145,13 @@
     /** Reports at once, and again with the next poll if that fails. */
     public reportCrash(crash: EndpointCrash): void {
         this.unreportedCrashes.push(crash);
-        void this.sendCrashes();
+        inBackground(this.options.log, "report-crashes", this.sendCrashes());
     }
 
     public reportSoundParts(parts: readonly PartKey[]): void {
         const keys = parts.filter(key => this.isReportDue(`sound ${key}`));
         if (keys.length > 0) {
-            void this.sendReport(fleetMethods.sound, { keys });
+            this.startReport(fleetMethods.sound, { keys });
         }
     }
 
@@ -160,14 +161,14 @@
     ) {
         const { self: host, dataCentre: from } = this.options;
         if (to !== from && this.isReportDue(`${to} ${isReached}`)) {
-            void this.sendReport(fleetMethods.cut, { host, from, to, endpoint, isReached, ageMs: 0 });
+            this.startReport(fleetMethods.cut, { host, from, to, endpoint, isReached, ageMs: 0 });
         }
     }
 
     public reportStatement(statement: Statement): void {
         const { endpoint, matter, perSecond } = statement;
         if (this.isReportDue(`${matter} ${endpoint} ${perSecond}`)) {
-            void this.sendReport(fleetMethods.statement, { ...statement, ageMs: 0 });
+            this.startReport(fleetMethods.statement, { ...statement, ageMs: 0 });
         }
     }
 
@@ -202,6 +203,10 @@
         }
     }
 
+    private startReport<Report>(method: PeerMethod<Report, Record<string, never>>, report: Report): void {
+        inBackground(this.options.log, method.name, this.sendReport(method, report));
+    }
+
     /** Sends a report to the current control host; true when it was acknowledged. */
     private async sendReport<Report>(
         method: PeerMethod<Report, Record<string, never>>,
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -9,6 +9,7 @@
 import type { RaftLog } from "../replication/RaftLog.js";
 import { RolloutControl } from "../rollouts/RolloutControl.js";
 import type { Service } from "../supervise/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { type CutReport, CutReports } from "./CutReports.js";
@@ -111,11 +112,11 @@
             return {};
         });
         registry.handle(fleetMethods.crash, async (reports, from) => {
-            void this.markCrashes(reports, from);
+            inBackground(options.events, "mark-crashes", this.markCrashes(reports, from));
             return {};
         });
         registry.handle(fleetMethods.sound, async ({ keys }, from) => {
-            void this.clearParts(keys, from);
+            inBackground(options.events, "clear-parts", this.clearParts(keys, from));
             return {};
         });
         registry.handle(fleetMethods.board, req => this.handleLeaderSync(req));
@@ -132,7 +133,7 @@
     }
 
     public async run(signal: AbortSignal): Promise<void> {
-        const { clock, log } = this.options;
+        const { clock, log, events } = this.options;
         while (!signal.aborted) {
             const startMs = clock.nowMs();
             const confirmed = log.status().role === "leader"
@@ -143,8 +144,8 @@
             }
             this.logConfirmation(confirmed);
             if (log.status().role === "leader") {
-                void this.judgeParts();
-                void this.rollouts.judge();
+                inBackground(events, "judge-parts", this.judgeParts());
+                inBackground(events, "judge-rollouts", this.rollouts.judge());
             }
             else {
                 this.judge.reset();
@@ -287,7 +288,7 @@
             this.rollouts.reports.record({ host, incarnation, ...req.rollouts, ageMs: 0 }, true);
         }
         if (req.crashes.length > 0) {
-            void this.markCrashes(req, host);
+            inBackground(this.options.events, "mark-crashes", this.markCrashes(req, host));
         }
         metrics.count("syncs");
         if (req.load !== undefined) {
--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -50,11 +50,12 @@
 
     /** Opens the output of one reply. `disconnect` ends the caller's connection so that the reply looks incomplete. */
     public open(res: ServerResponse, request: string | undefined, disconnect: () => void): CallerOutput {
-        const { clock, settings } = this.options;
+        const { clock, log, settings } = this.options;
         const output: CallerOutput = new CallerOutput({
             res,
             request,
             clock,
+            log,
             maxStallMs: () => settings().maxStallMs,
             makeRoom: bytes => this.makeRoom(bytes),
             roomFreed: () => new Promise(resolve => this.waiters.push(resolve)),
--- a/src/gateway/CallerOutput.ts
+++ b/src/gateway/CallerOutput.ts
@@ -5,6 +5,8 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock, Disposable } from "../common/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
+import type { EventLog } from "../telemetry/Types.js";
 
 /** Size of the parts in which a body is written. */
 const partBytes = 64 * 1024;
@@ -14,6 +16,7 @@
     /** Id of the request. */
     readonly request: string | undefined;
     readonly clock: Clock;
+    readonly log: EventLog;
     readonly maxStallMs: () => number;
     /** Makes room for more bytes, which may end this output or another one; false when there is none. */
     readonly makeRoom: (bytes: number) => boolean;
@@ -63,7 +66,7 @@
     /** Writes the whole body of a reply whose head has been written. */
     public writeBody(body: Buffer): void {
         this.hold(body.length);
-        void this.sendParts(body);
+        inBackground(this.options.log, "send-body", this.sendParts(body));
     }
 
     /** Disconnects the caller. */
--- a/src/gateway/CrashEvidence.ts
+++ b/src/gateway/CrashEvidence.ts
@@ -51,8 +51,7 @@
     }
 
     private async begin(endpoint: ListedEndpoint): Promise<CrashProof | undefined> {
-        const proof = await this.examine(endpoint);
-        this.examinations.delete(endpoint.id);
+        const proof = await this.examine(endpoint).finally(() => this.examinations.delete(endpoint.id));
         if (proof !== undefined) {
             this.proven.set(endpoint.id, proof);
         }
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -7,6 +7,7 @@
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
+import { failureMessage } from "../telemetry/BackgroundTask.js";
 import type { AttemptReply } from "./AttemptReply.js";
 import type { HeldBytes } from "./CallerMemory.js";
 import type { RunningAttempt } from "./EndpointTracker.js";
@@ -99,7 +100,9 @@
             signal.addEventListener("abort", this.onAbort);
             req.on("error", err => this.fail(err.message));
             req.on("close", () => this.handleClose());
-            req.on("response", res => void this.read(res));
+            req.on("response", res => {
+                this.read(res).catch((err: unknown) => this.fail(failureMessage(err)));
+            });
             this.restartSilenceTimer(firstByteTimeoutMs);
             req.end(body);
         });
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -5,6 +5,7 @@
 import type { Route } from "../fleet/Types.js";
 import type { RequestVersions } from "../rollouts/VersionRouter.js";
 import { originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { AttemptRace, type Contender, type RaceEnd } from "./AttemptRace.js";
 import { AttemptReply } from "./AttemptReply.js";
 import type { HeldBytes } from "./CallerMemory.js";
@@ -74,7 +75,7 @@
 
     /** Runs an attempt at an endpoint, with a hedge where it is slow; resolves once the outcomes have been recorded. */
     public async run(choice: PermittedChoice): Promise<RaceEnd<PermittedChoice>> {
-        const { signal, hedges } = this.options;
+        const { deps, signal, hedges } = this.options;
         const delayMs = this.hasBegun ? undefined : hedges.delayMs();
         const race = new AttemptRace<PermittedChoice>(
             signal,
@@ -83,7 +84,7 @@
         this.race = race;
         race.enter(choice);
         if (delayMs !== undefined) {
-            void hedges.enterLater(race, choice, delayMs);
+            inBackground(deps.log, "hedge", hedges.enterLater(race, choice, delayMs));
         }
         const end = await race.end();
         this.race = undefined;
@@ -127,7 +128,7 @@
         attempt.recordOutcome(outcome);
         endVersionAttempt(version, outcome, firstByte.eventMs, deps.clock.nowMs() - startMs);
         deps.hedging.recordOutcome(admitted.service.id, outcome);
-        void deps.quarantine.observe(admitted, record, outcome);
+        inBackground(deps.log, "observe-crash", deps.quarantine.observe(admitted, record, outcome));
         this.tried.add(record);
         this.sentCount += outcome.kind === "unsent" ? 0 : 1;
         const { isHedge } = contender;
--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -68,9 +68,9 @@
             runs.push(run);
             run.ended = this.runStage(plan, run, runs, combinedSignal);
         });
-        runs.forEach(run => void this.freeOnceUsed(run, runs));
+        const freed = Promise.all(runs.map(run => this.freeOnceUsed(run, runs)));
         let firstError: SubmissionError | undefined;
-        const ends = await Promise.all(runs.map(async run => {
+        const ended = Promise.all(runs.map(async run => {
             const end = await run.ended;
             end.ifLeft(error => {
                 firstError ??= error;
@@ -78,6 +78,7 @@
             });
             return { run, results: end.orDefault([]) };
         }));
+        const [ends] = await Promise.all([ended, freed]);
         const finalStages = ends.filter(({ run }) => isFinal(plan.route.stages, run.index));
         const freeAll = () => finalStages.forEach(({ results }) => this.executor.free(results));
         if (firstError !== undefined) {
--- a/src/gather/BatchCalls.ts
+++ b/src/gather/BatchCalls.ts
@@ -1,6 +1,7 @@
 /** Sends one call to an endpoint and monitors it: when it takes too long, its pieces are also sent elsewhere. */
 import type { Clock } from "../common/Types.js";
 import type { BatchTraits, ServiceId } from "../fleet/Types.js";
+import { failureMessage } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { BatchEndpoint } from "./BatchEndpoint.js";
@@ -42,7 +43,7 @@
         traits: BatchTraits,
         onLate: () => void,
     ): Promise<EndedCall> {
-        const { clock, client, metrics, service } = this.options;
+        const { clock, client, log, metrics, service } = this.options;
         const bytes = taken.reduce((sum, { waiting }) => sum + waiting.submission.resultBytes, 0);
         const startMs = clock.nowMs();
         const expectedMs = endpoint.expectedMs(traits, taken.length);
@@ -53,6 +54,7 @@
             endpoint: endpoint.listed,
             client,
             clock,
+            log,
             expectedMs,
             onLate: reason => {
                 endpoint.recordFailure();
@@ -65,7 +67,8 @@
             },
         });
         const timeoutMs = expectedMs * timeoutFactor + timeoutAllowanceMs;
-        const outcome = await client.run(endpoint.listed, this.piecesOf(taken), timeoutMs, replyLost.signal);
+        const outcome = await client.run(endpoint.listed, this.piecesOf(taken), timeoutMs, replyLost.signal)
+            .catch((err: unknown): CallOutcome => ({ kind: "broken", message: failureMessage(err) }));
         monitor.dispose();
         endpoint.callEnded(bytes);
         const takenMs = clock.nowMs() - startMs;
--- a/src/gather/CallMonitor.ts
+++ b/src/gather/CallMonitor.ts
@@ -5,6 +5,8 @@
  */
 import type { Clock, Disposable } from "../common/Types.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
+import type { EventLog } from "../telemetry/Types.js";
 import type { PieceClient } from "./Types.js";
 
 /** The first poll is due after the expected time times this factor plus a network allowance; times vary by a fifth. */
@@ -21,6 +23,7 @@
     readonly endpoint: ListedEndpoint;
     readonly client: PieceClient;
     readonly clock: Clock;
+    readonly log: EventLog;
     readonly expectedMs: number;
     /** Called once, when the call is found to be late. */
     readonly onLate: (reason: "slow" | "unreachable") => void;
@@ -39,7 +42,7 @@
         this.startMs = clock.nowMs();
         this.timer = clock.setTimer(
             Math.max(maxStateAgeMs, expectedMs * pollFactor + pollAllowanceMs),
-            () => void this.poll(),
+            () => this.startPoll(),
         );
     }
 
@@ -48,6 +51,10 @@
         this.timer.dispose();
     }
 
+    private startPoll(): void {
+        inBackground(this.options.log, "poll-call", this.poll());
+    }
+
     private async poll(): Promise<void> {
         const { endpoint, client, clock, expectedMs, onLost } = this.options;
         const state = await client.state(endpoint);
@@ -64,7 +71,7 @@
         else if (clock.nowMs() - this.startMs >= expectedMs * slowFactor + slowAllowanceMs) {
             this.reportLate("slow");
         }
-        this.timer = clock.setTimer(pollIntervalMs, () => void this.poll());
+        this.timer = clock.setTimer(pollIntervalMs, () => this.startPoll());
     }
 
     private reportLate(reason: "slow" | "unreachable"): void {
--- a/src/gather/CellGatherer.test.ts
+++ b/src/gather/CellGatherer.test.ts
@@ -16,7 +16,7 @@
     TimedEndpoints,
 } from "../../testing/FleetFixtures.js";
 import type { EndpointId } from "../common/Types.js";
-import type { BatchTraits } from "../fleet/Types.js";
+import type { BatchTraits, GatherPolicies } from "../fleet/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import { CellGatherer } from "./CellGatherer.js";
 import type { PieceCall, Submission, SubmissionOutcome } from "./Types.js";
@@ -44,6 +44,7 @@
         endpoints: number,
         bytesOf: (call: PieceCall) => number = () => 0,
         private readonly batchTraits: BatchTraits = traits,
+        policies?: GatherPolicies,
     ) {
         this.endpoints = new TimedEndpoints(this.clock, batchTraits, bytesOf);
         this.endpoints.notices = this.notices;
@@ -62,6 +63,7 @@
                 },
             },
             metrics: noMetrics,
+            policies,
         });
         this.gatherer.setEndpoints(
             Array.from({ length: endpoints }, (_, at) => listed(`e${at}`, { dataCentre: centreId("a") })),
@@ -94,6 +96,21 @@
     assert.deepEqual(site.endpoints.calls.map(call => call.pieces.length), [1, 10, 10, 10]);
 });
 
+// Guards against a process that ends, and pieces that wait for good, since a call or a report has thrown.
+test("pieces of an endpoint whose calls throw are run by another one, and it is used again afterwards", async () => {
+    const site = new Site(2, () => 10, traits, { reservesStorage: true, fillsCalls: false });
+    site.endpoints.throwing.add("e0");
+    await site.clock.advance(1000);
+    const requests = [1, 2, 3].map(() => site.submit({ startInMs: 3000, pieces: [0, 1, 2, 3, 4] }));
+    await site.clock.advance(4000);
+    assert.deepEqual([...site.completed()].sort(), requests.sort());
+    site.endpoints.throwing.clear();
+    site.endpoints.broken.add("e1");
+    const next = site.submit({ startInMs: 3000 });
+    await site.clock.advance(4000);
+    assert.ok(site.completed().includes(next));
+});
+
 test("in a burst of twice the capacity, most requests that can complete are on time, and most refusals come at once, all with retry advice", async () => {
     const site = new Site(2);
     const startInMs = 600;
--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -8,6 +8,7 @@
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import type { BatchTraits, GatherPolicies, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import type { EndpointSpeeds } from "../load/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { BatchCalls, type EndedCall } from "./BatchCalls.js";
@@ -234,7 +235,7 @@
             this.open.requeue(taken, false);
             this.dispatch();
         };
-        void this.calls.run(endpoint, taken, traits, onLate).then(ended => {
+        const handled = this.calls.run(endpoint, taken, traits, onLate).then(ended => {
             const outcome = ended.isReplyLost
                 ? this.handleLostReply(endpoint, taken, ended, traits)
                 : this.handleReply(endpoint, taken, ended);
@@ -250,6 +251,7 @@
             });
             this.dispatch();
         });
+        inBackground(this.options.log, "batch-call", handled);
     }
 
     /** Handles a lost reply: the results of the call exist at the endpoint, but their handles are unknown. */
--- a/src/gather/GatherClient.ts
+++ b/src/gather/GatherClient.ts
@@ -10,6 +10,7 @@
 import type { ServiceId } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import type { Service } from "../supervise/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { Cell, CellCache } from "./Cells.js";
@@ -168,7 +169,7 @@
             for (const host of gatherers) {
                 const silentForMs = clock.nowMs() - (this.lastContactMs.get(host) ?? 0);
                 if (host !== self && silentForMs > maxSilenceMs && !this.inFlight.has(host)) {
-                    void this.send(host, { submissions: [], cancels: [], frees: [] });
+                    this.startSend(host, { submissions: [], cancels: [], frees: [] });
                 }
             }
         }
@@ -286,11 +287,15 @@
         this.outboxes.set(host, outbox);
         this.options.clock.setTimer(sendDelayMs, () => {
             this.outboxes.delete(host);
-            void this.send(host, outbox);
+            this.startSend(host, outbox);
         });
         return outbox;
     }
 
+    private startSend(host: HostId, work: WorkRequest): void {
+        inBackground(this.options.log, "send-work", this.send(host, work));
+    }
+
     private async send(host: HostId, work: WorkRequest): Promise<void> {
         const { self, local, transport, clock } = this.options;
         if (host === self) {
@@ -325,7 +330,7 @@
         const affected = [...this.pending.values()].filter(one => one.gatherer === host);
         log.event(EventId.GathererLost, { gatherer: host, message, submissions: affected.length });
         if (affected.length > 0) {
-            void this.withdraw(host, affected);
+            inBackground(log, "withdraw", this.withdraw(host, affected));
         }
         affected.forEach(pending => this.submit(pending));
     }
--- a/src/gather/GatherServer.ts
+++ b/src/gather/GatherServer.ts
@@ -8,6 +8,7 @@
 import type { FleetSource, GatherPolicies } from "../fleet/Types.js";
 import type { EndpointSpeeds } from "../load/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CellGatherer } from "./CellGatherer.js";
@@ -130,7 +131,10 @@
             return;
         }
         this.outbox.set(to, [ended]);
-        this.options.clock.setTimer(deliveryDelayMs, () => void this.flush(to));
+        this.options.clock.setTimer(
+            deliveryDelayMs,
+            () => inBackground(this.options.log, "send-outcomes", this.flush(to)),
+        );
     }
 
     private async flush(to: HostId): Promise<void> {
--- a/src/gather/ResultRelease.ts
+++ b/src/gather/ResultRelease.ts
@@ -4,6 +4,7 @@
  */
 import type { EndpointId } from "../common/Types.js";
 import type { ServiceId } from "../fleet/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { BatchEndpoint } from "./BatchEndpoint.js";
@@ -30,14 +31,14 @@
             return;
         }
         this.collected.set(endpoint.id, [...results]);
-        void this.releaseAll(endpoint);
+        const released = this.releaseAll(endpoint).finally(() => this.collected.delete(endpoint.id));
+        inBackground(this.options.log, "free-results", released);
     }
 
     private async releaseAll(endpoint: BatchEndpoint): Promise<void> {
         for (;;) {
             const results = this.collected.get(endpoint.id) ?? [];
             if (results.length === 0) {
-                this.collected.delete(endpoint.id);
                 return;
             }
             this.collected.set(endpoint.id, []);
--- a/src/gather/StorageReports.ts
+++ b/src/gather/StorageReports.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "../common/Types.js";
 import type { BatchTraits, ServiceId } from "../fleet/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { BatchEndpoint } from "./BatchEndpoint.js";
@@ -44,7 +45,9 @@
      */
     public learnNew(endpoint: BatchEndpoint): void {
         endpoint.isAwaitingReport = true;
-        void this.awaitFormerCall(endpoint).then(() => this.read(endpoint, 0));
+        const learned = this.awaitFormerCall(endpoint).then(() => this.read(endpoint, 0));
+        // Without a report the endpoint is used as if it had none.
+        inBackground(this.options.log, "storage-report", learned.finally(() => endpoint.isAwaitingReport = false));
     }
 
     private async awaitFormerCall(endpoint: BatchEndpoint): Promise<void> {
@@ -62,15 +65,24 @@
 
     /** Reads the report of an endpoint after a call without a reply, once the report can show the call's results. */
     public learnAfterLoss(endpoint: BatchEndpoint): void {
-        void this.read(endpoint, maxReportAgeMs);
+        inBackground(this.options.log, "storage-report", this.read(endpoint, maxReportAgeMs));
     }
 
     private async read(endpoint: BatchEndpoint, delayMs: number): Promise<void> {
-        const { clock, onLearned } = this.options;
         if (this.reading.has(endpoint)) {
             return;
         }
         this.reading.add(endpoint);
+        try {
+            await this.readRepeatedly(endpoint, delayMs);
+        }
+        finally {
+            this.reading.delete(endpoint);
+        }
+    }
+
+    private async readRepeatedly(endpoint: BatchEndpoint, delayMs: number): Promise<void> {
+        const { clock, onLearned } = this.options;
         let waitMs = delayMs;
         for (let reports = 0; reports < maxReports; reports++) {
             if (waitMs > 0) {
@@ -84,7 +96,6 @@
             }
             waitMs = intervalMs;
         }
-        this.reading.delete(endpoint);
     }
 
     /** Reads one report; true when it shows results without a record. */
--- a/src/limits/PlacePermits.ts
+++ b/src/limits/PlacePermits.ts
@@ -7,7 +7,8 @@
 import type { EndpointLimits, StatementOrigin } from "../endpoints/EndpointLimits.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
 import type { PeerTransport } from "../peer/Types.js";
-import type { Metrics } from "../telemetry/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { LenderClient } from "./LenderClient.js";
 import { limitMethods, type PlaceReturn } from "./LimitMessages.js";
 import type { PlaceLender } from "./PlaceLender.js";
@@ -49,6 +50,7 @@
     readonly transport: PeerTransport;
     /** Includes time in system suspension. */
     readonly clock: Clock;
+    readonly log: EventLog;
     readonly metrics: Metrics;
 }
 
@@ -96,11 +98,12 @@
     }
 
     private giveBack(lender: HostId, req: PlaceReturn): void {
-        const { self, lender: own, transport } = this.options;
+        const { self, lender: own, transport, log } = this.options;
         if (lender === self) {
             own.takeBack(req);
             return;
         }
-        void transport.call(lender, limitMethods.returnPlace, req, { timeoutMs: returnTimeoutMs });
+        const returned = transport.call(lender, limitMethods.returnPlace, req, { timeoutMs: returnTimeoutMs });
+        inBackground(log, "return-place", returned);
     }
 }
--- a/src/paths/DirectDialer.ts
+++ b/src/paths/DirectDialer.ts
@@ -89,9 +89,9 @@
 
     /** Resolves as soon as one of the endpoints is reached. */
     private reachesAny(endpoints: readonly ListedEndpoint[], limitMs: number): Promise<boolean> {
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             const attempts = endpoints.map(async one => await this.reachesWithin(one, limitMs) && resolve(true));
-            void Promise.all(attempts).then(() => resolve(false));
+            Promise.all(attempts).then(() => resolve(false), reject);
         });
     }
 
--- a/src/paths/EndpointPaths.ts
+++ b/src/paths/EndpointPaths.ts
@@ -308,10 +308,10 @@
 async function firstRight(
     attempts: readonly Promise<Either<TunnelError, Socket>>[],
 ): Promise<Either<TunnelError, Socket>> {
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
         const failures: Either<TunnelError, Socket>[] = [];
         for (const attempt of attempts) {
-            void attempt.then(result => {
+            attempt.then(result => {
                 if (result.isRight()) {
                     resolve(result);
                     return;
@@ -322,7 +322,7 @@
                         one.swap().map(({ kind }) => kind === "refused" || kind === "timeout").orDefault(false);
                     resolve(failures.find(isJudged) ?? result);
                 }
-            });
+            }, reject);
         }
     });
 }
--- a/src/peer/TrpcHttpHandler.ts
+++ b/src/peer/TrpcHttpHandler.ts
@@ -23,7 +23,9 @@
 
 /** Creates a listener that serves the router; errors are answered in tRPC's format and passed to `onError`. */
 export function trpcHttpHandler(options: TrpcHttpOptions): http.RequestListener {
-    return (req, res) => void serve(options, req, res);
+    return (req, res) => {
+        serve(options, req, res).catch((err: unknown) => options.onError(getTRPCErrorFromUnknown(err)));
+    };
 }
 
 async function serve(options: TrpcHttpOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
--- a/src/peer/TunnelServer.ts
+++ b/src/peer/TunnelServer.ts
@@ -7,7 +7,8 @@
 import type { Duplex } from "node:stream";
 import { Either } from "purify-ts";
 import type { Clock, Disposable } from "../common/Types.js";
-import type { Metrics } from "../telemetry/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
 import { type TunnelError, tunnelReasonHeader } from "./TunnelClient.js";
 
@@ -26,6 +27,7 @@
 interface TunnelServerOptions {
     readonly key: string;
     readonly clock: Clock;
+    readonly log: EventLog;
     readonly metrics: Metrics;
     /** Aborted when a planned stop of this host begins. */
     readonly stopping: AbortSignal;
@@ -54,7 +56,11 @@
         server.on("connect", (req, peer) => {
             // Errors are followed by "close".
             peer.on("error", () => undefined);
-            void this.accept(req, peer);
+            const accepted = this.accept(req, peer).catch((err: unknown) => {
+                peer.destroy();
+                throw err;
+            });
+            inBackground(this.options.log, "tunnel", accepted);
         });
     }
 
@@ -92,8 +98,7 @@
             return;
         }
         this.dialing += 1;
-        const dialed = await this.dialer.dial(target.orDefault(""));
-        this.dialing -= 1;
+        const dialed = await this.dialer.dial(target.orDefault("")).finally(() => this.dialing -= 1);
         dialed.caseOf({
             Left: ({ kind }) => refuse(kind),
             Right: socket => {
--- a/src/peer/Tunnels.test.ts
+++ b/src/peer/Tunnels.test.ts
@@ -5,6 +5,7 @@
 import { after, test } from "node:test";
 import { type Either, Left, Right } from "purify-ts";
 import { noMetrics } from "../../testing/FleetFixtures.js";
+import { MemoryLog } from "../../testing/MemoryLog.js";
 import { listenWithoutAccepting } from "../../testing/SilentListener.js";
 import { listen } from "../common/HttpServers.js";
 import { SystemClock } from "../common/SystemClock.js";
@@ -27,9 +28,10 @@
 
 /** Starts a host that serves tunnels with the given outcome of its own connection. */
 async function startHelper(dial: (target: string) => Promise<Either<TunnelError, net.Socket>>) {
+    const log = new MemoryLog();
     const dialed: string[] = [];
     const stopping = new AbortController();
-    const tunnels = new TunnelServer({ key, clock, metrics: noMetrics, stopping: stopping.signal });
+    const tunnels = new TunnelServer({ key, clock, log, metrics: noMetrics, stopping: stopping.signal });
     tunnels.serve({
         dial: target => {
             dialed.push(target);
@@ -47,7 +49,7 @@
     const open = (target: string, presented: string = key) =>
         new TunnelClient({ key: presented, addressOf: () => address, clock })
             .open("h" as HostId, target, 1000, new AbortController().signal);
-    return { address, dialed, open };
+    return { address, dialed, log, open };
 }
 
 const kindOf = (opened: Either<TunnelError, net.Socket>) =>
@@ -105,6 +107,18 @@
     assert.equal(kindOf(await open("e1")), "refused");
 });
 
+// Guards against a host that ends since its connection to an endpoint has thrown.
+test("a host whose own connection throws ends the tunnel with a log line, and goes on", async () => {
+    const { log, open } = await startHelper(async target => {
+        if (target === "odd") {
+            throw new Error("no such port");
+        }
+        return Left({ kind: "refused", message: "" });
+    });
+    assert.deepEqual([kindOf(await open("odd")), kindOf(await open("e1"))], ["unavailable", "refused"]);
+    assert.deepEqual(log.events.map(one => one.fields["task"]), ["tunnel"]);
+});
+
 // Guards against requests that wait for a host which can't be reached, as behind a partition.
 test("a host that can't be reached is given up early", async () => {
     const silent = await listenWithoutAccepting("127.0.0.1:0");
--- a/src/streams/StreamOrigins.ts
+++ b/src/streams/StreamOrigins.ts
@@ -8,6 +8,7 @@
 import { HostRanks } from "../fleet/HostRanks.js";
 import type { FleetSource } from "../fleet/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { OriginStore } from "./OriginStore.js";
@@ -70,7 +71,7 @@
 
     /** Finds where a stream began; the first host that knows it decides. */
     public async find(key: string): Promise<OriginSearch> {
-        const { self, transport } = this.options;
+        const { self, transport, log } = this.options;
         const own = this.store.get(key);
         if (own !== undefined) {
             return { kind: "found", origin: own, from: self };
@@ -82,15 +83,20 @@
             const resolveIfNone = () => waiting === 0 && resolve({ kind: "unknown", asked: hosts.length, silent });
             resolveIfNone();
             for (const host of hosts) {
-                void transport.call(host, streamMethods.find, { key }, { timeoutMs: findTimeoutMs }).then(reply => {
-                    waiting -= 1;
-                    silent += reply.isLeft() ? 1 : 0;
-                    const found = reply.toMaybe().extract()?.found;
-                    if (found !== undefined) {
-                        resolve({ kind: "found", origin: found, from: host });
-                    }
-                    resolveIfNone();
-                });
+                const asked = transport.call(host, streamMethods.find, { key }, { timeoutMs: findTimeoutMs });
+                inBackground(
+                    log,
+                    "find-origin",
+                    asked.then(reply => {
+                        waiting -= 1;
+                        silent += reply.isLeft() ? 1 : 0;
+                        const found = reply.toMaybe().extract()?.found;
+                        if (found !== undefined) {
+                            resolve({ kind: "found", origin: found, from: host });
+                        }
+                        resolveIfNone();
+                    }),
+                );
             }
         });
     }
@@ -110,7 +116,7 @@
             return;
         }
         this.unsent.set(host, [record]);
-        this.options.clock.setTimer(sendDelayMs, () => void this.send(host));
+        this.options.clock.setTimer(sendDelayMs, () => inBackground(this.options.log, "send-origins", this.send(host)));
     }
 
     private async send(host: HostId): Promise<void> {
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -14,6 +14,8 @@
     StopLeftWork = 106,
     SecondSignal = 107,
     LogLinesLeftOut = 108,
+    /** A task that nobody awaits has thrown. */
+    BackgroundTaskFailed = 109,
     // 2xx: peer
     PeerConnectionSilent = 200,
     PeerRejected = 201,
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -222,6 +222,8 @@
     /** Factor on the duration of calls, by endpoint; Infinity for one that never replies. */
     public readonly slowness = new Map<string, number>();
     public readonly broken = new Set<string>();
+    /** Endpoints whose client throws. */
+    public readonly throwing = new Set<string>();
     /** Endpoints that refuse calls for lack of a free slot. */
     public readonly full = new Set<string>();
     /** Endpoints that run calls but whose replies are lost. */
@@ -254,6 +256,7 @@
         timeoutMs: number,
         signal: AbortSignal,
     ): Promise<CallOutcome> {
+        this.throwIfSet(endpoint);
         this.calls.push({ endpoint: endpoint.id, pieces });
         this.arrivals.push({ endpoint: endpoint.id, atMs: this.clock.nowMs() });
         const outcome = await this.reply(endpoint, pieces, timeoutMs, signal);
@@ -261,6 +264,12 @@
         return outcome;
     }
 
+    private throwIfSet({ id }: ListedEndpoint): void {
+        if (this.throwing.has(id)) {
+            throw new Error("no such port");
+        }
+    }
+
     private async reply(
         endpoint: ListedEndpoint,
         pieces: readonly PieceCall[],
@@ -300,6 +309,7 @@
     }
 
     public async free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined> {
+        this.throwIfSet(endpoint);
         this.arrivals.push({ endpoint: endpoint.id, atMs: this.clock.nowMs() });
         for (const handle of handles) {
             this.freed.push(handle);
@@ -309,6 +319,7 @@
     }
 
     public async state(endpoint: ListedEndpoint): Promise<WorkState | undefined> {
+        this.throwIfSet(endpoint);
         this.arrivals.push({ endpoint: endpoint.id, atMs: this.clock.nowMs() });
         await this.clock.sleep(2);
         return { isWorking: (this.busyUntilMs.get(endpoint.id) ?? 0) > this.clock.nowMs() };
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -312,7 +312,7 @@
     const stopping = new AbortController();
     const stopped = new AbortController();
     const key = "test-key-of-peers";
-    const tunnelServer = new TunnelServer({ key, clock, metrics: noMetrics, stopping: stopping.signal });
+    const tunnelServer = new TunnelServer({ ...common, key, stopping: stopping.signal });
     const dialer = new DirectDialer(fleet, clock);
     tunnelServer.serve(dialer);
     const tunnels = new TunnelClient({ key, addressOf: host => peerAddresses.get(host) ?? "", clock });
