Event log: a line that can't be written keeps its event

A line with a field that is nested too deeply was lost: JSON.stringify overflows the stack at some ten thousand levels, and the logger prints the error beside the log, as text. Fields may hold what another process has sent, such as the error of a gatherer.

The line is now written with its stamp, host, event and name, and the error in "unwritable".

Before: "a line with a value that is nested too deeply is written without its fields" failed, with no line written.

--- a/src/telemetry/JsonEventLog.ts
+++ b/src/telemetry/JsonEventLog.ts
@@ -1,4 +1,5 @@
 /** Event log that writes one JSON object per line through tslog: stamp, host, event number, event name, fields. */
+import { Either } from "purify-ts";
 import { Logger } from "tslog";
 import type { HostId } from "../common/Types.js";
 import { EventId } from "./Events.js";
@@ -30,8 +31,8 @@
             maskValuesOfKeys: [],
         });
         this.logger.attachTransport(logged => {
-            const [record] = (logged as unknown as { readonly records: readonly EventRecord[]; }).records;
-            this.sink(JSON.stringify(record));
+            const [record] = (logged as unknown as { readonly records: readonly [EventRecord]; }).records;
+            this.sink(formatLine(record));
         });
     }
 
@@ -50,3 +51,12 @@
         return new JsonEventLog(this.host, this.clock, this.sink, { ...this.fields, ...fields });
     }
 }
+
+/** Fields may hold a value of another process that is nested too deeply to be written. */
+function formatLine(record: EventRecord): string {
+    const { hlc, host, event, name } = record;
+    return Either.encase(() => JSON.stringify(record)).caseOf({
+        Left: ({ message }) => JSON.stringify({ hlc, host, event, name, unwritable: message }),
+        Right: line => line,
+    });
+}
