--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -57,11 +57,12 @@
         request: string | undefined,
         disconnect: (reason: SlowCallerReason) => void,
     ): CallerOutput {
-        const { clock, settings } = this.options;
+        const { clock, log, settings } = this.options;
         const output: CallerOutput = new CallerOutput({
             res,
             request,
             clock,
+            log,
             maxStallMs: () => settings().maxStallMs,
             makeRoom: bytes => this.makeRoom(bytes),
             roomFreed: () => new Promise(resolve => this.waiters.push(resolve)),
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -10,6 +10,7 @@
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
+import { failureMessage, inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { AttemptReply } from "./AttemptReply.js";
@@ -119,7 +120,9 @@
             signal.addEventListener("abort", this.onAbort);
             req.on("error", err => this.fail(err.message));
             req.on("close", () => this.handleClose());
-            req.on("response", res => void this.read(res));
+            req.on("response", res => {
+                this.read(res).catch((err: unknown) => this.fail(failureMessage(err)));
+            });
             this.restartSilenceTimer(firstByteTimeoutMs);
             req.end(body);
         });
@@ -247,7 +250,11 @@
     private restartSilenceTimer(timeoutMs: number | undefined): void {
         this.silenceTimer?.dispose();
         if (timeoutMs !== undefined && !this.isFinished) {
-            const timer = this.options.clock.setTimer(timeoutMs, () => void this.handleSilence(timeoutMs, timer));
+            const { clock, log } = this.options;
+            const timer = clock.setTimer(
+                timeoutMs,
+                () => inBackground(log, "handle-silence", this.handleSilence(timeoutMs, timer)),
+            );
             this.silenceTimer = timer;
         }
     }
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -6,6 +6,7 @@
 import type { Route } from "../fleet/Types.js";
 import type { RequestVersions } from "../rollouts/VersionRouter.js";
 import { originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
+import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import { AttemptRace, type Contender, type RaceEnd } from "./AttemptRace.js";
 import { AttemptReply } from "./AttemptReply.js";
@@ -90,7 +91,7 @@
 
     /** Runs an attempt at an endpoint, with a hedge where it is slow; resolves once the outcomes have been recorded. */
     public async run(choice: PermittedChoice): Promise<RaceEnd<PermittedChoice>> {
-        const { signal, hedges } = this.options;
+        const { deps, signal, hedges } = this.options;
         const delayMs = this.hasBegun ? undefined : hedges.delayMs();
         const race = new AttemptRace<PermittedChoice>(
             signal,
@@ -99,7 +100,7 @@
         this.race = race;
         race.enter(choice);
         if (delayMs !== undefined) {
-            void hedges.enterLater(race, choice, delayMs);
+            inBackground(deps.log, "hedge", hedges.enterLater(race, choice, delayMs));
         }
         const end = await race.end();
         this.race = undefined;
@@ -143,7 +144,7 @@
         attempt.recordOutcome(outcome);
         endVersionAttempt(version, outcome, firstByte.eventMs, deps.clock.nowMs() - startMs);
         deps.hedging.recordOutcome(admitted.service.id, outcome);
-        void deps.quarantine.observe(admitted, record, outcome);
+        inBackground(deps.log, "observe-crash", deps.quarantine.observe(admitted, record, outcome));
         this.tried.add(record);
         if (outcome.kind !== "unsent") {
             this.sentCount += 1;
