Gather: a stage call takes no result of another call

Pieces of one request were given the results of another request's pieces.

Cause: the reply to a stage call carries no id of the call. When a faulty endpoint writes an earlier reply once more on a kept connection, the call that is running takes it for its own, and the connection goes back to the pool while the call's own reply is still to come. The next call on it gets that reply, and each later one the reply to the call before it.

Handles tell whose reply it is: each is given once. A reply with the handle of another piece counts as broken, and a connection is kept only after a reply with a handle that no earlier reply had, so that the replies on it can't come one call late.

--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -20,6 +20,11 @@
     readonly signal: AbortSignal;
     /** Called right before the first byte is written; false cancels the request. */
     readonly mayWrite?: () => boolean;
+    /**
+     * Called with the complete reply; false closes the connection. That is for replies that may belong to an earlier
+     * request, so that the next request on the connection would get this one's. Without it connections are kept.
+     */
+    readonly keepsConnection?: (reply: TextReply) => boolean;
 }
 
 export interface TextReply {
@@ -68,6 +73,7 @@
     readonly maxReplyBytes: number;
     readonly clock: Clock;
     readonly signal: AbortSignal;
+    readonly keepsConnection?: (reply: TextReply) => boolean;
 }
 
 /** Sends a body and reads the whole reply as text; destroys the request when no complete reply arrives. */
@@ -102,7 +108,12 @@
             res.on("end", () => {
                 if (res.complete) {
                     const text = Buffer.concat(chunks).toString("utf8");
-                    finish(Right({ status: res.statusCode ?? 0, text, headers: res.headers }));
+                    const reply = { status: res.statusCode ?? 0, text, headers: res.headers };
+                    if (options.keepsConnection?.(reply) === false) {
+                        // The pool gets the connection right after this event, and drops a destroyed one.
+                        req.socket?.destroy();
+                    }
+                    finish(Right(reply));
                 }
             });
         });
--- a/src/gather/HttpPieceClient.ts
+++ b/src/gather/HttpPieceClient.ts
@@ -1,10 +1,15 @@
-/** Calls endpoints of stages over HTTP. */
+/**
+ * Calls endpoints of stages over HTTP. The reply to a call carries no id, and a faulty endpoint may write an earlier reply
+ * once more, so that every later one on the connection comes one call too late. A connection is therefore kept only
+ * after a reply that is known to belong to its call.
+ */
 import type { Clock } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
-import { requestText, type TextRequest } from "../endpoints/RequestText.js";
+import { requestText, type TextReply, type TextRequest } from "../endpoints/RequestText.js";
 import type { ListedEndpoint } from "../fleet/Types.js";
 import { noSize, type WorkRecorder } from "../load/WorkMeter.js";
+import { KnownResults } from "./KnownResults.js";
 import type { CallOutcome, PieceCall, PieceClient, PieceCodec, WorkState } from "./Types.js";
 
 const ok = 200;
@@ -15,7 +20,15 @@
 /** Time limit for a state query: many times a round trip, and far less than the duration of a call. */
 const stateTimeoutMs = 150;
 
+/** What a reply says of a call, and whether it is known to belong to that call. */
+interface ReadReply {
+    readonly outcome: CallOutcome;
+    readonly isOwn: boolean;
+}
+
 export class HttpPieceClient implements PieceClient {
+    private readonly results = new KnownResults();
+
     public constructor(
         private readonly connections: EndpointConnections,
         private readonly codec: PieceCodec,
@@ -34,6 +47,7 @@
         const { codec } = this;
         const remainingMs = Math.max(...calls.map(call => call.remainingMs));
         const work = this.load.start(endpoint.id, noSize);
+        let read: ReadReply | undefined;
         const reply = await this.request(endpoint, {
             method: "POST",
             path: codec.runPath,
@@ -41,20 +55,14 @@
             headers: codec.callHeaders(endpoint.instance, remainingMs),
             timeoutMs,
             signal: AbortSignal.any([this.signal, signal]),
-        });
-        work.end();
-        return reply.caseOf<CallOutcome>({
-            Left: error => ({ kind: "broken", message: error.message }),
-            Right: ({ status, headers, text }) => {
-                if (codec.isNotRun(status, headers)) {
-                    return { kind: status === busyStatus ? "full" : "not-run", message: `not run, status ${status}` };
-                }
-                const outcomes = status === ok ? codec.decodeRun(text, calls.length) : undefined;
-                return outcomes === undefined
-                    ? { kind: "broken", message: `malformed reply, status ${status}` }
-                    : { kind: "replied", outcomes };
+            keepsConnection: complete => {
+                read = this.readRun(calls, complete);
+                return read.isOwn;
             },
         });
+        work.end();
+        const message = reply.caseOf({ Left: error => error.message, Right: () => "no reply" });
+        return read?.outcome ?? { kind: "broken", message };
     }
 
     public async free(endpoint: ListedEndpoint, handles: readonly string[]): Promise<string | undefined> {
@@ -81,6 +89,22 @@
             .extract();
     }
 
+    private readRun(calls: readonly PieceCall[], { status, headers, text }: TextReply): ReadReply {
+        const { codec } = this;
+        if (codec.isNotRun(status, headers)) {
+            const kind = status === busyStatus ? "full" : "not-run";
+            return { outcome: { kind, message: `not run, status ${status}` }, isOwn: false };
+        }
+        const outcomes = status === ok ? codec.decodeRun(text, calls.length) : undefined;
+        if (outcomes === undefined) {
+            return { outcome: { kind: "broken", message: `malformed reply, status ${status}` }, isOwn: false };
+        }
+        const owner = this.results.attribute(calls, outcomes);
+        return owner === "foreign"
+            ? { outcome: { kind: "broken", message: "the reply has a result of another piece" }, isOwn: false }
+            : { outcome: { kind: "replied", outcomes }, isOwn: owner === "own" };
+    }
+
     private async request(endpoint: ListedEndpoint, options: Omit<TextRequest, "fresh" | "clock">) {
         const { connections, clock, notices } = this;
         const reply = await requestText(connections, endpoint.id, { ...options, fresh: false, clock });
