Stage client: an earlier refusal or failure ends no other call

Callers of pipelines got the failure of another request's call (422), or a call was sent elsewhere while its endpoint was running it, and calls that followed on the same connection failed as bad replies.

Cause: a refusal or a failure does not echo its call, and its connection went back to the pool, where a faulty endpoint may write it once more. A reply that failed the check of its echo did not close the connection either: it is found at the `end` event, where Node.js has marked the request as destroyed, so that `destroy` on it does nothing, and each later call got the reply before its own.

Evidence: the new test, over loopback. On the code before, the second call ended with the message of the first, for a refusal and for a failure that came once more; after an output that came once more the third call failed.

No kept connection has then brought a refusal or a failure before. Calls that may not be repeated had connections of their own already.

--- a/src/endpoints/HttpStageClient.test.ts
+++ b/src/endpoints/HttpStageClient.test.ts
@@ -326,3 +326,33 @@
     assert.ok(result.isRight());
     assert.equal(seen.sockets.size, before + 1);
 });
+
+const firstReplies: readonly { readonly name: string; readonly status: number; readonly text: string; }[] = [
+    { name: "a refusal", status: 503, text: JSON.stringify({ state: "overloaded", message: "of r1" }) },
+    { name: "a failure", status: 422, text: JSON.stringify({ state: "other", message: "of r1" }) },
+    { name: "an output", status: 200, text: wholeReply() },
+];
+
+for (const { name, status, text } of firstReplies) {
+    // Guards against a refusal or failure of one call that is taken for another's, and against replies one call late.
+    test(`${name} that is written once more ends no other call, and the call after it gets its own reply`, async () => {
+        let calls = 0;
+        const used = new WeakSet<Socket>();
+        const { client } = await startEndpoint((req, res, body) => {
+            calls += 1;
+            if (calls === 2 && used.has(req.socket)) {
+                req.socket.write(`HTTP/1.1 ${status} X\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
+            }
+            used.add(req.socket);
+            const { request } = JSON.parse(body) as { request: string; };
+            const isFirst = calls === 1;
+            res.statusCode = isFirst ? status : 200;
+            setTimeout(() => res.end(isFirst ? text : wholeReply({ request })), 20);
+        });
+        const call = (request: string) => callOnce(client, testCall({ request: request as RequestId }));
+        await call("r1");
+        const { error } = await call("r2");
+        assert.ok(error === undefined || error.kind === "bad-reply", error?.message);
+        assert.ok((await call("r3")).result.isRight());
+    });
+}
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, IncomingHttpHeaders } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, EndpointId } from "../common/Types.js";
+import { closeConnection } from "./CloseConnection.js";
 import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
 
 /** Maximum size of a reply, in bytes. */
@@ -110,8 +111,7 @@
                     const text = Buffer.concat(chunks).toString("utf8");
                     const reply = { status: res.statusCode ?? 0, text, headers: res.headers };
                     if (options.keepsConnection?.(reply) === false) {
-                        // The pool gets the connection right after this event, and drops a destroyed one.
-                        req.socket?.destroy();
+                        closeConnection(req);
                     }
                     finish(Right(reply));
                 }
--- a/src/endpoints/StageExchange.ts
+++ b/src/endpoints/StageExchange.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Clock, Disposable } from "../common/Types.js";
+import { closeConnection } from "./CloseConnection.js";
 import { EventStreamReader, readWholeReply, type WholeOutput } from "./ReplyReader.js";
 import type { StageCall, StageCallError } from "./Types.js";
 import { refusalSchema } from "./Wire.js";
@@ -151,8 +152,9 @@
         this.silenceTimer?.dispose();
         this.deadlineTimer.dispose();
         this.options.signal.removeEventListener("abort", this.onAbort);
-        if ("error" in result && result.error.kind !== "refused" && result.error.kind !== "stage-error") {
-            this.options.req.destroy();
+        if ("error" in result) {
+            // Only an output echoes its call. Anything else may be an earlier reply, so that this call's would go to the next.
+            closeConnection(this.options.req);
         }
         const incarnation = "whole" in result ? result.whole.incarnation : this.reader.incarnation;
         this.resolve({ result, firstByteMs: this.firstByteMs, incarnation, silent });
