--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, IncomingHttpHeaders } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock, EndpointId } from "../common/Types.js";
+import { closeConnection } from "./CloseConnection.js";
 import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
 
 /** Maximum size of a reply, in bytes. */
@@ -20,6 +21,11 @@
     readonly signal: AbortSignal;
     /** Called right before the first byte is written; false cancels the request. */
     readonly mayWrite?: () => boolean;
+    /**
+     * Called with the complete reply; false closes the connection. That is for replies that may belong to an earlier
+     * request, so that the next request on the connection would get this one's. Without it connections are kept.
+     */
+    readonly keepsConnection?: (reply: TextReply) => boolean;
 }
 
 export interface TextReply {
@@ -68,6 +74,7 @@
     readonly maxReplyBytes: number;
     readonly clock: Clock;
     readonly signal: AbortSignal;
+    readonly keepsConnection?: (reply: TextReply) => boolean;
 }
 
 /** Sends a body and reads the whole reply as text; destroys the request when no complete reply arrives. */
@@ -102,7 +109,11 @@
             res.on("end", () => {
                 if (res.complete) {
                     const text = Buffer.concat(chunks).toString("utf8");
-                    finish(Right({ status: res.statusCode ?? 0, text, headers: res.headers }));
+                    const reply = { status: res.statusCode ?? 0, text, headers: res.headers };
+                    if (options.keepsConnection?.(reply) === false) {
+                        closeConnection(req);
+                    }
+                    finish(Right(reply));
                 }
             });
         });
