LOST: a planned stop closes callers' connections only after their answers

What callers saw around a SIGTERM: a request that the host had read whole ended with its connection.

Cause: the server's drain returned at the first moment after 2.5 s at which no request was being handled. While the later services drained, tunnels among them, the server went on accepting requests, which `closeAllConnections` cut off after that. An answer counted as sent once it had been handed to its connection, so that the rest of a large answer to a slow caller was cut off too; `closeIdleConnections` of Node.js likewise destroys a connection whose last answer has not been written yet. Requests at an endpoint at the end of the grace period were cut off.

Now the server stops listening after the balancer's lag, and closes each connection between two requests, not while an answer is being taken or a request is being read. A connection without any request yet is kept for half a second. The drain ends when all connections are closed; only then other services drain. What is still running at 0.9 of the grace period is answered with a 502.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -1,10 +1,11 @@
 /**
  * The connections of callers, and the requests that are open on them. A request is open until the system has taken its
- * whole answer, or its connection is closed. Records each connection that this host closes, and each request that it
+ * whole answer, or its connection is closed. On a planned stop, connections are closed between requests. Records each connection that this host closes, and each request that it
  * had read whole and whose connection it closed before the answer was complete.
  */
 import type * as http from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { RequestProgress } from "./RequestProgress.js";
@@ -21,8 +22,14 @@
     hasLeft: boolean;
     /** Why this host closes the connection; undefined while it does not. */
     closeCause: string | undefined;
+    /** Number of bytes that had been read when the last request ended; undefined before. */
+    idleBytes: number | undefined;
 }
 
+/** After the start of a planned stop, a new connection is kept this long for its first request. */
+const firstRequestMs = 500;
+const stoppingCause = "stopping";
+
 /** Cause of a connection that this host closed without saying why, as Node.js does. */
 const unknownCause = "unknown";
 /** Cause of a connection that is closed after an answer that said so. */
@@ -30,12 +37,47 @@
 
 export class CallerConnections {
     private readonly connections = new Map<Socket, CallerConnection>();
+    private closingSinceMs: number | undefined;
 
-    public constructor(private readonly log: EventLog, private readonly metrics: Metrics) {
+    public constructor(
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+        private readonly metrics: Metrics,
+    ) {
         // The series exists from the start, so that its absence can't be taken for a zero.
         metrics.count("requests_cut_off", {}, 0);
     }
 
+    public get size(): number {
+        return this.connections.size;
+    }
+
+    /** Number of requests that have not been answered completely. */
+    public get openRequests(): number {
+        return [...this.connections.values()].reduce((sum, { open }) => sum + open.size, 0);
+    }
+
+    /** Tells the callers of open requests to disconnect after their answers, where these have not begun. */
+    public announceClose(): void {
+        for (const { open } of this.connections.values()) {
+            open.forEach(({ res }) => res.headersSent || res.setHeader("connection", "close"));
+        }
+    }
+
+    /** Closes connections that are between two requests, from now on each after its last answer. */
+    public closeIdle(): void {
+        this.closingSinceMs ??= this.clock.nowMs();
+        this.connections.forEach((connection, socket) => this.closeIfIdle(socket, connection));
+    }
+
+    /** Closes all connections, also those with requests. */
+    public closeAll(): void {
+        this.connections.forEach((connection, socket) => {
+            connection.closeCause ??= stoppingCause;
+            socket.destroy();
+        });
+    }
+
     /** Follows the connections of a server from now on. */
     public attach(server: http.Server): void {
         server.on("connection", socket => this.follow(socket));
@@ -51,9 +93,8 @@
             connection.requests += 1;
         }
         res.once("finish", () => {
-            connection?.open.delete(request);
-            if (connection !== undefined && !res.shouldKeepAlive) {
-                connection.closeCause ??= answeredCause;
+            if (connection !== undefined) {
+                this.endRequest(req.socket, connection, request);
             }
         });
         return progress;
@@ -67,8 +108,36 @@
         }
     }
 
+    private endRequest(socket: Socket, connection: CallerConnection, request: OpenRequest): void {
+        connection.open.delete(request);
+        connection.idleBytes = socket.bytesRead;
+        // Node.js has ended the connection by now if the answer said so.
+        if (socket.writableEnded) {
+            connection.closeCause ??= answeredCause;
+        }
+        else if (this.closingSinceMs !== undefined) {
+            this.closeIfIdle(socket, connection);
+        }
+    }
+
+    /** Closes a connection without an open request, unless a part of the next one has been read. */
+    private closeIfIdle(socket: Socket, connection: CallerConnection): void {
+        const { open, idleBytes } = connection;
+        const isNew = socket.bytesRead === 0 && this.clock.nowMs() - (this.closingSinceMs ?? 0) < firstRequestMs;
+        if (open.size === 0 && socket.bytesRead === (idleBytes ?? 0) && !isNew) {
+            connection.closeCause ??= stoppingCause;
+            socket.destroySoon();
+        }
+    }
+
     private follow(socket: Socket): void {
-        const connection: CallerConnection = { open: new Set(), requests: 0, hasLeft: false, closeCause: undefined };
+        const connection: CallerConnection = {
+            open: new Set(),
+            requests: 0,
+            hasLeft: false,
+            closeCause: undefined,
+            idleBytes: undefined,
+        };
         this.connections.set(socket, connection);
         socket.once("end", () => connection.hasLeft = true);
         socket.once("error", () => connection.hasLeft = true);
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -101,8 +101,8 @@
 
 export class Gateway {
     private table: RouteTable | undefined;
-    private activeCount = 0;
     private readonly running = new Set<GatewayRequest>();
+    private activeCount = 0;
     private plannedStop: PlannedStop | undefined;
 
     public constructor(private readonly deps: GatewayDependencies) {
@@ -113,7 +113,7 @@
         });
     }
 
-    /** Number of requests that have not been answered yet. */
+    /** Number of requests that are being handled. */
     public get active(): number {
         return this.activeCount;
     }
@@ -133,6 +133,11 @@
         clock.setTimer(finalAnswersMs - nowMs, () => this.running.forEach(one => one.stopWaiting()));
     }
 
+    /** Refuses all requests that have not been answered, also those at endpoints, since this process is about to end. */
+    public refuseRunning(): void {
+        this.running.forEach(one => one.stop());
+    }
+
     /** Serves a request of a caller; resolves once it has been answered. */
     public async handle(
         req: http.IncomingMessage,
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -183,11 +183,16 @@
     /** Refuses the request if it is not at an endpoint, since this process is about to end. */
     public stopWaiting(): void {
         if (!this.isAtEndpoint) {
-            this.isStopped = true;
-            this.abortController.abort();
+            this.stop();
         }
     }
 
+    /** Refuses the request; it may have run if it is at an endpoint. */
+    public stop(): void {
+        this.isStopped = true;
+        this.abortController.abort();
+    }
+
     private async serve(): Promise<RequestOutcome> {
         const unavailable = this.unavailableRefusal();
         if (unavailable !== undefined) {
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -1,10 +1,10 @@
 /**
  * HTTP servers for callers and for the load balancer's readiness checks. The limits of callers' requests follow the
- * configuration. On a planned stop the readiness check fails first; open connections are served until their callers
- * have been told to disconnect and the last request has been answered.
+ * configuration. On a planned stop the readiness check fails first. After the load balancer's lag no connection is
+ * accepted any more, and each open one is closed after its last answer; other services are drained only when all are.
  */
 import * as http from "node:http";
-import { Socket } from "node:net";
+import { Server, Socket } from "node:net";
 import { closeServer, listen } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
@@ -27,6 +27,8 @@
 /** Share of the grace period after which running requests are abandoned, so that the process ends by itself. */
 const drainShare = 0.9;
 const drainPollIntervalMs = 20;
+/** Time for the answers to requests that are still running when the grace period is nearly over. */
+const finalAnswersMs = 250;
 /** The host is not ready when its view has not been confirmed for this long; other hosts serve callers better. */
 const maxReadyAgeMs = 2200;
 const readyPollIntervalMs = 200;
@@ -53,7 +55,6 @@
     private readonly readyServer: http.Server;
     private readonly connections: CallerConnections;
     private isStopping = false;
-    private isClosingIdle = false;
     private wasReady = false;
 
     public constructor(private readonly options: GatewayServerOptions) {
@@ -61,7 +62,7 @@
             const progress = this.connections.begin(req, res);
             this.serve(req, res, progress).catch((err: unknown) => this.handleError(err, res, progress));
         });
-        this.connections = new CallerConnections(options.log, options.metrics);
+        this.connections = new CallerConnections(options.clock, options.log, options.metrics);
         this.connections.attach(this.server);
         this.server.requestTimeout = 0;
         this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
@@ -103,21 +104,31 @@
         await closeServer(this.readyServer);
     }
 
-    /** Keeps serving through the load balancer's lag, then closes idle connections and waits for the last request. */
+    /** Keeps serving through the load balancer's lag, then waits until each connection is closed after its last answer. */
     public async drain(graceMs: number): Promise<DrainReport> {
         const { clock, gateway } = this.options;
+        const { connections } = this;
         const startMs = clock.nowMs();
         const untilMs = startMs + graceMs * drainShare;
         this.isStopping = true;
         gateway.scheduleStop(untilMs - startMs);
         this.logReadiness();
+        connections.announceClose();
         await clock.sleep(Math.min(graceMs * drainShare, balancerLagMs));
-        this.isClosingIdle = true;
-        this.server.closeIdleConnections();
-        while (gateway.active > 0 && clock.nowMs() < untilMs) {
+        // The method of http.Server also destroys connections whose answers have not been taken yet.
+        Server.prototype.close.call(this.server);
+        connections.closeIdle();
+        while (connections.size > 0 && clock.nowMs() < untilMs) {
             await clock.sleep(drainPollIntervalMs);
+            connections.closeIdle();
         }
-        return { unfinished: gateway.active, what: "requests" };
+        const unfinished = connections.openRequests;
+        gateway.refuseRunning();
+        while (connections.openRequests > 0 && clock.nowMs() < untilMs + finalAnswersMs) {
+            await clock.sleep(drainPollIntervalMs);
+        }
+        connections.closeAll();
+        return { unfinished, what: "requests" };
     }
 
     private isReady(): boolean {
@@ -154,9 +165,6 @@
             res.setHeader("connection", "close");
         }
         await this.options.gateway.handle(req, res, progress);
-        if (this.isClosingIdle) {
-            this.server.closeIdleConnections();
-        }
     }
 
     private handleError(err: unknown, res: http.ServerResponse, progress: RequestProgress): void {
--- a/testing/GatewayCaller.ts
+++ b/testing/GatewayCaller.ts
@@ -13,7 +13,8 @@
     site: { readonly address: string; },
     headers: Record<string, string> = {},
     path = "/a/x",
-    onBody: (received: string) => void = () => undefined,
+    onBody: (received: string, res: http.IncomingMessage) => void = () => undefined,
+    body: string | Buffer = "body",
 ): Promise<Answer> {
     return new Promise((resolve, reject) => {
         const req = http.request(`http://${site.address}${path}`, {
@@ -38,21 +39,21 @@
         });
         req.on("response", res => {
             hasResponse = true;
-            let body = "";
+            let received = "";
             res.on("data", (chunk: Buffer) => {
-                body += chunk.toString();
-                onBody(body);
+                received += chunk.toString();
+                onBody(received, res);
             });
             res.on("error", () => undefined);
             res.on("close", () => {
                 resolve({
                     status: res.statusCode ?? 0,
                     headers: res.headers,
-                    body,
+                    body: received,
                     isWhole: res.complete && !isBroken,
                 });
             });
         });
-        req.end("body");
+        req.end(body);
     });
 }
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -126,6 +126,8 @@
     readonly endpoints: readonly http.Server[];
     readonly gateway: Gateway;
     readonly server: GatewayServer;
+    /** Ends the server with all of its connections. */
+    readonly endServer: () => Promise<void>;
     readonly hedging: GatewayHedging;
     readonly memory: CallerMemory;
     readonly limits: EndpointLimits;
@@ -261,7 +263,7 @@
                 })
             ),
         });
-        const server = await startGatewayServer(gateway, fleet, clock, log);
+        const { server, endServer } = await startGatewayServer(gateway, fleet, clock, log);
         const hide = (endpoint: string) =>
             fleet.set({ endpoints: fleet.view().endpoints.filter(one => one.id !== endpoint) });
         return {
@@ -271,6 +273,7 @@
             endpoints,
             gateway,
             server,
+            endServer,
             hedging,
             memory,
             limits,
@@ -287,7 +290,7 @@
     fleet: FixedFleet,
     clock: Clock,
     log: EventLog,
-): Promise<GatewayServer> {
+): Promise<{ readonly server: GatewayServer; readonly endServer: () => Promise<void>; }> {
     const server = new GatewayServer({
         address: "127.0.0.1:0",
         readyAddress: "127.0.0.1:0",
@@ -301,11 +304,15 @@
     });
     const closing = new AbortController();
     closers.push(() => closing.abort());
-    void server.run(closing.signal);
+    const ended = server.run(closing.signal);
     while (server.port === undefined) {
         await new Promise(resolve => setImmediate(resolve));
     }
-    return server;
+    const endServer = () => {
+        closing.abort();
+        return ended;
+    };
+    return { server, endServer };
 }
 
 async function startLinks(endpoints: readonly http.Server[]): Promise<EndpointLinks> {
