--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -90,7 +90,7 @@
     readonly pieces: BatchTraits | undefined;
 }
 
-interface CallerLimits {
+export interface CallerLimits {
     readonly maxHeaderBytes: number;
     readonly maxBodyBytes: number;
     readonly headerTimeoutMs: number;
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -64,6 +64,15 @@
         }
     }
 
+    /** Keeps idle connections for this time from now on; 0 for no limit. */
+    public extendIdle(idleMs: number): void {
+        for (const [socket, { open, requests }] of this.connections) {
+            if (open.size === 0 && requests > 0) {
+                socket.setTimeout(idleMs);
+            }
+        }
+    }
+
     /** Closes connections that are between two requests, from now on each after its last answer. */
     public closeIdle(): void {
         this.closingSinceMs ??= this.clock.nowMs();
@@ -81,6 +90,10 @@
     /** Follows the connections of a server from now on. */
     public attach(server: http.Server): void {
         server.on("connection", socket => this.follow(socket));
+        server.on("timeout", socket => {
+            this.recordClose(socket, "idle");
+            socket.destroy();
+        });
     }
 
     /** Follows a request until its answer is complete or its connection is closed. */
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -17,6 +17,7 @@
     "no-route": 404,
     "unknown-key": 401,
     "too-large": 413,
+    "head-too-large": 431,
     "no-configuration": 503,
     "configuration-unconfirmed": 503,
     "quarantined": 503,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -24,6 +24,7 @@
 import type { ColdStartQuota, FleetRetryBudget } from "./FleetQuotas.js";
 import type { GatewayHedging } from "./GatewayHedging.js";
 import { GatewayRequest } from "./GatewayRequest.js";
+import { LimitHistory } from "./LimitHistory.js";
 import { failedRefusal, stoppingRetryMs } from "./RefusalCauses.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
 import { RequestProgress } from "./RequestProgress.js";
@@ -100,12 +101,15 @@
 type Admission = { readonly admitted: AdmittedRequest; } | { readonly refusal: Refusal; };
 
 export class Gateway {
+    /** Limits on what callers send. */
+    public readonly limits: LimitHistory;
     private table: RouteTable | undefined;
     private readonly running = new Set<GatewayRequest>();
     private activeCount = 0;
     private plannedStop: PlannedStop | undefined;
 
     public constructor(private readonly deps: GatewayDependencies) {
+        this.limits = new LimitHistory(deps.fleet, deps.clock);
         deps.fleet.onChange(view => {
             if (view.deployment !== undefined && view.deployment !== this.table?.deployment) {
                 this.table = new RouteTable(view.deployment);
@@ -172,8 +176,13 @@
         progress: RequestProgress,
     ): Promise<void> {
         progress.request = head.id;
-        const limit = this.table?.deployment.limits.maxBodyBytes ?? Infinity;
-        const body = await readBytes(req, limit);
+        const { maxBodyBytes = Infinity, maxHeaderBytes = Infinity } = this.limits.current ?? {};
+        if (headBytes(req) > maxHeaderBytes) {
+            const message = `the head exceeds the limit of ${maxHeaderBytes} bytes`;
+            this.refuse(head, res, { reason: "head-too-large", message, notRun: true });
+            return;
+        }
+        const body = await readBytes(req, maxBodyBytes);
         if (body.isLeft()) {
             const error = body.extract();
             if (error.kind === "too-large") {
@@ -365,6 +374,12 @@
     }
 }
 
+/** Size of a request's head as it was sent, but for spaces round the values. */
+function headBytes({ method = "", url = "", rawHeaders }: http.IncomingMessage): number {
+    const lineBytes = method.length + url.length + " HTTP/1.1\r\n".length + 1;
+    return rawHeaders.reduce((sum, text) => sum + text.length + ": ".length, lineBytes + "\r\n".length);
+}
+
 function refused(reason: Refusal["reason"], message: string, retryAfterMs?: number): Admission {
     return { refusal: { reason, message, notRun: true, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) } };
 }
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -20,6 +20,8 @@
 const idleMarginMs = 1000;
 /** Idle limit while no configuration is known. */
 const defaultIdleMs = 15_000;
+/** Heads of up to this size are read on any connection, whatever the limit is. */
+const minParsedHeadBytes = 64 * 1024;
 /** Interval at which the server checks for request heads that take too long. */
 const headerCheckIntervalMs = 500;
 /** The load balancer stops sending new connections after two failed checks, one second apart. */
@@ -147,12 +149,18 @@
     }
 
     private applyLimits(): void {
-        const limits = this.options.fleet.view().deployment?.limits;
-        this.server.keepAliveTimeout = (limits?.idleTimeoutMs ?? defaultIdleMs) + idleMarginMs;
+        const { server } = this;
+        const limits = this.options.gateway.limits.current;
+        const idleMs = (limits?.idleTimeoutMs ?? defaultIdleMs) + idleMarginMs;
+        if (idleMs > server.keepAliveTimeout) {
+            this.connections.extendIdle(idleMs);
+        }
+        server.keepAliveTimeout = idleMs;
         if (limits !== undefined) {
-            this.server.headersTimeout = limits.headerTimeoutMs;
+            server.headersTimeout = limits.headerTimeoutMs;
             // Node.js reads the limit of each new connection from this property, which is not part of the public type.
-            (this.server as { maxHeaderSize?: number; }).maxHeaderSize = limits.maxHeaderBytes;
+            // It can't be changed for an open one, so that the exact limit is checked once the head has been read.
+            (server as { maxHeaderSize?: number; }).maxHeaderSize = Math.max(limits.maxHeaderBytes, minParsedHeadBytes);
         }
     }
 
@@ -161,6 +169,7 @@
         res: http.ServerResponse,
         progress: RequestProgress,
     ): Promise<void> {
+        this.applyLimits();
         if (this.isStopping) {
             res.setHeader("connection", "close");
         }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -139,6 +139,7 @@
     | "no-route"
     | "unknown-key"
     | "too-large"
+    | "head-too-large"
     | "no-configuration"
     | "configuration-unconfirmed"
     | "quarantined"
