--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -90,7 +90,7 @@
     /** Follows the connections of a server from now on. */
     public attach(server: http.Server): void {
         server.on("connection", socket => this.follow(socket));
-        server.on("timeout", socket => {
+        server.on("timeout", (socket: Socket) => {
             this.recordClose(socket, "idle");
             socket.destroy();
         });
