LOST: an answer that is due goes out before the error for what follows it

What callers saw: bytes that are no request, or the head of a next request that takes too long, were answered at once, also while an earlier request of the connection was being handled. That one, read whole and sent to an endpoint, got the 400 as its answer.

The error ends the connection only after the requests before it have been answered. A head that takes too long is answered 408, as not run, and no longer 400.

Before (platform/CutOffRequests.test.ts): "no HTTP" 400 instead of 200; "half a head" 400 after the answer.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -22,6 +22,8 @@
     hasLeft: boolean;
     /** Why this host closes the connection; undefined while it does not. */
     closeCause: string | undefined;
+    /** True once something that is no request has arrived; it is closed after its open requests. */
+    isInvalid: boolean;
     /** Number of bytes that had been read when the last request ended; undefined before. */
     idleBytes: number | undefined;
 }
@@ -128,6 +130,9 @@
         if (socket.writableEnded) {
             connection.closeCause ??= answeredCause;
         }
+        else if (connection.isInvalid && connection.open.size === 0) {
+            socket.destroySoon();
+        }
         else if (this.closingSinceMs !== undefined) {
             this.closeIfIdle(socket, connection);
         }
@@ -143,6 +148,23 @@
         }
     }
 
+    /** True once something that is no request has arrived on the connection. */
+    public isInvalid(socket: Socket): boolean {
+        return this.connections.get(socket)?.isInvalid === true;
+    }
+
+    /** Ends a connection on which something that is no request has arrived: at once by `answer`, or after open requests. */
+    public endInvalid(socket: Socket, answer: () => void): void {
+        const connection = this.connections.get(socket);
+        if (connection !== undefined) {
+            connection.isInvalid = true;
+            connection.closeCause ??= "invalid";
+        }
+        if (connection === undefined || connection.open.size === 0) {
+            answer();
+        }
+    }
+
     private follow(socket: Socket): void {
         const connection: CallerConnection = {
             open: new Set(),
@@ -150,6 +172,7 @@
             hasLeft: false,
             closeCause: undefined,
             idleBytes: undefined,
+            isInvalid: false,
         };
         this.connections.set(socket, connection);
         socket.once("end", () => connection.hasLeft = true);
@@ -178,7 +201,8 @@
     /** Records a request that is still open when its connection is closed; returns the cause if this host closed it. */
     private recordOpenRequest({ res, progress }: OpenRequest, connection: CallerConnection): string | undefined {
         const { request, stage, endCause } = progress;
-        const cause = endCause ?? connection.closeCause ?? (connection.hasLeft ? undefined : unknownCause);
+        const { closeCause = unknownCause, hasLeft } = connection;
+        const cause = endCause ?? (hasLeft ? undefined : closeCause);
         if (cause !== undefined && stage !== "reading") {
             const at = res.headersSent ? "answer" : stage;
             this.metrics.count("requests_cut_off", { cause, at });
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,7 +4,7 @@
  * accepted any more, and each open one is closed after its last answer; other services are drained only when all are.
  */
 import * as http from "node:http";
-import { Server, Socket } from "node:net";
+import { Server, type Socket } from "node:net";
 import { closeServer, listen } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
@@ -37,6 +37,11 @@
 /** Length of the queue of pending connections; callers arrive in bursts. */
 const listenBacklog = 1024;
 
+const clientErrorStatuses: Readonly<Record<string, string>> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
 interface GatewayServerOptions {
     /** "ip:port" for callers. */
     readonly address: string;
@@ -67,20 +72,7 @@
         this.connections = new CallerConnections(options.clock, options.log, options.metrics);
         this.connections.attach(this.server);
         this.server.requestTimeout = 0;
-        this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
-            options.log.event(EventId.CallerBroken, { code: err.code, message: err.message });
-            if (socket instanceof Socket && err.code !== "ECONNRESET") {
-                this.connections.recordClose(socket, "invalid");
-            }
-            if (socket.writable && err.code !== "ECONNRESET") {
-                const status = err.code === "HPE_HEADER_OVERFLOW"
-                    ? "431 Request Header Fields Too Large"
-                    : "400 Bad Request";
-                socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-                return;
-            }
-            socket.destroy();
-        });
+        this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
         this.readyServer = http.createServer((req, res) => {
             const status = !options.isReadyPath(req.url ?? "") ? 404 : this.isReady() ? 200 : 503;
             res.writeHead(status, { "content-length": 0 }).end();
@@ -176,6 +168,23 @@
         await this.options.gateway.handle(req, res, progress);
     }
 
+    /** Answers what is no request, once the requests before it on the connection have been answered. */
+    private handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+        if (this.connections.isInvalid(socket)) {
+            return;
+        }
+        this.options.log.event(EventId.CallerBroken, { code: err.code, message: err.message });
+        if (err.code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const status = clientErrorStatuses[err.code ?? ""] ?? "400 Bad Request";
+        this.connections.endInvalid(
+            socket,
+            () => socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`),
+        );
+    }
+
     private handleError(err: unknown, res: http.ServerResponse, progress: RequestProgress): void {
         if (err instanceof InvariantError) {
             this.options.onFatal(err);
