--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -1,12 +1,12 @@
 /**
  * Bounds the bytes that this host holds for all callers together: requests that are running, replies that are being
  * read completely, and data that callers have not taken yet. Where there is no room, the caller that has taken nothing
- * for longest is disconnected; where there is none, streams wait. A caller that takes nothing for longer than a limit is disconnected in any case, so that
- * its request occupies no endpoint.
+ * for longest is disconnected, if that is long enough; else streams wait. A caller that takes nothing for longer than a
+ * limit is disconnected in any case, so that its request occupies no endpoint.
  */
 import type { ServerResponse } from "node:http";
 import { invariant } from "../common/Invariant.js";
-import type { Clock } from "../common/Types.js";
+import type { Clock, Disposable } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CallerOutput } from "./CallerOutput.js";
@@ -34,6 +34,9 @@
     readonly metrics: Metrics;
 }
 
+/** A caller that has taken data more recently is sound, and is not disconnected for room. */
+const minStallMs = 500;
+
 /** Why a slow caller is disconnected: it takes nothing for too long, or its data takes memory that others need. */
 export type SlowCallerReason = "stalled" | "memory";
 
@@ -43,6 +46,7 @@
     private readonly waiting = new Set<CallerOutput>();
     /** Called when bytes are released. */
     private readonly waiters: (() => void)[] = [];
+    private wakeTimer: Disposable | undefined;
 
     public constructor(private readonly options: CallerMemoryOptions) {}
 
@@ -97,19 +101,29 @@
         if (this.heldBytes + bytes <= maxHeldBytes) {
             return true;
         }
-        const waitingBytes = [...this.waiting].reduce((sum, one) => sum + one.waitingBytes, 0);
-        if (this.heldBytes - waitingBytes + bytes > maxHeldBytes) {
-            // Disconnecting callers would not be enough.
+        const stalled = [...this.waiting].filter(one => one.stalledMs >= minStallMs);
+        const stalledBytes = stalled.reduce((sum, one) => sum + one.waitingBytes, 0);
+        if (this.heldBytes - stalledBytes + bytes > maxHeldBytes) {
+            // Disconnecting callers would not be enough, but others may have stalled by then.
+            this.wakeTimer ??= this.options.clock.setTimer(minStallMs, () => this.wake());
             return false;
         }
+        stalled.sort((one, other) => other.stalledMs - one.stalledMs);
         while (this.heldBytes + bytes > maxHeldBytes) {
-            const [first, ...others] = this.waiting;
+            const first = stalled.shift();
             invariant(first !== undefined, "data that waits belongs to an output", { held: this.heldBytes });
-            this.end(others.reduce((one, other) => other.stalledMs > one.stalledMs ? other : one, first), "memory");
+            this.end(first, "memory");
         }
         return true;
     }
 
+    /** Lets all that wait for room try again. */
+    private wake(): void {
+        this.wakeTimer?.dispose();
+        this.wakeTimer = undefined;
+        this.waiters.splice(0).forEach(resolve => resolve());
+    }
+
     private end(output: CallerOutput, reason: SlowCallerReason): void {
         const { log, metrics } = this.options;
         metrics.count("slow_callers_disconnected", { reason });
@@ -136,7 +150,7 @@
     private changeHeld(change: number): void {
         this.heldBytes += change;
         if (change <= 0) {
-            this.waiters.splice(0).forEach(resolve => resolve());
+            this.wake();
         }
         this.options.metrics.gauge("caller_held_bytes", this.heldBytes);
     }
