Log output: a broken invariant leaves its line

A process that a broken invariant stops exits at once, and lines wait up to 100 ms for others before they are written: `InvariantBroken` and what came before it never reached the log. The remaining lines are written synchronously now, as far as the reader takes them.

Before: there was no way to do so; `process.exit` followed the line directly (platform/main.ts).

--- a/src/telemetry/LogOutput.test.ts
+++ b/src/telemetry/LogOutput.test.ts
@@ -43,6 +43,14 @@
         assert.deepEqual([output.pressure.fill(), output.pressure.droppedLines()], [0, 0]);
     }));
 
+// Guards against a broken invariant that leaves no line, since the process ends at once.
+test("all lines are written at once when the process must end", () =>
+    withOutput(async (output, read) => {
+        output.sink("one");
+        output.closeNow();
+        assert.equal(read(), "one\n");
+    }));
+
 /** Starts a process that runs a script, and returns an output whose lines it gets through a pipe. */
 function outputTo(script: string): { readonly reader: ChildProcess; readonly output: LogOutput; } {
     const reader = spawn(process.execPath, ["-e", script], { stdio: ["pipe", "pipe", "inherit"] });
--- a/src/telemetry/LogOutput.ts
+++ b/src/telemetry/LogOutput.ts
@@ -3,6 +3,7 @@
  * costs several system calls and a wake-up of another thread. Writing never blocks: while the reader is slow, lines
  * stay in a bounded buffer, and further ones are dropped and counted.
  */
+import { Either } from "purify-ts";
 import sonicBoom from "sonic-boom";
 import type { Clock, Disposable } from "../common/Types.js";
 import type { LineSink } from "./JsonEventLog.js";
@@ -82,6 +83,13 @@
         }
     }
 
+    /** Writes the remaining lines, as far as the reader takes them at once. */
+    public closeNow(): void {
+        this.isClosing = true;
+        // A failed write leaves nothing to be done, as the process ends.
+        Either.encase(() => this.out.flushSync());
+    }
+
     private flush(): void {
         if (this.bufferedBytes > 0) {
             this.out.flush();
