--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -1,10 +1,10 @@
 /**
  * HTTP servers for callers and for the load balancer's readiness checks. The limits of callers' requests follow the
- * configuration. On a planned stop the readiness check fails first; open connections are served until their callers
- * have been told to disconnect and the last request has been answered.
+ * configuration. On a planned stop the readiness check fails first. After the load balancer's lag no connection is
+ * accepted any more, and each open one is closed after its last answer; other services are drained only when all are.
  */
 import * as http from "node:http";
-import { Socket } from "node:net";
+import { Server, type Socket } from "node:net";
 import { closeServer, listen } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
@@ -20,6 +20,8 @@
 const idleMarginMs = 1000;
 /** Idle limit while no configuration is known. */
 const defaultIdleMs = 15_000;
+/** Heads of up to this size are read on any connection, whatever the limit is. */
+const minParsedHeadBytes = 64 * 1024;
 /** Interval at which the server checks for request heads that take too long. */
 const headerCheckIntervalMs = 500;
 /** The load balancer stops sending new connections after two failed checks, one second apart. */
@@ -27,12 +29,19 @@
 /** Share of the grace period after which running requests are abandoned, so that the process ends by itself. */
 const drainShare = 0.9;
 const drainPollIntervalMs = 20;
+/** Time for the answers to requests that are still running when the grace period is nearly over. */
+const finalAnswersMs = 250;
 /** The host is not ready when its view has not been confirmed for this long; other hosts serve callers better. */
 const maxReadyAgeMs = 2200;
 const readyPollIntervalMs = 200;
 /** Length of the queue of pending connections; callers arrive in bursts. */
 const listenBacklog = 1024;
 
+const clientErrorStatuses: Readonly<Record<string, string>> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
 interface GatewayServerOptions {
     /** "ip:port" for callers. */
     readonly address: string;
@@ -53,7 +62,6 @@
     private readonly readyServer: http.Server;
     private readonly connections: CallerConnections;
     private isStopping = false;
-    private isClosingIdle = false;
     private wasReady = false;
 
     public constructor(private readonly options: GatewayServerOptions) {
@@ -61,23 +69,10 @@
             const progress = this.connections.begin(req, res);
             this.serve(req, res, progress).catch((err: unknown) => this.handleError(err, res, progress));
         });
-        this.connections = new CallerConnections(options.log, options.metrics);
+        this.connections = new CallerConnections(options.clock, options.log, options.metrics);
         this.connections.attach(this.server);
         this.server.requestTimeout = 0;
-        this.server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
-            options.log.event(EventId.CallerBroken, { code: err.code, message: err.message });
-            if (socket instanceof Socket && err.code !== "ECONNRESET") {
-                this.connections.recordClose(socket, "invalid");
-            }
-            if (socket.writable && err.code !== "ECONNRESET") {
-                const status = err.code === "HPE_HEADER_OVERFLOW"
-                    ? "431 Request Header Fields Too Large"
-                    : "400 Bad Request";
-                socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-                return;
-            }
-            socket.destroy();
-        });
+        this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
         this.readyServer = http.createServer((req, res) => {
             const status = !options.isReadyPath(req.url ?? "") ? 404 : this.isReady() ? 200 : 503;
             res.writeHead(status, { "content-length": 0 }).end();
@@ -103,21 +98,31 @@
         await closeServer(this.readyServer);
     }
 
-    /** Keeps serving through the load balancer's lag, then closes idle connections and waits for the last request. */
+    /** Keeps serving through the load balancer's lag, then waits until each connection is closed after its last answer. */
     public async drain(graceMs: number): Promise<DrainReport> {
         const { clock, gateway } = this.options;
+        const { connections } = this;
         const startMs = clock.nowMs();
         const untilMs = startMs + graceMs * drainShare;
         this.isStopping = true;
         gateway.scheduleStop(untilMs - startMs);
         this.logReadiness();
+        connections.announceClose();
         await clock.sleep(Math.min(graceMs * drainShare, balancerLagMs));
-        this.isClosingIdle = true;
-        this.server.closeIdleConnections();
-        while (gateway.active > 0 && clock.nowMs() < untilMs) {
+        // The method of http.Server also destroys connections whose answers have not been taken yet.
+        Server.prototype.close.call(this.server);
+        connections.closeIdle();
+        while (connections.size > 0 && clock.nowMs() < untilMs) {
             await clock.sleep(drainPollIntervalMs);
+            connections.closeIdle();
         }
-        return { unfinished: gateway.active, what: "requests" };
+        const unfinished = connections.openRequests;
+        gateway.refuseRunning();
+        while (connections.openRequests > 0 && clock.nowMs() < untilMs + finalAnswersMs) {
+            await clock.sleep(drainPollIntervalMs);
+        }
+        connections.closeAll();
+        return { unfinished, what: "requests" };
     }
 
     private isReady(): boolean {
@@ -136,12 +141,18 @@
     }
 
     private applyLimits(): void {
-        const limits = this.options.fleet.view().deployment?.limits;
-        this.server.keepAliveTimeout = (limits?.idleTimeoutMs ?? defaultIdleMs) + idleMarginMs;
+        const { server } = this;
+        const limits = this.options.gateway.limits.current;
+        const idleMs = (limits?.idleTimeoutMs ?? defaultIdleMs) + idleMarginMs;
+        if (idleMs > server.keepAliveTimeout) {
+            this.connections.extendIdle(idleMs);
+        }
+        server.keepAliveTimeout = idleMs;
         if (limits !== undefined) {
-            this.server.headersTimeout = limits.headerTimeoutMs;
+            server.headersTimeout = limits.headerTimeoutMs;
             // Node.js reads the limit of each new connection from this property, which is not part of the public type.
-            (this.server as { maxHeaderSize?: number; }).maxHeaderSize = limits.maxHeaderBytes;
+            // It can't be changed for an open one, so that the exact limit is checked once the head has been read.
+            (server as { maxHeaderSize?: number; }).maxHeaderSize = Math.max(limits.maxHeaderBytes, minParsedHeadBytes);
         }
     }
 
@@ -150,13 +161,28 @@
         res: http.ServerResponse,
         progress: RequestProgress,
     ): Promise<void> {
+        this.applyLimits();
         if (this.isStopping) {
             res.setHeader("connection", "close");
         }
         await this.options.gateway.handle(req, res, progress);
-        if (this.isClosingIdle) {
-            this.server.closeIdleConnections();
+    }
+
+    /** Answers what is no request, once the requests before it on the connection have been answered. */
+    private handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+        if (this.connections.isInvalid(socket)) {
+            return;
+        }
+        this.options.log.event(EventId.CallerBroken, { code: err.code, message: err.message });
+        if (err.code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
         }
+        const status = clientErrorStatuses[err.code ?? ""] ?? "400 Bad Request";
+        this.connections.endInvalid(
+            socket,
+            () => socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`),
+        );
     }
 
     private handleError(err: unknown, res: http.ServerResponse, progress: RequestProgress): void {
