Tunnels: a planned stop waits for exchanges whose endpoint has not replied yet

Callers got 502 for requests that ran longer than a second through another host, when that host was stopped as planned.

The stopping host took a tunnel without data for a second for idle, also while an endpoint worked on the request that had gone through it or was silent. A tunnel now counts as busy, within the grace period, until its target has sent something after what the peer sent last.

The new test in platform/Detours.test.ts failed before with [502, true, 0] where [200, true, 0] was due.

--- a/src/peer/TunnelServer.ts
+++ b/src/peer/TunnelServer.ts
@@ -13,7 +13,7 @@
 
 /** Maximum number of open tunnels. */
 const maxTunnels = 1024;
-/** A tunnel without data for this long carries no exchange that a planned stop would have to wait for. */
+/** A tunnel on which the target has sent something, and nothing has come for this long, carries no exchange any more. */
 const quietMs = 1000;
 const drainPollMs = 50;
 const keepAliveMs = 2000;
@@ -35,6 +35,8 @@
     readonly peer: Duplex;
     readonly target: Socket;
     lastDataMs: number;
+    /** True while the target has sent nothing since the peer last sent data. */
+    awaitsReply: boolean;
 }
 
 export class TunnelServer implements Disposable {
@@ -62,7 +64,8 @@
     public async drain(graceMs: number): Promise<number> {
         const { clock } = this.options;
         const untilMs = clock.nowMs() + graceMs;
-        const busy = () => [...this.tunnels].filter(one => clock.nowMs() - one.lastDataMs < quietMs).length;
+        const isBusy = (one: Tunnel) => one.awaitsReply || clock.nowMs() - one.lastDataMs < quietMs;
+        const busy = () => [...this.tunnels].filter(isBusy).length;
         while (busy() > 0 && clock.nowMs() < untilMs) {
             await clock.sleep(drainPollMs);
         }
@@ -106,9 +109,12 @@
 
     private join(peer: Duplex, target: Socket): void {
         const { clock } = this.options;
-        const tunnel = { peer, target, lastDataMs: clock.nowMs() };
+        const tunnel = { peer, target, lastDataMs: clock.nowMs(), awaitsReply: false };
         this.tunnels.add(tunnel);
-        const onData = () => tunnel.lastDataMs = clock.nowMs();
+        const recordData = (awaitsReply: boolean) => {
+            tunnel.lastDataMs = clock.nowMs();
+            tunnel.awaitsReply = awaitsReply;
+        };
         for (const socket of [peer, target]) {
             if (socket instanceof Socket) {
                 socket.setNoDelay(true);
@@ -116,8 +122,8 @@
                 socket.setKeepAlive(true, keepAliveMs);
             }
         }
-        peer.on("data", onData).pipe(target, { end: false });
-        target.on("data", onData).pipe(peer, { end: false });
+        peer.on("data", () => recordData(true)).pipe(target, { end: false });
+        target.on("data", () => recordData(false)).pipe(peer, { end: false });
         // A peer closes its end only after the exchange, or to give it up.
         peer.once("end", () => target.destroy());
         peer.once("close", () => target.destroy());
