Streams: a further attempt must bring what continues the stream

Callers of a stream that had broken off found an error in the middle of it, or took it for complete when it was not.

An attempt that goes on with a stream was checked for status and signature only. Whatever it sent with a success was appended: an error written as an event, text that is no event, events without ids from the beginning. If it ended properly without an event, the stream ended as complete.

AttemptReply now checks a continuation. Each event must have a number as its id, comments aside; otherwise its place is unknown, as with events whose ids the caller does not have. The end counts as the stream's end only if the attempt's last event is the caller's last one and nothing follows it. An empty continuation may be right where the first attempt broke after its last event, but nothing tells this from a failure, so the stream is broken off and the caller can take it up again. Anything else ends the attempt as broken, and the next endpoint is tried. What an endpoint sends to the first attempt of a reply is passed on unchanged, also where the caller itself takes a stream up.

--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -87,7 +87,11 @@
             case "event":
                 // The exchange asks the contender before each event.
                 if (this.contender.claim()) {
-                    void this.reply.writeEvent({ bytes: Buffer.from(String(this.at)), id: undefined });
+                    void this.reply.writeEvent({
+                        bytes: Buffer.from(String(this.at)),
+                        id: undefined,
+                        isComment: false,
+                    });
                 }
                 return;
             case "end":
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -81,7 +81,7 @@
         return this.lastEventId;
     }
 
-    /** Number of events written. */
+    /** Number of events written, without comments. */
     public get events(): number {
         return this.eventCount;
     }
@@ -116,12 +116,12 @@
     }
 
     /** Writes an event unless the caller has it. Resolves when the connection accepts more data. */
-    public async writeEvent({ bytes, id }: RelayedEvent): Promise<void> {
+    public async writeEvent({ bytes, id, isComment }: RelayedEvent): Promise<void> {
         if (id !== undefined && this.hasEvent(id)) {
             return;
         }
         this.lastEventId = id ?? this.lastEventId;
-        this.eventCount += 1;
+        this.eventCount += isComment ? 0 : 1;
         await this.output.write(bytes);
     }
 
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -190,11 +190,12 @@
             this.fail(err instanceof Error ? err.message : String(err));
             return;
         }
-        if (!reply.isFramed && splitter.remainder.length > 0) {
-            this.fail("the stream ended inside an event");
-            return;
-        }
         if (res.complete && !this.isFinished) {
+            const fault = caller.endFault(reply, splitter.remainder);
+            if (fault !== undefined) {
+                this.fail(fault);
+                return;
+            }
             await caller.endStream(splitter.remainder);
             this.finish({ kind: "replied", reply, body: undefined });
         }
@@ -207,6 +208,10 @@
     private async relayEvents(events: readonly RelayedEvent[]): Promise<void> {
         const { caller, attempt, gapMs, onEvent } = this.options;
         for (const event of events) {
+            const fault = caller.eventFault(event);
+            if (fault !== undefined) {
+                this.fail(fault);
+            }
             if (this.isFinished || !onEvent()) {
                 return;
             }
--- a/src/gateway/EventSplitter.ts
+++ b/src/gateway/EventSplitter.ts
@@ -4,11 +4,14 @@
     /** The event as received, including the blank line that ends it. */
     readonly bytes: Buffer;
     readonly id: string | undefined;
+    /** True when it has comments only, and so no part of the stream's content. */
+    readonly isComment: boolean;
 }
 
 const lfSeparator = "\n\n";
 const crlfSeparator = "\r\n\r\n";
 const idLine = /^id:[ ]?(.*?)\r?$/m;
+const contentLine = /^[^:\r\n]/m;
 
 export class EventSplitter {
     private buffered: Buffer = Buffer.alloc(0);
@@ -25,7 +28,8 @@
         for (let end = this.eventEnd(); end > 0; end = this.eventEnd()) {
             const bytes = this.buffered.subarray(0, end);
             this.buffered = this.buffered.subarray(end);
-            events.push({ bytes, id: idLine.exec(bytes.toString("utf8"))?.[1] });
+            const text = bytes.toString("utf8");
+            events.push({ bytes, id: idLine.exec(text)?.[1], isComment: !contentLine.test(text) });
         }
         return events;
     }
