Streams: a continuation that ends with its connection does not look complete

A stream that began in chunks and went on at an endpoint whose reply had neither a length nor chunks was ended as complete, although a crash of that endpoint would have ended it in the same way.

The relay judged the end by the second reply's framing, and the caller's reply kept that of the first. Such an end is now uncertain: all events are passed on, and the attempt ends as broken, so that the next endpoint is asked or the stream is broken off and the caller can take it up again. A reply that has neither from its first head on ends as before, and is passed on the same way.

The case "the rest without framing" in platform/ContinuedStreams.test.ts failed before, directly and through another host: the stream looked complete.

--- a/src/gateway/AttemptReply.ts
+++ b/src/gateway/AttemptReply.ts
@@ -52,6 +52,10 @@
         if (!isFramed && remainder.length > 0) {
             return "the stream ended inside an event";
         }
+        if (!isFramed && this.caller.hasBegun && !this.caller.isUnframed) {
+            // It may have been truncated by a crash, and with the framing of the first head it would look complete.
+            return "the end of the stream is uncertain";
+        }
         if (this.continues && (remainder.length > 0 || this.lastEvent !== this.caller.lastEvent)) {
             return "the reply does not continue the stream to its end";
         }
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -86,6 +86,11 @@
         return this.eventCount;
     }
 
+    /** True when the end of the connection ends the reply to the caller. */
+    public get isUnframed(): boolean {
+        return this.endsWithConnection;
+    }
+
     /** Writes a complete reply. */
     public writeComplete(reply: ReplyHead, body: Buffer): void {
         if (this.res.destroyed) {
