--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -87,11 +87,16 @@
         return this.lastEventId;
     }
 
-    /** Number of events written. */
+    /** Number of events written, without comments. */
     public get events(): number {
         return this.eventCount;
     }
 
+    /** True when the end of the connection ends the reply to the caller. */
+    public get isUnframed(): boolean {
+        return this.endsWithConnection;
+    }
+
     /** Writes a complete reply. */
     public writeComplete(reply: ReplyHead, body: Buffer): void {
         if (this.res.destroyed) {
@@ -122,12 +127,12 @@
     }
 
     /** Writes an event unless the caller has it. Resolves when the connection accepts more data. */
-    public async writeEvent({ bytes, id }: RelayedEvent): Promise<void> {
+    public async writeEvent({ bytes, id, isComment }: RelayedEvent): Promise<void> {
         if (id !== undefined && this.hasEvent(id)) {
             return;
         }
         this.lastEventId = id ?? this.lastEventId;
-        this.eventCount += 1;
+        this.eventCount += isComment ? 0 : 1;
         await this.output.write(bytes);
     }
 
