--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -6,7 +6,6 @@
 import type * as http from "node:http";
 import type { Clock } from "../common/Types.js";
 import { type RequestVersions, requestVersions } from "../rollouts/VersionRouter.js";
-import { canContinue } from "../streams/StreamOrigin.js";
 import { type EndedAttempt, mayHaveRun } from "./AttemptRace.js";
 import type { HeldBytes } from "./CallerMemory.js";
 import { CallerPatience } from "./CallerPatience.js";
@@ -23,6 +22,7 @@
     unavailableCause,
 } from "./RefusalCauses.js";
 import { RequestAttempts } from "./RequestAttempts.js";
+import { RequestEndpoints } from "./RequestEndpoints.js";
 import { RequestHedges } from "./RequestHedges.js";
 import type { RequestProgress } from "./RequestProgress.js";
 import { recordFailure, type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
@@ -57,7 +57,7 @@
     private readonly selection: EndpointSelection;
     private readonly patience: CallerPatience;
     private readonly takeover: RequestTakeover;
-    private readonly versions: RequestVersions;
+    private readonly endpoints: RequestEndpoints;
     /** True once the deadline has passed; logged as `isOver`. */
     private hasTimedOut = false;
     /** True once the planned stop of this host has ended the request. */
@@ -83,8 +83,9 @@
         this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, callerRemainingMs);
         const { stages, pieces, chooser, permits, cold, clock, log, metrics } = deps;
         const { signal } = this.abortController;
-        this.versions = requestVersions(service.id, route.id, head.id);
+        const versions = requestVersions(service.id, route.id, head.id);
         this.stages = new RequestStages({ stages, pieces, clock, signal });
+        this.endpoints = this.createEndpoints(versions);
         this.patience = this.createPatience();
         this.priority = workspace?.priority ?? route.priority;
         this.selection = new EndpointSelection({
@@ -110,7 +111,7 @@
             held,
             stages: this.stages,
             recorder: this.recorder,
-            versions: this.versions,
+            versions,
             hedges: this.createHedges(),
             deadlineMs: this.deadlineMs,
             signal,
@@ -120,6 +121,19 @@
         });
     }
 
+    private createEndpoints(versions: RequestVersions): RequestEndpoints {
+        const { deps: { tracker, versions: router }, stages } = this;
+        return new RequestEndpoints({
+            service: this.admitted.service.id,
+            tracker,
+            router,
+            versions,
+            stages,
+            origin: () => this.attempts.origin,
+            tried: () => this.attempts.tried,
+        });
+    }
+
     private createPatience(): CallerPatience {
         return new CallerPatience({
             route: this.admitted.route,
@@ -140,7 +154,7 @@
             admitted,
             isQuarantined: () => deps.quarantine.causeFor(admitted) !== undefined,
             selection: this.selection,
-            usable: () => this.usable(),
+            usable: () => this.endpoints.usable(),
             tried: () => this.attempts.tried,
             runsLeft: () => this.runsLeft,
             deadlineMs: this.patience.firstEventByMs,
@@ -155,7 +169,7 @@
             stages: this.stages,
             runStages: async () => await this.runStages() === undefined,
             probe: endpoint => connections.probe(endpoint, this.abortController.signal),
-            usable: () => this.usable(),
+            usable: () => this.endpoints.usable(),
             tried: () => this.attempts.tried,
             running: () => this.attempts.running,
             mayMove: () => this.mayRepeat && this.patience.leavesTimeForAttempt,
@@ -224,7 +238,7 @@
             return { kind: "refused", refusal: unavailable };
         }
         for (;;) {
-            if (this.isOriginUsedUp) {
+            if (this.endpoints.isOriginUsedUp) {
                 return { kind: "refused", refusal: this.noEndpointRefusal() };
             }
             const refusal = await this.runStages();
@@ -266,7 +280,7 @@
     private unavailableRefusal(): Refusal | undefined {
         const { route } = this.admitted;
         const waitShare = route.stages.length > 0 ? 1 : endpointWaitShare;
-        return this.selection.unavailableForMs(this.suitable()) > route.objectiveMs * waitShare
+        return this.selection.unavailableForMs(this.endpoints.suitable()) > route.objectiveMs * waitShare
             ? this.noEndpointRefusal()
             : undefined;
     }
@@ -279,7 +293,7 @@
         if (route.stages.length === 0 || this.stages.hasResults || deployment === undefined) {
             return this.abortController.signal.aborted ? this.endedRefusal() : undefined;
         }
-        const expected = this.selection.expected(this.suitable(), this.attempts.tried);
+        const expected = this.selection.expected(this.endpoints.suitable(), this.attempts.tried);
         const plan = {
             request: head.id,
             route,
@@ -313,34 +327,13 @@
         return true;
     }
 
-    /** Endpoints that may get the request, as far as its stages don't matter. */
-    private suitable(): readonly EndpointRecord[] {
-        const { origin, tried } = this.attempts;
-        const { tracker, versions } = this.deps;
-        const { id } = this.admitted.service;
-        const endpoints = tracker.usable(id);
-        return origin === undefined
-            ? versions.suitable(this.versions, endpoints, one => tried.has(one))
-            : endpoints.filter(({ listed }) => canContinue(origin, listed) && versions.allowsStream(id, listed));
-    }
-
-    /** Endpoints that may get the request. */
-    private usable(): readonly EndpointRecord[] {
-        return this.stages.reachable(this.suitable());
-    }
-
-    /** True when a begun stream can go on at none of the endpoints that have not been tried. */
-    private get isOriginUsedUp(): boolean {
-        return this.attempts.origin !== undefined && this.suitable().every(one => this.attempts.tried.has(one));
-    }
-
     /** Selects an endpoint; waits for a limited time while none is available. */
     private chooseEndpoint(): Promise<PermittedChoice | undefined> {
-        const waitMs = this.stages.isBound || this.isOriginUsedUp
+        const waitMs = this.stages.isBound || this.endpoints.isOriginUsedUp
             ? 0
             : this.admitted.route.objectiveMs * endpointWaitShare;
         const untilMs = Math.min(this.deadlineMs, this.clock.nowMs() + waitMs);
-        return this.selection.choose(() => this.usable(), this.attempts.tried, untilMs);
+        return this.selection.choose(() => this.endpoints.usable(), this.attempts.tried, untilMs);
     }
 
     /** Decides what follows from an attempt's outcome; undefined to make another attempt. */
@@ -395,7 +388,7 @@
             return;
         }
         this.stages.recordUnreachable(record.listed.dataCentre);
-        if (this.usable().length === 0) {
+        if (this.endpoints.usable().length === 0) {
             // No endpoint is left that could fetch the results, so the stages run again.
             this.stages.giveUp();
             this.attempts.tried.clear();
@@ -455,7 +448,7 @@
         if (this.abortController.signal.aborted) {
             return this.endedRefusal();
         }
-        const suitable = this.suitable();
+        const suitable = this.endpoints.suitable();
         if (this.attempts.origin !== undefined && suitable.length === 0) {
             return this.refusal({
                 reason: "version-gone",
