Metrics: a value that can't be recorded ends nothing, and is logged

The counter of requests that a host cuts off was created without labels and then counted with two, which the library answers with an exception; it was thrown in the handler of a closed connection.

Cause: a fault of what is only measured could end what is measured. The registry now takes the library's exceptions, counts nothing for that value and logs the metric once (event 113). The counter has its labels from the start.

Before: "a value with other labels than the metric's first is rejected without an exception, once" failed with the library's exception. The fake metrics of the tests check labels as well, so that such a mismatch fails a test.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -64,7 +64,9 @@
         const incarnation = nextIncarnation(clock.wallMs());
         this.hybridClock = new HybridLogicalClock(clock, host);
         const log = new JsonEventLog(host, this.hybridClock, sink);
-        const metrics = new MetricsRegistry();
+        const metrics = new MetricsRegistry((metric, message) =>
+            log.event(EventId.MetricRejected, { metric, message })
+        );
         this.peers = new TrpcPeerServer({
             key: keys.peerKey,
             clock: this.hybridClock,
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -45,7 +45,9 @@
     public readonly clock: Clock = new SystemClock();
     public readonly random: SeededRandom;
     public readonly log: EventLog;
-    public readonly metrics = new MetricsRegistry();
+    public readonly metrics = new MetricsRegistry((metric, message) =>
+        this.log.event(EventId.MetricRejected, { metric, message })
+    );
     public readonly peers: TrpcPeerServer;
     public readonly transport: TrpcPeerTransport;
     /** Tunnels to endpoints: those that this host opens, and those that it serves. */
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -47,7 +47,7 @@
         private readonly metrics: Metrics,
     ) {
         // The series exists from the start, so that its absence can't be taken for a zero.
-        metrics.count("requests_cut_off", {}, 0);
+        metrics.count("requests_cut_off", { cause: unknownCause, at: "answer" }, 0);
     }
 
     public get size(): number {
--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -11,7 +11,6 @@
 import { CallerPatience } from "./CallerPatience.js";
 import { CallerReply } from "./CallerReply.js";
 import { EndpointSelection, type PermittedChoice } from "./EndpointSelection.js";
-import type { EndpointRecord } from "./EndpointTracker.js";
 import type { GatewayDependencies } from "./Gateway.js";
 import {
     deadlineCause,
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -16,6 +16,7 @@
     LogLinesLeftOut = 108,
     /** A task that nobody awaits has thrown. */
     BackgroundTaskFailed = 109,
+    MetricRejected = 113,
     // 2xx: peer
     PeerConnectionSilent = 200,
     PeerRejected = 201,
--- a/src/telemetry/MetricsRegistry.ts
+++ b/src/telemetry/MetricsRegistry.ts
@@ -28,21 +28,32 @@
     private readonly counters = new Map<string, Counter>();
     private readonly gauges = new Map<string, Gauge>();
     private readonly latencies = new Map<string, Map<string, LatencySeries>>();
+    /** Metrics with values that could not be recorded. */
+    private readonly rejected = new Set<string>();
+
+    /** `onRejected` is called once for each metric with a value that can't be recorded, such as one with other labels. */
+    public constructor(private readonly onRejected: (name: string, message: string) => void = () => undefined) {}
 
     public count(name: string, labels: Labels = {}, by: number = 1): void {
-        const counter = this.counters.get(name) ?? this.addCounter(name, Object.keys(labels));
-        counter.inc(labels, by);
+        this.record(name, () => {
+            const counter = this.counters.get(name) ?? this.addCounter(name, Object.keys(labels));
+            counter.inc(labels, by);
+        });
     }
 
     public gauge(name: string, value: number, labels: Labels = {}): void {
-        const gauge = this.gauges.get(name) ?? this.addGauge(name, Object.keys(labels));
-        gauge.set(labels, value);
+        this.record(name, () => {
+            const gauge = this.gauges.get(name) ?? this.addGauge(name, Object.keys(labels));
+            gauge.set(labels, value);
+        });
     }
 
     public latency(name: string, valueMs: number, labels: Labels = {}): void {
-        const series = this.series(name, labels);
-        series.histogram.recordValue(Math.max(0, Math.round(valueMs * unitsPerMs)));
-        series.sumMs += valueMs;
+        this.record(name, () => {
+            const series = this.series(name, labels);
+            series.histogram.recordValue(Math.max(0, Math.round(valueMs * unitsPerMs)));
+            series.sumMs += valueMs;
+        });
     }
 
     public percentileMs(name: string, percentile: number, labels: Labels = {}): number | undefined {
@@ -64,6 +75,19 @@
         return lines.join("");
     }
 
+    /** Records a value. One that the libraries reject must not end what is measured. */
+    private record(name: string, add: () => void): void {
+        try {
+            add();
+        }
+        catch (err) {
+            if (!this.rejected.has(name)) {
+                this.rejected.add(name);
+                this.onRejected(name, err instanceof Error ? err.message : String(err));
+            }
+        }
+    }
+
     private series(name: string, labels: Labels): LatencySeries {
         const byLabels = this.latencies.get(name) ?? new Map<string, LatencySeries>();
         this.latencies.set(name, byLabels);
--- a/src/telemetry/Telemetry.test.ts
+++ b/src/telemetry/Telemetry.test.ts
@@ -59,6 +59,18 @@
     assert.equal(metrics.percentileMs("stage", 50, { stage: "other" }), undefined);
 });
 
+// Guards against requests, and whole processes, that end since a metric is counted with other labels than before.
+test("a value with other labels than the metric's first is rejected without an exception, once", async () => {
+    const rejected: string[] = [];
+    const metrics = new MetricsRegistry(name => rejected.push(name));
+    metrics.count("cut_off", {}, 0);
+    metrics.count("cut_off", { cause: "idle" });
+    metrics.count("cut_off", { cause: "idle" });
+    metrics.count("cut_off", {}, 2);
+    assert.deepEqual(rejected, ["cut_off"]);
+    assert.match(await metrics.render(), /fireflykeel_cut_off_total 2/);
+});
+
 test("docs/EVENTS.md lists exactly the events of the code, with the same numbers", () => {
     const page = readFileSync(new URL("../../../docs/EVENTS.md", import.meta.url), "utf8");
     const rows = [...page.matchAll(/^\| (\d+) \| (\w+) \|/gm)].map(match => `${match[1]} ${match[2]}`).sort();
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -1,4 +1,5 @@
 /** Small fleets for tests: listed endpoints, deployments, a view that tests set, and simulated stage endpoints. */
+import assert from "node:assert/strict";
 import { Emitter } from "../src/common/Emitter.js";
 import { SeededRandom } from "../src/common/SeededRandom.js";
 import type {
@@ -32,15 +33,26 @@
 import type { CallOutcome, PieceCall, PieceClient, Submission, SubmissionId, WorkState } from "../src/gather/Types.js";
 import { createEndpointPermits, type EndpointPermits } from "../src/limits/EndpointPermits.js";
 import type { PeerRegistry, PeerTransport } from "../src/peer/Types.js";
-import type { EventLog, Metrics } from "../src/telemetry/Types.js";
+import type { EventLog, Labels, Metrics } from "../src/telemetry/Types.js";
 
 export const serviceId = (text: string) => text as ServiceId;
 export const centreId = (text: string) => text as DataCentreId;
 
 export const silentLog: EventLog = { event: () => undefined, with: () => silentLog };
+/** Label names of each metric, from its first value. */
+const labelNames = new Map<string, string>();
+
+function checkLabels(name: string, labels: Labels = {}): void {
+    const names = Object.keys(labels).sort().join(" ");
+    const first = labelNames.get(name) ?? names;
+    labelNames.set(name, first);
+    assert.equal(names, first, `labels of the metric ${name}`);
+}
+
+/** Records nothing; fails a test in which a metric has other labels than before, whose values would be rejected. */
 export const noMetrics: Metrics = {
-    count: () => undefined,
-    gauge: () => undefined,
+    count: (name, labels) => checkLabels(name, labels),
+    gauge: (name, _, labels) => checkLabels(name, labels),
     latency: () => undefined,
     percentileMs: () => undefined,
     render: async () => "",
