Operator's server: a call whose operator has gone is not executed

An acknowledged evacuation could be taken back by an older order that the operator had given up on.

Cause: a control host that is suspended with an unread order executes it when it goes on. The operator closed that connection after a second without an answer, sent the order to another host, and may have given the opposite order since. Configurations have versions; evacuations and roll-outs have none, so that the last order executed wins.

Fix: before it executes a call, the server lets the event loop read what else the connection holds, and drops the call if the connection has ended (event 1030). A client that only closes its own direction got no answer before either, since the server then ends the connection.

--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for operators on a control host. A platform adapter decodes the requests. */
 import * as http from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { serveUntil } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import { readBytes } from "../common/RequestBody.js";
@@ -23,7 +24,7 @@
 interface OperatorServerOptions {
     /** "ip:port". */
     readonly address: string;
-    readonly operator: OperatorCallHandler;
+    readonly operator: Pick<OperatorCallHandler, "handle">;
     readonly decode: OperatorDecoder;
     readonly formatRollout: RolloutFormatter;
     readonly log: EventLog;
@@ -56,9 +57,23 @@
             writeJson(res, 404, {}, { error: { kind: "unknown-call", message: `${req.method} ${req.url}` } });
             return;
         }
+        if (await this.isAbandoned(req)) {
+            this.options.log.event(EventId.OperatorCallAbandoned, { call: call.kind });
+            return;
+        }
         writeAnswer(res, await this.options.operator.handle(call), this.options.formatRollout);
     }
 
+    /**
+     * True when the operator has closed the connection, and may have given another order elsewhere. After a suspension
+     * of this host, the end of the connection is read a turn of the event loop after the request.
+     */
+    private async isAbandoned(req: http.IncomingMessage): Promise<boolean> {
+        await nextTurn();
+        await nextTurn();
+        return req.socket.destroyed;
+    }
+
     private handleError(err: unknown, res: http.ServerResponse): void {
         if (err instanceof InvariantError) {
             this.options.onFatal(err);
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -127,6 +127,7 @@
     CrashesReported = 1015,
     PartsCleared = 1016,
     PartJudged = 1017,
+    OperatorCallAbandoned = 1030,
     // 11xx: gateway
     GatewayRequestTaken = 1100,
     GatewayRequestEnded = 1101,
