Replication: the name of the group's directory is made durable

What callers saw: nothing yet; found by reading for LOST. A control host could come back from a power loss with an empty disk though its disk was not lost, which adds to those that may be.

Cause: the directory of a group is created in the data directory, whose own entry for it was never synced. All files in it are synced, as are their names, but on a file system that keeps to the letter a power loss may take a directory whose name was not made durable.

Evidence: the fake disk now loses such a directory, as it loses unsynced names of files.

Fix: opening the storage syncs the parent directory, once at each start.

--- a/src/replication/GroupStorage.test.ts
+++ b/src/replication/GroupStorage.test.ts
@@ -34,6 +34,7 @@
     return opened.swap().unsafeCoerce();
 }
 
+// The name of the group's directory was never synced, so that a power loss could take all of its files.
 test("synced state survives a crash", async () => {
     const { disk } = await makeUsedDisk();
     const { opened } = await open(disk.crash());
--- a/src/replication/GroupStorage.ts
+++ b/src/replication/GroupStorage.ts
@@ -5,6 +5,7 @@
  * the entries read at a start are durable even if an earlier sync failed.
  */
 import { decode, encode } from "cborg";
+import { dirname } from "node:path";
 import { type Either, Left, Right } from "purify-ts";
 import type { HostId } from "../common/Types.js";
 import { encodeFrame, parseFrames } from "./Frame.js";
@@ -67,7 +68,9 @@
     /** Reads the stored state, or initializes an empty directory with the replica id from `makeReplicaId`. */
     public async open(makeReplicaId: () => string): Promise<Either<StorageError, StoredState>> {
         const created = await this.disk.makeDir(this.dir);
-        const listed = created.isLeft() ? created : await this.disk.list(this.dir);
+        // Without it, a power loss may take the directory with everything in it.
+        const durable = created.isLeft() ? created : await this.disk.syncDir(dirname(this.dir));
+        const listed = durable.isLeft() ? durable : await this.disk.list(this.dir);
         if (listed.isLeft()) {
             return listed;
         }
--- a/testing/FakeDisk.ts
+++ b/testing/FakeDisk.ts
@@ -3,6 +3,7 @@
  * synced. {@link FakeDisk.crash} returns the disk as the next start finds it. Faults: a full disk, failing syncs,
  * flipped bits, and a last write that is torn at a chosen byte.
  */
+import { dirname } from "node:path";
 import { type Either, Left, Right } from "purify-ts";
 import type { Random } from "../src/common/Types.js";
 import type { Disk, DiskError } from "../src/replication/Types.js";
@@ -32,6 +33,8 @@
     public gate: (operation: DiskOperation, path: string) => boolean | Promise<boolean> = () => true;
     private files: Map<string, FakeFile>;
     private syncedNames: Map<string, FakeFile>;
+    /** Directories that were created and whose parent was not synced since. */
+    private readonly newDirs = new Set<string>();
     private isCrashed = false;
 
     public constructor(files: ReadonlyMap<string, Uint8Array> = new Map()) {
@@ -42,10 +45,12 @@
     /** Returns the disk as the next start finds it; operations on this one never complete any more. */
     public crash(loss: CrashLoss = { kind: "lose-all" }): FakeDisk {
         this.isCrashed = true;
-        const paths = [...new Set([...this.syncedNames.keys(), ...this.files.keys()])];
+        const isLost = () => loss.kind !== "random" || loss.random.next() < 0.5;
+        const lostDirs = new Set([...this.newDirs].filter(isLost));
+        const paths = [...new Set([...this.syncedNames.keys(), ...this.files.keys()])]
+            .filter(path => !lostDirs.has(dirname(path)));
         const kept = paths.flatMap(path => {
-            const isChangeKept = loss.kind === "random" && loss.random.next() < 0.5;
-            const file = (isChangeKept ? this.files : this.syncedNames).get(path);
+            const file = (isLost() ? this.syncedNames : this.files).get(path);
             return file === undefined ? [] : [[path, contentAfterCrash(file, loss)] as const];
         });
         return new FakeDisk(new Map(kept));
@@ -86,7 +91,10 @@
         );
     }
 
-    public async makeDir(): Promise<Either<DiskError, void>> {
+    public async makeDir(dir: string): Promise<Either<DiskError, void>> {
+        if (![...this.files.keys()].some(path => dirname(path) === dir)) {
+            this.newDirs.add(dir);
+        }
         return Right(undefined);
     }
 
@@ -130,6 +138,7 @@
     public async syncDir(dir: string): Promise<Either<DiskError, void>> {
         await this.checkGate("syncDir", dir);
         this.syncedNames = new Map(this.files);
+        [...this.newDirs].filter(one => dirname(one) === dir).forEach(one => this.newDirs.delete(one));
         return Right(undefined);
     }
 
