Control group: a voter that is stopped is replaced before it is gone

What callers saw: nothing yet; found by reading for LOST. Where a control host is removed as planned, with a signal and after its successor has caught up, it no longer counts as lost. A disk that was lost within the next 1.5 s left the group without a majority for good.

Cause: a stopping voter handed leadership over, but stayed a voter until the others had noticed its silence.

Fix: a voter that is stopped hands leadership over and then asks the leader to be replaced by a learner, for at most a second; without a learner that replies it stops at once. A host that comes back joins as a learner. A leader of an older build does not know the request; the voter is then replaced once it is silent, as before.

--- a/src/fleet/AcknowledgedChanges.test.ts
+++ b/src/fleet/AcknowledgedChanges.test.ts
@@ -60,6 +60,14 @@
             await run.loseDisks();
         },
     },
+    {
+        // A voter that was stopped for good remained one until the others noticed its silence.
+        when: "as soon as a host was stopped whose successor has caught up",
+        play: async run => {
+            await run.retire(run.victims()[0]!);
+            await run.loseDisks();
+        },
+    },
 ];
 
 async function check(run: FinalFault): Promise<void> {
--- a/src/fleet/ControlGroupManager.ts
+++ b/src/fleet/ControlGroupManager.ts
@@ -1,13 +1,13 @@
 /**
  * Maintains the membership of the control group without an operator. A control host outside the group asks to join. The
  * leader adds it as a voter while there are too few voters, otherwise as a standby learner, and replaces a voter that
- * stays silent by a learner. Hosts whose disks were wiped are recovered by the replication group itself.
+ * stays silent, or says that it stops, by a learner. Hosts whose disks were wiped are recovered by the replication group itself.
  */
 import type { Clock, HostId } from "../common/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
 import type { RaftLog } from "../replication/RaftLog.js";
 import type { MemberChange } from "../replication/Types.js";
-import type { Service } from "../supervise/Types.js";
+import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import { fleetMethods, type JoinReply } from "./FleetMessages.js";
@@ -27,8 +27,10 @@
 const replaceAfterMs = 1200;
 /** A learner that has been silent for this long is removed; it may join again. */
 const removeLearnerAfterMs = 15_000;
-/** Time limit for a join request to one host. */
+/** Time limit for a request to one host. */
 const joinTimeoutMs = 500;
+/** How long a host that stops waits until a successor has replaced it. */
+const leaveTimeoutMs = 1000;
 /** Time limit for committing a membership change. */
 const changeTimeoutMs = 3000;
 /** Lower bound of the wanted number of voters; a larger `lossesBorne` needs more. */
@@ -51,12 +53,16 @@
     public readonly name = "control-members";
     /** Time of the last join request of each host, on the local clock. */
     private readonly joinRequests = new Map<HostId, number>();
+    /** Time of the last request to be replaced of each host, on the local clock. */
+    private readonly leaveRequests = new Map<HostId, number>();
+    private isStopping = false;
     /** When a leader was last known, on the local clock. */
     private leaderKnownMs: number;
 
     public constructor(private readonly options: ControlGroupManagerOptions) {
         this.leaderKnownMs = options.clock.nowMs();
         options.registry.handle(fleetMethods.join, async ({ control }) => this.handleJoin(control));
+        options.registry.handle(fleetMethods.leave, async ({ control }) => this.handleLeave(control));
     }
 
     public async run(signal: AbortSignal): Promise<void> {
@@ -69,13 +75,39 @@
             if (role === "leader") {
                 await this.maintainGroup();
             }
-            else if (this.shouldJoin()) {
+            else if (!this.isStopping && this.shouldJoin()) {
                 await this.requestJoin(signal);
             }
             await clock.sleep(role === "leader" ? checkIntervalMs : joinIntervalMs, signal);
         }
     }
 
+    /**
+     * Hands leadership over and waits until a learner has taken this voter's place, since this host may be removed for
+     * good, and further disks may then be lost before its silence is noticed.
+     */
+    public async drain(graceMs: number): Promise<DrainReport> {
+        const { clock, log, self } = this.options;
+        this.isStopping = true;
+        const untilMs = clock.nowMs() + Math.min(graceMs, leaveTimeoutMs);
+        await log.drain(graceMs);
+        let hasSuccessor = true;
+        while (hasSuccessor && clock.nowMs() < untilMs && log.status().members.voters.includes(self)) {
+            const { leader } = log.status();
+            const reply = leader === undefined ? undefined : await this.sendRequest(leader, fleetMethods.leave);
+            hasSuccessor = reply?.noted !== false || reply.leader !== leader;
+            await clock.sleep(checkIntervalMs);
+        }
+        return { unfinished: 0, what: this.name };
+    }
+
+    private handleLeave(control: HostId): JoinReply {
+        const { log, clock } = this.options;
+        const { role, leader } = log.status();
+        this.leaveRequests.set(control, clock.nowMs());
+        return { noted: role === "leader" && this.standby() !== undefined, leader };
+    }
+
     private handleJoin(control: HostId): JoinReply {
         const { log, clock, self } = this.options;
         const { role, leader } = log.status();
@@ -104,7 +136,7 @@
                 continue;
             }
             contacted.add(host);
-            const reply = await this.sendJoinRequest(host);
+            const reply = await this.sendRequest(host, fleetMethods.join);
             if (reply?.noted === true) {
                 return;
             }
@@ -114,10 +146,9 @@
         }
     }
 
-    private async sendJoinRequest(host: HostId): Promise<JoinReply | undefined> {
+    private async sendRequest(host: HostId, method: typeof fleetMethods.join): Promise<JoinReply | undefined> {
         const { transport, self } = this.options;
-        const options = { timeoutMs: joinTimeoutMs };
-        const reply = await transport.call(host, fleetMethods.join, { control: self }, options);
+        const reply = await transport.call(host, method, { control: self }, { timeoutMs: joinTimeoutMs });
         return reply.map<JoinReply | undefined>(one => one).orDefault(undefined);
     }
 
@@ -141,16 +172,14 @@
             .map(([host]) => host)
             .find(host => !learners.includes(host));
         const wantedVoters = Math.max(minVoters, 2 * lossesBorne + 1);
-        const [standby] = learners
-            .filter(host => this.silentMs(host) < joinValidMs)
-            .sort((a, b) => this.silentMs(a) - this.silentMs(b));
+        const standby = this.standby();
         if (joiner !== undefined) {
             return { kind: "add", host: joiner, role: voters.length < wantedVoters ? "voter" : "learner" };
         }
         if (standby !== undefined && voters.length < wantedVoters) {
             return { kind: "add", host: standby, role: "voter" };
         }
-        const silentVoter = voters.find(host => this.silentMs(host) > replaceAfterMs);
+        const silentVoter = voters.find(host => this.silentMs(host) > replaceAfterMs || this.isLeaving(host));
         if (silentVoter !== undefined && voters.length > wantedVoters) {
             // A replacement that adds the new voter may have ended before it removed the old one.
             return { kind: "remove", host: silentVoter };
@@ -162,6 +191,19 @@
         return silentLearner === undefined ? undefined : { kind: "remove", host: silentLearner };
     }
 
+    /** The learner that has replied last, if any has recently. */
+    private standby(): HostId | undefined {
+        return this.options.log.status().members.learners
+            .filter(host => this.silentMs(host) < joinValidMs && !this.isLeaving(host))
+            .sort((a, b) => this.silentMs(a) - this.silentMs(b))[0];
+    }
+
+    private isLeaving(host: HostId): boolean {
+        const { clock, self } = this.options;
+        const requestedMs = this.leaveRequests.get(host);
+        return host !== self && requestedMs !== undefined && clock.nowMs() - requestedMs < joinValidMs;
+    }
+
     private silentMs(host: HostId): number {
         return this.options.log.silentMs(host);
     }
--- a/src/fleet/FleetMessages.ts
+++ b/src/fleet/FleetMessages.ts
@@ -211,6 +211,8 @@
     board: definePeerMethod<LeaderSyncRequest, LeaderSyncReply>("fleet.board", leaderSyncRequest),
     /** Request of a control host to join the control group. */
     join: definePeerMethod<JoinRequest, JoinReply>("fleet.join", joinRequest),
+    /** Request of a control host that stops to be replaced in the control group; noted if there is a successor. */
+    leave: definePeerMethod<JoinRequest, JoinReply>("fleet.leave", joinRequest),
 };
 
 /** A short hash of a JSON value; equal values have equal tags. */
--- a/testing/FinalFault.ts
+++ b/testing/FinalFault.ts
@@ -88,6 +88,18 @@
         startSuccessor();
     }
 
+    /** Starts a successor, waits until it has caught up, and stops a host for good, as planned. */
+    public async retire(name: string): Promise<void> {
+        const { fleet } = this;
+        this.start("successor", false, new FakeDisk());
+        await this.change(catchUpMs);
+        const drained = fleet.controls.get(name)!.groupManager.drain(8000).then(() => true);
+        while (!await Promise.race([drained, this.change(10).then(() => false)])) {
+            continue;
+        }
+        fleet.crash(name);
+    }
+
     /** Cuts a host off from all others, for up to `maxMs` of changes and until the power is lost. */
     public async cutOff(name: string, maxMs: number): Promise<void> {
         this.fleet.network.isolate(name as HostId);
--- a/testing/FleetCluster.ts
+++ b/testing/FleetCluster.ts
@@ -34,6 +34,7 @@
     readonly state: FleetState;
     readonly operator: OperatorCallHandler;
     readonly reader: EndpointListReader;
+    readonly groupManager: ControlGroupManager;
     readonly disk: FakeDisk;
     readonly stop: AbortController;
 }
@@ -139,7 +140,7 @@
             events: silentLog,
             metrics: noMetrics,
         });
-        const host = { id, log, state, operator, reader, disk, stop };
+        const host = { id, log, state, operator, reader, groupManager, disk, stop };
         this.controls.set(name, host);
         return host;
     }
