--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -132,6 +132,7 @@
     PartJudged = 1017,
     /** An entry of a list of endpoints names no endpoint and is left out. */
     EndpointEntryUnreadable = 1018,
+    OperatorCallAbandoned = 1030,
     // 11xx: gateway
     GatewayRequestTaken = 1100,
     GatewayRequestEnded = 1101,
