Soak: endpoints write an earlier refusal once more

The soak over processes found nothing of the repeated refusals, as its endpoints never sent one. While endpoints are broken, half of the requests that follow a refusal on a kept connection now get that refusal once more, with or without its id, ahead of their run.

--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -1,10 +1,11 @@
 /**
  * Runs the programs of deploy/system.toml as processes on loopback addresses. The platform's endpoint list and the
- * endpoints are stand-ins in this process; the endpoints can refuse requests, lose responses, cut streams, limit their
- * request rate, leave, and ask for pauses.
+ * endpoints are stand-ins in this process; the endpoints can refuse requests, also once more, lose responses, cut streams,
+ * limit their request rate, leave, and ask for pauses.
  */
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import * as http from "node:http";
+import type { Socket } from "node:net";
 import { join } from "node:path";
 import { stringify } from "yaml";
 import { Processes } from "../bench/Processes.js";
@@ -36,13 +37,15 @@
     refuse: number;
     /** The connection is reset in the middle of a stream. */
     cutStream: number;
+    /** The last refusal on the connection is written once more, with or without its id, and then the request runs. */
+    repeatRefusal: number;
 }
 
 export class FleetSite {
     public readonly processes: Processes;
     public readonly controls: readonly string[];
     public readonly entries: readonly string[];
-    public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0 };
+    public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0, repeatRefusal: 0 };
     public readonly endpoints: readonly string[];
     private readonly listAddress: string;
     /** Limits that endpoints state, in requests per second over all hosts, with the time of the first statement. */
@@ -53,6 +56,8 @@
     /** Start times of endpoints that have been started anew. */
     private readonly bornMs = new Map<string, number>();
     private readonly servers = new Map<string, http.Server>();
+    /** The request that was refused last on each connection to an endpoint. */
+    private readonly refused = new WeakMap<Socket, string>();
     private version = 0;
     /** Parts of prompts that crash each endpoint that begins to answer on them; the last part never does. */
     public readonly crashingParts = new Set<string>();
@@ -283,9 +288,11 @@
             return;
         }
         if (this.random.next() < this.faults.refuse) {
+            this.refused.set(req.socket, request);
             res.writeHead(503, { ...echo, "Fireflykeel-Not-Executed": "1", "content-length": 0 }).end();
             return;
         }
+        this.repeatRefusal(req.socket);
         this.history.runs.push({ request, endpoint, atMs: this.clock.nowMs() });
         if (this.crashesOn(req)) {
             res.writeHead(200, { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` }).flushHeaders();
@@ -308,6 +315,15 @@
         });
     }
 
+    /** Writes the last refusal on a connection once more, with the current faults. */
+    private repeatRefusal(socket: Socket): void {
+        const refused = this.refused.get(socket);
+        if (refused !== undefined && this.random.next() < this.faults.repeatRefusal) {
+            const echo = this.random.next() < 0.5 ? `Fireflykeel-Request-Id: ${refused}\r\n` : "";
+            socket.write(`HTTP/1.1 503 X\r\n${echo}Fireflykeel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+        }
+    }
+
     private async stream(
         req: http.IncomingMessage,
         res: http.ServerResponse,
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -131,9 +131,9 @@
     public async breakEndpoints(): Promise<void> {
         const { faults } = this.site;
         await this.recordFault("endpoints", async () => {
-            Object.assign(faults, { loseAnswer: 0.2, refuse: 0.2, cutStream: 0.3 });
+            Object.assign(faults, { loseAnswer: 0.2, refuse: 0.2, cutStream: 0.3, repeatRefusal: 0.5 });
             await this.clock.sleep(500 + this.random.below(1500));
-            Object.assign(faults, { loseAnswer: 0, refuse: 0, cutStream: 0 });
+            Object.assign(faults, { loseAnswer: 0, refuse: 0, cutStream: 0, repeatRefusal: 0 });
         });
     }
 
