Soak: requests beside changes of the configuration, silent endpoints, SIGHUP

The process soak takes a request that was read whole and got no complete answer beside a change of the configuration for a violation, as it did beside a planned stop. Each version changes a time limit and the limits on callers. Two new kinds of event, neither an excuse for a lost request: an endpoint that answers nothing for 0.5 to 1.5 s and goes on, and SIGHUP to a host. Another first network may be chosen, so that two soaks can run beside each other.

--- a/proof/FleetHistory.test.ts
+++ b/proof/FleetHistory.test.ts
@@ -158,6 +158,19 @@
                 one.ends.push(end({ status: 0, isWhole: false, isFresh: false, sentMs: 2100, endedMs: 2200 }))),
         isBroken: true,
     },
+    {
+        name: "a request cut off beside a change of the configuration",
+        change: one => (one.acks.push({ version: 2, atMs: 50 }), one.ends.push(end({ status: 0, isWhole: false }))),
+        isBroken: true,
+    },
+    {
+        name: "a request cut off beside a change of the configuration and a fault",
+        change:
+            one => (one.acks.push({ version: 2, atMs: 50 }),
+                one.faults.push(stop),
+                one.ends.push(end({ status: 0, isWhole: false }))),
+        isBroken: false,
+    },
     {
         name: "as many requests as the limit of an endpoint allows",
         change: one => sendToLimited(one, 11, 300),
--- a/proof/FleetHistory.ts
+++ b/proof/FleetHistory.ts
@@ -67,6 +67,8 @@
 
 /** Time after a host turns not ready from which a load balancer opens no new connection to it, in milliseconds. */
 const balancerLagMs = 2000;
+/** Time after an acknowledgement in which a change of the configuration may still take effect, in milliseconds. */
+const configEffectMs = 3000;
 /** HTTP statuses that guarantee that a request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 /** A host knows what an endpoint states this long after it has answered a caller with a reply that states it. */
@@ -115,7 +117,7 @@
             ...this.brokenStreams(),
             ...this.mixedStreams(),
             ...this.staleReads(),
-            ...this.requestsCutByStops(),
+            ...this.requestsCutByPlannedWork(),
             ...this.exceededLimits(),
             ...this.unwantedRequests(),
         ];
@@ -185,16 +187,22 @@
         });
     }
 
-    /** Requests that a host had accepted, and that got no complete response because of its planned stop. */
-    private requestsCutByStops(): string[] {
-        return this.ends.flatMap(end => {
-            const { host, sentMs, endedMs, wasSent, isFresh, isWhole, request } = end;
-            const couldCutRequest = (one: HostPeriod) =>
-                one.host === host && sentMs <= one.toMs && endedMs >= one.fromMs
-                && !(isFresh && sentMs > one.fromMs + balancerLagMs);
-            const isCut = wasSent && !isWhole && this.stops.some(couldCutRequest);
+    /** Requests that a host had accepted, and that got no complete response beside its stop or a new configuration. */
+    private requestsCutByPlannedWork(): string[] {
+        return this.ends.flatMap(({ host, sentMs, endedMs, wasSent, isFresh, isWhole, request }) => {
             const isExcused = this.faults.some(fault => sentMs <= fault.toMs && endedMs >= fault.fromMs);
-            return isCut && !isExcused ? [`${request} was cut off by the planned stop of ${host}`] : [];
+            if (!wasSent || isWhole || isExcused) {
+                return [];
+            }
+            const stops = this.stops
+                .filter(one => one.host === host && sentMs <= one.toMs && endedMs >= one.fromMs);
+            if (stops.some(one => !(isFresh && sentMs > one.fromMs + balancerLagMs))) {
+                return [`${request} was cut off by the planned stop of ${host}`];
+            }
+            const isBesideChange = this.acks.some(({ atMs }) => sentMs <= atMs + configEffectMs && endedMs >= atMs);
+            return isBesideChange && stops.length === 0
+                ? [`${request} was cut off by ${host} beside a change of the configuration`]
+                : [];
         });
     }
 
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -50,6 +50,8 @@
     /** Endpoints that are leaving, and those that ask for a pause with its end; each with the time since when. */
     private readonly leavingMs = new Map<string, number>();
     private readonly pauses = new Map<string, { readonly fromMs: number; readonly toMs: number; }>();
+    /** When endpoints that are silent go on. */
+    private readonly silences = new Map<string, Promise<void>>();
     /** Start times of endpoints that have been started anew. */
     private readonly bornMs = new Map<string, number>();
     private readonly servers = new Map<string, http.Server>();
@@ -162,6 +164,11 @@
         this.history.unwanted.push({ endpoint, fromMs, toMs });
     }
 
+    /** Lets an endpoint answer nothing for a time, and go on then. */
+    public silence(endpoint: string, forMs: number): void {
+        this.silences.set(endpoint, this.clock.sleep(forMs));
+    }
+
     /** Deletes the data of a control host, which must not be running. */
     public wipe(host: string): void {
         rmSync(this.dataDir(host), { recursive: true, force: true });
@@ -175,13 +182,15 @@
         const document = {
             Version: version,
             Services: [{ Name: "s" }],
+            // A connection that callers use again at once is never idle for that long.
+            Limits: { HeaderTimeoutMs: 1000 + 1000 * (version % 3), IdleTimeoutMs: version % 2 === 0 ? 15_000 : 1000 },
             Routes: kinds.map(([name, Kind]) => ({
                 Name: name,
                 Host: "h.example",
                 PathPrefix: `/${name}/`,
                 Kind,
                 Resumable: name === "resumable",
-                TimeoutMs: 5000,
+                TimeoutMs: 5000 + 1000 * (version % 2),
                 TargetLatencyMs: 500,
                 Service: "s",
                 MaxAttempts: name === "once" ? 1 : 3,
@@ -295,10 +304,10 @@
         const losesAnswer = this.random.next() < this.faults.loseAnswer;
         const responseHeaders = { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` };
         if (req.url?.startsWith("/resumable/") === true) {
-            void this.stream(req, res, this.versionOf(endpoint), responseHeaders);
+            void this.stream(endpoint, req, res, responseHeaders);
             return;
         }
-        this.clock.setTimer(processingMs, () => {
+        void this.clock.sleep(processingMs).then(() => this.silences.get(endpoint)).then(() => {
             if (losesAnswer) {
                 req.socket.resetAndDestroy();
                 return;
@@ -309,11 +318,12 @@
     }
 
     private async stream(
+        endpoint: string,
         req: http.IncomingMessage,
         res: http.ServerResponse,
-        version: string,
         responseHeaders: object,
     ) {
+        const version = this.versionOf(endpoint);
         const request = String(req.headers["fireflykeel-request-id"]);
         const cutAt = this.random.next() < this.faults.cutStream ? 1 + this.random.below(streamEvents) : undefined;
         const last = Number(req.headers["last-event-id"] ?? 0);
@@ -328,6 +338,7 @@
                 req.socket.resetAndDestroy();
                 return;
             }
+            await this.silences.get(endpoint);
             res.write(text);
             await this.clock.sleep(eventPauseMs);
         }
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -42,9 +42,10 @@
     private readonly faultyHosts = new Set<string>();
     private requestCount = 0;
 
-    public constructor(seed: number, size: FleetSize, folder: string) {
+    /** `firstNet` as of {@link FleetSite}. */
+    public constructor(seed: number, size: FleetSize, folder: string, firstNet?: number) {
         this.random = new SeededRandom(seed);
-        this.site = new FleetSite(size, folder, this.history, this.clock, new SeededRandom(seed + 1));
+        this.site = new FleetSite(size, folder, this.history, this.clock, new SeededRandom(seed + 1), firstNet);
     }
 
     public async run(seconds: number): Promise<FleetSoakResult> {
@@ -161,6 +162,20 @@
         });
     }
 
+    /** Lets an endpoint fall silent for about a second, which is no fault: its requests are answered all the same. */
+    public silenceEndpoint(): Promise<void> {
+        return this.applyToOne(this.site.endpoints, async endpoint => {
+            const forMs = 500 + this.random.below(1000);
+            this.site.silence(endpoint, forMs);
+            await this.clock.sleep(forMs);
+        });
+    }
+
+    /** Lets a host read its settings again. */
+    public async reload(): Promise<void> {
+        this.site.processes.signal(this.pick([...this.entries, ...this.controls]), "SIGHUP");
+    }
+
     public get controls(): readonly string[] {
         return this.site.controls;
     }
@@ -331,6 +346,8 @@
     ["change limit", soak => soak.changeLimit()],
     ["leave endpoint", soak => soak.leaveEndpoint()],
     ["pause endpoint", soak => soak.pauseEndpoint()],
+    ["silence endpoint", soak => soak.silenceEndpoint()],
+    ["reload settings", soak => soak.reload()],
 ];
 
 /** Id of the last complete event of a stream's body; 0 when it has none. */
