Stream relay: another call takes over only once all its output has been compared

Callers of the pipeline interface could get text of two runs in one stream: of two calls that ran side by side, the second took over when the first broke off, at a chunk that began where the first had ended. Its earlier chunks had been ignored while the other call was active, and a chunk without overlap was forwarded without comparison. The end of the stage then failed, but the caller had the text.

Each call's output is now kept from its beginning, without gaps, until it has caught up with what was forwarded, and compared as a whole. A call whose beginning is missing or that has nothing to compare forwards nothing; its complete output is still accepted at the end if it starts with what was forwarded.

StreamRelay.test.ts: "another source that has differed before it takes over", "of which nothing can be compared" and "whose beginning is missing" failed before. Right already, now in the table: an error in the place of the output, and a complete output that is empty, shorter or adds nothing.

--- a/src/pipeline/StreamRelay.test.ts
+++ b/src/pipeline/StreamRelay.test.ts
@@ -23,6 +23,48 @@
             given: "ab",
             diverged: true,
         },
+        // The cases up to the next comment guard against text of two runs in one answer.
+        {
+            name: "no output of another source that has differed before it takes over",
+            steps: [[0, 0, "ab"], [1, 0, "xy"], "release", [1, 2, "zz"]],
+            given: "ab",
+            diverged: true,
+        },
+        {
+            name: "the output of another source that has sent the same before it takes over",
+            steps: [[0, 0, "ab"], [1, 0, "ab"], "release", [1, 2, "cd"]],
+            given: "abcd",
+        },
+        {
+            name: "nothing from another source of which nothing can be compared",
+            steps: [[0, 0, "ab"], "release", [1, 2, "out of memory"]],
+            given: "ab",
+        },
+        {
+            name: "nothing from another source whose beginning is missing",
+            steps: [[0, 0, "abcd"], "release", [1, 0, "ab"], [1, 4, "ef"]],
+            given: "abcd",
+        },
+        {
+            name: "no error of another source in the place of its output",
+            steps: [[0, 0, "ab"], "release", [1, 0, "out of memory"]],
+            given: "ab",
+            diverged: true,
+        },
+        // The others guard against an answer that ends early and counts as complete.
+        {
+            name: "nothing, and no end, when the complete output is empty",
+            steps: [[0, 0, "ab"], "release", { finish: "" }],
+            given: "ab",
+            finished: false,
+        },
+        {
+            name: "nothing, and no end, when the complete output is shorter",
+            steps: [[0, 0, "ab"], "release", { finish: "a" }],
+            given: "ab",
+            finished: false,
+        },
+        { name: "an end without more output", steps: [[0, 0, "ab"], { finish: "ab" }], given: "ab", finished: true },
         { name: "the rest at the end", steps: [[0, 0, "ab"], { finish: "abcd" }], given: "abcd", finished: true },
         {
             name: "nothing when the complete output differs",
--- a/src/pipeline/StreamRelay.ts
+++ b/src/pipeline/StreamRelay.ts
@@ -1,6 +1,7 @@
 /**
  * Forwards the output of the last stage to the caller, exactly once and in order, across retried and hedged calls.
- * One call at a time is the active source; another takes over only if its output matches what was forwarded.
+ * One call at a time is the active source; another takes over only once all its output, as far as the caller has that,
+ * matches what was forwarded.
  */
 import type { OutputListener } from "./Types.js";
 
@@ -11,6 +12,12 @@
     release(): void;
 }
 
+/** Output of a source that has not caught up with what was forwarded, without gaps; undefined once it has. */
+interface SourceOutput {
+    pending: { readonly offset: number; text: string; } | undefined;
+    isJoined: boolean;
+}
+
 export class StreamRelay {
     private forwarded = "";
     private active: RelaySource | undefined;
@@ -35,8 +42,9 @@
 
     /** Creates a source for one call. */
     public open(): RelaySource {
+        const output: SourceOutput = { pending: undefined, isJoined: false };
         const source: RelaySource = {
-            onOutput: (offset, text) => this.accept(source, offset, text),
+            onOutput: (offset, text) => this.accept(source, output, offset, text),
             release: () => {
                 this.active = this.active === source ? undefined : this.active;
             },
@@ -53,9 +61,35 @@
         return true;
     }
 
-    private accept(source: RelaySource, offset: number, text: string): void {
+    private accept(source: RelaySource, output: SourceOutput, offset: number, text: string): void {
         this.active ??= source;
-        if (this.active !== source || this.hasDiverged || offset > this.forwarded.length) {
+        if (output.isJoined) {
+            if (this.active === source) {
+                this.forwardNew(offset, text);
+            }
+            return;
+        }
+        output.pending ??= { offset, text: "" };
+        const { pending } = output;
+        const known = offset - pending.offset;
+        if (known >= 0 && known <= pending.text.length && known + text.length > pending.text.length) {
+            pending.text = pending.text.slice(0, known) + text;
+        }
+        const missing = this.forwarded.length - pending.offset;
+        const isComparable = missing > 0 || this.forwarded.length === 0;
+        if (this.active !== source || !isComparable) {
+            return;
+        }
+        if (pending.text.length >= missing) {
+            output.isJoined = true;
+            output.pending = undefined;
+        }
+        this.forwardNew(pending.offset, pending.text);
+    }
+
+    /** Forwards what the caller does not have, if the rest matches what it has. */
+    private forwardNew(offset: number, text: string): void {
+        if (this.hasDiverged || offset > this.forwarded.length) {
             return;
         }
         const overlap = this.forwarded.slice(offset, offset + text.length);
