Log and metric for requests that stay at a silent endpoint

On-call could see that an attempt had been given up for silence, but not why a request waited on. SilentAttemptKept (1116) names the reason once for each request, and silent_attempts_kept counts all.

--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -137,8 +137,11 @@
     }
 
     private createTakeover(): RequestTakeover {
-        const { connections, clock, retries } = this.deps;
+        const { connections, clock, log, metrics, retries } = this.deps;
         return new RequestTakeover({
+            log,
+            metrics,
+            request: this.admitted.head.id,
             selection: this.selection,
             clock,
             stages: this.stages,
--- a/src/gateway/RequestTakeover.ts
+++ b/src/gateway/RequestTakeover.ts
@@ -5,11 +5,17 @@
  */
 import type { Clock, EndpointId } from "../common/Types.js";
 import type { ProbeResult } from "../endpoints/EndpointConnections.js";
+import { EventId } from "../telemetry/Events.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { EndpointSelection, PermittedChoice } from "./EndpointSelection.js";
 import type { EndpointRecord } from "./EndpointTracker.js";
 import type { RequestStages } from "./RequestStages.js";
 
 interface RequestTakeoverOptions {
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    /** Id of the request. */
+    readonly request: string;
     readonly selection: EndpointSelection;
     readonly clock: Clock;
     readonly stages: Pick<RequestStages, "hasResults" | "free">;
@@ -29,8 +35,12 @@
     readonly acquireRetry: () => boolean;
 }
 
+/** Why a request stays at a silent endpoint, for the log; see docs/EVENTS.md. */
+type StayReason = "not-allowed" | "no-endpoint" | "stages" | "unreachable" | "resumed";
+
 export class RequestTakeover {
     private choice: PermittedChoice | undefined;
+    private hasLoggedStay = false;
 
     public constructor(private readonly options: RequestTakeoverOptions) {}
 
@@ -44,31 +54,51 @@
      * given up. It returns false when there is no such endpoint, or when `isSilent` no longer holds.
      */
     public async reserve(silent: EndpointRecord, isSilent: () => boolean): Promise<boolean> {
-        const { running, mayMove, stages, runStages } = this.options;
-        const excluded = new Set([...this.options.tried(), silent]);
-        if (!mayMove() || running() > 1) {
-            return mayMove();
-        }
-        if (this.trusted().every(one => excluded.has(one))) {
-            return false;
-        }
+        const { stages } = this.options;
         const hadResults = stages.hasResults;
-        const isReserved = await runStages() && await this.reserveOther(excluded, isSilent);
-        if (!isReserved && !hadResults) {
+        const reason = await this.tryReserve(silent, isSilent);
+        if (reason === undefined) {
+            return true;
+        }
+        if (!hadResults) {
             stages.free();
         }
-        return isReserved;
+        this.recordStay(silent, reason);
+        return false;
     }
 
-    private async reserveOther(excluded: Set<EndpointRecord>, isSilent: () => boolean): Promise<boolean> {
-        const { mayMove, acquireRetry } = this.options;
+    private async tryReserve(silent: EndpointRecord, isSilent: () => boolean): Promise<StayReason | undefined> {
+        const { running, tried, mayMove, runStages, acquireRetry } = this.options;
+        const excluded = new Set([...tried(), silent]);
+        if (!mayMove()) {
+            return "not-allowed";
+        }
+        if (running() > 1) {
+            // The other attempt goes on.
+            return undefined;
+        }
+        if (this.trusted().every(one => excluded.has(one))) {
+            return "no-endpoint";
+        }
+        if (!await runStages()) {
+            return "stages";
+        }
         const choice = await this.findReachable(excluded);
-        if (choice === undefined || !isSilent() || !mayMove() || !acquireRetry()) {
-            choice?.permit.place?.release(false);
-            return false;
+        if (choice !== undefined && isSilent() && mayMove() && acquireRetry()) {
+            this.choice = choice;
+            return undefined;
+        }
+        choice?.permit.place?.release(false);
+        return choice === undefined ? "unreachable" : isSilent() ? "not-allowed" : "resumed";
+    }
+
+    private recordStay({ id }: EndpointRecord, reason: StayReason): void {
+        const { log, metrics, request } = this.options;
+        metrics.count("silent_attempts_kept", { reason });
+        if (!this.hasLoggedStay) {
+            this.hasLoggedStay = true;
+            log.event(EventId.SilentAttemptKept, { request, endpoint: id, reason });
         }
-        this.choice = choice;
-        return true;
     }
 
     /** Returns the reserved endpoint, once. */
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -139,6 +139,8 @@
     RequestHedged = 1110,
     /** A caller took none of its data for too long, or its data took up memory that others need. */
     SlowCallerDisconnected = 1111,
+    /** A request stays at an endpoint that sends nothing, since no other one can take it. */
+    SilentAttemptKept = 1116,
     // 12xx: gather
     PiecesSubmitted = 1200,
     PiecesEnded = 1201,
