Hedges: a stream without events does not win against a running attempt

A caller got an empty stream as its complete answer when the hedge ended without an event, although the first attempt was about to send its events.

The end of a stream claimed the race like an event. It now ends the attempt as broken while another one is running; alone, it is passed on as before.

A hedge whose head comes first and that breaks or fails was handled right.

--- a/src/gateway/AttemptRace.ts
+++ b/src/gateway/AttemptRace.ts
@@ -10,6 +10,8 @@
     readonly isHedge: boolean;
     /** True once another attempt has won. */
     readonly hasLostRace: boolean;
+    /** True while another attempt is running. */
+    readonly hasRival: boolean;
     /** Aborted when the request has ended or another attempt has won. */
     readonly signal: AbortSignal;
     /** True if this attempt may write to the caller. The first one to ask wins. */
@@ -76,8 +78,12 @@
         }
         const isHedge = this.entries.length > 0;
         const hasLostRace = () => this.winner !== undefined && this.winner !== entry;
+        const hasRival = () => this.entries.some(one => one !== entry && one.outcome === undefined);
         const contender: Contender = {
             isHedge,
+            get hasRival() {
+                return hasRival();
+            },
             get hasLostRace() {
                 return hasLostRace();
             },
--- a/src/gateway/AttemptReply.ts
+++ b/src/gateway/AttemptReply.ts
@@ -14,7 +14,8 @@
     private head: ReplyHead | undefined;
     /** True when the caller has events of an earlier attempt. */
     private continues = false;
-    /** Id of the last event of this attempt. */
+    /** Whether this attempt has brought an event, and the id of its last one. */
+    private hasEvents = false;
     private lastEvent: string | undefined;
 
     public constructor(
@@ -34,6 +35,7 @@
 
     /** Passes an event on. Resolves when the caller's connection accepts more data. */
     public async writeEvent(event: RelayedEvent): Promise<void> {
+        this.hasEvents ||= !event.isComment;
         this.lastEvent = event.id ?? this.lastEvent;
         if (this.passHead()) {
             await this.caller.writeEvent(event);
@@ -49,6 +51,9 @@
 
     /** Why the attempt's end can't be the end of the stream, with `remainder` after its last event. */
     public endFault({ isFramed }: ReplyHead, remainder: Buffer): string | undefined {
+        if (!this.hasEvents && remainder.length === 0 && this.contender.hasRival) {
+            return "the stream ended without an event while another attempt is running";
+        }
         if (!isFramed && remainder.length > 0) {
             return "the stream ended inside an event";
         }
