--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -25,16 +25,10 @@
 import { RequestHedges } from "./RequestHedges.js";
 import type { RequestProgress } from "./RequestProgress.js";
 import { recordFailure, type RequestOutcome, RequestRecorder } from "./RequestRecorder.js";
+import { RequestRuns } from "./RequestRuns.js";
 import { RequestStages } from "./RequestStages.js";
 import { RequestTakeover } from "./RequestTakeover.js";
-import {
-    type AdmittedRequest,
-    isRepeatable,
-    notRunStatuses,
-    type Refusal,
-    type RefusalCause,
-    type ReplyHead,
-} from "./Types.js";
+import { type AdmittedRequest, notRunStatuses, type Refusal, type RefusalCause, type ReplyHead } from "./Types.js";
 
 /** Maximum number of attempts of a request that never reached an endpoint. */
 const maxUnsentAttempts = 4;
@@ -57,14 +51,13 @@
     private readonly patience: CallerPatience;
     private readonly takeover: RequestTakeover;
     private readonly endpoints: RequestEndpoints;
+    private readonly runs: RequestRuns;
     /** True once the deadline has passed; logged as `isOver`. */
     private hasTimedOut = false;
     /** True once the planned stop of this host has ended the request. */
     private isStopped = false;
     /** True once the caller has disconnected; logged as `hasLeft`. */
     private hasDisconnected = false;
-    /** Number of attempts in which the request may have run. */
-    private possibleRuns = 0;
     private unsentAttempts = 0;
 
     public constructor(
@@ -85,6 +78,8 @@
         const versions = requestVersions(service.id, route.id, head.id);
         this.stages = new RequestStages({ stages, pieces, clock, signal });
         this.endpoints = this.createEndpoints(versions);
+        const running = () => this.attempts.possibleRuns;
+        this.runs = new RequestRuns({ route, service: service.id, retries: deps.retries, running, signal });
         this.patience = this.createPatience();
         this.priority = workspace?.priority ?? route.priority;
         this.selection = new EndpointSelection({
@@ -114,7 +109,7 @@
             hedges: this.createHedges(),
             deadlineMs: this.deadlineMs,
             signal,
-            mayRepeat: () => this.mayRepeat,
+            mayRepeat: () => this.runs.mayRepeat,
             onSilence: (silent, isSilent) => this.takeover.reserve(silent, isSilent),
             onEvent: () => this.patience.recordEvent(),
         });
@@ -155,14 +150,17 @@
             selection: this.selection,
             usable: () => this.endpoints.usable(),
             tried: () => this.attempts.tried,
-            runsLeft: () => this.runsLeft,
+            runsLeft: () => this.runs.left,
             deadlineMs: this.patience.firstEventByMs,
         });
     }
 
     private createTakeover(): RequestTakeover {
-        const { connections, clock, retries } = this.deps;
+        const { connections, clock, log, metrics, retries } = this.deps;
         return new RequestTakeover({
+            log,
+            metrics,
+            request: this.admitted.head.id,
             selection: this.selection,
             clock,
             stages: this.stages,
@@ -171,7 +169,7 @@
             usable: () => this.endpoints.usable(),
             tried: () => this.attempts.tried,
             running: () => this.attempts.running,
-            mayMove: () => this.mayRepeat && this.patience.leavesTimeForAttempt,
+            mayMove: () => this.runs.mayRepeat && this.patience.leavesTimeForAttempt,
             acquireRetry: () => retries.tryAcquire(this.admitted.service.id),
         });
     }
@@ -260,7 +258,7 @@
             this.progress.stage = "endpoint";
             const { decisive, others } = await this.attempts.run(choice);
             this.progress.stage = "waiting";
-            this.possibleRuns += others.filter(one => mayHaveRun(one.outcome)).length;
+            this.runs.recordEnded(others.filter(one => mayHaveRun(one.outcome)).length);
             others.forEach(one => this.recordResultsGone(one));
             const outcome = this.handleOutcome(decisive);
             if (outcome !== undefined) {
@@ -340,7 +338,7 @@
         const { outcome } = attempt;
         switch (outcome.kind) {
             case "cancelled":
-                this.possibleRuns += 1;
+                this.runs.recordEnded();
                 return { kind: "refused", refusal: this.endedRefusal() };
             case "unsent":
                 this.unsentAttempts += 1;
@@ -351,14 +349,14 @@
                 this.recordResultsGone(attempt);
                 return this.handleNotRun(outcome.status);
             case "broken":
-                this.possibleRuns += 1;
-                if (this.takeover.isReserved || this.mayRetry()) {
+                this.runs.recordEnded();
+                if (this.takeover.isReserved || this.runs.tryRepeat()) {
                     return undefined;
                 }
                 return { kind: "refused", refusal: this.refusal({ reason: "broken", message: outcome.message }) };
             case "replied":
-                this.possibleRuns += 1;
-                if (outcome.reply.status >= 500 && !this.caller.hasBegun && this.mayRetry()) {
+                this.runs.recordEnded();
+                if (outcome.reply.status >= 500 && !this.caller.hasBegun && this.runs.tryRepeat()) {
                     return undefined;
                 }
                 return this.sendAnswer(outcome.reply, outcome.body);
@@ -407,26 +405,6 @@
         };
     }
 
-    /** True when the request may be sent once more after the attempt that is running or about to begin. */
-    private get mayRepeat(): boolean {
-        return isRepeatable(this.admitted.route)
-            && this.runsLeft > 0
-            && this.deps.retries.isAvailable(this.admitted.service.id);
-    }
-
-    /** Number of attempts in which the request may run beside those that are running or about to begin. */
-    private get runsLeft(): number {
-        return this.admitted.route.maxEndpoints - this.possibleRuns - this.attempts.possibleRuns;
-    }
-
-    private mayRetry(): boolean {
-        const { route, service } = this.admitted;
-        return isRepeatable(route)
-            && !this.abortController.signal.aborted
-            && this.possibleRuns < route.maxEndpoints
-            && this.deps.retries.tryAcquire(service.id);
-    }
-
     private endedRefusal(): Refusal {
         if (this.isStopped) {
             return this.refusal(stoppingCause);
@@ -458,7 +436,7 @@
     }
 
     private refusal(cause: RefusalCause): Refusal {
-        return { ...cause, notRun: this.possibleRuns === 0 };
+        return { ...cause, notRun: this.runs.ended === 0 };
     }
 }
 
