Control hosts: a crash reported while the group has no leader is marked later

A request that crashes endpoints could crash one more for each report that came in while the control group had no leader.

Cause: a control host answers a report of crashed endpoints before the marks are committed, so that the entry host does not send it again. Where no host accepted the marks within 2 s, they were dropped.

Evidence: src/fleet/Fleet.test.ts, "a crash that is reported while the group has no leader is marked once it has one": before, a request with three reported crashes was not quarantined.

Fix: marks that no host has accepted are proposed again for 15 s. Marks whose outcome is unknown are not, since they would count twice. A control host that is killed within that time still loses them.

--- a/src/fleet/ControlGroupManager.ts
+++ b/src/fleet/ControlGroupManager.ts
@@ -1,7 +1,8 @@
 /**
  * Maintains the membership of the control group without an operator. A control host outside the group asks to join. The
  * leader adds it as a voter while there are too few voters, otherwise as a standby learner, and replaces a voter that
- * stays silent, or says that it stops, by a learner. Hosts whose disks were wiped are recovered by the replication group itself.
+ * stays silent, or says that it stops, by a learner. Hosts whose disks were wiped are recovered by the replication group
+ * itself.
  */
 import type { Clock, HostId } from "../common/Types.js";
 import type { PeerRegistry, PeerTransport } from "../peer/Types.js";
--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -211,6 +211,27 @@
     await fleet.stopAll();
 });
 
+// A report that a control host had answered while the group had no leader was dropped after 2 s.
+test("a crash that is reported while the group has no leader is marked once it has one", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const leader = fleet.leader()!.id;
+    const [kept, other] = names.filter(name => name !== leader);
+    const disks = [leader, other!].map(name => [name, fleet.crash(name)] as const);
+    const entry = fleet.startEntry("h1");
+    const report = () => entry.reportCrash({ fingerprint: "mark", endpoint: "e" as EndpointId, parts: [] });
+    report();
+    await fleet.clock.advance(6000);
+    disks.forEach(([name, disk]) => fleet.startControl(name, false, disk));
+    await fleet.clock.advance(4000);
+    for (let crash = 2; crash <= 3; crash++) {
+        report();
+        await fleet.clock.advance(2000);
+    }
+    assert.deepEqual(fleet.controls.get(kept!)!.state.quarantined, ["mark"]);
+    await fleet.stopAll();
+});
+
 test("crashes that are far apart do not quarantine a request", async () => {
     const fleet = await startFleet();
     await fleet.put("c1", 1);
--- a/src/fleet/FleetPublisher.ts
+++ b/src/fleet/FleetPublisher.ts
@@ -37,8 +37,12 @@
 const exchangeTimeoutMs = 500;
 /** Longest time for which a reply to an entry host is held back. */
 const maxHoldMs = 1000;
-/** Time limit for committing crash marks. */
+/** Time limit for one attempt to commit crash marks. */
 const markTimeoutMs = 2000;
+/** How long reported crashes are proposed again while the group has no leader; longer than its recovery takes. */
+const keepReportsMs = 15_000;
+/** Pause between two such attempts. */
+const markRetryMs = 100;
 
 interface FleetPublisherOptions {
     readonly self: HostId;
@@ -308,7 +312,7 @@
     private async markCrashes({ crashes: fingerprints, partCrashes: parts }: CrashReports, from: HostId) {
         const { events, clock } = this.options;
         events.event(EventId.CrashesReported, { from, parts });
-        await this.proposeMark({ kind: "mark-crashes", fingerprints, atMs: clock.wallMs(), parts });
+        await this.proposeMark({ kind: "mark-crashes", fingerprints, atMs: clock.wallMs(), parts }, keepReportsMs);
     }
 
     /** Ends the suspicion of parts on which an answer was completed. */
@@ -334,9 +338,17 @@
         }
     }
 
-    private async proposeMark(command: FleetCommand): Promise<void> {
-        const { log, events } = this.options;
-        const marked = await log.propose(command, markTimeoutMs);
+    /** Proposes a command; again for `keepMs` as long as no host has accepted it. */
+    private async proposeMark(command: FleetCommand, keepMs: number = 0): Promise<void> {
+        const { log, events, clock } = this.options;
+        const untilMs = clock.nowMs() + keepMs;
+        const propose = () => log.propose(command, markTimeoutMs);
+        let marked = await propose();
+        const isRejected = () => marked.caseOf({ Left: error => error.kind === "not-accepted", Right: () => false });
+        while (isRejected() && clock.nowMs() < untilMs) {
+            await clock.sleep(markRetryMs);
+            marked = await propose();
+        }
         marked.ifLeft(error => events.event(EventId.CrashMarksNotRecorded, { ...error, command: command.kind }));
     }
 
