Replication: what a replica has acknowledged does not count for the next one on its host

What callers saw: nothing yet; found by reading for LOST. No schedule was found in which an acknowledged change is lost by it.

Cause: a leader kept a follower's match index when that host replied under another replica id, after its disk was emptied, until the first entries were acknowledged under the new id. A learner in that state could count as caught up and become a voter before it held anything. Commits were safe, since the entry that makes it a voter has a higher index than the kept one.

Evidence: src/replication/PeerReplicator.test.ts: before, the match index was still 2 after an emptied follower had replied that it has no entries.

Fix: another replica id in a reply sets the match index and the known commit index back to 0.

--- a/src/replication/PeerReplicator.ts
+++ b/src/replication/PeerReplicator.ts
@@ -172,7 +172,12 @@
         if (answer === undefined || answer.kind === "out-of-service") {
             return false;
         }
-        this.replicaId = answer.replica;
+        if (answer.replica !== this.replicaId) {
+            // What a replica has acknowledged says nothing of another one on the same host.
+            this.replicaId = answer.replica;
+            this.matchIndex = 0;
+            this.followerCommitIndex = 0;
+        }
         if (answer.term > this.context.term) {
             this.context.onHigherTerm(answer.term);
             return false;
