Fleet: the loss of a disk within the first start founds no second group

The check that an acknowledged configuration survives a power failure and the loss of any one disk now also runs with hosts that are told that the fleet starts for the first time, as it may be within its first seconds (question 6 of docs/design/platform.md): the emptied host finds that the others have joined the group, and bootstraps none.

--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -44,20 +44,25 @@
     await fleet.stopAll();
 });
 
-test("an acknowledged configuration survives a power failure of all hosts and the loss of any one disk", async () => {
-    for (const wiped of names) {
-        const fleet = await startFleet();
-        assert.equal(await fleet.put("c1", 7), true);
-        const disks = names.map(name => [name, fleet.crash(name)] as const);
-        disks.forEach(([name, disk]) => fleet.startControl(name, false, name === wiped ? new FakeDisk() : disk));
-        await fleet.clock.advance(6000);
-        for (const name of names) {
-            assert.equal(await fleet.get(name), "7", `read at ${name} after ${wiped} was wiped`);
+for (const isFirstStart of [false, true]) {
+    const when = isFirstStart ? "within the first start of the fleet" : "later";
+    test(`an acknowledged configuration survives a power failure of all hosts and the loss of any one disk, ${when}`, async () => {
+        for (const wiped of names) {
+            const fleet = await startFleet();
+            assert.equal(await fleet.put("c1", 7), true);
+            const disks = names.map(name => [name, fleet.crash(name)] as const);
+            disks.forEach(([name, disk]) =>
+                fleet.startControl(name, isFirstStart, name === wiped ? new FakeDisk() : disk)
+            );
+            await fleet.clock.advance(6000);
+            for (const name of names) {
+                assert.equal(await fleet.get(name), "7", `read at ${name} after ${wiped} was wiped`);
+            }
+            assert.equal(fleet.leader()!.log.status().members.voters.length, 3);
+            await fleet.stopAll();
         }
-        assert.equal(fleet.leader()!.log.status().members.voters.length, 3);
-        await fleet.stopAll();
-    }
-});
+    });
+}
 
 test("a permanently lost voter is replaced by an empty host at another address", async () => {
     const fleet = await startFleet();
