--- a/src/fleet/Fleet.test.ts
+++ b/src/fleet/Fleet.test.ts
@@ -62,20 +62,25 @@
     await fleet.stopAll();
 });
 
-test("an acknowledged configuration survives a power failure of all hosts and the loss of any one disk", async () => {
-    for (const wiped of names) {
-        const fleet = await startFleet();
-        assert.equal(await fleet.put("c1", 7), true);
-        const disks = names.map(name => [name, fleet.crash(name)] as const);
-        disks.forEach(([name, disk]) => fleet.startControl(name, false, name === wiped ? new FakeDisk() : disk));
-        await fleet.clock.advance(6000);
-        for (const name of names) {
-            assert.equal(await fleet.get(name), "7", `read at ${name} after ${wiped} was wiped`);
+for (const isFirstStart of [false, true]) {
+    const when = isFirstStart ? "within the first start of the fleet" : "later";
+    test(`an acknowledged configuration survives a power failure of all hosts and the loss of any one disk, ${when}`, async () => {
+        for (const wiped of names) {
+            const fleet = await startFleet();
+            assert.equal(await fleet.put("c1", 7), true);
+            const disks = names.map(name => [name, fleet.crash(name)] as const);
+            disks.forEach(([name, disk]) =>
+                fleet.startControl(name, isFirstStart, name === wiped ? new FakeDisk() : disk)
+            );
+            await fleet.clock.advance(6000);
+            for (const name of names) {
+                assert.equal(await fleet.get(name), "7", `read at ${name} after ${wiped} was wiped`);
+            }
+            assert.equal(fleet.leader()!.log.status().members.voters.length, 3);
+            await fleet.stopAll();
         }
-        assert.equal(fleet.leader()!.log.status().members.voters.length, 3);
-        await fleet.stopAll();
-    }
-});
+    });
+}
 
 test("a permanently lost voter is replaced by an empty host at another address", async () => {
     const fleet = await startFleet();
@@ -229,6 +234,27 @@
     await fleet.stopAll();
 });
 
+// A report that a control host had answered while the group had no leader was dropped after 2 s.
+test("a crash that is reported while the group has no leader is marked once it has one", async () => {
+    const fleet = await startFleet();
+    await fleet.put("c1", 1);
+    const leader = fleet.leader()!.id;
+    const [kept, other] = names.filter(name => name !== leader);
+    const disks = [leader, other!].map(name => [name, fleet.crash(name)] as const);
+    const entry = fleet.startEntry("h1");
+    const report = () => entry.reportCrash({ fingerprint: "mark", endpoint: "e" as EndpointId, parts: [] });
+    report();
+    await fleet.clock.advance(6000);
+    disks.forEach(([name, disk]) => fleet.startControl(name, false, disk));
+    await fleet.clock.advance(4000);
+    for (let crash = 2; crash <= 3; crash++) {
+        report();
+        await fleet.clock.advance(2000);
+    }
+    assert.deepEqual(fleet.controls.get(kept!)!.state.quarantined, ["mark"]);
+    await fleet.stopAll();
+});
+
 test("crashes that are far apart do not quarantine a request", async () => {
     const fleet = await startFleet();
     await fleet.put("c1", 1);
