Process test: odd entries in the list of endpoints

Runs control and entry hosts as processes while the list holds entries of another writer: addresses that are none, numbers that are too large, deep nesting, bytes that can't be read. All requests must be served, also after a new start of an endpoint that only a later read shows, no process may end, the list may not be lost, and the logs name the entries without a line for each read.

--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -44,6 +44,8 @@
     public readonly entries: readonly string[];
     public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0 };
     public readonly endpoints: readonly string[];
+    /** Texts that the list holds between its other entries, as another writer leaves them. */
+    public readonly oddEntries: string[] = [];
     private readonly listAddress: string;
     /** Limits that endpoints state, in requests per second over all hosts, with the time of the first statement. */
     private readonly limits = new Map<string, { readonly perSecond: number; readonly fromMs: number; }>();
@@ -90,7 +92,8 @@
                 ...(this.bornMs.has(address) ? { born: this.bornMs.get(address) } : {}),
                 Slots: 16,
             }));
-            res.end(JSON.stringify({ Instances: instances, Next: null }));
+            const [first, ...others] = instances.map(one => JSON.stringify(one));
+            res.end(`{"Instances":[${[first, ...this.oddEntries, ...others].join(",")}],"Next":null}`);
         });
         [...this.controls, ...this.entries].forEach(host => this.startHost(host, true));
     }
