LOST: a connection whose last request has a broken body is closed

What callers saw: a request whose body is no chunk, or whose caller ended its direction in the middle of the body, got no answer, and its connection stayed open for ever, also after the caller had closed it. Each one kept a descriptor, and a planned stop waited for it until nearly all of the grace period had passed.

Cause: the error for what is no request waits for the answers to all open requests of the connection, and the request with the broken body counted as one of them. It never ends, since the rest of its body can't come.

Only requests that were read whole, or whose answer has begun, are waited for.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -11,6 +11,7 @@
 import { RequestProgress } from "./RequestProgress.js";
 
 interface OpenRequest {
+    readonly req: http.IncomingMessage;
     readonly res: http.ServerResponse;
     readonly progress: RequestProgress;
 }
@@ -22,7 +23,7 @@
     hasLeft: boolean;
     /** Why this host closes the connection; undefined while it does not. */
     closeCause: string | undefined;
-    /** True once something that is no request has arrived; it is closed after its open requests. */
+    /** True once something that is no request has arrived; it is closed after the answers that are due. */
     isInvalid: boolean;
     /** Number of bytes that had been read when the last request ended; undefined before. */
     idleBytes: number | undefined;
@@ -102,7 +103,7 @@
     public begin(req: http.IncomingMessage, res: http.ServerResponse): RequestProgress {
         const progress = new RequestProgress();
         const connection = this.connections.get(req.socket);
-        const request = { res, progress };
+        const request = { req, res, progress };
         connection?.open.add(request);
         if (connection !== undefined) {
             connection.requests += 1;
@@ -130,7 +131,7 @@
         if (socket.writableEnded) {
             connection.closeCause ??= answeredCause;
         }
-        else if (connection.isInvalid && connection.open.size === 0) {
+        else if (connection.isInvalid && !isAnswerDue(connection)) {
             socket.destroySoon();
         }
         else if (this.closingSinceMs !== undefined) {
@@ -153,14 +154,14 @@
         return this.connections.get(socket)?.isInvalid === true;
     }
 
-    /** Ends a connection on which something that is no request has arrived: at once by `answer`, or after open requests. */
+    /** Ends a connection on which something that is no request has arrived: at once by `answer`, or after due answers. */
     public endInvalid(socket: Socket, answer: () => void): void {
         const connection = this.connections.get(socket);
         if (connection !== undefined) {
             connection.isInvalid = true;
             connection.closeCause ??= "invalid";
         }
-        if (connection === undefined || connection.open.size === 0) {
+        if (connection === undefined || !isAnswerDue(connection)) {
             answer();
         }
     }
@@ -211,3 +212,8 @@
         return cause;
     }
 }
+
+/** True when a request that was read whole waits for its answer; one whose body is incomplete never gets the rest. */
+function isAnswerDue({ open }: CallerConnection): boolean {
+    return [...open].some(({ req, res }) => req.complete || res.headersSent);
+}
--- a/testing/GatewayCaller.ts
+++ b/testing/GatewayCaller.ts
@@ -95,6 +95,16 @@
         this.socket.write("x".repeat(bytes));
     }
 
+    /** Writes the rest of the head of a request with a body in chunks, and something that is no chunk. */
+    public writeBrokenChunk(): void {
+        this.socket.write("Transfer-Encoding: chunked\r\n\r\nno chunk\r\n");
+    }
+
+    /** Sends no more, but reads on. */
+    public endWrites(): void {
+        this.socket.end();
+    }
+
     /** Waits for the next complete answer; resolves to its status, or to undefined if the connection ends before. */
     public async answer(): Promise<number | undefined> {
         for (;;) {
