Exchange: an event that waits for its caller ends the silence of its endpoint

What callers saw: nothing wrong in the answer, but a stream was given up and went on at another endpoint although its own had already gone on with it.

Cause: while an event waits until its caller takes it, the timer for silence is stopped, but it still counted as the running one. A reservation of another endpoint that was being made then took the silence for a lasting one.

Before (platform/SilentStreams.test.ts): "an event that waits for its caller ends the silence of its endpoint" failed with 2 requests at endpoints instead of 1.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -245,6 +245,7 @@
                 return;
             }
             this.silenceTimer?.dispose();
+            this.silenceTimer = undefined;
             attempt.recordCallerWait(true);
             await caller.writeEvent(event);
             attempt.recordCallerWait(false);
