Takeover: stages that it runs do not run beside those of the next attempt

What callers saw: where an endpoint broke off while its stream was being taken over after a silence, the stages ran twice more at the same time. Results could be freed while the next attempt used them, or were never freed and held storage at the endpoints of the stage until they expired.

Cause: the reservation went on after its attempt had ended, and ran the stages, or freed their results, beside the next attempt.

The next attempt begins once the reservation has ended, and uses its results. A reservation looks for no further endpoint once its attempt has ended or goes on, and results that come after the request has ended are freed.

--- a/src/gateway/GatewayRequest.ts
+++ b/src/gateway/GatewayRequest.ts
@@ -190,7 +190,7 @@
         timer.dispose();
         this.patience.stop();
         this.res.off("close", onClose);
-        this.takeover.release();
+        this.takeover.end();
         this.stages.free();
         if (outcome.kind === "refused") {
             this.caller.refuse(outcome.refusal);
@@ -264,6 +264,7 @@
             if (outcome !== undefined) {
                 return outcome;
             }
+            await this.takeover.settle();
             if (!this.takeover.isReserved && this.patience.isTooLateToStart) {
                 return { kind: "refused", refusal: this.impatientRefusal() };
             }
--- a/src/gateway/RequestTakeover.ts
+++ b/src/gateway/RequestTakeover.ts
@@ -41,6 +41,9 @@
 export class RequestTakeover {
     private choice: PermittedChoice | undefined;
     private hasLoggedStay = false;
+    private hasEnded = false;
+    /** Resolves once no reservation is being made. */
+    private reserving: Promise<unknown> = Promise.resolve();
 
     public constructor(private readonly options: RequestTakeoverOptions) {}
 
@@ -53,14 +56,32 @@
      * Reserves an endpoint that can take the request from `silent` now. When it returns true, the attempt there must be
      * given up. It returns false when there is no such endpoint, or when `isSilent` no longer holds.
      */
-    public async reserve(silent: EndpointRecord, isSilent: () => boolean): Promise<boolean> {
-        const { stages } = this.options;
+    public reserve(silent: EndpointRecord, isSilent: () => boolean): Promise<boolean> {
+        const reserved = this.reserveUnlessStaying(silent, isSilent);
+        this.reserving = Promise.allSettled([this.reserving, reserved]);
+        return reserved;
+    }
+
+    /** Resolves once no reservation is being made, so that its stages do not run beside those of the next attempt. */
+    public async settle(): Promise<void> {
+        await this.reserving;
+    }
+
+    /** Releases what is reserved. Results of stages that are still running are freed once these have ended. */
+    public end(): void {
+        this.hasEnded = true;
+        this.take()?.permit.place?.release(false);
+    }
+
+    private async reserveUnlessStaying(silent: EndpointRecord, isSilent: () => boolean): Promise<boolean> {
+        const { stages, running } = this.options;
         const hadResults = stages.hasResults;
         const reason = await this.tryReserve(silent, isSilent);
         if (reason === undefined) {
             return true;
         }
-        if (!hadResults) {
+        // Without a running attempt, the next one uses the results.
+        if (this.hasEnded || !hadResults && running() > 0) {
             stages.free();
         }
         this.recordStay(silent, reason);
@@ -83,13 +104,13 @@
         if (!await runStages()) {
             return "stages";
         }
-        const choice = await this.findReachable(excluded);
+        const choice = await this.findReachable(excluded, isSilent);
         if (choice !== undefined && isSilent() && mayMove() && acquireRetry()) {
             this.choice = choice;
             return undefined;
         }
         choice?.permit.place?.release(false);
-        return choice === undefined ? "unreachable" : isSilent() ? "not-allowed" : "resumed";
+        return !isSilent() ? "resumed" : choice === undefined ? "unreachable" : "not-allowed";
     }
 
     private recordStay({ id }: EndpointRecord, reason: StayReason): void {
@@ -108,19 +129,17 @@
         return choice;
     }
 
-    /** Releases what is reserved. */
-    public release(): void {
-        this.take()?.permit.place?.release(false);
-    }
-
     /** Suspect endpoints are no better than the silent one. */
     private trusted(): readonly EndpointRecord[] {
         return this.options.usable().filter(one => !one.isSuspect);
     }
 
-    private async findReachable(excluded: Set<EndpointRecord>): Promise<PermittedChoice | undefined> {
+    private async findReachable(
+        excluded: Set<EndpointRecord>,
+        isSilent: () => boolean,
+    ): Promise<PermittedChoice | undefined> {
         const { selection, clock, probe } = this.options;
-        for (;;) {
+        while (isSilent()) {
             const choice = await selection.choose(() => this.trusted(), excluded, clock.nowMs());
             if (choice === undefined || await probe(choice.record.id) === "reached") {
                 return choice;
@@ -128,5 +147,6 @@
             choice.permit.place?.release(false);
             excluded.add(choice.record);
         }
+        return undefined;
     }
 }
