--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -1,7 +1,8 @@
 /**
  * The connections of callers, and the requests that are open on them. A request is open until the system has taken its
- * whole answer, or its connection is closed. On a planned stop, connections are closed between requests. Records each connection that this host closes, and each request that it
- * had read whole and whose connection it closed before the answer was complete.
+ * whole answer, or its connection is closed. On a planned stop, connections are closed between requests. Records each
+ * connection that this host closes, and each request that it had read whole and whose connection it closed before the
+ * answer was complete.
  */
 import type * as http from "node:http";
 import type { Socket } from "node:net";
@@ -29,10 +30,10 @@
     idleBytes: number | undefined;
 }
 
-/** After the start of a planned stop, a new connection is kept this long for its first request. */
+/** Once connections are being closed, a new one is kept this long for its first request. */
 const firstRequestMs = 500;
+/** Cause of a connection that is closed since this host stops. */
 const stoppingCause = "stopping";
-
 /** Cause of a connection that this host closed without saying why, as Node.js does. */
 const unknownCause = "unknown";
 /** Cause of a connection that is closed after an answer that said so. */
