Planned stop: a connection whose answered request had a body on its way is closed

What callers saw: nothing wrong in their answers; a host that stopped waited for such connections until its time was up, and other services of the host were drained only then.

Cause: a connection counts as idle if nothing has been read since the last answer, which tells that a part of the next request has come. The rest of the body of a request that was refused, as with 413, is read after the answer as well.

The end of that body counts like the end of the answer.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -25,7 +25,7 @@
     closeCause: string | undefined;
     /** True once something that is no request has arrived; it is closed after the answers that are due. */
     isInvalid: boolean;
-    /** Number of bytes that had been read when the last request ended; undefined before. */
+    /** Number of bytes that had been read when the last answer, or the body of its request, ended; undefined before. */
     idleBytes: number | undefined;
 }
 
@@ -113,6 +113,12 @@
                 this.endRequest(req.socket, connection, request);
             }
         });
+        req.once("end", () => {
+            if (connection !== undefined && !connection.open.has(request)) {
+                // The body of an answered request has been read since.
+                this.recordIdle(req.socket, connection);
+            }
+        });
         return progress;
     }
 
@@ -126,7 +132,6 @@
 
     private endRequest(socket: Socket, connection: CallerConnection, request: OpenRequest): void {
         connection.open.delete(request);
-        connection.idleBytes = socket.bytesRead;
         // Node.js has ended the connection by now if the answer said so.
         if (socket.writableEnded) {
             connection.closeCause ??= answeredCause;
@@ -134,7 +139,12 @@
         else if (connection.isInvalid && !isAnswerDue(connection)) {
             socket.destroySoon();
         }
-        else if (this.closingSinceMs !== undefined) {
+        this.recordIdle(socket, connection);
+    }
+
+    private recordIdle(socket: Socket, connection: CallerConnection): void {
+        connection.idleBytes = socket.bytesRead;
+        if (this.closingSinceMs !== undefined && !socket.writableEnded) {
             this.closeIfIdle(socket, connection);
         }
     }
