Streams: a silence is noticed in time for another endpoint to take over

A stream of a route with an objective up to 500 ms and a gap up to 250 ms, whose replies take 500 ms or more, never left an endpoint that was down, and ended with it.

Cause: the silence that all callers bear ends exactly when an attempt is no longer expected to bring the next event in time, and a timer always fires a little later. The check of a takeover now leaves half of the margin before callers leave.

--- a/src/gateway/CallerPatience.ts
+++ b/src/gateway/CallerPatience.ts
@@ -85,13 +85,15 @@
 
     /** By when the next event must come, on the local clock. At most the deadline. */
     public get nextEventByMs(): number {
-        const { arrivedMs, deadlineMs } = this.options;
-        return Math.min(deadlineMs, (this.lastEventMs ?? arrivedMs) + this.patienceMs - this.marginMs);
+        return this.nextEventBy(this.marginMs);
     }
 
-    /** True while an attempt that begins now is expected to bring the next event in time. */
+    /**
+     * True while an attempt that begins now is expected to bring the next event in time. Half of the margin is used up,
+     * since a silence that all callers bear is only noticed after it.
+     */
     public get leavesTimeForAttempt(): boolean {
-        return this.options.clock.nowMs() < this.nextEventByMs - this.replyMs;
+        return this.options.clock.nowMs() < this.nextEventBy(this.marginMs / 2) - this.replyMs;
     }
 
     /** Begins to watch the time. */
@@ -121,6 +123,11 @@
         return this.options.clock.nowMs() + retryMs + neededMs <= this.options.deadlineMs ? retryMs : undefined;
     }
 
+    private nextEventBy(marginMs: number): number {
+        const { arrivedMs, deadlineMs } = this.options;
+        return Math.min(deadlineMs, (this.lastEventMs ?? arrivedMs) + this.patienceMs - marginMs);
+    }
+
     private armAt(atMs: number): void {
         const delayMs = Math.max(0, atMs - this.options.clock.nowMs());
         this.timer = this.options.clock.setTimer(delayMs, () => this.check());
