Takeover: stages run in vain once at most for a request

What callers saw: nothing; endpoints of stages ran pieces for a stream that stayed at its silent endpoint, since the only other one could not be reached, at each check of the silence.

Cause: the stages ran before an endpoint was found, and their results were freed when there was none. After one such run a request no longer leaves its endpoint for silence if that needs the stages.

Before: "a stage runs once more at most for a stream that stays at its silent endpoint" ran the stage 6 times, now 2.

--- a/src/gateway/RequestTakeover.ts
+++ b/src/gateway/RequestTakeover.ts
@@ -42,6 +42,8 @@
     private choice: PermittedChoice | undefined;
     private hasLoggedStay = false;
     private hasEnded = false;
+    /** True after the stages have run for a takeover that did not happen; they do not run for another one. */
+    private hasRunInVain = false;
     /** Resolves once no reservation is being made. */
     private reserving: Promise<unknown> = Promise.resolve();
 
@@ -82,6 +84,7 @@
         }
         // Without a running attempt, the next one uses the results.
         if (this.hasEnded || !hadResults && running() > 0) {
+            this.hasRunInVain ||= stages.hasResults;
             stages.free();
         }
         this.recordStay(silent, reason);
@@ -101,7 +104,7 @@
         if (this.trusted().every(one => excluded.has(one))) {
             return "no-endpoint";
         }
-        if (!await runStages()) {
+        if (this.hasRunInVain || !await runStages()) {
             return "stages";
         }
         const choice = await this.findReachable(excluded, isSilent);
