Takeover: a silence that has ended does not bar the next one

A stream whose endpoint had paused, while the stages ran for a takeover, and which later went down, stayed there and was broken off.

Cause: each run of the stages without a takeover counted as vain, also one that was not needed any more. Now only runs count after which no endpoint could take the request.

--- a/src/gateway/RequestTakeover.ts
+++ b/src/gateway/RequestTakeover.ts
@@ -42,7 +42,7 @@
     private choice: PermittedChoice | undefined;
     private hasLoggedStay = false;
     private hasEnded = false;
-    /** True after the stages have run for a takeover that did not happen; they do not run for another one. */
+    /** True after the stages have run while no other endpoint could take the request; they do not run for another try. */
     private hasRunInVain = false;
     /** Resolves once no reservation is being made. */
     private reserving: Promise<unknown> = Promise.resolve();
@@ -84,7 +84,7 @@
         }
         // Without a running attempt, the next one uses the results.
         if (this.hasEnded || !hadResults && running() > 0) {
-            this.hasRunInVain ||= stages.hasResults;
+            this.hasRunInVain ||= stages.hasResults && reason !== "resumed";
             stages.free();
         }
         this.recordStay(silent, reason);
