--- a/src/gateway/CallerMemory.test.ts
+++ b/src/gateway/CallerMemory.test.ts
@@ -116,7 +116,7 @@
         assert.equal(third!.res.destroyed, false, "a caller was disconnected although that was of no use");
     });
 
-    // Guards against LOST: a sound caller was reset in favour of a new request, which could have been refused.
+    // Guards against a sound caller that is reset in favour of a new request, which could have been refused.
     it("disconnects no caller that has only just been written to", async () => {
         const { clock, memory, open } = newMemory(100, Infinity);
         const [first, second] = ["first", "second"].map(open);
