One record of failed requests; the voter that is replaced is named for that

RequestAttempts and RequestRecorder each wrote what failureMessage of telemetry/BackgroundTask does, and the same event. A voter that leaves as planned is not silent, so the variable is no longer called so.

--- a/src/fleet/ControlGroupManager.ts
+++ b/src/fleet/ControlGroupManager.ts
@@ -21,9 +21,8 @@
 /** A host without a known leader for this long asks to join, since it may have been removed meanwhile. */
 const maxLeaderlessMs = 1500;
 /**
- * A voter that has been silent for this long is replaced. A host that was removed for good counts as a loss only until
- * another one that was started before or after it has caught up, which may be 2 s after the removal: from then on, as
- * many further disks may be lost as the group tolerates.
+ * A voter that has been silent for this long is replaced. A host that was removed for good counts as a loss only until its
+ * successor has caught up, which may be 2 s after the removal; after that the group must bear further losses again.
  */
 const replaceAfterMs = 1200;
 /** A learner that has been silent for this long is removed; it may join again. */
@@ -180,13 +179,13 @@
         if (standby !== undefined && voters.length < wantedVoters) {
             return { kind: "add", host: standby, role: "voter" };
         }
-        const silentVoter = voters.find(host => this.silentMs(host) > replaceAfterMs || this.isLeaving(host));
-        if (silentVoter !== undefined && voters.length > wantedVoters) {
+        const outgoingVoter = voters.find(host => this.silentMs(host) > replaceAfterMs || this.isLeaving(host));
+        if (outgoingVoter !== undefined && voters.length > wantedVoters) {
             // A replacement that adds the new voter may have ended before it removed the old one.
-            return { kind: "remove", host: silentVoter };
+            return { kind: "remove", host: outgoingVoter };
         }
-        if (silentVoter !== undefined && standby !== undefined) {
-            return { kind: "replace", host: silentVoter, by: standby };
+        if (outgoingVoter !== undefined && standby !== undefined) {
+            return { kind: "replace", host: outgoingVoter, by: standby };
         }
         const silentLearner = learners.find(host => this.silentMs(host) > removeLearnerAfterMs);
         return silentLearner === undefined ? undefined : { kind: "remove", host: silentLearner };
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -2,12 +2,10 @@
  * The attempts of one request at endpoints: sends the request to a chosen endpoint, and records what the attempt shows
  * of the endpoint, of the request and of the stream that it begins.
  */
-import { InvariantError } from "../common/Invariant.js";
 import type { Route } from "../fleet/Types.js";
 import type { RequestVersions } from "../rollouts/VersionRouter.js";
 import { originOf, type StreamOrigin } from "../streams/StreamOrigin.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
-import { EventId } from "../telemetry/Events.js";
 import { AttemptRace, type Contender, type RaceEnd } from "./AttemptRace.js";
 import { AttemptReply } from "./AttemptReply.js";
 import type { HeldBytes } from "./CallerMemory.js";
@@ -17,7 +15,7 @@
 import type { EndpointRecord, RunningAttempt } from "./EndpointTracker.js";
 import type { GatewayDependencies } from "./Gateway.js";
 import type { RequestHedges } from "./RequestHedges.js";
-import type { RequestRecorder } from "./RequestRecorder.js";
+import { recordFailure, type RequestRecorder } from "./RequestRecorder.js";
 import type { RequestStages } from "./RequestStages.js";
 import { firstByteTimeoutMs, gapTimeoutMs } from "./SilenceLimits.js";
 import { streamKey } from "./StreamBinding.js";
@@ -158,12 +156,8 @@
 
     /** The outcome of an exchange that an exception has ended: it is unknown what was sent. */
     private recordFailure(err: unknown): AttemptOutcome {
-        if (err instanceof InvariantError) {
-            throw err;
-        }
         const { deps: { log }, admitted: { head } } = this.options;
-        const message = err instanceof Error ? err.stack : String(err);
-        log.event(EventId.RequestFailed, { request: head.id, at: "endpoint", message });
+        recordFailure(log, err, { request: head.id, stage: "endpoint" });
         return { kind: "broken", message: "this host failed to handle the attempt", isSilent: false };
     }
 
--- a/src/gateway/RequestRecorder.ts
+++ b/src/gateway/RequestRecorder.ts
@@ -1,6 +1,6 @@
 /** Writes the log lines and metrics of one request: the end of each attempt, and its final answer. */
-import { InvariantError } from "../common/Invariant.js";
 import type { Clock, HostId } from "../common/Types.js";
+import { failureMessage } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { PermittedChoice } from "./EndpointSelection.js";
@@ -33,11 +33,12 @@
 }
 
 /** Records that an exception has ended the handling of a request. Throws a broken invariant on, which stops the process. */
-export function recordFailure(log: EventLog, err: unknown, { request, stage }: RequestProgress): void {
-    if (err instanceof InvariantError) {
-        throw err;
-    }
-    log.event(EventId.RequestFailed, { request, at: stage, message: err instanceof Error ? err.stack : String(err) });
+export function recordFailure(
+    log: EventLog,
+    err: unknown,
+    { request, stage }: Pick<RequestProgress, "request" | "stage">,
+): void {
+    log.event(EventId.RequestFailed, { request, at: stage, message: failureMessage(err) });
 }
 
 export class RequestRecorder {
