--- /dev/null
+++ b/review/lib/runCase.ts
@@ -0,0 +1,30 @@
+/** Runs a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
+import { join } from "node:path";
+import { CaseRecord } from "./CaseRecord.js";
+
+/** What was seen against the rule; empty if it held. */
+export type Breaches = readonly string[];
+
+const maxRunMs = 110_000;
+
+export function runCase(play: (record: CaseRecord, isTroubled: boolean) => Promise<Breaches>): void {
+    const [, , folder = "."] = process.argv;
+    const record = new CaseRecord(join(folder, "record.txt"));
+    const isTroubled = process.env["TROUBLE"] !== "0";
+    record.note("begins", { disruption: isTroubled });
+    setTimeout(() => {
+        record.note("could not run", { why: "it took too long" });
+        process.exit(2);
+    }, maxRunMs).unref();
+    play(record, isTroubled).then(
+        breaches => {
+            breaches.forEach(breach => record.note("RULE BROKEN", { breach }));
+            record.note(breaches.length > 0 ? "the rule was broken" : "the rule held");
+            process.exit(breaches.length > 0 ? 1 : 0);
+        },
+        (err: unknown) => {
+            record.note("could not run", { why: String(err) });
+            process.exit(2);
+        },
+    );
+}
