--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,119 +1,110 @@
-/**
- * An entry host can't open a channel to an engine, since the opening packet is dropped, and goes through another entry
- * host, which is killed while the answer, which has no length, passes through it.
- */
-import { type ChildProcess, fork } from "node:child_process";
+/** An entry host is killed while it passes on a stream that has no length and ends with its channel. */
 import * as net from "node:net";
 import { type CaseRecord, sleep } from "../lib/CaseRecord.js";
 import { configOf, routeHost } from "../lib/Config.js";
+import { type Answerer, Engine, stampHeader } from "../lib/Engine.js";
 import { type Breaches, runCase } from "../lib/runCase.js";
 import { Site } from "../lib/Site.js";
 
-const engineScript = new URL("./engine.js", import.meta.url).pathname;
-/** More than the engine's queue of new channels holds. */
-const fillers = 4;
-/** From the request to the end of the full queue; a retry of the opening packet comes after a second. */
-const fullMs = 60;
-/** From the first part of the answer to the kill. */
-const killAfterMs = 500;
-const request = "r1";
-const whole = `first part of ${request}, second part of ${request}`;
+const events = 20;
+const eventPauseMs = 100;
+const streams = 6;
+/** When the entry host is killed, after the streams have been asked for. */
+const killAfterMs = 1050;
 
 interface Received {
+    readonly request: string;
     readonly text: string;
+    /** How the channel ended. */
     readonly end: "closed" | "reset" | "open";
 }
 
-class QueuedEngine {
-    public readonly runs: string[] = [];
-    private readonly child: ChildProcess;
-    private readonly waiting: net.Socket[] = [];
+const eventOf = (request: string, at: number) => `id: ${at}\ndata: ${request} event ${at} of ${events}\n\n`;
 
-    public constructor(private readonly host: string, private readonly port: number, record: CaseRecord) {
-        this.child = fork(engineScript, [host, String(port), "i-1"]);
-        this.child.on("message", (message: { readonly request?: string; }) => {
-            if (message.request !== undefined) {
-                record.note("engine runs", { ...message });
-                this.runs.push(message.request);
-            }
-        });
-    }
-
-    /** Fills the queue of new channels, so that further opening packets are dropped. */
-    public async fillQueue(): Promise<void> {
-        this.child.kill("SIGSTOP");
-        for (let at = 0; at < fillers; at++) {
-            const socket = net.connect(this.port, this.host);
-            socket.on("error", () => undefined);
-            this.waiting.push(socket);
+/** Answers with a stream without a length, which ends with its channel. */
+const answerWithStream: Answerer = (run, req) => {
+    const { socket } = req;
+    const head = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        `Fireflykeel-Request-Id: ${run.request}`,
+        `${stampHeader}: stamp.${run.request}`,
+        "Connection: close",
+    ];
+    socket.write(`${head.join("\r\n")}\r\n\r\n`);
+    let at = 0;
+    const timer = setInterval(() => {
+        at += 1;
+        if (at > events || socket.destroyed) {
+            clearInterval(timer);
+            socket.end();
+            return;
         }
-        await sleep(100);
-    }
+        socket.write(eventOf(run.request, at));
+    }, eventPauseMs);
+};
 
-    public emptyQueue(): void {
-        this.waiting.forEach(socket => socket.destroy());
-        this.child.kill("SIGCONT");
-    }
-
-    public stop(): void {
-        this.emptyQueue();
-        this.child.kill("SIGKILL");
-    }
-}
-
-function ask(site: Site): Promise<Received> {
+/** Asks for a stream and reads it until its channel ends. */
+function readStream(site: Site, request: string, forMs: number): Promise<Received> {
     return new Promise(done => {
         const socket = net.connect(site.ports.front, site.entries[0] ?? "");
         let text = "";
-        const finish = (end: Received["end"]) => done({ text, end });
-        const timer = setTimeout(() => finish("open"), 7000);
+        const finish = (end: Received["end"]) => done({ request, text, end });
+        const timer = setTimeout(() => finish("open"), forMs);
         socket.on("data", (data: Buffer) => text += data.toString());
         socket.on("end", () => finish("closed"));
         socket.on("error", () => finish("reset"));
         socket.on("close", () => clearTimeout(timer));
-        const head = `Host: ${routeHost}\r\nFireflykeel-Request-Id: ${request}\r\nFireflykeel-Deadline-Ms: 5000`;
-        socket.write(`POST /holds/7 HTTP/1.1\r\n${head}\r\nContent-Length: 0\r\n\r\n`);
+        const lines = [
+            "POST /chat/7 HTTP/1.1",
+            `Host: ${routeHost}`,
+            `Fireflykeel-Request-Id: ${request}`,
+            "Fireflykeel-Deadline-Ms: 8000",
+            "Content-Length: 0",
+        ];
+        socket.write(`${lines.join("\r\n")}\r\n\r\n`);
     });
 }
 
-function breachesOf({ text, end }: Received): string[] {
+/** Why the answer breaks the rule: it is complete by HTTP, and pieces of the stream are missing. */
+function breachOf({ request, text, end }: Received): string[] {
     const [head = "", body = ""] = text.split(/\r\n\r\n([\s\S]*)/);
+    const isSuccess = head.startsWith("HTTP/1.1 200");
     const isFramed = /^(content-length|transfer-encoding):/im.test(head);
-    const isComplete = head.startsWith("HTTP/1.1 200") && !isFramed && end === "closed";
-    return isComplete && body !== whole ? [`MIXED: ${request} got "${body}" as the whole of "${whole}"`] : [];
+    const whole = Array.from({ length: events }, (_, at) => eventOf(request, at + 1)).join("");
+    const isComplete = isSuccess && !isFramed && end === "closed";
+    const got = body.split("\n\n").length - 1;
+    return isComplete && body !== whole
+        ? [`ORDER: ${request} ended as complete after ${got} of ${events} events`]
+        : [];
 }
 
 async function play(record: CaseRecord, isTroubled: boolean): Promise<Breaches> {
     const site = new Site({ entries: 2, record });
-    const engine = new QueuedEngine(site.address(1), site.enginePort, record);
-    const address = `${site.address(1)}:${site.enginePort}`;
-    site.listed.push({ id: "i-1", service: "desk", zone: "zone-a", address });
-    const helper = site.entries[1] ?? "";
+    const engine = new Engine("i-1", record, answerWithStream);
+    const address = site.address(1);
+    site.listed.push({ id: "i-1", service: "desk", zone: "zone-a", address: `${address}:${site.enginePort}` });
+    await engine.start(address, site.enginePort);
     try {
         await site.start(configOf(1));
-        await sleep(3000);
-        if (isTroubled) {
-            await engine.fillQueue();
-            record.note("the engine's queue of new channels is full");
-        }
-        record.note("client sends", { request, entry: site.entries[0], target: "/holds/7" });
-        const asking = ask(site);
-        await sleep(fullMs);
-        engine.emptyQueue();
-        for (let waitedMs = 0; engine.runs.length === 0 && waitedMs < 4000; waitedMs += 10) {
-            await sleep(10);
-        }
+        await sleep(1500);
+        const reading = Array.from({ length: streams }, async (_, at) => {
+            const request = `s${at}`;
+            record.note("client sends", { request, target: "/chat/7" });
+            const received = await readStream(site, request, 6000);
+            record.note("client got", { ...received });
+            return received;
+        });
         await sleep(killAfterMs);
         if (isTroubled) {
-            record.note("SIGKILL", { entry: helper });
-            site.programs.signal(helper, "SIGKILL");
+            record.note("SIGKILL", { entry: site.entries[0] });
+            site.programs.signal(site.entries[0] ?? "", "SIGKILL");
         }
-        const received = await asking;
-        record.note("client got", { request, ...received });
-        if (engine.runs.length === 0) {
-            throw new Error("the request was not run");
+        const received = await Promise.all(reading);
+        if (engine.runs.length < streams) {
+            throw new Error("not all streams were run");
         }
-        return breachesOf(received);
+        return received.flatMap(breachOf);
     }
     finally {
         engine.stop();
