--- a/review/lib/Site.ts
+++ b/review/lib/Site.ts
@@ -44,6 +44,8 @@
     readonly service: string;
     readonly zone: string;
     readonly address: string;
+    /** Version of its software. */
+    readonly version?: string;
 }
 
 interface SiteOptions {
@@ -192,11 +194,11 @@
     }
 
     private answerList(res: http.ServerResponse): void {
-        const instances = this.listed.map(({ id, service, zone, address }) => ({
+        const instances = this.listed.map(({ id, service, zone, address, version = "v1" }) => ({
             Service: service,
             Address: address,
             Zone: zone,
-            Version: "v1",
+            Version: version,
             Slots: 64,
             State: "ready",
             ColdLeftMs: 0,
