--- a/review/lib/Engine.ts
+++ b/review/lib/Engine.ts
@@ -34,6 +34,7 @@
         await listen(this.server, host, port);
     }
 
+    /** Ends the engine with all its channels, as a crash does. */
     public stop(): void {
         this.server.close();
         this.server.closeAllConnections();
