--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -6,6 +6,8 @@
 import { type Breaches, runCase } from "../lib/runCase.js";
 import { Site } from "../lib/Site.js";
 
+/** One of so many is killed. */
+const entries = 7;
 const events = 20;
 const eventPauseMs = 100;
 const streams = 6;
@@ -80,7 +82,7 @@
 }
 
 async function play(record: CaseRecord, isTroubled: boolean): Promise<Breaches> {
-    const site = new Site({ entries: 2, record });
+    const site = new Site({ entries, record });
     const engine = new Engine("i-1", record, answerWithStream);
     const address = site.address(1);
     site.listed.push({ id: "i-1", service: "desk", zone: "zone-a", address: `${address}:${site.enginePort}` });
