Streams: a stream cut off by a killed host or a crashed endpoint does not look complete

Cause: replies whose end is that of the connection went on in the same form, and the operating system ends the connections of a killed process in order.

Change: a stream goes on in chunks in any case. Its last chunk, and a body that ended with its connection, are passed on once the end is confirmed: by the host on the way, which states that the endpoint has ended it, and by a status check that the same start of the endpoint answers afterwards. A body without a length goes on in the same form once it is confirmed, since a running endpoint may have truncated it. Streams to callers of HTTP/1.0 are refused as not run.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -19,6 +19,7 @@
 import { Gateway } from "../gateway/Gateway.js";
 import { GatewayHedging, type HedgingSettings } from "../gateway/GatewayHedging.js";
 import { GatewayServer } from "../gateway/GatewayServer.js";
+import { ReplyEnds } from "../gateway/ReplyEnds.js";
 import { ReplyTimes } from "../gateway/ReplyTimes.js";
 import { RequestQuarantine } from "../gateway/RequestQuarantine.js";
 import { StageGraph } from "../gateway/StageGraph.js";
@@ -95,6 +96,7 @@
         stages: new StageGraph(pieces, clock, submissionIds(`${self}.${incarnation.toString(36)}`)),
         pieces,
         connections,
+        ends: new ReplyEnds({ fleet, connections, codec: options.gatewayCodec, clock, log, metrics }),
         notices,
         retries,
         hedging: new GatewayHedging(clock, retries, options.hedging),
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -26,6 +26,8 @@
 
 /** Not a secret: it guards against misaddressed connections. The network between hosts is closed to others. */
 const peerKey = "fireflykeel-fleet";
+/** Length of the part of tunnels' ids that tells runs of the process apart, in hex digits. */
+const tunnelLifeChars = 12;
 /** How often the delay of the event loop is measured. */
 const loopCheckMs = 500;
 
@@ -78,8 +80,11 @@
         this.peers = new TrpcPeerServer({ key: peerKey, clock: hybridClock, log, metrics, onFatal: fatal });
         const addressOf = (host: HostId) => `${host}:${settings.peerPort}`;
         this.transport = new TrpcPeerTransport({ self, key: peerKey, addressOf, clock, hybridClock, log });
-        this.tunnels = new TunnelClient({ key: peerKey, addressOf, clock });
-        this.tunnelServer = new TunnelServer({ key: peerKey, clock, log, metrics, stopping: this.stopping.signal });
+        const { peers: registry, transport, random } = this;
+        this.tunnels = new TunnelClient({ key: peerKey, addressOf, transport, clock });
+        const stopping = this.stopping.signal;
+        const life = random.hex(tunnelLifeChars);
+        this.tunnelServer = new TunnelServer({ key: peerKey, registry, life, clock, log, metrics, stopping });
         this.supervisor = new Supervisor({ clock, log, onFatal: fatal });
         this.onFatal = fatal;
     }
--- a/src/endpoints/DetourAgent.ts
+++ b/src/endpoints/DetourAgent.ts
@@ -20,6 +20,8 @@
     open(endpoint: EndpointId, signal: AbortSignal): Promise<Either<TunnelError, Socket>>;
     /** The host through which a connection goes; undefined for a direct one. */
     throughOf(socket: Socket): HostId | undefined;
+    /** True when the host through which an ended connection went states that the endpoint has ended it in order. */
+    confirmsEnd(socket: Socket, signal: AbortSignal): Promise<boolean>;
     /** Records that a new direct connection was made. */
     recordConnected(endpoint: EndpointId): void;
     /** Records that a detour led to an endpoint that could not be connected to directly. */
--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -57,6 +57,8 @@
     readonly reused: boolean;
     /** The host through which the connection goes; undefined for a direct one. */
     readonly through?: HostId | undefined;
+    /** See {@link EndpointDetours.confirmsEnd}; undefined for a direct connection. */
+    readonly confirmsEnd?: (signal: AbortSignal) => Promise<boolean>;
 }
 
 /**
@@ -276,10 +278,15 @@
             return Left({ kind: "timeout", message: "there are no detours" });
         }
         const connected = await this.connectVia(pool.detours, pool, options, detourMs);
-        return connected.map(ready => ({
-            ...ready,
-            through: ready.req.socket === null ? undefined : this.detours?.throughOf(ready.req.socket),
-        }));
+        return connected.map(ready => {
+            const { socket } = ready.req;
+            return {
+                ...ready,
+                through: socket === null ? undefined : this.detours?.throughOf(socket),
+                confirmsEnd: async signal =>
+                    socket !== null && await this.detours?.confirmsEnd(socket, signal) === true,
+            };
+        });
     }
 
     /** Connects through an agent; pooled connections that have been idle for too long are discarded. */
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -83,6 +83,8 @@
 
 export interface Service {
     readonly id: ServiceId;
+    /** Path of the endpoints' status check. */
+    readonly statusPath: string;
     /** How long an endpoint is cold after its start; 0 for services without a cold start. */
     readonly coldMs: number;
     /** Number of requests per second that a cold endpoint can handle. */
--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -30,6 +30,7 @@
         isNotRun: false,
         isEventStream: false,
         isFramed: true,
+        hasBody: true,
         forwarded: ["attempt", String(attempt)],
     };
 }
--- a/src/gateway/AttemptReply.ts
+++ b/src/gateway/AttemptReply.ts
@@ -24,6 +24,11 @@
         private readonly holdsHead: boolean,
     ) {}
 
+    /** False when the caller can get a reply as a whole only. */
+    public get takesStreams(): boolean {
+        return this.caller.takesStreams;
+    }
+
     /** Begins the stream, or keeps its head until the first event. */
     public beginStream(head: ReplyHead): void {
         this.head = head;
@@ -57,10 +62,6 @@
         if (!isFramed && remainder.length > 0) {
             return "the stream ended inside an event";
         }
-        if (!isFramed && this.caller.hasBegun && !this.caller.isUnframed) {
-            // It may have been truncated by a crash, and with the framing of the first head it would look complete.
-            return "the end of the stream is uncertain";
-        }
         if (this.continues && (remainder.length > 0 || this.lastEvent !== this.caller.lastEvent)) {
             return "the reply does not continue the stream to its end";
         }
--- a/src/gateway/CallerPatience.ts
+++ b/src/gateway/CallerPatience.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Disposable } from "../common/Types.js";
 import type { Route } from "../fleet/Types.js";
+import { isStreamed } from "./Types.js";
 
 /** A caller waits for an event for at least this long, and for these multiples of the objective and the gap. */
 const minPatienceMs = 2000;
@@ -28,8 +29,9 @@
 const maxRetryMs = 1500;
 
 /** How long a caller waits for an event of a stream; undefined when it waits until its deadline. */
-export function patienceMs({ kind, objectiveMs, gapMs = 0 }: Route): number | undefined {
-    return kind === "stream" || kind === "resumable"
+export function patienceMs(route: Route): number | undefined {
+    const { objectiveMs, gapMs = 0 } = route;
+    return isStreamed(route)
         ? Math.max(minPatienceMs, objectiveMs * objectiveFactor, gapMs * gapFactor)
         : undefined;
 }
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -2,6 +2,11 @@
  * Writes the reply to a caller. A complete reply is written at once. A stream is written event by event and may be
  * continued by another endpoint: the caller keeps the head of the first endpoint, and events that it already has are
  * skipped. When a stream can't be completed, the connection is broken off, so that the caller sees it as incomplete.
+ *
+ * If this process is killed, the operating system ends its connections in order. A stream therefore always has chunks,
+ * also where that of the endpoint ends with its connection: its last chunk is written only when it is certainly whole. A
+ * complete reply without a length is passed on in the same form, since a faulty endpoint may have truncated it and go on
+ * running, and with framing it would look whole; it is handed to the operating system in one write.
  */
 import type * as http from "node:http";
 import { writeJson } from "../common/WriteJson.js";
@@ -92,9 +97,9 @@
         return this.eventCount;
     }
 
-    /** True when the end of the connection ends the reply to the caller. */
-    public get isUnframed(): boolean {
-        return this.endsWithConnection;
+    /** False for callers of HTTP/1.0, who know no chunks: a stream could end with the connection only. */
+    public get takesStreams(): boolean {
+        return this.res.useChunkedEncodingByDefault;
     }
 
     /** Writes a complete reply. */
@@ -103,10 +108,14 @@
             return;
         }
         if (reply.isFramed) {
-            this.res.writeHead(reply.status, [...reply.forwarded, "content-length", String(body.length)]);
+            const length = reply.hasBody ? ["content-length", String(body.length)] : [];
+            this.res.writeHead(reply.status, [...reply.forwarded, ...length]);
         }
         else {
-            this.writeUnframedHead(reply);
+            this.endsWithConnection = true;
+            this.res.useChunkedEncodingByDefault = false;
+            this.res.shouldKeepAlive = false;
+            this.res.writeHead(reply.status, [...reply.forwarded, "connection", "close"]);
         }
         this.output.writeBody(body);
     }
@@ -117,12 +126,7 @@
             return;
         }
         this.begun = true;
-        if (reply.isFramed) {
-            this.res.writeHead(reply.status, [...reply.forwarded]);
-        }
-        else {
-            this.writeUnframedHead(reply);
-        }
+        this.res.writeHead(reply.status, [...reply.forwarded]);
         this.res.flushHeaders();
     }
 
@@ -169,17 +173,6 @@
         this.res.destroy();
     }
 
-    /**
-     * Writes the head of a reply whose body ends with the connection. The reply to the caller ends in the same way,
-     * since a body that a crash has truncated can't be told from a whole one, and would look complete with framing.
-     */
-    private writeUnframedHead(reply: ReplyHead): void {
-        this.endsWithConnection = true;
-        this.res.useChunkedEncodingByDefault = false;
-        this.res.shouldKeepAlive = false;
-        this.res.writeHead(reply.status, [...reply.forwarded, "connection", "close"]);
-    }
-
     /** True when the caller has the event. Ids are compared as numbers; an event counts as new if either is not one. */
     private hasEvent(id: string): boolean {
         const number = Number(id);
--- a/src/gateway/EndpointChooser.test.ts
+++ b/src/gateway/EndpointChooser.test.ts
@@ -18,7 +18,14 @@
 import { ColdStartQuota } from "./FleetQuotas.js";
 import type { AttemptOutcome, ReplyHead } from "./Types.js";
 
-const reply = { status: 200, isSigned: true, isNotRun: false, isEventStream: false, isFramed: true } as ReplyHead;
+const reply = {
+    status: 200,
+    isSigned: true,
+    isNotRun: false,
+    isEventStream: false,
+    isFramed: true,
+    hasBody: true,
+} as ReplyHead;
 const replied: AttemptOutcome = { kind: "replied", reply, body: undefined };
 
 /** Sends requests one after another; returns how many each endpoint has got. */
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -1,14 +1,14 @@
 /**
  * One attempt of a request at one endpoint: sends the request, verifies that the reply belongs to it, and reads the
  * reply completely or relays its events as they arrive. An incomplete reply closes the connection, since later bytes on
- * it could not be attributed to a request.
+ * it could not be attributed to a request. A reply that ends with its connection is complete once that is confirmed.
  *
  * A reply belongs to the request only if it carries its id. A faulty endpoint may write an earlier reply once more on a
  * kept connection, and a refusal in it would pass for one of a request that is running.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
-import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
+import type { EndpointConnections, ReadyRequest } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import { failureMessage, inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
@@ -17,6 +17,7 @@
 import type { HeldBytes } from "./CallerMemory.js";
 import type { RunningAttempt } from "./EndpointTracker.js";
 import { EventSplitter, type RelayedEvent } from "./EventSplitter.js";
+import type { ReplyEnds } from "./ReplyEnds.js";
 import type { AttemptOutcome, GatewayCodec, ReplyHead, RequestHead } from "./Types.js";
 
 /** Maximum size of a reply that is not streamed. */
@@ -28,6 +29,7 @@
  * connections after 300 ms of idle time, and after the reset it is unknown whether the request has run.
  */
 const maxSafeIdleMs = 250;
+const uncertainEnd = "the reply ended with its connection, and it is not certain that it is whole";
 /** Maximum length of a foreign id in the log. */
 const maxLoggedIdLength = 64;
 
@@ -43,6 +45,7 @@
     readonly held: HeldBytes;
     readonly codec: GatewayCodec;
     readonly connections: EndpointConnections;
+    readonly ends: ReplyEnds;
     readonly notices: EndpointNotices;
     readonly clock: Clock;
     readonly log: EventLog;
@@ -73,6 +76,7 @@
     private req: ClientRequest | undefined;
     private throughHost: HostId | undefined;
     private isReused = false;
+    private confirmsEnd: ReadyRequest["confirmsEnd"];
     private res: IncomingMessage | undefined;
     private resolve: (outcome: AttemptOutcome) => void = () => undefined;
 
@@ -100,8 +104,9 @@
                 ? { kind: "cancelled" }
                 : { kind: "unsent", message, isSilent: kind === "timeout", isConfirmed };
         }
-        const { req, through, reused } = connected.unsafeCoerce();
+        const { req, through, reused, confirmsEnd } = connected.unsafeCoerce();
         this.throughHost = through;
+        this.confirmsEnd = confirmsEnd;
         this.isReused = reused;
         if (signal.aborted) {
             // The abort came after the connection was made, and a listener would not be told of it any more.
@@ -131,7 +136,7 @@
     private readonly onAbort = () => this.finish({ kind: "cancelled" });
 
     private async read(res: IncomingMessage): Promise<void> {
-        const { codec, head, attempt, notices } = this.options;
+        const { codec, head, attempt, notices, caller } = this.options;
         this.res = res;
         const reply = codec.decodeReply(res);
         attempt.recordActivity();
@@ -145,7 +150,7 @@
             this.fail("the reply is not signed");
             return;
         }
-        if (reply.status === 200 && reply.isEventStream) {
+        if (reply.status === 200 && reply.isEventStream && caller.takesStreams) {
             await this.relay(res, reply);
             return;
         }
@@ -184,14 +189,34 @@
         });
         res.on("close", () => this.handleClose());
         res.on("end", () => {
-            if (!res.complete) {
-                return;
+            if (res.complete) {
+                inBackground(this.options.log, "end-reply", this.endComplete(reply, Buffer.concat(chunks)));
             }
-            this.finish(
-                reply.isNotRun
-                    ? { kind: "not-run", status: reply.status }
-                    : { kind: "replied", reply, body: Buffer.concat(chunks) },
-            );
+        });
+    }
+
+    private async endComplete(reply: ReplyHead, body: Buffer): Promise<void> {
+        if (reply.isNotRun) {
+            this.finish({ kind: "not-run", status: reply.status });
+        }
+        else if (await this.isWhole(reply)) {
+            this.finish({ kind: "replied", reply, body });
+        }
+        else {
+            this.fail(uncertainEnd);
+        }
+    }
+
+    /** True when the reply that has ended is certainly whole. */
+    private async isWhole({ isFramed }: ReplyHead): Promise<boolean> {
+        const { ends, head, attempt, signal } = this.options;
+        this.silenceTimer?.dispose();
+        return isFramed || ends.isWhole({
+            request: head.id,
+            endpoint: attempt.record.listed,
+            through: this.throughHost,
+            confirmsEnd: this.confirmsEnd,
+            signal,
         });
     }
 
@@ -220,9 +245,12 @@
             return;
         }
         if (res.complete && !this.isFinished) {
-            const fault = caller.endFault(reply, splitter.remainder);
+            const fault = caller.endFault(reply, splitter.remainder)
+                ?? (await this.isWhole(reply) ? undefined : uncertainEnd);
             if (fault !== undefined) {
                 this.fail(fault);
+            }
+            if (this.isFinished) {
                 return;
             }
             await caller.endStream(splitter.remainder);
--- a/src/gateway/EndpointTracker.test.ts
+++ b/src/gateway/EndpointTracker.test.ts
@@ -37,6 +37,7 @@
         isNotRun: false,
         isEventStream: false,
         isFramed: true,
+        hasBody: true,
         forwarded: [],
     },
     body: undefined,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -26,6 +26,7 @@
 import { GatewayRequest } from "./GatewayRequest.js";
 import { LimitHistory } from "./LimitHistory.js";
 import { failedRefusal, stoppingRetryMs } from "./RefusalCauses.js";
+import type { ReplyEnds } from "./ReplyEnds.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
 import { RequestProgress } from "./RequestProgress.js";
 import type { RequestQuarantine } from "./RequestQuarantine.js";
@@ -33,7 +34,7 @@
 import { pickService, RouteTable } from "./RouteTable.js";
 import { type StageGraph, stagesAndReplyMs } from "./StageGraph.js";
 import type { StreamBinding } from "./StreamBinding.js";
-import type { AdmittedRequest, GatewayCodec, Refusal, RequestHead } from "./Types.js";
+import { type AdmittedRequest, type GatewayCodec, isStreamed, type Refusal, type RequestHead } from "./Types.js";
 
 /** The lease on keys ends this long before the time by which a revoked key must no longer be accepted. */
 const leaseMarginMs = 500;
@@ -59,6 +60,7 @@
     readonly stages: StageGraph;
     readonly pieces: PieceExecutor;
     readonly connections: EndpointConnections;
+    readonly ends: ReplyEnds;
     readonly notices: EndpointNotices;
     readonly retries: FleetRetryBudget;
     readonly hedging: GatewayHedging;
@@ -220,6 +222,11 @@
             return;
         }
         const { route, service, workspace } = admitted;
+        if (!res.useChunkedEncodingByDefault && isStreamed(route)) {
+            const message = "the end of a stream can't be marked in HTTP/1.0; send the request with HTTP/1.1";
+            this.refuse(head, res, { reason: "bad-request", message, notRun: true });
+            return;
+        }
         const refusal = this.enter(admitted);
         if (refusal !== undefined) {
             this.refuse(head, res, refusal);
--- a/src/gateway/RequestAttempts.ts
+++ b/src/gateway/RequestAttempts.ts
@@ -169,7 +169,7 @@
         onBegin: () => void,
     ): EndpointExchange {
         const { deps, admitted, caller, held, stages, mayRepeat, onSilence, onEvent } = this.options;
-        const { codec, connections, notices, clock, log } = deps;
+        const { codec, connections, ends, notices, clock, log } = deps;
         const { head, body, route } = admitted;
         const { record } = attempt;
         return new EndpointExchange({
@@ -182,6 +182,7 @@
             held,
             codec,
             connections,
+            ends,
             notices,
             clock,
             log,
--- a/src/gateway/RequestQuarantine.ts
+++ b/src/gateway/RequestQuarantine.ts
@@ -49,13 +49,9 @@
         }
         else if (outcome.kind === "replied" && outcome.reply.status < failureStatus) {
             const parts = this.suspectedPartsOf(request);
-            if (parts.length > 0 && outcome.reply.isFramed) {
+            if (parts.length > 0) {
                 this.options.fleet.reportSoundParts(parts);
             }
-            else if (parts.length > 0) {
-                // A crash ends a reply without framing in the same way as its end does.
-                await this.reportIfCrashed(request, record);
-            }
         }
     }
 
--- a/src/gateway/SlowHelpers.test.ts
+++ b/src/gateway/SlowHelpers.test.ts
@@ -47,6 +47,7 @@
             await clock.sleep(Math.min(afterMs, timeoutMs));
             return Left<TunnelError>({ kind: afterMs < timeoutMs ? kind : "unavailable", message: kind });
         },
+        confirmsEnd: async () => false,
     };
     const hosts = entryHosts(4);
     const dialer = { reaches: async () => false, recordConnected: () => undefined };
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -7,6 +7,7 @@
 import type { WorkspaceId } from "../common/Types.js";
 import type { Route, Service, Workspace } from "../fleet/Types.js";
 import type { StreamOrigin } from "../streams/StreamOrigin.js";
+import type { StatusCodec } from "./ReplyEnds.js";
 
 /** One part of a prompt; equal ids mean equal text. */
 interface PromptPart {
@@ -87,14 +88,19 @@
     /** True when it states that the request was not run. */
     readonly isNotRun: boolean;
     readonly isEventStream: boolean;
-    /** False when the body ends with the connection, so that a truncated body can't be detected unless it is reset. */
+    /**
+     * False when the body ends with the connection, so that a truncated body can't be told from a whole one unless it is
+     * reset; see {@link ReplyEnds}.
+     */
     readonly isFramed: boolean;
+    /** False when the reply has no body by its status or by the method of the request. */
+    readonly hasBody: boolean;
     /** Headers passed to the caller unchanged, as alternating names and values. */
     readonly forwarded: readonly string[];
 }
 
 /** Translates between HTTP headers of the platform and the gateway's types. */
-export interface GatewayCodec {
+export interface GatewayCodec extends StatusCodec {
     decodeHead(req: http.IncomingMessage): Either<HeadFault, RequestHead>;
     /** Returns the headers of an attempt as alternating names and values. */
     encodeAttempt(head: RequestHead, attempt: AttemptInfo): readonly string[];
@@ -133,6 +139,11 @@
     return kind === "idempotent" || kind === "resumable";
 }
 
+/** True when requests of the route are answered with a stream of events. */
+export function isStreamed({ kind }: Route): boolean {
+    return kind === "stream" || kind === "resumable";
+}
+
 /** Why a request is answered without an endpoint's reply. */
 type RefusalReason =
     | "bad-request"
--- a/src/paths/EndpointPaths.test.ts
+++ b/src/paths/EndpointPaths.test.ts
@@ -45,6 +45,7 @@
                 const kind = failures.get(host);
                 return kind === undefined ? Right(new Socket()) : Left({ kind, message: kind });
             },
+            confirmsEnd: async () => false,
         },
         clock,
         log: silentLog,
--- a/src/paths/EndpointPaths.ts
+++ b/src/paths/EndpointPaths.ts
@@ -20,6 +20,8 @@
 
 /** Time limit for a tunnel: two connections of the peer, one after the other, and the way to it. */
 const tunnelMs = 220;
+/** Time limit for the statement of a peer that a tunnel has ended in order. */
+const confirmEndMs = 1000;
 /** Number of hosts that are asked for a tunnel at the same time, and how often others are asked after them. */
 const askedAtOnce = 2;
 const maxRounds = 2;
@@ -59,7 +61,7 @@
     readonly dataCentre: DataCentreId;
     readonly fleet: FleetSource;
     readonly dialer: Pick<DirectDialer, "reaches" | "recordConnected">;
-    readonly tunnels: Pick<TunnelClient, "open">;
+    readonly tunnels: Pick<TunnelClient, "open" | "confirmsEnd">;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -98,6 +100,12 @@
         return this.throughHost.get(socket);
     }
 
+    public async confirmsEnd(socket: Socket, signal: AbortSignal): Promise<boolean> {
+        const through = this.throughOf(socket);
+        return through !== undefined
+            && await this.options.tunnels.confirmsEnd(through, socket, { timeoutMs: confirmEndMs, signal });
+    }
+
     /**
      * Opens a connection through the first of several hosts that reaches the endpoint. While the path to it is not known to
      * be lost, the endpoint has probably ended, with all its requests: one of these asks other hosts for all.
--- a/src/peer/TunnelClient.ts
+++ b/src/peer/TunnelClient.ts
@@ -5,12 +5,23 @@
 import type * as http from "node:http";
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
 import { openRequest } from "../common/HttpRequests.js";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import { keyHeader } from "./Keys.js";
+import { definePeerMethod, type PeerCallOptions, type PeerTransport } from "./Types.js";
 
 /** Header with the reason why a tunnel was not opened. */
 export const tunnelReasonHeader = "fireflykeel-tunnel";
+/** Header with the id of a tunnel that was opened. */
+export const tunnelIdHeader = "fireflykeel-tunnel-id";
+const maxIdLength = 64;
+
+/** Asks the peer that serves a tunnel whether the target has ended it in order. */
+export const tunnelEndMethod = definePeerMethod<{ readonly tunnel: string; }, { readonly isEnded: boolean; }>(
+    "tunnels.end",
+    z.object({ tunnel: z.string().max(maxIdLength) }),
+);
 
 /** Time limit for a connection to a peer: many times the round trip to the farthest one. */
 const connectMs = 80;
@@ -31,12 +42,29 @@
     readonly key: string;
     /** Returns "ip:port" of a peer. */
     readonly addressOf: (host: HostId) => string;
+    readonly transport: PeerTransport;
     readonly clock: Clock;
 }
 
 export class TunnelClient {
+    /** Ids that the peers gave to open tunnels; those of older builds give none. */
+    private readonly ids = new WeakMap<Socket, string>();
+
     public constructor(private readonly options: TunnelClientOptions) {}
 
+    /**
+     * True when the peer states that the target has ended the tunnel in order. The end of the socket alone does not say
+     * that: the operating system of a peer that was killed ends its connections in the same way.
+     */
+    public async confirmsEnd(through: HostId, socket: Socket, options: PeerCallOptions): Promise<boolean> {
+        const tunnel = this.ids.get(socket);
+        if (tunnel === undefined) {
+            return false;
+        }
+        const reply = await this.options.transport.call(through, tunnelEndMethod, { tunnel }, options);
+        return reply.caseOf({ Left: () => false, Right: ({ isEnded }) => isEnded });
+    }
+
     /** Opens a tunnel to `target` through a peer. The caller closes the socket. */
     public async open(
         through: HostId,
@@ -91,6 +119,10 @@
             req.on("response", res => fail("unavailable", `the peer replied with status ${res.statusCode ?? 0}`));
             req.on("connect", (res, socket) => {
                 if (res.statusCode === 200) {
+                    const id = res.headers[tunnelIdHeader];
+                    if (typeof id === "string" && id.length <= maxIdLength) {
+                        this.ids.set(socket, id);
+                    }
                     finish(Right(socket));
                     return;
                 }
--- a/src/peer/TunnelServer.ts
+++ b/src/peer/TunnelServer.ts
@@ -1,16 +1,19 @@
 /**
  * Serves tunnels for peers: connects to an endpoint directly and copies bytes both ways. Closing or resetting one end
- * does the same to the other. The end of a stream without framing is its only mark, so a reset must not look like one.
+ * does the same to the other. The end of a stream without framing is its only mark, so a reset must not look like one,
+ * and neither must the end of this process: a peer asks whether the target has ended a tunnel in order.
  */
 import type * as http from "node:http";
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { Either } from "purify-ts";
+import { BoundedMap } from "../common/BoundedMap.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
-import { type TunnelError, tunnelReasonHeader } from "./TunnelClient.js";
+import { tunnelEndMethod, type TunnelError, tunnelIdHeader, tunnelReasonHeader } from "./TunnelClient.js";
+import type { PeerRegistry } from "./Types.js";
 
 /** Maximum number of open tunnels. */
 const maxTunnels = 1024;
@@ -18,6 +21,8 @@
 const quietMs = 1000;
 const drainPollMs = 50;
 const keepAliveMs = 2000;
+/** Maximum number of ended tunnels that are remembered; peers ask at once. */
+const maxEnded = 2048;
 
 /** Connects to endpoints from this host. */
 export interface TunnelDialer {
@@ -26,6 +31,9 @@
 
 interface TunnelServerOptions {
     readonly key: string;
+    readonly registry: PeerRegistry;
+    /** Identifies this run of the process, so that a peer does not take a tunnel of an earlier one for one of this. */
+    readonly life: string;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -34,6 +42,7 @@
 }
 
 interface Tunnel {
+    readonly id: string;
     readonly peer: Duplex;
     readonly target: Socket;
     lastDataMs: number;
@@ -45,8 +54,13 @@
     private readonly tunnels = new Set<Tunnel>();
     private dialer: TunnelDialer | undefined;
     private dialing = 0;
+    private opened = 0;
+    /** Tunnels that their targets have ended in order. */
+    private readonly ended = new BoundedMap<string, true>(maxEnded);
 
-    public constructor(private readonly options: TunnelServerOptions) {}
+    public constructor(private readonly options: TunnelServerOptions) {
+        options.registry.handle(tunnelEndMethod, async ({ tunnel }) => ({ isEnded: this.ended.has(tunnel) }));
+    }
 
     /** Starts to serve tunnels; before that, they are refused. */
     public serve(dialer: TunnelDialer): void {
@@ -86,7 +100,7 @@
     }
 
     private async accept(req: http.IncomingMessage, peer: Duplex): Promise<void> {
-        const { key, metrics, stopping } = this.options;
+        const { key, life, metrics, stopping } = this.options;
         const refuse = (reason: string) => {
             metrics.count("tunnels_served", { outcome: reason });
             peer.end(`HTTP/1.1 502 Bad Gateway\r\n${tunnelReasonHeader}: ${reason}\r\nContent-Length: 0\r\n\r\n`);
@@ -106,15 +120,17 @@
             Left: ({ kind }) => refuse(kind),
             Right: socket => {
                 metrics.count("tunnels_served", { outcome: "open" });
-                peer.write("HTTP/1.1 200 OK\r\n\r\n");
-                this.join(peer, socket);
+                this.opened += 1;
+                const id = `${life}-${this.opened}`;
+                peer.write(`HTTP/1.1 200 OK\r\n${tunnelIdHeader}: ${id}\r\n\r\n`);
+                this.join(id, peer, socket);
             },
         });
     }
 
-    private join(peer: Duplex, target: Socket): void {
+    private join(id: string, peer: Duplex, target: Socket): void {
         const { clock } = this.options;
-        const tunnel = { peer, target, lastDataMs: clock.nowMs(), awaitsReply: false };
+        const tunnel = { id, peer, target, lastDataMs: clock.nowMs(), awaitsReply: false };
         this.tunnels.add(tunnel);
         const recordData = (awaitsReply: boolean) => {
             tunnel.lastDataMs = clock.nowMs();
@@ -133,7 +149,10 @@
         peer.once("end", () => target.destroy());
         peer.once("close", () => target.destroy());
         target.once("error", () => reset(peer));
-        target.once("end", () => peer.end());
+        target.once("end", () => {
+            this.ended.set(id, true);
+            peer.end();
+        });
         target.once("close", () => {
             this.tunnels.delete(tunnel);
             peer.end();
--- a/src/peer/Tunnels.test.ts
+++ b/src/peer/Tunnels.test.ts
@@ -4,12 +4,13 @@
 import * as net from "node:net";
 import { after, test } from "node:test";
 import { type Either, Left, Right } from "purify-ts";
+import { FakeNetwork } from "../../testing/FakeNetwork.js";
 import { noMetrics } from "../../testing/FleetFixtures.js";
 import { MemoryLog } from "../../testing/MemoryLog.js";
 import { listenWithoutAccepting } from "../../testing/SilentListener.js";
 import { listen } from "../common/HttpServers.js";
 import { SystemClock } from "../common/SystemClock.js";
-import type { HostId } from "../common/Types.js";
+import type { Clock, HostId } from "../common/Types.js";
 import { TunnelClient, type TunnelError } from "./TunnelClient.js";
 import { TunnelServer } from "./TunnelServer.js";
 
@@ -26,12 +27,23 @@
     return (server.address() as net.AddressInfo).port;
 }
 
+const helper = "h" as HostId;
+
+/** A client of tunnels through one helper. */
+function clientOf(address: string, presented: string = key, on: Clock = clock, network = new FakeNetwork(clock)) {
+    const transport = network.addHost("caller" as HostId);
+    return new TunnelClient({ key: presented, addressOf: () => address, transport, clock: on });
+}
+
 /** Starts a host that serves tunnels with the given outcome of its own connection. */
 async function startHelper(dial: (target: string) => Promise<Either<TunnelError, net.Socket>>) {
     const log = new MemoryLog();
     const dialed: string[] = [];
     const stopping = new AbortController();
-    const tunnels = new TunnelServer({ key, clock, log, metrics: noMetrics, stopping: stopping.signal });
+    const network = new FakeNetwork(clock);
+    const common = { key, clock, log, metrics: noMetrics, stopping: stopping.signal };
+    const startServer = (life: string) => new TunnelServer({ ...common, registry: network.addHost(helper), life });
+    const tunnels = startServer("life-1");
     tunnels.serve({
         dial: target => {
             dialed.push(target);
@@ -39,6 +51,8 @@
         },
     });
     const server = http.createServer((_, res) => void res.writeHead(404).end());
+    const serverSockets: net.Socket[] = [];
+    server.on("connection", (socket: net.Socket) => serverSockets.push(socket));
     tunnels.attach(server);
     await listen(server, "127.0.0.1:0");
     closers.push(() => {
@@ -47,9 +61,21 @@
     });
     const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
     const open = (target: string, presented: string = key) =>
-        new TunnelClient({ key: presented, addressOf: () => address, clock })
-            .open("h" as HostId, target, 1000, new AbortController().signal);
-    return { address, dialed, log, open };
+        clientOf(address, presented).open(helper, target, 1000, new AbortController().signal);
+    return {
+        address,
+        dialed,
+        log,
+        open,
+        client: clientOf(address, key, clock, network),
+        /** The process is killed: the system ends its connections in order, and it answers no calls. */
+        kill: () => {
+            network.kill(helper);
+            serverSockets.forEach(one => one.destroySoon());
+        },
+        /** Another process takes the place of the one that was killed. */
+        restart: () => void startServer("life-2"),
+    };
 }
 
 const kindOf = (opened: Either<TunnelError, net.Socket>) =>
@@ -123,7 +149,7 @@
 test("a host that can't be reached is given up early", async () => {
     const silent = await listenWithoutAccepting("127.0.0.1:0");
     closers.push(() => void silent.stop());
-    const client = new TunnelClient({ key, addressOf: () => silent.address, clock });
+    const client = clientOf(silent.address);
     const startMs = performance.now();
     const opened = await client.open("h" as HostId, "e1", 1000, new AbortController().signal);
     assert.equal(kindOf(opened), "unavailable");
@@ -132,7 +158,7 @@
 
 // Guards against an exception for the address of a host, which ends the process.
 test("a host whose address is none is not available", async () => {
-    const client = new TunnelClient({ key, addressOf: () => "10.0.0.1:99999", clock });
+    const client = clientOf("10.0.0.1:99999");
     assert.equal(kindOf(await client.open("h" as HostId, "e1", 1000, new AbortController().signal)), "unavailable");
 });
 
@@ -149,9 +175,52 @@
             return { dispose: () => callbacks[at] = () => undefined };
         },
     };
-    const client = new TunnelClient({ key, addressOf: () => address, clock: stalled });
+    const client = clientOf(address, key, stalled);
     const opened = client.open("h" as HostId, "e1", 1000, new AbortController().signal);
     // Both timers are due before any event of the connection was handled.
     callbacks.slice().forEach(callback => callback());
     assert.equal(kindOf(await opened), "refused");
 });
+
+const ends: readonly {
+    readonly name: string;
+    readonly end: (helper: { readonly kill: () => void; readonly restart: () => void; }, target: net.Socket) => void;
+    readonly isConfirmed: boolean;
+}[] = [
+    { name: "its target", end: (_, target) => void target.end(), isConfirmed: true },
+    { name: "the end of the helper's process", end: ({ kill }) => kill(), isConfirmed: false },
+    {
+        name: "the end of the helper's process, which is started again at once",
+        end: ({ kill, restart }) => {
+            kill();
+            restart();
+        },
+        isConfirmed: false,
+    },
+];
+
+for (const { name, end, isConfirmed } of ends) {
+    // Guards against a helper whose process ends and whose connections then end like those of an endpoint that has replied.
+    test(`a tunnel that is ended by ${name} is ${isConfirmed ? "" : "not "}confirmed to have ended in order`, async () => {
+        const targets: net.Socket[] = [];
+        const server = net.createServer(socket => targets.push(socket));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        closers.push(() => void server.close());
+        const { port } = server.address() as net.AddressInfo;
+        const started = await startHelper(async () => {
+            const socket = net.connect(port, "127.0.0.1");
+            await new Promise(resolve => socket.once("connect", resolve));
+            return Right(socket);
+        });
+        const opened = await started.client.open(helper, "e1", 1000, new AbortController().signal);
+        const socket = opened.unsafeCoerce();
+        const ended = new Promise(resolve => socket.once("end", resolve));
+        socket.resume();
+        while (targets.length === 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        end(started, targets[0]!);
+        await ended;
+        assert.equal(await started.client.confirmsEnd(helper, socket, { timeoutMs: 500 }), isConfirmed);
+    });
+}
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -153,6 +153,8 @@
     SlowCallerDisconnected = 1111,
     /** A reply of an endpoint did not carry the id of the request that was sent last. */
     EndpointReplyRejected = 1112,
+    /** A reply without a length or chunks has ended with its connection; what shows whether it is whole. */
+    ReplyEndChecked = 1113,
     /** A request stays at an endpoint that sends nothing, since no other one can take it. */
     SilentAttemptKept = 1116,
     // 12xx: gather
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -157,8 +157,11 @@
     };
 }
 
+/** Path of the status check of endpoints. */
+export const statusPath = "/status";
+
 export function service(id: string, fields: Partial<Service> = {}): Service {
-    return { id: serviceId(id), coldMs: 0, coldPerSecond: 0, pieces: undefined, ...fields };
+    return { id: serviceId(id), statusPath, coldMs: 0, coldPerSecond: 0, pieces: undefined, ...fields };
 }
 
 export function deployment(routes: readonly Route[], services: readonly Service[]): Deployment {
--- a/testing/GatewaySite.ts
+++ b/testing/GatewaySite.ts
@@ -21,6 +21,7 @@
 import { Gateway } from "../src/gateway/Gateway.js";
 import { GatewayHedging } from "../src/gateway/GatewayHedging.js";
 import { GatewayServer } from "../src/gateway/GatewayServer.js";
+import { ReplyEnds } from "../src/gateway/ReplyEnds.js";
 import { ReplyTimes } from "../src/gateway/ReplyTimes.js";
 import { RequestQuarantine } from "../src/gateway/RequestQuarantine.js";
 import { StageGraph } from "../src/gateway/StageGraph.js";
@@ -41,6 +42,7 @@
 import { MetricsRegistry } from "../src/telemetry/MetricsRegistry.js";
 import type { EventLog } from "../src/telemetry/Types.js";
 import { EndpointLinks } from "./EndpointLinks.js";
+import type { RequestHandler } from "./EndpointReplies.js";
 import { FakeNetwork } from "./FakeNetwork.js";
 import {
     defaultBounds,
@@ -52,13 +54,21 @@
     route,
     service,
     silentLog,
+    statusPath,
     testPermits,
 } from "./FleetFixtures.js";
 
+export {
+    crash,
+    reply,
+    type RequestHandler,
+    sendEvents,
+    serveFull,
+    serveGood,
+    signatureHeader,
+} from "./EndpointReplies.js";
 export { type Answer, sendRequest } from "./GatewayCaller.js";
 
-/** Signature that a complete reply of an endpoint carries. */
-export const signatureHeader = { "Fireflykeel-Server-Stamp": "stamp" };
 const closers: (() => void)[] = [];
 
 /** Closes everything that was started; call it after all tests of a file. */
@@ -66,12 +76,14 @@
     closers.forEach(close => close());
 }
 
-export type RequestHandler = (req: http.IncomingMessage, res: http.ServerResponse, socket: Socket) => void;
-
-/** Starts an endpoint that reads the whole request before it serves it. */
-function startEndpoint(handler: RequestHandler): Promise<http.Server> {
+/** Starts an endpoint that answers status checks, and reads the whole of any other request before it serves it. */
+function startEndpoint(instance: string, handler: RequestHandler): Promise<http.Server> {
     return startServer((req, res) => {
         req.resume();
+        if (req.method === "GET" && req.url === statusPath) {
+            res.writeHead(200, { "Fireflykeel-Instance-Id": instance, "content-length": 0 }).end();
+            return;
+        }
         req.on("end", () => handler(req, res, req.socket));
     });
 }
@@ -90,35 +102,6 @@
     return server;
 }
 
-/** Writes a complete reply that echoes the request's id. */
-export function reply(
-    res: http.ServerResponse,
-    req: http.IncomingMessage,
-    status: number,
-    headers: object,
-    body: string,
-) {
-    const echo = { "Fireflykeel-Request-Id": req.headers["fireflykeel-request-id"] ?? "" };
-    res.writeHead(status, { ...echo, ...headers, "content-length": Buffer.byteLength(body) }).end(body);
-}
-
-export const serveGood: RequestHandler = (req, res) => reply(res, req, 200, signatureHeader, "good");
-/** Refuses a request as not executed, as an endpoint without a free slot does. */
-export const serveFull: RequestHandler = (req, res) =>
-    reply(res, req, 503, { "Fireflykeel-Not-Executed": "1" }, "full");
-
-/** Starts an event stream and writes the events `from` to `to`; leaves the stream open. */
-export function sendEvents(req: http.IncomingMessage, res: http.ServerResponse, from: number, to: number): void {
-    res.writeHead(200, {
-        ...signatureHeader,
-        "Fireflykeel-Request-Id": req.headers["fireflykeel-request-id"] ?? "",
-        "content-type": "text/event-stream",
-    });
-    for (let id = from; id <= to; id++) {
-        res.write(`id: ${id}\ndata: ${id}\n\n`);
-    }
-}
-
 export interface GatewaySite {
     readonly address: string;
     readonly fleet: FixedFleet;
@@ -136,6 +119,8 @@
     readonly links: EndpointLinks | undefined;
     /** Serves tunnels to endpoints for other hosts. */
     readonly tunnelServer: TunnelServer;
+    /** Ends this host for other hosts as a kill does: the system ends its connections in order. */
+    endForPeers(): void;
     /** Begins a planned stop of this host. */
     stop(): void;
     /** Takes an endpoint off the list of this host. */
@@ -158,10 +143,19 @@
     handlers: readonly RequestHandler[],
     options: GatewaySiteOptions = {},
 ): Promise<GatewaySite> {
-    const [site] = await startGatewaySites(2, kind, handlers, options);
+    return (await startHelpedSite(kind, handlers, options)).site;
+}
+
+/** Starts what {@link startDetouredSite} does; returns the other host as well. */
+export async function startHelpedSite(
+    kind: RequestKind,
+    handlers: readonly RequestHandler[],
+    options: GatewaySiteOptions = {},
+): Promise<{ readonly site: GatewaySite; readonly helper: GatewaySite; }> {
+    const [site, helper] = await startGatewaySites(2, kind, handlers, options);
     const endpoints = site!.fleet.view().endpoints.map(one => ({ ...one, address: closedAddress }));
     site!.fleet.set({ endpoints });
-    return site!;
+    return { site: site!, helper: helper! };
 }
 
 /** Refuses connections. */
@@ -215,8 +209,8 @@
     const { hedgeShare = () => 0, callerMemory = unlimitedMemory, log = silentLog } = options;
     const clock = options.clock ?? new SystemClock();
     const received: http.IncomingMessage[] = [];
-    const endpoints = await Promise.all(handlers.map(serve =>
-        startEndpoint((req, res, socket) => {
+    const endpoints = await Promise.all(handlers.map((serve, at) =>
+        startEndpoint(`e${at}`, (req, res, socket) => {
             received.push(req);
             serve(req, res, socket);
         })
@@ -239,7 +233,14 @@
         );
         closers.push(dispose);
         const peerServer = await startServer((_, res) => void res.writeHead(404).end());
+        const peerSockets: Socket[] = [];
+        peerServer.on("connection", (socket: Socket) => peerSockets.push(socket));
         tunnelServer.attach(peerServer);
+        const endForPeers = () => {
+            network.kill(host);
+            peerServer.close();
+            peerSockets.forEach(socket => socket.destroy());
+        };
         peerAddresses.set(host, addressOf(peerServer));
         const links = hasLinks === true ? await startLinks(endpoints) : undefined;
         const stages = stageExecutor === undefined ? [] : [{ service: "p" as ServiceId, after: [], resultBytes: 1 }];
@@ -281,6 +282,7 @@
             limits,
             links,
             tunnelServer,
+            endForPeers,
             stop,
             hide,
         };
@@ -352,10 +354,15 @@
     const stopping = new AbortController();
     const stopped = new AbortController();
     const key = "test-key-of-peers";
-    const tunnelServer = new TunnelServer({ ...common, key, stopping: stopping.signal });
+    const tunnelServer = new TunnelServer({ ...common, key, life: self, stopping: stopping.signal });
     const dialer = new DirectDialer(fleet, clock);
     tunnelServer.serve(dialer);
-    const tunnels = new TunnelClient({ key, addressOf: host => peerAddresses.get(host) ?? "", clock });
+    const tunnels = new TunnelClient({
+        key,
+        addressOf: host => peerAddresses.get(host) ?? "",
+        transport: peers,
+        clock,
+    });
     const dataCentre = "a" as DataCentreId;
     const paths = new EndpointPaths({ ...common, dataCentre, dialer, tunnels });
     void paths.run(stopped.signal);
@@ -384,15 +391,17 @@
     const retries = new FleetRetryBudget(bounds, fleet, clock);
     const hedging = new GatewayHedging(clock, retries, () => ({ maxShare: hedgeShare() }));
     const memory = new CallerMemory({ settings: callerMemory, clock, log, metrics: noMetrics });
+    const codec = new PlatformGatewayCodec();
     const gateway = new Gateway({
         fleet,
         bounds,
-        codec: new PlatformGatewayCodec(),
+        codec,
         tracker: tracker,
         chooser: new EndpointChooser("a" as DataCentreId, cold, new SeededRandom(1), load, new PrefixDemand(clock)),
         stages: new StageGraph(executor, clock, () => "s" as SubmissionId),
         pieces: executor,
         connections,
+        ends: new ReplyEnds({ fleet, connections, codec, clock, log: silentLog, metrics: noMetrics }),
         notices,
         retries,
         hedging,
--- a/testing/HedgeSimulation.ts
+++ b/testing/HedgeSimulation.ts
@@ -50,6 +50,7 @@
     isNotRun: false,
     isEventStream: false,
     isFramed: true,
+    hasBody: true,
     forwarded: [],
 };
 
--- a/testing/LoadSimulation.ts
+++ b/testing/LoadSimulation.ts
@@ -39,6 +39,7 @@
     isNotRun: false,
     isEventStream: true,
     isFramed: true,
+    hasBody: true,
     forwarded: [],
 };
 
