Orders: an order that was given up changes nothing behind a newer one

Cause: orders that take data centres out of use or back have no place among orders; whatever is committed last wins. Time limits and a look at the operator's connection only narrow that.

Change: such an order names the log index of the state that its control host had confirmed while the operator was there. The state machine refuses it when another order of the data centre has been committed since; the log names both. Orders that begin a roll-out name the last roll-out in the same way.

--- a/src/daemon/FleetControl.ts
+++ b/src/daemon/FleetControl.ts
@@ -70,7 +70,7 @@
     const { rollouts: bounds } = settings.bounds;
     const endpoints = () => reader.current().endpoints;
     const rollouts = new RolloutCalls({ bounds, log, state, decoder, endpoints, publisher, clock, events });
-    const operator = new OperatorCallHandler({ log, state, decoder, rollouts, clock, events, metrics });
+    const operator = new OperatorCallHandler({ self, log, state, decoder, rollouts, clock, events, metrics });
     const replica: Service = log;
     host.start([
         replica,
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -2,8 +2,14 @@
  * The replicated state of the fleet: the text and version of the configuration, the data centres taken out of use, and
  * the crash marks: when endpoints crashed while running a request, and with which parts of prompts, and the roll-outs of
  * services. The highest version wins; a configuration with the same or a lower version changes nothing.
+ *
+ * An order that takes a data centre out of use or back has no version. A copy of it may be committed long after its
+ * operator has given it up, and after newer orders. It names the state that its control host had confirmed while the
+ * operator was there, and changes nothing if another order of the data centre has been committed since.
  */
 import * as z from "zod";
+import { BoundedMap } from "../common/BoundedMap.js";
+import { Emitter } from "../common/Emitter.js";
 import type { Json, StateMachine } from "../replication/Types.js";
 import { rolloutCommands, RolloutTable } from "../rollouts/RolloutTable.js";
 import { rolloutViewSchema } from "../rollouts/Types.js";
@@ -19,12 +25,22 @@
 const crashWindowMs = 60_000;
 /** Maximum number of marked requests; the oldest are dropped first. */
 const maxMarkedRequests = 2048;
+/** Maximum number of data centres whose last order is known; the one ordered longest ago is forgotten first. */
+const maxOrders = 1024;
 
 const partKey = z.string() as unknown as z.ZodType<PartKey>;
 
 const commandSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("put-config"), version: z.number(), text: z.string() }),
-    z.object({ kind: z.literal("set-data-centre"), dataCentre: z.string(), isOut: z.boolean() }),
+    z.object({
+        kind: z.literal("set-data-centre"),
+        dataCentre: z.string(),
+        isOut: z.boolean(),
+        /** Log index of the state that the host had confirmed; hosts of older builds give none, which binds to nothing. */
+        seen: z.number().default(Number.MAX_SAFE_INTEGER),
+        /** The control host that was given the order; hosts of older builds do not say. */
+        by: z.string().default(""),
+    }),
     z.object({
         kind: z.literal("mark-crashes"),
         fingerprints: z.array(z.string()),
@@ -41,6 +57,19 @@
 /** A command in the replicated log. */
 export type FleetCommand = z.infer<typeof commandSchema>;
 
+type DataCentreCommand = Extract<FleetCommand, { readonly kind: "set-data-centre"; }>;
+
+const dataCentreOrder = z.object({ index: z.number(), isOut: z.boolean(), by: z.string() });
+
+/** The last order of a data centre, at an index of the log. */
+type DataCentreOrder = z.infer<typeof dataCentreOrder>;
+
+/** An order that came after a newer one, and has changed nothing. */
+export interface StaleOrder {
+    readonly order: DataCentreCommand;
+    readonly newer: DataCentreOrder;
+}
+
 const partRecords = z.array(z.object({
     key: partKey,
     endpoints: z.array(z.string()),
@@ -52,6 +81,7 @@
     version: z.number(),
     text: z.string(),
     dataCentresOut: z.array(z.string()),
+    dataCentreOrders: z.array(z.tuple([z.string(), dataCentreOrder])).default([]),
     crashes: z.array(z.tuple([z.string(), z.array(z.number())])),
     parts: z.object({ suspected: partRecords, condemned: partRecords }).default({ suspected: [], condemned: [] }),
     rollouts: rolloutViewSchema.default({ revision: 0, records: [] }),
@@ -63,6 +93,10 @@
     private configVersion = 0;
     private configText = "";
     private readonly outDataCentres = new Set<string>();
+    private readonly orders = new BoundedMap<string, DataCentreOrder>(maxOrders);
+    private readonly staleOrders = new Emitter<StaleOrder>();
+    /** Fires for an order that came too late to change anything. */
+    public readonly onStaleOrder = this.staleOrders.event;
     /** Times of the last crashes by fingerprint; {@link crashesUntilQuarantine} of them quarantine a request. */
     private readonly crashes = new Map<string, readonly number[]>();
 
@@ -88,7 +122,7 @@
         );
     }
 
-    public apply(command: Json): Json {
+    public apply(command: Json, index: number): Json {
         const parsed = commandSchema.safeParse(command);
         if (!parsed.success) {
             return { kind: "unknown-command" };
@@ -97,7 +131,7 @@
             case "put-config":
                 return this.putConfig(parsed.data.version, parsed.data.text);
             case "set-data-centre":
-                return this.setDataCentre(parsed.data.dataCentre, parsed.data.isOut);
+                return this.setDataCentre(parsed.data, index);
             case "mark-crashes":
                 parsed.data.parts.forEach(({ endpoint, keys }) => this.parts.recordCrash(endpoint, keys));
                 return this.markCrashes(parsed.data.fingerprints, parsed.data.atMs);
@@ -122,6 +156,7 @@
             version: this.configVersion,
             text: this.configText,
             dataCentresOut: this.dataCentresOut,
+            dataCentreOrders: [...this.orders].map(([dataCentre, order]) => [dataCentre, { ...order }]),
             crashes: [...this.crashes],
             parts: this.parts.snapshot() as unknown as Json,
             rollouts: this.rollouts.snapshot() as unknown as Json,
@@ -129,11 +164,14 @@
     }
 
     public restore(snapshot: Json): void {
-        const { version, text, dataCentresOut, crashes, parts, rollouts } = snapshotSchema.parse(snapshot);
+        const { version, text, dataCentresOut, dataCentreOrders, crashes, parts, rollouts } = snapshotSchema
+            .parse(snapshot);
         this.configVersion = version;
         this.configText = text;
         this.outDataCentres.clear();
         dataCentresOut.forEach(dataCentre => this.outDataCentres.add(dataCentre));
+        this.orders.clear();
+        dataCentreOrders.forEach(([dataCentre, order]) => this.orders.set(dataCentre, order));
         this.crashes.clear();
         crashes.forEach(([fingerprint, times]) => this.crashes.set(fingerprint, times));
         this.parts.restore(parts.suspected, parts.condemned);
@@ -149,7 +187,17 @@
         return { kind: isNewer ? "in-force" : "overtaken", version: this.configVersion };
     }
 
-    private setDataCentre(dataCentre: string, isOut: boolean): Json {
+    private setDataCentre(order: DataCentreCommand, index: number): Json {
+        const { dataCentre, isOut, seen, by } = order;
+        const newer = this.orders.get(dataCentre);
+        if (newer !== undefined && newer.index > seen) {
+            if (newer.isOut !== isOut) {
+                this.staleOrders.fire({ order, newer });
+                return { kind: "stale" };
+            }
+            return { kind: "set" };
+        }
+        this.orders.set(dataCentre, { index, isOut, by });
         if (isOut) {
             this.outDataCentres.add(dataCentre);
         }
--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -57,18 +57,19 @@
             writeJson(res, 404, {}, { error: { kind: "unknown-call", message: `${req.method} ${req.url}` } });
             return;
         }
-        if (await this.isAbandoned(req)) {
+        const operator = { hasLeft: () => this.hasLeft(req) };
+        if (await operator.hasLeft()) {
             this.options.log.event(EventId.OperatorCallAbandoned, { call: call.kind });
             return;
         }
-        writeAnswer(res, await this.options.operator.handle(call), this.options.formatRollout);
+        writeAnswer(res, await this.options.operator.handle(call, operator), this.options.formatRollout);
     }
 
     /**
      * True when the operator has closed the connection, and may have given another order elsewhere. After a suspension
      * of this host, the end of the connection is read a turn of the event loop after the request.
      */
-    private async isAbandoned(req: http.IncomingMessage): Promise<boolean> {
+    private async hasLeft(req: http.IncomingMessage): Promise<boolean> {
         await nextTurn();
         await nextTurn();
         return req.socket.destroyed;
--- a/src/fleet/RolloutCalls.ts
+++ b/src/fleet/RolloutCalls.ts
@@ -5,12 +5,12 @@
 import type { Clock } from "../common/Types.js";
 import type { RaftLog } from "../replication/RaftLog.js";
 import { plainVerdict, type RolloutCommand } from "../rollouts/RolloutTable.js";
-import { freshViewMs, type RolloutBounds } from "../rollouts/Types.js";
+import { freshViewMs, type RolloutBounds, type RolloutRecord } from "../rollouts/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog } from "../telemetry/Types.js";
 import type { FleetPublisher } from "./FleetPublisher.js";
 import type { FleetState } from "./FleetState.js";
-import type { OperatorAnswer, OperatorCall } from "./OperatorCallHandler.js";
+import type { OperatorAnswer, OperatorCall, OperatorPresence } from "./OperatorCallHandler.js";
 import type { Deployment, DeploymentDecoder, ListedEndpoint } from "./Types.js";
 
 /** Time limits for committing an order, and for confirming that the state is the latest. */
@@ -41,7 +41,7 @@
 
     public constructor(private readonly options: RolloutCallsOptions) {}
 
-    public async execute(call: RolloutCall): Promise<OperatorAnswer> {
+    public async execute(call: RolloutCall, operator: OperatorPresence): Promise<OperatorAnswer> {
         if (this.options.bounds === undefined) {
             return { kind: "invalid", message: "the settings of this deployment have no bounds for roll-outs" };
         }
@@ -49,17 +49,23 @@
         if (read.isLeft()) {
             return { kind: "unavailable", message: read.extract().message };
         }
+        // A copy of the order that is committed later must not act on a roll-out that began after the operator had left.
+        const known = this.options.state.rollouts.find(call.service);
+        if (await operator.hasLeft()) {
+            this.options.events.event(EventId.OperatorCallAbandoned, { call: call.kind });
+            return { kind: "unavailable", message: "the operator has left" };
+        }
         switch (call.kind) {
             case "start-rollout":
-                return this.logged(call, await this.start(call, this.options.bounds));
+                return this.logged(call, await this.start(call, this.options.bounds, known?.order ?? 0));
             case "get-rollout":
                 return this.get(call.service);
             case "abort-rollout":
-                return this.logged(call, await this.abort(call.service));
+                return this.logged(call, await this.abort(call.service, known));
         }
     }
 
-    private async start(call: StartCall, bounds: RolloutBounds): Promise<OperatorAnswer> {
+    private async start(call: StartCall, bounds: RolloutBounds, after: number): Promise<OperatorAnswer> {
         const { clock, state, publisher } = this.options;
         const { service, target, durationMs } = call;
         const fault = this.faultOf(call);
@@ -76,7 +82,7 @@
             return refusal;
         }
         const wasListed = this.versionsOf(service).has(target);
-        const command = { kind: "start-rollout", service, target, durationMs, atMs: clock.wallMs() } as const;
+        const command = { kind: "start-rollout", service, target, durationMs, atMs: clock.wallMs(), after } as const;
         const committed = expected === "started" ? await this.commit(command) : { kind: expected } as const;
         if (committed.kind === "unavailable") {
             return committed;
@@ -91,6 +97,8 @@
                 return { kind: "in-progress", message: `the roll-out of ${service} to ${target} is in progress` };
             case "conflict":
                 return { kind: "invalid", message: `another roll-out of ${service} is in progress` };
+            case "stale":
+                return { kind: "unavailable", message: `another roll-out of ${service} was begun meanwhile` };
             default:
                 return { kind: "done", version: state.version };
         }
@@ -135,9 +143,8 @@
             : { kind: "rollout", record };
     }
 
-    private async abort(service: string): Promise<OperatorAnswer> {
+    private async abort(service: string, record: RolloutRecord | undefined): Promise<OperatorAnswer> {
         const { state, clock } = this.options;
-        const record = state.rollouts.find(service);
         if (record === undefined) {
             return this.get(service);
         }
--- a/src/rollouts/RolloutTable.test.ts
+++ b/src/rollouts/RolloutTable.test.ts
@@ -7,12 +7,13 @@
 import { plainVerdict, type RolloutCommand, RolloutTable } from "./RolloutTable.js";
 
 const service = "s" as ServiceId;
-const start = (target: string, durationMs = 12_000): RolloutCommand => ({
+const start = (target: string, durationMs = 12_000, after = -1): RolloutCommand => ({
     kind: "start-rollout",
     service,
     target,
     durationMs,
     atMs: 1000,
+    after,
 });
 const end = (table: RolloutTable, state: "completed" | "rolled_back") =>
     table.apply({
@@ -98,7 +99,7 @@
 
 test("roll-outs survive a snapshot of the fleet's state, and a snapshot of an older build has none", () => {
     const state = new FleetState();
-    state.apply(start("v2"));
+    state.apply(start("v2"), 1);
     const snapshot = JSON.parse(JSON.stringify(state.snapshot())) as Record<string, Json>;
     const copy = new FleetState();
     copy.restore(snapshot);
@@ -108,3 +109,15 @@
     copy.restore(older);
     assert.deepEqual(copy.rollouts.records, []);
 });
+
+// Guards against a copy of an order that its operator gave up, which is committed after a newer roll-out has ended.
+test("an order to begin a roll-out changes nothing after another one has begun that its host did not know", () => {
+    const table = new RolloutTable();
+    const late = start("v2", 12_000, table.find(service)?.order ?? 0);
+    assert.equal(table.apply(late), "started");
+    end(table, "rolled_back");
+    assert.equal(table.apply(start("v3", 12_000, table.find(service)?.order)), "started");
+    end(table, "completed");
+    assert.equal(table.apply(late), "stale");
+    assert.equal(table.find(service)?.target, "v3");
+});
--- a/src/rollouts/RolloutTable.ts
+++ b/src/rollouts/RolloutTable.ts
@@ -15,6 +15,7 @@
 
 /** Maximum number of rejected versions of a service; the oldest are forgotten first. */
 const maxRejected = 64;
+const unbound = -1;
 
 /** Commands in the replicated log. */
 export const rolloutCommands = [
@@ -24,6 +25,11 @@
         target: z.string(),
         durationMs: z.number(),
         atMs: z.number(),
+        /**
+         * Order of the last roll-out of the service that the host had confirmed, 0 for none. Hosts of older builds do not
+         * give it, which binds to nothing.
+         */
+        after: z.number().default(unbound),
     }),
     z.object({
         kind: z.literal("step-rollout"),
@@ -49,7 +55,8 @@
 
 /**
  * "repeated": the same order has ended before, and nothing changes. "in-progress": the same order is in progress.
- * "conflict": another order of the service is in progress. "stale": the command refers to an order that has ended.
+ * "conflict": another order of the service is in progress. "stale": the command refers to an order that has ended, or
+ * begins a roll-out and another one has begun since its host had confirmed the state.
  */
 export type RolloutOutcome = "started" | "repeated" | "in-progress" | "conflict" | "changed" | "stale";
 
@@ -101,12 +108,15 @@
         return isSame ? "repeated" : "started";
     }
 
-    private start({ service, target, durationMs, atMs }: StartCommand): RolloutOutcome {
+    private start({ service, target, durationMs, atMs, after }: StartCommand): RolloutOutcome {
         const outcome = this.outcomeOf({ service, target, durationMs });
         if (outcome !== "started") {
             return outcome;
         }
         const known = this.byService.get(service);
+        if (after !== unbound && after !== (known?.order ?? 0)) {
+            return "stale";
+        }
         const base = known?.state === "completed" ? known.target : known?.base;
         this.put({
             service,
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -133,6 +133,8 @@
     /** An entry of a list of endpoints names no endpoint and is left out. */
     EndpointEntryUnreadable = 1018,
     OperatorCallAbandoned = 1030,
+    /** An order was committed behind a newer one of the same data centre, and has changed nothing. */
+    DataCentreOrderStale = 1033,
     // 11xx: gateway
     GatewayRequestTaken = 1100,
     GatewayRequestEnded = 1101,
--- a/testing/FleetCluster.ts
+++ b/testing/FleetCluster.ts
@@ -132,6 +132,7 @@
             events: this.events,
         });
         const operator = new OperatorCallHandler({
+            self: id,
             log,
             state,
             decoder: this.decoder,
--- a/testing/RolloutModel.ts
+++ b/testing/RolloutModel.ts
@@ -125,7 +125,7 @@
     public async run(untilMs: number = this.options.durationMs + 2000): Promise<void> {
         const startMs = this.nowMs;
         const { durationMs, perSecond, random } = this.options;
-        this.table.apply({ kind: "start-rollout", service, target: "v2", durationMs, atMs: startMs });
+        this.table.apply({ kind: "start-rollout", service, target: "v2", durationMs, atMs: startMs, after: 0 });
         let nextJudgeMs = startMs;
         let due = 0;
         while (this.nowMs - startMs < untilMs) {
