Bodies: replies in chunks of a byte do not exhaust a host's memory

What callers saw: while an endpoint replied without end in chunks of one byte, an entry host with the options of deploy/system.toml ran out of memory, and the requests of all its callers ended: 14 answered, 4,144 without an answer.

Cause: each part of a body was kept as a buffer of its own, which for parts of a byte costs many times their size, and the limits counted bytes only. Callers waited until their deadlines.

--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -23,6 +23,8 @@
 export class Processes {
     /** Names of processes whose standard output goes to a pipe that is never read. */
     public readonly unreadOutputs = new Set<string>();
+    /** Options of Node.js for processes that are started from now on, besides those of this process. */
+    public nodeOptions: readonly string[] = [];
     private readonly children = new Map<string, ChildProcess>();
 
     public constructor(private readonly folder: string, private readonly clock: Clock) {
@@ -32,7 +34,7 @@
     /** Runs a script with Node.js and this process's Node.js options; appends its output to NAME.out in the folder. */
     public start(name: string, script: string, args: readonly string[]): void {
         const out = openSync(join(this.folder, `${name}.out`), "a");
-        const child = spawn(process.execPath, [...process.execArgv, script, ...args], {
+        const child = spawn(process.execPath, [...process.execArgv, ...this.nodeOptions, script, ...args], {
             stdio: ["ignore", this.unreadOutputs.has(name) ? "pipe" : out, out],
         });
         closeSync(out);
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -41,12 +41,30 @@
     repeatRefusal: number;
 }
 
+/** Replies with a body that goes on until the connection is closed. */
+function writeEndlessly(socket: Socket, request: string, chunks: string): void {
+    const send = () => {
+        while (!socket.destroyed && socket.write(chunks)) {
+            // Goes on until the buffer is full.
+        }
+    };
+    socket.on("error", () => undefined);
+    socket.on("drain", send);
+    socket.write(
+        `HTTP/1.1 200 OK\r\nFireflykeel-Request-Id: ${request}\r\nFireflykeel-Server-Stamp: stamp-${request}\r\n`
+            + "Transfer-Encoding: chunked\r\n\r\n",
+    );
+    send();
+}
+
 export class FleetSite {
     public readonly processes: Processes;
     public readonly controls: readonly string[];
     public readonly entries: readonly string[];
     public readonly faults: EndpointFaults = { loseAnswer: 0, refuse: 0, cutStream: 0, repeatRefusal: 0 };
     public readonly endpoints: readonly string[];
+    /** Endpoints that reply with a body without end, and the text in chunks that they repeat. */
+    public readonly endless = new Map<string, string>();
     /** Texts that the list holds between its other entries, as another writer leaves them. */
     public readonly oddEntries: string[] = [];
     private readonly listAddress: string;
@@ -119,6 +137,7 @@
                 ? { dataDir: this.dataDir(host), operatorAddress: `${host}:${ports.operator}` }
                 : { callerAddress: `${host}:${ports.caller}`, readyAddress: `${host}:${ports.ready}` }),
             endpointListAddress: `${this.listAddress}:${ports.list}`,
+            slowReaders: { maxHeldMb: 64, maxStallS: 4 },
             bounds: {
                 configApplyMs: 2000,
                 revokeMs: 5000,
@@ -311,6 +330,11 @@
             this.clock.setTimer(processingMs, () => void this.crash(endpoint));
             return;
         }
+        const endless = this.endless.get(endpoint);
+        if (endless !== undefined) {
+            writeEndlessly(req.socket, request, endless);
+            return;
+        }
         const losesAnswer = this.random.next() < this.faults.loseAnswer;
         const responseHeaders = { ...echo, "Fireflykeel-Server-Stamp": `stamp-${request}` };
         if (req.url?.startsWith("/resumable/") === true) {
--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -2,8 +2,12 @@
 import { readFileSync } from "node:fs";
 import * as http from "node:http";
 import { Either, Left, Right } from "purify-ts";
+import { BodyCollector } from "../common/BodyCollector.js";
 import { keyHeader } from "../peer/Keys.js";
 
+/** Maximum size of an answer, in bytes. */
+const maxAnswerBytes = 64 * 1024 * 1024;
+
 export interface OperatorTarget {
     /** Peer addresses, "ip:port"; the next one is tried when no connection can be made. */
     readonly addresses: readonly string[];
@@ -86,11 +90,16 @@
                 );
             });
             req.on("response", res => {
-                const chunks: Buffer[] = [];
-                res.on("data", (chunk: Buffer) => chunks.push(chunk));
+                const content = new BodyCollector(maxAnswerBytes);
+                res.on("data", (chunk: Buffer) => {
+                    const fault = content.add(chunk);
+                    if (fault !== undefined) {
+                        req.destroy(new Error(`the answer exceeds a limit: ${fault}`));
+                    }
+                });
                 res.on("error", err => resolve(Left({ kind: "no-reply", message: `${address}: ${err.message}` })));
                 res.on("end", () => {
-                    const text = Buffer.concat(chunks).toString("utf8");
+                    const text = content.toText();
                     const parsed = Either.encase(() => text === "" ? undefined : JSON.parse(text) as unknown);
                     resolve(Right({ status: res.statusCode ?? 0, body: parsed.orDefault(text) }));
                 });
--- a/src/common/RequestBody.ts
+++ b/src/common/RequestBody.ts
@@ -1,6 +1,7 @@
 /** Reads a request's body as JSON within a size limit. */
 import type * as http from "node:http";
 import { type Either, Left, Right } from "purify-ts";
+import { BodyCollector } from "./BodyCollector.js";
 
 export type BodyError =
     | { readonly kind: "too-large"; readonly limitBytes: number; }
@@ -18,22 +19,18 @@
     return read.chain(parseJson);
 }
 
-/** Reads the complete body, up to a limit. */
+/** Reads the complete body, up to a limit; one in far too many parts counts as too large. */
 export function readBytes(req: http.IncomingMessage, limitBytes: number): Promise<Either<BodyError, Buffer>> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const body = new BodyCollector(limitBytes);
         req.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > limitBytes) {
+            if (body.add(chunk) !== undefined) {
                 req.removeAllListeners("data");
                 req.resume();
                 resolve(Left({ kind: "too-large", limitBytes }));
-                return;
             }
-            chunks.push(chunk);
         });
-        req.on("end", () => resolve(Right(Buffer.concat(chunks))));
+        req.on("end", () => resolve(Right(body.toBuffer())));
         req.on("error", () => resolve(Left({ kind: "incomplete" })));
         req.on("close", () => resolve(Left({ kind: "incomplete" })));
     });
--- a/src/daemon/CallerClient.ts
+++ b/src/daemon/CallerClient.ts
@@ -1,9 +1,13 @@
 /** HTTP client for the callers' API, for the demo and tests. It verifies that the answer is complete. */
 import * as http from "node:http";
 import { Either, Left, Right } from "purify-ts";
+import { BodyCollector } from "../common/BodyCollector.js";
 import { digestOf } from "../entry/AnswerStream.js";
 import { deadlineHeader, idempotencyHeader, workspaceHeader } from "../entry/CallerRequest.js";
 
+/** Maximum size of an answer, in bytes. */
+const maxAnswerBytes = 64 * 1024 * 1024;
+
 export interface CallerCall {
     /** "ip:port" of an entry host. */
     readonly address: string;
@@ -59,11 +63,16 @@
         req.on("timeout", () => req.destroy(new Error(`no reply within ${call.timeoutMs} ms`)));
         req.on("error", fail);
         req.on("response", res => {
-            const chunks: Buffer[] = [];
-            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            const content = new BodyCollector(maxAnswerBytes);
+            res.on("data", (chunk: Buffer) => {
+                const fault = content.add(chunk);
+                if (fault !== undefined) {
+                    req.destroy(new Error(`the answer exceeds a limit: ${fault}`));
+                }
+            });
             res.on("error", fail);
             res.on("aborted", () => fail(new Error("the connection closed before the reply was complete")));
-            res.on("end", () => resolve(answerOf(res, Buffer.concat(chunks).toString("utf8"))));
+            res.on("end", () => resolve(answerOf(res, content.toText())));
         });
         req.end(body);
     });
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -1,6 +1,7 @@
 /** Short text requests to endpoints other than stage calls: cancels, load reports, orders. */
 import type { ClientRequest, IncomingHttpHeaders } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
+import { BodyCollector } from "../common/BodyCollector.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import { closeConnection } from "./CloseConnection.js";
 import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
@@ -95,21 +96,18 @@
         signal.addEventListener("abort", aborted);
         req.on("error", err => broken(err.message));
         req.on("response", res => {
-            const chunks: Buffer[] = [];
-            let bytes = 0;
+            const content = new BodyCollector(options.maxReplyBytes);
             res.on("data", (chunk: Buffer) => {
-                bytes += chunk.length;
-                chunks.push(chunk);
-                if (bytes > options.maxReplyBytes) {
-                    broken("the reply is too long");
+                const fault = content.add(chunk);
+                if (fault !== undefined) {
+                    broken(`the reply exceeds a limit: ${fault}`);
                 }
             });
             res.on("error", err => broken(err.message));
             res.on("close", () => broken("the connection was closed before the reply was complete"));
             res.on("end", () => {
                 if (res.complete) {
-                    const text = Buffer.concat(chunks).toString("utf8");
-                    const reply = { status: res.statusCode ?? 0, text, headers: res.headers };
+                    const reply = { status: res.statusCode ?? 0, text: content.toText(), headers: res.headers };
                     if (options.keepsConnection?.(reply) === false) {
                         closeConnection(req);
                     }
--- a/src/endpoints/StageExchange.ts
+++ b/src/endpoints/StageExchange.ts
@@ -3,6 +3,7 @@
  * the first byte and for gaps that are independent of the request's deadline.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { BodyCollector } from "../common/BodyCollector.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import { closeConnection } from "./CloseConnection.js";
 import { EventStreamReader, readWholeReply, type WholeOutput } from "./ReplyReader.js";
@@ -81,25 +82,23 @@
 
     private readReply(res: IncomingMessage): void {
         const streams = res.headers["content-type"]?.startsWith("text/event-stream") === true;
-        const chunks: Buffer[] = [];
+        const body = new BodyCollector(maxReplyBytes);
         let bytes = 0;
         res.on("data", (chunk: Buffer) => {
             this.firstByteMs ??= this.options.clock.nowMs() - this.sentAtMs;
             this.restartSilenceTimer(this.options.bounds.gapMs);
             bytes += chunk.length;
-            if (!streams) {
-                chunks.push(chunk);
-            }
             const bad = streams ? this.reader.write(chunk) : undefined;
-            if (bad !== undefined || bytes > maxReplyBytes) {
-                this.fail(bad ?? { kind: "bad-reply", message: "the reply is too long" });
+            const isTooLong = streams ? bytes > maxReplyBytes : body.add(chunk) !== undefined;
+            if (bad !== undefined || isTooLong) {
+                this.fail(bad ?? { kind: "bad-reply", message: "the reply is too long, or comes in too many parts" });
             }
         });
         res.on("error", err => this.failBroken(err.message));
         res.on("close", () => this.failBroken("the connection was closed before the reply was complete"));
         res.on("end", () => {
             if (res.complete) {
-                this.finishReply(res.statusCode ?? 0, streams, Buffer.concat(chunks).toString("utf8"));
+                this.finishReply(res.statusCode ?? 0, streams, body.toText());
             }
         });
     }
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -7,6 +7,7 @@
  * kept connection, and a refusal in it would pass for one of a request that is running.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { BodyCollector } from "../common/BodyCollector.js";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections, ReadyRequest } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
@@ -173,15 +174,13 @@
     }
 
     private readComplete(res: IncomingMessage, reply: ReplyHead): void {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const body = new BodyCollector(maxReplyBytes);
         res.on("data", (chunk: Buffer) => {
             this.options.attempt.recordActivity();
             this.restartSilenceTimer(this.options.firstByteTimeoutMs);
-            bytes += chunk.length;
-            chunks.push(chunk);
-            if (bytes > maxReplyBytes) {
-                this.fail("the reply exceeds the size limit");
+            const fault = body.add(chunk);
+            if (fault !== undefined) {
+                this.fail(`the reply exceeds a limit: ${fault}`);
             }
             else if (!this.options.held.add(chunk.length)) {
                 this.fail("this host holds as much data for callers as it may");
@@ -190,7 +189,7 @@
         res.on("close", () => this.handleClose());
         res.on("end", () => {
             if (res.complete) {
-                inBackground(this.options.log, "end-reply", this.endComplete(reply, Buffer.concat(chunks)));
+                inBackground(this.options.log, "end-reply", this.endComplete(reply, body.toBuffer()));
             }
         });
     }
@@ -232,8 +231,8 @@
                 }
                 attempt.recordActivity();
                 await this.relayEvents(splitter.push(chunk as Buffer));
-                if (splitter.remainder.length > maxEventBytes) {
-                    this.fail("an event exceeds the size limit");
+                if (splitter.remainder.length > maxEventBytes || splitter.hasTooManyParts) {
+                    this.fail("an event exceeds the size limit, or comes in too many parts");
                 }
                 if (this.isFinished) {
                     return;
--- a/src/membership/HttpPlatformList.ts
+++ b/src/membership/HttpPlatformList.ts
@@ -1,6 +1,7 @@
 /** Polls the platform's list of hosts and endpoints over HTTP. */
 import { get } from "node:http";
 import * as z from "zod";
+import { BodyCollector } from "../common/BodyCollector.js";
 import { Emitter } from "../common/Emitter.js";
 import type { Clock, Event } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
@@ -66,18 +67,15 @@
             const timer = this.clock.setTimer(readTimeoutMs, abort);
             signal.addEventListener("abort", abort);
             const req = get(`http://${address}/v1/hosts`, { agent: false }, res => {
-                const chunks: Buffer[] = [];
-                let bytes = 0;
+                const body = new BodyCollector(maxListBytes);
                 res.on("data", (chunk: Buffer) => {
-                    bytes += chunk.length;
-                    chunks.push(chunk);
-                    if (bytes > maxListBytes) {
+                    if (body.add(chunk) !== undefined) {
                         abort();
                     }
                 });
                 res.on("end", () => {
                     const isWhole = res.complete && res.statusCode === statusOk;
-                    finish(isWhole ? Buffer.concat(chunks).toString("utf8") : undefined);
+                    finish(isWhole ? body.toText() : undefined);
                 });
                 res.on("error", () => finish(undefined));
                 res.on("close", () => finish(undefined));
--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -3,8 +3,12 @@
  * distinguishes a request that was never delivered from one that may have been.
  */
 import type * as http from "node:http";
+import { BodyCollector } from "../common/BodyCollector.js";
 import { openRequest } from "../common/HttpRequests.js";
 
+/** Maximum size of a reply, in bytes; far above any message between hosts. */
+const maxReplyBytes = 64 * 1024 * 1024;
+
 /**
  * A failed request. `delivered` is false only when no connection was made, `refused` is true after a 401, and
  * `notListening` is true when the connection was refused, which means that no process listens there.
@@ -74,8 +78,13 @@
         req.on("error", fail);
         req.on("response", res => {
             onHeaders(res.headers);
-            const chunks: Buffer[] = [];
-            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            const body = new BodyCollector(maxReplyBytes);
+            res.on("data", (chunk: Buffer) => {
+                const fault = body.add(chunk);
+                if (fault !== undefined) {
+                    req.destroy(new Error(`the reply exceeds a limit: ${fault}`));
+                }
+            });
             res.on("error", fail);
             res.on("end", () => {
                 signal?.removeEventListener("abort", abort);
@@ -83,7 +92,7 @@
                     reject(new HttpFetchError("the peer refused the key", true, true));
                     return;
                 }
-                resolve(responseOf(res.statusCode ?? 0, Buffer.concat(chunks).toString("utf8")));
+                resolve(responseOf(res.statusCode ?? 0, body.toText()));
             });
         });
         if (signal?.aborted) {
