--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -20,6 +20,9 @@
 const eventPauseMs = 15;
 /** Processing time of a request that is not a stream. */
 const processingMs = 10;
+const statusPath = "/status";
+/** Share of streams that have neither a length nor chunks. */
+const unframedShare = 0.5;
 /** How long an endpoint that has crashed refuses connections. */
 const crashMs = 1200;
 
@@ -208,7 +211,7 @@
         const kinds = [["once", "non_idempotent"], ["idempotent", "idempotent"], ["resumable", "streaming"]] as const;
         const document = {
             Version: version,
-            Services: [{ Name: "s" }],
+            Services: [{ Name: "s", HealthPath: statusPath }],
             // A connection that callers use again at once is never idle for that long.
             Limits: { HeaderTimeoutMs: 1000 + 1000 * (version % 3), IdleTimeoutMs: version % 2 === 0 ? 15_000 : 1000 },
             Routes: kinds.map(([name, Kind]) => ({
@@ -283,7 +286,7 @@
     }
 
     /** Ends an endpoint with all its connections; it comes back as a new start. */
-    private async crash(endpoint: string): Promise<void> {
+    public async crash(endpoint: string): Promise<void> {
         const server = this.servers.get(endpoint);
         this.servers.delete(endpoint);
         server?.close();
@@ -304,6 +307,10 @@
     /** Handles one request as an endpoint, with the current faults. */
     private serve(endpoint: string, req: http.IncomingMessage, res: http.ServerResponse): void {
         req.resume();
+        if (req.method === "GET" && req.url === statusPath) {
+            res.writeHead(200, { "Fireflykeel-Instance-Id": endpoint, "content-length": 0 }).end();
+            return;
+        }
         const request = String(req.headers["fireflykeel-request-id"]);
         const limit = this.limits.get(endpoint);
         const echo = {
@@ -371,6 +378,11 @@
         const cutAt = this.random.next() < this.faults.cutStream ? 1 + this.random.below(streamEvents) : undefined;
         const last = Number(req.headers["last-event-id"] ?? 0);
         const stream = String(req.headers["resumes"] ?? request);
+        if (this.random.next() < unframedShare) {
+            // The stream ends with its connection.
+            res.useChunkedEncodingByDefault = false;
+            res.shouldKeepAlive = false;
+        }
         res.writeHead(200, { ...responseHeaders, "content-type": "text/event-stream" });
         for (let id = last + 1; id <= streamEvents && !res.destroyed; id++) {
             const text = eventOf(stream, id, version);
--- a/proof/FleetSoak.ts
+++ b/proof/FleetSoak.ts
@@ -138,6 +138,14 @@
         });
     }
 
+    /** Ends an endpoint with all its connections, in order, and starts it again. */
+    public crashEndpoint(): Promise<void> {
+        return this.applyToOne(
+            this.site.endpoints,
+            endpoint => this.recordFault("endpoints", () => this.site.crash(endpoint)),
+        );
+    }
+
     /** Changes the limit that an endpoint states on its request rate, or ends it. */
     public async changeLimit(): Promise<void> {
         const perSecond = this.random.below(maxLimitPerSecond);
@@ -343,6 +351,7 @@
     ["restart entry", soak => soak.restart(soak.entries)],
     ["restart control", soak => soak.restart(soak.controls)],
     ["break endpoints", soak => soak.breakEndpoints()],
+    ["crash endpoint", soak => soak.crashEndpoint()],
     ["change limit", soak => soak.changeLimit()],
     ["leave endpoint", soak => soak.leaveEndpoint()],
     ["pause endpoint", soak => soak.pauseEndpoint()],
--- /dev/null
+++ b/test/EndedStreams.test.ts
@@ -0,0 +1,95 @@
+/** Checks, with processes, what callers of streams get when a host or an endpoint ends in the middle of them. */
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync } from "node:fs";
+import * as http from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { eventOf, FleetHistory, streamEvents } from "../proof/FleetHistory.js";
+import { FleetSite } from "../proof/FleetSite.js";
+import { SeededRandom } from "../src/common/SeededRandom.js";
+import { SystemClock } from "../src/common/SystemClock.js";
+
+/** Half of them, on average, have neither a length nor chunks at their endpoint. */
+const streamCount = 16;
+/** Streams take 120 ms. */
+const endAfterMs = 60;
+
+interface ReceivedStream {
+    readonly body: string;
+    /** True when nothing told the caller that the stream had not ended. */
+    readonly looksComplete: boolean;
+}
+
+function readStream(address: { readonly host: string; readonly port: number; }, id: string): Promise<ReceivedStream> {
+    return new Promise(resolve => {
+        const headers = { "Host": "h.example", "Fireflykeel-Request-Id": id, "Fireflykeel-Deadline-Ms": "4000" };
+        let body = "";
+        let looksComplete = false;
+        const options = { ...address, path: "/resumable/x", method: "POST", agent: false, headers } as const;
+        const req = http.request(options, res => {
+            res.on("data", (chunk: Buffer) => body += chunk.toString());
+            res.on("end", () => looksComplete = res.complete && res.statusCode === 200);
+            res.on("error", () => looksComplete = false);
+        });
+        req.on("error", () => looksComplete = false);
+        req.on("close", () => setImmediate(() => resolve({ body, looksComplete })));
+        req.end();
+    });
+}
+
+const isWhole = (body: string, id: string) =>
+    ["v1", "v2"].some(version =>
+        body === Array.from({ length: streamEvents }, (_, at) => eventOf(id, at + 1, version)).join("")
+    );
+
+const cases: readonly {
+    readonly name: string;
+    readonly end: (site: FleetSite, entry: string) => void;
+    /** True when every stream must still reach its caller as a whole. */
+    readonly goesOn: boolean;
+}[] = [
+    {
+        name: "their entry host is killed",
+        end: (site, entry) => site.processes.signal(entry, "SIGKILL"),
+        goesOn: false,
+    },
+    {
+        name: "their entry host is stopped",
+        end: (site, entry) => site.processes.signal(entry, "SIGTERM"),
+        goesOn: true,
+    },
+    {
+        name: "an endpoint crashes",
+        end: site => void site.crash(site.endpoints[0] ?? ""),
+        goesOn: false,
+    },
+];
+
+for (const [at, { name, end, goesOn }] of cases.entries()) {
+    // Guards against streams that end early and look complete (report of betuonto-web-grown, review case 4).
+    test(`no stream that looks complete lacks an event when ${name}`, async () => {
+        const folder = mkdtempSync(join(tmpdir(), "fireflykeel-ended-"));
+        const clock = new SystemClock();
+        const size = { controls: 3, entries: 2, endpoints: 2 };
+        const site = new FleetSite(size, folder, new FleetHistory(), clock, new SeededRandom(at + 1), 61 + 4 * at);
+        const [entry = ""] = site.entries;
+        await site.start();
+        while (!(await Promise.all(site.entries.map(one => site.isReady(one)))).every(isReady => isReady)) {
+            await site.putConfig(site.controls[0] ?? "");
+            await clock.sleep(200);
+        }
+        const reading = Array.from({ length: streamCount }, async (_, one) => {
+            const id = `s${one}`;
+            return { id, ...await readStream(site.callerAddress(entry), id) };
+        });
+        await clock.sleep(endAfterMs);
+        end(site, entry);
+        const streams = await Promise.all(reading);
+        await site.stop();
+        const wrong = streams.filter(({ id, body, looksComplete }) => looksComplete && !isWhole(body, id));
+        assert.deepEqual(wrong, [], `logs in ${folder}`);
+        assert.ok(!goesOn || streams.every(({ looksComplete }) => looksComplete), `logs in ${folder}`);
+        rmSync(folder, { recursive: true, force: true });
+    });
+}
