--- a/testing/FakeDisk.ts
+++ b/testing/FakeDisk.ts
@@ -27,6 +27,8 @@
 export class FakeDisk implements Disk {
     /** Set to make appends and writes fail as on a full disk. */
     public isFull = false;
+    /** Share of the bytes that a full disk still takes of a write before it fails. */
+    public takenWhenFull = 0;
     /** Set to make syncs fail. */
     public failSync = false;
     /** Called before each operation that changes the disk; after false the operation never completes, as in a crash. */
@@ -100,22 +102,16 @@
 
     public async append(path: string, data: Uint8Array): Promise<Either<DiskError, void>> {
         await this.checkGate("append", path);
-        if (this.isFull) {
-            return diskFull();
-        }
         const file = this.files.get(path) ?? { data: new Uint8Array(), synced: new Uint8Array() };
-        file.data = Buffer.concat([file.data, data]);
+        file.data = Buffer.concat([file.data, this.taken(data)]);
         this.files.set(path, file);
-        return Right(undefined);
+        return this.isFull ? diskFull() : Right(undefined);
     }
 
     public async write(path: string, data: Uint8Array): Promise<Either<DiskError, void>> {
         await this.checkGate("write", path);
-        if (this.isFull) {
-            return diskFull();
-        }
-        this.files.set(path, { data: Uint8Array.from(data), synced: new Uint8Array() });
-        return Right(undefined);
+        this.files.set(path, { data: Uint8Array.from(this.taken(data)), synced: new Uint8Array() });
+        return this.isFull ? diskFull() : Right(undefined);
     }
 
     public async truncate(path: string, length: number): Promise<Either<DiskError, void>> {
@@ -155,6 +151,11 @@
         return Right(undefined);
     }
 
+    /** The part of a write that the disk has room for. */
+    private taken(data: Uint8Array): Uint8Array {
+        return this.isFull ? data.subarray(0, Math.floor(data.length * this.takenWhenFull)) : data;
+    }
+
     /** Calls the gate if the operation changes the disk; never resolves after a crash, or if the gate returns false. */
     private async checkGate(operation: DiskOperation | undefined, path: string): Promise<void> {
         const isAllowed = operation === undefined || await this.gate(operation, path);
