Peer calls: frequent small calls go over one WebSocket for each peer

Cause: each submission to a gatherer, each of its results and each message that frees them was an HTTP request of its own, through tRPC's HTTP link.

Change: methods that are marked as frequent (gather.work, gather.ended) use a WebSocket (package ws) that the first call opens. Calls are still made through tRPC, and served by the same router. Time limits, replaced connections after a time-out, keys and the difference between calls that were delivered and calls that were not stay as they are. A peer without WebSockets, as one of an older build, is called over HTTP as before.

Test: PeerSockets "a hundred frequent calls share one connection and need no HTTP request"; each was a request before.

--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -45,10 +45,16 @@
             this.services.operators.handle(req, res).catch((err: unknown) => this.handleError(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
-        const { address, tunnels } = this.services;
+        const { address, tunnels, peers } = this.services;
+        const sockets = peers.sockets();
+        sockets.attach(server);
         tunnels?.attach(server);
+        const closeAll = () => {
+            sockets.dispose();
+            tunnels?.dispose();
+        };
         // The server does not close until they are closed.
-        signal.addEventListener("abort", () => tunnels?.dispose(), { once: true });
+        signal.addEventListener("abort", closeAll, { once: true });
         await serveUntil(server, address, signal);
     }
 
--- a/src/gather/GatherMessages.ts
+++ b/src/gather/GatherMessages.ts
@@ -2,7 +2,7 @@
 import * as z from "zod";
 import type { DataCentreId, EndpointId } from "../common/Types.js";
 import type { ServiceId } from "../fleet/Types.js";
-import { definePeerMethod } from "../peer/Types.js";
+import { defineFrequentPeerMethod } from "../peer/Types.js";
 import type { CellId, EndedSubmission, Submission, SubmissionError, SubmissionId } from "./Types.js";
 
 const submissionId = z.string() as unknown as z.ZodType<SubmissionId>;
@@ -80,7 +80,7 @@
 
 export const gatherMethods = {
     /** Sends work to a gatherer. */
-    work: definePeerMethod<WorkRequest, WorkReply>("gather.work", workRequest),
+    work: defineFrequentPeerMethod<WorkRequest, WorkReply>("gather.work", workRequest),
     /** Returns outcomes from a gatherer to the submitting host. */
-    ended: definePeerMethod<EndedRequest, Record<string, never>>("gather.ended", endedRequest),
+    ended: defineFrequentPeerMethod<EndedRequest, Record<string, never>>("gather.ended", endedRequest),
 };
--- a/src/peer/TrpcHttpHandler.ts
+++ b/src/peer/TrpcHttpHandler.ts
@@ -4,11 +4,13 @@
  * times as much as the call itself.
  */
 import type { AnyTRPCRouter } from "@trpc/server";
-import { callTRPCProcedure, getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError } from "@trpc/server";
+import { getTRPCErrorFromUnknown, TRPCError } from "@trpc/server";
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
 import type * as http from "node:http";
+import { type Either, Left, Right } from "purify-ts";
 import { readBytes } from "../common/RequestBody.js";
 import { writeJson } from "../common/WriteJson.js";
+import { callProcedure, procedureError } from "./ProcedureCalls.js";
 
 export interface TrpcHttpOptions {
     readonly router: AnyTRPCRouter;
@@ -19,8 +21,6 @@
     readonly onError: (error: TRPCError) => void;
 }
 
-const procedureType = "mutation";
-
 /** Creates a listener that serves the router; errors are answered in tRPC's format and passed to `onError`. */
 export function trpcHttpHandler(options: TrpcHttpOptions): http.RequestListener {
     return (req, res) => {
@@ -31,51 +31,33 @@
 async function serve(options: TrpcHttpOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { router, basePath, createContext, onError } = options;
     const path = (req.url ?? "").slice(basePath.length);
-    try {
-        const text = await readText(req, options.maxBodyBytes);
-        const input = text === "" ? undefined : parse(text);
-        const data: unknown = await callTRPCProcedure({
-            router,
-            path,
-            type: procedureType,
-            ctx: createContext(req),
-            getRawInput: async () => input,
-            signal: undefined,
-            batchIndex: 0,
-        });
-        writeJson(res, 200, {}, { result: { data } });
-    }
-    catch (err) {
-        const error = getTRPCErrorFromUnknown(err);
-        onError(error);
-        const { _config: config } = router._def;
-        const shape: unknown = getTRPCErrorShape({
-            config,
-            error,
-            type: procedureType,
-            path,
-            input: undefined,
-            ctx: undefined,
-        });
-        writeJson(res, getHTTPStatusCodeFromError(error), {}, { error: shape });
-    }
+    const input = await readInput(req, options.maxBodyBytes);
+    const ended = input.isLeft()
+        ? Left(procedureError(router, path, input.extract()))
+        : await callProcedure(router, path, input.extract(), createContext(req));
+    ended.caseOf({
+        Left: ({ error, shape }) => {
+            onError(error);
+            writeJson(res, getHTTPStatusCodeFromError(error), {}, { error: shape });
+        },
+        Right: data => writeJson(res, 200, {}, { result: { data } }),
+    });
+}
+
+async function readInput(req: http.IncomingMessage, maxBytes: number): Promise<Either<TRPCError, unknown>> {
+    const body = await readBytes(req, maxBytes);
+    return body
+        .mapLeft(({ kind }) =>
+            new TRPCError({ code: kind === "too-large" ? "PAYLOAD_TOO_LARGE" : "CLIENT_CLOSED_REQUEST" })
+        )
+        .chain(bytes => parse(bytes.toString("utf8")));
 }
 
-function parse(text: string): unknown {
+function parse(text: string): Either<TRPCError, unknown> {
     try {
-        return JSON.parse(text);
+        return Right(text === "" ? undefined : JSON.parse(text));
     }
     catch (cause) {
-        throw new TRPCError({ code: "PARSE_ERROR", cause });
+        return Left(new TRPCError({ code: "PARSE_ERROR", cause }));
     }
 }
-
-async function readText(req: http.IncomingMessage, maxBytes: number): Promise<string> {
-    const body = await readBytes(req, maxBytes);
-    return body.caseOf({
-        Left: error => {
-            throw new TRPCError({ code: error.kind === "too-large" ? "PAYLOAD_TOO_LARGE" : "CLIENT_CLOSED_REQUEST" });
-        },
-        Right: bytes => bytes.toString("utf8"),
-    });
-}
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -1,8 +1,8 @@
 /**
- * Server side of peer calls: a tRPC router with the registered methods, served over node:http under `/peer/`. A call
- * with a wrong key gets a 401 without a body.
+ * Server side of peer calls: a tRPC router with the registered methods, served over node:http under `/peer/` and over
+ * WebSockets. A call with a wrong key gets a 401 without a body.
  */
-import { initTRPC } from "@trpc/server";
+import { type AnyTRPCRouter, initTRPC, type TRPCError } from "@trpc/server";
 import type * as http from "node:http";
 import { parseHostId } from "../common/Ids.js";
 import { InvariantError } from "../common/Invariant.js";
@@ -10,6 +10,7 @@
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, HybridClock, Metrics } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
+import { PeerSocketServer } from "./PeerSocketServer.js";
 import { trpcHttpHandler } from "./TrpcHttpHandler.js";
 import type { PeerHandler, PeerMethod, PeerRegistry } from "./Types.js";
 
@@ -45,6 +46,7 @@
 
 export class TrpcPeerServer implements PeerRegistry {
     private readonly registrations = new Map<string, Registration>();
+    private built: AnyTRPCRouter | undefined;
 
     public constructor(private readonly options: PeerServerOptions) {}
 
@@ -58,15 +60,11 @@
     /** Creates the listener for requests under {@link peerPath}; call it after all methods are registered. */
     public listener(): RequestListener {
         const serve = trpcHttpHandler({
-            router: this.buildRouter(),
+            router: this.router(),
             basePath: peerPath,
             maxBodyBytes,
-            createContext: req => ({ from: parseHostId(headerText(req, hostHeader)).orDefault("?" as HostId) }),
-            onError: error => {
-                if (error.cause instanceof InvariantError) {
-                    this.options.onFatal(error.cause);
-                }
-            },
+            createContext: req => ({ from: hostOf(req) }),
+            onError: error => this.handleError(error),
         });
         return (req, res) => {
             if (!keyMatches(this.options.key, req.headers[keyHeader])) {
@@ -84,7 +82,32 @@
         };
     }
 
-    private buildRouter() {
+    /** Creates the server of calls over WebSockets; call it after all methods are registered. */
+    public sockets(): PeerSocketServer {
+        const { key, clock, log } = this.options;
+        return new PeerSocketServer({
+            key,
+            router: this.router(),
+            clock,
+            log,
+            hostOf,
+            createContext: from => ({ from }),
+            onError: error => this.handleError(error),
+        });
+    }
+
+    private handleError(error: TRPCError): void {
+        if (error.cause instanceof InvariantError) {
+            this.options.onFatal(error.cause);
+        }
+    }
+
+    private router(): AnyTRPCRouter {
+        this.built ??= this.buildRouter();
+        return this.built;
+    }
+
+    private buildRouter(): AnyTRPCRouter {
         const trpc = initTRPC.context<PeerContext>().create();
         const procedures = [...this.registrations.values()].map(({ method, handler }) => {
             const procedure = trpc.procedure
@@ -99,6 +122,10 @@
     }
 }
 
+function hostOf(req: http.IncomingMessage): HostId {
+    return parseHostId(headerText(req, hostHeader)).orDefault("?" as HostId);
+}
+
 function headerText(req: http.IncomingMessage, name: string): string {
     const value = req.headers[name];
     return typeof value === "string" ? value : "";
--- a/src/peer/TrpcPeerTransport.ts
+++ b/src/peer/TrpcPeerTransport.ts
@@ -1,6 +1,7 @@
 /**
- * Client side of peer calls: tRPC over node:http with one keep-alive agent for each peer. After a call has timed out,
- * no further call uses the same agent, since its other connections may be silent as well.
+ * Client side of peer calls: tRPC over node:http with one keep-alive agent for each peer, and over one WebSocket to each
+ * peer for methods with many calls. After a call has timed out, no further call uses the same connections, since all of
+ * them may be silent.
  */
 import { createTRPCUntypedClient, httpLink, TRPCClientError, type TRPCUntypedClient } from "@trpc/client";
 import type { AnyTRPCRouter } from "@trpc/server";
@@ -11,11 +12,15 @@
 import type { EventLog, HybridClock } from "../telemetry/Types.js";
 import { httpFetch, HttpFetchError } from "./HttpFetch.js";
 import { keyHeader } from "./Keys.js";
+import { NoSocketsError, PeerSocketClient } from "./PeerSocketClient.js";
+import { socketLink } from "./SocketLink.js";
 import { clockHeader, hostHeader, peerPath } from "./TrpcPeerServer.js";
 import type { PeerCallOptions, PeerError, PeerMethod, PeerTransport } from "./Types.js";
 
 /** Maximum number of connections to one peer. */
 const maxSocketsPerPeer = 16;
+/** How long a peer without WebSockets, as one of an older version, is called over HTTP before one is tried again. */
+const noSocketsMs = 10_000;
 
 export interface PeerTransportOptions {
     readonly self: HostId;
@@ -28,25 +33,51 @@
 }
 
 class PeerLink implements Disposable {
-    public readonly client: TRPCUntypedClient<AnyTRPCRouter>;
+    private readonly client: TRPCUntypedClient<AnyTRPCRouter>;
+    private readonly socketClient: TRPCUntypedClient<AnyTRPCRouter>;
     private readonly agent = new http.Agent({ keepAlive: true, maxSockets: maxSocketsPerPeer });
+    private readonly socket: PeerSocketClient;
+    /** Until when no WebSocket is tried, on the local clock. */
+    private socketFromMs = -Infinity;
 
-    public constructor(public readonly address: string, options: PeerTransportOptions) {
+    public constructor(public readonly address: string, private readonly options: PeerTransportOptions) {
+        const { key, self, hybridClock } = options;
+        const identity = { [keyHeader]: key, [hostHeader]: self };
+        const observeStamp = (stamp: string) => hybridClock.observe(stamp);
         this.client = createTRPCUntypedClient<AnyTRPCRouter>({
             links: [httpLink({
                 url: `http://${address}${peerPath}`,
-                headers: () => ({
-                    [keyHeader]: options.key,
-                    [hostHeader]: options.self,
-                    [clockHeader]: options.hybridClock.stamp(),
-                }),
+                headers: () => ({ ...identity, [clockHeader]: hybridClock.stamp() }),
                 fetch: (url, init) =>
                     httpFetch(this.agent, String(url), init ?? {}, headers => {
                         const stamp = headers[clockHeader];
-                        options.hybridClock.observe(typeof stamp === "string" ? stamp : "");
+                        observeStamp(typeof stamp === "string" ? stamp : "");
                     }),
             })],
         });
+        this.socket = new PeerSocketClient({
+            address,
+            headers: () => identity,
+            stamp: () => hybridClock.stamp(),
+            observeStamp,
+        });
+        this.socketClient = createTRPCUntypedClient<AnyTRPCRouter>({ links: [socketLink(this.socket)] });
+    }
+
+    public async call(name: string, isFrequent: boolean, req: unknown, signal: AbortSignal): Promise<unknown> {
+        const { clock } = this.options;
+        if (isFrequent && clock.nowMs() >= this.socketFromMs) {
+            try {
+                return await this.socketClient.mutation(name, req, { signal });
+            }
+            catch (err) {
+                if (!(err instanceof TRPCClientError && err.cause instanceof NoSocketsError)) {
+                    throw err;
+                }
+                this.socketFromMs = clock.nowMs() + noSocketsMs;
+            }
+        }
+        return this.client.mutation(name, req, { signal });
     }
 
     /** Closes idle connections; calls in flight continue until their own timeout. */
@@ -56,10 +87,12 @@
                 socket.destroy();
             }
         }
+        this.socket.retire();
     }
 
     public dispose(): void {
         this.agent.destroy();
+        this.socket.dispose();
     }
 }
 
@@ -87,7 +120,7 @@
         });
         callOptions.signal?.addEventListener("abort", onAbort);
         try {
-            return Right(await link.client.mutation(method.name, req, { signal: abort.signal }) as Res);
+            return Right(await link.call(method.name, method.isFrequent, req, abort.signal) as Res);
         }
         catch (err) {
             if (timedOut) {
--- a/src/peer/Types.ts
+++ b/src/peer/Types.ts
@@ -1,7 +1,7 @@
 /**
  * Types for calls between fireflykeel's own processes. A method is a typed token with a schema for its input. Modules
  * register handlers with a {@link PeerRegistry} and call other hosts through a {@link PeerTransport}. Payloads are JSON
- * values. The production transport is tRPC over node:http; tests use testing/FakeNetwork.
+ * values. The production transport is tRPC over node:http and WebSockets; tests use testing/FakeNetwork.
  */
 import type { Either } from "purify-ts";
 import type { z } from "zod";
@@ -11,6 +11,11 @@
 export interface PeerMethod<Req, Res> {
     readonly name: string;
     readonly input: z.ZodType<Req>;
+    /**
+     * True for a method with many small calls, which go over a WebSocket that stays open. Its calls to one host may
+     * overtake each other, as those of other methods.
+     */
+    readonly isFrequent: boolean;
     /** Never set; only carries the type of the result. */
     readonly result?: Res;
 }
@@ -52,5 +57,10 @@
 
 /** Creates the token of a method, by which hosts register and call it. */
 export function definePeerMethod<Req, Res>(name: string, input: z.ZodType<Req>): PeerMethod<Req, Res> {
-    return { name, input };
+    return { name, input, isFrequent: false };
+}
+
+/** The same for a method with many small calls; see {@link PeerMethod.isFrequent}. */
+export function defineFrequentPeerMethod<Req, Res>(name: string, input: z.ZodType<Req>): PeerMethod<Req, Res> {
+    return { name, input, isFrequent: true };
 }
