Gathering: the least urgent kind of request does not starve behind more urgent ones

Cause: among pieces that can be in time, a level of priority counted as 700 ms of the latest start. Level 2 was thus placed 1.4 s later, about its whole objective, and counted as late, behind everything else, throughout each burst. An order by rank alone starves.

Change: each gatherer counts what it starts in time and late, by priority. The state is local to the queue; no message is added.

--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -1,7 +1,8 @@
 /**
  * Queue of the pieces of one cell. Calls take pieces in this order: first those of submissions that have been started,
  * since their results occupy storage until the submission is complete; then submissions that can still meet their
- * objective, by latest start time and priority; then the others, by priority and deadline.
+ * objective, by latest start time and priority, whose weight shrinks while a priority is started in time less often than
+ * more urgent ones; then the others, by priority and deadline.
  *
  * A submission may be bound to a data centre: that of its sources or its consumer, or that of the call that took its
  * first piece. An endpoint in another data centre takes the submission only after those that are bound to its own data
@@ -10,11 +11,12 @@
  */
 import type { DataCentreId } from "../common/Types.js";
 import { OrderedPieces, type QueueEntry } from "./OrderedPieces.js";
+import { RankShares } from "./RankShares.js";
 import type { Submission, SubmissionId } from "./Types.js";
 
 /** A submission may go to any data centre this long before its latest start; about the duration of one call. */
 const relaxBindingMs = 250;
-/** One priority level counts as much as this much time before the latest start; about two calls. */
+/** One priority level counts as at most this much time before the latest start; about two calls. */
 const priorityStepMs = 700;
 /**
  * A submission counts as late this long before its latest start, or this share of the time that its request needs
@@ -192,6 +194,7 @@
     private readonly started = new QueueGroup();
     private readonly fresh = new QueueGroup();
     private readonly checks = new OrderedPieces(byCheck);
+    private readonly shares = new RankShares();
     /** Number of queued submissions by the size of one result. */
     private readonly resultSizes = new Map<number, number>();
     private lastSequence = 0;
@@ -208,13 +211,13 @@
         if (waiting.pieces.length === 0) {
             return;
         }
-        const { priority, restMs, resultBytes, id } = waiting.submission;
+        const { restMs, resultBytes, id } = waiting.submission;
         this.lastSequence += 1;
         const entry: QueueEntry = {
             waiting,
             sequence: this.lastSequence,
             lateAtMs: waiting.startByMs - lateMarginMs(waiting.submission),
-            adjustedStartMs: waiting.startByMs + priority * priorityStepMs,
+            adjustedStartMs: this.adjustedStartMs(waiting, this.updatedMs),
             checkAtMs: waiting.deadlineMs - restMs - checkAheadMs,
         };
         this.entries.set(id, entry);
@@ -307,6 +310,9 @@
     /** Removes and returns the pieces of a selection, to which nothing may have been added or taken since. */
     public takeSelected({ picks }: Selection, dataCentre: DataCentreId): TakenPiece[] {
         return picks.flatMap(({ waiting, count }) => {
+            if (!waiting.isStarted) {
+                this.shares.recordStart(waiting.submission.priority, isLate(waiting, this.updatedMs), this.updatedMs);
+            }
             this.remove(waiting.submission.id);
             const taken = waiting.pieces.splice(0, count).map(piece => ({ waiting, piece }));
             waiting.isStarted = true;
@@ -344,7 +350,7 @@
     public piecesAhead(added: QueuePosition, nowMs: number): number {
         this.update(nowMs);
         const ofStarted = this.started.onTime.pieces + this.started.late.pieces;
-        const { startByMs, deadlineMs, submission: { priority } } = added;
+        const { deadlineMs, submission: { priority } } = added;
         if (isLate(added, nowMs)) {
             return ofStarted + this.fresh.onTime.pieces
                 + this.fresh.late.piecesWhile(({ waiting }) =>
@@ -352,7 +358,7 @@
                     || (waiting.submission.priority === priority && waiting.deadlineMs <= deadlineMs)
                 );
         }
-        const adjustedMs = startByMs + priority * priorityStepMs;
+        const adjustedMs = this.adjustedStartMs(added, nowMs);
         return ofStarted + this.fresh.onTime.piecesWhile(one => one.adjustedStartMs <= adjustedMs);
     }
 
@@ -396,6 +402,10 @@
         return failed;
     }
 
+    private adjustedStartMs({ startByMs, submission: { priority } }: QueuePosition, nowMs: number): number {
+        return startByMs + priority * priorityStepMs * this.shares.placeBehind(priority, nowMs);
+    }
+
     private groupOf({ waiting }: QueueEntry): QueueGroup {
         return waiting.isStarted ? this.started : this.fresh;
     }
--- a/testing/StageSimulation.ts
+++ b/testing/StageSimulation.ts
@@ -78,6 +78,8 @@
     private readonly deployment: Deployment;
     private lastId = 0;
     private admissions: readonly Admission[] = [];
+    /** Time that a submission takes to its gatherer, and its results back. */
+    public messageMs = 0;
 
     public constructor(services: Readonly<Record<string, SimulatedService>>) {
         this.deployment = deployment(
@@ -180,7 +182,20 @@
         return earned / Math.max(1, possible);
     }
 
-    public execute(submission: NewSubmission, signal: AbortSignal): Promise<SubmissionOutcome> {
+    public async execute(submission: NewSubmission, signal: AbortSignal): Promise<SubmissionOutcome> {
+        const { messageMs, clock } = this;
+        if (messageMs === 0) {
+            return this.submit(submission, signal);
+        }
+        await clock.sleep(messageMs);
+        const { startInMs, remainingMs } = submission;
+        const arrived = { ...submission, startInMs: startInMs - messageMs, remainingMs: remainingMs - messageMs };
+        const outcome = await this.submit(arrived, signal);
+        await clock.sleep(messageMs);
+        return outcome;
+    }
+
+    private submit(submission: NewSubmission, signal: AbortSignal): Promise<SubmissionOutcome> {
         this.bytes.set(`${submission.request}/${submission.stage}`, submission.resultBytes);
         return new Promise(resolve => {
             const gatherer = this.gatherers.get(submission.service);
