Peer calls: records of streams and permits of limits go over the WebSocket too

They are the other small calls that come with requests: three for each attempt of a stream that may be taken up, and one for each request to a limited endpoint.

--- a/src/limits/LimitMessages.ts
+++ b/src/limits/LimitMessages.ts
@@ -4,7 +4,7 @@
  */
 import * as z from "zod";
 import type { DataCentreId, EndpointId } from "../common/Types.js";
-import { definePeerMethod } from "../peer/Types.js";
+import { defineFrequentPeerMethod } from "../peer/Types.js";
 
 const permitRequest = z.object({
     endpoint: z.string() as unknown as z.ZodType<EndpointId>,
@@ -71,8 +71,8 @@
 
 export const limitMethods = {
     /** Requests a place at an endpoint, which the host holds until it returns it. */
-    place: definePeerMethod<PlaceRequest, PlaceReply>("limits.place", placeRequest),
-    returnPlace: definePeerMethod<PlaceReturn, Record<string, never>>("limits.return", placeReturn),
+    place: defineFrequentPeerMethod<PlaceRequest, PlaceReply>("limits.place", placeRequest),
+    returnPlace: defineFrequentPeerMethod<PlaceReturn, Record<string, never>>("limits.return", placeReturn),
     /** Requests a permit for one request to an endpoint. It is to be used at once. */
-    permit: definePeerMethod<PermitRequest, PermitReply>("limits.permit", permitRequest),
+    permit: defineFrequentPeerMethod<PermitRequest, PermitReply>("limits.permit", permitRequest),
 };
--- a/src/streams/StreamMessages.ts
+++ b/src/streams/StreamMessages.ts
@@ -1,7 +1,7 @@
 /** Messages between entry hosts about where streams began. */
 import * as z from "zod";
 import type { ServiceId } from "../fleet/Types.js";
-import { definePeerMethod } from "../peer/Types.js";
+import { defineFrequentPeerMethod } from "../peer/Types.js";
 
 const originRecord = z.object({
     /** Identifies the request that began the stream. */
@@ -25,6 +25,6 @@
 }
 
 export const streamMethods = {
-    record: definePeerMethod<z.infer<typeof recordRequest>, Record<string, never>>("streams.record", recordRequest),
-    find: definePeerMethod<z.infer<typeof findRequest>, FindReply>("streams.find", findRequest),
+    record: defineFrequentPeerMethod<z.infer<typeof recordRequest>, Record<string, never>>("streams.record", recordRequest),
+    find: defineFrequentPeerMethod<z.infer<typeof findRequest>, FindReply>("streams.find", findRequest),
 };
