Gathering: a kind with a long chain of stages is not given up for the sake of shorter ones

Cause: a submission counts as late before its latest start, by half of the time that its request needs afterwards. With a chain of three stages that take 1.1 s of an objective of 1.5 s that left about 125 ms for the wait at the first stage; after it the most urgent kind went behind all less urgent ones.

--- a/src/gateway/KindShares.test.ts
+++ b/src/gateway/KindShares.test.ts
@@ -95,10 +95,11 @@
     },
 ];
 
+/** With the times of whole calls, which include the transfer of inputs. */
 const bookServices = {
-    first: { traits: { ...common, batch: 14, pieceMs: 9.2, resultRoomBytes: 63e6 }, endpoints: 3 },
-    second: { traits: { ...common, batch: 78, pieceMs: 1.6, resultRoomBytes: 13.7e6 }, endpoints: 2 },
-    third: { traits: { ...common, batch: 95, pieceMs: 1.3, resultRoomBytes: 1.7e6 }, endpoints: 4 },
+    first: { traits: { ...common, batch: 14, pieceMs: 7, resultRoomBytes: 63e6 }, endpoints: 3 },
+    second: { traits: { ...common, batch: 78, pieceMs: 2, resultRoomBytes: 13.7e6 }, endpoints: 2 },
+    third: { traits: { ...common, batch: 95, pieceMs: 2.1, resultRoomBytes: 1.7e6 }, endpoints: 4 },
 };
 
 const bookKinds: readonly Kind[] = [
--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -216,7 +216,7 @@
         const entry: QueueEntry = {
             waiting,
             sequence: this.lastSequence,
-            lateAtMs: waiting.startByMs - lateMarginMs(waiting.submission),
+            lateAtMs: this.lateAtMs(waiting, this.updatedMs),
             adjustedStartMs: this.adjustedStartMs(waiting, this.updatedMs),
             checkAtMs: waiting.deadlineMs - restMs - checkAheadMs,
         };
@@ -311,7 +311,8 @@
     public takeSelected({ picks }: Selection, dataCentre: DataCentreId): TakenPiece[] {
         return picks.flatMap(({ waiting, count }) => {
             if (!waiting.isStarted) {
-                this.shares.recordStart(waiting.submission.priority, isLate(waiting, this.updatedMs), this.updatedMs);
+                const isLate = this.lateAtMs(waiting, this.updatedMs) < this.updatedMs;
+                this.shares.recordStart(waiting.submission.priority, isLate, this.updatedMs);
             }
             this.remove(waiting.submission.id);
             const taken = waiting.pieces.splice(0, count).map(piece => ({ waiting, piece }));
@@ -351,7 +352,7 @@
         this.update(nowMs);
         const ofStarted = this.started.onTime.pieces + this.started.late.pieces;
         const { deadlineMs, submission: { priority } } = added;
-        if (isLate(added, nowMs)) {
+        if (this.lateAtMs(added, nowMs) < nowMs) {
             return ofStarted + this.fresh.onTime.pieces
                 + this.fresh.late.piecesWhile(({ waiting }) =>
                     waiting.submission.priority < priority
@@ -402,6 +403,11 @@
         return failed;
     }
 
+    private lateAtMs({ startByMs, submission }: QueuePosition, nowMs: number): number {
+        const part = this.shares.marginPart(submission.priority, nowMs);
+        return startByMs - Math.max(minLateMarginMs, lateMarginMs(submission) * part);
+    }
+
     private adjustedStartMs({ startByMs, submission: { priority } }: QueuePosition, nowMs: number): number {
         return startByMs + priority * priorityStepMs * this.shares.placeBehind(priority, nowMs);
     }
