--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -403,6 +403,7 @@
         return failed;
     }
 
+    /** From when a submission is no longer expected to meet its objective. */
     private lateAtMs({ startByMs, submission }: QueuePosition, nowMs: number): number {
         const part = this.shares.marginPart(submission.priority, nowMs);
         return startByMs - Math.max(minLateMarginMs, lateMarginMs(submission) * part);
@@ -423,15 +424,7 @@
     }
 }
 
-/** True when a submission is no longer expected to meet its objective. */
-export function isLate(
-    { startByMs, submission }: Pick<QueuePosition, "startByMs" | "submission">,
-    nowMs: number,
-): boolean {
-    return startByMs - lateMarginMs(submission) < nowMs;
-}
-
-/** How long before its latest start a submission counts as late. */
+/** How long before its latest start a submission counts as late, unless its priority falls behind others. */
 export function lateMarginMs({ restMs }: Pick<Submission, "restMs">): number {
     return Math.max(minLateMarginMs, restMs * lateMarginShare);
 }
--- a/src/streams/StreamMessages.ts
+++ b/src/streams/StreamMessages.ts
@@ -25,6 +25,9 @@
 }
 
 export const streamMethods = {
-    record: defineFrequentPeerMethod<z.infer<typeof recordRequest>, Record<string, never>>("streams.record", recordRequest),
+    record: defineFrequentPeerMethod<z.infer<typeof recordRequest>, Record<string, never>>(
+        "streams.record",
+        recordRequest,
+    ),
     find: defineFrequentPeerMethod<z.infer<typeof findRequest>, FindReply>("streams.find", findRequest),
 };
