--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -1,8 +1,7 @@
 /**
  * Queue of the pieces of one cell. Calls take pieces in this order: first those of submissions that have been started,
  * since their results occupy storage until the submission is complete; then submissions that can still meet their
- * objective, by latest start time and priority, whose weight shrinks while a priority is started in time less often than
- * more urgent ones; then the others, by priority and deadline.
+ * objective, by latest start time and priority; then the others, by priority and deadline.
  *
  * A submission may be bound to a data centre: that of its sources or its consumer, or that of the call that took its
  * first piece. An endpoint in another data centre takes the submission only after those that are bound to its own data
@@ -16,7 +15,7 @@
 
 /** A submission may go to any data centre this long before its latest start; about the duration of one call. */
 const relaxBindingMs = 250;
-/** One priority level counts as at most this much time before the latest start; about two calls. */
+/** One priority level counts as much as this much time before the latest start; about two calls. */
 const priorityStepMs = 700;
 /**
  * A submission counts as late this long before its latest start, or this share of the time that its request needs
@@ -217,7 +216,7 @@
             waiting,
             sequence: this.lastSequence,
             lateAtMs: this.lateAtMs(waiting, this.updatedMs),
-            adjustedStartMs: this.adjustedStartMs(waiting, this.updatedMs),
+            adjustedStartMs: adjustedStartMs(waiting),
             checkAtMs: waiting.deadlineMs - restMs - checkAheadMs,
         };
         this.entries.set(id, entry);
@@ -359,7 +358,7 @@
                     || (waiting.submission.priority === priority && waiting.deadlineMs <= deadlineMs)
                 );
         }
-        const adjustedMs = this.adjustedStartMs(added, nowMs);
+        const adjustedMs = adjustedStartMs(added);
         return ofStarted + this.fresh.onTime.piecesWhile(one => one.adjustedStartMs <= adjustedMs);
     }
 
@@ -409,10 +408,6 @@
         return startByMs - Math.max(minLateMarginMs, lateMarginMs(submission) * part);
     }
 
-    private adjustedStartMs({ startByMs, submission: { priority } }: QueuePosition, nowMs: number): number {
-        return startByMs + priority * priorityStepMs * this.shares.placeBehind(priority, nowMs);
-    }
-
     private groupOf({ waiting }: QueueEntry): QueueGroup {
         return waiting.isStarted ? this.started : this.fresh;
     }
@@ -424,6 +419,11 @@
     }
 }
 
+/** The latest start, moved back for less urgent submissions. */
+function adjustedStartMs({ startByMs, submission: { priority } }: QueuePosition): number {
+    return startByMs + priority * priorityStepMs;
+}
+
 /** How long before its latest start a submission counts as late, unless its priority falls behind others. */
 export function lateMarginMs({ restMs }: Pick<Submission, "restMs">): number {
     return Math.max(minLateMarginMs, restMs * lateMarginShare);
--- a/src/gather/RankShares.ts
+++ b/src/gather/RankShares.ts
@@ -1,13 +1,12 @@
 /**
- * How much of the work of each priority a gatherer starts in time. Order by priority alone starves the least urgent
- * kind of request while more urgent ones fill the endpoints; its place behind them shrinks as its share falls. A kind
- * with a long chain of stages starves whatever its priority when it is given up early for the sake of others; the time
- * before its latest start at which that happens shrinks likewise.
+ * How much of the work of each priority a gatherer starts in time. A kind of request with a long chain of stages starves,
+ * whatever its priority, when it is given up early for the sake of others; the margin before the latest start at which
+ * that happens shrinks while its priority is started in time less often than others.
  */
 
 /** Time constant of the shares: about the length of a burst, so that one burst's loss does not mark the next one. */
 const decayMs = 5000;
-/** How far the share of a priority may fall below that of others until nothing is left of its place or its margin. */
+/** How far the share of a priority may fall below that of others until nothing is left of its margin. */
 const maxLag = 0.05;
 /** Counts as this much work started in time, so that a single late submission does not decide. */
 const priorWork = 1;
@@ -32,23 +31,14 @@
         }
     }
 
-    /** How much of its place behind more urgent priorities a priority keeps, in [0, 1]. */
-    public placeBehind(priority: number, nowMs: number): number {
-        return this.keptPart(priority, other => other < priority, nowMs);
-    }
-
-    /** How much of its margin before the latest start a priority keeps, in [0, 1]. */
+    /** How much of its margin a priority keeps, in [0, 1]: 1 while its share is level with the best of the others. */
     public marginPart(priority: number, nowMs: number): number {
-        return this.keptPart(priority, other => other !== priority, nowMs);
-    }
-
-    /** 1 while the share of a priority is level with the best of those that `isCompared` selects. */
-    private keptPart(priority: number, isCompared: (other: number) => boolean, nowMs: number): number {
-        const shares = [...this.started.keys()].filter(isCompared).map(other => this.shareOf(other, nowMs));
-        if (shares.length === 0) {
+        const others = [...this.started.keys()].filter(other => other !== priority);
+        if (others.length === 0) {
             return 1;
         }
-        const behind = Math.max(...shares) - this.shareOf(priority, nowMs);
+        const best = Math.max(...others.map(other => this.shareOf(other, nowMs)));
+        const behind = best - this.shareOf(priority, nowMs);
         return Math.min(1, Math.max(0, 1 - behind / maxLag));
     }
 
