--- a/src/gather/PieceQueue.ts
+++ b/src/gather/PieceQueue.ts
@@ -10,7 +10,6 @@
  */
 import type { DataCentreId } from "../common/Types.js";
 import { OrderedPieces, type QueueEntry } from "./OrderedPieces.js";
-import { RankShares } from "./RankShares.js";
 import type { Submission, SubmissionId } from "./Types.js";
 
 /** A submission may go to any data centre this long before its latest start; about the duration of one call. */
@@ -193,7 +192,6 @@
     private readonly started = new QueueGroup();
     private readonly fresh = new QueueGroup();
     private readonly checks = new OrderedPieces(byCheck);
-    private readonly shares = new RankShares();
     /** Number of queued submissions by the size of one result. */
     private readonly resultSizes = new Map<number, number>();
     private lastSequence = 0;
@@ -210,13 +208,13 @@
         if (waiting.pieces.length === 0) {
             return;
         }
-        const { restMs, resultBytes, id } = waiting.submission;
+        const { priority, restMs, resultBytes, id } = waiting.submission;
         this.lastSequence += 1;
         const entry: QueueEntry = {
             waiting,
             sequence: this.lastSequence,
-            lateAtMs: this.lateAtMs(waiting, this.updatedMs),
-            adjustedStartMs: adjustedStartMs(waiting),
+            lateAtMs: waiting.startByMs - lateMarginMs(waiting.submission),
+            adjustedStartMs: waiting.startByMs + priority * priorityStepMs,
             checkAtMs: waiting.deadlineMs - restMs - checkAheadMs,
         };
         this.entries.set(id, entry);
@@ -309,10 +307,6 @@
     /** Removes and returns the pieces of a selection, to which nothing may have been added or taken since. */
     public takeSelected({ picks }: Selection, dataCentre: DataCentreId): TakenPiece[] {
         return picks.flatMap(({ waiting, count }) => {
-            if (!waiting.isStarted) {
-                const isLate = this.lateAtMs(waiting, this.updatedMs) < this.updatedMs;
-                this.shares.recordStart(waiting.submission.priority, isLate, this.updatedMs);
-            }
             this.remove(waiting.submission.id);
             const taken = waiting.pieces.splice(0, count).map(piece => ({ waiting, piece }));
             waiting.isStarted = true;
@@ -350,15 +344,15 @@
     public piecesAhead(added: QueuePosition, nowMs: number): number {
         this.update(nowMs);
         const ofStarted = this.started.onTime.pieces + this.started.late.pieces;
-        const { deadlineMs, submission: { priority } } = added;
-        if (this.lateAtMs(added, nowMs) < nowMs) {
+        const { startByMs, deadlineMs, submission: { priority } } = added;
+        if (isLate(added, nowMs)) {
             return ofStarted + this.fresh.onTime.pieces
                 + this.fresh.late.piecesWhile(({ waiting }) =>
                     waiting.submission.priority < priority
                     || (waiting.submission.priority === priority && waiting.deadlineMs <= deadlineMs)
                 );
         }
-        const adjustedMs = adjustedStartMs(added);
+        const adjustedMs = startByMs + priority * priorityStepMs;
         return ofStarted + this.fresh.onTime.piecesWhile(one => one.adjustedStartMs <= adjustedMs);
     }
 
@@ -402,12 +396,6 @@
         return failed;
     }
 
-    /** From when a submission is no longer expected to meet its objective. */
-    private lateAtMs({ startByMs, submission }: QueuePosition, nowMs: number): number {
-        const part = this.shares.marginPart(submission.priority, nowMs);
-        return startByMs - Math.max(minLateMarginMs, lateMarginMs(submission) * part);
-    }
-
     private groupOf({ waiting }: QueueEntry): QueueGroup {
         return waiting.isStarted ? this.started : this.fresh;
     }
@@ -419,12 +407,15 @@
     }
 }
 
-/** The latest start, moved back for less urgent submissions. */
-function adjustedStartMs({ startByMs, submission: { priority } }: QueuePosition): number {
-    return startByMs + priority * priorityStepMs;
+/** True when a submission is no longer expected to meet its objective. */
+export function isLate(
+    { startByMs, submission }: Pick<QueuePosition, "startByMs" | "submission">,
+    nowMs: number,
+): boolean {
+    return startByMs - lateMarginMs(submission) < nowMs;
 }
 
-/** How long before its latest start a submission counts as late, unless its priority falls behind others. */
+/** How long before its latest start a submission counts as late. */
 export function lateMarginMs({ restMs }: Pick<Submission, "restMs">): number {
     return Math.max(minLateMarginMs, restMs * lateMarginShare);
 }
