--- a/src/peer/PeerSocketClient.ts
+++ b/src/peer/PeerSocketClient.ts
@@ -6,8 +6,15 @@
 import { type RawData, WebSocket } from "ws";
 import type { Disposable } from "../common/Types.js";
 import { HttpFetchError } from "./HttpFetch.js";
-import { socketKeepAliveMs, textOf } from "./PeerSocketServer.js";
-import { type CallFrame, maxFrameBytes, parseReplyFrame, type ReplyFrame, socketPath } from "./SocketFrames.js";
+import {
+    type CallFrame,
+    maxFrameBytes,
+    parseReplyFrame,
+    type ReplyFrame,
+    socketKeepAliveMs,
+    socketPath,
+    textOf,
+} from "./SocketFrames.js";
 
 const unauthorizedStatus = 401;
 
--- a/src/peer/PeerSocketServer.ts
+++ b/src/peer/PeerSocketServer.ts
@@ -10,10 +10,15 @@
 import type { EventLog, HybridClock } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
 import { callProcedure, type ProcedureError } from "./ProcedureCalls.js";
-import { maxFrameBytes, parseCallFrame, type ReplyFrame, socketPath } from "./SocketFrames.js";
+import {
+    maxFrameBytes,
+    parseCallFrame,
+    type ReplyFrame,
+    socketKeepAliveMs,
+    socketPath,
+    textOf,
+} from "./SocketFrames.js";
 
-/** First probe of an idle connection; the count of probes is the system's. */
-export const socketKeepAliveMs = 1000;
 /** Close code of RFC 6455 for a message that is not of the expected form. */
 const malformedCode = 1007;
 /** Codes of the library's errors on bytes that are no WebSocket frames. */
@@ -109,11 +114,6 @@
     }
 }
 
-/** The text of a message; messages are not split, since `binaryType` is the library's default. */
-export function textOf(data: RawData): string {
-    return Buffer.isBuffer(data) ? data.toString("utf8") : "";
-}
-
 function refuse(connection: Duplex, status: string): void {
     connection.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
--- a/src/peer/SocketFrames.ts
+++ b/src/peer/SocketFrames.ts
@@ -3,12 +3,15 @@
  * come in any order.
  */
 import { Either } from "purify-ts";
+import type { RawData } from "ws";
 import * as z from "zod";
 
 /** Path of the upgrade request. */
 export const socketPath = "/peer-socket";
 /** Maximum size of a frame, in bytes, and of what waits to be sent on a socket. */
 export const maxFrameBytes = 16 * 1024 * 1024;
+/** First probe of an idle connection; the count of probes is the system's. */
+export const socketKeepAliveMs = 1000;
 
 const callFrame = z.object({
     id: z.number().int(),
@@ -38,6 +41,11 @@
     return parse(replyFrame, text);
 }
 
+/** The text of a message; messages are not split, since `binaryType` is the library's default. */
+export function textOf(data: RawData): string {
+    return Buffer.isBuffer(data) ? data.toString("utf8") : "";
+}
+
 function parse<T>(schema: z.ZodType<T>, text: string): T | undefined {
     return Either.encase(() => JSON.parse(text) as unknown)
         .toMaybe()
--- a/src/peer/TrpcPeerTransport.ts
+++ b/src/peer/TrpcPeerTransport.ts
@@ -64,6 +64,7 @@
         this.socketClient = createTRPCUntypedClient<AnyTRPCRouter>({ links: [socketLink(this.socket)] });
     }
 
+    /** Resolves with the reply; rejects as tRPC's client does. */
     public async call(name: string, isFrequent: boolean, req: unknown, signal: AbortSignal): Promise<unknown> {
         const { clock } = this.options;
         if (isFrequent && clock.nowMs() >= this.socketFromMs) {
