Tests of misbehaving callers: a small site of processes, and files that run alone

Callers in test/crowds/ are measured by the memory and the descriptors of a host's process, so that these files run one at a time after all others. Processes can be started with a lower limit of descriptors; hosts can get other settings and limits. No logic changes.

--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -1,6 +1,6 @@
 /** Starts, signals and stops the child processes (daemons and stand-ins) of experiments and tests. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { closeSync, mkdirSync, openSync, readFileSync } from "node:fs";
+import { closeSync, mkdirSync, openSync, readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import type { Clock } from "../src/common/Types.js";
 
@@ -18,6 +18,8 @@
     readonly residentBytes: number;
     /** Bytes read and written by system calls since the start, including sockets, logs and other files. */
     readonly ioBytes: number;
+    /** Number of open descriptors. */
+    readonly descriptors: number;
 }
 
 export class Processes {
@@ -25,6 +27,8 @@
     public readonly unreadOutputs = new Set<string>();
     /** Options of Node.js for processes that are started from now on, besides those of this process. */
     public nodeOptions: readonly string[] = [];
+    /** Maximum number of open descriptors of processes that are started from now on; undefined for that of this process. */
+    public maxDescriptors: number | undefined;
     private readonly children = new Map<string, ChildProcess>();
 
     public constructor(private readonly folder: string, private readonly clock: Clock) {
@@ -34,7 +38,11 @@
     /** Runs a script with Node.js and this process's Node.js options; appends its output to NAME.out in the folder. */
     public start(name: string, script: string, args: readonly string[]): void {
         const out = openSync(join(this.folder, `${name}.out`), "a");
-        const child = spawn(process.execPath, [...process.execArgv, ...this.nodeOptions, script, ...args], {
+        const command = [process.execPath, ...process.execArgv, ...this.nodeOptions, script, ...args];
+        const [program = "", ...words] = this.maxDescriptors === undefined
+            ? command
+            : ["/bin/sh", "-c", `ulimit -n ${this.maxDescriptors}; exec "$0" "$@"`, ...command];
+        const child = spawn(program, words, {
             stdio: ["ignore", this.unreadOutputs.has(name) ? "pipe" : out, out],
         });
         closeSync(out);
@@ -98,7 +106,8 @@
             const resident = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"));
             const io = readFileSync(`/proc/${pid}/io`, "utf8");
             const ioBytes = Number(/^rchar: (\d+)$/m.exec(io)?.[1]) + Number(/^wchar: (\d+)$/m.exec(io)?.[1]);
-            return { cpuMs, residentBytes: Number(resident?.[1] ?? 0) * 1024, ioBytes };
+            const descriptors = readdirSync(`/proc/${pid}/fd`).length;
+            return { cpuMs, residentBytes: Number(resident?.[1] ?? 0) * 1024, ioBytes, descriptors };
         }
         catch {
             return undefined;
--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -68,6 +68,10 @@
     public readonly endpoints: readonly string[];
     /** Endpoints that reply with a body without end, and the text in chunks that they repeat. */
     public readonly endless = new Map<string, string>();
+    /** Settings of hosts that are started from now on, in place of the usual ones. */
+    public settings: Readonly<Record<string, unknown>> = {};
+    /** Limits on callers' requests in configurations that are put from now on, besides the usual ones. */
+    public callerLimits: Readonly<Record<string, number>> = {};
     /** Texts that the list holds between its other entries, as another writer leaves them. */
     public readonly oddEntries: string[] = [];
     private readonly listAddress: string;
@@ -151,6 +155,7 @@
                 coldOverrun: 1.5,
                 coldSlack: 5,
             },
+            ...this.settings,
         };
         mkdirSync(this.folder, { recursive: true });
         const file = join(this.folder, `${host}.yaml`);
@@ -213,7 +218,11 @@
             Version: version,
             Services: [{ Name: "s", HealthPath: statusPath }],
             // A connection that callers use again at once is never idle for that long.
-            Limits: { HeaderTimeoutMs: 1000 + 1000 * (version % 3), IdleTimeoutMs: version % 2 === 0 ? 15_000 : 1000 },
+            Limits: {
+                HeaderTimeoutMs: 1000 + 1000 * (version % 3),
+                IdleTimeoutMs: version % 2 === 0 ? 15_000 : 1000,
+                ...this.callerLimits,
+            },
             Routes: kinds.map(([name, Kind]) => ({
                 Name: name,
                 Host: "h.example",
@@ -257,6 +266,14 @@
         return { host, port: ports.caller };
     }
 
+    public operatorAddress(host: string): { readonly host: string; readonly port: number; } {
+        return { host, port: ports.operator };
+    }
+
+    public peerAddress(host: string): { readonly host: string; readonly port: number; } {
+        return { host, port: ports.peer };
+    }
+
     public async stop(): Promise<void> {
         await this.processes.stopAll();
         this.servers.forEach(server => {
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -13,6 +13,8 @@
 const compiled = resolve(root, "out");
 /** Timeout of one test file, in milliseconds. */
 const fileTimeoutMs = 300_000;
+/** Files in this folder measure the memory of processes; they run one at a time, after all others. */
+const aloneFolder = resolve(compiled, "test/crowds");
 
 function testFiles(): string[] {
     const named = process.argv.slice(2);
@@ -23,7 +25,10 @@
     return chosen.map(file => resolve(compiled, file));
 }
 
-async function runAll(files: string[]): Promise<TestVerdict[]> {
+async function runAll(files: string[], concurrency: number): Promise<TestVerdict[]> {
+    if (files.length === 0) {
+        return [];
+    }
     const verdicts: TestVerdict[] = [];
     const paths = new Map<string, string[]>();
     const pathOf = (file: string | undefined): string[] => {
@@ -31,7 +36,7 @@
         paths.set(file ?? "", path);
         return path;
     };
-    const stream = run({ files, concurrency: 4, timeout: fileTimeoutMs });
+    const stream = run({ files, concurrency, timeout: fileTimeoutMs });
     stream.on("test:start", data => {
         const path = pathOf(data.file);
         path.length = data.nesting;
@@ -52,7 +57,11 @@
 }
 
 const files = testFiles();
-const verdicts = await runAll(files);
+const isAlone = (file: string) => file.startsWith(aloneFolder);
+const verdicts = [
+    ...await runAll(files.filter(file => !isAlone(file)), 4),
+    ...await runAll(files.filter(isAlone), 1),
+];
 const known = parseKnownRed(readFileSync(resolve(root, "KNOWN-RED.txt"), "utf8"));
 const verdict = evaluateRun(verdicts, process.argv.length > 2 ? [] : known);
 for (const entry of verdict.tolerated) {
