Gateway: a reply in whose body a second one begins is not passed on as whole

What callers saw: an endpoint wrote a reply twice, or an earlier one behind it, and the caller got both as one body with status 200 and the endpoint's signature, or the second head as an event of its stream and the stream as complete.

Cause: a body with neither a length nor chunks ends with its connection, so that all bytes up to that end counted as its body. A body with a length that the endpoint had truncated was filled up from the second reply.

Change: a body, and each event of a stream, is searched for the head of a reply (gateway/SecondReply). Where one begins, the attempt ends as broken and 1112 says so: the request runs elsewhere if it may, else it is answered with 502, and a stream that has begun is broken off. A body without framing counts with any such head. One with a length may quote a head as text, and counts only with a header that endpoints alone write, or where the end of the body cuts the head; so does an event within a line.

A second reply that is cut before the end of its status line is still taken for a part of a body without framing.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -4,7 +4,8 @@
  * it could not be attributed to a request. A reply that ends with its connection is complete once that is confirmed.
  *
  * A reply belongs to the request only if it carries its id. A faulty endpoint may write an earlier reply once more on a
- * kept connection, and a refusal in it would pass for one of a request that is running.
+ * kept connection, and a refusal in it would pass for one of a request that is running. A reply in whose body a second one
+ * begins is not known to be whole.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { BodyCollector } from "../common/BodyCollector.js";
@@ -19,6 +20,7 @@
 import type { RunningAttempt } from "./EndpointTracker.js";
 import { EventSplitter, type RelayedEvent } from "./EventSplitter.js";
 import type { ReplyEnds } from "./ReplyEnds.js";
+import { bodyHoldsReply, eventHoldsReply } from "./SecondReply.js";
 import type { AttemptOutcome, GatewayCodec, ReplyHead, RequestHead } from "./Types.js";
 
 /** Maximum size of a reply that is not streamed. */
@@ -30,6 +32,7 @@
  * connections after 300 ms of idle time, and after the reset it is unknown whether the request has run.
  */
 const maxSafeIdleMs = 250;
+const secondReply = "a second reply begins in the body";
 const uncertainEnd = "the reply ended with its connection, and it is not certain that it is whole";
 /** Maximum length of a foreign id in the log. */
 const maxLoggedIdLength = 64;
@@ -143,7 +146,10 @@
         attempt.recordActivity();
         res.on("error", err => this.fail(err.message));
         if (reply.requestId !== head.id) {
-            this.rejectForeign(reply);
+            this.reject(
+                reply,
+                reply.requestId === undefined ? "the reply names no request" : "the reply belongs to another request",
+            );
             return;
         }
         notices.observe(attempt.record.id, reply.status, res.headers);
@@ -159,7 +165,8 @@
         this.readComplete(res, reply);
     }
 
-    private rejectForeign({ requestId, status, isNotRun }: ReplyHead): void {
+    /** Fails because of an earlier reply, or one that is written once more. */
+    private reject({ requestId, status, isNotRun }: ReplyHead, message: string): void {
         const { log, head, attempt } = this.options;
         log.event(EventId.EndpointReplyRejected, {
             request: head.id,
@@ -169,8 +176,9 @@
             replyTo: requestId?.slice(0, maxLoggedIdLength),
             isReused: this.isReused,
             ...(this.throughHost === undefined ? {} : { through: this.throughHost }),
+            message,
         });
-        this.fail(requestId === undefined ? "the reply names no request" : "the reply belongs to another request");
+        this.fail(message);
     }
 
     private readComplete(res: IncomingMessage, reply: ReplyHead): void {
@@ -198,6 +206,9 @@
         if (reply.isNotRun) {
             this.finish({ kind: "not-run", status: reply.status });
         }
+        else if (bodyHoldsReply(body, reply.isFramed, this.options.codec.replyHeaders)) {
+            this.reject(reply, secondReply);
+        }
         else if (await this.isWhole(reply)) {
             this.finish({ kind: "replied", reply, body });
         }
@@ -230,7 +241,7 @@
                     return;
                 }
                 attempt.recordActivity();
-                await this.relayEvents(splitter.push(chunk as Buffer));
+                await this.relayEvents(reply, splitter.push(chunk as Buffer));
                 if (splitter.remainder.length > maxEventBytes || splitter.hasTooManyParts) {
                     this.fail("an event exceeds the size limit, or comes in too many parts");
                 }
@@ -244,6 +255,10 @@
             return;
         }
         if (res.complete && !this.isFinished) {
+            if (eventHoldsReply(splitter.remainder, this.options.codec.replyHeaders)) {
+                this.reject(reply, secondReply);
+                return;
+            }
             const fault = caller.endFault(reply, splitter.remainder)
                 ?? (await this.isWhole(reply) ? undefined : uncertainEnd);
             if (fault !== undefined) {
@@ -261,9 +276,12 @@
      * Passes events on, as long as the attempt goes on. While the caller takes no data, nothing is read from the
      * endpoint, so its silence does not count.
      */
-    private async relayEvents(events: readonly RelayedEvent[]): Promise<void> {
-        const { caller, attempt, gapMs, onEvent } = this.options;
+    private async relayEvents(reply: ReplyHead, events: readonly RelayedEvent[]): Promise<void> {
+        const { caller, attempt, gapMs, onEvent, codec } = this.options;
         for (const event of events) {
+            if (eventHoldsReply(event.bytes, codec.replyHeaders)) {
+                this.reject(reply, secondReply);
+            }
             const fault = caller.eventFault(event);
             if (fault !== undefined) {
                 this.fail(fault);
--- /dev/null
+++ b/src/gateway/SecondReply.ts
@@ -0,0 +1,63 @@
+/**
+ * Finds a second reply in the bytes of a reply. A faulty endpoint may write a reply once more, or an earlier one. Where the
+ * body ends with its connection, or the endpoint has truncated it, the second reply stands where the rest of the body is
+ * expected, and nothing but its head tells the two apart.
+ */
+
+/** What a status line begins with. */
+const statusLineMark = "HTTP/1.";
+/** A status line, and what begins a header or ends the head. */
+const beginOfHead = /^HTTP\/1\.[01] [1-5]\d\d[ \w'()-]*\r\n(?:\r|[^\s:]+:)/;
+/** Holds the status line and the name of the first header. */
+const beginBytes = 128;
+const endOfHead = "\r\n\r\n";
+/** A head without its end. */
+const cutHead = /^HTTP\/1\.[01] [1-5]\d\d[ \w'()-]*\r\n(?:[^\s:]+:[^\r\n]*\r\n)*(?:[^\s:]+(?::[^\r\n]*)?)?\r?$/;
+/** The parser of HTTP takes no longer head. */
+const maxHeadBytes = 16 * 1024;
+const lineFeed = 0x0a;
+const space = 0x20;
+
+/**
+ * True when a whole body holds the head of a reply, or ends in one. A framed body may quote one: there it counts only
+ * with one of the `replyHeaders`, which endpoints alone write (names in lower case), or when it is cut.
+ */
+export function bodyHoldsReply(body: Buffer, isFramed: boolean, replyHeaders: readonly string[]): boolean {
+    return holdsHead(body, replyHeaders, () => !isFramed);
+}
+
+/**
+ * True when an event of a stream holds the head of a reply. No line of an event begins like one; within a line it may be
+ * quoted, and counts as in a framed body.
+ */
+export function eventHoldsReply(event: Buffer, replyHeaders: readonly string[]): boolean {
+    return holdsHead(event, replyHeaders, at => at === 0 || event[at - 1] === lineFeed);
+}
+
+function holdsHead(bytes: Buffer, replyHeaders: readonly string[], counts: (at: number) => boolean): boolean {
+    let at = bytes.indexOf(statusLineMark);
+    while (at >= 0) {
+        let next = at + statusLineMark.length;
+        if (bytes[next + 1] !== space) {
+            at = bytes.indexOf(statusLineMark, next);
+            continue;
+        }
+        if (bytes.length - at <= maxHeadBytes && cutHead.test(bytes.toString("latin1", at))) {
+            return true;
+        }
+        if (beginOfHead.test(bytes.toString("latin1", at, at + beginBytes))) {
+            const end = bytes.indexOf(endOfHead, at);
+            if (counts(at) || hasHeader(bytes.toString("latin1", at, end < 0 ? undefined : end), replyHeaders)) {
+                return true;
+            }
+            next = end < 0 ? bytes.length : end;
+        }
+        at = bytes.indexOf(statusLineMark, next);
+    }
+    return false;
+}
+
+function hasHeader(head: string, names: readonly string[]): boolean {
+    const text = head.toLowerCase();
+    return names.some(name => text.includes(`\r\n${name}:`));
+}
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -101,6 +101,8 @@
 
 /** Translates between HTTP headers of the platform and the gateway's types. */
 export interface GatewayCodec extends StatusCodec {
+    /** Names, in lower case, of headers that endpoints alone write; every reply of one has some of them. */
+    readonly replyHeaders: readonly string[];
     decodeHead(req: http.IncomingMessage): Either<HeadFault, RequestHead>;
     /** Returns the headers of an attempt as alternating names and values. */
     encodeAttempt(head: RequestHead, attempt: AttemptInfo): readonly string[];
