Calls of stages: releases of results and reports get no connection of the calls that run pieces

Cause: replies to releases (POST /api/stage-free) and to reports (GET /api/report) say nothing of the message they belong to, and kept their connection whatever they were. An endpoint that answers twice left a connection that was one reply late from then on. The next call that ran pieces there was given the earlier reply: as broken, or, where a release had been refused, as not run, so that its pieces were sent elsewhere while the endpoint ran them; a call that was late was given the report of an earlier moment.

Change: a report gets a new connection. Releases keep theirs, in a pool of their own, since there are more of them than of calls: a reply there is to some release, and a release that counts as done by an earlier one's reply is still on its way. A release that is refused closes its connection.

What callers saw: results that had to be made again, and requests without them in time.

What remains: an endpoint that answers a release twice and refuses the next one has that one counted as done, until the result expires or the endpoint reports its storage.

--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -38,6 +38,13 @@
     readonly isCutOff?: boolean;
 }
 
+/**
+ * What a pooled connection is used for. "exchanges": requests whose replies show to which of them they belong;
+ * "releases": messages whose replies don't, so that an earlier reply on such a connection is never taken for one to
+ * another kind of request.
+ */
+export type ConnectionUse = "exchanges" | "releases";
+
 export interface ConnectOptions {
     readonly method: string;
     readonly path: string;
@@ -47,6 +54,8 @@
     readonly maxIdleMs?: number;
     /** True for a new connection that is not shared with any other request. */
     readonly fresh: boolean;
+    /** Pooled connections are shared only with requests of the same use; exchanges by default. */
+    readonly use?: ConnectionUse;
     readonly signal: AbortSignal;
 }
 
@@ -100,7 +109,10 @@
 }
 
 export class EndpointConnections implements Disposable {
-    private readonly pools = new Map<EndpointId, Pool>();
+    private readonly pools: Readonly<Record<ConnectionUse, Map<EndpointId, Pool>>> = {
+        exchanges: new Map(),
+        releases: new Map(),
+    };
     private readonly connectCounts = new Map<EndpointId, number>();
     private readonly connectQueues = new Map<EndpointId, (() => void)[]>();
     private readonly idleSinceMs = new WeakMap<Socket, number>();
@@ -114,7 +126,7 @@
 
     /** Connects and returns a request ready to be written; the caller ends or destroys it. */
     public async connect(endpoint: EndpointId, options: ConnectOptions): Promise<Either<ConnectError, ReadyRequest>> {
-        const pool = this.poolFor(endpoint);
+        const pool = this.poolFor(endpoint, options.use ?? "exchanges");
         if (pool === undefined) {
             return Left({ kind: "no-address", message: `endpoint "${endpoint}" is not configured` });
         }
@@ -148,27 +160,29 @@
 
     /** Closes idle connections to an endpoint, for when one of its connections fell silent and others may have too. */
     public closeIdleConnections(endpoint: EndpointId): void {
-        const pool = this.pools.get(endpoint);
-        this.pools.delete(endpoint);
-        closeFreeSockets(pool?.agent);
-        closeFreeSockets(pool?.detours);
+        for (const pools of Object.values(this.pools)) {
+            closeIdlePool(pools, endpoint);
+        }
     }
 
     public dispose(): void {
-        for (const pool of this.pools.values()) {
-            pool.agent.destroy();
-            pool.detours?.destroy();
+        for (const pools of Object.values(this.pools)) {
+            for (const pool of pools.values()) {
+                pool.agent.destroy();
+                pool.detours?.destroy();
+            }
+            pools.clear();
         }
-        this.pools.clear();
     }
 
-    private poolFor(endpoint: EndpointId): Pool | undefined {
+    private poolFor(endpoint: EndpointId, use: ConnectionUse): Pool | undefined {
         const address = this.addresses.addressOf(endpoint);
-        const known = this.pools.get(endpoint);
+        const pools = this.pools[use];
+        const known = pools.get(endpoint);
         if (known?.address === address) {
             return known;
         }
-        this.closeIdleConnections(endpoint);
+        closeIdlePool(pools, endpoint);
         if (address === undefined) {
             return undefined;
         }
@@ -181,7 +195,7 @@
                 ? undefined
                 : this.prepare(new DetourAgent(endpoint, detours, options)),
         };
-        this.pools.set(endpoint, pool);
+        pools.set(endpoint, pool);
         return pool;
     }
 
@@ -382,6 +396,14 @@
     }
 }
 
+/** Removes an endpoint's pool, and closes its idle connections. */
+function closeIdlePool(pools: Map<EndpointId, Pool>, endpoint: EndpointId): void {
+    const pool = pools.get(endpoint);
+    pools.delete(endpoint);
+    closeFreeSockets(pool?.agent);
+    closeFreeSockets(pool?.detours);
+}
+
 /** Closes an agent's idle connections. */
 function closeFreeSockets(agent: http.Agent | undefined): void {
     for (const sockets of Object.values(agent?.freeSockets ?? {})) {
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -4,7 +4,7 @@
 import { BodyCollector } from "../common/BodyCollector.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import { closeConnection } from "./CloseConnection.js";
-import type { ConnectError, EndpointConnections } from "./EndpointConnections.js";
+import type { ConnectError, ConnectionUse, EndpointConnections } from "./EndpointConnections.js";
 
 /** Maximum size of a reply, in bytes. */
 const maxReplyBytes = 1_048_576;
@@ -16,6 +16,8 @@
     readonly headers?: Readonly<Record<string, string>>;
     /** True for a new connection that is not shared with any other request. */
     readonly fresh: boolean;
+    /** See {@link ConnectionUse}. */
+    readonly use?: ConnectionUse;
     /** Timeout of the whole exchange after connecting, in milliseconds. */
     readonly timeoutMs: number;
     readonly clock: Clock;
@@ -49,13 +51,13 @@
     endpoint: EndpointId,
     options: TextRequest,
 ): Promise<Either<TextError, TextReply>> {
-    const { method, path, fresh, signal } = options;
+    const { method, path, fresh, use = "exchanges", signal } = options;
     const body = options.body ?? "";
     const content = body === ""
         ? {}
         : { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
     const headers = { ...options.headers, ...content };
-    const ready = await connections.connect(endpoint, { method, path, fresh, signal, headers });
+    const ready = await connections.connect(endpoint, { method, path, fresh, use, signal, headers });
     if (ready.isLeft()) {
         return Left(ready.extract());
     }
--- a/src/gather/HttpPieceClient.ts
+++ b/src/gather/HttpPieceClient.ts
@@ -53,6 +53,7 @@
             path: codec.runPath,
             body: codec.encodeRun(calls),
             headers: codec.callHeaders(endpoint.instance, remainingMs),
+            fresh: false,
             timeoutMs,
             signal: AbortSignal.any([this.signal, signal]),
             keepsConnection: complete => {
@@ -72,8 +73,13 @@
             path: codec.freePath,
             body: codec.encodeFree(handles),
             headers: codec.callHeaders(endpoint.instance, freeTimeoutMs),
+            // Nothing but releases: there are about as many as calls, too many for a new connection each. One that counts
+            // as done by an earlier reply is on its way to the endpoint.
+            fresh: false,
+            use: "releases",
             timeoutMs: freeTimeoutMs,
             signal,
+            keepsConnection: ({ status }) => status === ok,
         });
         return reply.caseOf({
             Left: error => error.message,
@@ -83,8 +89,14 @@
 
     public async state(endpoint: ListedEndpoint): Promise<WorkState | undefined> {
         const { codec, signal } = this;
-        const query = { method: "GET" as const, path: codec.statePath, timeoutMs: stateTimeoutMs, signal };
-        const reply = await this.request(endpoint, query);
+        const reply = await this.request(endpoint, {
+            method: "GET",
+            path: codec.statePath,
+            // An earlier report can't be told from this one.
+            fresh: true,
+            timeoutMs: stateTimeoutMs,
+            signal,
+        });
         return reply.toMaybe().filter(({ status }) => status === ok).map(({ text }) => codec.decodeState(text))
             .extract();
     }
@@ -105,9 +117,9 @@
             : { outcome: { kind: "replied", outcomes }, isOwn: owner === "own" };
     }
 
-    private async request(endpoint: ListedEndpoint, options: Omit<TextRequest, "fresh" | "clock">) {
+    private async request(endpoint: ListedEndpoint, options: Omit<TextRequest, "clock">) {
         const { connections, clock, notices } = this;
-        const reply = await requestText(connections, endpoint.id, { ...options, fresh: false, clock });
+        const reply = await requestText(connections, endpoint.id, { ...options, clock });
         return reply.ifRight(({ status, headers }) => notices.observe(endpoint.id, status, headers));
     }
 }
--- /dev/null
+++ b/testing/StutteringEndpoint.ts
@@ -0,0 +1,171 @@
+/**
+ * A faulty endpoint that writes some of its replies twice, the second time late, whole or in parts. It serves calls of
+ * stages, whose replies carry no id.
+ */
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+
+/** How the second copy of a reply is written. */
+export type RepeatForm = "whole" | "head first" | "in halves" | "cut";
+
+export interface Repeats {
+    readonly form: RepeatForm;
+    /** Time between a reply and its second copy, in milliseconds. */
+    readonly lateMs: number;
+    /** True for a reply that is written twice, by its number and the path of its request. */
+    readonly isRepeated: (reply: number, path: string) => boolean;
+}
+
+interface ReceivedRequest {
+    readonly path: string;
+    readonly body: string;
+}
+
+/** Time between two parts of a copy. */
+const partMs = 3;
+const notRun = { status: 503, headers: "Fireflykeel-Not-Executed: 1\r\n", body: "" };
+
+interface StutteringReply {
+    readonly status: number;
+    readonly headers: string;
+    readonly body: string;
+}
+
+export class StutteringEndpoint {
+    /** Ids of the requests whose pieces it has begun to run. */
+    public readonly began = new Set<string>();
+    /** Handles that it was told to free. */
+    public readonly freed = new Set<string>();
+    /** Number of reports that it has made; each states it as its free megabytes. */
+    public reports = 0;
+    /** Number of connections that it has accepted. */
+    public connections = 0;
+    /** Undefined while it is sound. */
+    public repeats: Repeats | undefined;
+    /** Duration of a call, in milliseconds. */
+    public runMs = 12;
+    /** True when it refuses to free results. */
+    public refusesToFree = false;
+    private readonly server: Server = createServer(socket => this.serve(socket));
+    private readonly sockets = new Set<Socket>();
+    private isRunning = false;
+    private replies = 0;
+    private results = 0;
+
+    public async start(): Promise<string> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    public close(): void {
+        this.sockets.forEach(socket => socket.destroy());
+        this.server.close();
+    }
+
+    private serve(socket: Socket): void {
+        let received = "";
+        this.connections += 1;
+        this.sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => this.sockets.delete(socket));
+        socket.on("data", (chunk: Buffer) => {
+            received += chunk.toString();
+            for (let next = takeRequest(received); next !== undefined; next = takeRequest(received)) {
+                received = next.rest;
+                this.reply(socket, next.request);
+            }
+        });
+    }
+
+    private reply(socket: Socket, { path, body }: ReceivedRequest): void {
+        switch (path) {
+            case "/api/stage-run":
+                return this.run(socket, path, body);
+            case "/api/stage-free": {
+                if (this.refusesToFree) {
+                    return this.write(socket, path, notRun);
+                }
+                const { Handles } = JSON.parse(body) as { Handles: string[]; };
+                Handles.forEach(handle => this.freed.add(handle));
+                return this.write(socket, path, { status: 200, headers: "", body: "" });
+            }
+            case "/api/report": {
+                this.reports += 1;
+                const report = { Waiting: 0, Busy: this.isRunning, FreeMb: this.reports };
+                return this.write(socket, path, { status: 200, headers: "", body: JSON.stringify(report) });
+            }
+            default:
+                return this.write(socket, path, notRun);
+        }
+    }
+
+    private run(socket: Socket, path: string, body: string): void {
+        if (this.isRunning) {
+            this.write(socket, path, notRun);
+            return;
+        }
+        this.isRunning = true;
+        const { Items } = JSON.parse(body) as { Items: { Id: string; Stage: number; Piece: number; }[]; };
+        Items.forEach(({ Id }) => this.began.add(Id));
+        setTimeout(() => {
+            this.isRunning = false;
+            const made = Items.map(({ Id, Stage, Piece }) => {
+                this.results += 1;
+                return { Handle: `${Id}/${Stage}/${Piece}/${this.results}` };
+            });
+            this.write(socket, path, { status: 200, headers: "", body: JSON.stringify({ Items: made }) });
+        }, this.runMs);
+    }
+
+    private write(socket: Socket, path: string, { status, headers, body }: StutteringReply): void {
+        const head = `HTTP/1.1 ${status} X\r\n${headers}Content-Length: ${body.length}\r\n\r\n`;
+        socket.write(head + body);
+        this.replies += 1;
+        const { repeats } = this;
+        if (repeats?.isRepeated(this.replies, path) !== true) {
+            return;
+        }
+        const writeCopy = () => {
+            const [first, second] = partsOf(repeats.form, head, body);
+            socket.write(first);
+            if (second !== "") {
+                setTimeout(() => socket.write(second), partMs);
+            }
+        };
+        if (repeats.lateMs === 0) {
+            writeCopy();
+        }
+        else {
+            setTimeout(writeCopy, repeats.lateMs);
+        }
+    }
+}
+
+function partsOf(form: RepeatForm, head: string, body: string): readonly [string, string] {
+    const whole = head + body;
+    const half = Math.floor(whole.length / 2);
+    switch (form) {
+        case "whole":
+            return [whole, ""];
+        case "head first":
+            return [head, body];
+        case "in halves":
+            return [whole.slice(0, half), whole.slice(half)];
+        case "cut":
+            return [whole.slice(0, half), ""];
+    }
+}
+
+/** The first request of the text and what follows it; undefined while the request is incomplete. */
+function takeRequest(text: string): { readonly request: ReceivedRequest; readonly rest: string; } | undefined {
+    const end = text.indexOf("\r\n\r\n");
+    if (end < 0) {
+        return undefined;
+    }
+    const head = text.slice(0, end);
+    const bytes = Number(/content-length: *(\d+)/i.exec(head)?.[1] ?? 0);
+    const body = text.slice(end + 4, end + 4 + bytes);
+    if (body.length < bytes) {
+        return undefined;
+    }
+    return { request: { path: head.split(" ")[1] ?? "/", body }, rest: text.slice(end + 4 + bytes) };
+}
