Calls of stages: results of an open connection are not forgotten

Cause: a reply with results carries no id of its call, so that only its handles tell an earlier one that is written again. The host remembered its newest 4,096 results over all endpoints. After as many others an earlier reply on a kept connection counted as the next call's own.

Change: the results of each open connection are remembered as long as it is open. A connection that has brought 4,096 is closed, so that the memory stays bounded. The newest results of all connections are still remembered as well.

What callers saw: a request could get inputs of another one (MIXED), at a host that gets thousands of results between two calls on one connection.

--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -35,6 +35,8 @@
     readonly status: number;
     readonly text: string;
     readonly headers: IncomingHttpHeaders;
+    /** Identifies the connection on which the reply came. */
+    readonly connection: object;
 }
 
 /** The request was written, but no complete reply arrived. */
@@ -98,6 +100,8 @@
         signal.addEventListener("abort", aborted);
         req.on("error", err => broken(err.message));
         req.on("response", res => {
+            // Unset at the end of the reply.
+            const connection = res.socket;
             const content = new BodyCollector(options.maxReplyBytes);
             res.on("data", (chunk: Buffer) => {
                 const fault = content.add(chunk);
@@ -109,7 +113,12 @@
             res.on("close", () => broken("the connection was closed before the reply was complete"));
             res.on("end", () => {
                 if (res.complete) {
-                    const reply = { status: res.statusCode ?? 0, text: content.toText(), headers: res.headers };
+                    const reply = {
+                        status: res.statusCode ?? 0,
+                        text: content.toText(),
+                        headers: res.headers,
+                        connection,
+                    };
                     if (options.keepsConnection?.(reply) === false) {
                         closeConnection(req);
                     }
--- a/src/gather/HttpPieceClient.ts
+++ b/src/gather/HttpPieceClient.ts
@@ -20,10 +20,11 @@
 /** Time limit for a state query: many times a round trip, and far less than the duration of a call. */
 const stateTimeoutMs = 150;
 
-/** What a reply says of a call, and whether it is known to belong to that call. */
+/** What a reply says of a call. */
 interface ReadReply {
     readonly outcome: CallOutcome;
-    readonly isOwn: boolean;
+    /** True when the reply is known to belong to the call, so that the next call on the connection gets its own. */
+    readonly mayKeep: boolean;
 }
 
 export class HttpPieceClient implements PieceClient {
@@ -58,7 +59,7 @@
             signal: AbortSignal.any([this.signal, signal]),
             keepsConnection: complete => {
                 read = this.readRun(calls, complete);
-                return read.isOwn;
+                return read.mayKeep;
             },
         });
         work.end();
@@ -101,20 +102,23 @@
             .extract();
     }
 
-    private readRun(calls: readonly PieceCall[], { status, headers, text }: TextReply): ReadReply {
+    private readRun(calls: readonly PieceCall[], { status, headers, text, connection }: TextReply): ReadReply {
         const { codec } = this;
         if (codec.isNotRun(status, headers)) {
             const kind = status === busyStatus ? "full" : "not-run";
-            return { outcome: { kind, message: `not run, status ${status}` }, isOwn: false };
+            return { outcome: { kind, message: `not run, status ${status}` }, mayKeep: false };
         }
         const outcomes = status === ok ? codec.decodeRun(text, calls.length) : undefined;
         if (outcomes === undefined) {
-            return { outcome: { kind: "broken", message: `malformed reply, status ${status}` }, isOwn: false };
+            return { outcome: { kind: "broken", message: `malformed reply, status ${status}` }, mayKeep: false };
         }
-        const owner = this.results.attribute(calls, outcomes);
+        const owner = this.results.attribute(connection, calls, outcomes);
         return owner === "foreign"
-            ? { outcome: { kind: "broken", message: "the reply has a result of another piece" }, isOwn: false }
-            : { outcome: { kind: "replied", outcomes }, isOwn: owner === "own" };
+            ? { outcome: { kind: "broken", message: "the reply has a result of another piece" }, mayKeep: false }
+            : {
+                outcome: { kind: "replied", outcomes },
+                mayKeep: owner === "own" && !this.results.isUsedUp(connection),
+            };
     }
 
     private async request(endpoint: ListedEndpoint, options: Omit<TextRequest, "clock">) {
--- a/src/gather/KnownResults.test.ts
+++ b/src/gather/KnownResults.test.ts
@@ -28,7 +28,26 @@
     // Guards against results of one piece that are given to another, and against sound replies that are rejected.
     test(`a reply with ${name} is ${owner}`, () => {
         const results = new KnownResults();
-        results.attribute(callsOf("first"), [made("a"), made("b")]);
-        assert.equal(results.attribute(callsOf(request), outcomes), owner);
+        results.attribute({}, callsOf("first"), [made("a"), made("b")]);
+        assert.equal(results.attribute({}, callsOf(request), outcomes), owner);
     });
 }
+
+// Guards against an earlier reply that counts as a new one once many others have come on the same or on other connections.
+test("results of an open connection are remembered until it is used up", () => {
+    const results = new KnownResults();
+    const connection = {};
+    const other = {};
+    const fill = (to: object, from: number, count: number) => {
+        for (let at = 0; at < count; at += 2) {
+            results.attribute(to, callsOf(`r${from + at}`), [made(`${from + at}`), made(`${from + at + 1}`)]);
+        }
+    };
+    results.attribute(connection, callsOf("first"), [made("a"), made("b")]);
+    fill(other, 0, 6000);
+    assert.equal(results.attribute(connection, callsOf("second"), [made("a"), made("b")]), "foreign");
+    assert.deepEqual([connection, other].map(one => results.isUsedUp(one)), [false, true]);
+    fill(connection, 6000, 4094);
+    assert.equal(results.attribute(connection, callsOf("second"), [made("a"), made("b")]), "foreign");
+    assert.equal(results.isUsedUp(connection), true);
+});
--- a/testing/StutteringEndpoint.ts
+++ b/testing/StutteringEndpoint.ts
@@ -9,8 +9,8 @@
 
 export interface Repeats {
     readonly form: RepeatForm;
-    /** Time between a reply and its second copy, in milliseconds. */
-    readonly lateMs: number;
+    /** Time between a reply and its second copy, in milliseconds; "next": until the next request on the connection. */
+    readonly lateMs: number | "next";
     /** True for a reply that is written twice, by its number and the path of its request. */
     readonly isRepeated: (reply: number, path: string) => boolean;
 }
@@ -47,6 +47,8 @@
     public refusesToFree = false;
     private readonly server: Server = createServer(socket => this.serve(socket));
     private readonly sockets = new Set<Socket>();
+    /** Writes the copies that wait for the next request on their connection. */
+    private readonly awaiting = new Map<Socket, () => void>();
     private isRunning = false;
     private replies = 0;
     private results = 0;
@@ -66,11 +68,16 @@
         this.connections += 1;
         this.sockets.add(socket);
         socket.on("error", () => undefined);
-        socket.on("close", () => this.sockets.delete(socket));
+        socket.on("close", () => {
+            this.sockets.delete(socket);
+            this.awaiting.delete(socket);
+        });
         socket.on("data", (chunk: Buffer) => {
             received += chunk.toString();
             for (let next = takeRequest(received); next !== undefined; next = takeRequest(received)) {
                 received = next.rest;
+                this.awaiting.get(socket)?.();
+                this.awaiting.delete(socket);
                 this.reply(socket, next.request);
             }
         });
@@ -131,7 +138,10 @@
                 setTimeout(() => socket.write(second), partMs);
             }
         };
-        if (repeats.lateMs === 0) {
+        if (repeats.lateMs === "next") {
+            this.awaiting.set(socket, writeCopy);
+        }
+        else if (repeats.lateMs === 0) {
             writeCopy();
         }
         else {
