--- a/bench/Processes.ts
+++ b/bench/Processes.ts
@@ -58,6 +58,11 @@
         return child !== undefined && child.exitCode === null && child.signalCode === null;
     }
 
+    /** Exit code of a process that has ended by itself; undefined while it runs, and if a signal ended it. */
+    public exitCode(name: string): number | undefined {
+        return this.children.get(name)?.exitCode ?? undefined;
+    }
+
     /** Sends a signal; does nothing if the process is not running. */
     public signal(name: string, signal: NodeJS.Signals): void {
         if (this.isRunning(name)) {
