--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -16,6 +16,8 @@
 const script = new URL("../platform/main.js", import.meta.url).pathname;
 /** Below the range of ephemeral ports, so that no outgoing connection occupies them. */
 const ports = { peer: 17_740, operator: 17_741, caller: 17_742, ready: 17_743, endpoint: 17_744, list: 17_745 };
+/** As in platform/main.ts. */
+const metricsPort = 9464;
 /** Pause between two events of a stream. */
 const eventPauseMs = 15;
 /** Processing time of a request that is not a stream. */
@@ -274,6 +276,14 @@
         return { host, port: ports.peer };
     }
 
+    public readyAddress(host: string): { readonly host: string; readonly port: number; } {
+        return { host, port: ports.ready };
+    }
+
+    public metricsAddress(host: string): { readonly host: string; readonly port: number; } {
+        return { host, port: metricsPort };
+    }
+
     public async stop(): Promise<void> {
         await this.processes.stopAll();
         this.servers.forEach(server => {
