Gateway: two heads that an endpoint has joined by a cut do not pass for one reply

What callers saw: an endpoint wrote an earlier reply once more on a kept connection, cut in its head, and then the reply to the next request. The caller of that request got 200 where its endpoint had answered 500, or a signature made of both, or 503 "not run" though it had run.

Cause: the parser takes the second status line for the rest of the reason phrase or of a header's value. The joined head has the id of the running request, so that its check passes, and the status, the signature and the mark of a refusal may come from the earlier reply.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -4,8 +4,8 @@
  * it could not be attributed to a request. A reply that ends with its connection is complete once that is confirmed.
  *
  * A reply belongs to the request only if it carries its id. A faulty endpoint may write an earlier reply once more on a
- * kept connection, and a refusal in it would pass for one of a request that is running. A reply in whose body a second one
- * begins is not known to be whole.
+ * kept connection, and a refusal in it would pass for one of a request that is running. A reply in which a second one
+ * begins is not known to be whole, nor which of the two a header belongs to.
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { BodyCollector } from "../common/BodyCollector.js";
@@ -20,7 +20,7 @@
 import type { RunningAttempt } from "./EndpointTracker.js";
 import { EventSplitter, type RelayedEvent } from "./EventSplitter.js";
 import type { ReplyEnds } from "./ReplyEnds.js";
-import { bodyHoldsReply, eventHoldsReply } from "./SecondReply.js";
+import { bodyHoldsReply, eventHoldsReply, headHoldsReply } from "./SecondReply.js";
 import type { AttemptOutcome, GatewayCodec, ReplyHead, RequestHead } from "./Types.js";
 
 /** Maximum size of a reply that is not streamed. */
@@ -32,6 +32,7 @@
  * connections after 300 ms of idle time, and after the reset it is unknown whether the request has run.
  */
 const maxSafeIdleMs = 250;
+const joinedHeads = "a second reply begins in the head";
 const secondReply = "a second reply begins in the body";
 const uncertainEnd = "the reply ended with its connection, and it is not certain that it is whole";
 /** Maximum length of a foreign id in the log. */
@@ -152,6 +153,10 @@
             );
             return;
         }
+        if (headHoldsReply(res)) {
+            this.reject(reply, joinedHeads);
+            return;
+        }
         notices.observe(attempt.record.id, reply.status, res.headers);
         if (reply.status < 400 && !reply.isSigned) {
             this.fail("the reply is not signed");
--- a/src/gateway/SecondReply.ts
+++ b/src/gateway/SecondReply.ts
@@ -1,8 +1,10 @@
 /**
  * Finds a second reply in the bytes of a reply. A faulty endpoint may write a reply once more, or an earlier one. Where the
  * body ends with its connection, or the endpoint has truncated it, the second reply stands where the rest of the body is
- * expected, and nothing but its head tells the two apart.
+ * expected, and nothing but its head tells the two apart. Where an earlier reply is cut in its head, the next status line
+ * becomes a part of its reason phrase or of a header's value, and two heads pass for one.
  */
+import type { IncomingMessage } from "node:http";
 
 /** What a status line begins with. */
 const statusLineMark = "HTTP/1.";
@@ -15,9 +17,15 @@
 const cutHead = /^HTTP\/1\.[01] [1-5]\d\d[ \w'()-]*\r\n(?:[^\s:]+:[^\r\n]*\r\n)*(?:[^\s:]+(?::[^\r\n]*)?)?\r?$/;
 /** The parser of HTTP takes no longer head. */
 const maxHeadBytes = 16 * 1024;
+const statusLine = /HTTP\/1\.[01] [1-5]\d\d/;
 const lineFeed = 0x0a;
 const space = 0x20;
 
+/** True when a head has a second status line within it. */
+export function headHoldsReply({ statusMessage = "", rawHeaders }: IncomingMessage): boolean {
+    return [statusMessage, ...rawHeaders].some(text => statusLine.test(text));
+}
+
 /**
  * True when a whole body holds the head of a reply, or ends in one. A framed body may quote one: there it counts only
  * with one of the `replyHeaders`, which endpoints alone write (names in lower case), or when it is cut.
