A connection that can't be opened for want of descriptors fails with a value

Callers saw connections reset and then nothing: 600 requests at once, with 400 descriptors, ended the entry host by an unhandled `error` of a ClientRequest, `connect EMFILE`. An error that `connect` raises at once is emitted after `socket`, when the socket is no longer connecting. The request was taken for connected, and its listener for errors removed.

A destroyed socket isn't connected now. Failures for want of a descriptor, port or memory have a kind of their own, "local": they are never confirmed, lead to no detour, and are no refusal for probes, crash evidence and the end of replies. Unreachable networks and hosts count as time-outs. A host that dials for another one calls local failures "unavailable".

The tests of EndpointConnections with errors that are raised at once failed before for all six codes, pooled and fresh.

--- a/src/endpoints/EndpointConnections.test.ts
+++ b/src/endpoints/EndpointConnections.test.ts
@@ -1,10 +1,11 @@
 /** Checks connections to an endpoint that does not complete them, or has no valid address, over loopback. */
 import assert from "node:assert/strict";
+import { Socket } from "node:net";
 import { after, test } from "node:test";
 import { listenWithoutAccepting } from "../../testing/SilentListener.js";
 import { SystemClock } from "../common/SystemClock.js";
 import type { EndpointId } from "../common/Types.js";
-import { EndpointConnections } from "./EndpointConnections.js";
+import { type ConnectError, EndpointConnections } from "./EndpointConnections.js";
 
 const endpoint = "e" as EndpointId;
 const closers: (() => void)[] = [];
@@ -64,3 +65,41 @@
         }
     });
 }
+
+const immediate: readonly (readonly [string, ConnectError["kind"]])[] = [
+    ["EMFILE", "local"],
+    ["ENFILE", "local"],
+    ["ENOBUFS", "local"],
+    ["EADDRNOTAVAIL", "local"],
+    ["ENETUNREACH", "timeout"],
+    ["ECONNREFUSED", "refused"],
+];
+for (const [code, kind] of immediate) {
+    for (const fresh of [false, true]) {
+        // Guards against a process that ends, or takes an endpoint for crashed, since it can open no connection itself.
+        test(`${code} that connect raises at once fails with a value, ${fresh ? "fresh" : "pooled"}`, async t => {
+            t.mock.method(Socket.prototype, "connect", function(this: Socket & { connecting: boolean; }) {
+                this.connecting = true;
+                process.nextTick(() => {
+                    this.connecting = false;
+                    this.destroy(Object.assign(new Error(`connect ${code}`), { code }));
+                });
+                return this;
+            });
+            const connections = new EndpointConnections(
+                { addressOf: () => "127.0.0.1:1", connectMs: () => 500 },
+                new SystemClock(),
+            );
+            closers.push(() => connections.dispose());
+            const { signal } = new AbortController();
+            const failed = await connections.connect(endpoint, { method: "GET", path: "/", fresh, signal });
+            const error = failed.swap().orDefault({ kind: "invalid", message: "connected" });
+            assert.equal(error.kind, kind);
+            assert.equal(error.isConfirmed, kind === "local" ? false : undefined);
+            const probed = await connections.probe(endpoint, signal);
+            assert.equal(probed, kind === "refused" ? "refused" : "unknown");
+            // An error of a request without a listener would end the process.
+            await new Promise(resolve => setImmediate(resolve));
+        });
+    }
+}
--- a/src/endpoints/EndpointConnections.ts
+++ b/src/endpoints/EndpointConnections.ts
@@ -6,6 +6,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import { type Either, Left, Right } from "purify-ts";
+import { connectFailureOf } from "../common/ConnectFailures.js";
 import { openRequest } from "../common/HttpRequests.js";
 import type { Clock, Disposable, EndpointId, HostId } from "../common/Types.js";
 import type { ConfigSource } from "../config/Types.js";
@@ -24,10 +25,11 @@
 
 /**
  * A failure to connect; no byte of the request was written. "invalid": no request can be made of the address, the path or
- * a header, some of which come from other hosts and endpoints.
+ * a header, some of which come from other hosts and endpoints. "local": this process lacks a descriptor or another resource
+ * for it, which proves nothing of the endpoint.
  */
 export interface ConnectError {
-    readonly kind: "refused" | "timeout" | "aborted" | "no-address" | "invalid";
+    readonly kind: "refused" | "timeout" | "aborted" | "no-address" | "invalid" | "local";
     readonly message: string;
     /**
      * True when a sound host has met the same, or has been refused; false when the cause may be this host's own path, as no
@@ -362,7 +364,8 @@
             req.on("socket", socket => {
                 socket.off("data", destroyOnData);
                 const ready = () => finish(Right({ req, reused: req.reusedSocket }));
-                if (socket.connecting) {
+                // An error that `connect` raises at once is emitted after this event, on a socket that is destroyed by now.
+                if (socket.connecting || socket.destroyed) {
                     socket.once("connect", ready);
                 }
                 else {
@@ -378,12 +381,13 @@
 
 /** True for a failure that another way to the endpoint would not change. */
 function isFinal(kind: ConnectError["kind"]): boolean {
-    return kind === "aborted" || kind === "invalid";
+    return kind === "aborted" || kind === "invalid" || kind === "local";
 }
 
 function connectErrorOf(err: Error): ConnectError {
     if (!(err instanceof DetourError)) {
-        return { kind: "refused", message: err.message };
+        const kind = connectFailureOf(err);
+        return { kind, message: err.message, ...(kind === "local" ? { isConfirmed: false } : {}) };
     }
     const { kind, message } = err.error;
     switch (kind) {
--- a/src/paths/DirectDialer.ts
+++ b/src/paths/DirectDialer.ts
@@ -6,6 +6,7 @@
  */
 import * as net from "node:net";
 import { Either, Left, Right } from "purify-ts";
+import { connectFailureOf } from "../common/ConnectFailures.js";
 import type { Clock } from "../common/Types.js";
 import type { FleetSource, ListedEndpoint, ServiceId } from "../fleet/Types.js";
 import type { TunnelError } from "../peer/TunnelClient.js";
@@ -120,7 +121,10 @@
             const timeOut = () => fail("timeout", `no connection within ${limitMs} ms`);
             // After a stall of this process, timers run before a connection that was made meanwhile is noticed.
             let timer = this.clock.setTimer(limitMs, () => timer = this.clock.setTimer(stallGraceMs, timeOut));
-            socket.on("error", err => fail("refused", err.message));
+            socket.on("error", err => {
+                const failure = connectFailureOf(err);
+                fail(failure === "local" ? "unavailable" : failure, err.message);
+            });
             socket.once("connect", () => {
                 timer.dispose();
                 this.recordConnected(endpoint);
