A call between hosts that could not be opened counts as not delivered

A call that failed by an error that `connect` raises at once (EMFILE and others) was taken for delivered, as its socket was no longer connecting by the time of the `socket` event; it wasn't sent again. A destroyed socket doesn't count as connected now.

--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -68,7 +68,8 @@
             reject(new HttpFetchError(err.message, connected, false, !connected && err.code === "ECONNREFUSED"));
         };
         req.on("socket", socket => {
-            connected = !socket.connecting;
+            // A socket that could not be opened is destroyed by now.
+            connected = !socket.connecting && !socket.destroyed;
             if (!connected) {
                 socket.once("connect", () => {
                     connected = true;
