Calls of stages: a refusal on a kept connection does not prove that the call was not run

Cause: a reply that states "not run" (503 with its header, 421) was believed on any connection. It names no call, so that on a kept connection it may be bytes that belong to no request, such as an earlier refusal of a request to the same endpoint. The pieces were sent elsewhere, and nothing counted the results that the endpoint was making.

Change: on a connection that an earlier request has used such a reply is an outcome of its own, "unproven". The pieces are sent again as before, since the connection is closed and the call's own reply is lost with it, and the endpoint is not suspect. But the results count as stored until the endpoint reports what is free. On a new connection a refusal is believed.

What callers saw: calls without room for their results, and so requests that ended late.

--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -37,6 +37,8 @@
     readonly headers: IncomingHttpHeaders;
     /** Identifies the connection on which the reply came. */
     readonly connection: object;
+    /** True when an earlier request has used the connection, whose reply may be this one, written again. */
+    readonly isReused: boolean;
 }
 
 /** The request was written, but no complete reply arrived. */
@@ -118,6 +120,7 @@
                         text: content.toText(),
                         headers: res.headers,
                         connection,
+                        isReused: req.reusedSocket,
                     };
                     if (options.keepsConnection?.(reply) === false) {
                         closeConnection(req);
--- a/src/gather/CellGatherer.test.ts
+++ b/src/gather/CellGatherer.test.ts
@@ -364,3 +364,27 @@
     await site.clock.advance(1000);
     assert.equal(site.completed().length, 1);
 });
+
+// Guards against calls whose results don't fit, since those of a call that counts as refused are stored there.
+test("results of a call whose refusal may be an earlier one count as stored until the endpoint reports", async () => {
+    const bytes = 600_000;
+    const site = new Site(1, () => bytes, traits, { reservesStorage: true, fillsCalls: false });
+    await site.clock.advance(1000);
+    site.endpoints.repeatingRefusals.add("e0");
+    site.submit({ pieces: [0], resultBytes: bytes, remainingMs: 20_000 });
+    await site.clock.advance(5);
+    site.endpoints.repeatingRefusals.clear();
+    await site.clock.advance(traits.resultKeptMs - 100);
+    assert.equal(site.endpoints.storageShortages, 0);
+});
+
+// Guards against an endpoint that gets one piece at a time as after a failure, though it was only full.
+test("an endpoint whose refusal may be an earlier one is not suspect", async () => {
+    const site = new Site(1);
+    site.endpoints.repeatingRefusals.add("e0");
+    site.submit({ pieces: [0, 1, 2], remainingMs: 20_000 });
+    await site.clock.advance(5);
+    site.endpoints.repeatingRefusals.clear();
+    await site.clock.advance(5000);
+    assert.deepEqual(site.endpoints.calls.map(one => one.pieces.length), [3, 3]);
+});
--- a/src/gather/CellGatherer.ts
+++ b/src/gather/CellGatherer.ts
@@ -283,7 +283,7 @@
     ): string {
         const traits = this.options.traits();
         if (callOutcome.kind !== "replied" || traits === undefined) {
-            if (callOutcome.kind === "full") {
+            if (callOutcome.kind === "full" || callOutcome.kind === "unproven") {
                 endpoint.recordBusy();
             }
             else if (callOutcome.kind === "limited") {
@@ -291,10 +291,11 @@
             }
             else {
                 endpoint.recordFailure();
-                if (callOutcome.kind === "broken" && this.reports !== undefined && traits !== undefined) {
-                    // The endpoint may have run the call; results that no record counts led to calls without room.
-                    this.countLost(endpoint, bytes, traits);
-                }
+            }
+            const mayHaveRun = callOutcome.kind === "broken" || callOutcome.kind === "unproven";
+            if (mayHaveRun && this.reports !== undefined && traits !== undefined) {
+                // Results that no record counts led to calls without room.
+                this.countLost(endpoint, bytes, traits);
             }
             this.open.requeue(taken, callOutcome.kind === "broken");
             return callOutcome.kind === "replied" ? "the service is no longer configured" : callOutcome.message;
--- a/src/gather/HttpPieceClient.ts
+++ b/src/gather/HttpPieceClient.ts
@@ -102,11 +102,18 @@
             .extract();
     }
 
-    private readRun(calls: readonly PieceCall[], { status, headers, text, connection }: TextReply): ReadReply {
+    private readRun(calls: readonly PieceCall[], reply: TextReply): ReadReply {
         const { codec } = this;
+        const { status, headers, text, connection, isReused } = reply;
         if (codec.isNotRun(status, headers)) {
-            const kind = status === busyStatus ? "full" : "not-run";
-            return { outcome: { kind, message: `not run, status ${status}` }, mayKeep: false };
+            const kind = isReused ? "unproven" : status === busyStatus ? "full" : "not-run";
+            return {
+                outcome: {
+                    kind,
+                    message: `not run${isReused ? ", unless the reply is an earlier one" : ""}, status ${status}`,
+                },
+                mayKeep: false,
+            };
         }
         const outcomes = status === ok ? codec.decodeRun(text, calls.length) : undefined;
         if (outcomes === undefined) {
--- a/src/gather/PermittedPieceClient.ts
+++ b/src/gather/PermittedPieceClient.ts
@@ -48,7 +48,7 @@
             return { kind: "limited", message: usedUp, waitMs };
         }
         const outcome = await this.client.run(endpoint, calls, timeoutMs, signal);
-        permit.place?.release(outcome.kind === "full");
+        permit.place?.release(outcome.kind === "full" || outcome.kind === "unproven");
         return outcome;
     }
 
--- a/src/gather/Types.ts
+++ b/src/gather/Types.ts
@@ -124,6 +124,8 @@
     | { readonly kind: "limited"; readonly message: string; readonly waitMs: number; }
     /** The endpoint did not run the call for another reason. */
     | { readonly kind: "not-run"; readonly message: string; }
+    /** A refusal that may be the reply to an earlier call, so that the endpoint may have run this one. */
+    | { readonly kind: "unproven"; readonly message: string; }
     /** No valid reply arrived; the endpoint may have run the call. */
     | { readonly kind: "broken"; readonly message: string; };
 
--- a/testing/FleetFixtures.ts
+++ b/testing/FleetFixtures.ts
@@ -241,6 +241,8 @@
     public readonly throwing = new Set<string>();
     /** Endpoints that refuse calls for lack of a free slot. */
     public readonly full = new Set<string>();
+    /** Endpoints that run calls, and write an earlier refusal ahead of the reply. */
+    public readonly repeatingRefusals = new Set<string>();
     /** Endpoints that run calls but whose replies are lost. */
     public readonly endpointsLosingReplies = new Set<string>();
     /** Endpoints whose results can't be fetched any more. */
@@ -315,6 +317,10 @@
             await this.clock.sleep(1);
             return { kind: "replied", outcomes };
         }
+        if (this.repeatingRefusals.has(endpoint.id)) {
+            await this.clock.sleep(1);
+            return { kind: "unproven", message: "refused, unless the reply is an earlier one" };
+        }
         if (this.endpointsLosingReplies.has(endpoint.id)) {
             await this.clock.sleep(timeoutMs, signal);
             return { kind: "broken", message: "no reply" };
