--- a/testing/StutteringEndpoint.ts
+++ b/testing/StutteringEndpoint.ts
@@ -1,6 +1,6 @@
 /**
  * A faulty endpoint that writes some of its replies twice, the second time late, whole or in parts. It serves calls of
- * stages, whose replies carry no id.
+ * stages and the endpoint list, whose replies carry no id.
  */
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 
@@ -45,6 +45,8 @@
     public runMs = 12;
     /** True when it refuses to free results. */
     public refusesToFree = false;
+    /** Pages of the endpoint list. */
+    public pages: readonly string[] = [];
     private readonly server: Server = createServer(socket => this.serve(socket));
     private readonly sockets = new Set<Socket>();
     /** Writes the copies that wait for the next request on their connection. */
@@ -100,8 +102,10 @@
                 const report = { Waiting: 0, Busy: this.isRunning, FreeMb: this.reports };
                 return this.write(socket, path, { status: 200, headers: "", body: JSON.stringify(report) });
             }
-            default:
-                return this.write(socket, path, notRun);
+            default: {
+                const page = Number(/PageToken=(\d+)/.exec(path)?.[1] ?? 0);
+                return this.write(socket, path, { status: 200, headers: "", body: this.pages[page] ?? "" });
+            }
         }
     }
 
