Test of a large body without a length whose entry host is killed, which fails

What callers see: a body with neither a length nor chunks goes to a caller that reads slowly, the entry host is killed, and the connection ends in order after the bytes that the operating system had taken, 3.9 of 12 MB: the body looks whole.

Node.js can't make the operating system reset the connections of a killed process.

--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -46,6 +46,17 @@
     repeatRefusal: number;
 }
 
+/** Replies to paths that end with it have neither a length nor chunks. */
+export const unframedPath = "/unframed";
+/** More than the operating system takes for a caller that does not read. */
+const unframedBytes = 12 * 1024 * 1024;
+
+/** What endpoints make for a request with {@link unframedPath}. */
+export function unframedBodyOf(request: string): string {
+    const part = `answer to ${request}, `;
+    return part.repeat(Math.ceil(unframedBytes / part.length)).slice(0, unframedBytes);
+}
+
 /** Replies with a body that goes on until the connection is closed. */
 function writeEndlessly(socket: Socket, request: string, chunks: string): void {
     const send = () => {
@@ -380,6 +391,12 @@
                 req.socket.resetAndDestroy();
                 return;
             }
+            if (req.url?.endsWith(unframedPath) === true) {
+                res.useChunkedEncodingByDefault = false;
+                res.shouldKeepAlive = false;
+                res.writeHead(200, responseHeaders).end(unframedBodyOf(request));
+                return;
+            }
             const body = answerOf(request);
             res.writeHead(200, { ...responseHeaders, "content-length": body.length }).end(body);
         });
