--- a/test/EndedStreams.test.ts
+++ b/test/EndedStreams.test.ts
@@ -12,28 +12,36 @@
 
 /** Half of them, on average, have neither a length nor chunks at their endpoint. */
 const streamCount = 16;
-/** Streams take 120 ms. */
-const endAfterMs = 60;
-
 interface ReceivedStream {
     readonly body: string;
     /** True when nothing told the caller that the stream had not ended. */
     readonly looksComplete: boolean;
 }
 
-function readStream(address: { readonly host: string; readonly port: number; }, id: string): Promise<ReceivedStream> {
+/** Reads a stream; `onBegun` is called once some of it has come, or nothing will. */
+function readStream(
+    address: { readonly host: string; readonly port: number; },
+    id: string,
+    onBegun: () => void,
+): Promise<ReceivedStream> {
     return new Promise(resolve => {
         const headers = { "Host": "h.example", "Fireflykeel-Request-Id": id, "Fireflykeel-Deadline-Ms": "4000" };
         let body = "";
         let looksComplete = false;
         const options = { ...address, path: "/resumable/x", method: "POST", agent: false, headers } as const;
         const req = http.request(options, res => {
-            res.on("data", (chunk: Buffer) => body += chunk.toString());
+            res.on("data", (chunk: Buffer) => {
+                body += chunk.toString();
+                onBegun();
+            });
             res.on("end", () => looksComplete = res.complete && res.statusCode === 200);
             res.on("error", () => looksComplete = false);
         });
         req.on("error", () => looksComplete = false);
-        req.on("close", () => setImmediate(() => resolve({ body, looksComplete })));
+        req.on("close", () => {
+            onBegun();
+            setImmediate(() => resolve({ body, looksComplete }));
+        });
         req.end();
     });
 }
@@ -79,11 +87,15 @@
             await site.putConfig(site.controls[0] ?? "");
             await clock.sleep(200);
         }
-        const reading = Array.from({ length: streamCount }, async (_, one) => {
-            const id = `s${one}`;
-            return { id, ...await readStream(site.callerAddress(entry), id) };
-        });
-        await clock.sleep(endAfterMs);
+        const ids = Array.from({ length: streamCount }, (_, one) => `s${one}`);
+        const reading: Promise<ReceivedStream & { readonly id: string; }>[] = [];
+        const begun = ids.map(id =>
+            new Promise<void>(resolve => {
+                const stream = readStream(site.callerAddress(entry), id, resolve);
+                reading.push(stream.then(received => ({ id, ...received })));
+            })
+        );
+        await Promise.all(begun);
         end(site, entry);
         const streams = await Promise.all(reading);
         await site.stop();
