--- a/testing/StutteringEndpoint.ts
+++ b/testing/StutteringEndpoint.ts
@@ -35,7 +35,7 @@
     public readonly began = new Set<string>();
     /** Handles that it was told to free. */
     public readonly freed = new Set<string>();
-    /** Number of reports that it has made; each states it as its free megabytes. */
+    /** Number of reports that it has made; each states it as its free megabytes, or as the time that it has run. */
     public reports = 0;
     /** Number of connections that it has accepted. */
     public connections = 0;
@@ -102,6 +102,11 @@
                 const report = { Waiting: 0, Busy: this.isRunning, FreeMb: this.reports };
                 return this.write(socket, path, { status: 200, headers: "", body: JSON.stringify(report) });
             }
+            case "/v1/load": {
+                this.reports += 1;
+                const report = { incarnation: "i", state: "warm", uptimeMs: this.reports, running: 0, waiting: 0 };
+                return this.write(socket, path, { status: 200, headers: "", body: JSON.stringify(report) });
+            }
             default: {
                 const page = Number(/PageToken=(\d+)/.exec(path)?.[1] ?? 0);
                 return this.write(socket, path, { status: 200, headers: "", body: this.pages[page] ?? "" });
