Gateway: an address in a Via header does not pass for a second status line

What callers saw: 502 to every request at an endpoint behind a proxy that names the protocol and an address, such as "Via: HTTP/1.1 192.168.0.1".

Cause: the test for joined heads took any three digits behind the protocol for a status.

Change: the status ends the value, or a space follows it, as in a status line.

gateway/SecondReply.test.ts: 3 of its 7 new cases failed before; all pass now. A value that is a status line by itself ("X-Upstream: HTTP/1.1 200 OK") is still rejected, since joined heads look the same.

--- a/src/gateway/SecondReply.test.ts
+++ b/src/gateway/SecondReply.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { bodyHoldsReply, eventHoldsReply } from "./SecondReply.js";
+import { bodyHoldsReply, eventHoldsReply, headHoldsReply } from "./SecondReply.js";
 
 const names = ["x-id", "x-stamp"];
 const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\n";
@@ -52,6 +52,24 @@
     });
 }
 
+const values: readonly { readonly value: string; readonly isJoined: boolean; }[] = [
+    { value: "HTTP/1.1 proxy.example", isJoined: false },
+    { value: "HTTP/1.1 192.168.0.1", isJoined: false },
+    { value: "HTTP/1.1 127.0.0.1:3128 (proxy), HTTP/1.1 100-a", isJoined: false },
+    { value: "HTTP/1.1 2000", isJoined: false },
+    { value: "HTTP/1.1 200", isJoined: true },
+    { value: "HTTP/1.1 200 OK", isJoined: true },
+    { value: "1HTTP/1.0 503 Service Unavailable", isJoined: true },
+];
+
+for (const { value, isJoined } of values) {
+    // Guards against sound replies that are rejected because of the hosts that they name, and against joined heads.
+    test(`a header with the value "${value}" ${isJoined ? "holds" : "does not hold"} a second status line`, () => {
+        const res = { statusMessage: "OK", rawHeaders: ["Via", value] };
+        assert.equal(headHoldsReply(res), isJoined);
+    });
+}
+
 const long = (part: string) => Buffer.alloc(16 * 1024 * 1024, part);
 const repeated: readonly string[] = [
     "HTTP/1.",
--- a/src/gateway/SecondReply.ts
+++ b/src/gateway/SecondReply.ts
@@ -17,12 +17,15 @@
 const cutHead = /^HTTP\/1\.[01] [1-5]\d\d[ \w'()-]*\r\n(?:[^\s:]+:[^\r\n]*\r\n)*(?:[^\s:]+(?::[^\r\n]*)?)?\r?$/;
 /** The parser of HTTP takes no longer head. */
 const maxHeadBytes = 16 * 1024;
-const statusLine = /HTTP\/1\.[01] [1-5]\d\d/;
+/** Ends the line that it has joined. In a Via header, an address may follow the name of the protocol. */
+const statusLine = /HTTP\/1\.[01] [1-5]\d\d(?: |$)/;
 const lineFeed = 0x0a;
 const space = 0x20;
 
 /** True when a head has a second status line within it. */
-export function headHoldsReply({ statusMessage = "", rawHeaders }: IncomingMessage): boolean {
+export function headHoldsReply(
+    { statusMessage = "", rawHeaders }: Pick<IncomingMessage, "statusMessage" | "rawHeaders">,
+): boolean {
     return [statusMessage, ...rawHeaders].some(text => statusLine.test(text));
 }
 
