Test of a crowd that comes twice: the series that it reads has a prefix

The series is fireflykeel_caller_held_bytes. The row read caller_held_bytes, which does not exist, and so failed with NaN instead of 0 once the crowd before it was survived. The check is the same.

--- a/test/crowds/CallerBodiesBeside.test.ts
+++ b/test/crowds/CallerBodiesBeside.test.ts
@@ -71,7 +71,7 @@
             await site.clock.sleep(pollMs);
         }
         assert.ok(descriptors() <= before + spareDescriptors, `${descriptors()} descriptors, ${before} before`);
-        assert.equal(await readGauge(site.entry, "caller_held_bytes"), 0);
+        assert.equal(await readGauge(site.entry, "fireflykeel_caller_held_bytes"), 0);
     }),
 );
 
