Bodies: one of a declared size is read into a buffer of that size

A body that came in several parts was copied as a whole in the end, so that it was held twice for a moment. Where the size is declared, it is now read into one buffer, allocated once 64 KB have come; the collector tells what it holds and how large a copy it would make. No caller of the class declares a size yet.

--- a/src/common/BodyCollector.test.ts
+++ b/src/common/BodyCollector.test.ts
@@ -18,6 +18,25 @@
     );
 });
 
+// Guards against a body whose parts are lost where they are moved into one buffer, and against a second copy of it.
+test("a body of a declared size is what its parts were, and takes its size once it is large", () => {
+    const sizes = fc.array(fc.oneof(fc.nat(20), fc.integer({ min: 1000, max: 40_000 })), { maxLength: 40 });
+    fc.assert(
+        fc.property(sizes, fc.nat(1), (all, missing) => {
+            const parts = all.map((size, at) => Buffer.alloc(size, at + 1));
+            const whole = Buffer.concat(parts);
+            const body = new BodyCollector(Infinity, whole.length + missing);
+            parts.forEach(part => assert.equal(body.add(part), undefined));
+            const copied = body.copyBytes;
+            assert.ok(body.toBuffer().equals(whole));
+            if (whole.length > 64 * 1024) {
+                assert.deepEqual([copied, body.heldBytes], [0, whole.length + missing]);
+            }
+        }),
+        { seed: 59 },
+    );
+});
+
 const limits: readonly {
     readonly name: string;
     readonly parts: readonly Buffer[];
--- a/src/common/BodyCollector.ts
+++ b/src/common/BodyCollector.ts
@@ -7,6 +7,8 @@
 /** Parts below this size are copied. */
 const smallBytes = 4096;
 const blockBytes = 16 * 1024;
+/** A body of a declared size is copied into one buffer once it is larger. */
+const largeBytes = 64 * 1024;
 /** Parts below this size count as tiny. A model that sends each token by itself stays below their maximum number. */
 const tinyBytes = 16;
 /** Maximum number of tiny parts of one body, or of one event of a stream. */
@@ -37,16 +39,31 @@
     private block: Buffer | undefined;
     private filled = 0;
     private totalBytes = 0;
+    private bufferBytes = 0;
     private readonly tiny = new TinyParts();
 
-    /** @param limitBytes Maximum size of the body. */
-    public constructor(private readonly limitBytes: number) {}
+    /**
+     * @param limitBytes Maximum size of the body.
+     * @param declaredBytes Size of the body, if it is known. Its buffer is allocated once the body is a large one, so that
+     *     it need not be copied in the end.
+     */
+    public constructor(private readonly limitBytes: number, private readonly declaredBytes?: number) {}
 
     /** Size of what has been collected. */
     public get bytes(): number {
         return this.totalBytes;
     }
 
+    /** Size of the buffers that hold it. */
+    public get heldBytes(): number {
+        return this.bufferBytes;
+    }
+
+    /** Size of the copy that {@link toBuffer} makes; 0 if it needs none. */
+    public get copyBytes(): number {
+        return this.buffers.length + (this.filled > 0 ? 1 : 0) > 1 ? this.totalBytes : 0;
+    }
+
     /** Adds a part, unless it goes beyond a limit; returns which. */
     public add(part: Buffer): BodyFault | undefined {
         if (this.totalBytes + part.length > this.limitBytes) {
@@ -56,10 +73,15 @@
             return "too-many-parts";
         }
         this.totalBytes += part.length;
+        if (this.takesWhole()) {
+            this.copy(part);
+            return undefined;
+        }
         // A body that comes in one part is not copied.
         if (part.length >= smallBytes || this.totalBytes === part.length) {
             this.closeBlock();
             this.buffers.push(part);
+            this.bufferBytes += part.length;
         }
         else {
             this.copy(part);
@@ -78,19 +100,40 @@
         return this.toBuffer().toString("utf8");
     }
 
+    /** True when parts are copied into one buffer for the whole body, which is allocated here. */
+    private takesWhole(): boolean {
+        const { declaredBytes } = this;
+        if (declaredBytes === undefined || this.totalBytes <= largeBytes || this.totalBytes > declaredBytes) {
+            return false;
+        }
+        if (this.block?.length !== declaredBytes) {
+            const earlier = this.buffers.length === 0 && this.block === undefined ? [] : [this.toBuffer()];
+            this.buffers.length = 0;
+            this.block = Buffer.allocUnsafeSlow(declaredBytes);
+            this.bufferBytes = declaredBytes;
+            earlier.forEach(one => this.filled += one.copy(this.block!));
+        }
+        return true;
+    }
+
     private copy(part: Buffer): void {
         let from = 0;
         while (from < part.length) {
-            this.block ??= Buffer.allocUnsafeSlow(blockBytes);
+            this.block ??= this.newBlock();
             const copied = part.copy(this.block, this.filled, from);
             from += copied;
             this.filled += copied;
-            if (this.filled === blockBytes) {
+            if (this.filled === this.block.length) {
                 this.closeBlock();
             }
         }
     }
 
+    private newBlock(): Buffer {
+        this.bufferBytes += blockBytes;
+        return Buffer.allocUnsafeSlow(blockBytes);
+    }
+
     private closeBlock(): void {
         if (this.block !== undefined) {
             this.buffers.push(this.block.subarray(0, this.filled));
