Gateway: a refused body is read on for 2 s and the size of one body, then its connection is reset

A request that is refused before its body has ended, as with 413, had its body read on for as long as its caller sent: nothing bounded the time or the bytes. Closing instead would reset the connection and take the answer with it.

The answer now says that the connection is closed, unless at most 64 KB are declared, and only the sending direction is closed after it. What still comes is read and dropped, for 2 s after the answer and up to the limit of a body, in which each part counts 64 bytes more, since it takes time whatever its size. Then the connection is reset. Other answers that are due on the connection come first.

--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -37,6 +37,9 @@
 /** A caller that has taken data more recently is sound, and is not disconnected for room. */
 const minStallMs = 500;
 
+/** Bodies are small up to this size. */
+export const smallBodyBytes = 64 * 1024;
+
 /** Why a slow caller is disconnected: it takes nothing for too long, or its data takes memory that others need. */
 export type SlowCallerReason = "stalled" | "memory";
 
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -35,6 +35,7 @@
 import { type StageGraph, stagesAndReplyMs } from "./StageGraph.js";
 import type { StreamBinding } from "./StreamBinding.js";
 import { type AdmittedRequest, type GatewayCodec, isStreamed, type Refusal, type RequestHead } from "./Types.js";
+import { dropBody } from "./UnreadBody.js";
 
 /** The lease on keys ends this long before the time by which a revoked key must no longer be accepted. */
 const leaseMarginMs = 500;
@@ -50,6 +51,8 @@
 const firstViewWaitShare = 0.4;
 /** Interval at which a waiting request checks the view. */
 const confirmPollMs = 20;
+/** How much of a refused body is read on while no configuration is known. */
+const defaultUnreadBytes = 4 * 1024 * 1024;
 
 export interface GatewayDependencies {
     readonly fleet: FleetSource;
@@ -362,6 +365,7 @@
             res.destroy();
             return;
         }
+        this.dropUnread(res);
         writeRefusal(res, refusal);
     }
 
@@ -377,8 +381,17 @@
             outcome: refusal.reason,
             ...refusal,
         });
+        this.dropUnread(res);
         writeRefusal(res, refusal);
     }
+
+    /** Reads on what is left of the request's body while the answer is on its way. */
+    private dropUnread(res: http.ServerResponse): void {
+        if (!res.req.complete && !res.destroyed) {
+            const { maxBodyBytes = defaultUnreadBytes } = this.limits.current ?? {};
+            dropBody(res.req, res, maxBodyBytes, this.deps);
+        }
+    }
 }
 
 /** Size of a request's head as it was sent, but for spaces round the values. */
