Gateway: bodies that are being read share the callers' memory, and end in time

A request's body was read whole before anything of it counted in the bound on what is held for callers, and an incomplete one stayed for as long as its connection. A hundred callers that stopped short of the end of 4 MiB took 521 to 605 MB of an entry host.

Bodies now count while they come (BodyIntake): what their buffers take, the whole size of a large one that is declared, and the copy that a chunked one needs in the end. Where there is no room, those that have not grown by a sixteenth for 0.5 s are given up, the one that has not for longest first; for requests that run also those that still grow. They do not give way to each other while they grow, else none of many would end. A quarter of the room is closed to bodies over 64 KB, so that small ones find room. One body at a time that is larger than the room is read outside of it: a request within the limits on callers is served also where the bound is lower.

A body must end within its caller's deadline and its route's timeout, from the arrival of its head; then it is given up with 408. A stopping host gives up those that may outlast it once it no longer accepts all requests. Each answer is true: the request was not run. Callers of such bodies saw no answer before; ordinary callers were answered until the host had no memory.

--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -1,8 +1,9 @@
 /**
- * Bounds the bytes that this host holds for all callers together: requests that are running, replies that are being
- * read completely, and data that callers have not taken yet. Where there is no room, the caller that has taken nothing
- * for longest is disconnected, if that is long enough; else streams wait. A caller that takes nothing for longer than a
- * limit is disconnected in any case, so that its request occupies no endpoint.
+ * Bounds the bytes that this host holds for all callers together: bodies that are being read, requests that are running,
+ * replies that are being read completely, and data that callers have not taken yet. Where there is no room, bodies whose
+ * callers have stopped are given up, then the caller that has taken nothing for longest is disconnected, if that is long
+ * enough, and then other bodies that are being read give way to what runs; else streams wait. A caller that takes nothing
+ * for longer than a limit is disconnected in any case, so that its request occupies no endpoint.
  */
 import type { ServerResponse } from "node:http";
 import { invariant } from "../common/Invariant.js";
@@ -26,6 +27,24 @@
     release(): void;
 }
 
+/** Bytes of one body that is being read. */
+export interface ReadingBytes extends HeldBytes {
+    /** Number of bytes that count against the bound. */
+    readonly counted: number;
+    /** Releases some of them. */
+    subtract(bytes: number): void;
+    /** From now on they are those of a request that runs. */
+    settle(): void;
+}
+
+/** Bodies that are being read, and give way to others where there is no room. */
+export interface YieldingBodies {
+    /** Number of bytes of those whose callers have stopped, or of all. */
+    yieldableBytes(which: "stopped" | "all"): number;
+    /** Gives bodies up until so many bytes are released, or none is left. */
+    yieldBytes(which: "stopped" | "all", bytes: number): void;
+}
+
 interface CallerMemoryOptions {
     /** Returns the settings in force, which may change at any time. */
     readonly settings: () => CallerMemorySettings;
@@ -37,7 +56,9 @@
 /** A caller that has taken data more recently is sound, and is not disconnected for room. */
 const minStallMs = 500;
 
-/** Bodies are small up to this size. */
+/** Share of the bound that is kept for small bodies and for what runs; large bodies that are being read find no room in it. */
+const reservedShare = 0.25;
+/** Bodies that are being read are small up to this size. */
 export const smallBodyBytes = 64 * 1024;
 
 /** Why a slow caller is disconnected: it takes nothing for too long, or its data takes memory that others need. */
@@ -50,6 +71,9 @@
     /** Called when bytes are released. */
     private readonly waiters: (() => void)[] = [];
     private wakeTimer: Disposable | undefined;
+    private bodies: YieldingBodies | undefined;
+    /** The one body that is larger than the room for large ones, if there is any. Its bytes do not count. */
+    private oversized: ReadingBytes | undefined;
 
     public constructor(private readonly options: CallerMemoryOptions) {}
 
@@ -80,45 +104,97 @@
         return output;
     }
 
-    /** Returns an account of bytes held for a request. */
+    /** Names the bodies that give way to what runs. */
+    public setBodies(bodies: YieldingBodies): void {
+        this.bodies = bodies;
+    }
+
+    /** Returns an account of bytes held for a request that runs. */
     public account(): HeldBytes {
+        const account = this.readingAccount();
+        account.settle();
+        return account;
+    }
+
+    /** Returns an account of bytes of a body that is being read, and of its request then. */
+    public readingAccount(): ReadingBytes {
         let total = 0;
-        return {
+        let isReading = true;
+        const isOversized = () => this.oversized === account;
+        const change = (bytes: number) => {
+            total += bytes;
+            this.changeHeld(isOversized() ? 0 : bytes);
+        };
+        const account: ReadingBytes = {
+            get counted() {
+                return isOversized() ? 0 : total;
+            },
             add: bytes => {
-                if (!this.makeRoom(bytes)) {
-                    return false;
+                if (isReading && !isOversized() && this.isOversized(total + bytes)) {
+                    this.changeHeld(-total);
+                    this.oversized = account;
+                }
+                const hasRoom = isOversized() || (isReading
+                    ? this.makeRoomToRead(bytes, total + bytes <= smallBodyBytes)
+                    : this.makeRoom(bytes));
+                if (hasRoom) {
+                    change(bytes);
                 }
-                total += bytes;
-                this.changeHeld(bytes);
-                return true;
+                return hasRoom;
             },
+            subtract: bytes => change(-bytes),
+            settle: () => isReading = false,
             release: () => {
-                this.changeHeld(-total);
-                total = 0;
+                change(-total);
+                this.oversized = isOversized() ? undefined : this.oversized;
             },
         };
+        return account;
+    }
+
+    /**
+     * True for a body that would find no room even if nothing else were held. One of them at a time is read, so that a
+     * request within the limits on callers is served where the bound is lower than these.
+     */
+    private isOversized(bytes: number): boolean {
+        const { maxHeldBytes } = this.options.settings();
+        return this.oversized === undefined && bytes > maxHeldBytes * (1 - reservedShare);
+    }
+
+    /** Gives up bodies whose callers have stopped until there is room for more of another; false if there is none. */
+    private makeRoomToRead(bytes: number, isSmall: boolean): boolean {
+        const { maxHeldBytes } = this.options.settings();
+        const boundBytes = isSmall ? maxHeldBytes : maxHeldBytes * (1 - reservedShare);
+        const missing = this.heldBytes + bytes - boundBytes;
+        if (missing > 0 && missing <= (this.bodies?.yieldableBytes("stopped") ?? 0)) {
+            this.bodies?.yieldBytes("stopped", missing);
+        }
+        return this.heldBytes + bytes <= boundBytes;
     }
 
-    /** Disconnects callers until there is room for more bytes; false when that was not enough. */
+    /** Gives up bodies and disconnects callers until there is room for more bytes; false when that was not enough. */
     private makeRoom(bytes: number): boolean {
         const { maxHeldBytes } = this.options.settings();
-        if (this.heldBytes + bytes <= maxHeldBytes) {
+        const missing = () => this.heldBytes + bytes - maxHeldBytes;
+        if (missing() <= 0) {
             return true;
         }
         const stalled = [...this.waiting].filter(one => one.stalledMs >= minStallMs);
         const stalledBytes = stalled.reduce((sum, one) => sum + one.waitingBytes, 0);
-        if (this.heldBytes - stalledBytes + bytes > maxHeldBytes) {
+        if (missing() > stalledBytes + (this.bodies?.yieldableBytes("all") ?? 0)) {
             // Disconnecting callers would not be enough, but others may have stalled by then.
             this.wakeTimer ??= this.options.clock.setTimer(minStallMs, () => this.wake());
             return false;
         }
+        this.bodies?.yieldBytes("stopped", missing());
         stalled.sort((one, other) => other.stalledMs - one.stalledMs);
-        while (this.heldBytes + bytes > maxHeldBytes) {
+        while (missing() > 0 && stalled.length > 0) {
             const first = stalled.shift();
             invariant(first !== undefined, "data that waits belongs to an output", { held: this.heldBytes });
             this.end(first, "memory");
         }
-        return true;
+        this.bodies?.yieldBytes("all", missing());
+        return missing() <= 0;
     }
 
     /** Lets all that wait for room try again. */
--- a/src/gateway/CallerReply.ts
+++ b/src/gateway/CallerReply.ts
@@ -23,6 +23,7 @@
     "unknown-key": 401,
     "too-large": 413,
     "head-too-large": 431,
+    "body-too-slow": 408,
     "no-configuration": 503,
     "configuration-unconfirmed": 503,
     "quarantined": 503,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -5,7 +5,6 @@
  */
 import type * as http from "node:http";
 import type { Admission as AdmissionControl } from "../admission/Types.js";
-import { readBytes } from "../common/RequestBody.js";
 import type { Clock } from "../common/Types.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
@@ -16,7 +15,9 @@
 import type { VersionRouter } from "../rollouts/VersionRouter.js";
 import type { StreamOrigins } from "../streams/StreamOrigins.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog, Metrics } from "../telemetry/Types.js";
+import type { EventFields, EventLog, Metrics } from "../telemetry/Types.js";
+import { BodyIntake, type GivenUpReason } from "./BodyIntake.js";
+import { type BodyFault, readBody } from "./BodyReader.js";
 import type { CallerMemory, HeldBytes } from "./CallerMemory.js";
 import { writeRefusal } from "./CallerReply.js";
 import type { EndpointChooser } from "./EndpointChooser.js";
@@ -25,7 +26,7 @@
 import type { GatewayHedging } from "./GatewayHedging.js";
 import { GatewayRequest } from "./GatewayRequest.js";
 import { LimitHistory } from "./LimitHistory.js";
-import { failedRefusal, stoppingRetryMs } from "./RefusalCauses.js";
+import { failedRefusal, stoppingCause, stoppingRetryMs } from "./RefusalCauses.js";
 import type { ReplyEnds } from "./ReplyEnds.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
 import { RequestProgress } from "./RequestProgress.js";
@@ -51,6 +52,8 @@
 const firstViewWaitShare = 0.4;
 /** Interval at which a waiting request checks the view. */
 const confirmPollMs = 20;
+/** How long the body of a request may take whose route is not known. */
+const unknownRouteReadMs = 30_000;
 /** How much of a refused body is read on while no configuration is known. */
 const defaultUnreadBytes = 4 * 1024 * 1024;
 
@@ -112,8 +115,10 @@
     private readonly running = new Set<GatewayRequest>();
     private activeCount = 0;
     private plannedStop: PlannedStop | undefined;
+    private readonly intake: BodyIntake;
 
     public constructor(private readonly deps: GatewayDependencies) {
+        this.intake = new BodyIntake(deps);
         this.limits = new LimitHistory(deps.fleet, deps.clock);
         deps.fleet.onChange(view => {
             if (view.deployment !== undefined && view.deployment !== this.table?.deployment) {
@@ -129,16 +134,16 @@
 
     /**
      * Prepares for a planned stop of this host in `graceMs` milliseconds. Requests that arrive late and may last longer
-     * are refused at once; requests that are still waiting shortly before the end are answered then.
+     * are refused at once, also those whose bodies have not ended; requests that are still waiting shortly before the end
+     * are answered then.
      */
     public scheduleStop(graceMs: number): void {
         const { clock } = this.deps;
         const nowMs = clock.nowMs();
         const finalAnswersMs = nowMs + graceMs * finalAnswersShare;
-        this.plannedStop = {
-            acceptAllUntilMs: nowMs + Math.min(acceptAllMs, graceMs * acceptAllShare),
-            finalAnswersMs,
-        };
+        const acceptAllForMs = Math.min(acceptAllMs, graceMs * acceptAllShare);
+        this.plannedStop = { acceptAllUntilMs: nowMs + acceptAllForMs, finalAnswersMs };
+        clock.setTimer(acceptAllForMs, () => this.intake.stop(finalAnswersMs));
         clock.setTimer(finalAnswersMs - nowMs, () => this.running.forEach(one => one.stopWaiting()));
     }
 
@@ -187,18 +192,36 @@
             this.refuse(head, res, { reason: "head-too-large", message, notRun: true });
             return;
         }
-        const body = await readBytes(req, maxBodyBytes);
-        if (body.isLeft()) {
-            const error = body.extract();
-            if (error.kind === "too-large") {
-                const message = `the body exceeds the limit of ${error.limitBytes} bytes`;
-                this.refuse(head, res, { reason: "too-large", message, notRun: true });
-            }
-            return;
+        const body = await readBody(req, this.intake, maxBodyBytes, arrivedMs + this.readMs(head));
+        await body.caseOf({
+            Left: async fault => this.refuseBody(head, res, fault),
+            Right: ({ bytes, held }) =>
+                this.serveRead(head, bytes, res, arrivedMs, progress).finally(() => held.release()),
+        });
+    }
+
+    /** How long the body of a request may take: as long as its caller waits, and as the operator wants it kept waiting. */
+    private readMs({ host, target, remainingMs = Infinity }: RequestHead): number {
+        return Math.min(remainingMs, this.table?.find(host, target)?.timeoutMs ?? unknownRouteReadMs);
+    }
+
+    private refuseBody(head: RequestHead, res: http.ServerResponse, fault: BodyFault): void {
+        const refusal = bodyRefusal(fault);
+        if (refusal !== undefined) {
+            this.refuse(head, res, refusal, fault.kind === "given-up" ? { bodyBytes: fault.bytes } : {});
         }
+    }
+
+    private async serveRead(
+        head: RequestHead,
+        body: Buffer,
+        res: http.ServerResponse,
+        arrivedMs: number,
+        progress: RequestProgress,
+    ): Promise<void> {
         progress.stage = "admission";
         await this.waitForConfirmedView(head.remainingMs ?? 0);
-        const admission = await this.admitAndBind(head, body.unsafeCoerce(), arrivedMs);
+        const admission = await this.admitAndBind(head, body, arrivedMs);
         if ("refusal" in admission) {
             this.refuse(head, res, admission.refusal);
             return;
@@ -219,11 +242,6 @@
         held: HeldBytes,
         progress: RequestProgress,
     ): Promise<void> {
-        if (!held.add(admitted.body.length)) {
-            const message = "this host holds as much data for callers as it may";
-            this.refuse(head, res, { reason: "overloaded", message, notRun: true, retryAfterMs: unconfirmedRetryMs });
-            return;
-        }
         const { route, service, workspace } = admitted;
         if (!res.useChunkedEncodingByDefault && isStreamed(route)) {
             const message = "the end of a stream can't be marked in HTTP/1.0; send the request with HTTP/1.1";
@@ -369,7 +387,12 @@
         writeRefusal(res, refusal);
     }
 
-    private refuse(head: RequestHead | undefined, res: http.ServerResponse, refusal: Refusal): void {
+    private refuse(
+        head: RequestHead | undefined,
+        res: http.ServerResponse,
+        refusal: Refusal,
+        details: EventFields = {},
+    ): void {
         const { log, metrics, fleet } = this.deps;
         metrics.count("gateway_requests", { outcome: refusal.reason, kind: "none" });
         log.event(EventId.GatewayRequestEnded, {
@@ -380,6 +403,7 @@
             viewAgeMs: Math.round(fleet.ageMs()),
             outcome: refusal.reason,
             ...refusal,
+            ...details,
         });
         this.dropUnread(res);
         writeRefusal(res, refusal);
@@ -394,6 +418,33 @@
     }
 }
 
+/** Answer to a request whose body was not read to its end; undefined when its caller has left. */
+function bodyRefusal(fault: BodyFault): Refusal | undefined {
+    switch (fault.kind) {
+        case "incomplete":
+            return undefined;
+        case "too-large": {
+            const message = `the body exceeds the limit of ${fault.limitBytes} bytes`;
+            return { reason: "too-large", message, notRun: true };
+        }
+        case "given-up":
+            return givenUpRefusal(fault.reason);
+    }
+}
+
+function givenUpRefusal(reason: GivenUpReason): Refusal {
+    switch (reason) {
+        case "late":
+            return { reason: "body-too-slow", message: "the body did not end in time", notRun: true };
+        case "stopping":
+            return { ...stoppingCause, notRun: true };
+        case "memory": {
+            const message = "this host holds as much data for callers as it may";
+            return { reason: "overloaded", message, notRun: true, retryAfterMs: unconfirmedRetryMs };
+        }
+    }
+}
+
 /** Size of a request's head as it was sent, but for spaces round the values. */
 function headBytes({ method = "", url = "", rawHeaders }: http.IncomingMessage): number {
     const lineBytes = method.length + url.length + " HTTP/1.1\r\n".length + 1;
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -153,6 +153,7 @@
     | "unknown-key"
     | "too-large"
     | "head-too-large"
+    | "body-too-slow"
     | "no-configuration"
     | "configuration-unconfirmed"
     | "quarantined"
