Gateway: connections whose bodies come in many small parts are read in turns

The HTTP parser makes a buffer and an event of each chunk of a body, and up to 2 MB of one connection are parsed before any other is served: some ten thousand chunks of 20 bytes, or a hundred thousand events with a hundred connections. Callers that connected meanwhile were not accepted for seconds.

A connection that has brought 256 parts is paused after what has been read (64 KB at most), and one of the paused goes on in each turn of the event loop (ReadTurns), for bodies that are read and for those that are dropped.

--- a/src/gateway/BodyReader.ts
+++ b/src/gateway/BodyReader.ts
@@ -4,6 +4,7 @@
 import { BodyCollector } from "../common/BodyCollector.js";
 import type { BodyIntake, GivenUpReason } from "./BodyIntake.js";
 import type { HeldBytes } from "./CallerMemory.js";
+import type { ReadTurns } from "./ReadTurns.js";
 
 /** A whole body, and the bytes that are held for it. */
 export interface ReadBody {
@@ -21,6 +22,7 @@
 export function readBody(
     req: http.IncomingMessage,
     intake: BodyIntake,
+    turns: ReadTurns,
     limitBytes: number,
     untilMs: number,
 ): Promise<Either<BodyFault, ReadBody>> {
@@ -40,7 +42,9 @@
             untilMs,
             reason => finish(Left({ kind: "given-up", reason, bytes: parts.bytes })),
         );
+        const countPart = turns.counter(req.socket);
         const add = (part: Buffer) => {
+            countPart();
             const heldBefore = parts.heldBytes;
             // One in far too many parts counts as too large.
             if (parts.add(part) !== undefined) {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -26,6 +26,7 @@
 import type { GatewayHedging } from "./GatewayHedging.js";
 import { GatewayRequest } from "./GatewayRequest.js";
 import { LimitHistory } from "./LimitHistory.js";
+import { ReadTurns } from "./ReadTurns.js";
 import { failedRefusal, stoppingCause, stoppingRetryMs } from "./RefusalCauses.js";
 import type { ReplyEnds } from "./ReplyEnds.js";
 import type { ReplyTimes } from "./ReplyTimes.js";
@@ -116,6 +117,9 @@
     private activeCount = 0;
     private plannedStop: PlannedStop | undefined;
     private readonly intake: BodyIntake;
+    private readonly turns = new ReadTurns(callback => {
+        setImmediate(callback);
+    });
 
     public constructor(private readonly deps: GatewayDependencies) {
         this.intake = new BodyIntake(deps);
@@ -192,7 +196,7 @@
             this.refuse(head, res, { reason: "head-too-large", message, notRun: true });
             return;
         }
-        const body = await readBody(req, this.intake, maxBodyBytes, arrivedMs + this.readMs(head));
+        const body = await readBody(req, this.intake, this.turns, maxBodyBytes, arrivedMs + this.readMs(head));
         await body.caseOf({
             Left: async fault => this.refuseBody(head, res, fault),
             Right: ({ bytes, held }) =>
@@ -413,7 +417,7 @@
     private dropUnread(res: http.ServerResponse): void {
         if (!res.req.complete && !res.destroyed) {
             const { maxBodyBytes = defaultUnreadBytes } = this.limits.current ?? {};
-            dropBody(res.req, res, maxBodyBytes, this.deps);
+            dropBody(res.req, res, maxBodyBytes, { ...this.deps, turns: this.turns });
         }
     }
 }
--- a/src/gateway/UnreadBody.ts
+++ b/src/gateway/UnreadBody.ts
@@ -7,6 +7,7 @@
 import type { Clock, Disposable } from "../common/Types.js";
 import type { Metrics } from "../telemetry/Types.js";
 import { smallBodyBytes } from "./CallerMemory.js";
+import type { ReadTurns } from "./ReadTurns.js";
 
 /** How long a body is read on after the answer. */
 const maxUnreadMs = 2000;
@@ -16,6 +17,7 @@
 interface UnreadBodyOptions {
     readonly clock: Clock;
     readonly metrics: Metrics;
+    readonly turns: ReadTurns;
 }
 
 /**
@@ -28,9 +30,10 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
     limitBytes: number,
-    { clock, metrics }: UnreadBodyOptions,
+    { clock, metrics, turns }: UnreadBodyOptions,
 ): void {
     const { socket } = req;
+    const countPart = turns.counter(socket);
     const destroySoon = socket.destroySoon.bind(socket);
     let leftBytes = Math.max(limitBytes, smallBodyBytes);
     let timer: Disposable | undefined;
@@ -40,6 +43,7 @@
         socket.resetAndDestroy();
     };
     const drop = (part: Buffer) => {
+        countPart();
         leftBytes -= part.length + partCostBytes;
         if (leftBytes < 0 && res.writableFinished) {
             cut();
