A connection's next request is read once the one before is answered

Callers saw connections reset, and no answer: 60 connections with 2,000 pipelined requests each ended the entry host, out of memory. The HTTP parser makes a request of all that a read has brought, and each was run at once, up to hundreds of a connection, whether their answers were taken or not.

The bytes of a connection reach the parser in parts now that end where a request may end, and none while a request is in progress. The rest is held up to a bound, and reading pauses beyond it, so that it stays with the caller. A caller that leaves is noticed while reading goes on; bytes that have come before the last answer and are no request end the connection after that answer, as before. A caller that ends its direction with bytes held gets the answer in progress.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { limitPipelining, type PipelinedInput } from "./PipelinedInput.js";
 import { RequestProgress } from "./RequestProgress.js";
 
 interface OpenRequest {
@@ -19,6 +20,7 @@
 
 interface CallerConnection {
     readonly open: Set<OpenRequest>;
+    readonly input: PipelinedInput;
     requests: number;
     /** True once the caller has closed or reset the connection. */
     hasLeft: boolean;
@@ -30,6 +32,11 @@
     idleBytes: number | undefined;
 }
 
+/**
+ * Requests of one connection that are in progress at the same time; further ones stay unread. Answers go out in the order
+ * of the requests, so that another one in progress would wait with its answer, and hold an endpoint and memory for it.
+ */
+const maxOpenRequests = 1;
 /** Once connections are being closed, a new one is kept this long for its first request. */
 const firstRequestMs = 500;
 /** Cause of a connection that is closed since this host stops. */
@@ -140,6 +147,9 @@
         else if (connection.isInvalid && !isAnswerDue(connection)) {
             socket.destroySoon();
         }
+        if (!socket.writableEnded) {
+            connection.input.continue();
+        }
         this.recordIdle(socket, connection);
     }
 
@@ -152,9 +162,9 @@
 
     /** Closes a connection without an open request, unless a part of the next one has been read. */
     private closeIfIdle(socket: Socket, connection: CallerConnection): void {
-        const { open, idleBytes } = connection;
+        const { open, idleBytes, input } = connection;
         const isNew = socket.bytesRead === 0 && this.clock.nowMs() - (this.closingSinceMs ?? 0) < firstRequestMs;
-        if (open.size === 0 && socket.bytesRead === (idleBytes ?? 0) && !isNew) {
+        if (open.size === 0 && input.heldBytes === 0 && socket.bytesRead === (idleBytes ?? 0) && !isNew) {
             connection.closeCause ??= stoppingCause;
             socket.destroySoon();
         }
@@ -172,14 +182,26 @@
             connection.isInvalid = true;
             connection.closeCause ??= "invalid";
         }
-        if (connection === undefined || !isAnswerDue(connection)) {
+        if (connection !== undefined && isAnswerDue(connection)) {
+            return;
+        }
+        if (connection?.input.isLate === true) {
+            // What had come before the last answer ends the connection after that answer, without one of its own.
+            socket.destroySoon();
+        }
+        else {
             answer();
         }
     }
 
     private follow(socket: Socket): void {
+        const open = new Set<OpenRequest>();
         const connection: CallerConnection = {
-            open: new Set(),
+            open,
+            input: limitPipelining(socket, {
+                isFull: () => isFull(open),
+                cutOff: () => this.endInvalid(socket, () => socket.destroySoon()),
+            }),
             requests: 0,
             hasLeft: false,
             closeCause: undefined,
@@ -224,6 +246,11 @@
     }
 }
 
+/** True while nothing more is read. Where the last request has come with the end of another, its body waits as well. */
+function isFull(open: ReadonlySet<OpenRequest>): boolean {
+    return open.size > maxOpenRequests || open.size === maxOpenRequests && [...open].every(({ req }) => req.complete);
+}
+
 /** True when a request that was read whole waits for its answer; one whose body is incomplete never gets the rest. */
 function isAnswerDue({ open }: CallerConnection): boolean {
     return [...open].some(({ req, res }) => req.complete || res.headersSent);
