Events that callers can cause at any rate are bounded to 20 a second

Each connection that broke, or that this host closed, wrote a line: the log grew, and took processor time, at the rate of a crowd. CallerBroken and CallerConnectionClosed have a quota of 20 lines a second each; the next line says how many were left out. Metrics count all of them, as before.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -7,6 +7,7 @@
 import type * as http from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../common/Types.js";
+import { EventQuota } from "../telemetry/EventQuota.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { limitPipelining, type PipelinedInput } from "./PipelinedInput.js";
@@ -48,6 +49,7 @@
 
 export class CallerConnections {
     private readonly connections = new Map<Socket, CallerConnection>();
+    private readonly quota: EventQuota;
     private closingSinceMs: number | undefined;
 
     public constructor(
@@ -55,6 +57,7 @@
         private readonly log: EventLog,
         private readonly metrics: Metrics,
     ) {
+        this.quota = new EventQuota(log, clock);
         // The series exists from the start, so that its absence can't be taken for a zero.
         metrics.count("requests_cut_off", {}, 0);
     }
@@ -228,7 +231,7 @@
         }
         this.metrics.count("caller_connections_closed", { cause });
         if (cause !== answeredCause) {
-            this.log.event(EventId.CallerConnectionClosed, { cause, requests });
+            this.quota.event(EventId.CallerConnectionClosed, { cause, requests });
         }
     }
 
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../common/Types.js";
 import type { FleetSource } from "../fleet/Types.js";
 import type { DrainReport, Service } from "../supervise/Types.js";
+import { EventQuota } from "../telemetry/EventQuota.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CallerConnections } from "./CallerConnections.js";
@@ -61,6 +62,7 @@
     private readonly server: http.Server;
     private readonly readyServer: http.Server;
     private readonly connections: CallerConnections;
+    private readonly quota: EventQuota;
     private isStopping = false;
     private wasReady = false;
 
@@ -70,6 +72,7 @@
             this.serve(req, res, progress).catch((err: unknown) => this.handleError(err, res, progress));
         });
         this.connections = new CallerConnections(options.clock, options.log, options.metrics);
+        this.quota = new EventQuota(options.log, options.clock);
         this.connections.attach(this.server);
         this.server.requestTimeout = 0;
         this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
@@ -173,7 +176,7 @@
         if (this.connections.isInvalid(socket)) {
             return;
         }
-        this.options.log.event(EventId.CallerBroken, { code: err.code, message: err.message });
+        this.quota.event(EventId.CallerBroken, { code: err.code, message: err.message });
         if (err.code === "ECONNRESET" || !socket.writable) {
             socket.destroy();
             return;
