Callers' connections are bounded by the descriptors of the process

Callers saw no answer, and the host's endpoints, peers and logs had no descriptor: any number of connections could stay open, silent, idle or with a part of a request, until the last descriptor was used.

A connection counts once, and twice while its request runs, as one to an endpoint goes with it; those to endpoints count on for as long as they may be kept. Beyond that, silent connections are closed first, then idle ones, then those whose request has been incomplete for longest; never one whose request was read whole. Where all run, a new one is closed unread. An idle connection that its caller may still use is closed only for room, and a request that crosses that close isn't passed on.

--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -64,6 +64,8 @@
     readonly hedging: () => HedgingSettings;
     /** Likewise the limits on data held for callers. */
     readonly callerMemory: () => CallerMemorySettings;
+    /** Number of descriptors that this process may have. */
+    readonly maxDescriptors: number;
 }
 
 /** Builds an entry host and starts it. */
@@ -122,9 +124,10 @@
     { clock, log, metrics, onFatal }: FleetHost,
     fleet: FleetClient,
     gateway: Gateway,
-    { callerAddress: address, readyAddress, isReadyPath }: FleetEntryOptions,
+    { callerAddress: address, readyAddress, isReadyPath, maxDescriptors }: FleetEntryOptions,
 ): GatewayServer {
-    return new GatewayServer({ address, readyAddress, isReadyPath, gateway, fleet, clock, log, metrics, onFatal });
+    const common = { gateway, fleet, clock, log, metrics, onFatal, maxDescriptors };
+    return new GatewayServer({ address, readyAddress, isReadyPath, ...common });
 }
 
 /** Undefined where the settings do not switch admission control on. */
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -10,6 +10,7 @@
 import { EventQuota } from "../telemetry/EventQuota.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
+import { ConnectionLimit, type ConnectionState } from "./ConnectionLimit.js";
 import { limitPipelining, type PipelinedInput } from "./PipelinedInput.js";
 import { RequestProgress } from "./RequestProgress.js";
 
@@ -44,19 +45,30 @@
 const stoppingCause = "stopping";
 /** Cause of a connection that this host closed without saying why, as Node.js does. */
 const unknownCause = "unknown";
+/** Cause of a connection that is closed since there are more than this process has descriptors for. */
+const noRoomCause = "no-room";
+/**
+ * Share of the descriptors that callers' connections and those to endpoints for their requests may have together. The
+ * others are for kept connections to endpoints, peers, control hosts, readiness checks and logs.
+ */
+const descriptorShare = 0.6;
 /** Cause of a connection that is closed after an answer that said so. */
 const answeredCause = "answered";
 
 export class CallerConnections {
     private readonly connections = new Map<Socket, CallerConnection>();
+    private readonly limit: ConnectionLimit<Socket>;
     private readonly quota: EventQuota;
     private closingSinceMs: number | undefined;
 
+    /** @param maxDescriptors Number of descriptors that this process may have. */
     public constructor(
         private readonly clock: Clock,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
+        maxDescriptors: number,
     ) {
+        this.limit = new ConnectionLimit(clock, Math.floor(maxDescriptors * descriptorShare));
         this.quota = new EventQuota(log, clock);
         // The series exists from the start, so that its absence can't be taken for a zero.
         metrics.count("requests_cut_off", {}, 0);
@@ -118,6 +130,7 @@
         connection?.open.add(request);
         if (connection !== undefined) {
             connection.requests += 1;
+            this.place(req.socket, "reading");
         }
         res.once("finish", () => {
             if (connection !== undefined) {
@@ -125,10 +138,16 @@
             }
         });
         req.once("end", () => {
-            if (connection !== undefined && !connection.open.has(request)) {
-                // The body of an answered request has been read since.
-                this.recordIdle(req.socket, connection);
+            if (connection === undefined) {
+                return;
             }
+            if (connection.open.has(request)) {
+                this.place(req.socket, "running");
+                return;
+            }
+            // The body of an answered request has been read since.
+            this.place(req.socket, "idle");
+            this.recordIdle(req.socket, connection);
         });
         return progress;
     }
@@ -143,6 +162,9 @@
 
     private endRequest(socket: Socket, connection: CallerConnection, request: OpenRequest): void {
         connection.open.delete(request);
+        if (connection.open.size === 0) {
+            this.place(socket, request.req.complete ? "idle" : "reading");
+        }
         // Node.js has ended the connection by now if the answer said so.
         if (socket.writableEnded) {
             connection.closeCause ??= answeredCause;
@@ -202,6 +224,7 @@
         const connection: CallerConnection = {
             open,
             input: limitPipelining(socket, {
+                received: () => this.recordData(socket, open),
                 isFull: () => isFull(open),
                 cutOff: () => this.endInvalid(socket, () => socket.destroySoon()),
             }),
@@ -212,12 +235,40 @@
             isInvalid: false,
         };
         this.connections.set(socket, connection);
+        this.limit.place(socket, "silent");
         socket.once("end", () => connection.hasLeft = true);
         socket.once("error", () => connection.hasLeft = true);
         socket.once("close", () => {
             this.connections.delete(socket);
+            this.limit.remove(socket);
+            this.metrics.gauge("caller_connections", this.limit.size);
             this.recordClosed(connection);
         });
+        this.closeExcess();
+    }
+
+    /** Records the state of a connection that is not closed. */
+    private place(socket: Socket, state: ConnectionState): void {
+        if (!socket.destroyed) {
+            this.limit.place(socket, state);
+        }
+        if (state === "running") {
+            this.closeExcess();
+        }
+    }
+
+    private recordData(socket: Socket, open: ReadonlySet<OpenRequest>): void {
+        if (open.size === 0) {
+            this.place(socket, "reading");
+        }
+    }
+
+    private closeExcess(): void {
+        for (const { connection: socket } of this.limit.takeExcess()) {
+            this.recordClose(socket, noRoomCause);
+            socket.destroy();
+        }
+        this.metrics.gauge("caller_connections", this.limit.size);
     }
 
     private recordClosed(connection: CallerConnection): void {
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -54,6 +54,8 @@
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
+    /** Number of descriptors that this process may have; undefined for any number. */
+    readonly maxDescriptors?: number;
     readonly onFatal: (err: InvariantError) => void;
 }
 
@@ -71,8 +73,9 @@
             const progress = this.connections.begin(req, res);
             this.serve(req, res, progress).catch((err: unknown) => this.handleError(err, res, progress));
         });
-        this.connections = new CallerConnections(options.clock, options.log, options.metrics);
-        this.quota = new EventQuota(options.log, options.clock);
+        const { clock, log, metrics, maxDescriptors = Infinity } = options;
+        this.connections = new CallerConnections(clock, log, metrics, maxDescriptors);
+        this.quota = new EventQuota(log, clock);
         this.connections.attach(this.server);
         this.server.requestTimeout = 0;
         this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
--- a/src/gateway/PipelinedInput.test.ts
+++ b/src/gateway/PipelinedInput.test.ts
@@ -20,6 +20,7 @@
         this.input = new PipelinedInput(
             this as unknown as InputSocket,
             {
+                received: () => undefined,
                 parse: bytes => this.parse(bytes),
                 end: () => this.ends.push("end"),
                 cutOff: () => this.ends.push("cut off"),
--- a/src/gateway/PipelinedInput.ts
+++ b/src/gateway/PipelinedInput.ts
@@ -17,6 +17,8 @@
 export type InputSocket = Pick<Socket, "pause" | "resume" | "isPaused" | "destroyed" | "on" | "once">;
 
 export interface InputReader {
+    /** Called when bytes have arrived, before they are parsed. */
+    received(): void;
     /** Gives bytes to the HTTP parser. */
     parse(bytes: Buffer): void;
     /** Tells the HTTP server that no more bytes come. */
@@ -73,6 +75,7 @@
     private receive(bytes: Buffer): void {
         this.held.push(bytes);
         this.heldCount += bytes.length;
+        this.reader.received();
         if (!this.isParsing && !this.isServerPaused) {
             this.parseHeld();
         }
@@ -150,7 +153,7 @@
 }
 
 /** Puts itself between a connection that an HTTP server has taken over and the server's parser. */
-export function limitPipelining(socket: Socket, reader: Pick<InputReader, "cutOff" | "isFull">): PipelinedInput {
+export function limitPipelining(socket: Socket, reader: Omit<InputReader, "parse" | "end">): PipelinedInput {
     const parse = takeListeners(socket, "data");
     const end = takeListeners(socket, "end");
     return new PipelinedInput(socket, { ...reader, parse, end });
