Servers beside the gateway bound their connections, and what they read after a refusal

Cause: the servers for operators, peers, readiness checks and metrics took connections without limit, and kept those that never sent a request for a minute; a client whose upgrade or tunnel was refused kept its connection for as long as it liked, and all requests that it had pipelined ran at once. At an entry host whose descriptors were used up, callers got no answer, and 500 heads without end at the readiness server ended the process.

Change: ServerConnections gives each server a share of the process's descriptors, closes the connections without a served request first, then those whose request has been coming in for longest, limits the time of heads and requests, handles the requests of a connection one after the other, closes one with more than 32, and reads at most 16 MiB and 2 s of what follows a refusal, so that its answer is not lost to a reset.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -178,7 +178,7 @@
     }
 
     private buildPeerServer(): PeerServer {
-        const { log, metrics, host, settings } = this.base;
+        const { clock, log, metrics, host, settings } = this.base;
         const operators = new OperatorApi(this.options.keys.operatorKey, metrics, log);
         jobRoutes(this.dataPlane.jobs).forEach(route => operators.add(route));
         configRoutes(this.controlPlane.operations).forEach(route => operators.add(route));
@@ -195,7 +195,9 @@
             address: settings.hosts[host]?.peerAddress ?? "",
             peers: this.peers,
             operators,
+            clock,
             log,
+            metrics,
             onFatal: err => this.handleFatal(err),
         });
     }
@@ -218,6 +220,7 @@
             balancerLagMs: () => (this.config.current()?.settings ?? settings).timing.balancerLagMs,
             clock,
             log,
+            metrics,
             onFatal: err => this.handleFatal(err),
         });
     }
--- a/src/daemon/FleetControl.ts
+++ b/src/daemon/FleetControl.ts
@@ -82,7 +82,9 @@
             operator,
             decode: options.decodeOperator,
             formatRollout: options.formatRollout,
+            clock: host.clock,
             log: events,
+            metrics,
             onFatal: host.onFatal,
         }),
     ]);
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -1,7 +1,6 @@
 /**
  * Common base of a fleet's entry hosts and control hosts: clock, logging, peer transport, metrics, start and stop.
  */
-import * as http from "node:http";
 import { serveUntil } from "../common/HttpServers.js";
 import { nextIncarnation, parseHostId } from "../common/Ids.js";
 import type { InvariantError } from "../common/Invariant.js";
@@ -21,6 +20,7 @@
 import { JsonEventLog, type LineSink } from "../telemetry/JsonEventLog.js";
 import { type LogPressure, LogSampler, SampledEventLog } from "../telemetry/LogSampler.js";
 import { MetricsRegistry } from "../telemetry/MetricsRegistry.js";
+import { ServerLimits } from "../telemetry/ServerLimits.js";
 import type { EventLog } from "../telemetry/Types.js";
 import { PeerServer } from "./PeerServer.js";
 
@@ -30,6 +30,7 @@
 const tunnelLifeChars = 12;
 /** How often the delay of the event loop is measured. */
 const loopCheckMs = 500;
+const metricsDescriptorShare = 1 / 32;
 
 export interface FleetHostOptions {
     readonly settings: FleetSettings;
@@ -104,13 +105,15 @@
     /** Starts the peer server, the given services, loop-delay measurement and, if configured, the metrics server. */
     public start(services: readonly Service[]): void {
         const { settings, metricsAddress } = this.options;
-        const { log, metrics, peers, tunnelServer: tunnels, onFatal } = this;
+        const { clock, log, metrics, peers, tunnelServer: tunnels, onFatal } = this;
         const address = `${settings.ip}:${settings.peerPort}`;
-        this.supervisor.start(new PeerServer({ address, peers, tunnels, operators: undefined, log, onFatal }));
+        this.supervisor.start(
+            new PeerServer({ address, peers, tunnels, operators: undefined, clock, log, metrics, onFatal }),
+        );
         services.forEach(service => this.supervisor.start(service));
         this.supervisor.start({ name: "loop-delay", run: signal => this.measureLoopDelay(signal) });
         if (metricsAddress !== undefined) {
-            const run = (signal: AbortSignal) => serveMetrics(metricsAddress, metrics, signal);
+            const run = (signal: AbortSignal) => this.serveMetrics(metricsAddress, signal);
             this.supervisor.start({ name: "metrics-server", run });
         }
         const { host, dataCentre, seeds, isFirstStart } = settings;
@@ -139,13 +142,21 @@
             this.metrics.gauge("left_out_log_lines", this.sampler.leftOutLines);
         }
     }
-}
 
-async function serveMetrics(address: string, metrics: MetricsRegistry, signal: AbortSignal): Promise<void> {
-    const server = http.createServer((_, res) => {
-        void metrics.render().then(text => {
-            res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
+    private async serveMetrics(address: string, signal: AbortSignal): Promise<void> {
+        const { clock, log, metrics } = this;
+        const limits = new ServerLimits({
+            server: "metrics-server",
+            descriptorShare: metricsDescriptorShare,
+            clock,
+            log,
+            metrics,
+        });
+        const server = limits.connections.createServer((_, res) => {
+            void metrics.render().then(text => {
+                res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
+            });
         });
-    });
-    await serveUntil(server, address, signal);
+        await serveUntil(server, address, signal);
+    }
 }
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -1,17 +1,20 @@
 /** HTTP server for peers and operators, on the host's peer address. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import { serveUntil } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
+import type { Clock } from "../common/Types.js";
 import { writeJson } from "../common/WriteJson.js";
 import type { OperatorApi } from "../entry/OperatorApi.js";
 import { peerPath, type TrpcPeerServer } from "../peer/TrpcPeerServer.js";
 import type { TunnelServer } from "../peer/TunnelServer.js";
 import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog } from "../telemetry/Types.js";
+import { ServerLimits } from "../telemetry/ServerLimits.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 
 /** How long idle peer connections are kept open. */
 const keepAliveMs = 30_000;
+const descriptorShare = 3 / 8;
 
 export interface PeerServerServices {
     /** "ip:port". */
@@ -21,7 +24,9 @@
     readonly tunnels?: TunnelServer;
     /** Undefined when operators are served elsewhere. */
     readonly operators: OperatorApi | undefined;
+    readonly clock: Clock;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     /** Called when an invariant is broken; the process must stop. */
     readonly onFatal: (err: InvariantError) => void;
 }
@@ -32,8 +37,10 @@
     public constructor(private readonly services: PeerServerServices) {}
 
     public async run(signal: AbortSignal): Promise<void> {
-        const servePeer = this.services.peers.listener();
-        const server = http.createServer((req, res) => {
+        const { address, tunnels, peers, clock, log, metrics } = this.services;
+        const limits = new ServerLimits({ server: this.name, descriptorShare, clock, log, metrics });
+        const servePeer = peers.listener();
+        const server = limits.connections.createServer((req, res) => {
             if (req.url?.startsWith(peerPath) === true) {
                 servePeer(req, res);
                 return;
@@ -45,8 +52,7 @@
             this.services.operators.handle(req, res).catch((err: unknown) => this.handleError(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
-        const { address, tunnels, peers } = this.services;
-        const sockets = peers.sockets();
+        const sockets = peers.sockets(limits);
         sockets.attach(server);
         tunnels?.attach(server);
         const closeAll = () => {
--- a/src/entry/CallerServer.test.ts
+++ b/src/entry/CallerServer.test.ts
@@ -53,6 +53,7 @@
         balancerLagMs: () => 0,
         clock,
         log,
+        metrics: new MemoryMetrics(),
         onFatal: err => assert.fail(err),
     });
     const abort = new AbortController();
--- a/src/entry/CallerServer.ts
+++ b/src/entry/CallerServer.ts
@@ -2,14 +2,15 @@
  * HTTP server for callers and the balancer's health checks. On a planned stop it keeps serving until the balancer has
  * seen that the host is not ready, and then ends when the last request has been answered.
  */
-import * as http from "node:http";
+import type * as http from "node:http";
 import { serveUntil } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import type { Clock } from "../common/Types.js";
 import { writeJson } from "../common/WriteJson.js";
 import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog } from "../telemetry/Types.js";
+import { ServerLimits } from "../telemetry/ServerLimits.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { CallerApi } from "./CallerApi.js";
 import type { ReadinessSource } from "./Types.js";
 
@@ -17,6 +18,7 @@
 const keepAliveMs = 75_000;
 /** How often a drain checks for requests in progress. */
 const drainPollMs = 10;
+const descriptorShare = 1 / 2;
 
 export interface CallerServerOptions {
     /** "ip:port". */
@@ -27,6 +29,7 @@
     readonly balancerLagMs: () => number;
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     /** Called when an invariant is broken; the process must stop. */
     readonly onFatal: (err: InvariantError) => void;
 }
@@ -34,12 +37,14 @@
 export class CallerServer implements Service {
     public readonly name = "caller-server";
     private readonly server: http.Server;
+    private readonly limits: ServerLimits;
     private activeCount = 0;
     private stopping = false;
 
     public constructor(private readonly options: CallerServerOptions) {
-        this.server = http.createServer((req, res) => void this.serve(req, res));
-        this.server.requestTimeout = 0;
+        const { clock, log, metrics } = options;
+        this.limits = new ServerLimits({ server: this.name, descriptorShare, clock, log, metrics });
+        this.server = this.limits.connections.createServer((req, res) => void this.serve(req, res));
         this.server.keepAliveTimeout = keepAliveMs;
     }
 
--- a/src/fleet/OperatorServer.test.ts
+++ b/src/fleet/OperatorServer.test.ts
@@ -3,7 +3,8 @@
 import * as net from "node:net";
 import { test } from "node:test";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import { MemoryLog } from "../../testing/MemoryLog.js";
+import { MemoryLog, MemoryMetrics } from "../../testing/MemoryLog.js";
+import { SystemClock } from "../common/SystemClock.js";
 import type { DataCentreId } from "../common/Types.js";
 import type { OperatorCall } from "./OperatorCallHandler.js";
 import { OperatorServer } from "./OperatorServer.js";
@@ -44,7 +45,9 @@
             },
             decode: () => ({ kind: "set-data-centre", dataCentre: "a" as DataCentreId, isOut: false }),
             formatRollout: record => record,
+            clock: new SystemClock(),
             log,
+            metrics: new MemoryMetrics(),
             onFatal: err => assert.fail(err),
         }).run(stop.signal);
         await nextTurn();
--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -1,19 +1,22 @@
 /** HTTP server for operators on a control host. A platform adapter decodes the requests. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { serveUntil } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
 import { readBytes } from "../common/RequestBody.js";
+import type { Clock } from "../common/Types.js";
 import { writeJson } from "../common/WriteJson.js";
 import type { RolloutRecord } from "../rollouts/Types.js";
 import type { Service } from "../supervise/Types.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog } from "../telemetry/Types.js";
+import { ServerLimits } from "../telemetry/ServerLimits.js";
+import type { EventLog, Metrics } from "../telemetry/Types.js";
 import type { OperatorAnswer, OperatorCall, OperatorCallHandler } from "./OperatorCallHandler.js";
 
 /** Maximum size of a configuration; the limit of the replicated log for one message. */
 const maxBodyBytes = 12 * 1024 * 1024;
 const keepAliveMs = 30_000;
+const descriptorShare = 1 / 8;
 
 /** Decodes an operator's request; undefined when it is not a known call. */
 export type OperatorDecoder = (method: string, path: string, body: string) => OperatorCall | undefined;
@@ -27,17 +30,24 @@
     readonly operator: Pick<OperatorCallHandler, "handle">;
     readonly decode: OperatorDecoder;
     readonly formatRollout: RolloutFormatter;
+    readonly clock: Clock;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     readonly onFatal: (err: InvariantError) => void;
 }
 
 export class OperatorServer implements Service {
     public readonly name = "operator-server";
 
-    public constructor(private readonly options: OperatorServerOptions) {}
+    private readonly limits: ServerLimits;
+
+    public constructor(private readonly options: OperatorServerOptions) {
+        const { clock, log, metrics } = options;
+        this.limits = new ServerLimits({ server: this.name, descriptorShare, clock, log, metrics });
+    }
 
     public async run(signal: AbortSignal): Promise<void> {
-        const server = http.createServer((req, res) => {
+        const server = this.limits.connections.createServer((req, res) => {
             this.serve(req, res).catch((err: unknown) => this.handleError(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -12,6 +12,7 @@
 import type { DrainReport, Service } from "../supervise/Types.js";
 import { EventQuota } from "../telemetry/EventQuota.js";
 import { EventId } from "../telemetry/Events.js";
+import { ServerLimits } from "../telemetry/ServerLimits.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
 import { CallerConnections } from "./CallerConnections.js";
 import type { Gateway } from "./Gateway.js";
@@ -37,6 +38,7 @@
 const readyPollIntervalMs = 200;
 /** Length of the queue of pending connections; callers arrive in bursts. */
 const listenBacklog = 1024;
+const readyDescriptorShare = 1 / 32;
 
 const clientErrorStatuses: Readonly<Record<string, string>> = {
     HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
@@ -83,7 +85,14 @@
             this.quota.event(EventId.CallerBroken, { code, message });
         this.server.on("error", recordFailed);
         this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
-        this.readyServer = http.createServer((req, res) => {
+        const readyLimits = new ServerLimits({
+            server: "ready-server",
+            descriptorShare: readyDescriptorShare,
+            clock,
+            log,
+            metrics,
+        });
+        this.readyServer = readyLimits.connections.createServer((req, res) => {
             const status = !options.isReadyPath(req.url ?? "") ? 404 : this.isReady() ? 200 : 503;
             res.writeHead(status, { "content-length": 0 }).end();
         });
--- a/src/peer/PeerSocketServer.ts
+++ b/src/peer/PeerSocketServer.ts
@@ -7,6 +7,7 @@
 import type { Disposable, HostId } from "../common/Types.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
+import type { ServerLimits } from "../telemetry/ServerLimits.js";
 import type { EventLog, HybridClock } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
 import { callProcedure, type ProcedureError } from "./ProcedureCalls.js";
@@ -30,6 +31,7 @@
     readonly router: AnyTRPCRouter;
     readonly clock: HybridClock;
     readonly log: EventLog;
+    readonly limits: ServerLimits;
     /** The calling host, from the upgrade request. */
     readonly hostOf: (req: http.IncomingMessage) => HostId;
     readonly createContext: (from: HostId) => unknown;
@@ -56,17 +58,17 @@
     }
 
     private accept(req: http.IncomingMessage, connection: Duplex, head: Buffer): void {
-        const { key, log, hostOf } = this.options;
+        const { key, log, limits, hostOf } = this.options;
         // Errors are followed by "close".
         connection.on("error", () => undefined);
         if (req.url !== socketPath) {
-            refuse(connection, "404 Not Found");
+            limits.refuseUpgrade(connection, answerOf("404 Not Found"));
             return;
         }
         const from = hostOf(req);
         if (!keyMatches(key, req.headers[keyHeader])) {
             log.event(EventId.PeerRejected, { peer: from, message: "wrong key" });
-            refuse(connection, "401 Unauthorized");
+            limits.refuseUpgrade(connection, answerOf("401 Unauthorized"));
             return;
         }
         if (connection instanceof Socket) {
@@ -114,6 +116,6 @@
     }
 }
 
-function refuse(connection: Duplex, status: string): void {
-    connection.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+function answerOf(status: string): string {
+    return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
--- a/src/peer/PeerSockets.test.ts
+++ b/src/peer/PeerSockets.test.ts
@@ -6,6 +6,7 @@
 import { WebSocket } from "ws";
 import * as z from "zod";
 import { MemoryLog, MemoryMetrics } from "../../testing/MemoryLog.js";
+import { testLimits } from "../../testing/TestLimits.js";
 import { parseHostId } from "../common/Ids.js";
 import { SystemClock } from "../common/SystemClock.js";
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
@@ -55,7 +56,7 @@
         });
         this.server.on("connection", () => this.connections += 1);
         if (hasSockets) {
-            const sockets = this.registry.sockets();
+            const sockets = this.registry.sockets(testLimits());
             sockets.attach(this.server);
             this.sockets = sockets;
         }
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -8,6 +8,7 @@
 import { InvariantError } from "../common/Invariant.js";
 import type { HostId } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
+import type { ServerLimits } from "../telemetry/ServerLimits.js";
 import type { EventLog, HybridClock, Metrics } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
 import { PeerSocketServer } from "./PeerSocketServer.js";
@@ -83,13 +84,14 @@
     }
 
     /** Creates the server of calls over WebSockets; call it after all methods are registered. */
-    public sockets(): PeerSocketServer {
+    public sockets(limits: ServerLimits): PeerSocketServer {
         const { key, clock, log } = this.options;
         return new PeerSocketServer({
             key,
             router: this.router(),
             clock,
             log,
+            limits,
             hostOf,
             createContext: from => ({ from }),
             onError: error => this.handleError(error),
--- a/src/peer/TunnelServer.ts
+++ b/src/peer/TunnelServer.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from "node:stream";
 import { Either } from "purify-ts";
 import { BoundedMap } from "../common/BoundedMap.js";
+import { endConnection } from "../common/ServerConnections.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -100,10 +101,11 @@
     }
 
     private async accept(req: http.IncomingMessage, peer: Duplex): Promise<void> {
-        const { key, life, metrics, stopping } = this.options;
+        const { key, life, clock, metrics, stopping } = this.options;
         const refuse = (reason: string) => {
             metrics.count("tunnels_served", { outcome: reason });
-            peer.end(`HTTP/1.1 502 Bad Gateway\r\n${tunnelReasonHeader}: ${reason}\r\nContent-Length: 0\r\n\r\n`);
+            const answer = `HTTP/1.1 502 Bad Gateway\r\n${tunnelReasonHeader}: ${reason}\r\nContent-Length: 0\r\n\r\n`;
+            endConnection(peer, answer, clock);
         };
         const target = Either.encase(() => decodeURIComponent(req.url ?? ""));
         if (!keyMatches(key, req.headers[keyHeader]) || target.isLeft()) {
--- a/src/telemetry/Events.ts
+++ b/src/telemetry/Events.ts
@@ -17,6 +17,7 @@
     /** A task that nobody awaits has thrown. */
     BackgroundTaskFailed = 109,
     MetricRejected = 113,
+    ServerOverloaded = 114,
     // 2xx: peer
     PeerConnectionSilent = 200,
     PeerRejected = 201,
--- /dev/null
+++ b/src/telemetry/ServerLimits.ts
@@ -0,0 +1,53 @@
+/**
+ * Limits of one server whose clients may keep to none, and what is told of them: a counter for each reason, and one log
+ * event for many refusals.
+ */
+import type { Duplex } from "node:stream";
+import { descriptorLimit } from "../common/Descriptors.js";
+import { type CloseReason, endConnection, ServerConnections } from "../common/ServerConnections.js";
+import type { Clock } from "../common/Types.js";
+import { EventId } from "./Events.js";
+import type { EventLog, Metrics } from "./Types.js";
+
+interface ServerLimitsOptions {
+    /** The server's name in metrics and events. */
+    readonly server: string;
+    /** Share of the process's descriptors that its connections may take. */
+    readonly descriptorShare: number;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+}
+
+const minConnections = 16;
+/** Interval between two events of one server. */
+const reportIntervalMs = 5000;
+
+export class ServerLimits {
+    public readonly connections: ServerConnections;
+    private unreported: Partial<Record<CloseReason, number>> = {};
+    private reportedMs = -Infinity;
+
+    public constructor(private readonly options: ServerLimitsOptions) {
+        const { descriptorShare, clock } = options;
+        const maxConnections = Math.max(minConnections, Math.floor(descriptorShare * descriptorLimit()));
+        this.connections = new ServerConnections({ maxConnections, clock, onClose: reason => this.record(reason) });
+    }
+
+    /** Writes the last answer on a connection whose client asked for another protocol, and closes it. */
+    public refuseUpgrade(connection: Duplex, answer: string): void {
+        endConnection(connection, answer, this.options.clock);
+    }
+
+    private record(reason: CloseReason): void {
+        const { server, clock, log, metrics } = this.options;
+        metrics.count("server_refusals", { server, reason });
+        this.unreported[reason] = (this.unreported[reason] ?? 0) + 1;
+        const nowMs = clock.nowMs();
+        if (nowMs - this.reportedMs >= reportIntervalMs) {
+            log.event(EventId.ServerOverloaded, { server, connections: this.connections.size, ...this.unreported });
+            this.unreported = {};
+            this.reportedMs = nowMs;
+        }
+    }
+}
