Servers beside the gateway bound the bodies that they hold

Change: LargeBodies lets a few large bodies be read at the same time, while small ones go past them. The others are not read on and stay with their senders. While others wait, one that makes little progress in its turn is given up, and so is one that has waited for 5 s, or that waits when the small ones need its room. The answer is 503 (429 at a daemon's server for callers), before anything was executed. At the operators' server a configuration over 1 MiB keeps its turn until it is answered, since it is held in several forms until then; peers' and callers' bodies keep theirs until they are read. A refused body's parts are released at once, and not with its connection.

--- a/bench/replication/Site.ts
+++ b/bench/replication/Site.ts
@@ -23,6 +23,7 @@
 import { HybridLogicalClock } from "../../src/telemetry/HybridLogicalClock.js";
 import { MetricsRegistry } from "../../src/telemetry/MetricsRegistry.js";
 import type { EventLog } from "../../src/telemetry/Types.js";
+import { testLimits } from "../../testing/TestLimits.js";
 
 const timing: GroupTiming = { electionMs: 1200, heartbeatMs: 400, clockDriftMs: 50 };
 const key = "bench";
@@ -241,7 +242,7 @@
     }
 
     private buildServer(self: HostId, registry: TrpcPeerServer): http.Server {
-        const listener = registry.listener();
+        const listener = registry.listener(testLimits());
         const server = http.createServer((req, res) => {
             const known = this.sockets.get(req.socket);
             const from = req.headers[hostHeader];
--- a/src/common/BodyCollector.ts
+++ b/src/common/BodyCollector.ts
@@ -96,6 +96,14 @@
         return this.buffers.length === 1 && first !== undefined ? first : Buffer.concat(this.buffers);
     }
 
+    /** Gives up what has been collected. */
+    public clear(): void {
+        this.buffers.length = 0;
+        this.block = undefined;
+        this.filled = 0;
+        this.totalBytes = 0;
+    }
+
     public toText(): string {
         return this.toBuffer().toString("utf8");
     }
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -30,7 +30,7 @@
 const tunnelLifeChars = 12;
 /** How often the delay of the event loop is measured. */
 const loopCheckMs = 500;
-const metricsDescriptorShare = 1 / 32;
+const metricsLimits = { descriptorShare: 1 / 32, maxLargeBodies: 0 };
 
 export interface FleetHostOptions {
     readonly settings: FleetSettings;
@@ -145,13 +145,7 @@
 
     private async serveMetrics(address: string, signal: AbortSignal): Promise<void> {
         const { clock, log, metrics } = this;
-        const limits = new ServerLimits({
-            server: "metrics-server",
-            descriptorShare: metricsDescriptorShare,
-            clock,
-            log,
-            metrics,
-        });
+        const limits = new ServerLimits({ server: "metrics-server", ...metricsLimits, clock, log, metrics });
         const server = limits.connections.createServer((_, res) => {
             void metrics.render().then(text => {
                 res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -14,6 +14,8 @@
 
 /** How long idle peer connections are kept open. */
 const keepAliveMs = 30_000;
+/** Number of large calls that are read at the same time; others wait. */
+const maxLargeBodies = 4;
 const descriptorShare = 3 / 8;
 
 export interface PeerServerServices {
@@ -38,8 +40,8 @@
 
     public async run(signal: AbortSignal): Promise<void> {
         const { address, tunnels, peers, clock, log, metrics } = this.services;
-        const limits = new ServerLimits({ server: this.name, descriptorShare, clock, log, metrics });
-        const servePeer = peers.listener();
+        const limits = new ServerLimits({ server: this.name, descriptorShare, maxLargeBodies, clock, log, metrics });
+        const servePeer = peers.listener(limits);
         const server = limits.connections.createServer((req, res) => {
             if (req.url?.startsWith(peerPath) === true) {
                 servePeer(req, res);
@@ -49,7 +51,7 @@
                 writeJson(res, 404, {}, { error: "not found" });
                 return;
             }
-            this.services.operators.handle(req, res).catch((err: unknown) => this.handleError(err, res));
+            this.services.operators.handle(req, res, limits.bodies).catch((err: unknown) => this.handleError(err, res));
         });
         server.keepAliveTimeout = keepAliveMs;
         const sockets = peers.sockets(limits);
--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -3,6 +3,7 @@
  * work. Each failure states whether the request ran. A request is cancelled when its caller disconnects.
  */
 import type * as http from "node:http";
+import type { LargeBodies } from "../common/LargeBodies.js";
 import type { Failure, Outcome } from "../common/Outcome.js";
 import { readJsonBody } from "../common/RequestBody.js";
 import type { Clock, RequestId } from "../common/Types.js";
@@ -36,7 +37,7 @@
     public constructor(private readonly options: CallerApiOptions) {}
 
     /** Serves one request; resolves when its reply has been written to the socket. */
-    public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    public async handle(req: http.IncomingMessage, res: http.ServerResponse, bodies: LargeBodies): Promise<void> {
         const arrivedMs = this.options.clock.nowMs();
         const id = this.options.nextRequestId();
         const view = this.options.config.current();
@@ -50,14 +51,14 @@
         }
         const path = new URL(req.url ?? "/", "http://host").pathname;
         if (path === jobPath || path.startsWith(`${jobPath}/`)) {
-            await this.options.jobs.handle(req, res, id, path.slice(jobPath.length + 1), view);
+            await this.options.jobs.handle(req, res, id, path.slice(jobPath.length + 1), view, bodies);
             return;
         }
         if (!path.startsWith(pipelinePath) || req.method !== "POST") {
             this.reject(res, id, rejection("not-found", `there is no ${req.method ?? ""} ${path}`));
             return;
         }
-        await this.servePipeline(req, res, id, path.slice(pipelinePath.length), view, arrivedMs);
+        await this.servePipeline(req, res, id, path.slice(pipelinePath.length), view, arrivedMs, bodies);
     }
 
     private async servePipeline(
@@ -67,9 +68,10 @@
         name: string,
         view: ConfigView,
         arrivedMs: number,
+        bodies: LargeBodies,
     ): Promise<void> {
         const target = checkTarget(view.settings, name, req.headers);
-        const body = await readJsonBody(req, view.settings.limits.bodyBytes);
+        const body = await readJsonBody(req, view.settings.limits.bodyBytes, { bodies });
         const checked = target.chain(known =>
             body.mapLeft(bodyRejection).chain(input => pipelineRequest(id, known, input, req.headers, arrivedMs))
         );
--- a/src/entry/CallerRequest.ts
+++ b/src/entry/CallerRequest.ts
@@ -16,6 +16,8 @@
 export const idempotencyHeader = "idempotency-key";
 
 const maxIdempotencyKeyLength = 255;
+/** Retry time given to callers whose body found no room. */
+const noRoomRetryAfterMs = 1000;
 /** A caller's deadline is capped at the pipeline's default deadline multiplied by this factor. */
 const maxDeadlineFactor = 10;
 
@@ -33,6 +35,8 @@
             return rejection("invalid-request", `the body is not JSON: ${err.message}`);
         case "incomplete":
             return rejection("cancelled", "the body ended before its declared length");
+        case "no-room":
+            return rejection("overloaded", "no memory is left for the body", noRoomRetryAfterMs);
     }
 }
 
--- a/src/entry/CallerServer.test.ts
+++ b/src/entry/CallerServer.test.ts
@@ -1,6 +1,7 @@
 /** The callers' HTTP API: status, headers and body for each outcome, streams, disconnected callers and drains. */
 import assert from "node:assert/strict";
 import * as http from "node:http";
+import * as net from "node:net";
 import { test } from "node:test";
 import { MemoryLog, MemoryMetrics } from "../../testing/MemoryLog.js";
 import { FixedConfig, testView } from "../../testing/TestSettings.js";
@@ -236,6 +237,30 @@
     await site.stop();
 });
 
+// Guards against memory that grows with the number of bodies, and against a crowd that keeps ordinary callers out.
+test("of many large bodies that stop short of their end some are refused, and an ordinary request is served", async t => {
+    const site = await startSite(async () => answered("whole"));
+    const port = Number(site.address.split(":")[1]);
+    const head =
+        "POST /v1/pipelines/profile HTTP/1.1\r\nHost: a\r\nFireflykeel-Workspace: w1\r\nContent-Length: 900000\r\n\r\n";
+    let refused = 0;
+    const crowd = Array.from({ length: 100 }, () => {
+        const socket = net.connect(port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.once("data", (reply: Buffer) => refused += reply.toString().startsWith("HTTP/1.1 429") ? 1 : 0);
+        socket.write(head + "x".repeat(500_000));
+        return socket;
+    });
+    t.after(() => crowd.forEach(socket => socket.destroy()));
+    assert.equal((await send(site.address, "/v1/pipelines/profile", w1, "{}")).status, 200);
+    while (refused < 36) {
+        await new Promise(done => setImmediate(done));
+    }
+    assert.equal((await send(site.address, "/v1/pipelines/profile", w1, "{}")).status, 200);
+    crowd.forEach(socket => socket.destroy());
+    await site.stop();
+});
+
 test("a drain waits for the request in progress", async () => {
     let release: () => void = () => undefined;
     const gate = new Promise<void>(resolve => release = resolve);
--- a/src/entry/CallerServer.ts
+++ b/src/entry/CallerServer.ts
@@ -18,6 +18,8 @@
 const keepAliveMs = 75_000;
 /** How often a drain checks for requests in progress. */
 const drainPollMs = 10;
+/** Number of large bodies that are read at the same time; others wait. */
+const maxLargeBodies = 64;
 const descriptorShare = 1 / 2;
 
 export interface CallerServerOptions {
@@ -43,7 +45,7 @@
 
     public constructor(private readonly options: CallerServerOptions) {
         const { clock, log, metrics } = options;
-        this.limits = new ServerLimits({ server: this.name, descriptorShare, clock, log, metrics });
+        this.limits = new ServerLimits({ server: this.name, descriptorShare, maxLargeBodies, clock, log, metrics });
         this.server = this.limits.connections.createServer((req, res) => void this.serve(req, res));
         this.server.keepAliveTimeout = keepAliveMs;
     }
@@ -80,7 +82,7 @@
         }
         this.activeCount += 1;
         try {
-            await this.options.api.handle(req, res);
+            await this.options.api.handle(req, res, this.limits.bodies);
         }
         catch (err) {
             this.handleError(err, res);
--- a/src/entry/JobApi.ts
+++ b/src/entry/JobApi.ts
@@ -5,10 +5,12 @@
  */
 import { createHash } from "node:crypto";
 import type * as http from "node:http";
+import type { Either } from "purify-ts";
 import * as z from "zod";
 import { parseJobId } from "../common/Ids.js";
+import type { LargeBodies } from "../common/LargeBodies.js";
 import type { Failure } from "../common/Outcome.js";
-import { readJsonBody } from "../common/RequestBody.js";
+import { type BodyError, readJsonBody } from "../common/RequestBody.js";
 import type { Clock, JobId, RequestId, WorkspaceId } from "../common/Types.js";
 import { writeJson } from "../common/WriteJson.js";
 import type { ConfigView } from "../config/Types.js";
@@ -37,11 +39,13 @@
         id: RequestId,
         rest: string,
         view: ConfigView,
+        bodies: LargeBodies,
     ): Promise<void> {
         const fail = (failure: Failure) =>
             writeJson(res, statusOf(failure), failureHeaders(id, failure), failureBody(id, failure));
         if (rest === "" && req.method === "POST") {
-            await this.submit(req, res, id, view, fail);
+            const body = await readJsonBody(req, view.settings.limits.bodyBytes, { bodies });
+            await this.submit(req, res, id, view, body, fail);
             return;
         }
         const workspace = checkWorkspace(view.settings, req.headers);
@@ -99,9 +103,9 @@
         res: http.ServerResponse,
         id: RequestId,
         view: ConfigView,
+        body: Either<BodyError, unknown>,
         fail: (failure: Failure) => void,
     ): Promise<void> {
-        const body = await readJsonBody(req, view.settings.limits.bodyBytes);
         if (body.isLeft()) {
             fail(bodyRejection(body.swap().unsafeCoerce()));
             return;
--- a/src/entry/OperatorApi.ts
+++ b/src/entry/OperatorApi.ts
@@ -1,5 +1,6 @@
 /** The operators' API below /v1/operator/, and /metrics. A missing or wrong key gets an empty reply with status 401. */
 import type * as http from "node:http";
+import type { LargeBodies } from "../common/LargeBodies.js";
 import { readJsonBody } from "../common/RequestBody.js";
 import { writeJson } from "../common/WriteJson.js";
 import { keyHeader, keyMatches } from "../peer/Keys.js";
@@ -27,7 +28,7 @@
     }
 
     /** Serves one request for a registered route or for /metrics. */
-    public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    public async handle(req: http.IncomingMessage, res: http.ServerResponse, bodies: LargeBodies): Promise<void> {
         if (this.key === undefined || !keyMatches(this.key, req.headers[keyHeader])) {
             req.resume();
             res.writeHead(401).end();
@@ -43,7 +44,7 @@
             writeJson(res, 404, {}, { error: `there is no ${req.method ?? ""} ${url.pathname}` });
             return;
         }
-        await this.callRoute(route, url, req, res);
+        await this.callRoute(route, url, req, res, bodies);
     }
 
     private async callRoute(
@@ -51,10 +52,12 @@
         url: URL,
         req: http.IncomingMessage,
         res: http.ServerResponse,
+        bodies: LargeBodies,
     ): Promise<void> {
-        const body = route.method === "GET" ? undefined : await readJsonBody(req, maxBodyBytes);
+        const body = route.method === "GET" ? undefined : await readJsonBody(req, maxBodyBytes, { bodies });
         if (body?.isLeft() === true) {
-            writeJson(res, 400, {}, { error: `bad body: ${body.swap().unsafeCoerce().kind}` });
+            const { kind } = body.swap().unsafeCoerce();
+            writeJson(res, kind === "no-room" ? 503 : 400, {}, { error: `bad body: ${kind}` });
             return;
         }
         const abort = new AbortController();
--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -1,9 +1,10 @@
 /** HTTP server for operators on a control host. A platform adapter decodes the requests. */
 import type * as http from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import type { Either } from "purify-ts";
 import { serveUntil } from "../common/HttpServers.js";
 import { InvariantError } from "../common/Invariant.js";
-import { readBytes } from "../common/RequestBody.js";
+import { type BodyError, readBytes } from "../common/RequestBody.js";
 import type { Clock } from "../common/Types.js";
 import { writeJson } from "../common/WriteJson.js";
 import type { RolloutRecord } from "../rollouts/Types.js";
@@ -16,7 +17,11 @@
 /** Maximum size of a configuration; the limit of the replicated log for one message. */
 const maxBodyBytes = 12 * 1024 * 1024;
 const keepAliveMs = 30_000;
+/** Large configurations are read and executed one after the other: each is held in several forms while it is. */
+const bodyLimits = { maxLargeBodies: 1, smallBytes: 1024 * 1024 };
 const descriptorShare = 1 / 8;
+/** Retry time given to operators whose order found no room, in seconds. */
+const retryAfterS = "1";
 
 /** Decodes an operator's request; undefined when it is not a known call. */
 export type OperatorDecoder = (method: string, path: string, body: string) => OperatorCall | undefined;
@@ -43,7 +48,7 @@
 
     public constructor(private readonly options: OperatorServerOptions) {
         const { clock, log, metrics } = options;
-        this.limits = new ServerLimits({ server: this.name, descriptorShare, clock, log, metrics });
+        this.limits = new ServerLimits({ server: this.name, descriptorShare, ...bodyLimits, clock, log, metrics });
     }
 
     public async run(signal: AbortSignal): Promise<void> {
@@ -55,14 +60,12 @@
     }
 
     private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-        const body = await readBytes(req, maxBodyBytes);
-        if (body.isLeft()) {
-            const error = body.extract();
-            writeJson(res, error.kind === "too-large" ? 413 : 400, {}, { error });
+        const text = await this.readText(req, res);
+        if (text.isLeft()) {
+            writeBodyError(res, text.extract());
             return;
         }
-        const text = body.unsafeCoerce().toString("utf8");
-        const call = this.options.decode(req.method ?? "GET", req.url ?? "/", text);
+        const call = this.options.decode(req.method ?? "GET", req.url ?? "/", text.unsafeCoerce());
         if (call === undefined) {
             writeJson(res, 404, {}, { error: { kind: "unknown-call", message: `${req.method} ${req.url}` } });
             return;
@@ -75,6 +78,12 @@
         writeAnswer(res, await this.options.operator.handle(call, operator), this.options.formatRollout);
     }
 
+    /** The bytes of the body are not kept beside its text. */
+    private async readText(req: http.IncomingMessage, res: http.ServerResponse): Promise<Either<BodyError, string>> {
+        const body = await readBytes(req, maxBodyBytes, { bodies: this.limits.bodies, res });
+        return body.map(bytes => bytes.toString("utf8"));
+    }
+
     /**
      * True when the operator has closed the connection, and may have given another order elsewhere. After a suspension
      * of this host, the end of the connection is read a turn of the event loop after the request.
@@ -94,6 +103,14 @@
     }
 }
 
+function writeBodyError(res: http.ServerResponse, error: BodyError): void {
+    if (error.kind === "no-room") {
+        writeJson(res, 503, { "retry-after": retryAfterS }, { error });
+        return;
+    }
+    writeJson(res, error.kind === "too-large" ? 413 : 400, {}, { error });
+}
+
 function writeAnswer(res: http.ServerResponse, answer: OperatorAnswer, formatRollout: RolloutFormatter): void {
     switch (answer.kind) {
         case "done":
@@ -107,7 +124,7 @@
         case "invalid":
             return writeJson(res, 400, {}, { error: answer });
         case "unavailable":
-            return writeJson(res, 503, { "retry-after": "1" }, { error: answer });
+            return writeJson(res, 503, { "retry-after": retryAfterS }, { error: answer });
         case "config": {
             const bytes = Buffer.from(answer.text);
             res.writeHead(200, { "content-type": "application/json", "content-length": bytes.length });
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -38,7 +38,7 @@
 const readyPollIntervalMs = 200;
 /** Length of the queue of pending connections; callers arrive in bursts. */
 const listenBacklog = 1024;
-const readyDescriptorShare = 1 / 32;
+const readyServerLimits = { descriptorShare: 1 / 32, maxLargeBodies: 0 };
 
 const clientErrorStatuses: Readonly<Record<string, string>> = {
     HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
@@ -85,13 +85,7 @@
             this.quota.event(EventId.CallerBroken, { code, message });
         this.server.on("error", recordFailed);
         this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
-        const readyLimits = new ServerLimits({
-            server: "ready-server",
-            descriptorShare: readyDescriptorShare,
-            clock,
-            log,
-            metrics,
-        });
+        const readyLimits = new ServerLimits({ server: "ready-server", ...readyServerLimits, clock, log, metrics });
         this.readyServer = readyLimits.connections.createServer((req, res) => {
             const status = !options.isReadyPath(req.url ?? "") ? 404 : this.isReady() ? 200 : 503;
             res.writeHead(status, { "content-length": 0 }).end();
--- a/src/peer/PeerSockets.test.ts
+++ b/src/peer/PeerSockets.test.ts
@@ -49,7 +49,7 @@
         this.registry.handle(greet, async (req, from) => ({ text: `${req.name} from ${from}` }));
         this.registry.handle(quiet, async () => undefined);
         this.registry.handle(stuck, () => new Promise(() => undefined));
-        const serve = this.registry.listener();
+        const serve = this.registry.listener(testLimits());
         this.server = http.createServer((req, res) => {
             this.requests += 1;
             serve(req, res);
--- a/src/peer/TrpcHttpHandler.ts
+++ b/src/peer/TrpcHttpHandler.ts
@@ -8,7 +8,8 @@
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
 import type * as http from "node:http";
 import { type Either, Left, Right } from "purify-ts";
-import { readBytes } from "../common/RequestBody.js";
+import type { LargeBodies } from "../common/LargeBodies.js";
+import { type BodyError, readBytes } from "../common/RequestBody.js";
 import { writeJson } from "../common/WriteJson.js";
 import { callProcedure, procedureError } from "./ProcedureCalls.js";
 
@@ -17,10 +18,19 @@
     /** Path prefix before the method's name. */
     readonly basePath: string;
     readonly maxBodyBytes: number;
+    /** Counts the bodies until they have been read. */
+    readonly bodies: LargeBodies;
     readonly createContext: (req: http.IncomingMessage) => unknown;
     readonly onError: (error: TRPCError) => void;
 }
 
+const errorCodes = {
+    "too-large": "PAYLOAD_TOO_LARGE",
+    "not-json": "PARSE_ERROR",
+    "incomplete": "CLIENT_CLOSED_REQUEST",
+    "no-room": "SERVICE_UNAVAILABLE",
+} as const satisfies Record<BodyError["kind"], TRPCError["code"]>;
+
 /** Creates a listener that serves the router; errors are answered in tRPC's format and passed to `onError`. */
 export function trpcHttpHandler(options: TrpcHttpOptions): http.RequestListener {
     return (req, res) => {
@@ -31,7 +41,7 @@
 async function serve(options: TrpcHttpOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { router, basePath, createContext, onError } = options;
     const path = (req.url ?? "").slice(basePath.length);
-    const input = await readInput(req, options.maxBodyBytes);
+    const input = await readInput(options, req);
     const ended = input.isLeft()
         ? Left(procedureError(router, path, input.extract()))
         : await callProcedure(router, path, input.extract(), createContext(req));
@@ -44,12 +54,13 @@
     });
 }
 
-async function readInput(req: http.IncomingMessage, maxBytes: number): Promise<Either<TRPCError, unknown>> {
-    const body = await readBytes(req, maxBytes);
+async function readInput(
+    { maxBodyBytes, bodies }: TrpcHttpOptions,
+    req: http.IncomingMessage,
+): Promise<Either<TRPCError, unknown>> {
+    const body = await readBytes(req, maxBodyBytes, { bodies });
     return body
-        .mapLeft(({ kind }) =>
-            new TRPCError({ code: kind === "too-large" ? "PAYLOAD_TOO_LARGE" : "CLIENT_CLOSED_REQUEST" })
-        )
+        .mapLeft(({ kind }) => new TRPCError({ code: errorCodes[kind] }))
         .chain(bytes => parse(bytes.toString("utf8")));
 }
 
--- a/src/peer/TrpcPeer.test.ts
+++ b/src/peer/TrpcPeer.test.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import * as z from "zod";
 import { MemoryLog, MemoryMetrics } from "../../testing/MemoryLog.js";
+import { testLimits } from "../../testing/TestLimits.js";
 import { parseHostId } from "../common/Ids.js";
 import { SystemClock } from "../common/SystemClock.js";
 import { HybridLogicalClock } from "../telemetry/HybridLogicalClock.js";
@@ -56,7 +57,7 @@
 
 for (const row of cases) {
     test(`peer call: ${row.name}`, async () => {
-        const { server, address } = await listen(peerServer().listener());
+        const { server, address } = await listen(peerServer().listener(testLimits()));
         const transport = transportTo(address, row.key);
         const result = await transport.call(beta, row.method, row.input as { name: string; }, { timeoutMs: 5000 });
         transport.dispose();
@@ -67,7 +68,7 @@
 }
 
 test("a body that is not JSON and one that is too large get an error, and the next call is served", async () => {
-    const { server, address } = await listen(peerServer().listener());
+    const { server, address } = await listen(peerServer().listener(testLimits()));
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     const send = (body: string) =>
         new Promise<number>(resolve => {
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -59,11 +59,12 @@
     }
 
     /** Creates the listener for requests under {@link peerPath}; call it after all methods are registered. */
-    public listener(): RequestListener {
+    public listener(limits: ServerLimits): RequestListener {
         const serve = trpcHttpHandler({
             router: this.router(),
             basePath: peerPath,
             maxBodyBytes,
+            bodies: limits.bodies,
             createContext: req => ({ from: hostOf(req) }),
             onError: error => this.handleError(error),
         });
--- a/src/telemetry/ServerLimits.ts
+++ b/src/telemetry/ServerLimits.ts
@@ -4,6 +4,7 @@
  */
 import type { Duplex } from "node:stream";
 import { descriptorLimit } from "../common/Descriptors.js";
+import { LargeBodies } from "../common/LargeBodies.js";
 import { type CloseReason, endConnection, ServerConnections } from "../common/ServerConnections.js";
 import type { Clock } from "../common/Types.js";
 import { EventId } from "./Events.js";
@@ -14,24 +15,33 @@
     readonly server: string;
     /** Share of the process's descriptors that its connections may take. */
     readonly descriptorShare: number;
+    /** Number of large messages that are held at the same time. */
+    readonly maxLargeBodies: number;
+    /** Size from which on a message is large; 64 KiB when absent. */
+    readonly smallBytes?: number;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
 }
 
+const defaultSmallBytes = 64 * 1024;
+/** Maximum number of bytes of all messages that are small or wait for their turn. */
+const maxSmallBytes = 16 * 1024 * 1024;
 const minConnections = 16;
 /** Interval between two events of one server. */
 const reportIntervalMs = 5000;
 
 export class ServerLimits {
     public readonly connections: ServerConnections;
-    private unreported: Partial<Record<CloseReason, number>> = {};
+    public readonly bodies: LargeBodies;
+    private unreported: Partial<Record<CloseReason | "body", number>> = {};
     private reportedMs = -Infinity;
 
     public constructor(private readonly options: ServerLimitsOptions) {
-        const { descriptorShare, clock } = options;
+        const { descriptorShare, maxLargeBodies: maxAtOnce, smallBytes = defaultSmallBytes, clock } = options;
         const maxConnections = Math.max(minConnections, Math.floor(descriptorShare * descriptorLimit()));
         this.connections = new ServerConnections({ maxConnections, clock, onClose: reason => this.record(reason) });
+        this.bodies = new LargeBodies({ maxAtOnce, smallBytes, maxSmallBytes }, clock, () => this.record("body"));
     }
 
     /** Writes the last answer on a connection whose client asked for another protocol, and closes it. */
@@ -39,7 +49,7 @@
         endConnection(connection, answer, this.options.clock);
     }
 
-    private record(reason: CloseReason): void {
+    private record(reason: CloseReason | "body"): void {
         const { server, clock, log, metrics } = this.options;
         metrics.count("server_refusals", { server, reason });
         this.unreported[reason] = (this.unreported[reason] ?? 0) + 1;
--- a/testing/TestLimits.ts
+++ b/testing/TestLimits.ts
@@ -7,6 +7,7 @@
     return new ServerLimits({
         server: "test",
         descriptorShare: 1,
+        maxLargeBodies: 4,
         clock: new SystemClock(),
         log: new MemoryLog(),
         metrics: new MemoryMetrics(),
