Peer sockets: messages that are being received count among the bodies that a server holds

Cause: a frame may have 16 MiB, and the sum over all sockets had no bound: 40 messages that stopped short of their end took 738 MB at an entry host.

Change: what has come of a message counts in the peer server's LargeBodies until the message is whole. One over 64 KiB is read in its turn, and its socket is not read on before; a sender that stops in its turn while others wait loses its socket.

--- a/src/peer/PeerSocketServer.ts
+++ b/src/peer/PeerSocketServer.ts
@@ -74,18 +74,30 @@
         if (connection instanceof Socket) {
             connection.setKeepAlive(true, socketKeepAliveMs);
         }
-        this.sockets.handleUpgrade(req, connection, head, socket => this.serve(socket, from));
+        this.sockets.handleUpgrade(req, connection, head, socket => this.serve(socket, connection, from));
     }
 
-    private serve(socket: WebSocket, from: HostId): void {
-        const { log } = this.options;
+    private serve(socket: WebSocket, connection: Duplex, from: HostId): void {
+        const { log, limits } = this.options;
+        const source = {
+            pause: () => socket.pause(),
+            resume: () => socket.resume(),
+            giveUp: () => socket.terminate(),
+        };
+        let message = limits.bodies.begin(source);
+        connection.prependListener("data", (part: Buffer) => message.add(part.length));
+        socket.on("close", () => message.dispose());
         socket.on("error", (err: NodeJS.ErrnoException) => {
             // Errors of the connection are followed by "close", which says enough.
             if (err.code?.startsWith(protocolErrorPrefix) === true) {
                 log.event(EventId.PeerRejected, { peer: from, message: err.message });
             }
         });
-        socket.on("message", (data: RawData) => inBackground(log, "peer-call", this.answer(socket, from, data)));
+        socket.on("message", (data: RawData) => {
+            message.dispose();
+            message = limits.bodies.begin(source);
+            inBackground(log, "peer-call", this.answer(socket, from, data));
+        });
     }
 
     private async answer(socket: WebSocket, from: HostId, data: RawData): Promise<void> {
