Operators' server: answers that are not taken share the bytes of the configuration

Cause: each read of the configuration made bytes of its own. 20 connections of pipelined reads of a configuration of 1 MiB that took no answer ended a control host, JavaScript heap out of memory: all requests of a connection ran at once, and each of their answers was held.

Change: answers with the same configuration share its bytes, which are released with the last of them.

--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -45,6 +45,8 @@
     public readonly name = "operator-server";
 
     private readonly limits: ServerLimits;
+    /** A configuration whose answers have not all been taken yet; they share its bytes. */
+    private sharedConfig: { readonly text: string; readonly bytes: Buffer; readers: number; } | undefined;
 
     public constructor(private readonly options: OperatorServerOptions) {
         const { clock, log, metrics } = options;
@@ -75,7 +77,12 @@
             this.options.log.event(EventId.OperatorCallAbandoned, { call: call.kind });
             return;
         }
-        writeAnswer(res, await this.options.operator.handle(call, operator), this.options.formatRollout);
+        const answer = await this.options.operator.handle(call, operator);
+        if (answer.kind === "config") {
+            this.writeConfig(res, answer.text);
+            return;
+        }
+        writeAnswer(res, answer, this.options.formatRollout);
     }
 
     /** The bytes of the body are not kept beside its text. */
@@ -94,6 +101,23 @@
         return req.socket.destroyed;
     }
 
+    private writeConfig(res: http.ServerResponse, text: string): void {
+        const config = this.sharedConfig?.text === text
+            ? this.sharedConfig
+            : { text, bytes: Buffer.from(text), readers: 0 };
+        this.sharedConfig = config;
+        config.readers += 1;
+        res.once("close", () => {
+            config.readers -= 1;
+            if (config.readers === 0 && this.sharedConfig === config) {
+                this.sharedConfig = undefined;
+            }
+        });
+        const { bytes } = config;
+        res.writeHead(200, { "content-type": "application/json", "content-length": bytes.length });
+        res.end(bytes);
+    }
+
     private handleError(err: unknown, res: http.ServerResponse): void {
         if (err instanceof InvariantError) {
             this.options.onFatal(err);
@@ -111,7 +135,11 @@
     writeJson(res, error.kind === "too-large" ? 413 : 400, {}, { error });
 }
 
-function writeAnswer(res: http.ServerResponse, answer: OperatorAnswer, formatRollout: RolloutFormatter): void {
+function writeAnswer(
+    res: http.ServerResponse,
+    answer: Exclude<OperatorAnswer, { readonly kind: "config"; }>,
+    formatRollout: RolloutFormatter,
+): void {
     switch (answer.kind) {
         case "done":
             return writeJson(res, 200, {}, { version: answer.version });
@@ -125,10 +153,5 @@
             return writeJson(res, 400, {}, { error: answer });
         case "unavailable":
             return writeJson(res, 503, { "retry-after": retryAfterS }, { error: answer });
-        case "config": {
-            const bytes = Buffer.from(answer.text);
-            res.writeHead(200, { "content-type": "application/json", "content-length": bytes.length });
-            res.end(bytes);
-        }
     }
 }
