Rejected calls of peers are logged once a second at most, with the number that were left out

Cause: each call without the key wrote a line that held a header of its sender, up to 16 KiB, at any rate; a full buffer of the log drops other lines.

Change: RepeatedEvent writes one line a second and counts the others. The line names the host only if it is an id.

Test: of 1,000 events within a second one is logged, and the next line says that 999 were left out.

--- a/src/peer/PeerSocketServer.ts
+++ b/src/peer/PeerSocketServer.ts
@@ -7,6 +7,7 @@
 import type { Disposable, HostId } from "../common/Types.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
+import type { RepeatedEvent } from "../telemetry/RepeatedEvent.js";
 import type { ServerLimits } from "../telemetry/ServerLimits.js";
 import type { EventLog, HybridClock } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
@@ -45,7 +46,11 @@
         maxPayload: maxFrameBytes,
     });
 
-    public constructor(private readonly options: PeerSocketServerOptions) {}
+    private readonly rejected: RepeatedEvent;
+
+    public constructor(private readonly options: PeerSocketServerOptions) {
+        this.rejected = options.limits.repeatedEvent(EventId.PeerRejected);
+    }
 
     /** Takes the upgrade requests of a server. */
     public attach(server: http.Server): void {
@@ -58,7 +63,7 @@
     }
 
     private accept(req: http.IncomingMessage, connection: Duplex, head: Buffer): void {
-        const { key, log, limits, hostOf } = this.options;
+        const { key, limits, hostOf } = this.options;
         // Errors are followed by "close".
         connection.on("error", () => undefined);
         if (req.url !== socketPath) {
@@ -67,7 +72,7 @@
         }
         const from = hostOf(req);
         if (!keyMatches(key, req.headers[keyHeader])) {
-            log.event(EventId.PeerRejected, { peer: from, message: "wrong key" });
+            this.rejected.record({ peer: from, message: "wrong key" });
             limits.refuseUpgrade(connection, answerOf("401 Unauthorized"));
             return;
         }
@@ -90,7 +95,7 @@
         socket.on("error", (err: NodeJS.ErrnoException) => {
             // Errors of the connection are followed by "close", which says enough.
             if (err.code?.startsWith(protocolErrorPrefix) === true) {
-                log.event(EventId.PeerRejected, { peer: from, message: err.message });
+                this.rejected.record({ peer: from, message: err.message });
             }
         });
         socket.on("message", (data: RawData) => {
@@ -101,10 +106,10 @@
     }
 
     private async answer(socket: WebSocket, from: HostId, data: RawData): Promise<void> {
-        const { router, clock, log, createContext, onError } = this.options;
+        const { router, clock, createContext, onError } = this.options;
         const call = parseCallFrame(textOf(data));
         if (call === undefined) {
-            log.event(EventId.PeerRejected, { peer: from, message: "malformed frame" });
+            this.rejected.record({ peer: from, message: "malformed frame" });
             socket.close(malformedCode);
             return;
         }
@@ -118,7 +123,7 @@
             Right: result => ({ data: result }),
         });
         if (socket.bufferedAmount > maxFrameBytes) {
-            log.event(EventId.PeerRejected, { peer: from, message: "replies are not read" });
+            this.rejected.record({ peer: from, message: "replies are not read" });
             socket.terminate();
             return;
         }
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -68,12 +68,10 @@
             createContext: req => ({ from: hostOf(req) }),
             onError: error => this.handleError(error),
         });
+        const rejected = limits.repeatedEvent(EventId.PeerRejected);
         return (req, res) => {
             if (!keyMatches(this.options.key, req.headers[keyHeader])) {
-                this.options.log.event(EventId.PeerRejected, {
-                    peer: headerText(req, hostHeader),
-                    message: "wrong key",
-                });
+                rejected.record({ peer: hostOf(req), message: "wrong key" });
                 req.resume();
                 res.writeHead(401).end();
                 return;
--- a/src/telemetry/ServerLimits.ts
+++ b/src/telemetry/ServerLimits.ts
@@ -8,6 +8,7 @@
 import { type CloseReason, endConnection, ServerConnections } from "../common/ServerConnections.js";
 import type { Clock } from "../common/Types.js";
 import { EventId } from "./Events.js";
+import { RepeatedEvent } from "./RepeatedEvent.js";
 import type { EventLog, Metrics } from "./Types.js";
 
 interface ServerLimitsOptions {
@@ -49,6 +50,11 @@
         endConnection(connection, answer, this.options.clock);
     }
 
+    /** An event that clients of this server can cause at any rate. */
+    public repeatedEvent(id: EventId): RepeatedEvent {
+        return new RepeatedEvent(id, this.options.log, this.options.clock);
+    }
+
     private record(reason: CloseReason | "body"): void {
         const { server, clock, log, metrics } = this.options;
         metrics.count("server_refusals", { server, reason });
