Servers beside the gateway outlive an error of accept

A server whose connections are bounded had no listener for errors once it listened, so that a connection that the system could not accept (ENOBUFS, ENOMEM, or EMFILE without a spare descriptor) ended the process, as at the servers for callers and readiness checks before. It counts as a refusal with the reason accept now, and the server goes on with the next connection.

The test emits the event for four codes; without the listener an event without one throws. Not seen with real descriptors.

--- a/src/common/ServerConnections.test.ts
+++ b/src/common/ServerConnections.test.ts
@@ -46,6 +46,11 @@
         return this;
     }
 
+    /** Lets the system fail to accept a connection. */
+    public failAccept(code: string): void {
+        this.server.emit("error", Object.assign(new Error(`accept ${code}`), { code }));
+    }
+
     public async connect(): Promise<Client> {
         const before = this.accepted;
         const client = new Client((this.server.address() as net.AddressInfo).port);
@@ -112,6 +117,17 @@
     assert.deepEqual(site.closed, ["room", "room"]);
 });
 
+for (const code of ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"]) {
+    // Guards against a process that ends by an error of `accept`, which has no other listener once the server listens.
+    test(`a server that can't accept a connection for ${code} serves the next one`, async t => {
+        const site = await new Site(t).start();
+        site.failAccept(code);
+        const next = await site.connect();
+        await next.get("/ok");
+        assert.deepEqual(site.closed, ["accept"]);
+    });
+}
+
 // Guards against clients whose requests are all refused, or never complete, and keep others out.
 test("connections of refused requests and of bodies that do not end make room for others", async t => {
     const site = await new Site(t).start();
--- a/src/common/ServerConnections.ts
+++ b/src/common/ServerConnections.ts
@@ -11,8 +11,11 @@
 import type { Duplex } from "node:stream";
 import type { Clock, Disposable } from "./Types.js";
 
-/** Why a connection was closed: no room for all, too many requests at once, or a refused body that goes on. */
-export type CloseReason = "room" | "pipelining" | "refused-body";
+/**
+ * Why a connection was closed: no room for all, too many requests at once, or a refused body that goes on; "accept" for one
+ * that the system could not accept.
+ */
+export type CloseReason = "room" | "pipelining" | "refused-body" | "accept";
 
 interface ServerConnectionsOptions {
     readonly maxConnections: number;
@@ -56,6 +59,12 @@
         const limits = { headersTimeout, requestTimeout, connectionsCheckingInterval };
         const server = http.createServer(limits, (req, res) => this.handle(req, res, listener));
         server.on("connection", socket => this.accept(socket));
+        // Where the system has no descriptor or memory for a connection, the server goes on with the next one.
+        server.on("error", () => {
+            if (server.listening) {
+                this.options.onClose("accept");
+            }
+        });
         server.on("upgrade", ({ socket }) => this.addUpgraded(socket));
         server.on("connect", ({ socket }) => this.addUpgraded(socket));
         return server;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -81,16 +81,15 @@
         this.connections.attach(this.server);
         this.server.requestTimeout = 0;
         // Where the system has no descriptor or memory for a connection, the server goes on with the next one.
-        const recordFailed = ({ code, message }: NodeJS.ErrnoException) =>
+        this.server.on("error", ({ code, message }: NodeJS.ErrnoException) => {
             this.quota.event(EventId.CallerBroken, { code, message });
-        this.server.on("error", recordFailed);
+        });
         this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
         const readyLimits = new ServerLimits({ server: "ready-server", ...readyServerLimits, clock, log, metrics });
         this.readyServer = readyLimits.connections.createServer((req, res) => {
             const status = !options.isReadyPath(req.url ?? "") ? 404 : this.isReady() ? 200 : 503;
             res.writeHead(status, { "content-length": 0 }).end();
         });
-        this.readyServer.on("error", recordFailed);
         options.fleet.onChange(() => this.applyLimits());
         this.applyLimits();
     }
