Tests of endpoints that answer twice wait for the copies to be read

Cause: the tests waited by the wall clock for the last copy.

Change: the tests wait until the readers of all copies have closed their connections, for at most two seconds; what they check is as strict as before.

--- a/testing/StutteringEndpoint.ts
+++ b/testing/StutteringEndpoint.ts
@@ -22,6 +22,8 @@
 
 /** Time between two parts of a copy. */
 const partMs = 3;
+/** Longest wait for connections to be closed; a reader that keeps them fails its test afterwards. */
+const maxSettleMs = 2000;
 const notRun = { status: 503, headers: "Fireflykeel-Not-Executed: 1\r\n", body: "" };
 
 interface StutteringReply {
@@ -51,6 +53,10 @@
     private readonly sockets = new Set<Socket>();
     /** Writes the copies that wait for the next request on their connection. */
     private readonly awaiting = new Map<Socket, () => void>();
+    /** Connections that are open and have got a copy. */
+    private readonly doubled = new Set<Socket>();
+    /** Number of copies that are still to be written. */
+    private dueCopies = 0;
     private isRunning = false;
     private replies = 0;
     private results = 0;
@@ -65,6 +71,14 @@
         this.server.close();
     }
 
+    /** Resolves once it has ended all calls and written all copies, and their readers have closed the connections. */
+    public async settle(): Promise<void> {
+        const untilMs = performance.now() + maxSettleMs;
+        while ((this.isRunning || this.dueCopies > 0 || this.doubled.size > 0) && performance.now() < untilMs) {
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
+    }
+
     private serve(socket: Socket): void {
         let received = "";
         this.connections += 1;
@@ -73,6 +87,7 @@
         socket.on("close", () => {
             this.sockets.delete(socket);
             this.awaiting.delete(socket);
+            this.doubled.delete(socket);
         });
         socket.on("data", (chunk: Buffer) => {
             received += chunk.toString();
@@ -143,14 +158,27 @@
         const writeCopy = () => {
             const [first, second] = partsOf(repeats.form, head, body);
             socket.write(first);
-            if (second !== "") {
-                setTimeout(() => socket.write(second), partMs);
+            if (!socket.destroyed) {
+                this.doubled.add(socket);
             }
+            if (second === "") {
+                this.dueCopies -= 1;
+                return;
+            }
+            setTimeout(() => {
+                socket.write(second);
+                this.dueCopies -= 1;
+            }, partMs);
         };
         if (repeats.lateMs === "next") {
-            this.awaiting.set(socket, writeCopy);
+            this.awaiting.set(socket, () => {
+                this.dueCopies += 1;
+                writeCopy();
+            });
+            return;
         }
-        else if (repeats.lateMs === 0) {
+        this.dueCopies += 1;
+        if (repeats.lateMs === 0) {
             writeCopy();
         }
         else {
