Gateway: a body without framing that ends in a status line is not passed on as whole

What callers saw: an endpoint wrote a reply without a length once more and was cut within the status line, and the caller got the body with "HTTP/1.1 2" or the like at its end, status 200 and the endpoint's signature.

Cause: a cut head counted only from the end of its status line on.

Change: at the end of a body without framing it counts from the first digit of the status on.

A second reply that is cut within the name of the protocol is still taken for a part of the body; a sound one may end with that name.

--- a/src/gateway/SecondReply.ts
+++ b/src/gateway/SecondReply.ts
@@ -13,6 +13,10 @@
 const endOfHead = "\r\n\r\n";
 /** A head without its end. */
 const cutHead = /HTTP\/1\.[01] [1-5]\d\d[ \w'()-]*\r\n(?:[^\s:]+:[^\r\n]*\r\n)*(?:[^\s:]+(?::[^\r\n]*)?)?\r?$/;
+/** A status line without its end, as far as it can't be the name of the protocol alone. */
+const cutStatusLine = /HTTP\/1\.[01] [1-5](?:\d?|\d\d(?: [\w '()-]*)?\r?)$/;
+/** Holds a status line. */
+const statusLineBytes = 128;
 /** The parser of HTTP takes no longer head. */
 const maxHeadBytes = 16 * 1024;
 /** Ends the line that it has joined. In a Via header, an address may follow the name of the protocol. */
@@ -28,10 +32,12 @@
 
 /**
  * True when a whole body holds the head of a reply, or ends in one. A framed body may quote one: there it counts only
- * with one of the `replyHeaders`, which endpoints alone write (names in lower case), or when it is cut.
+ * with one of the `replyHeaders`, which endpoints alone write (names in lower case), or when it is cut. One without framing
+ * that ends in a status line holds a reply as well.
  */
 export function bodyHoldsReply(body: Buffer, isFramed: boolean, replyHeaders: readonly string[]): boolean {
-    return holdsHead(body, replyHeaders, () => !isFramed);
+    return (!isFramed && cutStatusLine.test(body.toString("latin1", Math.max(0, body.length - statusLineBytes))))
+        || holdsHead(body, replyHeaders, () => !isFramed);
 }
 
 /**
