Older interface: cache events and exported blocks keep no connection

Cause: these replies name no request, and their connections were kept after any of them. An endpoint that writes a reply again when the next request has come was one reply late from then on.

What callers saw: nothing that was observed. A host had the blocks of one export taken for those of the next.

Change: each of these requests gets a new connection, as reports of the present interface do.

routing/HttpCacheSource.test.ts: both cases failed before, and pass now. The cost of the connections was not measured.

--- a/src/routing/HttpCacheSource.ts
+++ b/src/routing/HttpCacheSource.ts
@@ -53,7 +53,8 @@
             method,
             path,
             ...(body === undefined ? {} : { body }),
-            fresh: false,
+            // Replies name no request, so an earlier one on a kept connection would pass for this one's.
+            fresh: true,
             timeoutMs,
             clock: this.clock,
             signal,
