--- a/src/gather/KnownResults.ts
+++ b/src/gather/KnownResults.ts
@@ -7,8 +7,11 @@
 
 /** Maximum number of results of all connections that are remembered; the oldest are forgotten first. */
 const maxRemembered = 4096;
-/** Maximum number of results of one connection; it is closed then, so that none of them needs to be forgotten. */
-const maxOfConnection = 4096;
+/**
+ * Maximum number of results of one connection; it is closed then, so that none of them needs to be forgotten. A result
+ * takes about 240 bytes, and a large host has connections to hundreds of endpoints.
+ */
+const maxOfConnection = 1024;
 
 /**
  * Whose reply it is. "own": it has a result that no earlier reply had; "foreign": it has one of another piece; "unknown":
