Servers beside the gateway take their share of the descriptors from the settings

Their share was taken of the operating system's limit, which is not the platform's: there a process has 4,100 or 4,096 descriptors whatever the kernel allows. The setting maxDescriptors, which the callers' server has had, counts for operators, peers, readiness checks and metrics too; the operating system's limit where it is absent, as before. No test of its own: the crowds lower the system's limit.

--- a/src/daemon/FleetControl.ts
+++ b/src/daemon/FleetControl.ts
@@ -82,6 +82,7 @@
             operator,
             decode: options.decodeOperator,
             formatRollout: options.formatRollout,
+            maxDescriptors: options.maxDescriptors,
             clock: host.clock,
             log: events,
             metrics,
--- a/src/daemon/FleetEntry.ts
+++ b/src/daemon/FleetEntry.ts
@@ -64,8 +64,6 @@
     readonly hedging: () => HedgingSettings;
     /** Likewise the limits on data held for callers. */
     readonly callerMemory: () => CallerMemorySettings;
-    /** Number of descriptors that this process may have. */
-    readonly maxDescriptors: number;
 }
 
 /** Builds an entry host and starts it. */
--- a/src/daemon/FleetHost.ts
+++ b/src/daemon/FleetHost.ts
@@ -36,6 +36,8 @@
     readonly settings: FleetSettings;
     /** "ip:port" of the metrics; undefined for none. */
     readonly metricsAddress: string | undefined;
+    /** Number of descriptors that this process may have. */
+    readonly maxDescriptors: number;
     readonly sink: LineSink;
     /** Reports how full the line buffer of the sink is and how many lines it has dropped. */
     readonly logPressure: LogPressure;
@@ -104,11 +106,21 @@
 
     /** Starts the peer server, the given services, loop-delay measurement and, if configured, the metrics server. */
     public start(services: readonly Service[]): void {
-        const { settings, metricsAddress } = this.options;
+        const { settings, metricsAddress, maxDescriptors } = this.options;
         const { clock, log, metrics, peers, tunnelServer: tunnels, onFatal } = this;
         const address = `${settings.ip}:${settings.peerPort}`;
         this.supervisor.start(
-            new PeerServer({ address, peers, tunnels, operators: undefined, clock, log, metrics, onFatal }),
+            new PeerServer({
+                address,
+                peers,
+                tunnels,
+                operators: undefined,
+                maxDescriptors,
+                clock,
+                log,
+                metrics,
+                onFatal,
+            }),
         );
         services.forEach(service => this.supervisor.start(service));
         this.supervisor.start({ name: "loop-delay", run: signal => this.measureLoopDelay(signal) });
@@ -145,7 +157,15 @@
 
     private async serveMetrics(address: string, signal: AbortSignal): Promise<void> {
         const { clock, log, metrics } = this;
-        const limits = new ServerLimits({ server: "metrics-server", ...metricsLimits, clock, log, metrics });
+        const { maxDescriptors } = this.options;
+        const limits = new ServerLimits({
+            server: "metrics-server",
+            maxDescriptors,
+            ...metricsLimits,
+            clock,
+            log,
+            metrics,
+        });
         const server = limits.connections.createServer((_, res) => {
             void metrics.render().then(text => {
                 res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
--- a/src/daemon/PeerServer.ts
+++ b/src/daemon/PeerServer.ts
@@ -26,6 +26,8 @@
     readonly tunnels?: TunnelServer;
     /** Undefined when operators are served elsewhere. */
     readonly operators: OperatorApi | undefined;
+    /** Number of descriptors that this process may have; the operating system's limit when undefined. */
+    readonly maxDescriptors?: number;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -39,8 +41,16 @@
     public constructor(private readonly services: PeerServerServices) {}
 
     public async run(signal: AbortSignal): Promise<void> {
-        const { address, tunnels, peers, clock, log, metrics } = this.services;
-        const limits = new ServerLimits({ server: this.name, descriptorShare, maxLargeBodies, clock, log, metrics });
+        const { address, tunnels, peers, maxDescriptors, clock, log, metrics } = this.services;
+        const limits = new ServerLimits({
+            server: this.name,
+            maxDescriptors,
+            descriptorShare,
+            maxLargeBodies,
+            clock,
+            log,
+            metrics,
+        });
         const servePeer = peers.listener(limits);
         const server = limits.connections.createServer((req, res) => {
             if (req.url?.startsWith(peerPath) === true) {
--- a/src/fleet/OperatorServer.ts
+++ b/src/fleet/OperatorServer.ts
@@ -35,6 +35,8 @@
     readonly operator: Pick<OperatorCallHandler, "handle">;
     readonly decode: OperatorDecoder;
     readonly formatRollout: RolloutFormatter;
+    /** Number of descriptors that this process may have; the operating system's limit when undefined. */
+    readonly maxDescriptors?: number;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -49,8 +51,16 @@
     private sharedConfig: { readonly text: string; readonly bytes: Buffer; readers: number; } | undefined;
 
     public constructor(private readonly options: OperatorServerOptions) {
-        const { clock, log, metrics } = options;
-        this.limits = new ServerLimits({ server: this.name, descriptorShare, ...bodyLimits, clock, log, metrics });
+        const { maxDescriptors, clock, log, metrics } = options;
+        this.limits = new ServerLimits({
+            server: this.name,
+            maxDescriptors,
+            descriptorShare,
+            ...bodyLimits,
+            clock,
+            log,
+            metrics,
+        });
     }
 
     public async run(signal: AbortSignal): Promise<void> {
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -85,7 +85,14 @@
             this.quota.event(EventId.CallerBroken, { code, message });
         });
         this.server.on("clientError", (err, socket) => this.handleClientError(err, socket as Socket));
-        const readyLimits = new ServerLimits({ server: "ready-server", ...readyServerLimits, clock, log, metrics });
+        const readyLimits = new ServerLimits({
+            server: "ready-server",
+            maxDescriptors: options.maxDescriptors,
+            ...readyServerLimits,
+            clock,
+            log,
+            metrics,
+        });
         this.readyServer = readyLimits.connections.createServer((req, res) => {
             const status = !options.isReadyPath(req.url ?? "") ? 404 : this.isReady() ? 200 : 503;
             res.writeHead(status, { "content-length": 0 }).end();
--- a/src/telemetry/ServerLimits.ts
+++ b/src/telemetry/ServerLimits.ts
@@ -14,7 +14,9 @@
 interface ServerLimitsOptions {
     /** The server's name in metrics and events. */
     readonly server: string;
-    /** Share of the process's descriptors that its connections may take. */
+    /** Number of descriptors that this process may have; the operating system's limit when undefined. */
+    readonly maxDescriptors?: number | undefined;
+    /** Share of them that the server's connections may take. */
     readonly descriptorShare: number;
     /** Number of large messages that are held at the same time. */
     readonly maxLargeBodies: number;
@@ -40,7 +42,8 @@
 
     public constructor(private readonly options: ServerLimitsOptions) {
         const { descriptorShare, maxLargeBodies: maxAtOnce, smallBytes = defaultSmallBytes, clock } = options;
-        const maxConnections = Math.max(minConnections, Math.floor(descriptorShare * descriptorLimit()));
+        const maxDescriptors = options.maxDescriptors ?? descriptorLimit();
+        const maxConnections = Math.max(minConnections, Math.floor(descriptorShare * maxDescriptors));
         this.connections = new ServerConnections({ maxConnections, clock, onClose: reason => this.record(reason) });
         this.bodies = new LargeBodies({ maxAtOnce, smallBytes, maxSmallBytes }, clock, () => this.record("body"));
     }
