--- a/src/common/BodyCollector.ts
+++ b/src/common/BodyCollector.ts
@@ -102,6 +102,7 @@
         this.block = undefined;
         this.filled = 0;
         this.totalBytes = 0;
+        this.bufferBytes = 0;
     }
 
     public toText(): string {
--- a/src/common/LargeBodies.test.ts
+++ b/src/common/LargeBodies.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FakeClock } from "../../testing/FakeClock.js";
-import { type IncomingBody, LargeBodies } from "./LargeBodies.js";
+import { type HeldMessage, LargeBodies } from "./LargeBodies.js";
 
 const kiB = 1024;
 const limits = { maxAtOnce: 2, smallBytes: 16 * kiB, maxSmallBytes: 128 * kiB };
@@ -10,7 +10,7 @@
 class Message {
     public isPaused = false;
     public isGivenUp = false;
-    public readonly body: IncomingBody;
+    public readonly body: HeldMessage;
 
     public constructor(bodies: LargeBodies) {
         this.body = bodies.begin({
--- a/src/common/LargeBodies.ts
+++ b/src/common/LargeBodies.ts
@@ -31,7 +31,7 @@
 const maxWaitMs = 5000;
 
 /** A message that is being read or handled. */
-export class IncomingBody implements Disposable {
+export class HeldMessage implements Disposable {
     public bytes = 0;
     public isComplete = false;
     public hasTurn = false;
@@ -60,9 +60,9 @@
 }
 
 export class LargeBodies {
-    private readonly open = new Set<IncomingBody>();
+    private readonly open = new Set<HeldMessage>();
     /** In the order in which they began to wait. */
-    private readonly waiting = new Set<IncomingBody>();
+    private readonly waiting = new Set<HeldMessage>();
     private turns = 0;
     private smallBytes = 0;
     private timer: Disposable | undefined;
@@ -79,14 +79,14 @@
         return [...this.open].reduce((sum, { bytes }) => sum + bytes, 0);
     }
 
-    public begin(source: BodySource): IncomingBody {
-        const body = new IncomingBody(source, this);
+    public begin(source: BodySource): HeldMessage {
+        const body = new HeldMessage(source, this);
         this.open.add(body);
         return body;
     }
 
     /** Called by a message that has been read on. */
-    public onRead(body: IncomingBody, bytes: number): void {
+    public onRead(body: HeldMessage, bytes: number): void {
         if (!this.open.has(body) || body.hasTurn) {
             return;
         }
@@ -105,7 +105,7 @@
     }
 
     /** Called by a message that is no longer held. */
-    public remove(body: IncomingBody): void {
+    public remove(body: HeldMessage): void {
         if (!this.open.delete(body)) {
             return;
         }
@@ -140,7 +140,7 @@
     }
 
     /** Gives up messages without a turn: those that wait for one first, then those that have been open for longest. */
-    private makeRoom(reading: IncomingBody): void {
+    private makeRoom(reading: HeldMessage): void {
         const incomplete = [...this.open].filter(one => !one.hasTurn && !one.isComplete && one !== reading);
         const candidates = [...this.waiting, ...incomplete.filter(one => !this.waiting.has(one)), reading];
         for (const body of candidates) {
@@ -155,7 +155,7 @@
         this.timer = undefined;
         const nowMs = this.clock.nowMs();
         const late = [...this.waiting].filter(({ waitsSinceMs = nowMs }) => nowMs - waitsSinceMs >= maxWaitMs);
-        const slow: IncomingBody[] = [];
+        const slow: HeldMessage[] = [];
         for (const body of this.open) {
             if (body.hasTurn && !body.isComplete && nowMs - body.checkedMs >= checkIntervalMs) {
                 if (body.bytes - body.checkedBytes < minBytes) {
@@ -169,7 +169,7 @@
         this.giveTurns();
     }
 
-    private giveUp(body: IncomingBody): void {
+    private giveUp(body: HeldMessage): void {
         if (this.open.has(body)) {
             this.remove(body);
             body.source.giveUp();
--- a/src/gateway/CallerMemory.ts
+++ b/src/gateway/CallerMemory.ts
@@ -6,7 +6,6 @@
  * for longer than a limit is disconnected in any case, so that its request occupies no endpoint.
  */
 import type { ServerResponse } from "node:http";
-import { invariant } from "../common/Invariant.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import { EventId } from "../telemetry/Events.js";
 import type { EventLog, Metrics } from "../telemetry/Types.js";
@@ -188,10 +187,11 @@
         }
         this.bodies?.yieldBytes("stopped", missing());
         stalled.sort((one, other) => other.stalledMs - one.stalledMs);
-        while (missing() > 0 && stalled.length > 0) {
-            const first = stalled.shift();
-            invariant(first !== undefined, "data that waits belongs to an output", { held: this.heldBytes });
-            this.end(first, "memory");
+        for (const output of stalled) {
+            if (missing() <= 0) {
+                break;
+            }
+            this.end(output, "memory");
         }
         this.bodies?.yieldBytes("all", missing());
         return missing() <= 0;
--- a/src/gateway/PipelinedInput.ts
+++ b/src/gateway/PipelinedInput.ts
@@ -144,9 +144,12 @@
 
 type Listener = (this: Socket, ...args: unknown[]) => void;
 
+/** A connection that no server has taken over. */
+const plainSocket = new Socket();
+
 /** Takes the listeners of a connection that an HTTP server has added. */
 function takeListeners(socket: Socket, event: "data" | "end"): (...args: unknown[]) => void {
-    const plain = new Socket().listeners(event);
+    const plain = plainSocket.listeners(event);
     const added = (socket.listeners(event) as Listener[]).filter(one => !plain.includes(one));
     added.forEach(one => socket.off(event, one));
     return (...args) => added.forEach(one => one.apply(socket, args));
--- a/src/peer/PeerSocketServer.ts
+++ b/src/peer/PeerSocketServer.ts
@@ -6,8 +6,8 @@
 import { type RawData, type WebSocket, WebSocketServer } from "ws";
 import type { Disposable, HostId } from "../common/Types.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
+import type { EventQuota } from "../telemetry/EventQuota.js";
 import { EventId } from "../telemetry/Events.js";
-import type { RepeatedEvent } from "../telemetry/RepeatedEvent.js";
 import type { ServerLimits } from "../telemetry/ServerLimits.js";
 import type { EventLog, HybridClock } from "../telemetry/Types.js";
 import { keyHeader, keyMatches } from "./Keys.js";
@@ -46,10 +46,10 @@
         maxPayload: maxFrameBytes,
     });
 
-    private readonly rejected: RepeatedEvent;
+    private readonly quota: EventQuota;
 
     public constructor(private readonly options: PeerSocketServerOptions) {
-        this.rejected = options.limits.repeatedEvent(EventId.PeerRejected);
+        this.quota = options.limits.eventQuota();
     }
 
     /** Takes the upgrade requests of a server. */
@@ -72,7 +72,7 @@
         }
         const from = hostOf(req);
         if (!keyMatches(key, req.headers[keyHeader])) {
-            this.rejected.record({ peer: from, message: "wrong key" });
+            this.quota.event(EventId.PeerRejected, { peer: from, message: "wrong key" });
             limits.refuseUpgrade(connection, answerOf("401 Unauthorized"));
             return;
         }
@@ -95,7 +95,7 @@
         socket.on("error", (err: NodeJS.ErrnoException) => {
             // Errors of the connection are followed by "close", which says enough.
             if (err.code?.startsWith(protocolErrorPrefix) === true) {
-                this.rejected.record({ peer: from, message: err.message });
+                this.quota.event(EventId.PeerRejected, { peer: from, message: err.message });
             }
         });
         socket.on("message", (data: RawData) => {
@@ -109,7 +109,7 @@
         const { router, clock, createContext, onError } = this.options;
         const call = parseCallFrame(textOf(data));
         if (call === undefined) {
-            this.rejected.record({ peer: from, message: "malformed frame" });
+            this.quota.event(EventId.PeerRejected, { peer: from, message: "malformed frame" });
             socket.close(malformedCode);
             return;
         }
@@ -123,7 +123,7 @@
             Right: result => ({ data: result }),
         });
         if (socket.bufferedAmount > maxFrameBytes) {
-            this.rejected.record({ peer: from, message: "replies are not read" });
+            this.quota.event(EventId.PeerRejected, { peer: from, message: "replies are not read" });
             socket.terminate();
             return;
         }
--- a/src/peer/TrpcPeerServer.ts
+++ b/src/peer/TrpcPeerServer.ts
@@ -68,10 +68,10 @@
             createContext: req => ({ from: hostOf(req) }),
             onError: error => this.handleError(error),
         });
-        const rejected = limits.repeatedEvent(EventId.PeerRejected);
+        const quota = limits.eventQuota();
         return (req, res) => {
             if (!keyMatches(this.options.key, req.headers[keyHeader])) {
-                rejected.record({ peer: hostOf(req), message: "wrong key" });
+                quota.event(EventId.PeerRejected, { peer: hostOf(req), message: "wrong key" });
                 req.resume();
                 res.writeHead(401).end();
                 return;
--- a/src/telemetry/ServerLimits.ts
+++ b/src/telemetry/ServerLimits.ts
@@ -7,8 +7,8 @@
 import { LargeBodies } from "../common/LargeBodies.js";
 import { type CloseReason, endConnection, ServerConnections } from "../common/ServerConnections.js";
 import type { Clock } from "../common/Types.js";
+import { EventQuota } from "./EventQuota.js";
 import { EventId } from "./Events.js";
-import { RepeatedEvent } from "./RepeatedEvent.js";
 import type { EventLog, Metrics } from "./Types.js";
 
 interface ServerLimitsOptions {
@@ -53,9 +53,9 @@
         endConnection(connection, answer, this.options.clock);
     }
 
-    /** An event that clients of this server can cause at any rate. */
-    public repeatedEvent(id: EventId): RepeatedEvent {
-        return new RepeatedEvent(id, this.options.log, this.options.clock);
+    /** Returns a log for events that clients of this server can cause at any rate. */
+    public eventQuota(): EventQuota {
+        return new EventQuota(this.options.log, this.options.clock, 1);
     }
 
     private record(reason: CloseReason | "body"): void {
