--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -25,7 +25,7 @@
 const intakeStage = stages.findIndex(one => one.service === "shelter-intake");
 const photoStage = 1 - intakeStage;
 
-const record = new CaseRecord(join(root, "review/8"));
+const record = new CaseRecord(join(root, "review/9"));
 /** Request, stage and piece of each result. */
 const made = new Map<string, string>();
 const faults: string[] = [];
