--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -18,8 +18,8 @@
 const pauseMs = 2000;
 const breakShare = 0.05;
 const breakingEngines = ["i-1", "i-2"];
-const runMs = 42_000;
-const requesters = 40;
+const runMs = 28_000;
+const requesters = 12;
 const workMs = 20;
 const deadlineMs = 1000;
 
@@ -51,6 +51,7 @@
     const body = bodyOf(id, isStream);
     if (!breaks(engine)) {
         socket.end(head + body);
+        record.line(`${engine}: runs ${id}`);
         return;
     }
     broken.add(id);
@@ -118,9 +119,7 @@
         const wanted = bodyOf(id, line.includes("/drafts/"));
         const name = status !== 200 ? `status ${status}` : looksWhole ? "whole" : "broken off";
         counts.set(name, (counts.get(name) ?? 0) + 1);
-        if (broken.has(id)) {
-            record.line(`requester: ${id} (${line}) is answered ${status}, ${body.length} bytes, ${name}`);
-        }
+        record.line(`requester: ${id} (${line}) is answered ${status}, ${body.length} bytes, ${name}`);
         if (status === 200 && looksWhole && body !== wanted) {
             wrong += 1;
             record.line(`broken: ${id} has ${body.length} of ${wanted.length} bytes and looks complete`);
