Replies that end with a reset connection are not complete

Cause: when data and a reset are met in one poll, libuv reports an end of the connection after a read that returned less than was asked for, and never reads on to the error. Node.js's client completes a reply without framing at that end. The status check after it (ReplyEnds) passes, since the endpoint goes on running. A host that serves a tunnel took the same end for the target's.

Change: replies are read through `onReply`, which asks the socket for its peer inside its `end` event, before Node.js completes the reply and ends the connection. All readers use it: the gateway, status checks, stage calls, texts (reports, orders, the endpoint list), peers, and the clients of operators and callers. TunnelServer asks the same and resets the tunnel. No byte is written for the question, and an orderly end in both directions still has its peer.

--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import { Either, Left, Right } from "purify-ts";
 import { BodyCollector } from "../common/BodyCollector.js";
+import { onReply } from "../common/HttpReplies.js";
 import { keyHeader } from "../peer/Keys.js";
 
 /** Maximum size of an answer, in bytes. */
@@ -89,7 +90,7 @@
                     Left({ kind: isConnected ? "no-reply" : "unreachable", message: `${address}: ${err.message}` }),
                 );
             });
-            req.on("response", res => {
+            const read = (res: http.IncomingMessage) => {
                 const content = new BodyCollector(maxAnswerBytes);
                 res.on("data", (chunk: Buffer) => {
                     const fault = content.add(chunk);
@@ -103,7 +104,8 @@
                     const parsed = Either.encase(() => text === "" ? undefined : JSON.parse(text) as unknown);
                     resolve(Right({ status: res.statusCode ?? 0, body: parsed.orDefault(text) }));
                 });
-            });
+            };
+            onReply(req, { read, fail: message => req.destroy(new Error(message)) });
             req.end(body === undefined ? undefined : JSON.stringify(body));
         });
     }
--- a/src/daemon/CallerClient.ts
+++ b/src/daemon/CallerClient.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import { Either, Left, Right } from "purify-ts";
 import { BodyCollector } from "../common/BodyCollector.js";
+import { onReply } from "../common/HttpReplies.js";
 import { digestOf } from "../entry/AnswerStream.js";
 import { deadlineHeader, idempotencyHeader, workspaceHeader } from "../entry/CallerRequest.js";
 
@@ -62,7 +63,7 @@
         req.on("socket", socket => socket.once("connect", () => connected = true));
         req.on("timeout", () => req.destroy(new Error(`no reply within ${call.timeoutMs} ms`)));
         req.on("error", fail);
-        req.on("response", res => {
+        const read = (res: http.IncomingMessage) => {
             const content = new BodyCollector(maxAnswerBytes);
             res.on("data", (chunk: Buffer) => {
                 const fault = content.add(chunk);
@@ -73,7 +74,8 @@
             res.on("error", fail);
             res.on("aborted", () => fail(new Error("the connection closed before the reply was complete")));
             res.on("end", () => resolve(answerOf(res, content.toText())));
-        });
+        };
+        onReply(req, { read, fail: message => req.destroy(new Error(message)) });
         req.end(body);
     });
 }
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -1,7 +1,8 @@
 /** Short text requests to endpoints other than stage calls: cancels, load reports, orders. */
-import type { ClientRequest, IncomingHttpHeaders } from "node:http";
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { BodyCollector } from "../common/BodyCollector.js";
+import { onReply } from "../common/HttpReplies.js";
 import type { Clock, EndpointId } from "../common/Types.js";
 import { closeConnection } from "./CloseConnection.js";
 import type { ConnectError, ConnectionUse, EndpointConnections } from "./EndpointConnections.js";
@@ -101,7 +102,7 @@
         const timer = clock.setTimer(timeoutMs, () => broken(`no reply within ${timeoutMs} ms`));
         signal.addEventListener("abort", aborted);
         req.on("error", err => broken(err.message));
-        req.on("response", res => {
+        const read = (res: IncomingMessage) => {
             // Unset at the end of the reply.
             const connection = res.socket;
             const content = new BodyCollector(options.maxReplyBytes);
@@ -128,7 +129,8 @@
                     finish(Right(reply));
                 }
             });
-        });
+        };
+        onReply(req, { read, fail: broken });
         req.end(body);
     });
 }
--- a/src/endpoints/StageExchange.ts
+++ b/src/endpoints/StageExchange.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { BodyCollector } from "../common/BodyCollector.js";
+import { onReply } from "../common/HttpReplies.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import { closeConnection } from "./CloseConnection.js";
 import { EventStreamReader, readWholeReply, type WholeOutput } from "./ReplyReader.js";
@@ -72,7 +73,7 @@
             signal.addEventListener("abort", this.onAbort);
             req.on("error", err => this.failBroken(err.message));
             req.on("close", () => this.failBroken("the connection was closed before a reply"));
-            req.on("response", res => this.readReply(res));
+            onReply(req, { read: res => this.readReply(res), fail: message => this.failBroken(message) });
             this.restartSilenceTimer(bounds.firstByteMs);
             req.end(body);
         });
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -9,6 +9,7 @@
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { BodyCollector } from "../common/BodyCollector.js";
+import { onReply } from "../common/HttpReplies.js";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections, ReadyRequest } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
@@ -130,8 +131,11 @@
             signal.addEventListener("abort", this.onAbort);
             req.on("error", err => this.fail(err.message));
             req.on("close", () => this.handleClose());
-            req.on("response", res => {
-                this.read(res).catch((err: unknown) => this.fail(failureMessage(err)));
+            onReply(req, {
+                read: res => {
+                    this.read(res).catch((err: unknown) => this.fail(failureMessage(err)));
+                },
+                fail: message => this.fail(message),
             });
             this.restartSilenceTimer(firstByteTimeoutMs);
             req.end(body);
--- a/src/gateway/ReplyEnds.ts
+++ b/src/gateway/ReplyEnds.ts
@@ -5,6 +5,7 @@
  * a status check that is sent afterwards. What can't be confirmed in time is not taken for whole.
  */
 import type { IncomingMessage } from "node:http";
+import { onReply } from "../common/HttpReplies.js";
 import type { Clock, HostId } from "../common/Types.js";
 import { closeConnection } from "../endpoints/CloseConnection.js";
 import type { EndpointConnections } from "../endpoints/EndpointConnections.js";
@@ -114,9 +115,12 @@
                     signal.addEventListener("abort", abort);
                     req.on("error", () => finish("unanswered"));
                     req.on("close", () => finish("unanswered"));
-                    req.on("response", res => {
-                        res.on("error", () => undefined);
-                        finish(codec.isFromInstance(res, endpoint.instance) ? "whole" : "endpoint-ended");
+                    onReply(req, {
+                        read: res => {
+                            res.on("error", () => undefined);
+                            finish(codec.isFromInstance(res, endpoint.instance) ? "whole" : "endpoint-ended");
+                        },
+                        fail: () => finish("unanswered"),
                     });
                     if (signal.aborted) {
                         abort();
--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from "node:http";
 import { BodyCollector } from "../common/BodyCollector.js";
+import { onReply } from "../common/HttpReplies.js";
 import { openRequest } from "../common/HttpRequests.js";
 
 /** Maximum size of a reply, in bytes; far above any message between hosts. */
@@ -67,17 +68,9 @@
             signal?.removeEventListener("abort", abort);
             reject(new HttpFetchError(err.message, connected, false, !connected && err.code === "ECONNREFUSED"));
         };
-        req.on("socket", socket => {
-            // A socket that could not be opened is destroyed by now.
-            connected = !socket.connecting && !socket.destroyed;
-            if (!connected) {
-                socket.once("connect", () => {
-                    connected = true;
-                });
-            }
-        });
+        onConnected(req, () => connected = true);
         req.on("error", fail);
-        req.on("response", res => {
+        const read = (res: http.IncomingMessage) => {
             onHeaders(res.headers);
             const body = new BodyCollector(maxReplyBytes);
             res.on("data", (chunk: Buffer) => {
@@ -95,7 +88,8 @@
                 }
                 resolve(responseOf(res.statusCode ?? 0, body.toText()));
             });
-        });
+        };
+        onReply(req, { read, fail: message => req.destroy(new Error(message)) });
         if (signal?.aborted) {
             abort();
             return;
@@ -105,6 +99,19 @@
     });
 }
 
+/** Calls `connected` once the request has a connection, at once for one that is kept. */
+function onConnected(req: http.ClientRequest, connected: () => void): void {
+    req.on("socket", socket => {
+        // A socket that could not be opened is destroyed by now.
+        if (socket.connecting || socket.destroyed) {
+            socket.once("connect", connected);
+        }
+        else {
+            connected();
+        }
+    });
+}
+
 function responseOf(status: number, text: string): FetchResponse {
     return {
         ok: status >= 200 && status < 300,
--- a/src/peer/TunnelServer.ts
+++ b/src/peer/TunnelServer.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from "node:stream";
 import { Either } from "purify-ts";
 import { BoundedMap } from "../common/BoundedMap.js";
+import { wasReset } from "../common/HttpReplies.js";
 import { endConnection } from "../common/ServerConnections.js";
 import type { Clock, Disposable } from "../common/Types.js";
 import { inBackground } from "../telemetry/BackgroundTask.js";
@@ -152,6 +153,10 @@
         peer.once("close", () => target.destroy());
         target.once("error", () => reset(peer));
         target.once("end", () => {
+            if (wasReset(target)) {
+                reset(peer);
+                return;
+            }
             this.ended.set(id, true);
             peer.end();
         });
