Stages start after those whose results they need, whatever their numbers

Cause: StageGraph.run began the stages in the order of their numbers, and a predecessor that had not begun yet counted as one without results. A stage that is named twice in After gave its results twice.

Change: gateway/StageOrder holds the order in which each stage comes after those that it needs, and the stages begin in it; predecessors count once. The estimates of the stages' time walk the same order. They were recursive along each path, which took exponential time in dense graphs. The check of configurations uses the same function.

--- a/src/gateway/StageGraph.ts
+++ b/src/gateway/StageGraph.ts
@@ -15,6 +15,7 @@
     SubmissionError,
     SubmissionId,
 } from "../gather/Types.js";
+import { ancestorsOf, isFinal, startOrder } from "./StageOrder.js";
 
 /** The stages of one request and their time limits. */
 export interface StagePlan {
@@ -62,12 +63,15 @@
     public async run(plan: StagePlan, signal: AbortSignal): Promise<Either<SubmissionError, StageResults>> {
         const failed = new AbortController();
         const combinedSignal = AbortSignal.any([signal, failed.signal]);
-        const runs: StageRun[] = [];
-        plan.route.stages.forEach((stage, index) => {
-            const run: StageRun = { stage, index, ended: Promise.resolve(Right([])) };
-            runs.push(run);
+        const { stages } = plan.route;
+        const order = startOrder(stages);
+        if (order === undefined) {
+            return Left({ kind: "failed", message: "a stage can't run: it needs itself, or one that does not exist" });
+        }
+        const runs = stages.map((stage, index): StageRun => ({ stage, index, ended: Promise.resolve(Right([])) }));
+        for (const run of order.flatMap(index => runs[index] ?? [])) {
             run.ended = this.runStage(plan, run, runs, combinedSignal);
-        });
+        }
         const freed = Promise.all(runs.map(run => this.freeOnceUsed(run, runs)));
         let firstError: SubmissionError | undefined;
         const ended = Promise.all(runs.map(async run => {
@@ -79,7 +83,7 @@
             return { run, results: end.orDefault([]) };
         }));
         const [ends] = await Promise.all([ended, freed]);
-        const finalStages = ends.filter(({ run }) => isFinal(plan.route.stages, run.index));
+        const finalStages = ends.filter(({ run }) => isFinal(stages, run.index));
         const freeAll = () => finalStages.forEach(({ results }) => this.executor.free(results));
         if (firstError !== undefined) {
             freeAll();
@@ -115,7 +119,7 @@
 
     private async runStage(plan: StagePlan, run: StageRun, runs: readonly StageRun[], signal: AbortSignal) {
         const predecessors = await Promise.all(
-            run.stage.after.map(index => runs[index]?.ended ?? Promise.resolve(Right([]))),
+            [...new Set(run.stage.after)].map(index => runs[index]?.ended ?? Promise.resolve(Right([]))),
         );
         const awaited = stagesToAwait(plan, run.index);
         const failure = predecessors.find(end => end.isLeft()) ?? await this.waitForLongerBranches(awaited, runs);
@@ -204,13 +208,13 @@
 
 /** Estimated duration of the longest path through the successors of a stage. */
 function remainingPathMs(plan: StagePlan, index: number): number {
-    let longestMs = 0;
-    plan.route.stages.forEach((stage, at) => {
-        if (stage.after.includes(index)) {
-            longestMs = Math.max(longestMs, stageDurationMs(plan, at) + remainingPathMs(plan, at));
-        }
-    });
-    return longestMs;
+    const { stages } = plan.route;
+    const restsMs = stages.map(() => 0);
+    for (const at of [...startOrder(stages) ?? []].reverse()) {
+        const fromMs = stageDurationMs(plan, at) + (restsMs[at] ?? 0);
+        stages[at]?.after.forEach(one => restsMs[one] = Math.max(restsMs[one] ?? 0, fromMs));
+    }
+    return restsMs[index] ?? 0;
 }
 
 /**
@@ -234,16 +238,6 @@
 /** Stages whose durations differ by less than this factor count as equally long, since their waits vary more. */
 const equalDurationShare = 0.9;
 
-/** True for a final stage, one without successors. */
-function isFinal(stages: readonly RouteStage[], index: number): boolean {
-    return stages.every(stage => !stage.after.includes(index));
-}
-
-function ancestorsOf(stages: readonly RouteStage[], index: number): readonly number[] {
-    const after = stages[index]?.after ?? [];
-    return [...new Set(after.flatMap(at => [at, ...ancestorsOf(stages, at)]))];
-}
-
 /** Time estimate of a request whose stages are not expected to end in time. */
 interface InfeasibleStages {
     readonly neededMs: number;
@@ -279,13 +273,12 @@
 
 /** Estimated duration of all stages, with full calls and the waits that `waitMs` returns for their services. */
 export function expectedStagesMs(plan: StageShape, waitMs: (service: ServiceId) => number): number {
-    const finishMs = (index: number): number => {
-        const stage = plan.route.stages[index];
-        const ownMs = stage === undefined || (plan.pieces[index] ?? 0) === 0
-            ? 0
-            : stageDurationMs(plan, index) + waitMs(stage.service);
-        const predecessorsMs = (stage?.after ?? []).map(finishMs);
-        return ownMs + Math.max(0, ...predecessorsMs);
-    };
-    return Math.max(0, ...plan.route.stages.map((_, index) => finishMs(index)));
+    const { stages } = plan.route;
+    const finishMs = stages.map(() => 0);
+    for (const at of startOrder(stages) ?? []) {
+        const { service, after } = stages[at]!;
+        const ownMs = (plan.pieces[at] ?? 0) === 0 ? 0 : stageDurationMs(plan, at) + waitMs(service);
+        finishMs[at] = ownMs + Math.max(0, ...after.map(one => finishMs[one] ?? 0));
+    }
+    return Math.max(0, ...finishMs);
 }
--- a/src/preflight/DeploymentCheck.ts
+++ b/src/preflight/DeploymentCheck.ts
@@ -5,8 +5,9 @@
 import type { Deployment, Route, Service, ServiceId } from "../fleet/Types.js";
 import { RouteTable } from "../gateway/RouteTable.js";
 import { expectedStagesMs } from "../gateway/StageGraph.js";
+import { startOrder } from "../gateway/StageOrder.js";
 import { finding, subjectOf } from "./Findings.js";
-import { checkStages, hasValidOrder } from "./StageCheck.js";
+import { checkStages } from "./StageCheck.js";
 import type { Finding } from "./Types.js";
 
 /** Returns all findings on a configuration that hosts accept. */
@@ -73,7 +74,7 @@
 /** Compares the time that the gateway expects for the stages with the times that the route allows. */
 function checkDurations(route: Route, deployment: Deployment): readonly Finding[] {
     const { stages, objectiveMs, timeoutMs } = route;
-    if (stages.length === 0 || !hasValidOrder(stages)) {
+    if (stages.length === 0 || startOrder(stages) === undefined) {
         return [];
     }
     const subject = subjectOf(route);
--- a/src/preflight/StageCheck.ts
+++ b/src/preflight/StageCheck.ts
@@ -1,18 +1,15 @@
 /** Checks the stages of a route: their order, and the storage that their results need. */
 import type { BatchTraits, Deployment, Route, RouteStage } from "../fleet/Types.js";
+import { startOrder } from "../gateway/StageOrder.js";
 import { finding, subjectOf } from "./Findings.js";
 import type { Finding } from "./Types.js";
 
 export function checkStages(route: Route, { services }: Deployment): readonly Finding[] {
     const subject = subjectOf(route);
-    const order = hasValidOrder(route.stages)
+    const message = "a stage needs itself, also through others, or one that does not exist";
+    const order = startOrder(route.stages) !== undefined
         ? []
-        : [finding(
-            "error",
-            "stage-order-invalid",
-            subject,
-            "a stage uses results of itself, of a later one or of none",
-        )];
+        : [finding("error", "stage-order-invalid", subject, message)];
     const stages = route.stages.flatMap((stage, at) => {
         const service = services.get(stage.service);
         if (service === undefined) {
@@ -35,18 +32,6 @@
     return [...order, ...stages];
 }
 
-/** True when each stage uses results of others only, and no stage waits for itself. */
-export function hasValidOrder(stages: readonly RouteStage[]): boolean {
-    const done = new Set<number>();
-    const isReady = (at: number) => !done.has(at) && (stages[at]?.after ?? []).every(one => done.has(one));
-    let next = stages.findIndex((_, at) => isReady(at));
-    while (next >= 0) {
-        done.add(next);
-        next = stages.findIndex((_, at) => isReady(at));
-    }
-    return done.size === stages.length;
-}
-
 function checkStorage({ resultBytes }: RouteStage, traits: BatchTraits, subject: string): readonly Finding[] {
     const { batch, resultRoomBytes } = traits;
     if (resultBytes > resultRoomBytes) {
