Routes whose stages can't run are refused at once

A predecessor that does not exist was left out by the decoder, so that the stage ran on the key of the request, as one without predecessors, and was answered with results of nothing.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -35,6 +35,7 @@
 import { recordFailure } from "./RequestRecorder.js";
 import { pickService, RouteTable } from "./RouteTable.js";
 import { type StageGraph, stagesAndReplyMs } from "./StageGraph.js";
+import { startOrder } from "./StageOrder.js";
 import type { StreamBinding } from "./StreamBinding.js";
 import { type AdmittedRequest, type GatewayCodec, isStreamed, type Refusal, type RequestHead } from "./Types.js";
 import { dropBody } from "./UnreadBody.js";
@@ -372,6 +373,10 @@
         if (service === undefined) {
             return refused("no-endpoint", "the route has no service", unconfirmedRetryMs);
         }
+        if (startOrder(route.stages) === undefined) {
+            const message = "a stage of the route can't run: it needs itself, or one that does not exist";
+            return refused("no-endpoint", message, unconfirmedRetryMs);
+        }
         const admitted = { head, route, service, workspace, body, arrivedMs, origin: undefined };
         const cause = this.deps.quarantine.causeFor(admitted);
         return cause === undefined ? { admitted } : refused("quarantined", cause);
