Replies whose heads are not HTTP are no answers

Callers got replies with the status 600 to 999, of other protocols and versions, and, with the parser of another Node.js or of a lenient process, with blanks in the names of fields, folded lines, or a head that a bare CR or LF had ended early, so that its other lines stood in the body. The status 000 was refused only by an exception while the answer was written, and a request that may run again was not sent to another endpoint.

Cause: nothing but the parser judged a head, and what it accepts depends on its version and options.

Change: common/ReplyHeads checks the bytes of each head of a reply against the grammar of RFC 9112 as they arrive, interim heads too, with Node.js's own checks of names and values; the final status must be 200 to 599, and the parser must have read the same status and as many fields. `onReply` asks it before anything in the head is believed, so it holds for all readers of replies; tunnels ask it for the answers of their hosts. The attempt ends as broken: another endpoint where the request may run again, else 502. Event 1112 quotes the line.

--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -105,7 +105,7 @@
                     resolve(Right({ status: res.statusCode ?? 0, body: parsed.orDefault(text) }));
                 });
             };
-            onReply(req, { read, fail: message => req.destroy(new Error(message)) });
+            onReply(req, { read, fail: ({ message }) => req.destroy(new Error(message)) });
             req.end(body === undefined ? undefined : JSON.stringify(body));
         });
     }
--- a/src/common/HttpReplies.ts
+++ b/src/common/HttpReplies.ts
@@ -6,17 +6,31 @@
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { ReplyHeadCheck } from "./ReplyHeads.js";
+
+/** Why a reply can't be used. "malformed-head": nothing in it can be believed; "reset": its end has not come. */
+export interface ReplyFault {
+    readonly kind: "malformed-head" | "reset";
+    readonly message: string;
+}
 
 export interface ReplyReader {
-    /** Called with the reply to the request when its head has arrived. */
+    /** Called with the reply to the request when its head has arrived and is well-formed. */
     read(res: IncomingMessage): void;
-    /** Called when the reply can't be used; its events may go on. */
-    fail(message: string): void;
+    /** Called when the reply can't be used. Closes the connection; events of the reply may go on until then. */
+    fail(fault: ReplyFault): void;
 }
 
 /** Passes the reply to a request to its reader. Call it before the request is sent. */
 export function onReply(req: ClientRequest, reader: ReplyReader): void {
+    const head = new ReplyHeadCheck(req);
     req.once("response", res => {
+        const message = head.end(res);
+        if (message !== undefined) {
+            res.on("error", () => undefined);
+            reader.fail({ kind: "malformed-head", message: `the reply is no HTTP: ${message}` });
+            return;
+        }
         failOnReset(res, reader);
         reader.read(res);
     });
@@ -36,7 +50,7 @@
     const { socket } = res;
     const checkEnd = () => {
         if (!res.complete && wasReset(socket)) {
-            reader.fail("the connection was reset before the end of the reply");
+            reader.fail({ kind: "reset", message: "the connection was reset before the end of the reply" });
         }
     };
     // Before the listener of Node.js's client, which completes the reply and ends the connection.
--- a/src/daemon/CallerClient.ts
+++ b/src/daemon/CallerClient.ts
@@ -75,7 +75,7 @@
             res.on("aborted", () => fail(new Error("the connection closed before the reply was complete")));
             res.on("end", () => resolve(answerOf(res, content.toText())));
         };
-        onReply(req, { read, fail: message => req.destroy(new Error(message)) });
+        onReply(req, { read, fail: ({ message }) => req.destroy(new Error(message)) });
         req.end(body);
     });
 }
--- a/src/endpoints/RequestText.ts
+++ b/src/endpoints/RequestText.ts
@@ -130,7 +130,7 @@
                 }
             });
         };
-        onReply(req, { read, fail: broken });
+        onReply(req, { read, fail: fault => broken(fault.message) });
         req.end(body);
     });
 }
--- a/src/endpoints/StageExchange.ts
+++ b/src/endpoints/StageExchange.ts
@@ -73,7 +73,7 @@
             signal.addEventListener("abort", this.onAbort);
             req.on("error", err => this.failBroken(err.message));
             req.on("close", () => this.failBroken("the connection was closed before a reply"));
-            onReply(req, { read: res => this.readReply(res), fail: message => this.failBroken(message) });
+            onReply(req, { read: res => this.readReply(res), fail: fault => this.failBroken(fault.message) });
             this.restartSilenceTimer(bounds.firstByteMs);
             req.end(body);
         });
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -9,13 +9,13 @@
  */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { BodyCollector } from "../common/BodyCollector.js";
-import { onReply } from "../common/HttpReplies.js";
+import { onReply, type ReplyFault } from "../common/HttpReplies.js";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import type { EndpointConnections, ReadyRequest } from "../endpoints/EndpointConnections.js";
 import type { EndpointNotices } from "../endpoints/EndpointNotices.js";
 import { failureMessage, inBackground } from "../telemetry/BackgroundTask.js";
 import { EventId } from "../telemetry/Events.js";
-import type { EventLog } from "../telemetry/Types.js";
+import type { EventFields, EventLog } from "../telemetry/Types.js";
 import type { AttemptReply } from "./AttemptReply.js";
 import type { HeldBytes } from "./CallerMemory.js";
 import type { RunningAttempt } from "./EndpointTracker.js";
@@ -135,7 +135,7 @@
                 read: res => {
                     this.read(res).catch((err: unknown) => this.fail(failureMessage(err)));
                 },
-                fail: message => this.fail(message),
+                fail: fault => this.failReply(fault),
             });
             this.restartSilenceTimer(firstByteTimeoutMs);
             req.end(body);
@@ -176,18 +176,27 @@
 
     /** Fails because of an earlier reply, or one that is written once more. */
     private reject({ requestId, status, isNotRun }: ReplyHead, message: string): void {
+        this.logRejected(message, { status, isNotRun, replyTo: requestId?.slice(0, maxLoggedIdLength) });
+        this.fail(message);
+    }
+
+    private failReply({ kind, message }: ReplyFault): void {
+        if (kind === "malformed-head") {
+            this.logRejected(message, {});
+        }
+        this.fail(message);
+    }
+
+    private logRejected(message: string, reply: EventFields): void {
         const { log, head, attempt } = this.options;
         log.event(EventId.EndpointReplyRejected, {
             request: head.id,
             endpoint: attempt.record.id,
-            status,
-            isNotRun,
-            replyTo: requestId?.slice(0, maxLoggedIdLength),
+            ...reply,
             isReused: this.isReused,
             ...(this.throughHost === undefined ? {} : { through: this.throughHost }),
             message,
         });
-        this.fail(message);
     }
 
     private readComplete(res: IncomingMessage, reply: ReplyHead): void {
--- a/src/peer/HttpFetch.ts
+++ b/src/peer/HttpFetch.ts
@@ -89,7 +89,7 @@
                 resolve(responseOf(res.statusCode ?? 0, body.toText()));
             });
         };
-        onReply(req, { read, fail: message => req.destroy(new Error(message)) });
+        onReply(req, { read, fail: ({ message }) => req.destroy(new Error(message)) });
         if (signal?.aborted) {
             abort();
             return;
--- a/src/peer/TunnelClient.ts
+++ b/src/peer/TunnelClient.ts
@@ -7,6 +7,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
 import { openRequest } from "../common/HttpRequests.js";
+import { ReplyHeadCheck } from "../common/ReplyHeads.js";
 import type { Clock, Disposable, HostId } from "../common/Types.js";
 import { keyHeader } from "./Keys.js";
 import { definePeerMethod, type PeerCallOptions, type PeerTransport } from "./Types.js";
@@ -114,11 +115,13 @@
                 () => fail("unavailable", "the peer can't be reached"),
             );
             signal.addEventListener("abort", onAbort);
+            const head = new ReplyHeadCheck(req);
             req.on("socket", socket => socket.once("connect", () => connectTimer.dispose()));
             req.on("error", err => fail("unavailable", err.message));
             req.on("response", res => fail("unavailable", `the peer replied with status ${res.statusCode ?? 0}`));
             req.on("connect", (res, socket) => {
-                if (res.statusCode === 200) {
+                const fault = head.end(res);
+                if (res.statusCode === 200 && fault === undefined) {
                     const id = res.headers[tunnelIdHeader];
                     if (typeof id === "string" && id.length <= maxIdLength) {
                         this.ids.set(socket, id);
@@ -126,7 +129,7 @@
                     finish(Right(socket));
                     return;
                 }
-                const reason = String(res.headers[tunnelReasonHeader]);
+                const reason = fault ?? String(res.headers[tunnelReasonHeader]);
                 fail(reason === "refused" || reason === "timeout" ? reason : "unavailable", reason);
                 socket.destroy();
             });
