Soak and tests with processes: endpoints reset streams with a whole event

A stream that the soak's endpoints cut was reset some time after half an event, so that the reset was always met by itself. Half of the cuts now come with a whole event.

--- a/proof/FleetSite.ts
+++ b/proof/FleetSite.ts
@@ -411,6 +411,16 @@
         }
     }
 
+    /** Resets a stream with an event that is whole, or some time after one that is not. */
+    private cutStream(res: http.ServerResponse, socket: Socket, event: string): void {
+        if (this.random.next() < 0.5) {
+            res.write(event, () => socket.resetAndDestroy());
+            return;
+        }
+        res.write(event.slice(0, event.length / 2));
+        this.clock.setTimer(eventPauseMs, () => socket.resetAndDestroy());
+    }
+
     private async stream(
         endpoint: string,
         req: http.IncomingMessage,
@@ -431,10 +441,7 @@
         for (let id = last + 1; id <= streamEvents && !res.destroyed; id++) {
             const text = eventOf(stream, id, version);
             if (id === cutAt) {
-                // Only part of the event is written before the connection is reset.
-                res.write(text.slice(0, text.length / 2));
-                await this.clock.sleep(eventPauseMs);
-                req.socket.resetAndDestroy();
+                this.cutStream(res, req.socket, text);
                 return;
             }
             await this.silences.get(endpoint);
--- a/test/EndedStreams.test.ts
+++ b/test/EndedStreams.test.ts
@@ -53,6 +53,9 @@
 
 const cases: readonly {
     readonly name: string;
+    /** Called before the streams begin. */
+    readonly prepare?: (site: FleetSite) => void;
+    /** Called once all streams have begun. */
     readonly end: (site: FleetSite, entry: string) => void;
     /** True when every stream must still reach its caller as a whole. */
     readonly goesOn: boolean;
@@ -72,10 +75,16 @@
         end: site => void site.crash(site.endpoints[0] ?? ""),
         goesOn: false,
     },
+    {
+        name: "their endpoints reset them",
+        prepare: site => Object.assign(site.faults, { cutStream: 0.7 }),
+        end: () => undefined,
+        goesOn: false,
+    },
 ];
 
-for (const [at, { name, end, goesOn }] of cases.entries()) {
-    // Guards against streams that end early and look complete (report of betuonto-web-grown, review case 4).
+for (const [at, { name, prepare, end, goesOn }] of cases.entries()) {
+    // Guards against streams that end early and look complete (reports of betuonto-web-grown and bramwell-fleet, review case 4).
     test(`no stream that looks complete lacks an event when ${name}`, async () => {
         const folder = mkdtempSync(join(tmpdir(), "fireflykeel-ended-"));
         const clock = new SystemClock();
@@ -87,6 +96,7 @@
             await site.putConfig(site.controls[0] ?? "");
             await clock.sleep(200);
         }
+        prepare?.(site);
         const ids = Array.from({ length: streamCount }, (_, one) => `s${one}`);
         const reading: Promise<ReceivedStream & { readonly id: string; }>[] = [];
         const begun = ids.map(id =>
