KNOWN-RED: tests that fail only with some versions of Node.js

A mark for such entries, like the one for tests that fail beside load: a failure is listed and printed as before, a pass is not stale, and a test that is gone still is.

--- a/scripts/KnownRed.test.ts
+++ b/scripts/KnownRed.test.ts
@@ -5,6 +5,7 @@
 
 const entry: KnownRedEntry = { test: "a > b", command: "npm test", seen: "wrong", issue: "4" };
 const loadEntry: KnownRedEntry = { ...entry, command: "beside load: npm test" };
+const parserEntry: KnownRedEntry = { ...entry, command: "older Node.js: npm test" };
 
 const cases: { name: string; verdicts: TestVerdict[]; known: KnownRedEntry[]; expected: RunVerdict; }[] = [
     {
@@ -43,6 +44,24 @@
         known: [loadEntry],
         expected: { failures: [], tolerated: [loadEntry], stale: [] },
     },
+    {
+        name: "a listed test that fails only with an older Node.js and passes",
+        verdicts: [{ name: "a > b", passed: true }],
+        known: [parserEntry],
+        expected: { failures: [], tolerated: [], stale: [] },
+    },
+    {
+        name: "a listed test that fails only with an older Node.js and fails",
+        verdicts: [{ name: "a > b", passed: false }],
+        known: [parserEntry],
+        expected: { failures: [], tolerated: [parserEntry], stale: [] },
+    },
+    {
+        name: "a test listed as failing only with an older Node.js that does not exist",
+        verdicts: [],
+        known: [parserEntry],
+        expected: { failures: [], tolerated: [], stale: ["a > b: no such test"] },
+    },
     {
         name: "a test listed as failing only beside load that does not exist",
         verdicts: [],
--- a/scripts/KnownRed.ts
+++ b/scripts/KnownRed.ts
@@ -1,7 +1,8 @@
 /**
  * Reads KNOWN-RED.txt, the list of tests that fail for a known fault that is not fixed yet, and evaluates test runs
  * against it. One entry per line, with fields separated by " | ": test name, command and seed, what was seen, issue.
- * "#" starts a comment. A command that begins with "beside load: " marks a test that fails only beside other load.
+ * "#" starts a comment. A command that begins with "beside load: " marks a test that fails only beside other load, and one
+ * that begins with "older Node.js: " a test that fails only with the HTTP parser of some supported versions of Node.js.
  */
 
 /** One entry of the list. */
@@ -42,8 +43,8 @@
     });
 }
 
-/** Begins the command of a test that passes on an idle machine. */
-const loadMark = "beside load: ";
+/** Begin the commands of tests that pass on an idle machine, or with another version of Node.js. */
+const conditionMarks: readonly string[] = ["beside load: ", "older Node.js: "];
 
 /** Evaluates a run, which fails on failures that are not listed and on stale entries. */
 export function evaluateRun(verdicts: readonly TestVerdict[], known: readonly KnownRedEntry[]): RunVerdict {
@@ -52,7 +53,7 @@
     const present = new Set(verdicts.map(verdict => verdict.name));
     const stale = known
         .filter(entry => !failed.has(entry.test))
-        .filter(entry => !present.has(entry.test) || !entry.command.startsWith(loadMark))
+        .filter(entry => !present.has(entry.test) || !conditionMarks.some(mark => entry.command.startsWith(mark)))
         .map(entry => `${entry.test}: ${present.has(entry.test) ? "passes now" : "no such test"}`);
     return {
         failures: [...failed].filter(name => !listed.has(name)),
