Checks of heads: bound that the parser's own limit can't reach, plainer words

A head of nearly 16 KiB that came in parts could exceed the bound with its separators, which the parser doesn't count. Bytes are kept no longer once the head is decided.

--- a/src/common/ReplyHeads.ts
+++ b/src/common/ReplyHeads.ts
@@ -3,15 +3,21 @@
  * Node.js accepts more, depending on its version and options: status codes that don't exist, blanks in the names of
  * fields, and line ends that end a head before its last field. What it then reports is not what the peer has sent.
  */
-import { type ClientRequest, type IncomingMessage, validateHeaderName, validateHeaderValue } from "node:http";
+import {
+    type ClientRequest,
+    type IncomingMessage,
+    maxHeaderSize,
+    validateHeaderName,
+    validateHeaderValue,
+} from "node:http";
 import type { Socket } from "node:net";
 import { Either } from "purify-ts";
 
 const endOfHead = "\r\n\r\n";
 const statusLine = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 const firstFinalStatus = 200;
-/** The parser takes no longer head. */
-const maxHeadBytes = 16 * 1024;
+/** More than the parser takes, which does not count the separators of fields. */
+const maxHeadBytes = 2 * maxHeaderSize;
 /** Maximum length of what a fault quotes from a head. */
 const maxQuotedLength = 40;
 
@@ -19,7 +25,7 @@
 export class ReplyHeadCheck {
     /** Bytes of a head that has not ended. */
     private pending: Buffer = Buffer.alloc(0);
-    private found: string | undefined;
+    private fault: string | undefined;
     private final: { readonly status: number; readonly fields: number; } | undefined;
     private socket: Socket | undefined;
 
@@ -33,11 +39,15 @@
         }
     }
 
+    private get isDecided(): boolean {
+        return this.fault !== undefined || this.final !== undefined;
+    }
+
     /** Ends the check when the parser reports the final head; returns why that can't be believed, if so. */
     public end({ statusCode, rawHeaders }: IncomingMessage): string | undefined {
-        this.socket?.off("data", this.read);
-        if (this.found !== undefined) {
-            return this.found;
+        this.socket?.off("data", this.onData);
+        if (this.fault !== undefined) {
+            return this.fault;
         }
         if (statusCode !== undefined && statusCode < firstFinalStatus) {
             return `its status is ${statusCode}`;
@@ -52,15 +62,18 @@
     private watch(socket: Socket): void {
         this.socket = socket;
         // Before the listener of Node.js's client, which reports the reply while it reads these bytes.
-        socket.prependListener("data", this.read);
+        socket.prependListener("data", this.onData);
     }
 
-    private readonly read = (chunk: Buffer) => {
+    private readonly onData = (chunk: Buffer) => {
+        if (this.isDecided) {
+            return;
+        }
         this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-        while (this.found === undefined && this.final === undefined) {
+        while (!this.isDecided) {
             const end = this.pending.indexOf(endOfHead);
             if (end < 0) {
-                this.found = this.pending.length > maxHeadBytes ? "the head is too long" : undefined;
+                this.fault = this.pending.length > maxHeadBytes ? "the head is too long" : undefined;
                 return;
             }
             this.readHead(this.pending.toString("latin1", 0, end));
@@ -72,10 +85,10 @@
         const [first = "", ...fields] = text.split("\r\n");
         const status = Number(statusLine.exec(first)?.[1]);
         if (Number.isNaN(status)) {
-            this.found = `its status line is malformed: ${quote(first)}`;
+            this.fault = `its status line is malformed: ${quote(first)}`;
             return;
         }
-        this.found = fields.map(fieldFault).find(fault => fault !== undefined);
+        this.fault = fields.map(fieldFault).find(fault => fault !== undefined);
         if (status >= firstFinalStatus) {
             this.final = { status, fields: fields.length };
         }
