Review: end a case in order whatever stops it

Cause: an exception outside the case's own steps would have ended it with the exit code of a broken rule, and left its processes. Change: such a case ends its processes and reports that it could not run.

--- a/review/lib-3/runCase.ts
+++ b/review/lib-3/runCase.ts
@@ -30,7 +30,14 @@
     const failed = (err: unknown): Verdict => ({
         cannotRun: err instanceof Error ? err.stack ?? err.message : String(err),
     });
-    const verdict = await Promise.race([run({ record, hasTrouble, use }).catch(failed), timeout]);
+    // Whatever else ends the case, its processes are ended, and it is not taken for a broken rule.
+    const interrupted = new Promise<Verdict>(resolve => {
+        process.on("uncaughtException", err => resolve(failed(err)));
+        process.on("unhandledRejection", err => resolve(failed(err)));
+        process.on("SIGTERM", () => resolve({ cannotRun: "the case was stopped" }));
+        process.on("SIGINT", () => resolve({ cannotRun: "the case was stopped" }));
+    });
+    const verdict = await Promise.race([run({ record, hasTrouble, use }).catch(failed), timeout, interrupted]);
     await Promise.all(sites.map(site => site.stop(process.env["KEEP"] === "1")));
     if ("cannotRun" in verdict) {
         record.add("the case could not run:", verdict.cannotRun);
